--- /dev/null
+++ b/libs/charter/include/charter/calls.hpp
@@ -0,0 +1,16 @@
+// The calls of runners, after api/control.yaml.
+#pragma once
+#include "keel/common.hpp"
+namespace zc {
+struct Beat {
+  std::string id, service, address, zone;
+  std::int64_t capacity = 0, sequence = 0, warmupLeftMs = 0;
+  bool draining = false;
+};
+Outcome<Beat> parseBeat(std::string_view id, std::string_view json);
+struct Report {
+  std::int64_t queued = 0, active = 0, kvOccupied = 0, kvSize = 0;
+};
+Outcome<Report> parseReport(std::string_view json);
+std::string quoteJson(std::string_view s);
+}  // namespace zc
--- /dev/null
+++ b/libs/charter/include/charter/configuration.hpp
@@ -0,0 +1,49 @@
+// The operator's configuration: read in full, checked in full, or declined.
+#pragma once
+#include "keel/common.hpp"
+namespace zc {
+enum class RouteType { safe, unsafe, stream };
+struct Target {
+  int service = 0;  // index into Configuration::services
+  std::uint32_t share = 1;
+};
+struct Mapping {  // a route
+  std::string label, authority, pathPrefix;
+  RouteType type = RouteType::unsafe;
+  Span expiry{0}, aim{0}, gapTarget{0};
+  int precedence = 5, maxAttempts = 1;
+  bool keyless = false, affinity = false, resume = false;
+  std::vector<Target> targets;
+  std::uint64_t shareSum = 0;
+  bool repeatable() const { return type == RouteType::safe || (type == RouteType::stream && resume); }
+};
+struct Service {
+  std::string label, healthPath;
+  int connLimit = 0;
+  bool engine = false;
+  int capacity = 0;
+  std::int64_t kvCapacity = 0;
+  int stride = 1;
+};
+struct Subscriber {
+  std::string label;
+  int precedence = -1;
+  double ratePerS = 0, burstSize = 0;
+};
+struct Limits {
+  std::size_t maxHeaderBytes = 16384, maxBodyBytes = 4194304;
+  Span headerTimer{3000}, idleTimer{15000};
+};
+struct Configuration {
+  std::int64_t stamp = 0;
+  std::vector<Mapping> mappings;
+  std::vector<Service> services;
+  std::vector<Subscriber> subscribers;
+  std::unordered_map<std::string, int> keys;  // key -> subscriber
+  std::unordered_map<std::string, std::vector<int>> byHost;  // longest prefix first
+  Limits limits;
+  int find(std::string_view host, std::string_view path) const;  // -1: none fits
+  int subscriberOf(std::string_view key) const;                  // -1: unknown
+};
+Outcome<std::shared_ptr<const Configuration>> parseConfiguration(std::string_view json);
+}  // namespace zc
--- /dev/null
+++ b/libs/charter/include/charter/settings.hpp
@@ -0,0 +1,26 @@
+// The settings file a process is told its place by.
+#pragma once
+#include "keel/common.hpp"
+namespace zc {
+struct Timers {
+  Span contact{3000}, ack{4000}, drain{2000}, configApply{2000}, revoke{5000}, revertSlack{250}, lossSlack{200};
+  Span grace{8000}, sync{4000}, addressHold{2000}, quotaWindow{5000}, retryWindow{10000};
+  bool revokedFail = true;
+  double retryRatio = 0.2, retrySlack = 50, quotaExcess = 0.1, quotaSlack = 20;
+};
+struct Settings {
+  std::string node, role, machineClass, ip, zone, region, dataDir;
+  std::map<std::string, std::string> zones;
+  std::string accessAddr, readinessAddr, controlAddr;
+  unsigned short portFirst = 0, portLast = 0;
+  std::vector<std::string> seeds;
+  bool initialAttach = false, quorumMember = false;
+  Span heartbeat{1200};
+  int memoryMb = 0, fdLimit = 0;
+  Timers timers;
+};
+Outcome<Settings> parseSettings(std::string_view json);
+Outcome<Settings> loadSettings(const std::string& path);
+std::string settingsPath();
+Outcome<std::string> readFile(const std::string& path);
+}  // namespace zc
--- /dev/null
+++ b/libs/charter/src/calls.cpp
@@ -0,0 +1,61 @@
+#include "charter/calls.hpp"
+
+#include <cstdio>
+
+#include "json.hpp"
+
+namespace zc {
+Outcome<Beat> parseBeat(std::string_view id, std::string_view text) {
+  simdjson::dom::parser parser;
+  simdjson::padded_string padded(text);
+  json::Elem doc;
+  json::Obj o;
+  if (parser.parse(padded).get(doc) || doc.get(o)) return fault(400, "heartbeat is no JSON object");
+  json::Reader r;
+  Beat b;
+  b.id = std::string(id);
+  std::string state;
+  r.text(o, "targetService", b.service, true);
+  r.text(o, "address", b.address, true);
+  r.text(o, "zone", b.zone);
+  r.text(o, "state", state);
+  r.whole(o, "capacity", b.capacity);
+  r.whole(o, "sequence", b.sequence);
+  r.whole(o, "warmupLeftMs", b.warmupLeftMs);
+  b.draining = state == "draining";
+  if (!r.wrong.empty()) return fault(400, "heartbeat: " + r.wrong);
+  if (b.id.empty()) return fault(400, "heartbeat without an id");
+  return b;
+}
+Outcome<Report> parseReport(std::string_view text) {
+  simdjson::dom::parser parser;
+  simdjson::padded_string padded(text);
+  json::Elem doc;
+  json::Obj o;
+  if (parser.parse(padded).get(doc) || doc.get(o)) return fault(400, "report is no JSON object");
+  json::Reader r;
+  Report p;
+  r.whole(o, "queued", p.queued);
+  r.whole(o, "active", p.active);
+  r.whole(o, "kvOccupied", p.kvOccupied);
+  r.whole(o, "kvSize", p.kvSize);
+  if (!r.wrong.empty()) return fault(400, "report: " + r.wrong);
+  return p;
+}
+std::string quoteJson(std::string_view s) {
+  std::string out = "\"";
+  for (char c : s) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (static_cast<unsigned char>(c) < 0x20) {
+      char b[8];
+      std::snprintf(b, sizeof b, "\\u%04x", c);
+      out += b;
+    } else {
+      out += c;
+    }
+  }
+  return out + "\"";
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/charter/src/settings.cpp
@@ -0,0 +1,100 @@
+#include "charter/settings.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "json.hpp"
+
+namespace zc {
+Outcome<std::string> readFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return fault(0, "cannot read '" + path + "'");
+  std::ostringstream ss;
+  ss << in.rdbuf();
+  return ss.str();
+}
+std::string settingsPath() {
+  const char* p = std::getenv("ZINCCLEAT_CONFIG");
+  return p && *p ? p : "/etc/zinccleat/node.json";
+}
+Outcome<Settings> parseSettings(std::string_view text) {
+  simdjson::dom::parser parser;
+  simdjson::padded_string padded(text);
+  json::Elem doc;
+  if (auto e = parser.parse(padded).get(doc)) return fault(0, std::string("settings are no JSON: ") + simdjson::error_message(e));
+  json::Obj o;
+  if (doc.get(o)) return fault(0, "settings are no JSON object");
+  json::Reader r;
+  Settings s;
+  r.text(o, "nodeName", s.node, true);
+  r.text(o, "role", s.role);
+  r.text(o, "machineClass", s.machineClass);
+  r.text(o, "ip", s.ip, true);
+  r.text(o, "zone", s.zone, true);
+  r.text(o, "region", s.region);
+  r.text(o, "dataDir", s.dataDir);
+  r.flag(o, "initialAttach", s.initialAttach);
+  r.flag(o, "quorumMember", s.quorumMember);
+  r.ms(o, "heartbeatMs", s.heartbeat);
+  json::Obj sub;
+  json::Arr arr;
+  if (r.object(o, "zones", sub))
+    for (auto f : sub) {
+      std::string_view v;
+      if (!f.value.get(v)) s.zones[std::string(f.key)] = std::string(v);
+    }
+  if (r.object(o, "bindAddresses", sub)) {
+    r.text(sub, "accessPort", s.accessAddr);
+    r.text(sub, "readinessPort", s.readinessAddr);
+    r.text(sub, "controlPort", s.controlAddr);
+  }
+  if (r.array(o, "internalPorts", arr, true)) {
+    std::int64_t p[2] = {0, 0};
+    std::size_t i = 0;
+    for (auto e : arr)
+      if (i < 2 && e.get(p[i])) r.blame("no ports in", "internalPorts");
+      else ++i;
+    if (i < 2 || p[0] <= 0 || p[1] > 65535 || p[1] < p[0] + 1) r.blame("no range of ports in", "internalPorts");
+    s.portFirst = static_cast<unsigned short>(p[0]);
+    s.portLast = static_cast<unsigned short>(p[1]);
+  }
+  if (r.array(o, "seedNodes", arr, true))
+    for (auto e : arr) {
+      std::string_view v;
+      if (e.get(v)) r.blame("no text in", "seedNodes");
+      else s.seeds.emplace_back(v);
+    }
+  if (r.object(o, "limits", sub)) {
+    r.whole(sub, "memoryMb", s.memoryMb);
+    r.whole(sub, "fdLimit", s.fdLimit);
+  }
+  if (r.object(o, "timers", sub)) {
+    auto& t = s.timers;
+    r.ms(sub, "contactMs", t.contact);
+    r.ms(sub, "ackMs", t.ack);
+    r.ms(sub, "drainMs", t.drain);
+    r.ms(sub, "configApplyMs", t.configApply);
+    r.ms(sub, "revokeMs", t.revoke);
+    r.ms(sub, "revertSlackMs", t.revertSlack);
+    r.ms(sub, "lossSlackMs", t.lossSlack);
+    r.ms(sub, "graceS", t.grace, 1000);
+    r.ms(sub, "syncS", t.sync, 1000);
+    r.ms(sub, "addressHoldS", t.addressHold, 1000);
+    r.ms(sub, "quotaWindowS", t.quotaWindow, 1000);
+    r.ms(sub, "retryWindowS", t.retryWindow, 1000);
+    r.flag(sub, "revokedFail", t.revokedFail);
+    r.num(sub, "retryRatio", t.retryRatio);
+    r.num(sub, "retrySlack", t.retrySlack);
+    r.num(sub, "quotaExcess", t.quotaExcess);
+    r.num(sub, "quotaSlack", t.quotaSlack);
+  }
+  if (!r.wrong.empty()) return fault(0, "settings: " + r.wrong);
+  return s;
+}
+Outcome<Settings> loadSettings(const std::string& path) {
+  auto text = readFile(path);
+  if (!text) return tl::unexpected(text.error());
+  return parseSettings(*text);
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/harbourmaster/src/core.cpp
@@ -0,0 +1,417 @@
+#include "core.hpp"
+
+#include <dirent.h>
+#include <unistd.h>
+
+#include "keel/ring.hpp"
+
+namespace zc {
+namespace {
+constexpr auto kTick = 50ms;
+constexpr auto kAgain = 250ms;          // a write without an outcome is sent again
+constexpr std::int64_t kCompactAfter = 96;
+constexpr std::size_t kBulky = 16384;
+constexpr std::size_t kView = 12;
+std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
+}  // namespace
+
+Core::Core(Settings s) : s_(std::move(s)), view_(s_.ip + "/core", kView, drawSeed()) {}
+Core::~Core() = default;
+
+Outcome<void> Core::start() {
+  if (s_.dataDir.empty()) return fault(0, "settings name no dataDir for a core machine");
+  boot_ = drawSeed();
+  const auto now = Clock::now();
+  Store store(s_.dataDir);
+  auto pages = store.load();
+  if (!pages) {
+    // What can't be trusted is not voted with: this disk starts again as an empty one.
+    ring::alarm("disk declined: " + pages.error().text);
+    if (auto* d = ::opendir(s_.dataDir.c_str())) {
+      while (auto* e = ::readdir(d))
+        if (e->d_name[0] != '.') ::unlink((s_.dataDir + "/" + e->d_name).c_str());
+      ::closedir(d);
+    }
+    store = Store(s_.dataDir);
+    pages = store.load();
+    if (!pages) return tl::unexpected(pages.error());
+  }
+  std::vector<std::string> founders, seedIps;
+  for (auto& x : s_.seeds) seedIps.push_back(hostOf(x));
+  for (auto& x : seedIps) founders.push_back(x + "#0");
+  const bool founder = s_.initialAttach && std::find(seedIps.begin(), seedIps.end(), s_.ip) != seedIps.end();
+  std::string self;
+  if (!pages->empty()) self = pages->front().self;
+  else if (founder) self = s_.ip + "#0";
+  else self = s_.ip + "#" + std::to_string(boot_ | 1);
+  order_ = std::make_unique<Order>(self, OrderParams{}, boot_, now);
+  order_->seeds(seedIps);
+  for (auto& x : seedIps) view_.add(x + "/core");
+  disk_ = std::make_unique<Disk>(std::move(store));
+  if (!pages->empty()) order_->recover(*pages, now);
+  else if (founder) order_->found(founders, now);
+  ring::note("starts as " + self + (pages->empty() ? founder ? ", a founder" : ", empty" : ", with its disk"));
+  auto ep = parseEndpoint(s_.ip + ":" + std::to_string(s_.portFirst));
+  if (!ep) return tl::unexpected(ep.error());
+  auto ok = listen(*ep, [this](tcp::socket sock) {
+    auto l = std::make_shared<Link>(
+        std::move(sock), [this](const LinkPtr& x, Msg m) { onMsg(x, std::move(m)); }, [](const LinkPtr&) {});
+    l->start();
+  });
+  if (!ok) return ok;
+  Quay::get().every(kTick, [this] { tick(); });
+  Quay::get().every(1000ms, [this] {
+    const auto seq = order_->sequencer();
+    if (!beatsToTell_.empty() && !seq.empty() && seq != order_->self()) {
+      Msg m = msgOf(Kind::beats);
+      m.names = std::exchange(beatsToTell_, {});
+      sendTo(seq, m);
+    }
+    beatsToTell_.clear();
+    watchRunners(Clock::now());
+  });
+  run();
+  return {};
+}
+
+void Core::tick() {
+  order_->tick(Clock::now());
+  run();
+}
+void Core::run() {
+  // Why one level only: an action's effect may ask for more, which the running loop picks up.
+  if (running_) return;
+  running_ = true;
+  for (auto acts = order_->take(); !acts.empty(); acts = order_->take())
+    for (auto& a : acts) switch (a.what) {
+        case Action::What::send: sendTo(a.to, a.msg); break;
+        case Action::What::keep:
+          disk_->keep(std::move(a.page), [this, t = a.ticket](bool ok) {
+            if (!ok) ring::alarm("the disk took no page");
+            order_->kept(Clock::now(), t, ok);
+            run();
+          });
+          break;
+        case Action::What::release: release(a.entry); break;
+        case Action::What::install: install(a.entry); break;
+        case Action::What::duty: break;
+      }
+  running_ = false;
+  const bool seq = order_->duty() == Duty::sequencer;
+  if (seq && !wasSequencer_) {
+    dutySince_ = Clock::now();
+    quota_.takeOver(dutySince_);
+    ring::note("takes the sequencer's duty in term " + std::to_string(order_->term()));
+  }
+  if (!seq && wasSequencer_)
+    for (auto& [n, t] : tenders_) t.fed = -1;
+  wasSequencer_ = seq;
+  if (order_->sequencer() != lastSequencer_) {
+    lastSequencer_ = order_->sequencer();
+    tellTenders();
+    for (auto& [id, ws] : writes_)
+      for (auto* w : ws) w->w.wake();
+  }
+  if (seq)
+    for (auto& [n, t] : tenders_) feed(t);
+}
+void Core::release(const Entry& e) {
+  const auto c = copy_.apply(e);
+  if (c.configuration) adoptConfiguration();
+  if (const auto it = writes_.find(e.opId); it != writes_.end())
+    for (auto* w : it->second) {
+      w->verdict = copy_.verdictOf(e.opId);
+      w->w.wake();
+    }
+  for (auto& [n, r] : reads_)
+    if (r->num >= 0 && copy_.state().num >= r->num) r->w.wake();
+  if (++sinceCompact_ >= kCompactAfter) {
+    sinceCompact_ = 0;
+    order_->compact(copy_.state().num, copy_.snapshot(), Clock::now());
+  }
+}
+void Core::install(const Entry& e) {
+  if (auto r = copy_.restore(e.blob); !r) ring::alarm("snapshot declined: " + r.error().text);
+  adoptConfiguration();
+  for (auto& [id, ws] : writes_)
+    if (auto v = copy_.verdictOf(id))
+      for (auto* w : ws) {
+        w->verdict = v;
+        w->w.wake();
+      }
+}
+void Core::adoptConfiguration() {
+  if (copy_.state().configuration.empty()) return;
+  if (auto c = parseConfiguration(copy_.state().configuration)) cfg_ = *c;
+  else ring::alarm("a taken configuration can't be read: " + c.error().text);
+}
+
+Mooring* Core::mooring(const std::string& ip) {
+  if (ip == s_.ip) return nullptr;
+  auto& m = moorings_[ip];
+  if (!m) {
+    auto ep = parseEndpoint(ip + ":" + std::to_string(s_.portFirst));
+    if (!ep) {
+      moorings_.erase(ip);
+      return nullptr;
+    }
+    m = std::make_unique<Mooring>(
+        *ep, [this](const LinkPtr& l, Msg x) { onMsg(l, std::move(x)); }, [](const LinkPtr&) {});
+  }
+  return m.get();
+}
+void Core::sendTo(const std::string& member, const Msg& m) {
+  Msg x = m;
+  x.from = order_->self();
+  // An answer goes back on the wire the other spoke on; only what has none goes on a dialled one.
+  const auto it = lastLink_.find(member);
+  if (it != lastLink_.end())
+    if (auto l = it->second.lock(); l && l->open() && Clock::now() - l->heard() < 1s) return l->send(x);
+  if (auto* mo = mooring(ipOf(member))) mo->send(x);
+}
+Msg Core::stateAck() {
+  Msg r = msgOf(Kind::stateAck);
+  r.from = order_->self();
+  r.term = order_->term();
+  r.who = order_->sequencer();
+  r.names = order_->members();
+  r.num = order_->released();
+  r.view = view_.sample();
+  return r;
+}
+void Core::tellTenders() {
+  const auto r = stateAck();
+  for (auto it = tenders_.begin(); it != tenders_.end();) {
+    if (!it->second.link->open()) {
+      it = tenders_.erase(it);
+      continue;
+    }
+    it->second.link->send(r);
+    ++it;
+  }
+}
+void Core::feed(Tender& t) {
+  if (t.fed < 0 || !t.link->open() || t.fed >= order_->released()) return;
+  Msg m = msgOf(Kind::feed);
+  m.from = order_->self();
+  m.term = order_->term();
+  if (t.fed + 1 < order_->firstKept() || t.fed == 0) {
+    m.ok = true;
+    m.blob = copy_.snapshot();
+    m.num = copy_.state().num;
+    t.fed = m.num;
+  } else {
+    for (auto n = t.fed + 1; n <= order_->released(); ++n) {
+      m.entries.push_back(*order_->at(n));
+      auto& e = m.entries.back();
+      // The node that took a large write has fanned its body out already.
+      if (e.blob.size() > kBulky && !e.digest.empty() && e.opId.rfind(order_->self() + "/", 0) != 0) {
+        e.blob.clear();
+        e.omitted = true;
+      }
+    }
+    m.num = order_->released();
+    t.fed = m.num;
+  }
+  t.link->send(m);
+}
+void Core::shareBody(const Entry& e) {
+  Msg b = msgOf(Kind::body);
+  b.from = order_->self();
+  b.who = e.digest;
+  b.blob = e.blob;
+  for (auto& x : order_->members())
+    if (x != order_->self()) sendTo(x, b);
+  for (auto& [n, t] : tenders_)
+    if (t.link->open()) t.link->send(b);
+}
+
+void Core::onMsg(const LinkPtr& l, Msg m) {
+  const auto now = Clock::now();
+  switch (m.what()) {
+    case Kind::state: {
+      auto& t = tenders_[m.from];
+      if (t.link != l) {
+        if (t.link && t.link->open()) t.link->end();
+        t = Tender{l, -1};
+      }
+      view_.add(ipOf(m.from) + "/access");
+      view_.merge(m.view);
+      return l->send(stateAck());
+    }
+    case Kind::follow: {
+      auto& t = tenders_[m.from];
+      t.link = l;
+      t.fed = std::max<std::int64_t>(0, m.num);
+      if (order_->duty() != Duty::sequencer) return l->send(stateAck());
+      // A refetch must be answered in full: what was omitted before is not omitted again.
+      if (m.flag && t.fed + 1 >= order_->firstKept()) {
+        Msg r = msgOf(Kind::feed);
+        r.from = order_->self();
+        r.term = order_->term();
+        for (auto n = t.fed + 1; n <= order_->released(); ++n) r.entries.push_back(*order_->at(n));
+        r.num = order_->released();
+        t.fed = r.num;
+        return l->send(r);
+      }
+      feed(t);
+      return l->send(stateAck());
+    }
+    case Kind::challenge: {
+      Msg r = msgOf(Kind::claim);
+      r.from = order_->self();
+      r.nonce = m.nonce;
+      r.who = order_->sequencer();
+      r.term = order_->term();
+      r.ok = order_->claimed(now);
+      r.num = order_->released();
+      if (r.ok && m.flag) {
+        r.grants = quota_.grant(now, m.from, m.grants, m.holds, cfg_.get());
+      }
+      return l->send(r);
+    }
+    case Kind::claim: {
+      const auto it = reads_.find(m.nonce);
+      if (it == reads_.end()) return;
+      if (m.ok) it->second->num = m.num;
+      it->second->w.wake();
+      return;
+    }
+    case Kind::stateAck: view_.merge(m.view); return;
+    case Kind::submit: {
+      lastLink_[m.from] = l;
+      Msg r = msgOf(Kind::submitAck);
+      r.ok = true;
+      for (auto& e : m.entries) r.ok = order_->submit(now, std::move(e)) && r.ok;
+      sendTo(m.from, r);
+      return run();
+    }
+    case Kind::submitAck: return;
+    case Kind::beats:
+      for (auto& id : m.names) beats_[id] = now;
+      return l->send(stateAck());
+    default: break;
+  }
+  if (m.from.empty()) return;
+  lastLink_[m.from] = l;
+  view_.add(ipOf(m.from) + "/core");
+  order_->hear(now, std::move(m));
+  run();
+}
+
+std::string Core::opId() { return order_->self() + "/" + std::to_string(boot_ % 100000) + "." + std::to_string(++opNo_); }
+
+Outcome<std::int32_t> Core::write(Entry e, Span within) {
+  const auto end = Clock::now() + within;
+  Write me;
+  writes_[e.opId].push_back(&me);
+  bool shared = false;
+  while (!me.verdict && Clock::now() < end) {
+    const auto seq = order_->sequencer();
+    if (seq == order_->self()) {
+      order_->submit(Clock::now(), e);
+      run();
+    } else if (!seq.empty()) {
+      Msg m = msgOf(Kind::submit);
+      m.entries.push_back(e);
+      if (e.blob.size() > kBulky && !e.digest.empty()) {
+        if (!shared) shareBody(e);
+        // Sent again, it goes whole: the body may have been lost.
+        if (!shared) m.entries[0].blob.clear(), m.entries[0].omitted = true;
+        shared = true;
+      }
+      sendTo(seq, m);
+    }
+    if (me.verdict) break;
+    Quay::get().waitFor(me.w, std::min(toSpan(end - Clock::now()) + 1ms, Span(kAgain)));
+    if (!me.verdict) me.verdict = copy_.verdictOf(e.opId);
+  }
+  auto& v = writes_[e.opId];
+  v.erase(std::find(v.begin(), v.end(), &me));
+  if (v.empty()) writes_.erase(e.opId);
+  if (!me.verdict) return fault(503, "no outcome yet");
+  return *me.verdict;
+}
+Outcome<void> Core::fresh(Span within) {
+  const auto end = Clock::now() + within;
+  while (Clock::now() < end) {
+    if (order_->claimed(Clock::now())) return {};
+    const auto seq = order_->sequencer();
+    Read me;
+    const auto n = ++nonce_;
+    reads_[n] = &me;
+    if (!seq.empty() && seq != order_->self()) {
+      Msg m = msgOf(Kind::challenge);
+      m.nonce = n;
+      sendTo(seq, m);
+    }
+    const auto until = std::min(end, Clock::now() + 400ms);
+    while (Clock::now() < until && (me.num < 0 || copy_.state().num < me.num))
+      if (!Quay::get().waitFor(me.w, std::max(1ms, toSpan(until - Clock::now())))) break;
+      else if (me.num < 0) break;
+    reads_.erase(n);
+    if (me.num >= 0 && copy_.state().num >= me.num) return {};
+    Quay::get().pause(50ms);
+  }
+  return fault(503, "no fresh claim");
+}
+void Core::beat(const std::string& id) {
+  beats_[id] = Clock::now();
+  beatsToTell_.push_back(id);
+}
+void Core::watchRunners(Instant now) {
+  if (!order_->claimed(now)) return;
+  // Why not sooner: a runner must have had time to find a node that answers, and we to hear of it.
+  const auto patience = s_.heartbeat * 3 + 1500ms;
+  if (now - dutySince_ < patience) return;
+  std::vector<Runner> missed;
+  for (auto& r : copy_.state().runners) {
+    const auto it = beats_.find(r.id);
+    if (it == beats_.end() || now - it->second > patience) missed.push_back(r);
+  }
+  for (auto& r : missed) {
+    r.state = static_cast<std::int32_t>(RunnerState::gone);
+    r.sequence = 0;  // missed, not left: it may beat again
+    ring::note("runner " + r.id + " missed");
+    order_->submit(now, runnerOp(r, "missed/" + r.id + "/" + std::to_string(order_->released() / 16)));
+  }
+  std::erase_if(beats_, [&](auto& b) { return now - b.second > 60s; });
+  if (!missed.empty()) run();
+}
+void Core::reread(Settings s) {
+  std::vector<std::string> ips;
+  for (auto& x : s.seeds) ips.push_back(hostOf(x));
+  for (auto& x : ips) view_.add(x + "/core");
+  order_->seeds(ips);
+  s_.seeds = s.seeds;
+  s_.timers = s.timers;
+  ring::note("settings read again");
+}
+void Core::leave(std::function<void()> done) {
+  if (leaving_) return;
+  leaving_ = true;
+  order_->handOver(Clock::now());
+  run();
+  auto t = std::make_shared<asio::steady_timer>(Quay::get().io(), 400ms);
+  t->async_wait([t, done](Ec) { done(); });
+}
+std::string Core::statusJson() const {
+  const auto now = Clock::now();
+  static const char* duties[] = {"learner", "follower", "candidate", "sequencer"};
+  std::string s = "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(order_->self()) + ",\"duty\":\"" +
+                  duties[static_cast<int>(order_->duty())] + "\",\"term\":" + std::to_string(order_->term()) +
+                  ",\"sequencer\":" + quoteJson(order_->sequencer()) + ",\"claimed\":" +
+                  (order_->claimed(now) ? "true" : "false") + ",\"released\":" + std::to_string(order_->released()) +
+                  ",\"applied\":" + std::to_string(copy_.state().num) + ",\"diskSick\":" +
+                  (order_->diskSick(now) ? "true" : "false") + ",\"stamp\":" + std::to_string(copy_.state().stamp) +
+                  ",\"members\":[";
+  bool first = true;
+  for (auto& m : order_->members()) s += (std::exchange(first, false) ? "" : ",") + quoteJson(m);
+  s += "],\"runners\":[";
+  first = true;
+  for (auto& r : copy_.state().runners)
+    s += (std::exchange(first, false) ? "" : ",") + ("{\"id\":" + quoteJson(r.id)) + ",\"service\":" + quoteJson(r.service) +
+         ",\"address\":" + quoteJson(r.address) + ",\"state\":\"" + (r.state == 0 ? "in_service" : "draining") + "\"}";
+  return s + "]}";
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/harbourmaster/src/core.hpp
@@ -0,0 +1,76 @@
+// One core machine's part in the fleet: the order, the copy, the links, and who waits for what.
+#pragma once
+#include "charter/configuration.hpp"
+#include "charter/settings.hpp"
+#include "disk.hpp"
+#include "log/order.hpp"
+#include "quota.hpp"
+#include "registry/copy.hpp"
+#include "signal/link.hpp"
+#include "signal/view.hpp"
+namespace zc {
+class Core {
+ public:
+  explicit Core(Settings s);
+  ~Core();
+  Outcome<void> start();
+  // Parks the calling fiber until its own write has left the queue here; the verdict is the copy's.
+  Outcome<std::int32_t> write(Entry e, Span within);
+  // Parks until this copy is as new as the sequencer's at the time of asking.
+  Outcome<void> fresh(Span within);
+  std::string opId();
+  const Copy& copy() const { return copy_; }
+  void beat(const std::string& id);
+  void reread(Settings s);
+  void leave(std::function<void()> done);
+  std::string statusJson() const;
+  const Settings& settings() const { return s_; }
+
+ private:
+  struct Tender {
+    LinkPtr link;
+    std::int64_t fed = -1;  // -1: asks for nothing here
+  };
+  struct Write {
+    Waiter w;
+    std::optional<std::int32_t> verdict;
+  };
+  struct Read {
+    Waiter w;
+    std::int64_t num = -1;
+  };
+  void run();  // carries out what the order asks for
+  void onMsg(const LinkPtr& l, Msg m);
+  void release(const Entry& e);
+  void install(const Entry& e);
+  void adoptConfiguration();
+  void feed(Tender& t);
+  void tick();
+  void tellTenders();
+  void sendTo(const std::string& member, const Msg& m);
+  Mooring* mooring(const std::string& ip);
+  Msg stateAck();
+  void watchRunners(Instant now);
+  void shareBody(const Entry& e);
+
+  Settings s_;
+  std::unique_ptr<Order> order_;
+  std::unique_ptr<Disk> disk_;
+  Copy copy_;
+  std::shared_ptr<const Configuration> cfg_;
+  QuotaDesk quota_;
+  View view_;
+  std::map<std::string, std::unique_ptr<Mooring>> moorings_;
+  std::map<std::string, std::weak_ptr<Link>> lastLink_;
+  std::map<std::string, Tender> tenders_;
+  std::map<std::string, std::vector<Write*>> writes_;
+  std::map<std::int64_t, Read*> reads_;
+  std::map<std::string, Instant> beats_;
+  std::vector<std::string> beatsToTell_;
+  std::int64_t opNo_ = 0, nonce_ = 0, sinceCompact_ = 0;
+  std::uint64_t boot_ = 0;
+  std::string lastSequencer_;
+  Instant dutySince_{};
+  bool wasSequencer_ = false, running_ = false, leaving_ = false;
+};
+}  // namespace zc
--- /dev/null
+++ b/libs/harbourmaster/src/harbourmaster.cpp
@@ -0,0 +1,151 @@
+#include "harbourmaster/harbourmaster.hpp"
+
+#include "core.hpp"
+#include "keel/lifecycle.hpp"
+#include "keel/ring.hpp"
+#include "passage/http.hpp"
+
+namespace zc {
+namespace {
+constexpr auto kBeatWait = 850ms;    // a runner waits a second
+constexpr auto kConfigWait = 2500ms;
+constexpr std::size_t kMaxBody = 16u << 20;
+constexpr std::string_view kJson = "application/json";
+
+struct Said {
+  int status = 200;
+  std::string body = "{}";
+};
+Said declined(int status, std::string_view why) { return {status, jsonError(why)}; }
+
+Said onBeat(Core& core, const std::string& id, const std::string& body, const std::string& uri) {
+  auto beat = parseBeat(id, body);
+  if (!beat) return declined(beat.error().code, beat.error().text);
+  const auto& copy = core.copy();
+  const Said fine{200, "{\"heartbeatUri\":" + quoteJson(uri) + "}"};
+  core.beat(id);
+  if (copy.isGone(id)) return fine;
+  const auto* known = copy.runner(id);
+  Runner r{id, beat->service, beat->address, beat->zone, beat->capacity, beat->sequence,
+           static_cast<std::int32_t>(beat->draining ? RunnerState::draining : RunnerState::inService)};
+  const bool same = known && known->address == r.address && known->service == r.service &&
+                    known->capacity == r.capacity && known->zone == r.zone;
+  // A late beat, or one that tells nothing new, is no write.
+  if (known && beat->sequence < known->sequence) return fine;
+  if (same && (known->state == r.state || known->at() == RunnerState::draining)) return fine;
+  // Why the id names the content: the same news brought to two nodes is one write.
+  auto e = runnerOp(r, "runner/" + id + "/" + (beat->draining ? "draining" : "in") + "/" + std::to_string(beat->sequence));
+  if (!beat->draining) {
+    // A join need not be waited for: nobody relies on its acknowledgement.
+    Quay::get().launch([&core, e] { (void)core.write(e, 3000ms); });
+    return fine;
+  }
+  auto v = core.write(std::move(e), kBeatWait);
+  if (!v) return declined(503, v.error().text);
+  return fine;
+}
+Said onDetach(Core& core, const std::string& id) {
+  const auto& copy = core.copy();
+  if (copy.isGone(id)) return {};
+  Runner r;
+  if (const auto* known = copy.runner(id)) r = *known;
+  r.id = id;
+  r.state = static_cast<std::int32_t>(RunnerState::gone);
+  r.sequence = std::max<std::int64_t>(1, r.sequence);
+  auto v = core.write(runnerOp(r, "runner/" + id + "/gone"), kBeatWait);
+  if (!v) return declined(503, v.error().text);
+  return {};
+}
+Said onReplace(Core& core, std::string_view baseHead, const std::string& body) {
+  auto cfg = parseConfiguration(body);
+  if (!cfg) return declined(cfg.error().code, cfg.error().text);
+  std::int64_t base = 0;
+  for (char c : baseHead) {
+    if (c < '0' || c > '9' || base > 1'000'000'000'000'000) return declined(400, "X-Base-Version is no number");
+    base = base * 10 + (c - '0');
+  }
+  const auto stamp = (*cfg)->stamp;
+  if (core.copy().judge(base, stamp, digestOf(body)) == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}"};
+  auto v = core.write(configurationOp(base, stamp, body, core.opId()), kConfigWait);
+  if (!v) return declined(503, v.error().text);
+  if (*v == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}"};
+  return declined(*v, *v == 412 ? "another configuration is in place" : "configVersion is not above the current one");
+}
+Said onRetrieve(Core& core) {
+  if (auto f = core.fresh(900ms); !f) return declined(503, f.error().text);
+  if (core.copy().state().configuration.empty()) return declined(404, "no configuration yet");
+  return {200, core.copy().state().configuration};
+}
+// One function a call, read top to bottom.
+Said answer(Core& core, const RequestParser::value_type& req, const std::string& uri) {
+  constexpr std::string_view beat = "/v1/Instances.Heartbeat/", detach = "/v1/Instances.Detach/";
+  const std::string_view full(req.target().data(), req.target().size());
+  const auto path = full.substr(0, full.find('?'));
+  const bool post = req.method() == http::verb::post, get = req.method() == http::verb::get;
+  if (path.substr(0, beat.size()) == beat)
+    return post ? onBeat(core, std::string(path.substr(beat.size())), req.body(), uri) : declined(405, "POST only");
+  if (path.substr(0, detach.size()) == detach)
+    return post ? onDetach(core, std::string(path.substr(detach.size()))) : declined(405, "POST only");
+  if (path == "/v1/Configuration.Replace") {
+    const auto b = req["X-Base-Version"];
+    return post ? onReplace(core, {b.data(), b.size()}, req.body()) : declined(405, "POST only");
+  }
+  if (path == "/v1/Configuration.Retrieve") return get ? onRetrieve(core) : declined(405, "GET only");
+  if (path == "/v1/Status") return get ? Said{200, core.statusJson()} : declined(405, "GET only");
+  return declined(404, "no such call");
+}
+void serve(Core& core, tcp::socket s, const std::string& uri) {
+  Wire w(std::move(s));
+  tune(w.sock());
+  Buffer buf;
+  ReadLimits limits;
+  limits.body = kMaxBody;
+  for (;;) {
+    RequestParser p;
+    const auto r = readRequest(w, buf, p, limits);
+    if (r.end == ReadEnd::closed) return;
+    Ec ec;
+    if (r.end == ReadEnd::declined) {
+      w.write(asio::buffer(plainAnswer(r.status, "", kJson, jsonError(reasonOf(r.status)), false)), ec);
+      return;
+    }
+    const auto said = answer(core, p.get(), uri);
+    const bool keep = p.get().keep_alive();
+    w.due(Clock::now() + 5s);
+    w.write(asio::buffer(plainAnswer(said.status, said.status == 503 ? "Retry-After: 0.2\r\n" : "", kJson, said.body, keep)), ec);
+    w.undue();
+    if (ec || !keep) return;
+  }
+}
+}  // namespace
+
+int runHarbourmaster(const Settings& s) {
+  Quay quay;
+  Core core(s);
+  if (auto r = core.start(); !r) {
+    ring::say("harbourmaster: " + r.error().text);
+    return 1;
+  }
+  auto ep = parseEndpoint(s.controlAddr);
+  if (!ep) {
+    ring::say("harbourmaster: controlPort: " + ep.error().text);
+    return 1;
+  }
+  const auto uri = "http://" + s.controlAddr;
+  auto ok = listen(*ep, [&core, uri](tcp::socket sock) {
+    auto held = std::make_shared<tcp::socket>(std::move(sock));
+    Quay::get().launch([&core, held, uri] { serve(core, std::move(*held), uri); });
+  });
+  if (!ok) {
+    ring::say("harbourmaster: " + ok.error().text);
+    return 1;
+  }
+  watchLifecycle(settingsPath(), {[&] { core.leave([&] { quay.stop(); }); },
+                                  [&] {
+                                    if (auto n = loadSettings(settingsPath())) core.reread(*n);
+                                    else ring::alarm(n.error().text);
+                                  }});
+  quay.run();
+  return 0;
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/keel/src/common.cpp
@@ -0,0 +1,29 @@
+#include "keel/common.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+#include <xxhash.h>
+
+#include "keel/ring.hpp"
+
+namespace zc {
+void scuttle(const char* what) {
+  ring::say(std::string("broken invariant: ") + what);
+  ring::dump();
+  std::abort();
+}
+std::uint64_t hash64(std::string_view s, std::uint64_t seed) { return XXH3_64bits_withSeed(s.data(), s.size(), seed); }
+std::string digestOf(std::string_view s) {
+  const auto h = XXH3_128bits(s.data(), s.size());
+  char buf[40];
+  std::snprintf(buf, sizeof buf, "%016llx%016llx", static_cast<unsigned long long>(h.high64),
+                static_cast<unsigned long long>(h.low64));
+  return buf;
+}
+std::uint64_t drawSeed() {
+  std::random_device rd;
+  return (static_cast<std::uint64_t>(rd()) << 32) ^ rd();
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/keel/src/quay.cpp
@@ -0,0 +1,237 @@
+#include "keel/quay.hpp"
+
+#include <csignal>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/type.hpp>
+
+namespace zc {
+namespace {
+constexpr auto kSweep = 20ms;
+constexpr std::size_t kStack = 64 * 1024;
+Quay* g_quay = nullptr;
+
+// Why an order of our own: the io loop must know whether any fiber but itself and the library's
+// dispatcher can run, or it would spin or sleep wrongly.
+class Deck final : public boost::fibers::algo::algorithm {
+ public:
+  explicit Deck(int* ready) : ready_(ready) {}
+  void awakened(boost::fibers::context* c) noexcept override {
+    if (!c->is_context(boost::fibers::type::dispatcher_context)) ++*ready_;
+    c->ready_link(queue_);
+  }
+  boost::fibers::context* pick_next() noexcept override {
+    if (queue_.empty()) return nullptr;
+    auto* c = &queue_.front();
+    queue_.pop_front();
+    if (!c->is_context(boost::fibers::type::dispatcher_context)) --*ready_;
+    return c;
+  }
+  bool has_ready_fibers() const noexcept override { return !queue_.empty(); }
+  void suspend_until(const std::chrono::steady_clock::time_point&) noexcept override {}
+  void notify() noexcept override {}
+
+ private:
+  using Queue = boost::fibers::scheduler::ready_queue_type;
+  Queue queue_;
+  int* ready_;
+};
+}  // namespace
+
+void Waiter::wait() {
+  if (!done_) {
+    ctx_ = boost::fibers::context::active();
+    ctx_->suspend();
+    ctx_ = nullptr;
+  }
+  done_ = false;
+}
+void Waiter::wake() {
+  if (done_) return;
+  done_ = true;
+  if (ctx_) boost::fibers::context::active()->schedule(ctx_);
+}
+
+struct Quay::Impl {
+  asio::io_context io{1};
+  int ready = 0;
+  bool stopped = false;
+  boost::fibers::fixedsize_stack stacks{kStack};
+  boost::intrusive::list<Wire, boost::intrusive::constant_time_size<false>> watched;
+  asio::steady_timer sweep{io};
+  bool sweeping = false;
+  void arm() {
+    sweeping = true;
+    sweep.expires_after(kSweep);
+    sweep.async_wait([this](Ec ec) {
+      sweeping = false;
+      if (ec || stopped) return;
+      const auto now = Clock::now();
+      for (auto it = watched.begin(); it != watched.end();) {
+        auto& w = *it++;
+        if (w.dueAt() <= now) w.strike();
+      }
+      if (!watched.empty()) arm();
+    });
+  }
+};
+
+Quay::Quay() : impl_(std::make_unique<Impl>()) {
+  g_quay = this;
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::fibers::use_scheduling_algorithm<Deck>(&impl_->ready);
+}
+Quay::~Quay() = default;
+Quay& Quay::get() { return *g_quay; }
+asio::io_context& Quay::io() { return impl_->io; }
+void Quay::stop() {
+  impl_->stopped = true;
+  impl_->io.stop();
+}
+void Quay::run() {
+  auto keep = asio::make_work_guard(impl_->io);
+  while (!impl_->stopped) {
+    while (impl_->ready > 0) boost::this_fiber::yield();
+    if (!impl_->stopped) impl_->io.run_one();
+  }
+}
+void Quay::launch(std::function<void()> f) {
+  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, impl_->stacks, std::move(f)).detach();
+}
+void Quay::pause(Span d) {
+  asio::steady_timer t(impl_->io, d);
+  Waiter w;
+  t.async_wait([&](Ec) { w.wake(); });
+  w.wait();
+}
+bool Quay::waitFor(Waiter& w, Span d) {
+  bool timedOut = false, fired = false;
+  asio::steady_timer t(impl_->io, d);
+  t.async_wait([&](Ec ec) {
+    fired = true;
+    if (!ec) timedOut = true;
+    w.wake();
+  });
+  w.wait();
+  if (!timedOut) {
+    // The handler refers to this frame, so it must have run before the frame goes.
+    t.cancel();
+    while (!fired) {
+      w.wait();
+    }
+    return true;
+  }
+  return false;
+}
+void Quay::every(Span d, std::function<void()> f) {
+  auto t = std::make_shared<asio::steady_timer>(impl_->io);
+  auto fn = std::make_shared<std::function<void()>>(std::move(f));
+  auto step = std::make_shared<std::function<void()>>();
+  std::weak_ptr<std::function<void()>> weak = step;
+  *step = [this, t, fn, d, step] {
+    if (impl_->stopped) return;
+    t->expires_after(d);
+    t->async_wait([fn, step](Ec ec) {
+      if (ec) return;
+      (*fn)();
+      (*step)();
+    });
+  };
+  (*step)();
+}
+void Quay::watch(Wire& w) {
+  if (!w.is_linked()) impl_->watched.push_back(w);
+  if (!impl_->sweeping) impl_->arm();
+}
+
+Wire::Wire() : sock_(Quay::get().io()) {}
+Wire::Wire(tcp::socket s) : sock_(std::move(s)) {}
+Wire::~Wire() { shut(); }
+void Wire::due(Instant t) {
+  due_ = t;
+  late_ = false;
+  if (t == Instant::max()) {
+    if (is_linked()) unlink();
+  } else {
+    Quay::get().watch(*this);
+  }
+}
+std::size_t Wire::read(asio::mutable_buffer b, Ec& ec) {
+  std::size_t got = 0;
+  Waiter w;
+  sock_.async_read_some(b, [&](Ec e, std::size_t n) {
+    ec = e;
+    got = n;
+    w.wake();
+  });
+  w.wait();
+  return got;
+}
+void Wire::write(asio::const_buffer b, Ec& ec) {
+  // Why straight first: most writes fit the socket's window, and a parked fiber costs a wake-up.
+  if (!unblocked_) sock_.non_blocking(true, ec), unblocked_ = true;
+  const auto n = sock_.send(asio::buffer(b), MSG_NOSIGNAL, ec);
+  if (ec == asio::error::would_block) ec = {};
+  else if (ec) return;
+  if (n >= b.size()) return;
+  b += n;
+  Waiter w;
+  asio::async_write(sock_, asio::buffer(b), [&](Ec e, std::size_t) {
+    ec = e;
+    w.wake();
+  });
+  w.wait();
+}
+void Wire::connect(const tcp::endpoint& ep, Ec& ec) {
+  Waiter w;
+  sock_.open(ep.protocol(), ec);
+  if (ec) return;
+  tune(sock_);
+  sock_.async_connect(ep, [&](Ec e) {
+    ec = e;
+    w.wake();
+  });
+  w.wait();
+}
+void Wire::awaitReadable(Ec& ec) {
+  Waiter w;
+  sock_.async_wait(tcp::socket::wait_read, [&](Ec e) {
+    ec = e;
+    w.wake();
+  });
+  w.wait();
+}
+void Wire::shut() {
+  Ec ec;
+  if (is_linked()) unlink();
+  if (sock_.is_open()) sock_.close(ec);
+}
+void Wire::cancel() {
+  Ec ec;
+  if (sock_.is_open()) sock_.cancel(ec);
+}
+void tune(tcp::socket& s) {
+  Ec ec;
+  s.set_option(tcp::no_delay(true), ec);
+  const unsigned ms = 4000;
+  ::setsockopt(s.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+Outcome<tcp::endpoint> parseEndpoint(std::string_view s) {
+  const auto c = s.rfind(':');
+  if (c == s.npos) return fault(0, "no port in address '" + std::string(s) + "'");
+  Ec ec;
+  const auto ip = asio::ip::make_address(std::string(s.substr(0, c)), ec);
+  if (ec) return fault(0, "no IP number in address '" + std::string(s) + "'");
+  unsigned port = 0;
+  for (char ch : s.substr(c + 1)) {
+    if (ch < '0' || ch > '9' || port > 65535) return fault(0, "no port in address '" + std::string(s) + "'");
+    port = port * 10 + static_cast<unsigned>(ch - '0');
+  }
+  if (port == 0 || port > 65535) return fault(0, "no port in address '" + std::string(s) + "'");
+  return tcp::endpoint(ip, static_cast<unsigned short>(port));
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/log/src/order.cpp
@@ -0,0 +1,819 @@
+#include "log/order.hpp"
+
+#include <random>
+#include <set>
+
+#include "keel/ring.hpp"
+
+namespace zc {
+std::string ipOf(const std::string& m) { return m.substr(0, m.find('#')); }
+
+namespace {
+struct Far {  // what the sequencer knows of one receiver
+  std::int64_t next = 0, match = 0;
+  Instant heard{}, sentAt{}, progress{};
+  Instant claimFrom{};  // send time of the newest pulse it has answered
+  bool snapFlying = false;
+};
+struct Held {
+  std::int64_t ticket;
+  std::string to;
+  Msg msg;
+};
+}  // namespace
+
+struct Order::Impl {
+  std::string self;
+  OrderParams p;
+  std::mt19937_64 rng;
+  std::vector<std::string> seedIps;
+
+  // kept on disk
+  std::int64_t term = 0;
+  std::string vote;
+  std::int64_t snapNum = 0, snapTerm = 0;
+  std::vector<std::string> snapMembers;
+  std::string state;
+  std::deque<Entry> log;  // from logBase + 1
+  std::int64_t logBase = 0, logBaseTerm = 0;
+
+  // in memory
+  Duty duty = Duty::learner;
+  std::vector<std::string> members;
+  std::string leader;
+  std::int64_t released = 0, durable = 0, matched = 0, takeOverNum = 0;
+  Instant promised{}, electAt{}, leaderHeard{}, lastPulse{}, lastJoin{}, lastQuorum{}, yieldedUntil{};
+  bool preVoting = false, handOverRun = false;
+  std::set<std::string> yes;
+  std::map<std::string, Far> far;
+  std::int64_t pulseNonce = 0;
+  std::map<std::int64_t, Instant> pulseSent;
+  std::int64_t pageSeq = 0, ticketNo = 0;
+  struct Keeping {
+    std::int64_t ticket, lastNum, lastTerm;
+    Page page;
+    Instant since, retryAt;
+    bool failed = false;
+  };
+  std::deque<Keeping> keeping;
+  std::vector<Held> held;
+  std::vector<Action> out;
+  std::map<std::string, std::string> bodies;  // digest -> body that came ahead
+  std::deque<std::string> bodyOrder;
+
+  std::int64_t lastNum() const { return logBase + static_cast<std::int64_t>(log.size()); }
+  std::int64_t termAt(std::int64_t n) const {
+    if (n == logBase) return logBaseTerm;
+    if (n == snapNum) return snapTerm;
+    if (n > logBase && n <= lastNum()) return log[static_cast<std::size_t>(n - logBase - 1)].term;
+    return -1;
+  }
+  std::int64_t lastTerm() const { return termAt(lastNum()); }
+  bool member(const std::string& m) const { return std::find(members.begin(), members.end(), m) != members.end(); }
+  std::size_t majority() const { return members.size() / 2 + 1; }
+  void scanMembers() {
+    members = snapMembers;
+    for (auto& e : log)
+      if (e.op() == OpKind::members && e.num > snapNum) members = splitMembers(e.blob);
+    if (duty == Duty::learner && member(self)) setDuty(Duty::follower);
+    if (duty == Duty::follower && !member(self)) setDuty(Duty::learner);
+  }
+  static std::vector<std::string> splitMembers(const std::string& s) {
+    std::vector<std::string> v;
+    std::size_t at = 0;
+    while (at < s.size()) {
+      auto e = s.find(' ', at);
+      if (e == s.npos) e = s.size();
+      if (e > at) v.push_back(s.substr(at, e - at));
+      at = e + 1;
+    }
+    return v;
+  }
+  static std::string joinMembers(const std::vector<std::string>& v) {
+    std::string s;
+    for (auto& m : v) s += (s.empty() ? "" : " ") + m;
+    return s;
+  }
+  // The one place where the duty changes.
+  void setDuty(Duty d) {
+    if (duty == d) return;
+    duty = d;
+    ring::note(self + " duty " + std::to_string(static_cast<int>(d)) + " term " + std::to_string(term));
+    Action a;
+    a.what = Action::What::duty;
+    out.push_back(std::move(a));
+  }
+  Duty idleDuty() const { return member(self) ? Duty::follower : Duty::learner; }
+
+  void send(const std::string& to, Msg m, std::int64_t after = 0) {
+    m.from = self;
+    if (after && !keeping.empty() && keeping.front().ticket <= after) {
+      held.push_back({after, to, std::move(m)});
+      return;
+    }
+    Action a;
+    a.to = to;
+    a.msg = std::move(m);
+    out.push_back(std::move(a));
+  }
+  std::int64_t keep(Instant now, std::int64_t from, std::vector<Entry> entries, bool full = false) {
+    Page g;
+    g.seq = ++pageSeq;
+    g.term = term;
+    g.self = self;
+    g.vote = vote;
+    g.full = full;
+    if (full) {
+      g.snapNum = snapNum;
+      g.snapTerm = snapTerm;
+      g.snapMembers = snapMembers;
+      g.state = state;
+      g.founded = static_cast<std::int64_t>(foundedWith);
+      g.from = logBase + 1;
+      g.entries.assign(log.begin(), log.end());
+    } else {
+      g.from = from;
+      g.entries = std::move(entries);
+    }
+    const auto t = ++ticketNo;
+    keeping.push_back({t, lastNum(), lastTerm(), g, now, now, false});
+    Action a;
+    a.what = Action::What::keep;
+    a.ticket = t;
+    a.page = std::move(g);
+    out.push_back(std::move(a));
+    return t;
+  }
+  void armElection(Instant now) {
+    electAt = now + p.electMin + Span(static_cast<std::int64_t>(rng() % static_cast<std::uint64_t>(p.electSpread.count())));
+  }
+  // A higher term fences whatever this one did in the lower.
+  std::int64_t adopt(Instant now, std::int64_t t, const std::string& voteFor = {}) {
+    term = t;
+    vote = voteFor;
+    leader.clear();
+    matched = 0;
+    preVoting = false;
+    setDuty(idleDuty());
+    armElection(now);
+    return keep(now, 0, {});
+  }
+  void truncateFrom(std::int64_t n) {
+    must(n > released, "a released number is taken back");
+    while (lastNum() >= n) log.pop_back();
+    durable = std::min(durable, n - 1);
+  }
+  void releaseTo(std::int64_t n) {
+    n = std::min(n, lastNum());
+    while (released < n) {
+      ++released;
+      Action a;
+      a.what = Action::What::release;
+      a.entry = log[static_cast<std::size_t>(released - logBase - 1)];
+      out.push_back(std::move(a));
+    }
+  }
+  bool upToDate(std::int64_t t, std::int64_t n) const {
+    return t > lastTerm() || (t == lastTerm() && n >= lastNum());
+  }
+
+  // --- election ---
+  void campaign(Instant now, bool pre, bool handed) {
+    if (!member(self) || sick(now)) return armElection(now);
+    handOverRun = handed;
+    yes = {self};
+    armElection(now);
+    if (pre) {
+      preVoting = true;
+      setDuty(Duty::candidate);
+      ask(0);
+    } else {
+      const auto before = term;
+      preVoting = false;
+      ++term;
+      vote = self;
+      leader.clear();
+      matched = 0;
+      setDuty(Duty::candidate);
+      yes.clear();
+      askTerm = before;
+      const auto t = keep(now, 0, {});
+      selfVoteTicket = t;
+      ask(t);
+    }
+    maybeWin(now);
+  }
+  std::int64_t selfVoteTicket = 0, askTerm = 0;
+  void ask(std::int64_t after) {
+    Msg m = msgOf(Kind::ask);
+    m.flag = preVoting;
+    m.ok = handOverRun;
+    m.term = preVoting ? term + 1 : term;
+    m.commit = askTerm;
+    m.num = lastNum();
+    m.prevTerm = lastTerm();
+    for (auto& x : members)
+      if (x != self) send(x, m, after);
+  }
+  void maybeWin(Instant now) {
+    if (duty != Duty::candidate || yes.size() < majority()) return;
+    if (preVoting) return campaign(now, false, false);
+    setDuty(Duty::sequencer);
+    leader = self;
+    far.clear();
+    pulseSent.clear();
+    lastQuorum = now;
+    for (auto& x : members)
+      if (x != self) far[x] = Far{lastNum() + 1, 0, now, {}, now, {}, false};
+    Entry e;
+    e.kind = static_cast<std::int32_t>(OpKind::takeOver);
+    e.blob = self;
+    append(now, std::move(e));
+    takeOverNum = lastNum();
+    pulse(now, true);
+  }
+  void onAsk(Instant now, const Msg& m) {
+    Msg r = msgOf(Kind::granted);
+    r.flag = m.flag;
+    if (!member(m.from)) {
+      // Why answered by a pulse at most: one that was voted out must not unsettle the rest.
+      if (duty == Duty::sequencer) touchLearner(now, m.from);
+      return;
+    }
+    // A claim handed over binds nobody; any other promise holds until its time.
+    const bool bound = duty == Duty::sequencer ? claimedNow(now) : now < promised;
+    const bool free = !bound || (m.ok && m.commit >= term && duty != Duty::sequencer);
+    if (m.flag) {
+      r.term = m.term;
+      r.ok = m.term > term && free && upToDate(m.prevTerm, m.num);
+      if (r.ok) send(m.from, r);
+      return;
+    }
+    if (m.term < term || !free) return;
+    const bool newest = upToDate(m.prevTerm, m.num);
+    std::int64_t ticket = 0;
+    if (m.term > term) ticket = adopt(now, m.term, newest ? m.from : std::string{});
+    if (!newest || duty == Duty::sequencer || !(vote.empty() || vote == m.from)) return;
+    if (vote.empty()) {
+      vote = m.from;
+      ticket = keep(now, 0, {});
+    }
+    armElection(now);
+    r.term = term;
+    r.ok = true;
+    // Why after every ticket: a vote is on the disk before it is told.
+    send(m.from, r, ticket ? ticket : ticketNo);
+  }
+  void onGranted(Instant now, const Msg& m) {
+    if (duty != Duty::candidate || !m.ok || m.flag != preVoting) return;
+    if (m.term != (preVoting ? term + 1 : term) || !member(m.from)) return;
+    yes.insert(m.from);
+    maybeWin(now);
+  }
+
+  // --- the sequencer ---
+  void append(Instant now, Entry e) {
+    e.term = term;
+    e.num = lastNum() + 1;
+    log.push_back(e);
+    if (e.op() == OpKind::members) {
+      members = splitMembers(e.blob);
+      for (auto& x : members)
+        if (x != self && !far.count(x)) far[x] = Far{lastNum(), 0, now, {}, now, {}, false};
+    }
+    keep(now, e.num, {std::move(e)});
+  }
+  void feedOne(Instant now, const std::string& to, Far& f, bool beat) {
+    if (f.next <= logBase) {
+      if (f.snapFlying && now - f.sentAt < p.resend * 4) {
+        if (beat) sendPulse(to, lastNum(), {});
+        return;
+      }
+      Msg m = msgOf(Kind::snapshot);
+      m.term = term;
+      m.num = snapNum;
+      m.prevTerm = snapTerm;
+      m.names = snapMembers;
+      m.blob = state;
+      m.commit = released;
+      m.nonce = static_cast<std::int64_t>(foundedWith);
+      f.snapFlying = true;
+      f.sentAt = now;
+      send(to, std::move(m));
+      return;
+    }
+    if (f.match + 1 < f.next && now - std::max(f.progress, f.sentAt) > p.resend) f.next = f.match + 1, f.sentAt = now;
+    std::vector<Entry> es;
+    std::size_t bytes = 0;
+    const auto prev = f.next - 1;
+    while (f.next <= lastNum() && bytes < (1u << 20)) {
+      const auto& e = log[static_cast<std::size_t>(f.next - logBase - 1)];
+      es.push_back(e);
+      auto& c = es.back();
+      // The large-write path: the sender fanned the body out, only the numbered acknowledgement goes from here.
+      if (c.blob.size() > p.bulky && !c.digest.empty() && f.match + 1 >= f.next && c.opId.rfind(self + "/", 0) != 0) {
+        c.blob.clear();
+        c.omitted = true;
+      }
+      bytes += c.blob.size() + 100;
+      ++f.next;
+    }
+    if (es.empty() && !beat) return;
+    if (!es.empty()) f.sentAt = now;
+    sendPulse(to, prev, std::move(es));
+  }
+  void sendPulse(const std::string& to, std::int64_t prev, std::vector<Entry> es) {
+    Msg m = msgOf(Kind::pulse);
+    m.term = term;
+    m.num = prev;
+    m.prevTerm = termAt(prev);
+    m.commit = released;
+    m.nonce = pulseNonce;
+    m.entries = std::move(es);
+    send(to, std::move(m));
+  }
+  void pulse(Instant now, bool beat) {
+    if (beat) {
+      lastPulse = now;
+      pulseSent[++pulseNonce] = now;
+      while (pulseSent.size() > 64) pulseSent.erase(pulseSent.begin());
+    }
+    for (auto& [x, f] : far) feedOne(now, x, f, beat);
+  }
+  Instant claimEnd() const {
+    std::vector<Instant> from;
+    for (auto& x : members) {
+      if (x == self) continue;
+      const auto it = far.find(x);
+      from.push_back(it == far.end() ? Instant{} : it->second.claimFrom);
+    }
+    const auto need = majority() - (member(self) ? 1 : 0);
+    if (need == 0) return Instant::max();
+    if (from.size() < need) return Instant{};
+    std::sort(from.rbegin(), from.rend());
+    const auto base = from[need - 1];
+    return base == Instant{} ? base : base + p.claim - p.margin;
+  }
+  bool claimedNow(Instant now) const { return duty == Duty::sequencer && now < claimEnd(); }
+  void onPulseAck(Instant now, const Msg& m) {
+    if (duty != Duty::sequencer || m.term != term) return;
+    const auto it = far.find(m.from);
+    if (it == far.end()) return touchLearner(now, m.from);
+    auto& f = it->second;
+    f.heard = now;
+    if (m.nonce)
+      if (const auto s = pulseSent.find(m.nonce); s != pulseSent.end()) f.claimFrom = std::max(f.claimFrom, s->second);
+    if (m.flag) {  // refetch: it misses what comes after num; below 0 it has nothing, not even the members
+      f.snapFlying = false;
+      f.next = std::max<std::int64_t>(0, std::min(m.num + 1, lastNum() + 1));
+      // Why match falls: a receiver that lacks a body must be sent it whole.
+      f.match = std::min(f.match, f.next - 2);
+      return feedOne(now, it->first, f, false);
+    }
+    if (m.num > f.match && m.num <= lastNum()) {
+      f.match = m.num;
+      f.progress = now;
+      if (f.next <= f.match) f.next = f.match + 1;
+      f.snapFlying = false;
+      settle(now);
+      if (f.next <= lastNum()) feedOne(now, it->first, f, false);
+    }
+  }
+  // Release what a majority of the core has synced.
+  void settle(Instant now) {
+    if (duty != Duty::sequencer) return;
+    std::vector<std::int64_t> nums;
+    for (auto& x : members) {
+      if (x == self) nums.push_back(durable);
+      else if (const auto it = far.find(x); it != far.end()) nums.push_back(std::max<std::int64_t>(0, it->second.match));
+      else nums.push_back(0);
+    }
+    if (nums.size() < majority()) return;
+    std::sort(nums.rbegin(), nums.rend());
+    const auto n = nums[majority() - 1];
+    if (n <= released || termAt(n) != term) return;
+    const auto before = released;
+    releaseTo(n);
+    for (std::int64_t i = before + 1; i <= released; ++i) {
+      const auto* e = entryAt(i);
+      if (e && e->op() == OpKind::members && !member(self)) {
+        // Voted out while holding the duty: nothing more to do here.
+        pulse(now, true);
+        leader.clear();
+        return setDuty(idleDuty());
+      }
+    }
+    pulse(now, true);
+  }
+  const Entry* entryAt(std::int64_t n) const {
+    if (n <= logBase || n > lastNum()) return nullptr;
+    return &log[static_cast<std::size_t>(n - logBase - 1)];
+  }
+  void touchLearner(Instant now, const std::string& who) {
+    if (who.empty() || who == self) return;
+    auto [it, fresh] = far.try_emplace(who);
+    auto& f = it->second;
+    f.heard = now;
+    if (!fresh) return;
+    f.next = lastNum() + 1;
+    f.progress = now;
+    feedOne(now, who, f, true);
+  }
+  void tendMembers(Instant now) {
+    // One numbered change at a time, and only once the last one and our own take-over are released.
+    if (released < takeOverNum) return;
+    for (auto i = released + 1; i <= lastNum(); ++i)
+      if (entryAt(i)->op() == OpKind::members) return;
+    // A learner that has caught up and still answers.
+    std::string ready;
+    for (auto& [x, f] : far)
+      if (!member(x) && f.match + 8 >= lastNum() && f.match > 0 && now - f.heard < p.pulse * 3) {
+        if (ready.empty()) ready = x;
+        for (auto& mb : members)
+          if (ipOf(mb) == ipOf(x)) ready = x;  // came back empty at a member's place: first
+      }
+    for (auto it = far.begin(); it != far.end();)
+      if (!member(it->first) && now - it->second.heard > p.deadAfter * 2) it = far.erase(it);
+      else ++it;
+    if (ready.empty()) return;
+    std::string dead;
+    for (auto& mb : members) {
+      if (mb == self) continue;
+      const auto it = far.find(mb);
+      if (it == far.end()) continue;
+      const auto& f = it->second;
+      if (ipOf(mb) == ipOf(ready) && now - f.heard > p.pulse * 3) dead = mb;
+      if (dead.empty() && now - f.heard > p.deadAfter) dead = mb;
+    }
+    auto next = members;
+    if (!dead.empty()) next.erase(std::find(next.begin(), next.end(), dead));
+    else if (members.size() < wanted()) next.push_back(ready);
+    else return;
+    Entry e;
+    e.kind = static_cast<std::int32_t>(OpKind::members);
+    e.blob = joinMembers(next);
+    if (!dead.empty()) far.erase(dead);
+    append(now, std::move(e));
+    pulse(now, false);
+  }
+  // The core keeps the size it was founded with.
+  std::size_t foundedWith = 3;
+  std::size_t wanted() const { return foundedWith; }
+
+  // --- the follower ---
+  void onPulse(Instant now, Msg& m) {
+    Msg r = msgOf(Kind::pulseAck);
+    if (m.term < term) {
+      r.term = term;
+      return send(m.from, r);
+    }
+    if (m.term > term) adopt(now, m.term);
+    if (duty == Duty::sequencer) return;
+    if (duty == Duty::candidate) setDuty(idleDuty());
+    leader = m.from;
+    leaderHeard = now;
+    promised = now + p.claim;
+    armElection(now);
+    r.term = term;
+    r.nonce = m.nonce;
+    if (snapMembers.empty()) {
+      r.flag = true;
+      r.num = -1;
+      return send(m.from, r);
+    }
+    if (m.num < logBase) {
+      // What lies below our base is released and so equal; skip it.
+      std::erase_if(m.entries, [&](const Entry& e) { return e.num <= logBase; });
+      m.num = logBase;
+      m.prevTerm = logBaseTerm;
+      if (!m.entries.empty() && m.entries.front().num != logBase + 1) m.entries.clear();
+    }
+    if (m.num > lastNum() || termAt(m.num) != m.prevTerm) {
+      r.flag = true;
+      r.num = std::min(std::max(released, std::min(m.num - 1, lastNum())), lastNum());
+      if (m.num <= lastNum()) r.num = released;
+      return send(m.from, r);
+    }
+    std::vector<Entry> fresh;
+    bool missing = false;
+    auto last = m.num;
+    for (auto& e : m.entries) {
+      if (e.omitted) {
+        const auto b = bodies.find(e.digest);
+        if (b == bodies.end()) {
+          missing = true;
+          break;
+        }
+        e.blob = b->second;
+        e.omitted = false;
+      }
+      if (e.num <= lastNum()) {
+        if (termAt(e.num) == e.term) {
+          last = e.num;
+          continue;
+        }
+        truncateFrom(e.num);
+      }
+      last = e.num;
+      log.push_back(e);
+      fresh.push_back(std::move(e));
+    }
+    matched = std::max(matched, last);
+    if (!fresh.empty()) {
+      const auto from = fresh.front().num;
+      keep(now, from, std::move(fresh));
+      scanMembers();
+    }
+    releaseTo(std::min(m.commit, matched));
+    r.num = std::min(matched, durable);
+    send(m.from, r);
+    if (missing) {
+      Msg g = msgOf(Kind::pulseAck);
+      g.term = term;
+      g.flag = true;
+      g.num = last;
+      send(m.from, g);
+    }
+  }
+  void onSnapshot(Instant now, Msg& m) {
+    if (m.term < term) return;
+    if (m.term > term) adopt(now, m.term);
+    if (duty == Duty::sequencer) return;
+    if (duty == Duty::candidate) setDuty(idleDuty());
+    leader = m.from;
+    leaderHeard = now;
+    promised = now + p.claim;
+    armElection(now);
+    if (m.num <= released && !snapMembers.empty()) {
+      Msg r = msgOf(Kind::pulseAck);
+      r.term = term;
+      matched = std::max(matched, released);
+      r.num = std::min(matched, durable);
+      return send(m.from, r);
+    }
+    snapNum = m.num;
+    snapTerm = m.prevTerm;
+    snapMembers = m.names;
+    foundedWith = static_cast<std::size_t>(std::max<std::int64_t>(1, m.nonce));
+    state = m.blob;
+    log.clear();
+    logBase = snapNum;
+    logBaseTerm = snapTerm;
+    released = snapNum;
+    matched = snapNum;
+    durable = 0;
+    scanMembers();
+    Action a;
+    a.what = Action::What::install;
+    a.entry.num = snapNum;
+    a.entry.term = snapTerm;
+    a.entry.blob = state;
+    out.push_back(std::move(a));
+    keep(now, 0, {}, true);
+  }
+  bool sick(Instant now) const {
+    return !keeping.empty() && (keeping.front().failed || now - keeping.front().since > p.diskSick);
+  }
+  void yield(Instant now) {
+    // The one that has most, answered last, and is a member takes over.
+    std::string best;
+    std::int64_t most = -1;
+    for (auto& x : members)
+      if (x != self) {
+        const auto it = far.find(x);
+        if (it != far.end() && now - it->second.heard < p.pulse * 4 && it->second.match > most) {
+          most = it->second.match;
+          best = x;
+        }
+      }
+    if (best.empty()) return;
+    Msg m = msgOf(Kind::handOver);
+    m.term = term;
+    leader.clear();
+    yieldedUntil = now + p.electMin * 3;
+    setDuty(idleDuty());  // the claim ends here, before anybody may start a new one
+    armElection(now);
+    electAt += p.electMin;
+    send(best, m);
+    ring::alarm("hands over the sequencer's duty to " + best);
+  }
+};
+
+Order::Order(std::string self, OrderParams p, std::uint64_t seed, Instant now) : impl_(std::make_unique<Impl>()) {
+  impl_->self = std::move(self);
+  impl_->p = p;
+  impl_->rng.seed(seed);
+  impl_->armElection(now);
+}
+Order::~Order() = default;
+void Order::found(const std::vector<std::string>& members, Instant now) {
+  auto& d = *impl_;
+  d.snapMembers = members;
+  d.foundedWith = members.size();
+  d.scanMembers();
+  d.keep(now, 0, {}, true);
+}
+void Order::recover(const std::vector<Page>& pages, Instant now) {
+  auto& d = *impl_;
+  for (auto& g : pages) {
+    d.pageSeq = std::max(d.pageSeq, g.seq);
+    d.term = g.term;
+    d.vote = g.vote;
+    if (g.full) {
+      d.snapNum = g.snapNum;
+      d.snapTerm = g.snapTerm;
+      d.snapMembers = g.snapMembers;
+      d.state = g.state;
+      d.foundedWith = static_cast<std::size_t>(std::max<std::int64_t>(1, g.founded));
+      d.log.clear();
+      d.logBase = g.from ? g.from - 1 : g.snapNum;
+      d.logBaseTerm = d.logBase == g.snapNum ? g.snapTerm : -1;
+    }
+    if (g.from > 0 && !g.entries.empty()) {
+      while (d.lastNum() >= g.from) d.log.pop_back();
+      for (auto& e : g.entries)
+        if (e.num == d.lastNum() + 1) d.log.push_back(e);
+    }
+  }
+  d.durable = d.lastNum();
+  d.released = d.snapNum;
+  d.scanMembers();
+  if (d.snapNum > 0 || !d.state.empty()) {
+    Action a;
+    a.what = Action::What::install;
+    a.entry.num = d.snapNum;
+    a.entry.term = d.snapTerm;
+    a.entry.blob = d.state;
+    d.out.push_back(std::move(a));
+  }
+  // A promise made before the restart is not remembered, so it is kept by waiting.
+  d.promised = now + d.p.claim;
+  d.armElection(now);
+}
+void Order::seeds(std::vector<std::string> ips) { impl_->seedIps = std::move(ips); }
+
+void Order::tick(Instant now) {
+  auto& d = *impl_;
+  for (auto& k : d.keeping)
+    if (k.failed && now >= k.retryAt) {
+      k.retryAt = now + d.p.keepRetry;
+      Action a;
+      a.what = Action::What::keep;
+      a.ticket = k.ticket;
+      a.page = k.page;
+      d.out.push_back(std::move(a));
+      break;  // in order, one at a time
+    }
+  if (d.duty == Duty::sequencer) {
+    if (d.claimedNow(now)) d.lastQuorum = now;
+    else if (now - d.lastQuorum > d.p.claim + d.p.electMin) {
+      d.leader.clear();
+      d.setDuty(d.idleDuty());
+      d.armElection(now);
+      return;
+    }
+    if (d.sick(now)) return d.yield(now);
+    d.tendMembers(now);
+    if (now - d.lastPulse >= d.p.pulse) d.pulse(now, true);
+    return;
+  }
+  if (d.duty == Duty::learner) {
+    if (now - d.lastJoin < d.p.join || now - d.leaderHeard < d.p.pulse * 4) return;
+    d.lastJoin = now;
+    Msg m = msgOf(Kind::join);
+    std::set<std::string> to;
+    for (auto& x : d.members) to.insert(ipOf(x));
+    for (auto& x : d.seedIps) to.insert(x);
+    to.erase(ipOf(d.self));
+    for (auto& x : to) d.send(x, m);
+    return;
+  }
+  if (now >= d.electAt && now >= d.yieldedUntil) {
+    d.askTerm = 0;
+    d.campaign(now, true, false);
+  }
+}
+void Order::hear(Instant now, Msg m) {
+  auto& d = *impl_;
+  switch (m.what()) {
+    case Kind::ask: return d.onAsk(now, m);
+    case Kind::granted: return d.onGranted(now, m);
+    case Kind::pulse: return d.onPulse(now, m);
+    case Kind::pulseAck:
+      if (m.term > d.term) {
+        d.adopt(now, m.term);
+        return;
+      }
+      return d.onPulseAck(now, m);
+    case Kind::snapshot: return d.onSnapshot(now, m);
+    case Kind::join:
+      if (d.duty == Duty::sequencer) {
+        d.touchLearner(now, m.from);
+      } else if (!d.leader.empty() && now - d.leaderHeard < d.p.claim) {
+        Msg r = msgOf(Kind::join);
+        r.who = m.from;
+        r.flag = true;
+        // Passed on once, so that the sequencer learns of the newcomer.
+        if (!m.flag) d.send(d.leader, r);
+      }
+      if (m.flag && d.duty == Duty::sequencer) d.touchLearner(now, m.who);
+      return;
+    case Kind::handOver:
+      if (m.term == d.term && d.duty == Duty::follower && !d.sick(now)) {
+        d.promised = {};
+        d.askTerm = d.term;
+        d.campaign(now, false, true);
+      }
+      return;
+    case Kind::body:
+      if (d.bodies.emplace(m.who, m.blob).second) {
+        d.bodyOrder.push_back(m.who);
+        if (d.bodyOrder.size() > 4) {
+          d.bodies.erase(d.bodyOrder.front());
+          d.bodyOrder.pop_front();
+        }
+      }
+      return;
+    default: return;
+  }
+}
+bool Order::submit(Instant now, Entry e) {
+  auto& d = *impl_;
+  if (d.duty != Duty::sequencer) return false;
+  if (e.omitted) {
+    const auto b = d.bodies.find(e.digest);
+    if (b == d.bodies.end()) return false;
+    e.blob = b->second;
+    e.omitted = false;
+  }
+  // A write sent again while the first is still on its way is that first write.
+  for (auto i = d.released + 1; i <= d.lastNum(); ++i)
+    if (d.entryAt(i)->opId == e.opId) return true;
+  d.append(now, std::move(e));
+  d.pulse(now, false);
+  return true;
+}
+void Order::kept(Instant now, std::int64_t ticket, bool ok) {
+  auto& d = *impl_;
+  const auto it = std::find_if(d.keeping.begin(), d.keeping.end(), [&](auto& k) { return k.ticket == ticket; });
+  if (it == d.keeping.end()) return;
+  if (!ok) {
+    it->failed = true;
+    it->retryAt = now + d.p.keepRetry;
+    return;
+  }
+  const auto lastNum = it->lastNum, lastTerm = it->lastTerm;
+  d.keeping.erase(it);
+  if (lastNum <= d.lastNum() && d.termAt(lastNum) == lastTerm) d.durable = std::max(d.durable, lastNum);
+  if (d.duty == Duty::candidate && !d.preVoting && ticket == d.selfVoteTicket) d.yes.insert(d.self);
+  const auto oldest = d.keeping.empty() ? std::numeric_limits<std::int64_t>::max() : d.keeping.front().ticket;
+  auto held = std::move(d.held);
+  d.held.clear();
+  for (auto& h : held) {
+    if (h.ticket < oldest) {
+      // Why checked: a vote or a question of a term already left behind says nothing true any more.
+      if (h.msg.term == d.term) d.send(h.to, std::move(h.msg));
+    } else {
+      d.held.push_back(std::move(h));
+    }
+  }
+  d.maybeWin(now);
+  if (d.duty == Duty::sequencer) return d.settle(now);
+  if (!d.leader.empty()) {
+    Msg r = msgOf(Kind::pulseAck);
+    r.term = d.term;
+    r.num = std::min(d.matched, d.durable);
+    if (r.num > 0) d.send(d.leader, r);
+  }
+}
+void Order::compact(std::int64_t num, std::string state, Instant now) {
+  auto& d = *impl_;
+  if (num <= d.snapNum || num > d.released) return;
+  const auto t = d.termAt(num);
+  for (auto i = std::max(d.logBase, d.snapNum) + 1; i <= num; ++i)
+    if (d.entryAt(i)->op() == OpKind::members) d.snapMembers = Impl::splitMembers(d.entryAt(i)->blob);
+  d.snapNum = num;
+  d.snapTerm = t;
+  d.state = std::move(state);
+  while (d.logBase < num) {
+    d.logBaseTerm = d.log.front().term;
+    d.log.pop_front();
+    ++d.logBase;
+  }
+  d.keep(now, 0, {}, true);
+}
+void Order::handOver(Instant now) {
+  if (impl_->duty == Duty::sequencer) impl_->yield(now);
+}
+std::vector<Action> Order::take() { return std::exchange(impl_->out, {}); }
+Duty Order::duty() const { return impl_->duty; }
+std::int64_t Order::term() const { return impl_->term; }
+std::string Order::sequencer() const { return impl_->leader; }
+std::int64_t Order::released() const { return impl_->released; }
+std::int64_t Order::firstKept() const { return impl_->logBase + 1; }
+bool Order::claimed(Instant now) const { return impl_->claimedNow(now) && impl_->released >= impl_->takeOverNum; }
+const std::vector<std::string>& Order::members() const { return impl_->members; }
+const Entry* Order::at(std::int64_t n) const { return impl_->entryAt(n); }
+bool Order::diskSick(Instant now) const { return impl_->sick(now); }
+const std::string& Order::self() const { return impl_->self; }
+}  // namespace zc
--- /dev/null
+++ b/libs/passage/include/passage/http.hpp
@@ -0,0 +1,58 @@
+// Requests read and plain answers written on a wire, with the library's parser.
+#pragma once
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "keel/quay.hpp"
+namespace zc {
+namespace http = boost::beast::http;
+using Buffer = boost::beast::flat_buffer;
+using RequestParser = http::request_parser<http::string_body>;
+
+struct ReadLimits {
+  std::size_t header = 16384, body = 4194304;
+  Span idle{15000}, headerTime{3000}, bodyTime{10000};
+};
+enum class ReadEnd { whole, closed, declined };
+struct ReadResult {
+  ReadEnd end = ReadEnd::closed;
+  int status = 0;  // for declined
+};
+// Reads one request; whatever follows it stays in buf.
+ReadResult readRequest(Wire& w, Buffer& buf, RequestParser& p, const ReadLimits& l);
+// Feeds the parser from buf and the wire until its head (or all of it) is read.
+template <class Parser>
+void pump(Wire& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec);
+
+std::string_view reasonOf(int status);
+std::string plainAnswer(int status, std::string_view extraHeads, std::string_view type, std::string_view body, bool keep);
+std::string jsonError(std::string_view text);
+
+template <class Parser>
+void pump(Wire& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec) {
+  for (;;) {
+    if (buf.size() > 0) {
+      const auto n = p.put(buf.data(), ec);
+      buf.consume(n);
+      if (ec && ec != http::error::need_more) return;
+      if (p.is_done() || (headOnly && p.is_header_done())) {
+        ec = {};
+        return;
+      }
+      if (!ec && n > 0 && buf.size() > 0) continue;
+    }
+    ec = {};
+    const auto room = buf.prepare(8 * 1024);
+    const auto n = w.read(room, ec);
+    if (ec) {
+      if (ec == asio::error::eof && p.is_header_done() && !p.chunked() && !p.content_length()) {
+        Ec done;
+        p.put_eof(done);
+        if (!done) ec = {};
+      }
+      return;
+    }
+    buf.commit(n);
+  }
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/passage/include/passage/passage.hpp
@@ -0,0 +1,27 @@
+// One request from its consumer to a runner and back.
+#pragma once
+#include "berth/budget.hpp"
+#include "berth/docks.hpp"
+#include "berth/quota.hpp"
+#include "charter/configuration.hpp"
+#include "passage/http.hpp"
+#include "passage/pool.hpp"
+namespace zc {
+// What every request of this process reads; changed between requests only.
+struct Waters {
+  std::shared_ptr<const Configuration> cfg;
+  Docks docks{1};
+  Pool pool;
+  Budget budget{0.15, 2, 12};
+  QuotaShare quota;
+  std::string zone;
+  Instant claimEnds{};
+  bool leaving = false;
+  int aboard = 0;  // requests in work
+  std::mt19937_64 rng;
+  std::uint64_t served = 0, declined = 0, goes = 0, cut = 0;
+  bool claimed(Instant now) const { return cfg && now < claimEnds; }
+};
+// Serves a consumer's wire until it ends.
+void serveConsumer(Waters& wa, tcp::socket s);
+}  // namespace zc
--- /dev/null
+++ b/libs/passage/src/heads.hpp
@@ -0,0 +1,17 @@
+// Which heads go on, and which are ours to read or write.
+#pragma once
+#include "passage/http.hpp"
+namespace zc {
+bool sameText(std::string_view a, std::string_view b);
+// The request's head as the runner gets it.
+struct Outbound {
+  std::string_view expectedInstance, subscriber, lastEventId;
+  Span left{0};
+  int precedence = -1;
+  bool hideKey = true;
+};
+std::string outboundHead(const http::request_header<>& h, const Outbound& o, std::size_t bodySize);
+// The answer's head as the consumer gets it, without framing.
+std::string inboundHead(const http::response_header<>& h);
+std::string_view field(const http::fields& f, std::string_view name);
+}  // namespace zc
--- /dev/null
+++ b/libs/passage/src/http.cpp
@@ -0,0 +1,63 @@
+#include "passage/http.hpp"
+
+#include "charter/calls.hpp"
+
+namespace zc {
+namespace {
+int statusOf(const Ec& ec) {
+  if (ec == http::error::header_limit) return 431;
+  if (ec == http::error::body_limit) return 413;
+  return 400;
+}
+bool protocolFault(const Ec& ec) {
+  return ec.category() == make_error_code(http::error::bad_line_ending).category();
+}
+}  // namespace
+
+ReadResult readRequest(Wire& w, Buffer& buf, RequestParser& p, const ReadLimits& l) {
+  Ec ec;
+  p.header_limit(static_cast<std::uint32_t>(l.header));
+  p.body_limit(l.body);
+  p.eager(true);
+  if (buf.size() == 0) {
+    w.due(Clock::now() + l.idle);
+    const auto n = w.read(buf.prepare(8 * 1024), ec);
+    w.undue();
+    if (ec || n == 0) return {ReadEnd::closed, 0};
+    buf.commit(n);
+  }
+  const auto began = Clock::now();
+  w.due(began + l.headerTime);
+  pump(w, buf, p, true, ec);
+  if (!ec && !p.is_done()) {
+    w.due(Clock::now() + l.bodyTime);
+    // Why said at once: a caller that asks first would wait for ever.
+    if (p.get().count(http::field::expect)) w.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec);
+    if (!ec) pump(w, buf, p, false, ec);
+  }
+  const bool late = w.late();
+  w.undue();
+  if (!ec) return {ReadEnd::whole, 0};
+  if (late) return {ReadEnd::declined, 408};
+  if (protocolFault(ec) && ec != http::error::end_of_stream && ec != http::error::partial_message)
+    return {ReadEnd::declined, statusOf(ec)};
+  return {ReadEnd::closed, 0};
+}
+
+std::string_view reasonOf(int s) { return http::obsolete_reason(static_cast<http::status>(s)); }
+std::string plainAnswer(int status, std::string_view heads, std::string_view type, std::string_view body, bool keep) {
+  std::string a;
+  a.reserve(160 + heads.size() + body.size());
+  a += "HTTP/1.1 " + std::to_string(status) + " ";
+  a += reasonOf(status);
+  a += "\r\n";
+  a += heads;
+  if (!body.empty()) (a += "Content-Type: ") += type, a += "\r\n";
+  a += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (!keep) a += "Connection: close\r\n";
+  a += "\r\n";
+  a += body;
+  return a;
+}
+std::string jsonError(std::string_view text) { return "{\"error\":" + quoteJson(text) + "}"; }
+}  // namespace zc
--- /dev/null
+++ b/libs/passage/src/passage.cpp
@@ -0,0 +1,411 @@
+#include "passage/passage.hpp"
+
+#include <cstdio>
+#include <sys/socket.h>
+
+#include "events.hpp"
+#include "heads.hpp"
+#include "keel/ring.hpp"
+
+namespace zc {
+namespace {
+using AnswerParser = http::response_parser<http::string_body>;
+constexpr auto kConnect = 300ms;
+constexpr auto kIdleRunner = 20s;      // where the runner names no time itself
+constexpr int kConnectTries = 3;       // a runner that can't be reached has been sent nothing
+constexpr auto kWriteStall = 10s;
+
+// Notices that the consumer goes away while nobody reads from it.
+struct Watch {
+  bool gone = false, over = false;
+  Wire* runner = nullptr;
+};
+void startWatch(const std::shared_ptr<Watch>& wt, Wire& consumer) {
+  consumer.sock().async_wait(tcp::socket::wait_read, [wt, &consumer](Ec ec) {
+    if (ec || wt->over) return;
+    char c;
+    const auto n = ::recv(consumer.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) return;
+    wt->gone = true;
+    if (wt->runner) wt->runner->cancel();
+  });
+}
+struct WatchGuard {
+  std::shared_ptr<Watch> wt = std::make_shared<Watch>();
+  Wire& consumer;
+  explicit WatchGuard(Wire& c) : consumer(c) { startWatch(wt, c); }
+  ~WatchGuard() {
+    wt->over = true;
+    wt->runner = nullptr;
+    consumer.cancel();
+  }
+};
+
+std::string retryAfter(Span d) {
+  char b[48];
+  std::snprintf(b, sizeof b, "Retry-After: %.3f\r\n", static_cast<double>(d.count()) / 1000.0);
+  return b;
+}
+std::string_view keyOf(const http::fields& f) {
+  auto v = field(f, "Authorization");
+  constexpr std::string_view scheme = "bearer ";
+  if (v.size() <= scheme.size() || !sameText(v.substr(0, scheme.size()), scheme)) return {};
+  v.remove_prefix(scheme.size());
+  while (!v.empty() && v.front() == ' ') v.remove_prefix(1);
+  while (!v.empty() && v.back() == ' ') v.remove_suffix(1);
+  return v;
+}
+std::int64_t number(std::string_view s, std::int64_t otherwise) {
+  if (s.empty() || s.size() > 12) return otherwise;
+  std::int64_t n = 0;
+  for (char c : s) {
+    if (c < '0' || c > '9') return otherwise;
+    n = n * 10 + (c - '0');
+  }
+  return n;
+}
+
+// How one go at a runner ended.
+enum class GoEnd {
+  done,         // the whole answer is with the consumer
+  unsent,       // no byte left for the runner
+  notRun,       // the runner says that it did not run it
+  broken,       // sent, and no whole answer: it may have run
+  failed,       // the runner ran it and answered with a failure of its own
+  consumerGone,
+  timeUp,
+};
+
+class Passage {
+ public:
+  Passage(Waters& wa, Wire& consumer, RequestParser& p) : wa_(wa), consumer_(consumer), req_(p.get()) {}
+  bool carry();
+
+ private:
+  bool answer(int status, Span retry = Span(0), std::string_view why = {});
+  GoEnd go(int dock);
+  GoEnd relayStream(Wire& w, Buffer& buf, AnswerParser& ap, bool fresh);
+  bool toConsumer(std::string_view bytes);
+  bool chunkToConsumer(std::string_view bytes);
+  Instant now() const { return Clock::now(); }
+
+  Waters& wa_;
+  Wire& consumer_;
+  RequestParser::value_type& req_;
+  std::shared_ptr<const Configuration> cfg_;
+  const Mapping* map_ = nullptr;
+  std::string subscriber_, goId_;
+  int precedence_ = -1;
+  Instant arrived_, deadline_;
+  bool keep_ = true, headSent_ = false, sentWhole_ = false;
+  std::shared_ptr<Watch> watch_;
+  EventScan scan_;
+  std::string keptHead_, keptBody_;  // a runner's own failure, to be passed on unchanged
+  std::string saidRetry_;
+};
+
+bool Passage::toConsumer(std::string_view bytes) {
+  Ec ec;
+  consumer_.due(now() + kWriteStall);
+  consumer_.write(asio::buffer(bytes), ec);
+  consumer_.undue();
+  return !ec;
+}
+bool Passage::chunkToConsumer(std::string_view bytes) {
+  char head[24];
+  const int n = std::snprintf(head, sizeof head, "%zx\r\n", bytes.size());
+  std::string s;
+  s.reserve(bytes.size() + 32);
+  s.append(head, static_cast<std::size_t>(n));
+  s += bytes;
+  s += "\r\n";
+  return toConsumer(s);
+}
+bool Passage::answer(int status, Span retry, std::string_view why) {
+  std::string heads;
+  if (!goId_.empty()) heads += "X-Attempt-Id: " + goId_ + "\r\n";
+  if (retry > Span(0)) heads += retryAfter(retry);
+  ++wa_.declined;
+  return toConsumer(plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) && keep_;
+}
+
+// One function a request, read top to bottom. True: the wire may carry another.
+bool Passage::carry() {
+  arrived_ = now();
+  cfg_ = wa_.cfg;
+  keep_ = req_.keep_alive() && !wa_.leaving;
+  goId_ = std::string(field(req_, "X-Attempt-Id"));
+
+  // Why first of all: without a fresh claim this copy may be older than a key that was taken away.
+  if (!wa_.claimed(arrived_)) return answer(503, Span(300), "no fresh claim");
+
+  const std::string_view target(req_.target().data(), req_.target().size());
+  const int mi = cfg_->find(field(req_, "Host"), target);
+  if (mi < 0) return answer(404, Span(0), "no route");
+  map_ = &cfg_->mappings[static_cast<std::size_t>(mi)];
+  precedence_ = map_->precedence;
+
+  const Subscriber* sub = nullptr;
+  if (!cfg_->subscribers.empty() && !map_->keyless) {
+    const int si = cfg_->subscriberOf(keyOf(req_));
+    if (si < 0) return answer(401, Span(0), "key not known");
+    sub = &cfg_->subscribers[static_cast<std::size_t>(si)];
+    subscriber_ = sub->label;
+    if (sub->precedence >= 0) precedence_ = sub->precedence;
+  }
+  if (sub && sub->ratePerS > 0)
+    if (const auto wait = wa_.quota.take(sub->label, arrived_); wait > Span(0)) return answer(429, wait, "over quota");
+
+  const auto asked = number(field(req_, "X-Deadline-Ms"), map_->expiry.count());
+  deadline_ = arrived_ + std::min(Span(asked), map_->expiry);
+  std::uint64_t draw = map_->shareSum > 1 ? wa_.rng() % map_->shareSum : 0;
+  std::size_t ti = 0;
+  while (ti + 1 < map_->targets.size() && draw >= map_->targets[ti].share) draw -= map_->targets[ti++].share;
+  const auto& service = cfg_->services[static_cast<std::size_t>(map_->targets[ti].service)];
+  wa_.budget.earn(service.label);
+
+  WatchGuard guard(consumer_);
+  watch_ = guard.wt;
+  Wish wish{service.label, wa_.zone, map_->affinity ? affinityOf(field(req_, "X-Prompt-Prefix")) : 0, service.engine, {}};
+  int runners = 0;
+  bool mayHaveRun = false;
+  GoEnd end = GoEnd::unsent;
+  for (int tries = 0; tries < map_->maxAttempts + kConnectTries; ++tries) {
+    if (watch_->gone) return false;
+    if (now() >= deadline_) {
+      end = GoEnd::timeUp;
+      break;
+    }
+    // Why asked again before every go: the claim may have ended while an earlier one failed.
+    if (!wa_.claimed(now())) break;
+    const int dock = wa_.docks.choose(wish, now());
+    if (dock < 0) break;
+    if (runners > 0 && !wa_.budget.spend(service.label)) break;
+    wish.not_.push_back(dock);
+    ++wa_.goes;
+    wa_.docks.went(dock);
+    end = go(dock);
+    wa_.docks.came(dock);
+    if (end != GoEnd::unsent) ++runners;
+    if (end == GoEnd::done) {
+      ++wa_.served;
+      return keep_;
+    }
+    if (end == GoEnd::consumerGone) return false;
+    if (end == GoEnd::broken || end == GoEnd::failed || end == GoEnd::timeUp) mayHaveRun = true;
+    if (end == GoEnd::timeUp) break;
+    if (runners >= map_->maxAttempts) break;
+    // At most once: what may have run goes to nobody else unless the route says that it may.
+    if (mayHaveRun && !map_->repeatable()) break;
+  }
+  if (headSent_) {
+    ++wa_.cut;
+    return false;  // an answer begun and not ended must not look whole
+  }
+  if (end == GoEnd::failed && !keptHead_.empty()) {
+    std::string s = keptHead_ + "Content-Length: " + std::to_string(keptBody_.size()) + "\r\n" +
+                    (keep_ ? "" : "Connection: close\r\n") + "\r\n" + keptBody_;
+    return toConsumer(s) && keep_;
+  }
+  if (mayHaveRun && !map_->repeatable()) return answer(end == GoEnd::timeUp ? 504 : 502, Span(0), "the runner's answer was lost");
+  if (end == GoEnd::timeUp) return answer(504, Span(0), "time is up");
+  if (mayHaveRun) return answer(502, Span(0), "the runner's answer was lost");
+  // Nothing has run: say when to come back, spread so that all do not come at once.
+  return answer(503, Span(100 + static_cast<std::int64_t>(wa_.rng() % 200)), "no runner is free");
+}
+
+GoEnd Passage::go(int dock) {
+  const auto id = wa_.docks.at(dock).id;
+  const auto address = wa_.docks.at(dock).address;
+  Ec ec;
+  auto wire = wa_.pool.take(id, now());
+  if (!wire) {
+    auto ep = parseEndpoint(address);
+    if (!ep) return GoEnd::unsent;
+    wire = std::make_unique<Wire>();
+    wire->due(std::min(deadline_, now() + kConnect));
+    wire->connect(*ep, ec);
+    if (ec) {
+      wa_.docks.fault(dock, now());
+      wa_.pool.drop(id);
+      return GoEnd::unsent;
+    }
+    wire->undue();
+  }
+  if (watch_->gone) return GoEnd::consumerGone;
+  if (!wa_.claimed(now())) return GoEnd::unsent;
+  Outbound o;
+  o.expectedInstance = id;
+  o.subscriber = subscriber_;
+  o.left = toSpan(deadline_ - now());
+  o.precedence = precedence_;
+  o.hideKey = !cfg_->subscribers.empty();
+  if (headSent_) o.lastEventId = scan_.lastId();
+  auto out = outboundHead(req_, o, req_.body().size());
+  out += req_.body();
+  watch_->runner = wire.get();
+  struct Unwatch {
+    Watch& w;
+    ~Unwatch() { w.runner = nullptr; }
+  } unwatch{*watch_};
+  wire->due(deadline_ + 50ms);
+  wire->write(asio::buffer(out), ec);
+  if (ec) {
+    if (watch_->gone) return GoEnd::consumerGone;
+    wa_.docks.fault(dock, now());
+    return wire->late() ? GoEnd::timeUp : GoEnd::broken;
+  }
+  Buffer buf;
+  std::optional<AnswerParser> ap;
+  for (int surplus = 0;; ++surplus) {
+    ap.emplace();
+    ap->eager(true);
+    ap->body_limit(64u << 20);
+    if (req_.method() == http::verb::head) ap->skip(true);
+    pump(*wire, buf, *ap, true, ec);
+    if (ec) break;
+    const auto back = field(ap->get(), "X-Attempt-Id");
+    if (back == goId_ || surplus >= 2) break;
+    // A surplus answer to somebody else's request stands in the place of ours: it is read and belongs to nobody.
+    pump(*wire, buf, *ap, false, ec);
+    if (ec) break;
+  }
+  auto lost = [&] {
+    if (watch_->gone) return GoEnd::consumerGone;
+    if (wire->late() || now() >= deadline_) return GoEnd::timeUp;
+    wa_.docks.fault(dock, now());
+    return GoEnd::broken;
+  };
+  if (ec) return lost();
+  const auto& h = ap->get();
+  if (field(h, "X-Attempt-Id") != goId_) return lost();
+  wa_.docks.told(dock, field(h, "X-Instance-Load"), now());
+  const int status = static_cast<int>(h.result_int());
+  const bool notRun = h.count("X-Not-Executed") > 0 || status == 421;
+  if (status / 100 == 2 && (field(h, "X-Server-Seal").empty() || h.count(http::field::content_encoding))) return lost();
+
+  const bool stream = status / 100 == 2 && map_->type == RouteType::stream;
+  if (stream) {
+    const auto e = relayStream(*wire, buf, *ap, !headSent_);
+    if (e == GoEnd::broken) return lost();
+    if (e != GoEnd::done) return e;
+  } else {
+    pump(*wire, buf, *ap, false, ec);
+    if (ec) return lost();
+  }
+  wa_.docks.fine(dock);
+  const bool clean = ap->get().keep_alive() && buf.size() == 0;
+  Instant until = now() + kIdleRunner;
+  if (const auto ka = field(ap->get(), "Keep-Alive"); !ka.empty())
+    if (const auto at = ka.find("timeout="); at != ka.npos) {
+      auto v = ka.substr(at + 8);
+      v = v.substr(0, v.find_first_not_of("0123456789"));
+      // Why less: the far end must not close what we just began to use.
+      until = now() + Span(number(v, 1) * 1000 - 700);
+    }
+  std::string head, body;
+  if (!stream) head = inboundHead(ap->get()), body = std::move(ap->get().body());
+  wire->undue();
+  if (clean) wa_.pool.give(id, std::move(wire), until);
+
+  if (notRun) {
+    if (status == 421) wa_.docks.fault(dock, now());
+    return GoEnd::notRun;
+  }
+  if (stream) return GoEnd::done;
+  if (status / 100 != 2) {
+    // Why changed: those four promise what this runner does not say.
+    if (status == 408 || status == 421 || status == 429 || status == 503) return GoEnd::broken;
+    keptHead_ = std::move(head);
+    keptBody_ = std::move(body);
+    return GoEnd::failed;
+  }
+  if (headSent_) return GoEnd::broken;
+  head += "Content-Length: " + std::to_string(body.size()) + "\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
+  if (req_.method() != http::verb::head) head += body;
+  watch_->runner = nullptr;
+  return toConsumer(head) ? GoEnd::done : GoEnd::consumerGone;
+}
+
+GoEnd Passage::relayStream(Wire& w, Buffer& buf, AnswerParser& ap, bool fresh) {
+  if (fresh) {
+    auto head = inboundHead(ap.get()) + "Transfer-Encoding: chunked\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
+    headSent_ = true;
+    if (!toConsumer(head)) return GoEnd::consumerGone;
+  }
+  const bool whole = map_->resume;  // only whole events go on where another runner may take the stream up
+  for (;;) {
+    auto& body = ap.get().body();
+    if (!body.empty()) {
+      const auto pass = whole ? scan_.feed(body) : std::string_view(body);
+      if (!pass.empty() && !chunkToConsumer(pass)) return GoEnd::consumerGone;
+      body.clear();
+    }
+    if (ap.is_done()) break;
+    Ec ec;
+    if (buf.size() > 0) {
+      const auto n = ap.put(buf.data(), ec);
+      buf.consume(n);
+      if (ec && ec != http::error::need_more) {
+        scan_.dropRest();
+        return GoEnd::broken;
+      }
+      if (n > 0) continue;
+    }
+    ec = {};
+    const auto n = w.read(buf.prepare(4 * 1024), ec);
+    if (ec) {
+      if (ec == asio::error::eof && !ap.chunked() && !ap.content_length()) {
+        ap.put_eof(ec);
+        if (!ec) continue;
+      }
+      // What of an event had come is dropped: whoever goes on begins after the last whole one.
+      scan_.dropRest();
+      return GoEnd::broken;
+    }
+    buf.commit(n);
+  }
+  if (whole && !scan_.rest().empty()) {
+    const auto last = scan_.rest();
+    if (!chunkToConsumer(last)) return GoEnd::consumerGone;
+  }
+  watch_->runner = nullptr;
+  return toConsumer("0\r\n\r\n") ? GoEnd::done : GoEnd::consumerGone;
+}
+}  // namespace
+
+void serveConsumer(Waters& wa, tcp::socket s) {
+  Wire w(std::move(s));
+  tune(w.sock());
+  Buffer buf;
+  for (;;) {
+    ReadLimits l;
+    if (wa.cfg) {
+      l.header = wa.cfg->limits.maxHeaderBytes;
+      l.body = wa.cfg->limits.maxBodyBytes;
+      l.idle = wa.cfg->limits.idleTimer;
+      l.headerTime = wa.cfg->limits.headerTimer;
+      l.bodyTime = std::max(wa.cfg->limits.idleTimer, Span(5000));
+    }
+    if (wa.leaving) l.idle = std::min(l.idle, Span(300));
+    RequestParser p;
+    const auto r = readRequest(w, buf, p, l);
+    if (r.end == ReadEnd::closed) return;
+    Ec ec;
+    if (r.end == ReadEnd::declined) {
+      w.write(asio::buffer(plainAnswer(r.status, "", "application/json", jsonError(reasonOf(r.status)), false)), ec);
+      // What is left unread would reset the wire and take the answer with it.
+      w.sock().shutdown(tcp::socket::shutdown_send, ec);
+      char sink[2048];
+      w.due(Clock::now() + 500ms);
+      while (!ec && w.read(asio::buffer(sink), ec) > 0) {
+      }
+      return;
+    }
+    ++wa.aboard;
+    const bool more = Passage(wa, w, p).carry();
+    --wa.aboard;
+    if (!more) return;
+  }
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/pilot/src/pilot.cpp
@@ -0,0 +1,175 @@
+#include "pilot/pilot.hpp"
+
+#include "keel/lifecycle.hpp"
+#include "keel/ring.hpp"
+#include "log/queue.hpp"
+#include "passage/passage.hpp"
+#include "registry/copy.hpp"
+#include "signal/link.hpp"
+#include "tender/port.hpp"
+
+namespace zc {
+namespace {
+constexpr auto kChallenge = 400ms;
+constexpr auto kLinger = 2600ms;  // after SIGTERM: until the platform has surely noticed
+
+class Pilot {
+ public:
+  explicit Pilot(const Settings& s) : s_(s) {
+    wa_.zone = s.zone;
+    wa_.rng.seed(drawSeed());
+    wa_.docks = Docks(drawSeed());
+    // Why a margin: an answer is under way while the claim ends, and the far clocks are not ours.
+    claimSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
+    wa_.budget = Budget(s.timers.retryRatio * 0.75, 2, 10);
+  }
+  Outcome<void> start() {
+    auto access = parseEndpoint(s_.accessAddr);
+    auto ready = parseEndpoint(s_.readinessAddr);
+    auto agent = parseEndpoint("127.0.0.1:" + std::to_string(s_.portFirst + kTenderPort));
+    if (!access) return tl::unexpected(access.error());
+    if (!ready) return tl::unexpected(ready.error());
+    if (!agent) return tl::unexpected(agent.error());
+    mooring_ = std::make_unique<Mooring>(
+        *agent, [this](const LinkPtr&, Msg m) { onTender(std::move(m)); },
+        [this](const LinkPtr& l) {
+          Msg m = msgOf(Kind::follow);
+          m.num = queue_.applied();
+          l->send(m);
+          challenge();
+        });
+    auto ok = listen(*access, [this](tcp::socket sock) {
+      auto held = std::make_shared<tcp::socket>(std::move(sock));
+      Quay::get().launch([this, held] { serveConsumer(wa_, std::move(*held)); });
+    });
+    if (!ok) return ok;
+    ok = listen(*ready, [this](tcp::socket sock) {
+      auto held = std::make_shared<tcp::socket>(std::move(sock));
+      Quay::get().launch([this, held] { serveReadiness(std::move(*held)); });
+    });
+    if (!ok) return ok;
+    Quay::get().every(kChallenge, [this] { challenge(); });
+    Quay::get().every(1000ms, [this] { wa_.pool.sweep(Clock::now()); });
+    return {};
+  }
+  void leave() {
+    if (wa_.leaving) return;
+    wa_.leaving = true;
+    const auto end = Clock::now() + s_.timers.grace * 9 / 10;
+    const auto from = Clock::now() + std::min(Span(kLinger), s_.timers.grace / 2);
+    Quay::get().every(100ms, [this, end, from] {
+      const auto now = Clock::now();
+      if (now >= end || (now >= from && wa_.aboard == 0)) Quay::get().stop();
+    });
+  }
+  void reread(const Settings& s) { s_.timers = s.timers; }
+
+ private:
+  void challenge() {
+    if (!mooring_->up()) return;
+    const auto now = Clock::now();
+    Msg m = msgOf(Kind::challenge);
+    m.nonce = ++nonce_;
+    m.flag = true;
+    m.grants = wa_.quota.demand(now);
+    if (wa_.cfg)
+      for (auto& sub : wa_.cfg->subscribers)
+        if (std::none_of(m.grants.begin(), m.grants.end(), [&](auto& g) { return g.label == sub.label; }))
+          m.grants.push_back({sub.label, 0, 0});
+    m.holds = wa_.quota.holds(now);
+    asked_[m.nonce] = now;
+    while (asked_.size() > 16) asked_.erase(asked_.begin());
+    mooring_->send(m);
+  }
+  void onTender(Msg m) {
+    const auto now = Clock::now();
+    if (m.what() == Kind::feed) {
+      if (m.ok) {
+        if (m.num <= queue_.applied()) return;  // never back in number
+        if (auto r = copy_.restore(m.blob); !r) return ring::alarm("snapshot declined: " + r.error().text);
+        queue_.restart(m.num);
+        adopt({true, true});
+      } else {
+        for (auto& e : m.entries) queue_.offer(std::move(e));
+      }
+      // A fiber applies without yielding: nothing reads a copy half applied.
+      Copy::Change all;
+      while (auto e = queue_.next()) {
+        const auto c = copy_.apply(*e);
+        all.configuration |= c.configuration;
+        all.runners |= c.runners;
+      }
+      adopt(all);
+      settleClaim(now);
+    } else if (m.what() == Kind::claim) {
+      const auto it = asked_.find(m.nonce);
+      if (it == asked_.end() || !m.ok) return;
+      // The claim counts from our own question, never from the answer.
+      if (it->second + claimSpan_ > pendingEnd_) {
+        pendingEnd_ = it->second + claimSpan_;
+        pendingNum_ = std::max(pendingNum_, m.num);
+      }
+      wa_.quota.granted(m.grants, it->second, now);
+      asked_.erase(it);
+      settleClaim(now);
+    }
+  }
+  void settleClaim(Instant) {
+    // Only once applied as far as the sequencer was when it answered.
+    if (queue_.applied() >= pendingNum_) wa_.claimEnds = std::max(wa_.claimEnds, pendingEnd_);
+  }
+  void adopt(Copy::Change c) {
+    if (c.runners) wa_.docks.follow(copy_.state().runners);
+    if (!c.configuration || copy_.state().configuration.empty()) return;
+    // Built aside and swapped: requests under way keep the table they began with.
+    auto cfg = parseConfiguration(copy_.state().configuration);
+    if (!cfg) return ring::alarm("a taken configuration can't be read: " + cfg.error().text);
+    wa_.cfg = *cfg;
+    challenge();
+  }
+  void serveReadiness(tcp::socket sock) {
+    Wire w(std::move(sock));
+    Buffer buf;
+    for (;;) {
+      RequestParser p;
+      const auto r = readRequest(w, buf, p, {});
+      if (r.end != ReadEnd::whole) return;
+      const bool known = p.get().target() == "/v1/readiness";
+      const bool ready = wa_.claimed(Clock::now()) && !wa_.leaving;
+      const bool keep = p.get().keep_alive();
+      Ec ec;
+      w.write(asio::buffer(plainAnswer(!known ? 404 : ready ? 200 : 503, "", "application/json",
+                                       ready ? "{\"ready\":true}" : "{\"ready\":false}", keep)),
+              ec);
+      if (ec || !keep) return;
+    }
+  }
+
+  Settings s_;
+  Waters wa_;
+  Queue queue_;
+  Copy copy_;
+  std::unique_ptr<Mooring> mooring_;
+  std::map<std::int64_t, Instant> asked_;
+  std::int64_t nonce_ = 0, pendingNum_ = 0;
+  Instant pendingEnd_{};
+  Span claimSpan_;
+};
+}  // namespace
+
+int runPilot(const Settings& s) {
+  Quay quay;
+  Pilot p(s);
+  if (auto r = p.start(); !r) {
+    ring::say("pilot: " + r.error().text);
+    return 1;
+  }
+  watchLifecycle(settingsPath(), {[&] { p.leave(); },
+                                  [&] {
+                                    if (auto n = loadSettings(settingsPath())) p.reread(*n);
+                                    else ring::alarm(n.error().text);
+                                  }});
+  quay.run();
+  return 0;
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/registry/include/registry/copy.hpp
@@ -0,0 +1,68 @@
+// The applied copy of the fleet's state: what every numbered write changes, in order, and nothing else does.
+#pragma once
+#include "charter/calls.hpp"
+#include "signal/messages.hpp"
+namespace zc {
+enum class RunnerState : std::int32_t { inService = 0, draining = 1, gone = 2 };
+struct Runner {
+  std::string id, service, address, zone;
+  std::int64_t capacity = 0, sequence = 0;
+  std::int32_t state = 0;
+  template <class V>
+  void fields(V& v) {
+    v("id", id), v("service", service), v("address", address), v("zone", zone), v("capacity", capacity);
+    v("sequence", sequence), v("state", state);
+  }
+  RunnerState at() const { return static_cast<RunnerState>(state); }
+};
+struct Taken {  // a configuration that was taken
+  std::int64_t stamp = 0;
+  std::string digest;
+  template <class V>
+  void fields(V& v) {
+    v("stamp", stamp), v("digest", digest);
+  }
+};
+struct Done {  // a write by its operation id, with what became of it
+  std::string opId;
+  std::int32_t verdict = 0;
+  template <class V>
+  void fields(V& v) {
+    v("opId", opId), v("verdict", verdict);
+  }
+};
+struct CopyState {
+  std::int64_t num = 0, term = 0, stamp = 0;
+  std::string configuration, digest;
+  std::vector<Taken> taken;
+  std::vector<Runner> runners;
+  std::vector<std::string> gone;
+  std::vector<Done> done;
+  template <class V>
+  void fields(V& v) {
+    v("num", num), v("term", term), v("stamp", stamp), v("configuration", configuration), v("digest", digest);
+    v("taken", taken), v("runners", runners), v("gone", gone), v("done", done);
+  }
+};
+class Copy {
+ public:
+  struct Change {
+    bool configuration = false, runners = false;
+  };
+  // Applies the next write. Every copy decides alike, so all agree without a word.
+  Change apply(const Entry& e);
+  const CopyState& state() const { return s_; }
+  std::string snapshot() const;
+  Outcome<void> restore(std::string_view blob);
+  std::optional<std::int32_t> verdictOf(const std::string& opId) const;
+  // What Replace would be told now; 0: nothing to say yet.
+  std::int32_t judge(std::int64_t base, std::int64_t stamp, const std::string& digest) const;
+  const Runner* runner(const std::string& id) const;
+  bool isGone(const std::string& id) const;
+
+ private:
+  CopyState s_;
+};
+Entry configurationOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId);
+Entry runnerOp(const Runner& r, std::string opId);
+}  // namespace zc
--- /dev/null
+++ b/libs/registry/src/copy.cpp
@@ -0,0 +1,111 @@
+#include "registry/copy.hpp"
+
+#include "signal/avro.hpp"
+
+namespace zc {
+namespace {
+constexpr std::size_t kTaken = 64, kGone = 256, kDone = 128;
+// A configuration's operation id carries its stamp, so that the numbered acknowledgement of a large write stays small.
+std::int64_t stampIn(const Entry& e) {
+  const auto at = e.opId.rfind('@');
+  return at == std::string::npos ? 0 : std::atoll(e.opId.c_str() + at + 1);
+}
+template <class T>
+void trim(std::vector<T>& v, std::size_t most) {
+  if (v.size() > most) v.erase(v.begin(), v.begin() + static_cast<std::ptrdiff_t>(v.size() - most));
+}
+}  // namespace
+
+std::int32_t Copy::judge(std::int64_t base, std::int64_t stamp, const std::string& digest) const {
+  for (auto& t : s_.taken)
+    if (t.stamp == stamp && t.digest == digest) return 200;
+  if (base != s_.stamp) return 412;
+  if (stamp <= s_.stamp) return 400;
+  return 0;
+}
+Copy::Change Copy::apply(const Entry& e) {
+  Change c;
+  s_.num = e.num;
+  s_.term = e.term;
+  std::int32_t verdict = 200;
+  if (e.op() == OpKind::configuration) {
+    const auto stamp = stampIn(e);
+    verdict = judge(e.base, stamp, e.digest);
+    if (verdict == 0) {
+      s_.stamp = stamp;
+      s_.configuration = e.blob;
+      s_.digest = e.digest;
+      s_.taken.push_back({stamp, e.digest});
+      trim(s_.taken, kTaken);
+      c.configuration = true;
+      verdict = 200;
+    }
+  } else if (e.op() == OpKind::runner) {
+    if (auto r = avro::decode<Runner>(e.blob)) {
+      const auto it = std::find_if(s_.runners.begin(), s_.runners.end(), [&](auto& x) { return x.id == r->id; });
+      if (r->at() == RunnerState::gone) {
+        if (it != s_.runners.end()) s_.runners.erase(it);
+        // Why sequence 0 leaves no tombstone: a runner only missed may beat again, one that left may not.
+        if (r->sequence != 0 && !isGone(r->id)) s_.gone.push_back(r->id), trim(s_.gone, kGone);
+        c.runners = true;
+      } else if (!isGone(r->id)) {
+        if (it == s_.runners.end()) {
+          // A new life at an address ends whatever lived there.
+          std::erase_if(s_.runners, [&](auto& x) { return x.address == r->address; });
+          s_.runners.push_back(std::move(*r));
+          c.runners = true;
+        } else if (r->sequence >= it->sequence) {
+          const bool stays = it->at() == RunnerState::draining;
+          *it = std::move(*r);
+          if (stays) it->state = static_cast<std::int32_t>(RunnerState::draining);
+          c.runners = true;
+        }
+      }
+    }
+  }
+  if (!e.opId.empty()) {
+    s_.done.push_back({e.opId, verdict});
+    trim(s_.done, kDone);
+  }
+  return c;
+}
+std::string Copy::snapshot() const { return avro::encode(s_); }
+Outcome<void> Copy::restore(std::string_view blob) {
+  if (blob.empty()) {
+    s_ = {};
+    return {};
+  }
+  auto s = avro::decode<CopyState>(blob);
+  if (!s) return tl::unexpected(s.error());
+  s_ = std::move(*s);
+  return {};
+}
+std::optional<std::int32_t> Copy::verdictOf(const std::string& opId) const {
+  for (auto it = s_.done.rbegin(); it != s_.done.rend(); ++it)
+    if (it->opId == opId) return it->verdict;
+  return std::nullopt;
+}
+const Runner* Copy::runner(const std::string& id) const {
+  for (auto& r : s_.runners)
+    if (r.id == id) return &r;
+  return nullptr;
+}
+bool Copy::isGone(const std::string& id) const { return std::find(s_.gone.begin(), s_.gone.end(), id) != s_.gone.end(); }
+
+Entry configurationOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId) {
+  Entry e;
+  e.kind = static_cast<std::int32_t>(OpKind::configuration);
+  e.base = base;
+  e.digest = digestOf(body);
+  e.blob = std::move(body);
+  e.opId = std::move(opId) + "@" + std::to_string(stamp);
+  return e;
+}
+Entry runnerOp(const Runner& r, std::string opId) {
+  Entry e;
+  e.kind = static_cast<std::int32_t>(OpKind::runner);
+  e.blob = avro::encode(r);
+  e.opId = std::move(opId);
+  return e;
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/signal/include/signal/link.hpp
@@ -0,0 +1,46 @@
+// A link carries frames both ways over one wire. A mooring keeps a dialled link up.
+#pragma once
+#include "keel/quay.hpp"
+#include "signal/messages.hpp"
+namespace zc {
+std::string frameOf(const Msg& m);
+// Takes whole frames off the front of buf. A fault means the wire can't be trusted further.
+Outcome<std::vector<Msg>> unframe(std::string& buf);
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using OnMsg = std::function<void(const std::shared_ptr<Link>&, Msg)>;
+  using OnEnd = std::function<void(const std::shared_ptr<Link>&)>;
+  Link(tcp::socket s, OnMsg onMsg, OnEnd onEnd);
+  ~Link();
+  void start();
+  void send(const Msg& m);
+  void end();
+  bool open() const;
+  Instant heard() const;
+  // When the oldest message without any sign of life since was sent; max() if none waits.
+  Instant unansweredSince() const;
+  std::string farIp() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+using LinkPtr = std::shared_ptr<Link>;
+
+class Mooring {
+ public:
+  Mooring(tcp::endpoint ep, Link::OnMsg onMsg, std::function<void(const LinkPtr&)> onUp);
+  ~Mooring();
+  bool send(const Msg& m);  // false: no link now
+  bool up() const;
+  LinkPtr link() const;
+  void release();           // stop redialling
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+// Accepts on an address for as long as the quay runs.
+Outcome<void> listen(const tcp::endpoint& ep, std::function<void(tcp::socket)> take);
+}  // namespace zc
--- /dev/null
+++ b/libs/signal/src/link.cpp
@@ -0,0 +1,215 @@
+#include "signal/link.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include "keel/ring.hpp"
+#include "signal/avro.hpp"
+
+namespace zc {
+namespace {
+constexpr char kFormat = 1;  // frames of another format stamp are declined
+constexpr std::size_t kMaxFrame = 32u << 20;
+constexpr std::size_t kMaxOut = 48u << 20;
+constexpr auto kSilence = 900ms;
+constexpr auto kDial = 700ms;
+constexpr auto kRedial = 150ms;
+}  // namespace
+
+std::string frameOf(const Msg& m) {
+  const auto body = avro::encode(m);
+  std::string out(5, '\0');
+  const auto n = static_cast<std::uint32_t>(body.size() + 1);
+  for (int i = 0; i < 4; ++i) out[i] = static_cast<char>(n >> (24 - 8 * i));
+  out[4] = kFormat;
+  return out + body;
+}
+Outcome<std::vector<Msg>> unframe(std::string& buf) {
+  std::vector<Msg> out;
+  std::size_t at = 0;
+  while (buf.size() - at >= 5) {
+    std::uint32_t n = 0;
+    for (int i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(buf[at + i]);
+    if (n < 1 || n > kMaxFrame) return fault(0, "frame of an impossible length");
+    if (buf[at + 4] != kFormat) return fault(0, "frame of another format stamp: " + std::to_string(buf[at + 4]));
+    if (buf.size() - at < 4u + n) break;
+    auto m = avro::decode<Msg>(std::string_view(buf).substr(at + 5, n - 1));
+    if (!m) return fault(0, "frame: " + m.error().text);
+    out.push_back(std::move(*m));
+    at += 4u + n;
+  }
+  buf.erase(0, at);
+  return out;
+}
+
+struct Link::Impl {
+  Wire wire;
+  OnMsg onMsg;
+  OnEnd onEnd;
+  std::string out, flying;
+  bool writing = false, open = true;
+  Instant heard = Clock::now(), unanswered = Instant::max();
+  std::string farIp;
+  Impl(tcp::socket s, OnMsg m, OnEnd e) : wire(std::move(s)), onMsg(std::move(m)), onEnd(std::move(e)) {
+    Ec ec;
+    const auto ep = wire.sock().remote_endpoint(ec);
+    if (!ec) farIp = ep.address().to_string();
+    tune(wire.sock());
+  }
+};
+Link::Link(tcp::socket s, OnMsg m, OnEnd e) : impl_(std::make_unique<Impl>(std::move(s), std::move(m), std::move(e))) {}
+Link::~Link() = default;
+bool Link::open() const { return impl_->open; }
+Instant Link::heard() const { return impl_->heard; }
+Instant Link::unansweredSince() const { return impl_->unanswered; }
+std::string Link::farIp() const { return impl_->farIp; }
+void Link::end() {
+  if (!impl_->open) return;
+  impl_->open = false;
+  impl_->wire.shut();
+}
+void Link::start() {
+  Quay::get().launch([self = shared_from_this()] {
+    auto& d = *self->impl_;
+    std::string buf;
+    // Why from the heap: fiber stacks are small.
+    std::vector<char> chunk(16 * 1024);
+    while (d.open) {
+      Ec ec;
+      const auto n = d.wire.read(asio::buffer(chunk), ec);
+      if (ec || n == 0) break;
+      d.heard = Clock::now();
+      d.unanswered = Instant::max();
+      buf.append(chunk.data(), n);
+      auto msgs = unframe(buf);
+      if (!msgs) {
+        ring::alarm("link to " + d.farIp + " declined: " + msgs.error().text);
+        break;
+      }
+      for (auto& m : *msgs) {
+        if (!d.open) break;
+        d.onMsg(self, std::move(m));
+      }
+    }
+    self->end();
+    d.onEnd(self);
+    // Why cleared: the callbacks may hold the owner of this link.
+    d.onMsg = nullptr;
+    d.onEnd = nullptr;
+  });
+}
+void Link::send(const Msg& m) {
+  auto& d = *impl_;
+  if (!d.open) return;
+  if (d.out.size() > kMaxOut) {
+    ring::alarm("link to " + d.farIp + " ended: it does not read");
+    return end();
+  }
+  d.out += frameOf(m);
+  if (d.unanswered == Instant::max()) d.unanswered = Clock::now();
+  if (d.writing) return;
+  d.writing = true;
+  // Why posted: what one turn of the loop has to say leaves in one write.
+  asio::post(Quay::get().io(), [self = shared_from_this()] {
+    auto step = [](auto&& again, const LinkPtr& l) -> void {
+      auto& d = *l->impl_;
+      if (!d.open || d.out.empty()) {
+        d.writing = false;
+        return;
+      }
+      d.flying = std::move(d.out);
+      d.out.clear();
+      asio::async_write(d.wire.sock(), asio::buffer(d.flying), [again, l](Ec ec, std::size_t) {
+        if (ec) {
+          l->impl_->writing = false;
+          return l->end();
+        }
+        again(again, l);
+      });
+    };
+    step(step, self);
+  });
+}
+
+struct Mooring::Impl : std::enable_shared_from_this<Mooring::Impl> {
+  tcp::endpoint ep;
+  Link::OnMsg onMsg;
+  std::function<void(const LinkPtr&)> onUp;
+  LinkPtr link;
+  bool released = false;
+  void run() {
+    Quay::get().launch([self = shared_from_this()] { self->loop(); });
+  }
+  void loop() {
+    auto& q = Quay::get();
+    while (!released) {
+      {
+        Wire w;
+        w.due(Clock::now() + kDial);
+        Ec ec;
+        w.connect(ep, ec);
+        w.undue();
+        if (!ec && !released) {
+          auto up = std::make_shared<Link>(std::move(w.sock()), onMsg, [](const LinkPtr&) {});
+          link = up;
+          up->start();
+          onUp(up);
+          while (!released && up->open()) {
+            q.pause(100ms);
+            const auto since = up->unansweredSince();
+            // Why end it: a wire through a cut stays silent long after the cut has healed.
+            if (since != Instant::max() && Clock::now() - since > kSilence) up->end();
+          }
+          up->end();
+          link.reset();
+        }
+      }
+      if (!released) q.pause(kRedial);
+    }
+  }
+};
+Mooring::Mooring(tcp::endpoint ep, Link::OnMsg onMsg, std::function<void(const LinkPtr&)> onUp)
+    : impl_(std::make_shared<Impl>()) {
+  impl_->ep = std::move(ep);
+  impl_->onMsg = std::move(onMsg);
+  impl_->onUp = std::move(onUp);
+  impl_->run();
+}
+Mooring::~Mooring() { release(); }
+bool Mooring::send(const Msg& m) {
+  if (!up()) return false;
+  impl_->link->send(m);
+  return true;
+}
+bool Mooring::up() const { return impl_->link && impl_->link->open(); }
+LinkPtr Mooring::link() const { return impl_->link; }
+void Mooring::release() {
+  impl_->released = true;
+  if (impl_->link) impl_->link->end();
+}
+
+Outcome<void> listen(const tcp::endpoint& ep, std::function<void(tcp::socket)> take) {
+  auto acc = std::make_shared<tcp::acceptor>(Quay::get().io());
+  Ec ec;
+  acc->open(ep.protocol(), ec);
+  acc->set_option(tcp::acceptor::reuse_address(true), ec);
+  acc->bind(ep, ec);
+  if (ec) return fault(0, "cannot bind " + ep.address().to_string() + ":" + std::to_string(ep.port()) + ": " + ec.message());
+  acc->listen(512, ec);
+  if (ec) return fault(0, "cannot listen: " + ec.message());
+  auto go = std::make_shared<std::function<void()>>();
+  *go = [acc, take = std::move(take), go] {
+    acc->async_accept([take, go, acc](Ec e, tcp::socket s) {
+      if (e == asio::error::operation_aborted) return;
+      if (!e) {
+        take(std::move(s));
+        return (*go)();
+      }
+      // Why a pause: out of descriptors, the same error would come back at once for ever.
+      auto t = std::make_shared<asio::steady_timer>(Quay::get().io(), 20ms);
+      t->async_wait([t, go](Ec) { (*go)(); });
+    });
+  };
+  (*go)();
+  return {};
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/tender/src/tender.cpp
@@ -0,0 +1,238 @@
+#include "tender/tender.hpp"
+
+#include "tender/port.hpp"
+
+#include <set>
+
+#include "keel/lifecycle.hpp"
+#include "keel/ring.hpp"
+#include "log/order.hpp"
+#include "log/queue.hpp"
+#include "registry/copy.hpp"
+#include "signal/link.hpp"
+#include "signal/view.hpp"
+
+namespace zc {
+namespace {
+constexpr auto kState = 1000ms;      // a state message when nothing else was said
+constexpr auto kRefetch = 150ms;
+constexpr int kStateAfter = 32;      // ... or after so many receipts
+constexpr std::size_t kView = 12, kTail = 256;
+std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
+
+class Tender {
+ public:
+  explicit Tender(const Settings& s) : s_(s), self_(s.ip + "#tender"), view_(s.ip + "/access", kView, drawSeed()) {}
+
+  Outcome<void> start() {
+    for (auto& x : s_.seeds) view_.add(hostOf(x) + "/core");
+    auto ep = parseEndpoint("127.0.0.1:" + std::to_string(s_.portFirst + kTenderPort));
+    if (!ep) return tl::unexpected(ep.error());
+    auto ok = listen(*ep, [this](tcp::socket sock) {
+      auto l = std::make_shared<Link>(
+          std::move(sock), [this](const LinkPtr& x, Msg m) { onPilot(x, std::move(m)); }, [](const LinkPtr&) {});
+      l->start();
+    });
+    if (!ok) return ok;
+    moor();
+    Quay::get().every(kState, [this] {
+      moor();
+      for (auto& [ip, m] : moorings_) m->send(stateMsg());
+      receipts_ = 0;
+    });
+    Quay::get().every(kRefetch, [this] { refetch(false); });
+    return {};
+  }
+  bool feedsPilot() const { return pilot_ && pilot_->open(); }
+  void reread(const Settings& s) {
+    s_.seeds = s.seeds;
+    for (auto& x : s_.seeds) view_.add(hostOf(x) + "/core");
+    moor();
+  }
+
+ private:
+  Msg stateMsg() {
+    Msg m = msgOf(Kind::state);
+    m.from = self_;
+    m.num = queue_.applied();
+    m.view = view_.sample();
+    return m;
+  }
+  // Links go to all members of the core; while none is up, also to every core machine ever heard of.
+  void moor() {
+    std::set<std::string> want;
+    for (auto& x : members_) want.insert(ipOf(x));
+    bool up = false;
+    for (auto& [ip, m] : moorings_) up = up || (m->up() && want.count(ip));
+    if (want.empty() || !up) {
+      for (auto& x : s_.seeds) want.insert(hostOf(x));
+      for (auto& n : view_.all())
+        if (n.size() > 5 && n.substr(n.size() - 5) == "/core") want.insert(n.substr(0, n.size() - 5));
+    }
+    for (auto& ip : want) {
+      if (moorings_.count(ip)) continue;
+      auto ep = parseEndpoint(ip + ":" + std::to_string(s_.portFirst));
+      if (!ep) continue;
+      moorings_[ip] = std::make_unique<Mooring>(
+          *ep, [this](const LinkPtr& l, Msg m) { onCore(l, std::move(m)); },
+          [this, ip](const LinkPtr& l) {
+            l->send(stateMsg());
+            if (ip == ipOf(sequencer_)) follow(l, false);
+          });
+    }
+    for (auto it = moorings_.begin(); it != moorings_.end();)
+      if (!want.count(it->first)) it = moorings_.erase(it);
+      else ++it;
+  }
+  Mooring* toSequencer() {
+    if (sequencer_.empty()) return nullptr;
+    const auto it = moorings_.find(ipOf(sequencer_));
+    return it == moorings_.end() ? nullptr : it->second.get();
+  }
+  void follow(const LinkPtr& l, bool whole) {
+    Msg m = msgOf(Kind::follow);
+    m.from = self_;
+    m.num = queue_.applied();
+    m.flag = whole;
+    l->send(m);
+    lastFollow_ = Clock::now();
+    following_ = true;
+  }
+  void refetch(bool now) {
+    // A gap is mended before anything later is applied; the sequencer keeps what was missed.
+    const bool behind = queue_.gap() || queue_.applied() < newest_;
+    if (!now && !behind) return;
+    if (Clock::now() - lastFollow_ < kRefetch) return;
+    if (auto* m = toSequencer(); m && m->up()) follow(m->link(), true);
+  }
+  void onCore(const LinkPtr& l, Msg m) {
+    view_.add(ipOf(m.from) + "/core");
+    switch (m.what()) {
+      case Kind::stateAck: {
+        view_.merge(m.view);
+        if (m.term < term_) return;
+        const bool newer = m.term > term_ || (!m.who.empty() && m.who != sequencer_);
+        term_ = m.term;
+        if (!m.names.empty() && m.names != members_) {
+          members_ = m.names;
+          moor();
+        }
+        if (newer && !m.who.empty()) {
+          sequencer_ = m.who;
+          following_ = false;
+          moor();
+        }
+        if (!sequencer_.empty() && !following_)
+          if (auto* s = toSequencer(); s && s->up()) follow(s->link(), false);
+        return;
+      }
+      case Kind::feed: {
+        if (m.term < term_) return;  // fenced: a sequencer of an older term
+        if (m.ok) {
+          if (m.num <= queue_.applied()) return;  // never back in number
+          if (auto r = copy_.restore(m.blob); !r) return ring::alarm("snapshot declined: " + r.error().text);
+          queue_.restart(m.num);
+          tail_.clear();
+          newest_ = std::max(newest_, m.num);
+          if (pilot_ && pilot_->open()) sendSnapshot();
+        } else {
+          for (auto& e : m.entries) queue_.offer(std::move(e));
+          newest_ = std::max(newest_, m.num);
+        }
+        drain();
+        if (++receipts_ >= kStateAfter) l->send(stateMsg()), receipts_ = 0;
+        return;
+      }
+      case Kind::body:
+        queue_.body(m.who, std::move(m.blob));
+        return drain();
+      case Kind::claim:
+        if (m.ok) newest_ = std::max(newest_, m.num);
+        if (m.ok && queue_.applied() < m.num) refetch(true);
+        if (pilot_ && pilot_->open()) pilot_->send(m);
+        return;
+      default: return;
+    }
+  }
+  void drain() {
+    std::vector<Entry> fresh;
+    while (auto e = queue_.next()) {
+      copy_.apply(*e);
+      tail_.push_back(*e);
+      if (tail_.size() > kTail) tail_.pop_front();
+      fresh.push_back(std::move(*e));
+    }
+    if (fresh.empty() || !pilot_ || !pilot_->open()) return;
+    Msg m = msgOf(Kind::feed);
+    m.num = queue_.applied();
+    m.entries = std::move(fresh);
+    pilot_->send(m);
+  }
+  void sendSnapshot() {
+    Msg m = msgOf(Kind::feed);
+    m.ok = true;
+    m.num = copy_.state().num;
+    m.blob = copy_.snapshot();
+    pilot_->send(m);
+  }
+  void onPilot(const LinkPtr& l, Msg m) {
+    switch (m.what()) {
+      case Kind::follow: {
+        if (pilot_ && pilot_ != l) pilot_->end();
+        pilot_ = l;
+        Msg r = msgOf(Kind::feed);
+        for (auto& e : tail_)
+          if (e.num > m.num) r.entries.push_back(e);
+        if (m.num < queue_.applied() && (r.entries.empty() || r.entries.front().num != m.num + 1)) return sendSnapshot();
+        r.num = queue_.applied();
+        return l->send(r);
+      }
+      case Kind::challenge: {
+        m.from = self_;
+        if (auto* s = toSequencer(); s && s->up()) s->send(m);
+        else l->send(msgOf(Kind::stateAck));
+        return;
+      }
+      default: return;
+    }
+  }
+
+  Settings s_;
+  std::string self_;
+  View view_;
+  std::map<std::string, std::unique_ptr<Mooring>> moorings_;
+  std::vector<std::string> members_;
+  std::string sequencer_;
+  std::int64_t term_ = 0, newest_ = 0;
+  Instant lastFollow_{};
+  bool following_ = false;
+  int receipts_ = 0;
+  Queue queue_;
+  Copy copy_;
+  std::deque<Entry> tail_;
+  LinkPtr pilot_;
+};
+}  // namespace
+
+int runTender(const Settings& s) {
+  Quay quay;
+  Tender t(s);
+  if (auto r = t.start(); !r) {
+    ring::say("tender: " + r.error().text);
+    return 1;
+  }
+  watchLifecycle(settingsPath(), {[&] {
+                                    // The pilot ends its work inside the grace; the agent outlasts it.
+                                    const auto end = Clock::now() + s.timers.grace * 9 / 10;
+                                    quay.every(100ms, [&, end] {
+                                      if (Clock::now() >= end || !t.feedsPilot()) quay.stop();
+                                    });
+                                  },
+                                  [&] {
+                                    if (auto n = loadSettings(settingsPath())) t.reread(*n);
+                                    else ring::alarm(n.error().text);
+                                  }});
+  quay.run();
+  return 0;
+}
+}  // namespace zc
