--- a/libs/passage/include/passage/http.hpp
+++ b/libs/passage/include/passage/http.hpp
@@ -31,15 +31,15 @@
 template <class Parser>
 void pump(Wire& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec) {
   for (;;) {
+    if (p.is_done() || (headOnly && p.is_header_done())) {
+      ec = {};
+      return;
+    }
     if (buf.size() > 0) {
       const auto n = p.put(buf.data(), ec);
       buf.consume(n);
       if (ec && ec != http::error::need_more) return;
-      if (p.is_done() || (headOnly && p.is_header_done())) {
-        ec = {};
-        return;
-      }
-      if (!ec && n > 0 && buf.size() > 0) continue;
+      if (n > 0) continue;
     }
     ec = {};
     const auto room = buf.prepare(8 * 1024);
--- a/libs/signal/include/signal/avro.hpp
+++ b/libs/signal/include/signal/avro.hpp
@@ -7,7 +7,6 @@
 namespace zc::avro {
 struct SchemaOf {
   std::string json;
-  std::string names;  // so that a record is spelled out once
   template <class T>
   std::string type();
   template <class T>
@@ -21,17 +20,15 @@
 struct IsVec<std::vector<T>> : std::true_type {
   using Of = T;
 };
-template <class T>
-std::string recordName() {
-  std::string raw = __PRETTY_FUNCTION__, out = "R";
-  char b[20];
-  std::snprintf(b, sizeof b, "%llx", static_cast<unsigned long long>(hash64(raw)));
-  return out + b;
+// Why a number a use: a schema may not spell the same record out twice under one name.
+inline std::string recordName() {
+  static int n = 0;
+  return "R" + std::to_string(++n);
 }
 template <class T>
 std::string schemaText() {
   SchemaOf s;
-  s.json = "{\"type\":\"record\",\"name\":\"" + recordName<T>() + "\",\"fields\":[";
+  s.json = "{\"type\":\"record\",\"name\":\"" + recordName() + "\",\"fields\":[";
   T t{};
   t.fields(s);
   return s.json + "]}";
