--- a/libs/berth/include/berth/docks.hpp
+++ b/libs/berth/include/berth/docks.hpp
@@ -10,8 +10,11 @@
   int capacity = 0;
   bool draining = false, present = true;
   int inFlight = 0;            // our own goes
+  int unread = 0;              // of those, the ones whose prompt is still being read
+  std::int64_t unreadTokens = 0;
   int saidRunning = 0, saidWaiting = 0, saidSlots = 0;  // as last told
   int ownThen = 0;             // our own in flight when it was told
+  int unreadThen = 0;
   Instant saidAt{};
   int faults = 0;
   Instant shunnedUntil{};
@@ -21,6 +24,7 @@
   std::string_view zone;
   std::uint64_t affinity = 0;  // 0: none
   bool engine = false;
+  std::int64_t promptTokens = 0, sharedTokens = 0;
   std::vector<int> not_;       // docks already tried
 };
 class Docks {
@@ -29,7 +33,8 @@
   void follow(const std::vector<Runner>& runners);
   int choose(const Wish& w, Instant now);  // -1: none
   Dock& at(int i) { return docks_[static_cast<std::size_t>(i)]; }
-  void went(int i) { ++at(i).inFlight; }
+  void went(int i, std::int64_t promptTokens);
+  void read(int i, std::int64_t promptTokens);  // its first event came, or it never will
   void came(int i) { --at(i).inFlight; }
   void told(int i, std::string_view load, Instant now);
   void fine(int i) { at(i).faults = 0, at(i).shunnedUntil = {}; }
@@ -40,8 +45,15 @@
  private:
   std::vector<Dock> docks_;
   std::unordered_map<std::string, int> byId_;
+  int chooseEngine(const Wish& w, const std::vector<int>& good, Instant now);
+  int choosePlain(const Wish& w, const std::vector<int>& good, Instant now);
   std::mt19937_64 rng_;
+  double meanPrompt_ = 1000;
 };
-// The last part that others share: all but the request's own. 0 if none is named.
-std::uint64_t affinityOf(std::string_view promptPrefix);
+// What a request says of its prompt: ID:TOKENS,ID:TOKENS,... ; the last part is the request's own.
+struct PromptParts {
+  std::uint64_t affinity = 0;  // of all parts but the last; 0 if there are none
+  std::int64_t shared = 0, all = 0;
+};
+PromptParts promptOf(std::string_view parts);
 }  // namespace zc
--- a/libs/berth/src/docks.cpp
+++ b/libs/berth/src/docks.cpp
@@ -5,6 +5,8 @@
 namespace zc {
 namespace {
 constexpr auto kSaidFor = 1500ms;  // older news of a load counts for nothing
+constexpr double kReadAgain = 4;   // how much dearer a part read again is than the same prompt waiting
+constexpr double kOtherZone = 700; // in tokens
 }
 void Docks::follow(const std::vector<Runner>& runners) {
   for (auto& d : docks_) d.present = false;
@@ -50,6 +52,7 @@
   d.saidWaiting = v[1];
   d.saidSlots = v[2];
   d.ownThen = d.inFlight;
+  d.unreadThen = d.unread;
   d.saidAt = now;
 }
 double Docks::load(int i, Instant now) const {
@@ -64,61 +67,89 @@
   d.faults = std::min(d.faults + 1, 4);
   d.shunnedUntil = now + 300ms * (1 << d.faults);
 }
+void Docks::went(int i, std::int64_t tokens) {
+  auto& d = at(i);
+  ++d.inFlight;
+  ++d.unread;
+  d.unreadTokens += tokens;
+  if (tokens > 0) meanPrompt_ = meanPrompt_ * 0.98 + static_cast<double>(tokens) * 0.02;
+}
+void Docks::read(int i, std::int64_t tokens) {
+  auto& d = at(i);
+  --d.unread;
+  d.unreadTokens -= tokens;
+}
 int Docks::choose(const Wish& w, Instant now) {
-  struct Seen {
-    int i;
-    double load;
-    std::uint64_t rank;
-    bool home;
-  };
-  std::vector<Seen> good;
-  std::vector<int> shunned;
+  std::vector<int> good, shunned;
   for (int i = 0; i < static_cast<int>(docks_.size()); ++i) {
     auto& d = docks_[i];
     if (!d.present || d.draining || d.service != w.service) continue;
     if (std::find(w.not_.begin(), w.not_.end(), i) != w.not_.end()) continue;
-    if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0)) {
-      shunned.push_back(i);
-      continue;
-    }
-    const auto rank = w.affinity ? hash64(d.id, w.affinity) : rng_();
-    good.push_back({i, load(i, now), rank, d.zone == w.zone});
+    // Why one at a time after a fault: a runner that is still ill should cost one request, not many.
+    if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0)) shunned.push_back(i);
+    else good.push_back(i);
   }
   if (good.empty()) {
     // Why one that is shunned all the same: a guess is worth more than nothing.
     if (shunned.empty()) return -1;
     return shunned[rng_() % shunned.size()];
   }
-  double mean = 0, homeMean = 0;
-  int homes = 0;
-  for (auto& s : good) {
-    mean += s.load;
-    if (s.home) homeMean += s.load, ++homes;
+  return w.engine ? chooseEngine(w, good, now) : choosePlain(w, good, now);
+}
+// Every node ranks the runners of a shared part alike, so the part is read at one place without a word between
+// them. Leaving that place is charged what reading the part again costs, so it happens only when the place has
+// clearly more prompts to read first.
+int Docks::chooseEngine(const Wish& w, const std::vector<int>& good, Instant now) {
+  int home = -1;
+  std::uint64_t top = 0;
+  if (w.affinity)
+    for (int i : good)
+      if (const auto r = hash64(docks_[i].id, w.affinity); home < 0 || r > top) home = i, top = r;
+  int best = -1;
+  double least = 0;
+  for (int i : good) {
+    const auto& d = docks_[i];
+    double cost = static_cast<double>(d.unreadTokens);
+    if (now - d.saidAt < kSaidFor) cost += std::max(0, d.saidWaiting - d.unreadThen) * meanPrompt_;
+    const double full = load(i, now);
+    // A batch that fills up slows all its streams; one that is full makes them wait for a place.
+    cost += full * 2000;
+    if (full > 0.9) cost += 50000 * (full - 0.9) + 5000;
+    if (i != home) cost += static_cast<double>(w.sharedTokens) * kReadAgain;
+    // Bytes between zones count for little beside a part read again, but for something.
+    if (d.zone != w.zone) cost += kOtherZone;
+    cost += static_cast<double>(rng_() % 100);
+    if (best < 0 || cost < least) best = i, least = cost;
   }
-  mean /= static_cast<double>(good.size());
-  if (homes) homeMean /= homes;
-  // Bounded load: the first in the agreed order that is not clearly above the others takes it.
-  const double slots = std::max(1, docks_[good.front().i].capacity);
-  const double spare = w.engine ? 3.0 / slots : 0.34 / slots;
-  const bool stay = homes > 0 && homeMean < std::max(0.6, mean * 1.5 + spare);
-  const Seen* best = nullptr;
-  const double bound = (stay ? homeMean : mean) * 1.3 + spare;
-  for (auto& s : good) {
-    if (stay && !s.home) continue;
-    if (s.load > bound) continue;
-    if (!best || s.rank > best->rank) best = &s;
+  return best;
+}
+int Docks::choosePlain(const Wish& w, const std::vector<int>& good, Instant now) {
+  int best = -1;
+  double least = 0;
+  for (int i : good) {
+    double cost = load(i, now) + static_cast<double>(rng_() % 100) * 1e-4;
+    // Why stay at home while it has room: the other zone is no faster then.
+    if (docks_[i].zone != w.zone) cost += 0.3;
+    if (best < 0 || cost < least) best = i, least = cost;
   }
-  if (!best || (!w.engine))
-    for (auto& s : good) {
-      if (stay && !s.home) continue;
-      if (!best || s.load < best->load) best = &s;
-    }
-  return best ? best->i : good.front().i;
+  return best;
 }
-std::uint64_t affinityOf(std::string_view p) {
-  // ID:TOKENS,ID:TOKENS,... ; the last part is the request's own.
+PromptParts promptOf(std::string_view p) {
+  PromptParts out;
   const auto lastComma = p.rfind(',');
-  if (lastComma == p.npos) return 0;
-  return hash64(p.substr(0, lastComma)) | 1;
+  if (lastComma != p.npos) out.affinity = hash64(p.substr(0, lastComma)) | 1;
+  while (!p.empty()) {
+    const auto c = std::min(p.find(','), p.size());
+    const auto part = p.substr(0, c);
+    const bool last = c == p.size();
+    if (const auto colon = part.find(':'); colon != part.npos) {
+      std::int64_t n = 0;
+      std::from_chars(part.data() + colon + 1, part.data() + part.size(), n);
+      out.all += n;
+      if (!last) out.shared += n;
+    }
+    p.remove_prefix(std::min(p.size(), c + 1));
+  }
+  return out;
 }
 }  // namespace zc
--- a/libs/berth/src/quota.cpp
+++ b/libs/berth/src/quota.cpp
@@ -4,7 +4,8 @@
 void QuotaShare::granted(const std::vector<Grant>& gs, Instant asked, Instant now) {
   for (auto& g : gs) {
     auto& b = buckets_[g.label];
-    if (!b.known) b.tokens = g.burst, b.at = now;
+    // Why not full: another life of this process may just have spent them.
+    if (!b.known) b.tokens = g.burst * 0.3, b.at = now;
     if (b.until < now) b.at = now;  // nothing grew while no grant lived
     b.known = true;
     const auto dt = std::chrono::duration<double>(now - b.at).count();
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -21,6 +21,7 @@
 Outcome<void> Core::start() {
   if (s_.dataDir.empty()) return fault(0, "settings name no dataDir for a core machine");
   boot_ = drawSeed();
+  quota_.bounds({s_.timers.quotaExcess, s_.timers.quotaSlack, static_cast<double>(s_.timers.quotaWindow.count()) / 1000});
   const auto now = Clock::now();
   Store store(s_.dataDir);
   auto pages = store.load();
--- a/libs/harbourmaster/src/quota.cpp
+++ b/libs/harbourmaster/src/quota.cpp
@@ -21,7 +21,7 @@
     auto& desk = desk_[sub.label];
     auto& me = desk[node];
     const auto* d = find(demand, sub.label);
-    me.demand = me.demand * 0.6 + (d ? d->rate : 0) * 0.4;
+    me.demand = me.demand * 0.8 + (d ? d->rate : 0) * 0.2;
     const auto* h = find(holds, sub.label);
     // Why the older one is dead: the holder says that it has the newest.
     if (h && std::abs(h->rate - me.rate) < 1e-9 && std::abs(h->burst - me.burst) < 1e-9) me.oldUntil = {};
@@ -45,11 +45,16 @@
       }
       ++it;
     }
+    // Why more than the limit: the shares of a limit serve worse than the limit whole, and a window may hold this much.
+    // Half of the excess goes to the rate, the rest and most of the slack to the bursts; some is kept for restarts.
+    const double allRate = sub.ratePerS * (1 + bounds_.excess * 0.5);
+    const double allBurst = sub.burstSize * (1 + bounds_.excess) + sub.ratePerS * bounds_.windowS * bounds_.excess * 0.5 +
+                            bounds_.slack * 0.6;
     // Shares follow demand, with an even part so that a node with none so far can begin at once.
     const double even = 1.0 / static_cast<double>(nodes);
-    const double part = sum > 0 ? 0.75 * me.demand / sum + 0.25 * even : even;
-    double rate = std::min(sub.ratePerS * part, std::max(0.0, sub.ratePerS - otherRate));
-    double burst = std::min(sub.burstSize * part, std::max(0.0, sub.burstSize - otherBurst));
+    const double part = sum > 0 ? 0.7 * me.demand / sum + 0.3 * even : even;
+    double rate = std::min(allRate * part, std::max(0.0, allRate - otherRate));
+    double burst = std::min(allBurst * part, std::max(0.0, allBurst - otherBurst));
     if (now < sureFrom_) {
       // Grants of the sequencer before may live unseen: nobody gets more than it already holds.
       rate = std::min(rate, me.rate);
--- a/libs/harbourmaster/src/quota.hpp
+++ b/libs/harbourmaster/src/quota.hpp
@@ -5,6 +5,10 @@
 namespace zc {
 class QuotaDesk {
  public:
+  struct Bounds {  // what a window may hold beyond the limit before it counts as broken
+    double excess = 0.1, slack = 20, windowS = 5;
+  };
+  void bounds(Bounds b) { bounds_ = b; }
   // Forgets nothing on a take-over but the time since when it can be sure of all live grants.
   void takeOver(Instant now);
   // node asks with its demand and what it still holds; the answer never lifts the sum of live grants over the limit.
@@ -21,5 +25,6 @@
   };
   std::map<std::string, std::map<std::string, Share>> desk_;  // subscriber -> node
   Instant sureFrom_{};
+  Bounds bounds_;
 };
 }  // namespace zc
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -88,6 +88,12 @@
   bool toConsumer(std::string_view bytes);
   bool chunkToConsumer(std::string_view bytes);
   Instant now() const { return Clock::now(); }
+  // The runner has begun to answer, or never will: its prompt no longer waits there.
+  void promptRead() {
+    if (unread_ < 0) return;
+    wa_.docks.read(dock_, unread_);
+    unread_ = -1;
+  }
 
   Waters& wa_;
   Wire& consumer_;
@@ -97,6 +103,8 @@
   std::string subscriber_, goId_;
   int precedence_ = -1;
   Instant arrived_, deadline_;
+  std::int64_t unread_ = -1;
+  int dock_ = -1;
   bool keep_ = true, headSent_ = false, sentWhole_ = false;
   std::shared_ptr<Watch> watch_;
   EventScan scan_;
@@ -166,7 +174,15 @@
 
   WatchGuard guard(consumer_);
   watch_ = guard.wt;
-  Wish wish{service.label, wa_.zone, map_->affinity ? affinityOf(field(req_, "X-Prompt-Prefix")) : 0, service.engine, {}};
+  Wish wish;
+  wish.service = service.label;
+  wish.zone = wa_.zone;
+  wish.engine = service.engine;
+  if (service.engine) {
+    const auto parts = promptOf(field(req_, "X-Prompt-Prefix"));
+    if (map_->affinity) wish.affinity = parts.affinity, wish.sharedTokens = parts.shared;
+    wish.promptTokens = std::max(parts.all, number(field(req_, "X-Token-Count").substr(0, field(req_, "X-Token-Count").find(',')), 0));
+  }
   int runners = 0;
   bool mayHaveRun = false;
   GoEnd end = GoEnd::unsent;
@@ -183,8 +199,11 @@
     if (runners > 0 && !wa_.budget.spend(service.label)) break;
     wish.not_.push_back(dock);
     ++wa_.goes;
-    wa_.docks.went(dock);
+    wa_.docks.went(dock, wish.promptTokens);
+    unread_ = wish.promptTokens;
+    dock_ = dock;
     end = go(dock);
+    promptRead();
     wa_.docks.came(dock);
     if (end != GoEnd::unsent) ++runners;
     if (end == GoEnd::done) {
@@ -337,6 +356,7 @@
   for (;;) {
     auto& body = ap.get().body();
     if (!body.empty()) {
+      promptRead();
       const auto pass = whole ? scan_.feed(body) : std::string_view(body);
       if (!pass.empty() && !chunkToConsumer(pass)) return GoEnd::consumerGone;
       body.clear();
