Quota: tokens drawn from the sequencer's purse instead of shares of a rate

Cause: bursts at one node met its share though the whole limit was free (429 was the largest loss). Also: daemons end at once when they are done (fibers parked for ever held them until SIGKILL), shorter claims.

--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -1,6 +1,7 @@
 // One binary, its programs by subcommand.
 #include <cstdio>
-#include <iostream>
+
+#include <unistd.h>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -68,7 +69,8 @@
   }
   zc::ring::name(s->node + "/" + sub);
   zc::ring::verbose(absl::GetFlag(FLAGS_verbose));
-  if (sub == "pilot") return zc::runPilot(*s);
-  if (sub == "tender") return zc::runTender(*s);
-  return zc::runHarbourmaster(*s);
+  const int rc = sub == "pilot" ? zc::runPilot(*s) : sub == "tender" ? zc::runTender(*s) : zc::runHarbourmaster(*s);
+  // Why not return: the fiber library would wait for fibers that are parked on wires nobody serves any more.
+  std::fflush(nullptr);
+  ::_exit(rc);
 }
--- a/libs/berth/include/berth/quota.hpp
+++ b/libs/berth/include/berth/quota.hpp
@@ -1,25 +1,27 @@
-// A node's part of each subscriber's quota, as granted by the sequencer; it ends by itself. Pure.
+// A node's stash of each subscriber's quota, drawn from the sequencer's purse; it ends by itself. Pure.
 #pragma once
 #include "signal/messages.hpp"
 namespace zc {
-class QuotaShare {
+class QuotaStash {
  public:
-  // asked: when the grant was asked for; it lives from then.
-  void granted(const std::vector<Grant>& gs, Instant asked, Instant now);
-  // 0 if allowed; else how long until the next could be.
-  Span take(const std::string& label, Instant now);
-  std::vector<Grant> demand(Instant now);  // since the last call, a second
+  void drawn(const std::vector<Grant>& gs, Instant now);
+  bool take(const std::string& label, Instant now);
+  // Whether a draw should go out now instead of waiting for the next regular one.
+  bool low(const std::string& label, Instant now);
+  void waits(const std::string& label, int by) { purses_[label].waiting += by; }
+  Span hint(const std::string& label) const;
+  // Demand a second, smoothed, with the requests that wait right now.
+  std::vector<Grant> demand(const std::vector<std::string>& labels, Instant now);
   std::vector<Grant> holds(Instant now) const;
-  static constexpr Span life{2700};
+  static constexpr Span life{3000};  // a stash not renewed for so long is gone
 
  private:
-  struct Bucket {
-    double rate = 0, burst = 0, tokens = 0;
-    Instant at{}, until{};
-    bool known = false;
-    int asked = 0;
+  struct Purse {
+    double tokens = 0, perS = 0, hint = 0.3;
+    int asked = 0, waiting = 0;
+    Instant told{};
   };
-  std::map<std::string, Bucket> buckets_;
-  Instant counted_{};
+  std::map<std::string, Purse> purses_;
+  Instant counted_{}, lastLow_{};
 };
 }  // namespace zc
--- a/libs/berth/src/quota.cpp
+++ b/libs/berth/src/quota.cpp
@@ -1,50 +1,60 @@
 #include "berth/quota.hpp"
 
 namespace zc {
-void QuotaShare::granted(const std::vector<Grant>& gs, Instant asked, Instant now) {
+namespace {
+constexpr auto kBetweenDraws = 60ms;
+constexpr auto kCount = 300ms;
+}  // namespace
+void QuotaStash::drawn(const std::vector<Grant>& gs, Instant now) {
   for (auto& g : gs) {
-    auto& b = buckets_[g.label];
-    // Why not full: another life of this process may just have spent them.
-    if (!b.known) b.tokens = g.burst * 0.3, b.at = now;
-    if (b.until < now) b.at = now;  // nothing grew while no grant lived
-    b.known = true;
-    const auto dt = std::chrono::duration<double>(now - b.at).count();
-    b.tokens = std::min(b.tokens + dt * b.rate, std::max(b.burst, 1.0));
-    b.at = now;
-    b.rate = g.rate;
-    b.burst = g.burst;
-    b.tokens = std::min(b.tokens, std::max(g.burst, 1.0));
-    b.until = asked + life;
+    auto& p = purses_[g.label];
+    if (now - p.told > life) p.tokens = 0;
+    p.tokens += g.rate;
+    p.hint = g.burst;
+    p.told = now;
   }
 }
-Span QuotaShare::take(const std::string& label, Instant now) {
-  auto& b = buckets_[label];
-  ++b.asked;
-  if (!b.known || b.until <= now) return Span(400);
-  const auto dt = std::chrono::duration<double>(now - b.at).count();
-  b.tokens = std::min(b.tokens + dt * b.rate, std::max(b.burst, 1.0));
-  b.at = now;
-  if (b.tokens >= 1) {
-    b.tokens -= 1;
-    return Span(0);
-  }
-  if (b.rate <= 0.01) return Span(1000);
-  return Span(1 + static_cast<std::int64_t>(std::min(1000.0, (1 - b.tokens) / b.rate * 1000)));
+bool QuotaStash::take(const std::string& label, Instant now) {
+  auto& p = purses_[label];
+  ++p.asked;
+  if (now - p.told > life) p.tokens = 0;
+  if (p.tokens < 1) return false;
+  p.tokens -= 1;
+  return true;
+}
+bool QuotaStash::low(const std::string& label, Instant now) {
+  const auto& p = purses_[label];
+  if (p.tokens >= 1 + p.perS * 0.25 && now - p.told <= life) return false;
+  if (now - lastLow_ < kBetweenDraws) return false;
+  lastLow_ = now;
+  return true;
 }
-std::vector<Grant> QuotaShare::demand(Instant now) {
+Span QuotaStash::hint(const std::string& label) const {
+  const auto it = purses_.find(label);
+  const double s = it == purses_.end() ? 0.3 : it->second.hint;
+  return Span(static_cast<std::int64_t>(std::clamp(s, 0.1, 1.0) * 1000));
+}
+std::vector<Grant> QuotaStash::demand(const std::vector<std::string>& labels, Instant now) {
+  const auto dt = now - counted_;
+  if (dt >= kCount) {
+    const double s = std::min(5.0, std::chrono::duration<double>(dt).count());
+    for (auto& [l, p] : purses_) {
+      p.perS = p.perS * 0.7 + p.asked / s * 0.3;
+      p.asked = 0;
+    }
+    counted_ = now;
+  }
   std::vector<Grant> out;
-  const double dt = counted_ == Instant{} ? 1.0 : std::max(0.05, std::chrono::duration<double>(now - counted_).count());
-  counted_ = now;
-  for (auto& [l, b] : buckets_) {
-    out.push_back({l, b.asked / dt, 0});
-    b.asked = 0;
+  for (auto& l : labels) {
+    const auto& p = purses_[l];
+    out.push_back({l, p.perS, static_cast<double>(p.waiting)});
   }
   return out;
 }
-std::vector<Grant> QuotaShare::holds(Instant now) const {
+std::vector<Grant> QuotaStash::holds(Instant now) const {
   std::vector<Grant> out;
-  for (auto& [l, b] : buckets_)
-    if (b.known && b.until > now) out.push_back({l, b.rate, b.burst});
+  for (auto& [l, p] : purses_)
+    if (now - p.told <= life && p.tokens > 0) out.push_back({l, p.tokens, 0});
   return out;
 }
 }  // namespace zc
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -267,7 +267,7 @@
       r.ok = order_->claimed(now);
       r.num = order_->released();
       if (r.ok && m.flag) {
-        r.grants = quota_.grant(now, m.from, m.grants, m.holds, cfg_.get());
+        r.grants = quota_.draw(now, m.from, m.grants, m.holds, cfg_.get());
       }
       return l->send(r);
     }
--- a/libs/harbourmaster/src/quota.cpp
+++ b/libs/harbourmaster/src/quota.cpp
@@ -1,74 +1,50 @@
 #include "quota.hpp"
 
-#include <cmath>
-
 namespace zc {
+namespace {
+constexpr auto kStashLives = 4s;  // a node not heard from for so long has used or lost what it held
+const Grant* find(const std::vector<Grant>& v, const std::string& l) {
+  for (auto& g : v)
+    if (g.label == l) return &g;
+  return nullptr;
+}
+}  // namespace
 void QuotaDesk::takeOver(Instant now) {
-  desk_.clear();
-  sureFrom_ = now + life;
+  purses_.clear();
+  since_ = now;
 }
-std::vector<Grant> QuotaDesk::grant(Instant now, const std::string& node, const std::vector<Grant>& demand,
-                                    const std::vector<Grant>& holds, const Configuration* cfg) {
+std::vector<Grant> QuotaDesk::draw(Instant now, const std::string& node, const std::vector<Grant>& demand,
+                                   const std::vector<Grant>& holds, const Configuration* cfg) {
   std::vector<Grant> out;
   if (!cfg) return out;
-  auto find = [](const std::vector<Grant>& v, const std::string& l) -> const Grant* {
-    for (auto& g : v)
-      if (g.label == l) return &g;
-    return nullptr;
-  };
   for (auto& sub : cfg->subscribers) {
     if (sub.ratePerS <= 0) continue;
-    auto& desk = desk_[sub.label];
-    auto& me = desk[node];
     const auto* d = find(demand, sub.label);
-    me.demand = me.demand * 0.8 + (d ? d->rate : 0) * 0.2;
+    if (!d) continue;
     const auto* h = find(holds, sub.label);
-    // Why the older one is dead: the holder says that it has the newest.
-    if (h && std::abs(h->rate - me.rate) < 1e-9 && std::abs(h->burst - me.burst) < 1e-9) me.oldUntil = {};
-    if (h && me.until == Instant{}) {
-      // Told by the holder itself after a take-over: it is live until it is renewed or ends.
-      me.rate = h->rate, me.burst = h->burst, me.until = now + life;
-    }
-    double sum = 0, otherRate = 0, otherBurst = 0;
-    std::size_t nodes = 0;
-    for (auto it = desk.begin(); it != desk.end();) {
-      auto& x = it->second;
-      if (it->first != node && x.until <= now) {
-        it = desk.erase(it);
-        continue;
-      }
-      ++nodes;
-      sum += x.demand;
-      if (it->first != node) {
-        otherRate += x.oldUntil > now ? std::max(x.rate, x.oldRate) : x.rate;
-        otherBurst += x.oldUntil > now ? std::max(x.burst, x.oldBurst) : x.burst;
-      }
-      ++it;
-    }
-    // Why more than the limit: the shares of a limit serve worse than the limit whole, and a window may hold this much.
-    // Half of the excess goes to the rate, the rest and most of the slack to the bursts; some is kept for restarts.
-    const double allRate = sub.ratePerS * (1 + bounds_.excess * 0.5);
-    const double allBurst = sub.burstSize * (1 + bounds_.excess) + sub.ratePerS * bounds_.windowS * bounds_.excess * 0.5 +
-                            bounds_.slack * 0.6;
-    // Shares follow demand, with an even part so that a node with none so far can begin at once.
-    const double even = 1.0 / static_cast<double>(nodes);
-    const double part = sum > 0 ? 0.7 * me.demand / sum + 0.3 * even : even;
-    double rate = std::min(allRate * part, std::max(0.0, allRate - otherRate));
-    double burst = std::min(allBurst * part, std::max(0.0, allBurst - otherBurst));
-    if (now < sureFrom_) {
-      // Grants of the sequencer before may live unseen: nobody gets more than it already holds.
-      rate = std::min(rate, me.rate);
-      burst = std::min(burst, me.burst);
-    }
-    if (me.until > now) {
-      me.oldRate = std::max(me.rate, me.oldUntil > now ? me.oldRate : 0.0);
-      me.oldBurst = std::max(me.burst, me.oldUntil > now ? me.oldBurst : 0.0);
-      me.oldUntil = std::max(me.until, me.oldUntil);
-    }
-    me.rate = rate;
-    me.burst = burst;
-    me.until = now + life;
-    out.push_back({sub.label, rate, burst});
+    auto& p = purses_[sub.label];
+    if (p.at == Instant{}) p.at = since_;
+    // Half of the excess goes to the rate; the rest, with most of the slack, to what may be used at once:
+    // half of it in the purse, half in the stashes.
+    const double rate = sub.ratePerS * (1 + bounds_.excess * 0.4);
+    const double room = sub.burstSize * (1 + bounds_.excess) + sub.ratePerS * bounds_.windowS * bounds_.excess * 0.5 +
+                        bounds_.slack * 0.7;
+    p.tokens = std::min(room * 0.5, p.tokens + std::chrono::duration<double>(now - p.at).count() * rate);
+    p.at = now;
+    double held = 0;
+    for (auto it = p.stashes.begin(); it != p.stashes.end();)
+      if (now - it->second.told > kStashLives) it = p.stashes.erase(it);
+      else held += it->first == node ? 0 : it->second.tokens, ++it;
+    const double mine = h ? h->rate : 0;
+    // First what waits now, then what keeps the node going for a while, as far as the stashes have room.
+    const double now_ = d->burst;
+    const double wish = std::min(d->rate * stashFor + 1, std::max(0.0, room * 0.5 - held));
+    const double give = std::min(p.tokens, std::max(0.0, now_ + wish - mine));
+    p.tokens -= give;
+    auto& s = p.stashes[node];
+    s.tokens = std::max(0.0, mine + give - now_);
+    s.told = now;
+    out.push_back({sub.label, give, std::max(0.05, (1 - p.tokens) / rate)});
   }
   return out;
 }
--- a/libs/harbourmaster/src/quota.hpp
+++ b/libs/harbourmaster/src/quota.hpp
@@ -1,4 +1,6 @@
-// How the sequencer shares each subscriber's quota among the access nodes. Pure.
+// The sequencer's purse of each subscriber's quota: access nodes draw tokens from it as their requests need them.
+// Pure. What all nodes may use in a window is bounded by what the purse gives out in it and by the stashes that
+// nodes held when it began; both together stay within what the window may hold.
 #pragma once
 #include "charter/configuration.hpp"
 #include "signal/messages.hpp"
@@ -9,22 +11,26 @@
     double excess = 0.1, slack = 20, windowS = 5;
   };
   void bounds(Bounds b) { bounds_ = b; }
-  // Forgets nothing on a take-over but the time since when it can be sure of all live grants.
+  // Purses begin empty: what the sequencer before gave out is not known, and must not be given out again.
   void takeOver(Instant now);
-  // node asks with its demand and what it still holds; the answer never lifts the sum of live grants over the limit.
-  std::vector<Grant> grant(Instant now, const std::string& node, const std::vector<Grant>& demand,
-                           const std::vector<Grant>& holds, const Configuration* cfg);
-  static constexpr Span life{3000};  // how long a grant counts as live
+  // demand: label, requests a second, requests waiting right now. holds: label, tokens in the stash.
+  // Answer: label, tokens, seconds until more could be had.
+  std::vector<Grant> draw(Instant now, const std::string& node, const std::vector<Grant>& demand,
+                          const std::vector<Grant>& holds, const Configuration* cfg);
+  static constexpr double stashFor = 1.2;  // seconds of its demand that a node may keep, to bridge a take-over
 
  private:
-  struct Share {
-    double demand = 0;
-    double rate = 0, burst = 0;          // newest grant
-    double oldRate = 0, oldBurst = 0;    // the largest of those before it that may still live
-    Instant until{}, oldUntil{};
+  struct Stash {
+    double tokens = 0;
+    Instant told{};
   };
-  std::map<std::string, std::map<std::string, Share>> desk_;  // subscriber -> node
-  Instant sureFrom_{};
+  struct Purse {
+    double tokens = 0;
+    Instant at{};
+    std::map<std::string, Stash> stashes;
+  };
+  std::map<std::string, Purse> purses_;
+  Instant since_{};
   Bounds bounds_;
 };
 }  // namespace zc
--- a/libs/log/include/log/order.hpp
+++ b/libs/log/include/log/order.hpp
@@ -21,7 +21,7 @@
 };
 
 struct OrderParams {
-  Span pulse{200}, claim{1000}, margin{150}, electMin{1100}, electSpread{700};
+  Span pulse{150}, claim{700}, margin{100}, electMin{750}, electSpread{400};
   Span diskSick{700};    // an unfinished sync this old makes a sequencer hand over
   Span deadAfter{2500};  // a silent member may be replaced by a waiting learner
   Span resend{400}, join{500}, keepRetry{300};
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -13,7 +13,9 @@
   Docks docks{1};
   Pool pool;
   Budget budget{0.15, 2, 12};
-  QuotaShare quota;
+  QuotaStash quota;
+  std::function<void()> draw = [] {};  // asks for tokens at once
+  std::vector<Waiter*> thirsty;        // requests that wait for tokens
   std::string zone;
   Instant claimEnds{};
   bool leaving = false;
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -82,6 +82,7 @@
   bool carry();
 
  private:
+  bool allowed(const std::string& label);
   bool answer(int status, Span retry = Span(0), std::string_view why = {});
   GoEnd go(int dock);
   GoEnd relayStream(Wire& w, Buffer& buf, AnswerParser& ap, bool fresh);
@@ -137,6 +138,28 @@
   return toConsumer(plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) && keep_;
 }
 
+// A token of the quota: from the stash, or waited for shortly while more are drawn.
+bool Passage::allowed(const std::string& label) {
+  bool has = wa_.quota.take(label, now());
+  if (has) {
+    if (wa_.quota.low(label, now())) wa_.draw();
+    return true;
+  }
+  // Why not long: a refusal must come well inside the aim, so that the consumer's next try still can.
+  const auto end = arrived_ + std::clamp(map_->aim / 5, Span(15), Span(150));
+  wa_.quota.waits(label, 1);
+  Waiter w;
+  wa_.thirsty.push_back(&w);
+  while (!has && now() < end) {
+    if (wa_.quota.low(label, now())) wa_.draw();
+    Quay::get().waitFor(w, std::max(Span(1), std::min(Span(70), toSpan(end - now()) + Span(1))));
+    has = wa_.quota.take(label, now());
+  }
+  std::erase(wa_.thirsty, &w);
+  wa_.quota.waits(label, -1);
+  return has;
+}
+
 // One function a request, read top to bottom. True: the wire may carry another.
 bool Passage::carry() {
   arrived_ = now();
@@ -161,8 +184,7 @@
     subscriber_ = sub->label;
     if (sub->precedence >= 0) precedence_ = sub->precedence;
   }
-  if (sub && sub->ratePerS > 0)
-    if (const auto wait = wa_.quota.take(sub->label, arrived_); wait > Span(0)) return answer(429, wait, "over quota");
+  if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label), "over quota");
 
   const auto asked = number(field(req_, "X-Deadline-Ms"), map_->expiry.count());
   deadline_ = arrived_ + std::min(Span(asked), map_->expiry);
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -21,6 +21,7 @@
     wa_.docks = Docks(drawSeed());
     // Why a margin: an answer is under way while the claim ends, and the far clocks are not ours.
     claimSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
+    wa_.draw = [this] { challenge(); };
     wa_.budget = Budget(s.timers.retryRatio * 0.75, 2, 10);
   }
   Outcome<void> start() {
@@ -71,11 +72,11 @@
     Msg m = msgOf(Kind::challenge);
     m.nonce = ++nonce_;
     m.flag = true;
-    m.grants = wa_.quota.demand(now);
+    std::vector<std::string> labels;
     if (wa_.cfg)
       for (auto& sub : wa_.cfg->subscribers)
-        if (std::none_of(m.grants.begin(), m.grants.end(), [&](auto& g) { return g.label == sub.label; }))
-          m.grants.push_back({sub.label, 0, 0});
+        if (sub.ratePerS > 0) labels.push_back(sub.label);
+    m.grants = wa_.quota.demand(labels, now);
     m.holds = wa_.quota.holds(now);
     asked_[m.nonce] = now;
     while (asked_.size() > 16) asked_.erase(asked_.begin());
@@ -109,7 +110,8 @@
         pendingEnd_ = it->second + claimSpan_;
         pendingNum_ = std::max(pendingNum_, m.num);
       }
-      wa_.quota.granted(m.grants, it->second, now);
+      wa_.quota.drawn(m.grants, now);
+      for (auto* w : wa_.thirsty) w->wake();
       asked_.erase(it);
       settleClaim(now);
     }
