--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -60,6 +60,10 @@
     l->start();
   });
   if (!ok) return ok;
+  // Why at once: the first question to the others must not be lost to a wire not dialled yet.
+  for (auto& x : order_->members()) mooring(ipOf(x));
+  if (order_->members().empty())
+    for (auto& x : seedIps) mooring(x);
   Quay::get().every(kTick, [this] { tick(); });
   Quay::get().every(1000ms, [this] {
     const auto seq = order_->sequencer();
--- a/libs/log/include/log/order.hpp
+++ b/libs/log/include/log/order.hpp
@@ -24,6 +24,7 @@
   Span pulse{150}, claim{700}, margin{100}, electMin{750}, electSpread{400};
   Span diskSick{700};    // an unfinished sync this old makes a sequencer hand over
   Span deadAfter{2500};  // a silent member may be replaced by a waiting learner
+  Span askAgain{150};    // a question of a would-be sequencer that found no majority yet
   Span resend{400}, join{500}, keepRetry{300};
   std::size_t bulky = 16384;  // bodies above this go ahead from their sender
 };
--- a/libs/log/src/order.cpp
+++ b/libs/log/src/order.cpp
@@ -187,6 +187,7 @@
     if (pre) {
       preVoting = true;
       setDuty(Duty::candidate);
+      lastAsk = now;
       ask(0);
     } else {
       const auto before = term;
@@ -204,6 +205,7 @@
     }
     maybeWin(now);
   }
+  Instant lastAsk{};
   std::int64_t selfVoteTicket = 0, askTerm = 0;
   void ask(std::int64_t after) {
     Msg m = msgOf(Kind::ask);
@@ -652,7 +654,8 @@
   }
   // A promise made before the restart is not remembered, so it is kept by waiting.
   d.promised = now + d.p.claim;
-  d.armElection(now);
+  // Why soon after: where all came back at once nobody is there to wait for.
+  d.electAt = d.promised + Span(20 + static_cast<std::int64_t>(d.rng() % 200));
 }
 void Order::seeds(std::vector<std::string> ips) { impl_->seedIps = std::move(ips); }
 
@@ -692,6 +695,10 @@
     for (auto& x : to) d.send(x, m);
     return;
   }
+  if (d.duty == Duty::candidate && d.preVoting && now < d.electAt && now - d.lastAsk >= d.p.askAgain) {
+    d.lastAsk = now;
+    d.ask(0);
+  }
   if (now >= d.electAt && now >= d.yieldedUntil) {
     d.askTerm = 0;
     d.campaign(now, true, false);
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -118,7 +118,9 @@
   }
   void settleClaim(Instant) {
     // Only once applied as far as the sequencer was when it answered.
-    if (queue_.applied() >= pendingNum_) wa_.claimEnds = std::max(wa_.claimEnds, pendingEnd_);
+    if (pendingEnd_ == Instant{} || queue_.applied() < pendingNum_) return;
+    if (wa_.claimEnds == Instant{}) ring::note("first claim, at number " + std::to_string(queue_.applied()));
+    wa_.claimEnds = std::max(wa_.claimEnds, pendingEnd_);
   }
   void adopt(Copy::Change c) {
     if (c.runners) wa_.docks.follow(copy_.state().runners);
--- a/libs/tender/src/tender.cpp
+++ b/libs/tender/src/tender.cpp
@@ -119,6 +119,7 @@
         }
         if (newer && !m.who.empty()) {
           sequencer_ = m.who;
+          ring::note("follows " + sequencer_ + " in term " + std::to_string(term_));
           following_ = false;
           moor();
         }
