--- a/libs/berth/include/berth/quota.hpp
+++ b/libs/berth/include/berth/quota.hpp
@@ -9,7 +9,7 @@
   // Whether a draw should go out now instead of waiting for the next regular one.
   bool low(const std::string& label, Instant now);
   void waits(const std::string& label, int by) { purses_[label].waiting += by; }
-  Span hint(const std::string& label) const;
+  Span hint(const std::string& label, Instant now) const;
   // Demand a second, smoothed, with the requests that wait right now.
   std::vector<Grant> demand(const std::vector<std::string>& labels, Instant now);
   std::vector<Grant> holds(Instant now) const;
--- a/libs/berth/src/quota.cpp
+++ b/libs/berth/src/quota.cpp
@@ -29,9 +29,11 @@
   lastLow_ = now;
   return true;
 }
-Span QuotaStash::hint(const std::string& label) const {
+Span QuotaStash::hint(const std::string& label, Instant now) const {
   const auto it = purses_.find(label);
-  const double s = it == purses_.end() ? 0.3 : it->second.hint;
+  // Why longer without news: nobody gives tokens out just now, and a second refusal is worse than a late answer.
+  const bool news = it != purses_.end() && now - it->second.told < 700ms;
+  const double s = news ? it->second.hint : 0.5;
   return Span(static_cast<std::int64_t>(std::clamp(s, 0.1, 1.0) * 1000));
 }
 std::vector<Grant> QuotaStash::demand(const std::vector<std::string>& labels, Instant now) {
--- a/libs/harbourmaster/src/quota.cpp
+++ b/libs/harbourmaster/src/quota.cpp
@@ -23,13 +23,13 @@
     if (!d) continue;
     const auto* h = find(holds, sub.label);
     auto& p = purses_[sub.label];
-    if (p.at == Instant{}) p.at = since_;
+    if (p.at == Instant{}) p.at = since_, p.tokens = bounds_.slack * 0.2;
     // Half of the excess goes to the rate; the rest, with most of the slack, to what may be used at once:
-    // half of it in the purse, half in the stashes.
+    // two parts of it in the purse, three in the stashes.
     const double rate = sub.ratePerS * (1 + bounds_.excess * 0.4);
     const double room = sub.burstSize * (1 + bounds_.excess) + sub.ratePerS * bounds_.windowS * bounds_.excess * 0.5 +
                         bounds_.slack * 0.7;
-    p.tokens = std::min(room * 0.5, p.tokens + std::chrono::duration<double>(now - p.at).count() * rate);
+    p.tokens = std::min(room * 0.4, p.tokens + std::chrono::duration<double>(now - p.at).count() * rate);
     p.at = now;
     double held = 0;
     for (auto it = p.stashes.begin(); it != p.stashes.end();)
@@ -38,7 +38,7 @@
     const double mine = h ? h->rate : 0;
     // First what waits now, then what keeps the node going for a while, as far as the stashes have room.
     const double now_ = d->burst;
-    const double wish = std::min(d->rate * stashFor + 1, std::max(0.0, room * 0.5 - held));
+    const double wish = std::min(d->rate * stashFor + 1, std::max(0.0, room * 0.6 - held));
     const double give = std::min(p.tokens, std::max(0.0, now_ + wish - mine));
     p.tokens -= give;
     auto& s = p.stashes[node];
--- a/libs/harbourmaster/src/quota.hpp
+++ b/libs/harbourmaster/src/quota.hpp
@@ -11,13 +11,13 @@
     double excess = 0.1, slack = 20, windowS = 5;
   };
   void bounds(Bounds b) { bounds_ = b; }
-  // Purses begin empty: what the sequencer before gave out is not known, and must not be given out again.
+  // Purses begin all but empty: what the sequencer before gave out is not known, and must not be given out again.
   void takeOver(Instant now);
   // demand: label, requests a second, requests waiting right now. holds: label, tokens in the stash.
   // Answer: label, tokens, seconds until more could be had.
   std::vector<Grant> draw(Instant now, const std::string& node, const std::vector<Grant>& demand,
                           const std::vector<Grant>& holds, const Configuration* cfg);
-  static constexpr double stashFor = 1.2;  // seconds of its demand that a node may keep, to bridge a take-over
+  static constexpr double stashFor = 1.6;  // seconds of its demand that a node may keep, to bridge a take-over
 
  private:
   struct Stash {
--- a/libs/keel/src/quay.cpp
+++ b/libs/keel/src/quay.cpp
@@ -93,6 +93,8 @@
   impl_->io.stop();
 }
 void Quay::run() {
+  impl_->stopped = false;
+  impl_->io.restart();
   auto keep = asio::make_work_guard(impl_->io);
   while (!impl_->stopped) {
     while (impl_->ready > 0) boost::this_fiber::yield();
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -184,7 +184,7 @@
     subscriber_ = sub->label;
     if (sub->precedence >= 0) precedence_ = sub->precedence;
   }
-  if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label), "over quota");
+  if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label, now()), "over quota");
 
   const auto asked = number(field(req_, "X-Deadline-Ms"), map_->expiry.count());
   deadline_ = arrived_ + std::min(Span(asked), map_->expiry);
--- /dev/null
+++ b/tests/state_test.cpp
@@ -0,0 +1,255 @@
+// The applied copy, the receiver's queue, frames and pages: conformance tables after docs/design.md.
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include <gtest/gtest.h>
+
+#include "log/queue.hpp"
+#include "registry/copy.hpp"
+#include "signal/avro.hpp"
+#include "signal/link.hpp"
+#include "signal/view.hpp"
+#include "store/store.hpp"
+
+using namespace zc;
+namespace {
+struct Log {
+  Copy copy;
+  std::int64_t n = 0;
+  Copy::Change put(Entry e) {
+    e.num = ++n;
+    return copy.apply(e);
+  }
+  int replace(std::int64_t base, std::int64_t stamp, const std::string& body, const std::string& op) {
+    auto e = configurationOp(base, stamp, body, op);
+    const auto id = e.opId;
+    put(e);
+    return copy.verdictOf(id).value_or(-1);
+  }
+};
+Runner runner(const std::string& id, const std::string& addr, RunnerState st, std::int64_t seq) {
+  return Runner{id, "s", addr, "z", 4, seq, static_cast<std::int32_t>(st)};
+}
+Entry numbered(std::int64_t n, const std::string& blob = "b") {
+  Entry e;
+  e.num = n;
+  e.blob = blob;
+  return e;
+}
+std::string freshDir() {
+  std::string t = std::filesystem::temp_directory_path() / "zinccleat-store-XXXXXX";
+  return ::mkdtemp(t.data());
+}
+Page page(std::int64_t seq, bool full, std::int64_t from = 0) {
+  Page g;
+  g.seq = seq;
+  g.term = 3;
+  g.self = "10.1.0.1#0";
+  g.full = full;
+  g.snapMembers = {"10.1.0.1#0"};
+  if (from) g.from = from, g.entries = {numbered(from)};
+  return g;
+}
+}  // namespace
+
+TEST(Copy, OfTwoChangesOnOneStampOneWins) {
+  Log l;
+  EXPECT_EQ(l.replace(0, 2, "A", "x"), 200);
+  EXPECT_EQ(l.replace(2, 5, "B", "y"), 200);
+  EXPECT_EQ(l.replace(2, 6, "C", "z"), 412);
+  EXPECT_EQ(l.copy.state().configuration, "B");
+}
+TEST(Copy, TheExactSameOneSentAgainIsAcknowledgedAgain) {
+  Log l;
+  EXPECT_EQ(l.replace(0, 2, "A", "x"), 200);
+  EXPECT_EQ(l.replace(0, 2, "A", "y"), 200);
+  EXPECT_EQ(l.replace(2, 4, "B", "z"), 200);
+  EXPECT_EQ(l.replace(0, 2, "A", "w"), 200) << "taken before, though another is in place now";
+  EXPECT_EQ(l.copy.state().stamp, 4) << "and nothing goes back";
+  EXPECT_EQ(l.replace(0, 2, "A2", "v"), 412);
+}
+TEST(Copy, AStampNotAboveTheCurrentIsDeclined) {
+  Log l;
+  EXPECT_EQ(l.replace(0, 4, "A", "x"), 200);
+  EXPECT_EQ(l.replace(4, 4, "B", "y"), 400);
+  EXPECT_EQ(l.replace(4, 3, "B", "z"), 400);
+}
+TEST(Copy, RunnersJoinDrainAndLeave) {
+  Log l;
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 1), "1"));
+  ASSERT_TRUE(l.copy.runner("i1"));
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::draining, 5), "2"));
+  EXPECT_EQ(l.copy.runner("i1")->at(), RunnerState::draining);
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 4), "3"));
+  EXPECT_EQ(l.copy.runner("i1")->at(), RunnerState::draining) << "a late beat changes nothing";
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 9), "4"));
+  EXPECT_EQ(l.copy.runner("i1")->at(), RunnerState::draining) << "who leaves does not come back in the same life";
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::gone, 9), "5"));
+  EXPECT_FALSE(l.copy.runner("i1"));
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 10), "6"));
+  EXPECT_FALSE(l.copy.runner("i1")) << "it has left for good";
+}
+TEST(Copy, AMissedRunnerMayBeatAgainANewLifeTakesTheAddress) {
+  Log l;
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 1), "1"));
+  auto missed = runner("i1", "a:1", RunnerState::gone, 0);
+  l.put(runnerOp(missed, "2"));
+  EXPECT_FALSE(l.copy.runner("i1"));
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 7), "3"));
+  EXPECT_TRUE(l.copy.runner("i1"));
+  l.put(runnerOp(runner("i2", "a:1", RunnerState::inService, 1), "4"));
+  EXPECT_FALSE(l.copy.runner("i1"));
+  EXPECT_TRUE(l.copy.runner("i2"));
+}
+TEST(Copy, ASnapshotHoldsEverything) {
+  Log l;
+  l.replace(0, 2, "A", "x");
+  l.put(runnerOp(runner("i1", "a:1", RunnerState::draining, 1), "1"));
+  Copy other;
+  ASSERT_TRUE(other.restore(l.copy.snapshot()));
+  EXPECT_EQ(other.snapshot(), l.copy.snapshot());
+  EXPECT_EQ(other.state().num, 2);
+  EXPECT_FALSE(other.restore("no snapshot at all \xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"));
+}
+TEST(Queue, TakesTheHeadInStrictOrderOnly) {
+  Queue q;
+  q.offer(numbered(3));
+  q.offer(numbered(2));
+  EXPECT_FALSE(q.next());
+  EXPECT_TRUE(q.gap());
+  q.offer(numbered(1));
+  for (int i = 1; i <= 3; ++i) EXPECT_EQ(q.next()->num, i);
+  EXPECT_FALSE(q.gap());
+  q.offer(numbered(2));
+  EXPECT_FALSE(q.next()) << "what was applied is not applied again";
+  EXPECT_FALSE(q.gap());
+}
+TEST(Queue, ALargeWriteWaitsForItsBody) {
+  Queue q;
+  auto e = numbered(1, "");
+  e.omitted = true;
+  e.digest = "d1";
+  q.offer(e);
+  EXPECT_FALSE(q.next());
+  EXPECT_TRUE(q.gap()) << "asked for again if the body never comes";
+  q.body("d1", "the body");
+  EXPECT_EQ(q.next()->blob, "the body");
+  e.num = 2;
+  e.digest = "d2";
+  q.offer(e);
+  EXPECT_FALSE(q.next());
+  q.offer(numbered(2, "whole"));  // the refetch
+  EXPECT_EQ(q.next()->blob, "whole");
+}
+TEST(Queue, ASnapshotSkipsWhatItHolds) {
+  Queue q;
+  q.offer(numbered(5));
+  q.offer(numbered(6));
+  q.restart(5);
+  EXPECT_EQ(q.next()->num, 6);
+}
+TEST(Frames, GoAndComeBack) {
+  Msg m = msgOf(Kind::feed);
+  m.from = "x";
+  m.num = -7;
+  m.entries = {numbered(1, std::string(100000, 'z')), numbered(2)};
+  m.names = {"a", "b"};
+  m.grants = {{"t", 1.5, 2.5}};
+  auto buf = frameOf(m) + frameOf(msgOf(Kind::state)) + std::string(2, char(0));
+  auto out = unframe(buf);
+  ASSERT_TRUE(out);
+  ASSERT_EQ(out->size(), 2u);
+  EXPECT_EQ((*out)[0].num, -7);
+  EXPECT_EQ((*out)[0].entries[0].blob.size(), 100000u);
+  EXPECT_DOUBLE_EQ((*out)[0].grants[0].burst, 2.5);
+  EXPECT_EQ(buf.size(), 2u) << "a frame not whole yet stays";
+}
+TEST(Frames, WhatIsNotOursIsDeclined) {
+  auto other = frameOf(msgOf(Kind::state));
+  other[4] = 9;
+  EXPECT_FALSE(unframe(other)) << "another format stamp";
+  std::string huge = "\xff\xff\xff\xff\x01";
+  EXPECT_FALSE(unframe(huge));
+  auto broken = frameOf(msgOf(Kind::state));
+  for (std::size_t i = 5; i < broken.size(); ++i) broken[i] = static_cast<char>(0xff);
+  EXPECT_FALSE(unframe(broken));
+  std::string http = "GET / HTTP/1.1\r\n\r\n";
+  EXPECT_FALSE(unframe(http));
+}
+TEST(Store, PagesComeBackInOrder) {
+  const auto dir = freshDir();
+  Store s(dir);
+  ASSERT_TRUE(s.load());
+  ASSERT_TRUE(s.keepInOrder(page(1, true)));
+  ASSERT_TRUE(s.keepInOrder(page(2, false, 1)));
+  EXPECT_FALSE(s.keepInOrder(page(4, false, 3))) << "a page is missing before it";
+  ASSERT_TRUE(s.keepInOrder(page(3, false, 2)));
+  auto back = Store(dir).load();
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->size(), 3u);
+  std::filesystem::remove_all(dir);
+}
+TEST(Store, AWholePageLetsTheOldOnesGo) {
+  const auto dir = freshDir();
+  Store s(dir);
+  ASSERT_TRUE(s.load());
+  for (int i = 1; i <= 5; ++i) ASSERT_TRUE(s.keepInOrder(page(i, i == 1 || i == 5, i == 1 || i == 5 ? 0 : i)));
+  int files = 0;
+  for (auto& f : std::filesystem::directory_iterator(dir)) (void)f, ++files;
+  EXPECT_EQ(files, 1);
+  auto back = Store(dir).load();
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->size(), 1u);
+  std::filesystem::remove_all(dir);
+}
+TEST(Store, TornForeignAndMissingPagesAreFound) {
+  for (int how = 0; how < 4; ++how) {
+    const auto dir = freshDir();
+    Store s(dir);
+    ASSERT_TRUE(s.load());
+    for (int i = 1; i <= 4; ++i) ASSERT_TRUE(s.keepInOrder(page(i, i == 1, i == 1 ? 0 : i)));
+    const auto file = dir + "/page-000000000003";
+    if (how == 0) std::filesystem::resize_file(file, 60);
+    if (how == 1) std::ofstream(file, std::ios::trunc) << "something else";
+    if (how == 2) std::filesystem::remove(file);
+    if (how == 3) {
+      std::fstream f(file, std::ios::in | std::ios::out);
+      f.seekp(50);
+      f.put('~');
+    }
+    EXPECT_FALSE(Store(dir).load()) << how;
+    std::filesystem::remove_all(dir);
+  }
+}
+TEST(Store, APageWrittenAsideOnlyIsNoPage) {
+  const auto dir = freshDir();
+  Store s(dir);
+  ASSERT_TRUE(s.load());
+  ASSERT_TRUE(s.keepInOrder(page(1, true)));
+  std::ofstream(dir + "/aside-2") << "half";
+  auto back = Store(dir).load();
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->size(), 1u);
+  EXPECT_FALSE(std::filesystem::exists(dir + "/aside-2"));
+  std::filesystem::remove_all(dir);
+}
+TEST(View, StaysSmallAndSpreads) {
+  std::vector<View> v;
+  for (int i = 0; i < 40; ++i) v.emplace_back("n" + std::to_string(i), 8, 77 + i);
+  for (int i = 0; i < 40; ++i) v[i].add("n" + std::to_string((i + 1) % 40));
+  std::mt19937 rng(5);
+  for (int round = 0; round < 60; ++round)
+    for (auto& x : v) {
+      const auto all = x.all();
+      ASSERT_LE(all.size(), 8u);
+      auto& y = v[std::stoul(all[rng() % all.size()].substr(1))];
+      const auto mine = x.sample(), theirs = y.sample();
+      y.merge(mine);
+      x.merge(theirs);
+    }
+  std::set<std::string> known;
+  for (auto& x : v)
+    for (auto& n : x.all()) known.insert(n);
+  EXPECT_GT(known.size(), 30u);
+}
