Claims of 0.5 s: the duty moves sooner, service resumes sooner

Cause: after a restart of all, the promise a member forgot is waited out in full, then the vote. Ruled out: the machines' own start (0.05 s) and the followers (0.02 s after the vote).

--- a/libs/log/include/log/order.hpp
+++ b/libs/log/include/log/order.hpp
@@ -21,7 +21,7 @@
 };
 
 struct OrderParams {
-  Span pulse{150}, claim{700}, margin{100}, electMin{750}, electSpread{400};
+  Span pulse{120}, claim{500}, margin{80}, electMin{550}, electSpread{300};
   Span diskSick{700};    // an unfinished sync this old makes a sequencer hand over
   Span deadAfter{2500};  // a silent member may be replaced by a waiting learner
   Span askAgain{150};    // a question of a would-be sequencer that found no majority yet
