--- a/libs/harbourmaster/src/quota.cpp
+++ b/libs/harbourmaster/src/quota.cpp
@@ -44,7 +44,8 @@
     auto& s = p.stashes[node];
     s.tokens = std::max(0.0, mine + give - now_);
     s.told = now;
-    out.push_back({sub.label, give, std::max(0.05, (1 - p.tokens) / rate)});
+    // Who is told to come back must find something: those still unserved here stand before it.
+    out.push_back({sub.label, give, std::max(0.05, (1 - p.tokens + 2 * std::max(0.0, now_ - give)) / rate)});
   }
   return out;
 }
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -18,11 +18,14 @@
   std::vector<Waiter*> thirsty;        // requests that wait for tokens
   std::string zone;
   Instant claimEnds{};
+  Instant born = Clock::now();
   bool leaving = false;
   int aboard = 0;  // requests in work
   std::mt19937_64 rng;
   std::uint64_t served = 0, declined = 0, goes = 0, cut = 0;
   bool claimed(Instant now) const { return cfg && now < claimEnds; }
+  // When a consumer that finds no claim here should come back.
+  Span untilClaim(Instant now);
 };
 // Serves a consumer's wire until it ends.
 void serveConsumer(Waters& wa, tcp::socket s);
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -168,7 +168,7 @@
   goId_ = std::string(field(req_, "X-Attempt-Id"));
 
   // Why first of all: without a fresh claim this copy may be older than a key that was taken away.
-  if (!wa_.claimed(arrived_)) return answer(503, Span(300), "no fresh claim");
+  if (!wa_.claimed(arrived_)) return answer(503, wa_.untilClaim(arrived_), "no fresh claim");
 
   const std::string_view target(req_.target().data(), req_.target().size());
   const int mi = cfg_->find(field(req_, "Host"), target);
@@ -416,6 +416,13 @@
 }
 }  // namespace
 
+Span Waters::untilClaim(Instant now) {
+  const auto spread = Span(rng() % 120);
+  // Why not sooner: a consumer has few tries, and one that meets a second refusal is lost. A process that has just
+  // started has its first claim as soon as the core has a sequencer, which after a loss of all takes this long.
+  if (claimEnds == Instant{}) return std::max(Span(150), Span(800) - toSpan(now - born)) + spread;
+  return Span(500) + spread;
+}
 void serveConsumer(Waters& wa, tcp::socket s) {
   Wire w(std::move(s));
   tune(w.sock());
