--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -7,6 +7,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include "almanac/runbook.hpp"
 #include "charter/configuration.hpp"
 #include "charter/settings.hpp"
 #include "harbourmaster/harbourmaster.hpp"
@@ -15,6 +16,9 @@
 #include "tender/tender.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
+ABSL_FLAG(std::vector<std::string>, set, {}, "runbook: name=value,...; a list value is split by +");
+ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
+ABSL_FLAG(bool, json, false, "status: as JSON");
 ABSL_FLAG(bool, verbose, false, "write log notes at once, not only when something goes wrong");
 
 namespace {
@@ -23,7 +27,15 @@
     "  pilot          the proxy on access machines\n"
     "  tender         the agent beside each pilot\n"
     "  harbourmaster  control, on core machines\n"
-    "  check KIND FILE  checks a file; KIND is settings or configuration";
+    "  check KIND FILE  checks a file; KIND is settings, configuration or runbook\n"
+    "  status ADDRESS:PORT... [--json]  what the core's nodes know\n"
+    "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +";
+
+// Why not return: the fiber library would wait for fibers that are parked on wires nobody serves any more.
+[[noreturn]] void quit(int rc) {
+  std::fflush(nullptr);
+  ::_exit(rc);
+}
 
 int check(const std::vector<char*>& args) {
   if (args.size() != 4) {
@@ -38,6 +50,8 @@
     if (auto s = zc::parseSettings(*text); !s) wrong = s.error().text;
   } else if (kind == "configuration") {
     if (auto c = zc::parseConfiguration(*text); !c) wrong = c.error().text;
+  } else if (kind == "runbook") {
+    if (auto b = zc::parseRunbook(*text, zc::sampleValues(*text)); !b) wrong = b.error().text;
   } else {
     std::fprintf(stderr, "zinccleat check: unknown kind '%s'\n", kind.c_str());
     return 2;
@@ -56,6 +70,19 @@
   const auto args = absl::ParseCommandLine(argc, argv);
   const std::string sub = args.size() > 1 ? args[1] : "";
   if (sub == "check") return check(args);
+  const std::vector<std::string> rest(args.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(args.size())), args.end());
+  if (sub == "status") quit(zc::statusCommand(rest, absl::GetFlag(FLAGS_json)));
+  if (sub == "runbook") {
+    if (rest.size() != 1) {
+      std::fprintf(stderr, "zinccleat runbook: wants one FILE\n");
+      return 2;
+    }
+    auto sets = absl::GetFlag(FLAGS_set);
+    for (auto& s : sets) std::replace(s.begin(), s.end(), '+', ',');
+    // A bare name means one of those that come with the program.
+    const auto file = rest[0].find_first_of("./") == std::string::npos ? "runbooks/" + rest[0] + ".run" : rest[0];
+    quit(zc::runbookCommand(file, sets, absl::GetFlag(FLAGS_dry)));
+  }
   if (sub != "pilot" && sub != "tender" && sub != "harbourmaster") {
     std::fprintf(stderr, "zinccleat: unknown subcommand '%s'\n%s\n", sub.c_str(), kUsage);
     return 2;
@@ -70,7 +97,5 @@
   zc::ring::name(s->node + "/" + sub);
   zc::ring::verbose(absl::GetFlag(FLAGS_verbose));
   const int rc = sub == "pilot" ? zc::runPilot(*s) : sub == "tender" ? zc::runTender(*s) : zc::runHarbourmaster(*s);
-  // Why not return: the fiber library would wait for fibers that are parked on wires nobody serves any more.
-  std::fflush(nullptr);
-  ::_exit(rc);
+  quit(rc);
 }
--- /dev/null
+++ b/libs/almanac/include/almanac/call.hpp
@@ -0,0 +1,20 @@
+// Calls of control for operators' tools.
+#pragma once
+#include "keel/common.hpp"
+namespace zc {
+struct Called {
+  int status = 0;
+  std::string body, address;  // the node that answered
+};
+struct Call {
+  std::string method = "GET", path, body;
+  std::vector<std::pair<std::string, std::string>> heads;
+};
+// On a fiber. Follows 307 twice.
+Outcome<Called> callOne(const std::string& address, const Call& c, Span within);
+// Tries the addresses in turn until one gives an answer that is not 5xx.
+Outcome<Called> callAny(const std::vector<std::string>& addresses, const Call& c, Span within);
+std::vector<std::string> splitList(std::string_view s);
+// Runs f on a fiber of a quay of its own until it ends.
+int onQuay(const std::function<int()>& f);
+}  // namespace zc
--- /dev/null
+++ b/libs/almanac/src/commands.cpp
@@ -0,0 +1,84 @@
+#include <cstdio>
+
+#include "almanac/runbook.hpp"
+#include "charter/settings.hpp"
+#include "keel/quay.hpp"
+
+namespace zc {
+namespace {
+constexpr auto kCallWait = 3000ms;
+void line(const std::string& s) { std::printf("%s\n", s.c_str()), std::fflush(stdout); }
+}  // namespace
+
+int runbookCommand(const std::string& file, const std::vector<std::string>& sets, bool dry) {
+  auto text = readFile(file);
+  if (!text) {
+    std::fprintf(stderr, "zinccleat runbook: %s\n", text.error().text.c_str());
+    return 2;
+  }
+  std::map<std::string, std::string> given;
+  for (auto& s : sets) {
+    const auto eq = s.find('=');
+    if (eq == std::string::npos || eq == 0) {
+      std::fprintf(stderr, "zinccleat runbook: '%s' is no name=value\n", s.c_str());
+      return 2;
+    }
+    given[s.substr(0, eq)] = s.substr(eq + 1);
+  }
+  auto b = parseRunbook(*text, given);
+  if (!b) {
+    std::fprintf(stderr, "zinccleat runbook: %s: %s\n", file.c_str(), b.error().text.c_str());
+    return 2;
+  }
+  const auto core = splitList(given["core"]);
+  if (core.empty() && !dry) {
+    std::fprintf(stderr, "zinccleat runbook: say --set core=ADDRESS:PORT,... (the nodes that serve control)\n");
+    return 2;
+  }
+  return onQuay([&] {
+    RunbookPorts io;
+    io.any = [&](const Call& c) { return callAny(core, c, kCallWait); };
+    io.all = [&](const Call& c) {
+      std::vector<Outcome<Called>> out;
+      for (auto& a : core) out.push_back(callOne(a, c, kCallWait));
+      return out;
+    };
+    io.pause = [](Span d) { Quay::get().pause(d); };
+    io.print = line;
+    io.now = [] { return Clock::now(); };
+    return runRunbook(*b, io, dry);
+  });
+}
+
+int statusCommand(const std::vector<std::string>& addresses, bool json) {
+  if (addresses.empty()) {
+    std::fprintf(stderr, "zinccleat status: say which nodes: ADDRESS:PORT...\n");
+    return 2;
+  }
+  return onQuay([&] {
+    int silent = 0;
+    std::string all = "[";
+    if (!json) std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", "node", "duty", "term", "released", "applied", "claimed", "disk", "runners", "members");
+    for (auto& a : addresses) {
+      auto r = callOne(a, Call{"GET", "/v1/Status", "", {}}, kCallWait);
+      if (!r || r->status != 200) {
+        ++silent;
+        const auto why = r ? "status " + std::to_string(r->status) : r.error().text;
+        if (json) all += (all.size() > 1 ? "," : "") + ("{\"node\":\"" + a + "\",\"error\":\"" + why + "\"}");
+        else std::printf("%-22s %s\n", a.c_str(), why.c_str());
+        continue;
+      }
+      if (json) {
+        all += (all.size() > 1 ? "," : "") + r->body;
+        continue;
+      }
+      auto f = [&](const char* n) { return fieldOf(r->body, n).value_or("?"); };
+      std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", f("node").c_str(), f("duty").c_str(), f("term").c_str(),
+                  f("released").c_str(), f("applied").c_str(), f("claimed").c_str(), f("diskSick") == "true" ? "sick" : "fine",
+                  f("runners#").c_str(), f("members").c_str());
+    }
+    if (json) std::printf("%s]\n", all.c_str());
+    return silent == static_cast<int>(addresses.size()) ? 1 : 0;
+  });
+}
+}  // namespace zc
--- a/libs/berth/include/berth/docks.hpp
+++ b/libs/berth/include/berth/docks.hpp
@@ -1,6 +1,7 @@
 // The runners as one access node sees them, and which of them a request goes to. Pure.
 #pragma once
 #include <random>
+#include <set>
 
 #include "charter/configuration.hpp"
 #include "registry/copy.hpp"
@@ -9,6 +10,8 @@
   std::string id, service, address, zone;
   int capacity = 0;
   bool draining = false, present = true;
+  int closedShare = 0;         // percent of new work that keeps away: its place is being closed
+  bool carryOver = false;      // live sessions that may be resumed go on elsewhere
   int inFlight = 0;            // our own goes
   int unread = 0;              // of those, the ones whose prompt is still being read
   std::int64_t unreadTokens = 0;
@@ -31,6 +34,13 @@
  public:
   explicit Docks(std::uint64_t seed) : rng_(seed) {}
   void follow(const std::vector<Runner>& runners);
+  // Which zones are being closed, and how far.
+  struct Closing {
+    int share = 0;
+    bool carryOver = false;
+  };
+  void close(std::map<std::string, Closing> zones);
+  int inFlightIn(const std::set<std::string>& zones) const;
   int choose(const Wish& w, Instant now);  // -1: none
   Dock& at(int i) { return docks_[static_cast<std::size_t>(i)]; }
   void went(int i, std::int64_t promptTokens);
@@ -47,6 +57,7 @@
   std::unordered_map<std::string, int> byId_;
   int chooseEngine(const Wish& w, const std::vector<int>& good, Instant now);
   int choosePlain(const Wish& w, const std::vector<int>& good, Instant now);
+  std::map<std::string, Closing> closing_;
   std::mt19937_64 rng_;
   double meanPrompt_ = 1000;
 };
--- a/libs/berth/src/docks.cpp
+++ b/libs/berth/src/docks.cpp
@@ -32,10 +32,25 @@
     d.draining = r.at() == RunnerState::draining;
     d.present = true;
   }
+  close(std::move(closing_));
   for (auto it = byId_.begin(); it != byId_.end();)
     if (!docks_[it->second].present) it = byId_.erase(it);
     else ++it;
 }
+void Docks::close(std::map<std::string, Closing> zones) {
+  closing_ = std::move(zones);
+  for (auto& d : docks_) {
+    const auto it = closing_.find(d.zone);
+    d.closedShare = it == closing_.end() ? 0 : it->second.share;
+    d.carryOver = it != closing_.end() && it->second.carryOver;
+  }
+}
+int Docks::inFlightIn(const std::set<std::string>& zones) const {
+  int n = 0;
+  for (auto& d : docks_)
+    if (zones.count(d.zone)) n += d.inFlight;
+  return n;
+}
 void Docks::told(int i, std::string_view load, Instant now) {
   int v[3] = {0, 0, 0};
   const char* p = load.data();
@@ -80,15 +95,20 @@
   d.unreadTokens -= tokens;
 }
 int Docks::choose(const Wish& w, Instant now) {
-  std::vector<int> good, shunned;
+  std::vector<int> good, shunned, closing;
+  // Why by part: all nodes move the same parts at the same step, so each is read anew once, at one place.
+  const auto turn = static_cast<int>((w.affinity ? w.affinity >> 8 : rng_()) % 100);
   for (int i = 0; i < static_cast<int>(docks_.size()); ++i) {
     auto& d = docks_[i];
     if (!d.present || d.draining || d.service != w.service) continue;
     if (std::find(w.not_.begin(), w.not_.end(), i) != w.not_.end()) continue;
     // Why one at a time after a fault: a runner that is still ill should cost one request, not many.
     if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0)) shunned.push_back(i);
+    else if (turn < d.closedShare) closing.push_back(i);
     else good.push_back(i);
   }
+  // A place that is closing still serves rather than nobody.
+  if (good.empty()) good = std::move(closing);
   if (good.empty()) {
     // Why one that is shunned all the same: a guess is worth more than nothing.
     if (shunned.empty()) return -1;
--- a/libs/charter/include/charter/calls.hpp
+++ b/libs/charter/include/charter/calls.hpp
@@ -12,5 +12,12 @@
   std::int64_t queued = 0, active = 0, kvOccupied = 0, kvSize = 0;
 };
 Outcome<Report> parseReport(std::string_view json);
+struct ClosureCall {
+  std::string place, note;
+  std::int32_t share = 0;
+  bool doorsShut = false, open = false, force = false;
+  double calmBelowPerS = 0;  // 0: no bound
+};
+Outcome<ClosureCall> parseClosure(std::string_view json);
 std::string quoteJson(std::string_view s);
 }  // namespace zc
--- a/libs/charter/src/calls.cpp
+++ b/libs/charter/src/calls.cpp
@@ -42,6 +42,25 @@
   if (!r.wrong.empty()) return fault(400, "report: " + r.wrong);
   return p;
 }
+Outcome<ClosureCall> parseClosure(std::string_view text) {
+  simdjson::dom::parser parser;
+  simdjson::padded_string padded(text);
+  json::Elem doc;
+  json::Obj o;
+  if (parser.parse(padded).get(doc) || doc.get(o)) return fault(400, "closure is no JSON object");
+  json::Reader r;
+  ClosureCall c;
+  r.text(o, "place", c.place, true);
+  r.text(o, "note", c.note);
+  r.whole(o, "share", c.share);
+  r.flag(o, "doorsShut", c.doorsShut);
+  r.flag(o, "open", c.open);
+  r.flag(o, "force", c.force);
+  r.num(o, "calmBelowPerS", c.calmBelowPerS);
+  if (c.share < 0 || c.share > 100) r.blame("no percentage in", "share");
+  if (!r.wrong.empty()) return fault(400, "closure: " + r.wrong);
+  return c;
+}
 std::string quoteJson(std::string_view s) {
   std::string out = "\"";
   for (char c : s) {
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -270,6 +270,7 @@
       r.term = order_->term();
       r.ok = order_->claimed(now);
       r.num = order_->released();
+      if (!m.load.empty()) loads_[m.from] = {m.load, now};
       if (r.ok && m.flag) {
         r.grants = quota_.draw(now, m.from, m.grants, m.holds, cfg_.get());
       }
@@ -400,6 +401,38 @@
   auto t = std::make_shared<asio::steady_timer>(Quay::get().io(), 400ms);
   t->async_wait([t, done](Ec) { done(); });
 }
+double Core::perS() const {
+  double n = 0;
+  for (auto& [t, l] : loads_)
+    if (Clock::now() - l.at < 5s)
+      for (auto& g : l.places)
+        if (g.label.empty()) n += g.rate;
+  return n;
+}
+std::string Core::sequencerControl() const {
+  const auto seq = order_->sequencer();
+  if (seq.empty() || seq == order_->self()) return {};
+  return ipOf(seq) + s_.controlAddr.substr(s_.controlAddr.rfind(':'));
+}
+std::string Core::closuresJson() const {
+  std::string s = "{\"requestsPerS\":" + std::to_string(perS()) + ",\"closures\":[";
+  bool first = true;
+  for (auto& c : copy_.state().closures) {
+    double runners = 0, pilots = 0;
+    int heard = 0;
+    for (auto& [t, l] : loads_)
+      if (Clock::now() - l.at < 5s) {
+        ++heard;
+        for (auto& g : l.places)
+          if (g.label == c.place) runners += g.rate, pilots += g.burst;
+      }
+    s += (std::exchange(first, false) ? "" : ",") + ("{\"place\":" + quoteJson(c.place)) + ",\"note\":" + quoteJson(c.note) +
+         ",\"share\":" + std::to_string(c.share) + ",\"doorsShut\":" + (c.doorsShut ? "true" : "false") +
+         ",\"atItsRunners\":" + std::to_string(static_cast<int>(runners)) +
+         ",\"atItsPilots\":" + std::to_string(static_cast<int>(pilots)) + ",\"nodesHeard\":" + std::to_string(heard) + "}";
+  }
+  return s + "]}";
+}
 std::string Core::statusJson() const {
   const auto now = Clock::now();
   static const char* duties[] = {"learner", "follower", "candidate", "sequencer"};
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -24,6 +24,9 @@
   void reread(Settings s);
   void leave(std::function<void()> done);
   std::string statusJson() const;
+  std::string closuresJson() const;
+  double perS() const;                     // requests a second over all pilots heard from
+  std::string sequencerControl() const;    // empty: unknown, or it is us
   const Settings& settings() const { return s_; }
 
  private:
@@ -65,6 +68,11 @@
   std::map<std::string, Tender> tenders_;
   std::map<std::string, std::vector<Write*>> writes_;
   std::map<std::int64_t, Read*> reads_;
+  struct Load {
+    std::vector<Grant> places;
+    Instant at;
+  };
+  std::map<std::string, Load> loads_;  // by tender
   std::map<std::string, Instant> beats_;
   std::vector<std::string> beatsToTell_;
   std::int64_t opNo_ = 0, nonce_ = 0, sinceCompact_ = 0;
--- a/libs/harbourmaster/src/harbourmaster.cpp
+++ b/libs/harbourmaster/src/harbourmaster.cpp
@@ -15,14 +15,15 @@
 struct Said {
   int status = 200;
   std::string body = "{}";
+  std::string heads;
 };
-Said declined(int status, std::string_view why) { return {status, jsonError(why)}; }
+Said declined(int status, std::string_view why) { return {status, jsonError(why), status == 503 ? "Retry-After: 0.2\r\n" : ""}; }
 
 Said onBeat(Core& core, const std::string& id, const std::string& body, const std::string& uri) {
   auto beat = parseBeat(id, body);
   if (!beat) return declined(beat.error().code, beat.error().text);
   const auto& copy = core.copy();
-  const Said fine{200, "{\"heartbeatUri\":" + quoteJson(uri) + "}"};
+  const Said fine{200, "{\"heartbeatUri\":" + quoteJson(uri) + "}", ""};
   core.beat(id);
   if (copy.isGone(id)) return fine;
   const auto* known = copy.runner(id);
@@ -65,16 +66,39 @@
     base = base * 10 + (c - '0');
   }
   const auto stamp = (*cfg)->stamp;
-  if (core.copy().judge(base, stamp, digestOf(body)) == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}"};
+  if (core.copy().judge(base, stamp, digestOf(body)) == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}", ""};
   auto v = core.write(configurationOp(base, stamp, body, core.opId()), kConfigWait);
   if (!v) return declined(503, v.error().text);
-  if (*v == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}"};
+  if (*v == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}", ""};
   return declined(*v, *v == 412 ? "another configuration is in place" : "configVersion is not above the current one");
 }
 Said onRetrieve(Core& core) {
   if (auto f = core.fresh(900ms); !f) return declined(503, f.error().text);
   if (core.copy().state().configuration.empty()) return declined(404, "no configuration yet");
-  return {200, core.copy().state().configuration};
+  return {200, core.copy().state().configuration, ""};
+}
+// Closing a place: only the sequencer hears how busy the fleet is, so it alone decides.
+Said onClosure(Core& core, const std::string& path, const std::string* body) {
+  if (const auto there = core.sequencerControl(); !there.empty())
+    return {307, "{}", "Location: http://" + there + path + "\r\n"};
+  if (auto f = core.fresh(500ms); !f) return declined(503, f.error().text);
+  if (!body) return {200, core.closuresJson()};
+  auto c = parseClosure(*body);
+  if (!c) return declined(c.error().code, c.error().text);
+  const auto& places = core.settings().zones;
+  if (std::none_of(places.begin(), places.end(), [&](auto& z) { return z.first == c->place || z.second == c->place; }))
+    return declined(400, "no zone or region '" + c->place + "'");
+  const auto& old = core.copy().state().closures;
+  const auto was = std::find_if(old.begin(), old.end(), [&](auto& x) { return x.place == c->place; });
+  const bool further = was == old.end() ? c->share > 0 || c->doorsShut
+                                        : c->share > was->share || (c->doorsShut && !was->doorsShut);
+  // A move is kept clear of live play: while the fleet is busier than the operator allows, it goes no further.
+  if (further && !c->force && c->calmBelowPerS > 0 && core.perS() > c->calmBelowPerS)
+    return declined(409, "live play: " + std::to_string(static_cast<int>(core.perS())) + " requests a second");
+  if (c->doorsShut && c->share < 100) return declined(400, "doors are shut only once all new work keeps away (share 100)");
+  auto v = core.write(closureOp(Closure{c->place, c->note, c->share, c->doorsShut}, c->open, core.opId()), 2000ms);
+  if (!v) return declined(503, v.error().text);
+  return {200, core.closuresJson(), ""};
 }
 // One function a call, read top to bottom.
 Said answer(Core& core, const RequestParser::value_type& req, const std::string& uri) {
@@ -91,7 +115,9 @@
     return post ? onReplace(core, {b.data(), b.size()}, req.body()) : declined(405, "POST only");
   }
   if (path == "/v1/Configuration.Retrieve") return get ? onRetrieve(core) : declined(405, "GET only");
-  if (path == "/v1/Status") return get ? Said{200, core.statusJson()} : declined(405, "GET only");
+  if (path == "/v1/Closures.Set") return post ? onClosure(core, std::string(path), &req.body()) : declined(405, "POST only");
+  if (path == "/v1/Closures.List") return get ? onClosure(core, std::string(path), nullptr) : declined(405, "GET only");
+  if (path == "/v1/Status") return get ? Said{200, core.statusJson(), ""} : declined(405, "GET only");
   return declined(404, "no such call");
 }
 void serve(Core& core, tcp::socket s, const std::string& uri) {
@@ -112,7 +138,7 @@
     const auto said = answer(core, p.get(), uri);
     const bool keep = p.get().keep_alive();
     w.due(Clock::now() + 5s);
-    w.write(asio::buffer(plainAnswer(said.status, said.status == 503 ? "Retry-After: 0.2\r\n" : "", kJson, said.body, keep)), ec);
+    w.write(asio::buffer(plainAnswer(said.status, said.heads, kJson, said.body, keep)), ec);
     w.undue();
     if (ec || !keep) return;
   }
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -20,9 +20,10 @@
   Instant claimEnds{};
   Instant born = Clock::now();
   bool leaving = false;
+  bool doorsShut = false;  // this zone is being closed
   int aboard = 0;  // requests in work
   std::mt19937_64 rng;
-  std::uint64_t served = 0, declined = 0, goes = 0, cut = 0;
+  std::uint64_t served = 0, declined = 0, goes = 0, cut = 0, carried = 0;
   bool claimed(Instant now) const { return cfg && now < claimEnds; }
   // When a consumer that finds no claim here should come back.
   Span untilClaim(Instant now);
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -71,6 +71,7 @@
   unsent,       // no byte left for the runner
   notRun,       // the runner says that it did not run it
   broken,       // sent, and no whole answer: it may have run
+  moved,        // its runner's place is closing; the stream goes on elsewhere
   failed,       // the runner ran it and answered with a failure of its own
   consumerGone,
   timeUp,
@@ -106,6 +107,8 @@
   Instant arrived_, deadline_;
   std::int64_t unread_ = -1;
   int dock_ = -1;
+  bool prepaid_ = false, lastRunner_ = false;
+  const std::string* service_ = nullptr;
   bool keep_ = true, headSent_ = false, sentWhole_ = false;
   std::shared_ptr<Watch> watch_;
   EventScan scan_;
@@ -164,7 +167,7 @@
 bool Passage::carry() {
   arrived_ = now();
   cfg_ = wa_.cfg;
-  keep_ = req_.keep_alive() && !wa_.leaving;
+  keep_ = req_.keep_alive() && !wa_.leaving && !wa_.doorsShut;
   goId_ = std::string(field(req_, "X-Attempt-Id"));
 
   // Why first of all: without a fresh claim this copy may be older than a key that was taken away.
@@ -218,7 +221,9 @@
     if (!wa_.claimed(now())) break;
     const int dock = wa_.docks.choose(wish, now());
     if (dock < 0) break;
-    if (runners > 0 && !wa_.budget.spend(service.label)) break;
+    if (runners > 0 && !std::exchange(prepaid_, false) && !wa_.budget.spend(service.label)) break;
+    lastRunner_ = runners + 1 >= map_->maxAttempts;
+    service_ = &service.label;
     wish.not_.push_back(dock);
     ++wa_.goes;
     wa_.docks.went(dock, wish.promptTokens);
@@ -329,6 +334,7 @@
   if (stream) {
     const auto e = relayStream(*wire, buf, *ap, !headSent_);
     if (e == GoEnd::broken) return lost();
+    if (e == GoEnd::moved) ++wa_.carried;
     if (e != GoEnd::done) return e;
   } else {
     pump(*wire, buf, *ap, false, ec);
@@ -384,6 +390,12 @@
       body.clear();
     }
     if (ap.is_done()) break;
+    // A live session leaves a place that closes between two whole events, if the budget has a further go for it.
+    if (whole && wa_.docks.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() && wa_.budget.spend(*service_)) {
+      prepaid_ = true;
+      scan_.dropRest();
+      return GoEnd::moved;
+    }
     Ec ec;
     if (buf.size() > 0) {
       const auto n = ap.put(buf.data(), ec);
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -1,5 +1,7 @@
 #include "pilot/pilot.hpp"
 
+#include <set>
+
 #include "keel/lifecycle.hpp"
 #include "keel/ring.hpp"
 #include "log/queue.hpp"
@@ -78,6 +80,7 @@
         if (sub.ratePerS > 0) labels.push_back(sub.label);
     m.grants = wa_.quota.demand(labels, now);
     m.holds = wa_.quota.holds(now);
+    m.load = load(now);
     asked_[m.nonce] = now;
     while (asked_.size() > 16) asked_.erase(asked_.begin());
     mooring_->send(m);
@@ -89,7 +92,7 @@
         if (m.num <= queue_.applied()) return;  // never back in number
         if (auto r = copy_.restore(m.blob); !r) return ring::alarm("snapshot declined: " + r.error().text);
         queue_.restart(m.num);
-        adopt({true, true});
+        adopt({true, true, true});
       } else {
         for (auto& e : m.entries) queue_.offer(std::move(e));
       }
@@ -99,6 +102,7 @@
         const auto c = copy_.apply(*e);
         all.configuration |= c.configuration;
         all.runners |= c.runners;
+        all.closures |= c.closures;
       }
       adopt(all);
       settleClaim(now);
@@ -124,6 +128,7 @@
   }
   void adopt(Copy::Change c) {
     if (c.runners) wa_.docks.follow(copy_.state().runners);
+    if (c.closures) adoptClosures();
     if (!c.configuration || copy_.state().configuration.empty()) return;
     // Built aside and swapped: requests under way keep the table they began with.
     auto cfg = parseConfiguration(copy_.state().configuration);
@@ -131,6 +136,41 @@
     wa_.cfg = *cfg;
     challenge();
   }
+  std::set<std::string> zonesOf(const std::string& place) const {
+    std::set<std::string> out;
+    for (auto& [zone, region] : s_.zones)
+      if (zone == place || region == place) out.insert(zone);
+    return out;
+  }
+  void adoptClosures() {
+    std::map<std::string, Docks::Closing> zones;
+    for (auto& c : copy_.state().closures)
+      for (auto& z : zonesOf(c.place)) {
+        auto& x = zones[z];
+        x.share = std::max(x.share, static_cast<int>(c.share));
+        x.carryOver = x.carryOver || c.doorsShut;
+      }
+    const auto mine = zones.find(s_.zone);
+    wa_.doorsShut = mine != zones.end() && mine->second.carryOver;
+    wa_.docks.close(std::move(zones));
+  }
+  // What the core tells operators of a closing place's progress, and how busy the fleet is.
+  std::vector<Grant> load(Instant now) {
+    std::vector<Grant> out;
+    const double s = std::max(0.05, std::chrono::duration<double>(now - loadAt_).count());
+    const auto all = wa_.served + wa_.declined;
+    if (now - loadAt_ > 900ms) {
+      perS_ = static_cast<double>(all - loadCount_) / s;
+      loadAt_ = now;
+      loadCount_ = all;
+    }
+    out.push_back({"", perS_, 0});
+    for (auto& c : copy_.state().closures) {
+      const auto zones = zonesOf(c.place);
+      out.push_back({c.place, static_cast<double>(wa_.docks.inFlightIn(zones)), zones.count(s_.zone) ? wa_.aboard * 1.0 : 0.0});
+    }
+    return out;
+  }
   void serveReadiness(tcp::socket sock) {
     Wire w(std::move(sock));
     Buffer buf;
@@ -139,7 +179,7 @@
       const auto r = readRequest(w, buf, p, {});
       if (r.end != ReadEnd::whole) return;
       const bool known = p.get().target() == "/v1/readiness";
-      const bool ready = wa_.claimed(Clock::now()) && !wa_.leaving;
+      const bool ready = wa_.claimed(Clock::now()) && !wa_.leaving && !wa_.doorsShut;
       const bool keep = p.get().keep_alive();
       Ec ec;
       w.write(asio::buffer(plainAnswer(!known ? 404 : ready ? 200 : 503, "", "application/json",
@@ -157,6 +197,9 @@
   std::map<std::int64_t, Instant> asked_;
   std::int64_t nonce_ = 0, pendingNum_ = 0;
   Instant pendingEnd_{};
+  Instant loadAt_ = Clock::now();
+  std::uint64_t loadCount_ = 0;
+  double perS_ = 0;
   Span claimSpan_;
 };
 }  // namespace
--- a/libs/registry/include/registry/copy.hpp
+++ b/libs/registry/include/registry/copy.hpp
@@ -31,6 +31,16 @@
     v("opId", opId), v("verdict", verdict);
   }
 };
+// A zone or region that is being closed for maintenance.
+struct Closure {
+  std::string place, note;
+  std::int32_t share = 0;   // percent of new work that keeps away from its runners
+  bool doorsShut = false;   // its pilots take no new consumers; live sessions that may be resumed are carried over
+  template <class V>
+  void fields(V& v) {
+    v("place", place), v("note", note), v("share", share), v("doorsShut", doorsShut);
+  }
+};
 struct CopyState {
   std::int64_t num = 0, term = 0, stamp = 0;
   std::string configuration, digest;
@@ -38,16 +48,17 @@
   std::vector<Runner> runners;
   std::vector<std::string> gone;
   std::vector<Done> done;
+  std::vector<Closure> closures;
   template <class V>
   void fields(V& v) {
     v("num", num), v("term", term), v("stamp", stamp), v("configuration", configuration), v("digest", digest);
-    v("taken", taken), v("runners", runners), v("gone", gone), v("done", done);
+    v("taken", taken), v("runners", runners), v("gone", gone), v("done", done), v("closures", closures);
   }
 };
 class Copy {
  public:
   struct Change {
-    bool configuration = false, runners = false;
+    bool configuration = false, runners = false, closures = false;
   };
   // Applies the next write. Every copy decides alike, so all agree without a word.
   Change apply(const Entry& e);
@@ -64,5 +75,7 @@
   CopyState s_;
 };
 Entry configurationOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId);
+// open: the place is in use again, nothing is left of the closure.
+Entry closureOp(const Closure& c, bool open, std::string opId);
 Entry runnerOp(const Runner& r, std::string opId);
 }  // namespace zc
--- a/libs/registry/src/copy.cpp
+++ b/libs/registry/src/copy.cpp
@@ -40,6 +40,12 @@
       c.configuration = true;
       verdict = 200;
     }
+  } else if (e.op() == OpKind::closure) {
+    if (auto x = avro::decode<Closure>(e.blob)) {
+      std::erase_if(s_.closures, [&](auto& o) { return o.place == x->place; });
+      if (e.base == 0) s_.closures.push_back(std::move(*x));
+      c.closures = true;
+    }
   } else if (e.op() == OpKind::runner) {
     if (auto r = avro::decode<Runner>(e.blob)) {
       const auto it = std::find_if(s_.runners.begin(), s_.runners.end(), [&](auto& x) { return x.id == r->id; });
@@ -101,6 +107,14 @@
   e.opId = std::move(opId) + "@" + std::to_string(stamp);
   return e;
 }
+Entry closureOp(const Closure& c, bool open, std::string opId) {
+  Entry e;
+  e.kind = static_cast<std::int32_t>(OpKind::closure);
+  e.base = open ? 1 : 0;
+  e.blob = avro::encode(c);
+  e.opId = std::move(opId);
+  return e;
+}
 Entry runnerOp(const Runner& r, std::string opId) {
   Entry e;
   e.kind = static_cast<std::int32_t>(OpKind::runner);
--- a/libs/signal/include/signal/messages.hpp
+++ b/libs/signal/include/signal/messages.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include "keel/common.hpp"
 namespace zc {
-enum class OpKind : std::int32_t { takeOver = 0, configuration = 1, runner = 2, members = 3 };
+enum class OpKind : std::int32_t { takeOver = 0, configuration = 1, runner = 2, members = 3, closure = 4 };
 
 // One numbered write: the operation and its parameters.
 struct Entry {
@@ -41,13 +41,14 @@
   std::vector<std::string> names;  // members
   std::vector<std::string> view;   // a shuffled part of the sender's partial view
   std::vector<Grant> grants;       // asked: the demand; answered: the shares
+  std::vector<Grant> load;         // asked: a place that closes, requests at its runners, requests at its pilots
   std::vector<Grant> holds;        // asked: what the asker still holds
   std::string blob;
   template <class V>
   void fields(V& v) {
     v("kind", kind), v("from", from), v("who", who), v("term", term), v("num", num), v("prevTerm", prevTerm);
     v("commit", commit), v("nonce", nonce), v("ok", ok), v("flag", flag), v("entries", entries);
-    v("names", names), v("view", view), v("grants", grants), v("holds", holds), v("blob", blob);
+    v("names", names), v("view", view), v("grants", grants), v("holds", holds), v("load", load), v("blob", blob);
   }
   Kind what() const { return static_cast<Kind>(kind); }
 };
