--- a/libs/almanac/src/runbook.cpp
+++ b/libs/almanac/src/runbook.cpp
@@ -106,7 +106,7 @@
   std::string word, name;
   for (std::string line; std::getline(in, line);) {
     std::istringstream l(line);
-    if (l >> word >> name && word == "param") out[name.substr(0, name.find('='))] = "sample";
+    if (l >> word >> name && word == "param" && name.find('=') == std::string::npos) out[name] = "sample";
   }
   return out;
 }
--- /dev/null
+++ b/tests/almanac_test.cpp
@@ -0,0 +1,110 @@
+// Runbooks: read whole, run step by step, stopped by what is not seen.
+#include <gtest/gtest.h>
+
+#include "almanac/runbook.hpp"
+#include "charter/settings.hpp"
+#include "registry/copy.hpp"
+
+using namespace zc;
+namespace {
+const std::string kBook = "title T\nparam core x\nparam who someone\nstep look\nget /v1/Status\nexpect any node == {who}\nstep change\npost /v1/Set {\"a\":\"{who}\"}\nexpect any status == 200\n";
+struct Stage {
+  std::vector<std::string> printed, called;
+  std::string answer = "{\"node\":\"n1\",\"runners\":[{\"id\":\"r.1\",\"state\":\"draining\"}],\"claimed\":true}";
+  int status = 200;
+  Instant clock{100s};
+  RunbookPorts ports() {
+    RunbookPorts p;
+    p.any = [this](const Call& c) -> Outcome<Called> {
+      called.push_back(c.method + " " + c.path + " " + c.body);
+      return Called{status, answer, "x"};
+    };
+    p.all = [this](const Call& c) {
+      called.push_back("all " + c.path);
+      return std::vector<Outcome<Called>>{Called{200, answer, "x"}, fault(0, "no answer")};
+    };
+    p.pause = [this](Span d) { clock += d; };
+    p.print = [this](const std::string& s) { printed.push_back(s); };
+    p.now = [this] { return clock; };
+    return p;
+  }
+};
+}  // namespace
+TEST(Runbook, RunsItsStepsWhileTheObservationsAreMet) {
+  auto b = parseRunbook(kBook, {{"who", "n1"}});
+  ASSERT_TRUE(b) << b.error().text;
+  Stage s;
+  EXPECT_EQ(runRunbook(*b, s.ports(), false), 0);
+  ASSERT_EQ(s.called.size(), 2u);
+  EXPECT_EQ(s.called[1], "POST /v1/Set {\"a\":\"n1\"}");
+}
+TEST(Runbook, StopsAtWhatWasNotSeenAndSaysSo) {
+  auto b = parseRunbook(kBook, {{"who", "n2"}});
+  ASSERT_TRUE(b);
+  Stage s;
+  EXPECT_EQ(runRunbook(*b, s.ports(), false), 1);
+  EXPECT_EQ(s.called.size(), 1u) << "nothing after it was done";
+  std::string all;
+  for (auto& p : s.printed) all += p + "\n";
+  EXPECT_NE(all.find("wanted node == n2, saw n1"), std::string::npos) << all;
+}
+TEST(Runbook, ADryRunCallsNothing) {
+  auto b = parseRunbook(kBook, {{"who", "n2"}});
+  Stage s;
+  EXPECT_EQ(runRunbook(*b, s.ports(), true), 0);
+  EXPECT_TRUE(s.called.empty());
+}
+TEST(Runbook, AwaitAsksAgainUntilItsTime) {
+  auto b = parseRunbook("step x\ngetall /v1/Status\nawait 3 all claimed == true\n", {});
+  ASSERT_TRUE(b) << b.error().text;
+  Stage s;
+  EXPECT_EQ(runRunbook(*b, s.ports(), false), 1) << "one node never answers";
+  EXPECT_GT(s.called.size(), 8u);
+  EXPECT_GE(s.clock, Instant{103s});
+}
+TEST(Runbook, WhatIsNotUnderstoodIsNamedBeforeAnythingRuns) {
+  for (auto bad : {"step x\nfrobnicate\n", "step x\nexpect any a == b\n", "step x\nget v1\n", "step {nobody}\n", "",
+                   "step x\nget /a\nexpect a ~ b\n", "step x\nget /a\nawait x any a == b\n"})
+    EXPECT_FALSE(parseRunbook(bad, {})) << bad;
+}
+TEST(Runbook, ThoseThatComeWithTheProgramAreWhole) {
+  for (auto name : {"replace-core", "drain-runner", "why-not-ready", "revoke-key", "roll-version", "close-zone", "open-zone"}) {
+    auto text = readFile("runbooks/" + std::string(name) + ".run");
+    ASSERT_TRUE(text) << name;
+    auto b = parseRunbook(*text, sampleValues(*text));
+    EXPECT_TRUE(b) << name << ": " << (b ? "" : b.error().text);
+  }
+}
+TEST(Observation, FieldsOfAnAnswer) {
+  const std::string j = R"({"a":{"b":[1,2,3]},"l":[{"id":"x.y","n":4},{"id":"z"}],"t":true})";
+  EXPECT_EQ(fieldOf(j, "a.b#"), "3");
+  EXPECT_EQ(fieldOf(j, "l[id=x.y].n"), "4");
+  EXPECT_EQ(fieldOf(j, "t"), "true");
+  EXPECT_EQ(fieldOf(j, "l[id=q].n"), std::nullopt);
+  EXPECT_EQ(fieldOf("nonsense", "t"), std::nullopt);
+  auto o = parseObservation("one t == true");
+  ASSERT_TRUE(o);
+  EXPECT_TRUE(meets(*o, {j, "{}"}));
+  EXPECT_FALSE(meets(*o, {j, j}));
+}
+TEST(Closure, IsNumberedStateLikeTheRest) {
+  Copy c;
+  auto put = [&, n = 0](Entry e) mutable {
+    e.num = ++n;
+    return c.apply(e);
+  };
+  EXPECT_TRUE(put(closureOp({"za", "sunday", 25, false}, false, "1")).closures);
+  put(closureOp({"za", "sunday", 100, true}, false, "2"));
+  ASSERT_EQ(c.state().closures.size(), 1u);
+  EXPECT_EQ(c.state().closures[0].share, 100);
+  Copy d;
+  ASSERT_TRUE(d.restore(c.snapshot()));
+  EXPECT_TRUE(d.state().closures[0].doorsShut);
+  put(closureOp({"za", "", 0, false}, true, "3"));
+  EXPECT_TRUE(c.state().closures.empty());
+}
+TEST(Closure, CallsAreChecked) {
+  EXPECT_TRUE(parseClosure(R"({"place":"za","share":50,"calmBelowPerS":20})"));
+  for (auto bad : {"{", "[]", "{}", R"({"place":"za","share":101})", R"({"place":"za","share":-1})", R"({"place":7})", R"({"place":"z","doorsShut":"yes"})"})
+    EXPECT_FALSE(parseClosure(bad)) << bad;
+}
--- /dev/null
+++ b/tests/standins.hpp
@@ -0,0 +1,162 @@
+// Stand-ins for consumers and runners on loopback, around the proxy's own code.
+#pragma once
+#include <gtest/gtest.h>
+
+#include "events.hpp"
+#include "passage/passage.hpp"
+
+namespace zc::standin {
+// A runner that does what a test tells it, one wire at a time.
+struct StandIn {
+  std::string id, service = "s";
+  std::shared_ptr<tcp::acceptor> acc;
+  std::vector<std::string> got;  // requests as they came, whole
+  std::function<void(StandIn&, Wire&, const std::string&, const std::string&)> act;  // wire, attempt id, request
+  int wires = 0;
+  std::string address() const { return "127.0.0.1:" + std::to_string(acc->local_endpoint().port()); }
+};
+inline void say(Wire& w, const std::string& s) {
+  Ec ec;
+  w.write(asio::buffer(s), ec);
+}
+inline std::string whole(const std::string& attempt, const std::string& body, int status = 200, const std::string& more = {}) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: seal-1\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string chunk(const std::string& s) {
+  char b[20];
+  std::snprintf(b, sizeof b, "%zx\r\n", s.size());
+  return b + s + "\r\n";
+}
+inline std::string streamHead(const std::string& attempt, const std::string& seal = "seal-1") {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + seal +
+         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n"; }
+
+inline void runStandIn(const std::shared_ptr<StandIn>& r) {
+  r->acc = std::make_shared<tcp::acceptor>(Quay::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  auto go = std::make_shared<std::function<void()>>();
+  *go = [r, go] {
+    r->acc->async_accept([r, go](Ec ec, tcp::socket s) {
+      if (ec) return;
+      ++r->wires;
+      auto held = std::make_shared<tcp::socket>(std::move(s));
+      Quay::get().launch([r, held] {
+        Wire w(std::move(*held));
+        Buffer buf;
+        for (;;) {
+          RequestParser p;
+          if (readRequest(w, buf, p, {}).end != ReadEnd::whole) return;
+          auto& q = p.get();
+          std::string text = std::string(q.method_string()) + " " + std::string(q.target()) + "\n";
+          for (auto& f : q) text += std::string(f.name_string()) + ": " + std::string(f.value()) + "\n";
+          text += "\n" + q.body();
+          r->got.push_back(text);
+          r->act(*r, w, std::string(q["X-Attempt-Id"]), text);
+          if (!w.sock().is_open()) return;
+        }
+      });
+      (*go)();
+    });
+  };
+  (*go)();
+}
+struct Harbour {
+  Waters wa;
+  std::vector<std::shared_ptr<StandIn>> runners;
+  std::shared_ptr<tcp::acceptor> door;
+  Harbour() {
+    wa.cfg = *parseConfiguration(R"({"configVersion":7,"routeTable":[
+      {"label":"safe","authority":"h.example","pathPrefix":"/safe/","routeType":"safe","expiryMs":900,"targetLatencyMs":300,"targetService":"s","maxAttempts":2},
+      {"label":"once","authority":"h.example","pathPrefix":"/once/","routeType":"unsafe","expiryMs":900,"targetLatencyMs":300,"targetService":"s","maxAttempts":3},
+      {"label":"stream","authority":"h.example","pathPrefix":"/stream/","routeType":"stream","expiryMs":900,"targetLatencyMs":300,"targetService":"s","maxAttempts":2},
+      {"label":"resume","authority":"h.example","pathPrefix":"/resume/","routeType":"stream","streamResume":true,"expiryMs":900,"targetLatencyMs":300,"targetService":"s","maxAttempts":2},
+      {"label":"open","authority":"h.example","pathPrefix":"/open/","routeType":"safe","expiryMs":900,"targetService":"s","keyless":true}],
+      "serviceTable":[{"label":"s"}],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":3000,"headerTimerMs":200,"idleTimerMs":2000},
+      "subscribers":[{"label":"tina","accessKeys":["key1"]}]})");
+    wa.claimEnds = Clock::now() + 60s;
+    wa.zone = "z";
+    door = std::make_shared<tcp::acceptor>(Quay::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    take();
+  }
+  void take() {
+    door->async_accept([this](Ec ec, tcp::socket s) {
+      if (ec) return;
+      auto held = std::make_shared<tcp::socket>(std::move(s));
+      Quay::get().launch([this, held] { serveConsumer(wa, std::move(*held)); });
+      take();
+    });
+  }
+  std::shared_ptr<StandIn> runner(const std::string& id, decltype(StandIn::act) act) {
+    auto r = std::make_shared<StandIn>();
+    r->id = id;
+    r->act = std::move(act);
+    runStandIn(r);
+    runners.push_back(r);
+    follow();
+    return r;
+  }
+  void follow() {
+    std::vector<Runner> rs;
+    for (auto& r : runners) rs.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
+    wa.docks.follow(rs);
+  }
+  std::unique_ptr<Wire> dial() {
+    auto w = std::make_unique<Wire>();
+    Ec ec;
+    w->connect(door->local_endpoint(), ec);
+    EXPECT_FALSE(ec);
+    return w;
+  }
+};
+struct Answer {
+  int status = 0;
+  std::string body;
+  bool wholeBody = false, chunked = false;
+  std::map<std::string, std::string> heads;
+};
+inline Answer hear(Wire& w, Buffer& buf) {
+  Answer a;
+  http::response_parser<http::string_body> p;
+  p.eager(true);
+  Ec ec;
+  w.due(Clock::now() + 5s);
+  pump(w, buf, p, false, ec);
+  w.undue();
+  if (p.is_header_done()) {
+    a.status = static_cast<int>(p.get().result_int());
+    for (auto& f : p.get()) a.heads[std::string(f.name_string())] = std::string(f.value());
+    a.chunked = p.chunked();
+  }
+  a.body = p.get().body();
+  a.wholeBody = !ec && p.is_done();
+  return a;
+}
+inline std::string ask(const std::string& path, const std::string& attempt = "a1", const std::string& more = {}, const std::string& body = {},
+                const std::string& key = "key1") {
+  return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + attempt + "\r\n" +
+         (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline Answer once(Harbour& h, const std::string& request) {
+  auto w = h.dial();
+  Buffer b;
+  say(*w, request);
+  return hear(*w, b);
+}
+template <class F>
+void inHarbour(F f) {
+  bool ended = false;
+  Quay::get().launch([&] {
+    auto h = std::make_shared<Harbour>();
+    f(*h);
+    static std::vector<std::shared_ptr<Harbour>> kept;  // its fibers may still refer to it
+    kept.push_back(h);
+    ended = true;
+    Quay::get().stop();
+  });
+  Quay::get().run();
+  EXPECT_TRUE(ended);
+}
+const auto answers = [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "body of " + id)); };
+}  // namespace zc::standin
