--- /dev/null
+++ b/libs/berth/src/allow.cpp
@@ -0,0 +1,43 @@
+#include "berth/allow.hpp"
+
+namespace zc {
+namespace {
+constexpr auto kTurn = 150ms;
+constexpr int kFew = 6;           // fewer answers than this say nothing
+constexpr double kStormy = 0.5;   // this share late: more are declined
+constexpr double kCalm = 0.25;    // this share late: fewer
+constexpr double kUp = 0.12, kDown = 0.03, kMost = 0.75;
+}  // namespace
+void Allowance::turn(Sea& s, Instant now) {
+  if (now - s.at < kTurn) return;
+  // Why slowly down: whoever was declined comes back.
+  if (s.all >= kFew) {
+    const double share = static_cast<double>(s.late) / s.all;
+    if (share > kStormy) s.level = std::min(1.0, s.level + kUp);
+    else if (share < kCalm) s.level = std::max(0.0, s.level - kDown);
+    s.late = s.all = 0;
+    s.at = now;
+  } else if (now - s.at > 4 * kTurn) {
+    s.level = std::max(0.0, s.level - kDown);
+    s.late = s.all = 0;
+    s.at = now;
+  }
+}
+void Allowance::first(const std::string& service, bool late, Instant now) {
+  auto& s = seas_[service];
+  ++s.all;
+  s.late += late;
+  turn(s, now);
+}
+bool Allowance::allows(const std::string& service, int precedence, double draw, Instant now) {
+  auto& s = seas_[service];
+  turn(s, now);
+  if (s.level <= 0) return true;
+  const double p = std::min(kMost, s.level * (0.6 + 0.2 * std::clamp(precedence, 0, 4)));
+  return draw >= p;
+}
+double Allowance::level(const std::string& service) const {
+  const auto it = seas_.find(service);
+  return it == seas_.end() ? 0 : it->second.level;
+}
+}  // namespace zc
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -1,5 +1,6 @@
 // One request from its consumer to a runner and back.
 #pragma once
+#include "berth/allow.hpp"
 #include "berth/budget.hpp"
 #include "berth/docks.hpp"
 #include "berth/quota.hpp"
@@ -14,6 +15,7 @@
   Pool pool;
   Budget budget{0.15, 2, 12};
   QuotaStash quota;
+  Allowance allowance;
   std::function<void()> draw = [] {};  // asks for tokens at once
   std::vector<Waiter*> thirsty;        // requests that wait for tokens
   std::string zone;
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -95,6 +95,7 @@
     if (unread_ < 0) return;
     wa_.docks.read(dock_, unread_);
     unread_ = -1;
+    if (map_->aim > Span(0)) wa_.allowance.first(*service_, now() - arrived_ > map_->aim, now());
   }
 
   Waters& wa_;
@@ -187,14 +188,17 @@
     subscriber_ = sub->label;
     if (sub->precedence >= 0) precedence_ = sub->precedence;
   }
-  if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label, now()), "over quota");
-
-  const auto asked = number(field(req_, "X-Deadline-Ms"), map_->expiry.count());
-  deadline_ = arrived_ + std::min(Span(asked), map_->expiry);
   std::uint64_t draw = map_->shareSum > 1 ? wa_.rng() % map_->shareSum : 0;
   std::size_t ti = 0;
   while (ti + 1 < map_->targets.size() && draw >= map_->targets[ti].share) draw -= map_->targets[ti++].share;
   const auto& service = cfg_->services[static_cast<std::size_t>(map_->targets[ti].service)];
+  // Why before the quota: what is declined here must not cost a token.
+  if (!wa_.allowance.allows(service.label, precedence_, static_cast<double>(wa_.rng() % 1000) / 1000, arrived_))
+    return answer(503, Span(400 + static_cast<std::int64_t>(wa_.rng() % 900)), "overloaded");
+  if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label, now()), "over quota");
+
+  const auto asked = number(field(req_, "X-Deadline-Ms"), map_->expiry.count());
+  deadline_ = arrived_ + std::min(Span(asked), map_->expiry);
   wa_.budget.earn(service.label);
 
   WatchGuard guard(consumer_);
--- a/tests/berth_test.cpp
+++ b/tests/berth_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "berth/allow.hpp"
 #include "berth/budget.hpp"
 #include "berth/docks.hpp"
 #include "berth/quota.hpp"
@@ -184,3 +185,32 @@
   EXPECT_EQ(promptOf("aa:5").shared, 0);
   EXPECT_EQ(promptOf("nonsense,,:x").shared, 0);
 }
+
+TEST(Allowance, CalmSeasDeclineNobodyStormyOnesTheLessUrgentFirst) {
+  Allowance a;
+  Instant now{100s};
+  for (int i = 0; i < 400; ++i, now += 10ms) {
+    a.first("s", i % 3 == 0, now);
+    ASSERT_TRUE(a.allows("s", 4, 0.0, now)) << "a third late is no storm";
+  }
+  for (int i = 0; i < 400; ++i, now += 10ms) a.first("s", true, now);
+  int urgent = 0, other = 0;
+  for (int i = 0; i < 1000; ++i) {
+    urgent += a.allows("s", 0, i / 1000.0, now);
+    other += a.allows("s", 4, i / 1000.0, now);
+  }
+  EXPECT_LT(urgent, 1000);
+  EXPECT_GT(urgent, other);
+  EXPECT_GE(other, 250) << "nobody is shut out";
+  EXPECT_TRUE(a.allows("another", 4, 0.0, now)) << "each service for itself";
+  for (int i = 0; i < 2000; ++i, now += 10ms) a.first("s", false, now);
+  EXPECT_DOUBLE_EQ(a.level("s"), 0);
+}
+TEST(Allowance, SilenceEndsAStorm) {
+  Allowance a;
+  Instant now{100s};
+  for (int i = 0; i < 300; ++i, now += 10ms) a.first("s", true, now);
+  EXPECT_GT(a.level("s"), 0);
+  for (int i = 0; i < 60; ++i, now += 1s) (void)a.allows("s", 4, 0.5, now);
+  EXPECT_DOUBLE_EQ(a.level("s"), 0);
+}
