--- a/libs/log/src/order.cpp
+++ b/libs/log/src/order.cpp
@@ -467,19 +467,24 @@
   std::size_t wanted() const { return foundedWith; }
 
   // --- the follower ---
-  void onPulse(Instant now, Msg& m) {
-    Msg r = msgOf(Kind::pulseAck);
-    if (m.term < term) {
-      r.term = term;
-      return send(m.from, r);
-    }
+  // Whoever speaks with the sequencer's voice in this term or a higher one is followed, and promised its claim.
+  bool heed(Instant now, const Msg& m) {
     if (m.term > term) adopt(now, m.term);
-    if (duty == Duty::sequencer) return;
+    if (duty == Duty::sequencer) return false;
     if (duty == Duty::candidate) setDuty(idleDuty());
     leader = m.from;
     leaderHeard = now;
     promised = now + p.claim;
     armElection(now);
+    return true;
+  }
+  void onPulse(Instant now, Msg& m) {
+    Msg r = msgOf(Kind::pulseAck);
+    if (m.term < term) {
+      r.term = term;
+      return send(m.from, r);
+    }
+    if (!heed(now, m)) return;
     r.term = term;
     r.nonce = m.nonce;
     if (snapMembers.empty()) {
@@ -542,18 +547,14 @@
     }
   }
   void onSnapshot(Instant now, Msg& m) {
-    if (m.term < term) return;
-    if (m.term > term) adopt(now, m.term);
-    if (duty == Duty::sequencer) return;
-    if (duty == Duty::candidate) setDuty(idleDuty());
-    leader = m.from;
-    leaderHeard = now;
-    promised = now + p.claim;
-    armElection(now);
-    if (m.num <= released && !snapMembers.empty()) {
+    if (m.term < term || !heed(now, m)) return;
+    // Why the log stays where it agrees: what lies above the snapshot may have been counted on already.
+    const bool agrees = m.num <= lastNum() && termAt(m.num) == m.prevTerm;
+    if (!snapMembers.empty() && (m.num <= released || agrees)) {
       Msg r = msgOf(Kind::pulseAck);
       r.term = term;
-      matched = std::max(matched, released);
+      matched = std::max(matched, std::max(released, m.num));
+      releaseTo(m.num);
       r.num = std::min(matched, durable);
       return send(m.from, r);
     }
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -24,6 +24,8 @@
   bool leaving = false;
   bool doorsShut = false;  // this zone is being closed
   int aboard = 0;  // requests in work
+  int consumers = 0, consumersMost = 1 << 20;        // wires; beyond the most, a new one is closed unread
+  std::size_t held = 0, heldMost = std::size_t{1} << 40;  // bytes of bodies in work; beyond the most, nothing new is read
   std::mt19937_64 rng;
   std::uint64_t served = 0, declined = 0, goes = 0, cut = 0, carried = 0;
   bool claimed(Instant now) const { return cfg && now < claimEnds; }
@@ -31,5 +33,7 @@
   Span untilClaim(Instant now);
 };
 // Serves a consumer's wire until it ends.
+// Called for each wire that was accepted: serves it, or closes it at once when there are too many.
+void takeConsumer(Waters& wa, tcp::socket s);
 void serveConsumer(Waters& wa, tcp::socket s);
 }  // namespace zc
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -439,6 +439,16 @@
   if (claimEnds == Instant{}) return std::max(Span(150), Span(800) - toSpan(now - born)) + spread;
   return Span(500) + spread;
 }
+void takeConsumer(Waters& wa, tcp::socket s) {
+  // Closed before anything was read: its consumer may try elsewhere, whatever it wanted.
+  if (wa.consumers >= wa.consumersMost) return;
+  ++wa.consumers;
+  auto held = std::make_shared<tcp::socket>(std::move(s));
+  Quay::get().launch([&wa, held] {
+    serveConsumer(wa, std::move(*held));
+    --wa.consumers;
+  });
+}
 void serveConsumer(Waters& wa, tcp::socket s) {
   Wire w(std::move(s));
   tune(w.sock());
@@ -453,6 +463,8 @@
       l.bodyTime = std::max(wa.cfg->limits.idleTimer, Span(5000));
     }
     if (wa.leaving) l.idle = std::min(l.idle, Span(300));
+    // Why wait here: what is not read yet stands in the consumer's own window and costs us nothing.
+    while (wa.held > wa.heldMost) Quay::get().pause(20ms);
     RequestParser p;
     const auto r = readRequest(w, buf, p, l);
     if (r.end == ReadEnd::closed) return;
@@ -468,7 +480,10 @@
       return;
     }
     ++wa.aboard;
+    const auto bytes = p.get().body().size();
+    wa.held += bytes;
     const bool more = Passage(wa, w, p).carry();
+    wa.held -= bytes;
     --wa.aboard;
     if (!more) return;
   }
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -23,6 +23,9 @@
     wa_.docks = Docks(drawSeed());
     // Why a margin: an answer is under way while the claim ends, and the far clocks are not ours.
     claimSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
+    // Of the descriptors 200 are not ours; a request may need one on either side.
+    if (s.fdLimit > 0) wa_.consumersMost = std::max(64, (s.fdLimit - 260) / 2);
+    if (s.memoryMb > 0) wa_.heldMost = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
     wa_.draw = [this] { challenge(); };
     wa_.budget = Budget(s.timers.retryRatio * 0.75, 1.5, s.timers.retrySlack * 0.05);
   }
@@ -41,10 +44,7 @@
           l->send(m);
           challenge();
         });
-    auto ok = listen(*access, [this](tcp::socket sock) {
-      auto held = std::make_shared<tcp::socket>(std::move(sock));
-      Quay::get().launch([this, held] { serveConsumer(wa_, std::move(*held)); });
-    });
+    auto ok = listen(*access, [this](tcp::socket sock) { takeConsumer(wa_, std::move(sock)); });
     if (!ok) return ok;
     ok = listen(*ready, [this](tcp::socket sock) {
       auto held = std::make_shared<tcp::socket>(std::move(sock));
--- a/tests/order_test.cpp
+++ b/tests/order_test.cpp
@@ -227,6 +227,42 @@
     checkEnd(w);
   }
 }
+// A snapshot may arrive late at a member whose log already reaches beyond it: that log was counted on.
+TEST(Order, ALateSnapshotTakesNothingBackThatWasSynced) {
+  const Instant now{100s};
+  Order o("10.1.0.1#0", OrderParams{}, 1, now);
+  o.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
+  auto settle = [&] {
+    for (auto acts = o.take(); !acts.empty(); acts = o.take())
+      for (auto& a : acts)
+        if (a.what == Action::What::keep) o.kept(now, a.ticket, true);
+  };
+  settle();
+  Msg p = msgOf(Kind::pulse);
+  p.from = "10.2.0.1#0";
+  p.term = 1;
+  for (int i = 1; i <= 5; ++i) {
+    Entry e;
+    e.num = i;
+    e.term = 1;
+    e.opId = std::to_string(i);
+    p.entries.push_back(e);
+  }
+  o.hear(now, p);
+  settle();
+  Msg s = msgOf(Kind::snapshot);
+  s.from = p.from;
+  s.term = 1;
+  s.num = 3;
+  s.prevTerm = 1;
+  s.nonce = 3;
+  s.names = o.members();
+  o.hear(now, s);
+  settle();
+  ASSERT_NE(o.at(5), nullptr) << "an entry that this member has acknowledged is gone";
+  EXPECT_EQ(o.at(5)->opId, "5");
+  EXPECT_EQ(o.released(), 3);
+}
 TEST(Order, HandOverMovesTheDutyAtOnce) {
   World w(5);
   bootAll(w);
--- a/tests/passage_test.cpp
+++ b/tests/passage_test.cpp
@@ -251,6 +251,37 @@
     EXPECT_EQ(once(h, ask("/once/x", "a1", "X-Deadline-Ms: 150\r\n")).status, 504);
   });
 }
+TEST(Passage, BeyondTheMostANewWireIsClosedUnread) {
+  inHarbour([](Harbour& h) {
+    h.runner("i-1", answers);
+    h.wa.consumersMost = 2;
+    auto a = h.dial(), b = h.dial();
+    Buffer ba, bc;
+    say(*a, ask("/safe/x", "a1"));
+    EXPECT_EQ(hear(*a, ba).status, 200);
+    auto c = h.dial();
+    say(*c, ask("/safe/x", "c1"));
+    EXPECT_EQ(hear(*c, bc).status, 0);
+    a->shut();
+    b->shut();
+    Quay::get().pause(20ms);
+    EXPECT_EQ(h.wa.consumers, 0);
+    EXPECT_EQ(once(h, ask("/safe/x", "a2")).status, 200);
+  });
+}
+TEST(Passage, WithMuchInWorkNothingNewIsRead) {
+  inHarbour([](Harbour& h) {
+    auto r = h.runner("i-1", answers);
+    h.wa.held = 2, h.wa.heldMost = 1;
+    auto w = h.dial();
+    Buffer b;
+    say(*w, ask("/safe/x", "a1"));
+    Quay::get().pause(60ms);
+    EXPECT_TRUE(r->got.empty());
+    h.wa.held = 0;
+    EXPECT_EQ(hear(*w, b).status, 200);
+  });
+}
 TEST(Events, WholeOnesAndTheLastId) {
   EventScan s;
   EXPECT_EQ(s.feed("id: 1\ndata: a\n"), "");
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -83,8 +83,7 @@
   void take() {
     door->async_accept([this](Ec ec, tcp::socket s) {
       if (ec) return;
-      auto held = std::make_shared<tcp::socket>(std::move(s));
-      Quay::get().launch([this, held] { serveConsumer(wa, std::move(*held)); });
+      takeConsumer(wa, std::move(s));
       take();
     });
   }
