--- a/libs/berth/include/berth/docks.hpp
+++ b/libs/berth/include/berth/docks.hpp
@@ -40,6 +40,7 @@
     bool carryOver = false;
   };
   void close(std::map<std::string, Closing> zones);
+  void regions(std::map<std::string, std::string> zoneToRegion) { regions_ = std::move(zoneToRegion); }
   int inFlightIn(const std::set<std::string>& zones) const;
   int choose(const Wish& w, Instant now);  // -1: none
   Dock& at(int i) { return docks_[static_cast<std::size_t>(i)]; }
@@ -57,7 +58,9 @@
   std::unordered_map<std::string, int> byId_;
   int chooseEngine(const Wish& w, const std::vector<int>& good, Instant now);
   int choosePlain(const Wish& w, const std::vector<int>& good, Instant now);
+  bool sameRegion(std::string_view a, std::string_view b) const;
   std::map<std::string, Closing> closing_;
+  std::map<std::string, std::string> regions_;
   std::mt19937_64 rng_;
   double meanPrompt_ = 1000;
 };
--- a/libs/berth/src/docks.cpp
+++ b/libs/berth/src/docks.cpp
@@ -7,6 +7,7 @@
 constexpr auto kSaidFor = 1500ms;  // older news of a load counts for nothing
 constexpr double kReadAgain = 4;   // how much dearer a part read again is than the same prompt waiting
 constexpr double kOtherZone = 700; // in tokens
+constexpr double kOtherRegion = 30000;  // in tokens: far away, so only when the near ones are clearly busy
 }
 void Docks::follow(const std::vector<Runner>& runners) {
   for (auto& d : docks_) d.present = false;
@@ -122,9 +123,14 @@
 int Docks::chooseEngine(const Wish& w, const std::vector<int>& good, Instant now) {
   int home = -1;
   std::uint64_t top = 0;
+  // A part's home is sought in the consumer's own region while that has a runner.
+  const bool near = std::any_of(good.begin(), good.end(), [&](int i) { return sameRegion(docks_[i].zone, w.zone); });
   if (w.affinity)
-    for (int i : good)
-      if (const auto r = hash64(docks_[i].id, w.affinity); home < 0 || r > top) home = i, top = r;
+    for (int i : good) {
+      if (near && !sameRegion(docks_[i].zone, w.zone)) continue;
+      const auto r = hash64(docks_[i].id, w.affinity);
+      if (home < 0 || r > top) home = i, top = r;
+    }
   int best = -1;
   double least = 0;
   for (int i : good) {
@@ -137,19 +143,24 @@
     if (full > 0.9) cost += 50000 * (full - 0.9) + 5000;
     if (i != home) cost += static_cast<double>(w.sharedTokens) * kReadAgain;
     // Bytes between zones count for little beside a part read again, but for something.
-    if (d.zone != w.zone) cost += kOtherZone;
+    if (d.zone != w.zone) cost += sameRegion(d.zone, w.zone) ? kOtherZone : kOtherRegion;
     cost += static_cast<double>(rng_() % 100);
     if (best < 0 || cost < least) best = i, least = cost;
   }
   return best;
 }
+bool Docks::sameRegion(std::string_view a, std::string_view b) const {
+  const auto x = regions_.find(std::string(a)), y = regions_.find(std::string(b));
+  // Zones that nobody has named are taken as near: a guess must not shut a runner out.
+  return x == regions_.end() || y == regions_.end() || x->second == y->second;
+}
 int Docks::choosePlain(const Wish& w, const std::vector<int>& good, Instant now) {
   int best = -1;
   double least = 0;
   for (int i : good) {
     double cost = load(i, now) + static_cast<double>(rng_() % 100) * 1e-4;
     // Why stay at home while it has room: the other zone is no faster then.
-    if (docks_[i].zone != w.zone) cost += 0.3;
+    if (docks_[i].zone != w.zone) cost += sameRegion(docks_[i].zone, w.zone) ? 0.3 : 1.0;
     if (best < 0 || cost < least) best = i, least = cost;
   }
   return best;
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -21,6 +21,7 @@
     wa_.zone = s.zone;
     wa_.rng.seed(drawSeed());
     wa_.docks = Docks(drawSeed());
+    wa_.docks.regions(s.zones);
     // Why a margin: an answer is under way while the claim ends, and the far clocks are not ours.
     claimSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
     // Of the descriptors 200 are not ours; a request may need one on either side.
--- a/tests/berth_test.cpp
+++ b/tests/berth_test.cpp
@@ -175,6 +175,21 @@
   d.follow({});
   EXPECT_EQ(d.choose(w, Instant{100s}), -1);
 }
+TEST(Docks, AnotherRegionIsForNeedOnly) {
+  Docks d(1);
+  d.regions({{"a1", "a"}, {"a2", "a"}, {"b1", "b"}});
+  d.follow({dock("r1", "a2"), dock("r2", "b1"), dock("r3", "b1")});
+  for (bool engine : {false, true})
+    for (int part = 1; part < 30; ++part) {
+      Wish w;
+      w.service = "s", w.zone = "a1", w.engine = engine, w.affinity = hash64(std::to_string(part)), w.sharedTokens = 2000;
+      EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r1");
+    }
+  d.follow({dock("r2", "b1")});
+  Wish w;
+  w.service = "s", w.zone = "a1", w.engine = true, w.affinity = 5, w.sharedTokens = 2000;
+  EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r2") << "far away is better than nowhere";
+}
 TEST(Docks, PromptPartsAreRead) {
   const auto p = promptOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
   EXPECT_EQ(p.all, 1460);
