--- a/libs/charter/src/settings.cpp
+++ b/libs/charter/src/settings.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "json.hpp"
+#include "keel/quay.hpp"
 
 namespace zc {
 Outcome<std::string> readFile(const std::string& path) {
@@ -63,6 +64,7 @@
     for (auto e : arr) {
       std::string_view v;
       if (e.get(v)) r.blame("no text in", "seedNodes");
+      else if (!parseEndpoint(v)) r.blame("no IP number and port in seedNodes:", v);
       else s.seeds.emplace_back(v);
     }
   if (r.object(o, "limits", sub)) {
--- a/libs/signal/src/link.cpp
+++ b/libs/signal/src/link.cpp
@@ -136,6 +136,7 @@
   std::function<void(const LinkPtr&)> onUp;
   LinkPtr link;
   bool released = false;
+  int failed = 0;
   void run() {
     Quay::get().launch([self = shared_from_this()] { self->loop(); });
   }
@@ -148,7 +149,10 @@
         Ec ec;
         w.connect(ep, ec);
         w.undue();
+        if (ec && failed++ % 200 == 0)
+          ring::note("cannot reach " + ep.address().to_string() + ": " + (w.late() ? "no answer" : ec.message()) + "; tried again");
         if (!ec && !released) {
+          failed = 0;
           auto up = std::make_shared<Link>(std::move(w.sock()), onMsg, [](const LinkPtr&) {});
           link = up;
           up->start();
--- a/tests/charter_test.cpp
+++ b/tests/charter_test.cpp
@@ -91,6 +91,7 @@
   for (std::string broken : {std::string("{"), std::string("[]"), std::string("{}"),
                              std::string(R"({"nodeName":1,"ip":"a","zone":"z","internalPorts":[1,2],"seedNodes":[]})"),
                              std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9],"seedNodes":[]})"),
+                             std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9,12],"seedNodes":["somewhere:80"]})"),
                              std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9,2],"seedNodes":[]})")}) {
     auto b = parseSettings(broken);
     ASSERT_FALSE(b) << broken;
