--- a/libs/charter/include/charter/calls.hpp
+++ b/libs/charter/include/charter/calls.hpp
@@ -8,10 +8,6 @@
   bool draining = false;
 };
 Outcome<Beat> parseBeat(std::string_view id, std::string_view json);
-struct Report {
-  std::int64_t queued = 0, active = 0, kvOccupied = 0, kvSize = 0;
-};
-Outcome<Report> parseReport(std::string_view json);
 struct ClosureCall {
   std::string place, note;
   std::int32_t share = 0;
--- a/libs/charter/src/calls.cpp
+++ b/libs/charter/src/calls.cpp
@@ -6,11 +6,9 @@
 
 namespace zc {
 Outcome<Beat> parseBeat(std::string_view id, std::string_view text) {
-  simdjson::dom::parser parser;
-  simdjson::padded_string padded(text);
-  json::Elem doc;
+  json::Text doc(text);
   json::Obj o;
-  if (parser.parse(padded).get(doc) || doc.get(o)) return fault(400, "heartbeat is no JSON object");
+  if (!doc.object(o)) return fault(400, "heartbeat is no JSON object");
   json::Reader r;
   Beat b;
   b.id = std::string(id);
@@ -27,27 +25,10 @@
   if (b.id.empty()) return fault(400, "heartbeat without an id");
   return b;
 }
-Outcome<Report> parseReport(std::string_view text) {
-  simdjson::dom::parser parser;
-  simdjson::padded_string padded(text);
-  json::Elem doc;
-  json::Obj o;
-  if (parser.parse(padded).get(doc) || doc.get(o)) return fault(400, "report is no JSON object");
-  json::Reader r;
-  Report p;
-  r.whole(o, "queued", p.queued);
-  r.whole(o, "active", p.active);
-  r.whole(o, "kvOccupied", p.kvOccupied);
-  r.whole(o, "kvSize", p.kvSize);
-  if (!r.wrong.empty()) return fault(400, "report: " + r.wrong);
-  return p;
-}
 Outcome<ClosureCall> parseClosure(std::string_view text) {
-  simdjson::dom::parser parser;
-  simdjson::padded_string padded(text);
-  json::Elem doc;
+  json::Text doc(text);
   json::Obj o;
-  if (parser.parse(padded).get(doc) || doc.get(o)) return fault(400, "closure is no JSON object");
+  if (!doc.object(o)) return fault(400, "closure is no JSON object");
   json::Reader r;
   ClosureCall c;
   r.text(o, "place", c.place, true);
--- a/libs/charter/src/json.hpp
+++ b/libs/charter/src/json.hpp
@@ -6,6 +6,16 @@
 using Elem = simdjson::dom::element;
 using Obj = simdjson::dom::object;
 using Arr = simdjson::dom::array;
+// A text with its parser, which must outlive whatever was read from it.
+struct Text {
+  simdjson::dom::parser parser;
+  simdjson::padded_string padded;
+  explicit Text(std::string_view s) : padded(s) {}
+  bool object(Obj& out) {
+    Elem doc;
+    return !parser.parse(padded).get(doc) && !doc.get(out);
+  }
+};
 // Readers that keep the first complaint; a field left out keeps its default.
 struct Reader {
   std::string wrong;
