Outliers: what nodes see of runners is weighed together; idle connections not trusted with what can't be repeated

Change: each node judges attempts against its own usual by prompt size, tells the sequencer with its regular question (24 runners at most), which weighs all words, needs two nodes, sets aside a fifth of a service at most, and tells the list by version; careful return by few repeatable requests. A connection that sat idle carries only what may be repeated.

--- a/libs/berth/include/berth/docks.hpp
+++ b/libs/berth/include/berth/docks.hpp
@@ -21,12 +21,14 @@
   Instant saidAt{};
   int faults = 0;
   Instant shunnedUntil{};
+  double aside = 0;  // as all nodes together see it: 1 left alone, less tried by few
 };
 struct Wish {  // what is asked of a choice
   std::string_view service;
   std::string_view zone;
   std::uint64_t affinity = 0;  // 0: none
   bool engine = false;
+  bool repeatable = false;  // only such requests try a runner that was set aside
   std::int64_t promptTokens = 0, sharedTokens = 0;
   std::vector<int> not_;       // docks already tried
 };
@@ -50,6 +52,8 @@
   void told(int i, std::string_view load, Instant now);
   void fine(int i) { at(i).faults = 0, at(i).shunnedUntil = {}; }
   void fault(int i, Instant now);
+  // What the sequencer tells of ill runners (label, how far); those not named are well.
+  void setAside(const std::vector<Grant>& runners);
   std::size_t size() const { return docks_.size(); }
   double load(int i, Instant now) const;
 
--- /dev/null
+++ b/libs/berth/include/berth/witness.hpp
@@ -0,0 +1,30 @@
+// What one access node sees of the runners that it sends to: attempts that went well, failed, or took far longer than
+// the same work takes elsewhere. Few samples a runner, so they are told to the sequencer, which weighs all nodes' words
+// (harbourmaster/outliers). Judged against peers, never against a figure from the configuration. Pure.
+#pragma once
+#include "signal/messages.hpp"
+namespace zc {
+class Witness {
+ public:
+  // The answer to a prompt of so many tokens (0: none) began after `took`. True: no slower than peers are.
+  // blamed: it was counted as slow while it was waited for.
+  bool began(const std::string& runner, const std::string& service, std::int64_t tokens, Span took, bool blamed = false);
+  void failed(const std::string& runner) { ++seen_[runner].bad; }
+  // Beyond this a runner that still says nothing is counted as slow. Max: too few answers seen to tell.
+  Span patience(const std::string& service, std::int64_t tokens) const;
+  // Since the last call: runner, attempts that went well, that did not; at most `most` of them, the worst first.
+  std::vector<Grant> report(std::size_t most);
+
+ private:
+  struct Seen {
+    int good = 0, bad = 0;
+  };
+  struct Usual {  // time to the first byte, by the prompt's size in powers of two
+    double ms[24] = {};
+    int count[24] = {};
+  };
+  static int bucketOf(std::int64_t tokens);
+  std::unordered_map<std::string, Seen> seen_;
+  std::unordered_map<std::string, Usual> usual_;
+};
+}  // namespace zc
--- a/libs/berth/src/docks.cpp
+++ b/libs/berth/src/docks.cpp
@@ -6,6 +6,7 @@
 namespace {
 constexpr auto kSaidFor = 1500ms;  // older news of a load counts for nothing
 constexpr double kReadAgain = 4;   // how much dearer a part read again is than the same prompt waiting
+constexpr int kTryOneIn = 12;      // requests that may go to a runner that was ill not long ago
 constexpr double kOtherZone = 700; // in tokens
 constexpr double kOtherRegion = 30000;  // in tokens: far away, so only when the near ones are clearly busy
 }
@@ -95,6 +96,11 @@
   --d.unread;
   d.unreadTokens -= tokens;
 }
+void Docks::setAside(const std::vector<Grant>& runners) {
+  for (auto& d : docks_) d.aside = 0;
+  for (auto& g : runners)
+    if (const auto it = byId_.find(g.label); it != byId_.end()) docks_[static_cast<std::size_t>(it->second)].aside = g.rate;
+}
 int Docks::choose(const Wish& w, Instant now) {
   std::vector<int> good, shunned, closing;
   // Why by part: all nodes move the same parts at the same step, so each is read anew once, at one place.
@@ -105,6 +111,8 @@
     if (std::find(w.not_.begin(), w.not_.end(), i) != w.not_.end()) continue;
     // Why one at a time after a fault: a runner that is still ill should cost one request, not many.
     if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0)) shunned.push_back(i);
+    // Why so few, and only what may be repeated: whoever returns from an illness is not proven well yet.
+    else if (d.aside >= 1 || (d.aside > 0 && (!w.repeatable || d.inFlight > 0 || rng_() % kTryOneIn))) shunned.push_back(i);
     else if (turn < d.closedShare) closing.push_back(i);
     else good.push_back(i);
   }
--- /dev/null
+++ b/libs/berth/src/witness.cpp
@@ -0,0 +1,42 @@
+#include "berth/witness.hpp"
+
+#include <bit>
+
+namespace zc {
+namespace {
+constexpr int kFew = 6;            // answers before anything is called usual
+constexpr double kFarSlower = 3;   // times the usual
+constexpr double kGrain = 40;      // ms below which nothing counts as slow
+constexpr double kWeight = 0.06;   // of a new answer in the usual
+}  // namespace
+int Witness::bucketOf(std::int64_t tokens) {
+  return std::min(23, static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(0, tokens)))));
+}
+Span Witness::patience(const std::string& service, std::int64_t tokens) const {
+  const auto it = usual_.find(service);
+  const int b = bucketOf(tokens);
+  if (it == usual_.end() || it->second.count[b] < kFew) return Span::max();
+  return Span(static_cast<std::int64_t>(it->second.ms[b] * kFarSlower + kGrain));
+}
+bool Witness::began(const std::string& runner, const std::string& service, std::int64_t tokens, Span took, bool blamed) {
+  const bool slow = took > patience(service, tokens);
+  auto& u = usual_[service];
+  const int b = bucketOf(tokens);
+  const double ms = static_cast<double>(took.count());
+  // Why bounded: one runner that hangs must not make hanging usual.
+  if (u.count[b]++ == 0) u.ms[b] = ms;
+  else u.ms[b] += (std::min(ms, u.ms[b] * kFarSlower + kGrain) - u.ms[b]) * (u.count[b] < kFew ? 0.3 : kWeight);
+  if (blamed) return !slow;
+  auto& s = seen_[runner];
+  ++(slow ? s.bad : s.good);
+  return !slow;
+}
+std::vector<Grant> Witness::report(std::size_t most) {
+  std::vector<Grant> out;
+  for (auto& [id, s] : seen_) out.push_back({id, static_cast<double>(s.good), static_cast<double>(s.bad)});
+  seen_.clear();
+  std::sort(out.begin(), out.end(), [](auto& a, auto& b) { return a.burst > b.burst; });
+  if (out.size() > most) out.resize(most);
+  return out;
+}
+}  // namespace zc
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -91,6 +91,7 @@
 
 void Core::tick() {
   order_->tick(Clock::now());
+  if (wasSequencer_ && ++turns_ % 4 == 0) outliers_.weigh(Clock::now(), copy_.state().runners);
   run();
 }
 void Core::run() {
@@ -116,6 +117,7 @@
   if (seq && !wasSequencer_) {
     dutySince_ = Clock::now();
     quota_.takeOver(dutySince_);
+    outliers_.takeOver(order_->term());
     ring::note("takes the sequencer's duty in term " + std::to_string(order_->term()));
   }
   if (!seq && wasSequencer_)
@@ -318,6 +320,10 @@
       if (!m.load.empty()) loads_[m.from] = {m.load, now};
       if (r.ok && m.flag) {
         r.grants = quota_.draw(now, m.from, m.grants, m.holds, cfg_.get());
+        outliers_.told(now, m.from, m.seen);
+        // Changes only: who has the newest list is told no more.
+        r.prevTerm = outliers_.version();
+        if (m.prevTerm != r.prevTerm) r.seen = outliers_.list();
       }
       return l->send(r);
     }
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -4,6 +4,7 @@
 #include "charter/settings.hpp"
 #include "disk.hpp"
 #include "log/order.hpp"
+#include "outliers.hpp"
 #include "quota.hpp"
 #include "registry/copy.hpp"
 #include "signal/link.hpp"
@@ -67,6 +68,7 @@
   Copy copy_;
   std::shared_ptr<const Configuration> cfg_;
   QuotaDesk quota_;
+  OutlierDesk outliers_;
   View view_;
   std::map<std::string, std::unique_ptr<Mooring>> moorings_;
   std::map<std::string, std::weak_ptr<Link>> lastLink_;
@@ -83,6 +85,7 @@
   std::map<std::string, Instant> beats_;
   std::vector<std::string> beatsToTell_;
   std::int64_t opNo_ = 0, nonce_ = 0, sinceCompact_ = 0;
+  std::uint64_t turns_ = 0;
   std::int64_t nodesHeard_ = 0;  // access nodes that asked for a lease in the last half minute
   std::uint64_t boot_ = 0;
   std::string lastSequencer_;
--- /dev/null
+++ b/libs/harbourmaster/src/outliers.hpp
@@ -0,0 +1,34 @@
+// Which runners all nodes had better leave alone: what nodes tell of their attempts, weighed together at the sequencer.
+// Soft state, outside the numbered order: it ends by itself, and a new sequencer hears it anew within a second. Pure.
+#pragma once
+#include "registry/copy.hpp"
+#include "signal/messages.hpp"
+namespace zc {
+class OutlierDesk {
+ public:
+  // seen: runner, attempts that went well, that did not, since this node's last word.
+  void told(Instant now, const std::string& node, const std::vector<Grant>& seen);
+  // Weighs anew. Runners are those in service.
+  void weigh(Instant now, const std::vector<Runner>& runners);
+  void takeOver(std::int64_t term);
+  // Runner and how far it is set aside: 1 wholly, less while a few requests try it again. At most a fifth of a service.
+  const std::vector<Grant>& list() const { return list_; }
+  std::int64_t version() const { return version_; }  // changes with the list; 0 is never used
+
+ private:
+  enum class Standing { fine, aside, trial };
+  struct Mark {
+    double good = 0, bad = 0;  // of the last seconds, fading
+    Instant at{};
+    std::map<std::string, Instant> nodes;  // who told of a bad one, and when last
+    Standing standing = Standing::fine;
+    Instant until{}, since{};
+    int strikes = 0;
+  };
+  void fade(Mark& m, Instant now);
+  void set(Mark& m, Standing s, Instant now);  // the one place where a standing changes
+  std::unordered_map<std::string, Mark> marks_;
+  std::vector<Grant> list_;
+  std::int64_t version_ = 1;
+};
+}  // namespace zc
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -1,9 +1,12 @@
 // One request from its consumer to a runner and back.
 #pragma once
+#include <unordered_set>
+
 #include "berth/allow.hpp"
 #include "berth/budget.hpp"
 #include "berth/docks.hpp"
 #include "berth/quota.hpp"
+#include "berth/witness.hpp"
 #include "charter/configuration.hpp"
 #include "passage/http.hpp"
 #include "passage/pool.hpp"
@@ -16,6 +19,17 @@
   Budget budget{0.15, Span(2500)};
   QuotaStash quota;
   Allowance allowance;
+  Witness witness;
+  struct Attempt {  // one at a runner that has said nothing yet
+    int dock;
+    const std::string* service;
+    std::int64_t tokens;
+    Instant since;
+    bool blamed = false;
+  };
+  std::unordered_set<Attempt*> silent;
+  // Counts those that have waited far longer than usual; called now and then.
+  void blameSilent(Instant now);
   std::function<void()> draw = [] {};  // has the stashes filled at once
   std::function<void()> ask = [] {};   // asks for the tokens that requests wait for, once a turn of the loop
   struct Thirsty {
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -90,10 +90,18 @@
   bool toConsumer(std::string_view bytes);
   bool chunkToConsumer(std::string_view bytes);
   Instant now() const { return Clock::now(); }
+  // Whether the end of an attempt speaks against its runner.
+  bool illness(GoEnd e) const {
+    if (e == GoEnd::unsent || e == GoEnd::broken) return !stale_;
+    return e == GoEnd::failed || e == GoEnd::timeUp;
+  }
   // The runner has begun to answer, or never will: its prompt no longer waits there.
-  void promptRead() {
+  // began: it answered, so that the time until then says how it does.
+  void promptRead(bool began) {
     if (unread_ < 0) return;
     wa_.docks.read(dock_, unread_);
+    wa_.silent.erase(&attempt_);
+    if (began) (void)wa_.witness.began(wa_.docks.at(dock_).id, *service_, unread_, toSpan(now() - attempt_.since), attempt_.blamed);
     unread_ = -1;
     if (map_->aim > Span(0)) wa_.allowance.first(*service_, now() - arrived_ > map_->aim, now());
   }
@@ -108,6 +116,8 @@
   Instant arrived_, deadline_;
   std::int64_t unread_ = -1;
   int dock_ = -1;
+  Waters::Attempt attempt_{};
+  bool stale_ = false;  // the attempt ended on a connection that the runner had forgotten
   bool prepaid_ = false, lastRunner_ = false;
   const std::string* service_ = nullptr;
   bool keep_ = true, headSent_ = false, sentWhole_ = false;
@@ -214,6 +224,7 @@
   wish.service = service.label;
   wish.zone = wa_.zone;
   wish.engine = service.engine;
+  wish.repeatable = map_->repeatable();
   if (service.engine) {
     const auto parts = promptOf(field(req_, "X-Prompt-Prefix"));
     if (map_->affinity) wish.affinity = parts.affinity, wish.sharedTokens = parts.shared;
@@ -240,8 +251,11 @@
     wa_.docks.went(dock, wish.promptTokens);
     unread_ = wish.promptTokens;
     dock_ = dock;
+    attempt_ = {dock, service_, unread_, now(), false};
+    wa_.silent.insert(&attempt_);
     end = go(dock);
-    promptRead();
+    promptRead(false);
+    if (illness(end) && !attempt_.blamed) wa_.witness.failed(wa_.docks.at(dock).id);
     wa_.docks.came(dock);
     if (end != GoEnd::unsent) ++runners;
     if (end == GoEnd::done) {
@@ -275,7 +289,9 @@
   const auto id = wa_.docks.at(dock).id;
   const auto address = wa_.docks.at(dock).address;
   Ec ec;
-  auto wire = wa_.pool.take(id, now());
+  stale_ = false;
+  auto wire = wa_.pool.take(id, now(), map_->repeatable());
+  const bool reused = wire != nullptr;
   if (!wire) {
     auto ep = parseEndpoint(address);
     if (!ep) return GoEnd::unsent;
@@ -290,7 +306,10 @@
     wire->undue();
   }
   if (watch_->gone) return GoEnd::consumerGone;
-  if (!wa_.claimed(now())) return GoEnd::unsent;
+  if (!wa_.claimed(now())) {
+    stale_ = true;
+    return GoEnd::unsent;
+  }
   Outbound o;
   o.expectedInstance = id;
   o.subscriber = subscriber_;
@@ -309,7 +328,12 @@
   wire->write(asio::buffer(out), ec);
   if (ec) {
     if (watch_->gone) return GoEnd::consumerGone;
-    wa_.docks.fault(dock, now());
+    if (reused && !wire->late()) {
+      stale_ = true;
+      wa_.pool.forgotten();
+    } else {
+      wa_.docks.fault(dock, now());
+    }
     return wire->late() ? GoEnd::timeUp : GoEnd::broken;
   }
   Buffer buf;
@@ -330,7 +354,10 @@
   auto lost = [&] {
     if (watch_->gone) return GoEnd::consumerGone;
     if (wire->late() || now() >= deadline_) return GoEnd::timeUp;
-    wa_.docks.fault(dock, now());
+    // Why not its fault: a runner may forget a connection that sat idle, and resets what comes on it.
+    stale_ = reused && ec == asio::error::connection_reset && !ap->got_some();
+    if (stale_) wa_.pool.forgotten();
+    else wa_.docks.fault(dock, now());
     return GoEnd::broken;
   };
   if (ec) return lost();
@@ -351,7 +378,10 @@
     pump(*wire, buf, *ap, false, ec);
     if (ec) return lost();
   }
-  wa_.docks.fine(dock);
+  const bool ownFailure = status / 100 == 5 && !notRun;
+  if (ownFailure) wa_.docks.fault(dock, now());
+  else wa_.docks.fine(dock);
+  if (!ownFailure && !notRun) promptRead(true);
   const bool clean = ap->get().keep_alive() && buf.size() == 0;
   Instant until = now() + kIdleRunner;
   if (const auto ka = field(ap->get(), "Keep-Alive"); !ka.empty())
@@ -364,7 +394,7 @@
   std::string head, body;
   if (!stream) head = inboundHead(ap->get()), body = std::move(ap->get().body());
   wire->undue();
-  if (clean) wa_.pool.give(id, std::move(wire), until);
+  if (clean) wa_.pool.give(id, std::move(wire), until, now());
 
   if (notRun) {
     if (status == 421) wa_.docks.fault(dock, now());
@@ -395,7 +425,7 @@
   for (;;) {
     auto& body = ap.get().body();
     if (!body.empty()) {
-      promptRead();
+      promptRead(true);
       const auto pass = whole ? scan_.feed(body) : std::string_view(body);
       if (!pass.empty() && !chunkToConsumer(pass)) return GoEnd::consumerGone;
       body.clear();
@@ -439,6 +469,13 @@
 }
 }  // namespace
 
+void Waters::blameSilent(Instant now) {
+  for (auto* a : silent)
+    if (!a->blamed && now - a->since > witness.patience(*a->service, a->tokens)) {
+      a->blamed = true;
+      witness.failed(docks.at(a->dock).id);
+    }
+}
 Span Waters::untilClaim(Instant now) {
   const auto spread = Span(rng() % 120);
   // Why not sooner: a consumer has few tries, and one that meets a second refusal is lost. A process that has just
--- a/libs/passage/src/pool.cpp
+++ b/libs/passage/src/pool.cpp
@@ -11,19 +11,20 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 }  // namespace
-std::unique_ptr<Wire> Pool::take(const std::string& id, Instant now) {
+std::unique_ptr<Wire> Pool::take(const std::string& id, Instant now, bool repeatable) {
   const auto it = idle_.find(id);
   if (it == idle_.end()) return nullptr;
   auto& v = it->second;
   while (!v.empty()) {
+    if (!repeatable && now - v.back().since > safeIdle_) return nullptr;  // all others sat longer
     auto x = std::move(v.back());  // the one used last: the others may age and go
     v.pop_back();
     if (x.until > now && clean(*x.wire)) return std::move(x.wire);
   }
   return nullptr;
 }
-void Pool::give(const std::string& id, std::unique_ptr<Wire> w, Instant until) {
-  idle_[id].push_back({std::move(w), until});
+void Pool::give(const std::string& id, std::unique_ptr<Wire> w, Instant until, Instant now) {
+  idle_[id].push_back({std::move(w), until, now});
 }
 void Pool::drop(const std::string& id) { idle_.erase(id); }
 void Pool::sweep(Instant now) {
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -13,6 +13,7 @@
 namespace zc {
 namespace {
 constexpr auto kChallenge = 400ms;
+constexpr std::size_t kSeenMost = 24;  // runners told of in one question, the worst first
 constexpr auto kLinger = 2600ms;  // after SIGTERM: until the platform has surely noticed
 
 class Pilot {
@@ -80,6 +81,9 @@
     m.grants = wa_.quota.demand(now);
     m.holds = wa_.quota.holds(now);
     m.load = load(now);
+    wa_.blameSilent(now);
+    m.seen = wa_.witness.report(kSeenMost);
+    m.prevTerm = outliersKnown_;
     asked_[m.nonce] = now;
     while (asked_.size() > 16) asked_.erase(asked_.begin());
     mooring_->send(m);
@@ -127,6 +131,11 @@
       // Why only the newest: what a later question told of the stash did not know of these tokens yet.
       if (m.nonce == nonce_) wa_.quota.drawn(m.grants, it->second);
       if (m.commit > 0) wa_.budget.share(s_.timers.retrySlack * 0.5 / static_cast<double>(m.commit), slackDraw_);
+      if (m.prevTerm != 0 && m.prevTerm != outliersKnown_) {
+        outliersKnown_ = m.prevTerm;
+        outliers_ = m.seen;
+        wa_.docks.setAside(outliers_);
+      }
       asked_.erase(it);
       settleClaim(now);
     } else if (m.what() == Kind::drawn && m.ok) {
@@ -141,7 +150,7 @@
     wa_.claimEnds = std::max(wa_.claimEnds, pendingEnd_);
   }
   void adopt(Copy::Change c) {
-    if (c.runners) wa_.docks.follow(copy_.state().runners);
+    if (c.runners) wa_.docks.follow(copy_.state().runners), wa_.docks.setAside(outliers_);
     if (c.closures) adoptClosures();
     if (!c.configuration || copy_.state().configuration.empty()) return;
     // Built aside and swapped: requests under way keep the table they began with.
@@ -211,6 +220,8 @@
   std::map<std::int64_t, Instant> asked_;
   std::int64_t nonce_ = 0, pendingNum_ = 0;
   bool asking_ = false;
+  std::int64_t outliersKnown_ = 0;
+  std::vector<Grant> outliers_;  // runners set aside, as last told
   Instant pendingEnd_{};
   Instant loadAt_ = Clock::now();
   std::uint64_t loadCount_ = 0;
--- a/libs/signal/include/signal/messages.hpp
+++ b/libs/signal/include/signal/messages.hpp
@@ -43,12 +43,13 @@
   std::vector<Grant> grants;       // asked: the demand; answered: the shares
   std::vector<Grant> load;         // asked: a place that closes, requests at its runners, requests at its pilots
   std::vector<Grant> holds;        // asked: what the asker still holds
+  std::vector<Grant> seen;         // asked: runner, attempts gone well, gone ill; answered: runner, how far set aside
   std::string blob;
   template <class V>
   void fields(V& v) {
     v("kind", kind), v("from", from), v("who", who), v("term", term), v("num", num), v("prevTerm", prevTerm);
     v("commit", commit), v("nonce", nonce), v("ok", ok), v("flag", flag), v("entries", entries);
-    v("names", names), v("view", view), v("grants", grants), v("holds", holds), v("load", load), v("blob", blob);
+    v("names", names), v("view", view), v("grants", grants), v("holds", holds), v("load", load), v("seen", seen), v("blob", blob);
   }
   Kind what() const { return static_cast<Kind>(kind); }
 };
