--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -133,6 +133,8 @@
 }
 void Core::release(const Entry& e) {
   const auto c = copy_.apply(e);
+  // Why stop: what every member applied alike came out otherwise here. The disk's pages, replayed, set it right.
+  must(!c.damaged, "a core copy that differs from the others");
   if (c.configuration) adoptConfiguration();
   if (const auto it = writes_.find(e.opId); it != writes_.end())
     for (auto* w : it->second) {
@@ -215,10 +217,10 @@
     ++it;
   }
 }
-const std::string& Core::feedFrame(std::int64_t from) {
+const std::string& Core::feedFrame(std::int64_t from, const std::string& held) {
   if (std::exchange(framesOf_, order_->released()) != order_->released()) frames_.clear();
   const bool whole = from + 1 < order_->firstKept() || from == 0;
-  auto& f = frames_[whole ? -1 : from];
+  auto& f = whole ? frames_[{-1, held}] : frames_[{from, {}}];
   if (!f.empty()) return f;
   Msg m = msgOf(Kind::feed);
   m.from = order_->self();
@@ -226,7 +228,8 @@
   m.num = order_->released();
   if (whole) {
     m.ok = true;
-    m.blob = copy_.snapshot();
+    // What the receiver holds already is not sent again: only the difference from it.
+    m.blob = copy_.snapshotFor(from == 0 ? std::string{} : held);
     m.num = copy_.state().num;
   } else {
     for (auto n = from + 1; n <= order_->released(); ++n) {
@@ -244,8 +247,9 @@
 }
 void Core::feed(Tender& t) {
   if (t.fed < 0 || !t.link->open() || t.fed >= order_->released() || t.link->backlog() > kTenderBacklog) return;
-  t.link->sendFrame(feedFrame(t.fed));
+  t.link->sendBulk(feedFrame(t.fed, t.held));
   t.fed = order_->released();
+  t.held = copy_.state().digest;
 }
 void Core::feedAll() {
   for (auto& [n, t] : tenders_) feed(t);
@@ -270,8 +274,9 @@
   b.blob = e.blob;
   for (auto& x : order_->members())
     if (x != order_->self()) sendTo(x, b);
+  const auto frame = frameOf(b);
   for (auto& [n, t] : tenders_)
-    if (t.link->open()) t.link->send(b);
+    if (t.link->open()) t.link->sendBulk(frame);
 }
 
 void Core::onMsg(const LinkPtr& l, Msg m) {
@@ -281,7 +286,7 @@
       auto& t = tenders_[m.from];
       if (t.link != l) {
         if (t.link && t.link->open()) t.link->end();
-        t = Tender{l, -1, 0};
+        t = Tender{l, -1, 0, {}};
       }
       view_.add(ipOf(m.from) + "/access");
       view_.merge(m.view);
@@ -294,16 +299,18 @@
       if (m.flag && t.link == l && t.fed >= 0 && l->backlog() > 0) return;
       t.link = l;
       t.fed = std::max<std::int64_t>(0, m.num);
+      t.held = m.names.empty() ? std::string{} : m.names.front();
       if (order_->duty() != Duty::sequencer) return l->send(stateAck());
       // A refetch must be answered in full: what was omitted before is not omitted again.
-      if (m.flag && t.fed + 1 >= order_->firstKept()) {
+      // One that holds nothing, or nothing that it trusts, takes a snapshot instead.
+      if (m.flag && t.fed > 0 && t.fed + 1 >= order_->firstKept()) {
         Msg r = msgOf(Kind::feed);
         r.from = order_->self();
         r.term = order_->term();
         for (auto n = t.fed + 1; n <= order_->released(); ++n) r.entries.push_back(*order_->at(n));
         r.num = order_->released();
         t.fed = r.num;
-        return l->send(r);
+        return l->sendBulk(frameOf(r));
       }
       feed(t);
       return l->send(stateAck());
@@ -503,6 +510,7 @@
                   (order_->claimed(now) ? "true" : "false") + ",\"released\":" + std::to_string(order_->released()) +
                   ",\"applied\":" + std::to_string(copy_.state().num) + ",\"diskSick\":" +
                   (order_->diskSick(now) ? "true" : "false") + ",\"stamp\":" + std::to_string(copy_.state().stamp) +
+                  ",\"runnersAside\":" + std::to_string(outliers_.list().size()) + ",\"wordsDeclined\":" + std::to_string(outliers_.declined()) +
                   ",\"members\":[";
   bool first = true;
   for (auto& m : order_->members()) s += (std::exchange(first, false) ? "" : ",") + quoteJson(m);
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -35,6 +35,7 @@
     LinkPtr link;
     std::int64_t fed = -1;  // -1: asks for nothing here
     std::int64_t applied = 0;  // by its state messages
+    std::string held;          // digest of the configuration that it said it holds
   };
   struct Write {
     Waiter w;
@@ -52,7 +53,7 @@
   void feed(Tender& t);
   void feedAll();
   // What brings a copy from a number to the newest, encoded once for all tenders that stand there.
-  const std::string& feedFrame(std::int64_t from);
+  const std::string& feedFrame(std::int64_t from, const std::string& held);
   void dropSilent(Instant now);
   void tick();
   void tellTenders();
@@ -73,7 +74,7 @@
   std::map<std::string, std::unique_ptr<Mooring>> moorings_;
   std::map<std::string, std::weak_ptr<Link>> lastLink_;
   std::map<std::string, Tender> tenders_;
-  std::map<std::int64_t, std::string> frames_;  // of `feedFrame`, until the newest number changes
+  std::map<std::pair<std::int64_t, std::string>, std::string> frames_;  // of `feedFrame`, until the newest number changes
   std::int64_t framesOf_ = -1;
   std::map<std::string, std::vector<Write*>> writes_;
   std::map<std::int64_t, Read*> reads_;
--- a/libs/harbourmaster/src/harbourmaster.cpp
+++ b/libs/harbourmaster/src/harbourmaster.cpp
@@ -67,7 +67,7 @@
   }
   const auto stamp = (*cfg)->stamp;
   if (core.copy().judge(base, stamp, digestOf(body)) == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}", ""};
-  auto v = core.write(configurationOp(base, stamp, body, core.opId()), kConfigWait);
+  auto v = core.write(changeOp(base, stamp, body, core.opId(), core.copy().state()), kConfigWait);
   if (!v) return declined(503, v.error().text);
   if (*v == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}", ""};
   return declined(*v, *v == 412 ? "another configuration is in place" : "configVersion is not above the current one");
--- a/libs/harbourmaster/src/outliers.cpp
+++ b/libs/harbourmaster/src/outliers.cpp
@@ -9,13 +9,13 @@
 constexpr double kEnough = 2.5;       // bad attempts, faded
 constexpr std::size_t kNodes = 2;     // nobody is set aside on one node's word alone
 constexpr double kShare = 0.2;        // of its attempts are bad ...
-constexpr double kPeers = 3;          // ... and so many times more than at its peers
+constexpr double kPeers = 3;          // ... and so many times more than at its peers,
+constexpr double kFarWorse = 0.4;     // or by so much of all more, where many peers are ill too
 constexpr auto kAside = 1500ms;       // doubled with each strike
 constexpr int kStrikesMost = 3;
 constexpr auto kTrial = 1500ms;
 constexpr double kTrialLevel = 0.5;
 constexpr auto kForget = 15s;
-constexpr std::size_t kRoom = 4096;   // marks kept at most
 }  // namespace
 void OutlierDesk::fade(Mark& m, Instant now) {
   if (m.at != Instant{} && now > m.at) {
@@ -43,7 +43,11 @@
   for (auto& g : seen) {
     // Why nothing beyond some: one node's word counts, its shouting does not.
     const double good = std::clamp(g.rate, 0.0, 50.0), bad = std::clamp(g.burst, 0.0, 4.0);
-    if (!(good + bad > 0) || (marks_.size() >= kRoom && !marks_.count(g.label))) continue;
+    if (!known_.count(g.label)) {
+      ++declined_;
+      continue;
+    }
+    if (!(good + bad > 0)) continue;
     auto& m = marks_[g.label];
     fade(m, now);
     m.good += good;
@@ -57,7 +61,9 @@
     double good = 0, bad = 0;
   };
   std::map<std::string, Fleet> fleets;
+  known_.clear();
   for (auto& r : runners) {
+    known_.insert(r.id);
     auto& f = fleets[r.service];
     ++f.count;
     const auto it = marks_.find(r.id);
@@ -86,7 +92,8 @@
     auto& f = fleets[r.service];
     const double share = m.bad / (m.bad + m.good);
     const double others = f.bad - m.bad, all = others + f.good - m.good;
-    if (share >= kShare && (all <= 0 || share >= kPeers * others / all)) suspects.push_back({share, &m, &f});
+    const double peers = all > 0 ? others / all : 0;
+    if (share >= kShare && share >= std::min(kPeers * peers, peers + kFarWorse)) suspects.push_back({share, &m, &f});
   }
   std::sort(suspects.begin(), suspects.end(), [](auto& a, auto& b) { return a.share > b.share; });
   for (auto& s : suspects) {
@@ -103,6 +110,7 @@
     list.push_back({r.id, it->second.standing == Standing::aside ? 1.0 : kTrialLevel, 0});
   }
   std::erase_if(marks_, [&](auto& x) {
+    if (!known_.count(x.first)) return true;
     return x.second.standing == Standing::fine && x.second.good + x.second.bad < 0.01 && now - x.second.since > kForget;
   });
   const bool same = list.size() == list_.size() && std::equal(list.begin(), list.end(), list_.begin(), [](auto& a, auto& b) {
--- a/libs/harbourmaster/src/outliers.hpp
+++ b/libs/harbourmaster/src/outliers.hpp
@@ -1,6 +1,8 @@
 // Which runners all nodes had better leave alone: what nodes tell of their attempts, weighed together at the sequencer.
 // Soft state, outside the numbered order: it ends by itself, and a new sequencer hears it anew within a second. Pure.
 #pragma once
+#include <set>
+
 #include "registry/copy.hpp"
 #include "signal/messages.hpp"
 namespace zc {
@@ -13,6 +15,7 @@
   void takeOver(std::int64_t term);
   // Runner and how far it is set aside: 1 wholly, less while a few requests try it again. At most a fifth of a service.
   const std::vector<Grant>& list() const { return list_; }
+  std::uint64_t declined() const { return declined_; }  // words about runners that nobody knows
   std::int64_t version() const { return version_; }  // changes with the list; 0 is never used
 
  private:
@@ -29,6 +32,8 @@
   void set(Mark& m, Standing s, Instant now);  // the one place where a standing changes
   std::unordered_map<std::string, Mark> marks_;
   std::vector<Grant> list_;
+  std::set<std::string> known_;
+  std::uint64_t declined_ = 0;
   std::int64_t version_ = 1;
 };
 }  // namespace zc
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -45,6 +45,8 @@
         [this](const LinkPtr& l) {
           Msg m = msgOf(Kind::follow);
           m.num = queue_.applied();
+          m.names = {copy_.state().digest};
+          m.flag = copy_.damaged();
           l->send(m);
           challenge();
         });
@@ -103,8 +105,8 @@
     const auto now = Clock::now();
     if (m.what() == Kind::feed) {
       if (m.ok) {
-        if (m.num <= queue_.applied()) return;  // never back in number
-        if (auto r = copy_.restore(m.blob); !r) return ring::alarm("snapshot declined: " + r.error().text);
+        if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged())) return;  // never back in number
+        if (auto r = copy_.restore(m.blob); !r) return mend("snapshot declined: " + r.error().text);
         queue_.restart(m.num);
         adopt({true, true, true});
       } else {
@@ -118,6 +120,7 @@
         all.runners |= c.runners;
         all.closures |= c.closures;
       }
+      if (copy_.damaged()) return mend("a difference did not fit");
       adopt(all);
       settleClaim(now);
     } else if (m.what() == Kind::claim) {
@@ -143,9 +146,18 @@
       wa_.quench(m.grants);
     }
   }
+  // A copy that differs from what was numbered must not answer for it: nothing is served until all of it has come anew.
+  void mend(const std::string& why) {
+    ring::alarm(why + ": the whole is asked for");
+    copy_.damage();
+    wa_.claimEnds = {};
+    Msg m = msgOf(Kind::follow);
+    m.flag = true;
+    mooring_->send(m);
+  }
   void settleClaim(Instant) {
     // Only once applied as far as the sequencer was when it answered.
-    if (pendingEnd_ == Instant{} || queue_.applied() < pendingNum_) return;
+    if (pendingEnd_ == Instant{} || copy_.damaged() || queue_.applied() < pendingNum_) return;
     if (wa_.claimEnds == Instant{}) ring::note("first claim, at number " + std::to_string(queue_.applied()));
     wa_.claimEnds = std::max(wa_.claimEnds, pendingEnd_);
   }
--- a/libs/registry/include/registry/copy.hpp
+++ b/libs/registry/include/registry/copy.hpp
@@ -49,8 +49,12 @@
   std::vector<std::string> gone;
   std::vector<Done> done;
   std::vector<Closure> closures;
+  // In a snapshot for one receiver: its configuration is this difference from what it holds (empty: the very same).
+  bool partial = false;
+  std::string difference;
   template <class V>
   void fields(V& v) {
+    v("partial", partial), v("difference", difference);
     v("num", num), v("term", term), v("stamp", stamp), v("configuration", configuration), v("digest", digest);
     v("taken", taken), v("runners", runners), v("gone", gone), v("done", done), v("closures", closures);
   }
@@ -59,11 +63,19 @@
  public:
   struct Change {
     bool configuration = false, runners = false, closures = false;
+    // The copy is not what all others are: a difference did not fit it. It must be had anew, whole.
+    bool damaged = false;
   };
   // Applies the next write. Every copy decides alike, so all agree without a word.
   Change apply(const Entry& e);
   const CopyState& state() const { return s_; }
+  bool damaged() const { return s_.stamp > 0 && s_.digest.empty(); }
+  // What it holds is not to be trusted: it must be had anew, whole.
+  void damage() { s_.digest.clear(); }
   std::string snapshot() const;
+  // For a receiver that says which configuration it holds: that one, or one taken not long ago, is not sent again.
+  std::string snapshotFor(const std::string& heldDigest) const;
+  // From either; what the snapshot leaves out is taken from this copy. Declined: nothing has changed.
   Outcome<void> restore(std::string_view blob);
   std::optional<std::int32_t> verdictOf(const std::string& opId) const;
   // What Replace would be told now; 0: nothing to say yet.
@@ -72,8 +84,12 @@
   bool isGone(const std::string& id) const;
 
  private:
+  void take(std::int64_t version, std::string digest, std::string body);
   CopyState s_;
+  std::deque<std::pair<std::string, std::string>> before_;  // digest, text: taken before the one in place
 };
+// As its difference from `base` where that is much shorter than the whole.
+Entry changeOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId, const CopyState& on);
 Entry configurationOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId);
 // open: the place is in use again, nothing is left of the closure.
 Entry closureOp(const Closure& c, bool open, std::string opId);
--- a/libs/registry/src/copy.cpp
+++ b/libs/registry/src/copy.cpp
@@ -1,9 +1,11 @@
 #include "registry/copy.hpp"
 
+#include "registry/delta.hpp"
 #include "signal/avro.hpp"
 
 namespace zc {
 namespace {
+constexpr std::size_t kBefore = 3;  // older configurations kept, for receivers that were away
 constexpr std::size_t kTaken = 64, kGone = 256, kDone = 128;
 // A configuration's operation id carries its stamp, so that the numbered acknowledgement of a large write stays small.
 std::int64_t stampIn(const Entry& e) {
@@ -30,17 +32,22 @@
   // A write that came twice is one write.
   if (!e.opId.empty() && verdictOf(e.opId)) return c;
   std::int32_t verdict = 200;
-  if (e.op() == OpKind::configuration) {
+  if (e.op() == OpKind::configuration || e.op() == OpKind::difference) {
     const auto stamp = stampIn(e);
     verdict = judge(e.base, stamp, e.digest);
     if (verdict == 0) {
-      s_.stamp = stamp;
-      s_.configuration = e.blob;
-      s_.digest = e.digest;
-      s_.taken.push_back({stamp, e.digest});
-      trim(s_.taken, kTaken);
-      c.configuration = true;
       verdict = 200;
+      if (e.op() == OpKind::configuration) {
+        take(stamp, e.digest, e.blob);
+      } else if (auto body = applyDelta(s_.configuration, s_.digest, e.blob); body && digestOf(*body) == e.digest) {
+        take(stamp, e.digest, std::move(*body));
+      } else {
+        // Why the version all the same: the numbered writes say that it was taken; only the text is missing here.
+        take(stamp, {}, {});
+        s_.taken.back().digest = e.digest;
+        c.damaged = true;
+      }
+      c.configuration = true;
     }
   } else if (e.op() == OpKind::closure) {
     if (auto x = avro::decode<Closure>(e.blob)) {
@@ -77,7 +84,31 @@
   }
   return c;
 }
+void Copy::take(std::int64_t version, std::string digest, std::string body) {
+  if (!s_.digest.empty()) before_.emplace_back(std::move(s_.digest), std::move(s_.configuration));
+  if (before_.size() > kBefore) before_.pop_front();
+  s_.stamp = version;
+  s_.digest = std::move(digest);
+  s_.configuration = std::move(body);
+  s_.taken.push_back({version, s_.digest});
+  trim(s_.taken, kTaken);
+}
 std::string Copy::snapshot() const { return avro::encode(s_); }
+std::string Copy::snapshotFor(const std::string& held) const {
+  if (held.empty() || s_.digest.empty()) return snapshot();
+  std::string difference;
+  if (held != s_.digest) {
+    const auto it = std::find_if(before_.begin(), before_.end(), [&](auto& b) { return b.first == held; });
+    if (it == before_.end()) return snapshot();
+    difference = deltaOf(it->second, held, s_.configuration, s_.digest);
+    if (difference.size() > s_.configuration.size() / 2) return snapshot();
+  }
+  auto part = s_;
+  part.configuration.clear();
+  part.partial = true;
+  part.difference = std::move(difference);
+  return avro::encode(std::move(part));
+}
 Outcome<void> Copy::restore(std::string_view blob) {
   if (blob.empty()) {
     s_ = {};
@@ -85,6 +116,21 @@
   }
   auto s = avro::decode<CopyState>(blob);
   if (!s) return tl::unexpected(s.error());
+  if (s->partial) {
+    if (s->difference.empty()) {
+      if (s->digest != s_.digest) return fault(0, "a snapshot without the configuration, for a copy that holds another");
+      s->configuration = s_.configuration;
+    } else {
+      auto body = applyDelta(s_.configuration, s_.digest, s->difference);
+      if (!body) return tl::unexpected(body.error());
+      if (digestOf(*body) != s->digest) return fault(0, "a snapshot whose configuration is not what its digest says");
+      s->configuration = std::move(*body);
+    }
+    s->partial = false;
+    s->difference.clear();
+  }
+  if (!s_.digest.empty() && s_.digest != s->digest) before_.emplace_back(std::move(s_.digest), std::move(s_.configuration));
+  if (before_.size() > kBefore) before_.pop_front();
   s_ = std::move(*s);
   return {};
 }
@@ -109,6 +155,16 @@
   e.opId = std::move(opId) + "@" + std::to_string(stamp);
   return e;
 }
+Entry changeOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId, const CopyState& on) {
+  auto e = configurationOp(base, stamp, std::move(body), std::move(opId));
+  // On another version it loses its race anyway; without one there is nothing to differ from.
+  if (on.stamp != base || on.digest.empty()) return e;
+  auto d = deltaOf(on.configuration, on.digest, e.blob, e.digest);
+  if (d.size() > e.blob.size() / 2) return e;
+  e.kind = static_cast<std::int32_t>(OpKind::difference);
+  e.blob = std::move(d);
+  return e;
+}
 Entry closureOp(const Closure& c, bool open, std::string opId) {
   Entry e;
   e.kind = static_cast<std::int32_t>(OpKind::closure);
--- a/libs/signal/include/signal/link.hpp
+++ b/libs/signal/include/signal/link.hpp
@@ -5,7 +5,8 @@
 namespace zc {
 std::string frameOf(const Msg& m);
 // Takes whole frames off the front of buf. A fault means the wire can't be trusted further.
-Outcome<std::vector<Msg>> unframe(std::string& buf);
+// partial: where the pieces of a large frame are gathered; without it pieces are declined.
+Outcome<std::vector<Msg>> unframe(std::string& buf, std::string* partial = nullptr);
 
 class Link : public std::enable_shared_from_this<Link> {
  public:
@@ -16,6 +17,8 @@
   void start();
   void send(const Msg& m);
   void sendFrame(std::string_view frame);  // of `frameOf`: for one message to many
+  // In pieces that let everything sent meanwhile overtake: for what is large and not urgent.
+  void sendBulk(std::string frame);
   // Bytes that the far end has not taken yet. Who sends much looks at it first, so that one that does not read costs
   // no more than its share.
   std::size_t backlog() const;
@@ -27,6 +30,8 @@
   std::string farIp() const;
 
  private:
+  void kick();
+  void load();
   struct Impl;
   std::unique_ptr<Impl> impl_;
 };
--- a/libs/signal/include/signal/messages.hpp
+++ b/libs/signal/include/signal/messages.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include "keel/common.hpp"
 namespace zc {
-enum class OpKind : std::int32_t { takeOver = 0, configuration = 1, runner = 2, members = 3, closure = 4 };
+enum class OpKind : std::int32_t { takeOver = 0, configuration = 1, runner = 2, members = 3, closure = 4, difference = 5 };
 
 // One numbered write: the operation and its parameters.
 struct Entry {
--- a/libs/signal/src/link.cpp
+++ b/libs/signal/src/link.cpp
@@ -7,7 +7,9 @@
 
 namespace zc {
 namespace {
-constexpr char kFormat = 1;  // frames of another format stamp are declined
+constexpr char kFormat = 2;  // frames of another format stamp are declined
+constexpr char kPieceFormat = 3;  // a part of a large frame; the first byte of its body tells whether it is the last
+constexpr std::size_t kPiece = 16 * 1024;
 constexpr std::size_t kMaxFrame = 32u << 20;
 constexpr std::size_t kMaxOut = 48u << 20;
 constexpr auto kSilence = 900ms;
@@ -15,21 +17,42 @@
 constexpr auto kRedial = 150ms;
 }  // namespace
 
+namespace {
+void putHead(std::string& out, std::size_t bodySize, char format) {
+  const auto n = static_cast<std::uint32_t>(bodySize + 1);
+  for (int i = 0; i < 4; ++i) out += static_cast<char>(n >> (24 - 8 * i));
+  out += format;
+}
+}  // namespace
 std::string frameOf(const Msg& m) {
   const auto body = avro::encode(m);
-  std::string out(5, '\0');
-  const auto n = static_cast<std::uint32_t>(body.size() + 1);
-  for (int i = 0; i < 4; ++i) out[i] = static_cast<char>(n >> (24 - 8 * i));
-  out[4] = kFormat;
-  return out + body;
+  std::string out;
+  out.reserve(body.size() + 5);
+  putHead(out, body.size(), kFormat);
+  return out += body;
 }
-Outcome<std::vector<Msg>> unframe(std::string& buf) {
+Outcome<std::vector<Msg>> unframe(std::string& buf, std::string* partial) {
   std::vector<Msg> out;
   std::size_t at = 0;
   while (buf.size() - at >= 5) {
     std::uint32_t n = 0;
     for (int i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(buf[at + i]);
     if (n < 1 || n > kMaxFrame) return fault(0, "frame of an impossible length");
+    if (buf[at + 4] == kPieceFormat && partial) {
+      if (n < 2) return fault(0, "an empty piece");
+      if (buf.size() - at < 4u + n) break;
+      partial->append(buf, at + 6, n - 2);
+      if (partial->size() > kMaxFrame) return fault(0, "pieces of an impossible length");
+      const bool last = buf[at + 5] != 0;
+      at += 4u + n;
+      if (!last) continue;
+      auto frame = std::exchange(*partial, {});
+      auto inner = unframe(frame);
+      if (!inner) return inner;
+      if (!frame.empty()) return fault(0, "pieces that make no frame");
+      for (auto& m : *inner) out.push_back(std::move(m));
+      continue;
+    }
     if (buf[at + 4] != kFormat) return fault(0, "frame of another format stamp: " + std::to_string(buf[at + 4]));
     if (buf.size() - at < 4u + n) break;
     auto m = avro::decode<Msg>(std::string_view(buf).substr(at + 5, n - 1));
@@ -46,6 +69,8 @@
   OnMsg onMsg;
   OnEnd onEnd;
   std::string out, flying;
+  std::deque<std::string> bulk;  // frames that go in pieces
+  std::size_t bulkAt = 0, bulkBytes = 0;
   bool writing = false, open = true;
   Instant heard = Clock::now(), unanswered = Instant::max();
   std::string farIp;
@@ -70,7 +95,7 @@
 void Link::start() {
   Quay::get().launch([self = shared_from_this()] {
     auto& d = *self->impl_;
-    std::string buf;
+    std::string buf, partial;
     // Why from the heap: fiber stacks are small.
     std::vector<char> chunk(16 * 1024);
     while (d.open) {
@@ -80,7 +105,7 @@
       d.heard = Clock::now();
       d.unanswered = Instant::max();
       buf.append(chunk.data(), n);
-      auto msgs = unframe(buf);
+      auto msgs = unframe(buf, &partial);
       if (!msgs) {
         ring::alarm("link to " + d.farIp + " declined: " + msgs.error().text);
         break;
@@ -97,18 +122,48 @@
     d.onEnd = nullptr;
   });
 }
-std::size_t Link::backlog() const { return impl_->out.size() + impl_->flying.size(); }
+std::size_t Link::backlog() const { return impl_->out.size() + impl_->flying.size() + impl_->bulkBytes; }
 void Link::send(const Msg& m) {
   if (impl_->open) sendFrame(frameOf(m));
 }
 void Link::sendFrame(std::string_view frame) {
+  if (!impl_->open) return;
+  impl_->out += frame;
+  kick();
+}
+void Link::sendBulk(std::string frame) {
   auto& d = *impl_;
   if (!d.open) return;
-  if (d.out.size() > kMaxOut) {
+  if (frame.size() <= kPiece) return sendFrame(frame);
+  d.bulkBytes += frame.size();
+  d.bulk.push_back(std::move(frame));
+  kick();
+}
+// What goes next: all that is urgent, or else one piece.
+void Link::load() {
+  auto& d = *impl_;
+  d.flying.clear();
+  if (!d.out.empty()) {
+    std::swap(d.flying, d.out);
+    return;
+  }
+  if (d.bulk.empty()) return;
+  const auto& f = d.bulk.front();
+  const auto n = std::min(kPiece, f.size() - d.bulkAt);
+  const bool last = d.bulkAt + n == f.size();
+  putHead(d.flying, n + 1, kPieceFormat);
+  d.flying += last ? '\1' : '\0';
+  d.flying.append(f, d.bulkAt, n);
+  d.bulkAt += n;
+  d.bulkBytes -= n;
+  if (last) d.bulk.pop_front(), d.bulkAt = 0;
+}
+void Link::kick() {
+  auto& d = *impl_;
+  if (backlog() > kMaxOut) {
     ring::alarm("link to " + d.farIp + " ended: it does not read");
     return end();
   }
-  d.out += frame;
   if (d.unanswered == Instant::max()) d.unanswered = Clock::now();
   if (d.writing) return;
   d.writing = true;
@@ -116,13 +171,11 @@
   asio::post(Quay::get().io(), [self = shared_from_this()] {
     auto step = [](auto&& again, const LinkPtr& l) -> void {
       auto& d = *l->impl_;
-      d.flying.clear();
-      if (!d.open || d.out.empty()) {
+      if (d.open) l->load();
+      if (!d.open || d.flying.empty()) {
         d.writing = false;
         return;
       }
-      d.flying = std::move(d.out);
-      d.out.clear();
       asio::async_write(d.wire.sock(), asio::buffer(d.flying), [again, l](Ec ec, std::size_t) {
         if (ec) {
           l->impl_->writing = false;
--- a/libs/tender/src/tender.cpp
+++ b/libs/tender/src/tender.cpp
@@ -102,7 +102,9 @@
   void follow(const LinkPtr& l, bool whole) {
     Msg m = msgOf(Kind::follow);
     m.from = self_;
-    m.num = queue_.applied();
+    // A copy that a difference did not fit asks for all of it.
+    m.num = copy_.damaged() ? 0 : queue_.applied();
+    m.names = {copy_.state().digest};
     m.flag = whole;
     l->send(m);
     lastFollow_ = Clock::now();
@@ -110,7 +112,7 @@
   }
   void refetch(bool now) {
     // A gap is mended before anything later is applied; the sequencer keeps what was missed.
-    const bool behind = queue_.gap() || queue_.applied() < newest_;
+    const bool behind = queue_.gap() || queue_.applied() < newest_ || copy_.damaged();
     if (!now && !behind) return;
     if (Clock::now() - lastFollow_ < kRefetch) return;
     if (auto* m = toSequencer(); m && m->up()) follow(m->link(), true);
@@ -140,8 +142,12 @@
       case Kind::feed: {
         if (m.term < term_) return;  // fenced: a sequencer of an older term
         if (m.ok) {
-          if (m.num <= queue_.applied()) return;  // never back in number
-          if (auto r = copy_.restore(m.blob); !r) return ring::alarm("snapshot declined: " + r.error().text);
+          if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged())) return;  // never back in number
+          if (auto r = copy_.restore(m.blob); !r) {
+            ring::alarm("snapshot declined: " + r.error().text);
+            copy_.damage();
+            return refetch(true);
+          }
           queue_.restart(m.num);
           tail_.clear();
           newest_ = std::max(newest_, m.num);
@@ -171,7 +177,7 @@
   void drain() {
     std::vector<Entry> fresh;
     while (auto e = queue_.next()) {
-      copy_.apply(*e);
+      if (copy_.apply(*e).damaged) ring::alarm("a difference did not fit: the whole is asked for"), refetch(true);
       tail_.push_back(*e);
       if (tail_.size() > kTail) tail_.pop_front();
       fresh.push_back(std::move(*e));
@@ -181,24 +187,29 @@
     m.num = queue_.applied();
     m.entries = std::move(fresh);
     pilot_->send(m);
+    pilotHolds_ = copy_.state().digest;
   }
   void sendSnapshot() {
     Msg m = msgOf(Kind::feed);
     m.ok = true;
     m.num = copy_.state().num;
-    m.blob = copy_.snapshot();
+    m.blob = copy_.snapshotFor(pilotHolds_);
     pilot_->send(m);
+    pilotHolds_ = copy_.state().digest;
   }
   void onPilot(const LinkPtr& l, Msg m) {
     switch (m.what()) {
       case Kind::follow: {
         if (pilot_ && pilot_ != l) pilot_->end();
         pilot_ = l;
+        pilotHolds_ = m.names.empty() ? std::string{} : m.names.front();
+        if (m.flag) return copy_.damaged() ? void() : sendSnapshot();  // it asks for all of it
         Msg r = msgOf(Kind::feed);
         for (auto& e : tail_)
           if (e.num > m.num) r.entries.push_back(e);
         if (m.num < queue_.applied() && (r.entries.empty() || r.entries.front().num != m.num + 1)) return sendSnapshot();
         r.num = queue_.applied();
+        pilotHolds_ = copy_.state().digest;
         return l->send(r);
       }
       case Kind::draw:
@@ -227,6 +238,7 @@
   Copy copy_;
   std::deque<Entry> tail_;
   LinkPtr pilot_;
+  std::string pilotHolds_;  // digest of the configuration that the pilot has, once it has read what was sent
 };
 }  // namespace
 
