Who led the newest term and restarted has no lease: nobody waits it out after a restart of all

Change: a page tells the newest term that this member led; after a restart it says so when it asks, and who stands in that same term is free to vote. Promises are told only once their term is on the disk, which the argument needs. Tests: 40 restarts of 3 and 8 machines; worlds now also check that no two leases hold at one moment.

--- a/libs/log/include/log/order.hpp
+++ b/libs/log/include/log/order.hpp
@@ -6,6 +6,7 @@
 // What a member keeps on its disk. A page is either the whole (full) or what came on top of the page before.
 struct Page {
   std::int64_t seq = 0, term = 0;
+  std::int64_t led = 0;  // the newest term in which this member was the sequencer
   std::string self, vote;
   bool full = false;
   std::int64_t snapNum = 0, snapTerm = 0, founded = 0;
@@ -15,7 +16,7 @@
   std::vector<Entry> entries;
   template <class V>
   void fields(V& v) {
-    v("seq", seq), v("term", term), v("self", self), v("vote", vote), v("full", full), v("snapNum", snapNum);
+    v("seq", seq), v("term", term), v("led", led), v("self", self), v("vote", vote), v("full", full), v("snapNum", snapNum);
     v("snapTerm", snapTerm), v("snapMembers", snapMembers), v("founded", founded), v("state", state), v("from", from), v("entries", entries);
   }
 };
@@ -25,7 +26,7 @@
   Span turn{50};         // how often `tick` is called
   Span diskSick{700};    // an unfinished sync this old makes a sequencer hand over, if another has synced more
   Span deadAfter{2500};  // a silent member may be replaced by a waiting learner
-  Span askAgain{150};    // a question of a would-be sequencer that found no majority yet
+  Span askAgain{100};    // a question of a would-be sequencer that found no majority yet
   Span resend{400}, join{500}, keepRetry{300};
   std::size_t bulky = 16384;  // bodies above this go ahead from their sender
   std::size_t tolerate = 1;     // members that may be lost at once, disks and all (`faultTolerance.machines`)
--- a/libs/log/src/order.cpp
+++ b/libs/log/src/order.cpp
@@ -30,7 +30,7 @@
   std::vector<std::string> seedIps;
 
   // kept on disk
-  std::int64_t term = 0;
+  std::int64_t term = 0, led = 0;
   std::string vote;
   std::int64_t snapNum = 0, snapTerm = 0;
   std::vector<std::string> snapMembers;
@@ -45,6 +45,9 @@
   std::int64_t released = 0, durable = 0, matched = 0, takeOverNum = 0;
   Instant promised{}, electAt{}, leaderHeard{}, lastPulse{}, lastJoin{}, lastQuorum{}, yieldedUntil{};
   bool preVoting = false, handOverRun = false;
+  // This life began from a disk and has held no duty since: what lease this member once had is void.
+  bool restarted = false;
+  std::int64_t termTicket = 0;  // the page that holds the present term
   std::set<std::string> yes;
   std::map<std::string, Far> far;
   std::int64_t pulseNonce = 0;
@@ -122,6 +125,7 @@
     Page g;
     g.seq = ++pageSeq;
     g.term = term;
+    g.led = led;
     g.self = self;
     g.vote = vote;
     g.full = full;
@@ -158,7 +162,7 @@
     preVoting = false;
     setDuty(idleDuty());
     armElection(now);
-    return keep(now, 0, {});
+    return termTicket = keep(now, 0, {});
   }
   void truncateFrom(std::int64_t n) {
     must(n > released, "a released number is taken back");
@@ -214,6 +218,7 @@
     m.ok = handOverRun;
     m.term = preVoting ? term + 1 : term;
     m.commit = askTerm;
+    if (restarted && led > 0 && led == (preVoting ? term : term - 1)) m.nonce = led;
     m.num = lastNum();
     m.prevTerm = lastTerm();
     for (auto& x : members)
@@ -223,6 +228,8 @@
     if (duty != Duty::candidate || yes.size() < majority()) return;
     if (preVoting) return campaign(now, false, false);
     setDuty(Duty::sequencer);
+    led = term;
+    restarted = false;
     leader = self;
     far.clear();
     pulseSent.clear();
@@ -246,7 +253,9 @@
     }
     // A claim handed over binds nobody; any other promise holds until its time.
     const bool bound = duty == Duty::sequencer ? claimedNow(now) : now < promised;
-    const bool free = !bound || (m.ok && m.commit >= term && duty != Duty::sequencer);
+    // So does one whose owner has restarted: who led this very term asks without any memory of its lease. Safe since a
+    // promise to a later one is given only once that term is on the disk (`onPulse`), and then the terms differ.
+    const bool free = !bound || (duty != Duty::sequencer && ((m.ok && m.commit >= term) || (m.nonce > 0 && m.nonce == term)));
     if (m.flag) {
       r.term = m.term;
       r.ok = m.term > term && free && upToDate(m.prevTerm, m.num);
@@ -497,7 +506,7 @@
     if (snapMembers.empty()) {
       r.flag = true;
       r.num = -1;
-      return send(m.from, r);
+      return send(m.from, r, termTicket);
     }
     if (m.num < logBase) {
       // What lies below our base is released and so equal; skip it.
@@ -510,7 +519,7 @@
       r.flag = true;
       r.num = std::min(std::max(released, std::min(m.num - 1, lastNum())), lastNum());
       if (m.num <= lastNum()) r.num = released;
-      return send(m.from, r);
+      return send(m.from, r, termTicket);
     }
     std::vector<Entry> fresh;
     bool missing = false;
@@ -544,7 +553,8 @@
     }
     releaseTo(std::min(m.commit, matched));
     r.num = std::min(matched, durable);
-    send(m.from, r);
+    // Why after the term's page: the answer is a promise to this sequencer, which a restart must not forget.
+    send(m.from, r, termTicket);
     if (missing) {
       Msg g = msgOf(Kind::pulseAck);
       g.term = term;
@@ -646,6 +656,7 @@
   for (auto& g : pages) {
     d.pageSeq = std::max(d.pageSeq, g.seq);
     d.term = g.term;
+    d.led = g.led;
     d.vote = g.vote;
     if (g.full) {
       d.snapNum = g.snapNum;
@@ -676,8 +687,11 @@
   }
   // A promise made before the restart is not remembered, so it is kept by waiting.
   d.promised = now + d.p.claim;
-  // Why soon after: where all came back at once nobody is there to wait for.
-  d.electAt = d.promised + Span(20 + static_cast<std::int64_t>(d.rng() % 200));
+  d.restarted = true;
+  // Why soon after: where all came back at once nobody is there to wait for. Who led the newest term it knows of need not
+  // wait: the lease was its own, and it is gone.
+  d.electAt = d.led > 0 && d.led == d.term ? now + Span(20 + static_cast<std::int64_t>(d.rng() % 30))
+                                           : d.promised + Span(20 + static_cast<std::int64_t>(d.rng() % 200));
 }
 void Order::seeds(std::vector<std::string> ips) { impl_->seedIps = std::move(ips); }
 
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -58,6 +58,10 @@
     });
     if (!ok) return ok;
     Quay::get().every(kChallenge, [this] { challenge(); });
+    // Why oftener without one: each of these goes no further than the agent while there is no sequencer.
+    Quay::get().every(kChallenge / 4, [this] {
+      if (!wa_.claimed(Clock::now())) challenge();
+    });
     Quay::get().every(1000ms, [this] { wa_.pool.sweep(Clock::now()); });
     return {};
   }
--- a/tests/harbour_sim.hpp
+++ b/tests/harbour_sim.hpp
@@ -89,6 +89,8 @@
         n.order->tick(now);
         step(n);
         if (n.order->claimed(now)) {
+          for (auto& [o, x] : nodes)
+            if (o != ip && x.up && x.order->claimed(now)) blame("two leases at one moment, " + ip + " and " + o);
           auto& who = claimsOfTerm[n.order->term()];
           who.insert(n.id);
           if (who.size() > 1) blame("two sequencers in term " + std::to_string(n.order->term()));
--- a/tests/order_test.cpp
+++ b/tests/order_test.cpp
@@ -368,6 +368,24 @@
   EXPECT_EQ(w.sequencer(), first);
   EXPECT_EQ(w.nodes[first].order->term(), term);
 }
+// The old sequencer's lease is gone with its process, and it may say so: nobody waits the lease out for it.
+TEST(Order, ARestartOfAllIsOverSoonerThanALease) {
+  int soon = 0;
+  for (std::uint64_t s = 600; s < 640; ++s) {
+    World w(s);
+    const auto ips = s % 2 ? bootMany(w, 8) : kSeeds;
+    if (s % 2 == 0) bootAll(w);
+    for (int i = 0; i < 5; ++i) w.write(ips[w.draw(ips.size())]), w.runFor(60ms);
+    for (auto& o : ips) w.kill(o);
+    w.runFor(500ms);
+    for (auto& o : ips) w.boot(o, kSeeds, false);
+    w.runFor(300ms);
+    soon += !w.sequencer().empty();
+    checkEnd(w);
+    if (HasFailure()) return;
+  }
+  EXPECT_GE(soon, 36) << "of 40";
+}
 TEST(Order, HandOverMovesTheDutyAtOnce) {
   World w(5);
   bootAll(w);
