--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kTenderBacklog = 64 * 1024, kMemberBacklog = 4u << 20;
 constexpr std::size_t kTenderLinks = 3;  // with more members a tender is not linked to each, and misses bodies sent ahead
 constexpr auto kTenderSilent = 6s;
+constexpr int kViewEvery = 8;          // state messages: the members and a part of the view go with each so many-th
 std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
 }  // namespace
 
@@ -286,12 +287,19 @@
       auto& t = tenders_[m.from];
       if (t.link != l) {
         if (t.link && t.link->open()) t.link->end();
-        t = Tender{l, -1, 0, {}};
+        t = Tender{};
+        t.link = l;
       }
       view_.add(ipOf(m.from) + "/access");
       view_.merge(m.view);
       t.applied = m.num;
-      return l->send(stateAck());
+      auto r = stateAck();
+      // Changes only: what the far end was told on this link already is left out.
+      std::size_t members = 0;
+      for (auto& x : r.names) members = hash64(x, members);
+      if (std::exchange(t.members, members) == members && t.told % kViewEvery) r.names.clear(), r.view.clear();
+      ++t.told;
+      return l->send(r);
     }
     case Kind::follow: {
       auto& t = tenders_[m.from];
@@ -338,7 +346,9 @@
       Msg r = msgOf(Kind::drawn);
       r.from = order_->self();
       r.ok = order_->claimed(now);
-      if (r.ok) r.grants = quota_.draw(now, m.from, m.grants, {}, cfg_.get());
+      // Why for nobody in particular: what waits is spent at once and belongs to no stash.
+      if (r.ok) r.grants = quota_.draw(now, {}, m.grants, {}, cfg_.get());
+      r.from.clear();
       return l->send(r);
     }
     case Kind::claim: {
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -35,6 +35,8 @@
     LinkPtr link;
     std::int64_t fed = -1;  // -1: asks for nothing here
     std::int64_t applied = 0;  // by its state messages
+    int told = 0;              // state messages answered on this link
+    std::size_t members = 0;   // hash of the members last told
     std::string held;          // digest of the configuration that it said it holds
   };
   struct Write {
--- a/libs/rehearse/src/hollow.cpp
+++ b/libs/rehearse/src/hollow.cpp
@@ -31,7 +31,7 @@
     Msg m = msgOf(Kind::state);
     m.from = self_;
     m.num = queue_.applied();
-    m.view = {"127.0.2.1/core", "127.0.2.2/core", self_ + "/access"};
+    if (++states_ % 8 == 1) m.view = {"127.0.2.1/core", "127.0.2.2/core", "127.4.0.9/access", "127.4.0.7/access", self_ + "/access"};
     for (auto& [ip, l] : links_) l->send(m);
   });
   soon(400ms, [this] {
@@ -93,7 +93,6 @@
     auto* s = sequencer();
     if (!s) return;
     Msg m = msgOf(Kind::draw);
-    m.from = self_;
     m.grants = stash_.unasked();
     drawnAt_ = Clock::now();
     if (!m.grants.empty()) s->send(m);
--- a/libs/rehearse/src/hollow.hpp
+++ b/libs/rehearse/src/hollow.hpp
@@ -38,6 +38,7 @@
   Instant leaseEnds_{}, followed_{}, drawnAt_{};
   std::int64_t nonce_ = 0, term_ = 0, newest_ = 0, outliersKnown_ = 0;
   std::map<std::string, int> waiting_;
+  int states_ = 0;
   bool following_ = false, asking_ = false;
 };
 }  // namespace zc
--- a/libs/tender/src/tender.cpp
+++ b/libs/tender/src/tender.cpp
@@ -19,6 +19,7 @@
 constexpr int kStateAfter = 32;      // ... or after so many receipts
 constexpr auto kMoor = 250ms;
 constexpr auto kNoLease = 1000ms;
+constexpr int kViewEvery = 8;        // state messages: a part of the view goes with each so many-th
 constexpr std::size_t kView = 12, kTail = 256;
 constexpr std::size_t kOthers = 2;  // links to members besides the sequencer: who tells of the next one
 std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
@@ -58,7 +59,7 @@
     Msg m = msgOf(Kind::state);
     m.from = self_;
     m.num = queue_.applied();
-    m.view = view_.sample();
+    if (++states_ % kViewEvery == 1) m.view = view_.sample();
     return m;
   }
   // Links go to the sequencer and to a few other members, each node's own choice, so that their number does not grow
@@ -118,7 +119,7 @@
     if (auto* m = toSequencer(); m && m->up()) follow(m->link(), true);
   }
   void onCore(const LinkPtr& l, Msg m) {
-    view_.add(ipOf(m.from) + "/core");
+    if (!m.from.empty()) view_.add(ipOf(m.from) + "/core");
     switch (m.what()) {
       case Kind::stateAck: {
         view_.merge(m.view);
@@ -214,7 +215,7 @@
       }
       case Kind::draw:
       case Kind::challenge: {
-        m.from = self_;
+        if (m.what() == Kind::challenge) m.from = self_;
         if (auto* s = toSequencer(); s && s->up()) s->send(m);
         else l->send(msgOf(Kind::stateAck));
         return;
@@ -233,7 +234,7 @@
   Instant lastFollow_{}, lastLease_{};
   const std::uint64_t rank_ = drawSeed();
   bool following_ = false;
-  int receipts_ = 0;
+  int receipts_ = 0, states_ = 0;
   Queue queue_;
   Copy copy_;
   std::deque<Entry> tail_;
