--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -33,7 +33,7 @@
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
     "  rehearse [FILE] [--set name=value,...] [--json]  a scale run on loopback: real harbourmasters, hollow nodes";
 
-// Why not return: the fiber library would wait for fibers that are parked on wires nobody serves any more.
+// Why not return: the fiber library would wait for fibers that are parked on connections nobody serves any more.
 [[noreturn]] void quit(int rc) {
   std::fflush(nullptr);
   ::_exit(rc);
--- a/libs/almanac/src/call.cpp
+++ b/libs/almanac/src/call.cpp
@@ -7,7 +7,7 @@
 Outcome<Called> callThere(const std::string& address, const std::string& path, const Call& c, Span within, std::string& location) {
   auto ep = parseEndpoint(address);
   if (!ep) return tl::unexpected(ep.error());
-  Wire w;
+  Connection w;
   Ec ec;
   w.due(Clock::now() + within);
   w.connect(*ep, ec);
--- a/libs/almanac/src/commands.cpp
+++ b/libs/almanac/src/commands.cpp
@@ -58,7 +58,7 @@
   return onQuay([&] {
     int silent = 0;
     std::string all = "[";
-    if (!json) std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", "node", "duty", "term", "released", "applied", "claimed", "disk", "runners", "members");
+    if (!json) std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", "node", "duty", "term", "released", "applied", "leased", "disk", "runners", "members");
     for (auto& a : addresses) {
       auto r = callOne(a, Call{"GET", "/v1/Status", "", {}}, kCallWait);
       if (!r || r->status != 200) {
@@ -74,7 +74,7 @@
       }
       auto f = [&](const char* n) { return fieldOf(r->body, n).value_or("?"); };
       std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", f("node").c_str(), f("duty").c_str(), f("term").c_str(),
-                  f("released").c_str(), f("applied").c_str(), f("claimed").c_str(), f("diskSick") == "true" ? "sick" : "fine",
+                  f("released").c_str(), f("applied").c_str(), f("leased").c_str(), f("diskSick") == "true" ? "sick" : "fine",
                   f("runners#").c_str(), f("members").c_str());
     }
     if (json) std::printf("%s]\n", all.c_str());
--- a/libs/berth/src/docks.cpp
+++ b/libs/berth/src/docks.cpp
@@ -131,7 +131,7 @@
 int Docks::chooseEngine(const Wish& w, const std::vector<int>& good, Instant now) {
   int home = -1;
   std::uint64_t top = 0;
-  // A part's home is sought in the consumer's own region while that has a runner.
+  // A part's home is sought in the client's own region while that has a runner.
   const bool near = std::any_of(good.begin(), good.end(), [&](int i) { return sameRegion(docks_[i].zone, w.zone); });
   if (w.affinity)
     for (int i : good) {
--- a/libs/charter/include/charter/configuration.hpp
+++ b/libs/charter/include/charter/configuration.hpp
@@ -7,7 +7,7 @@
   int service = 0;  // index into Configuration::services
   std::uint32_t share = 1;
 };
-struct Mapping {  // a route
+struct Route {  // a route
   std::string label, authority, pathPrefix;
   RouteType type = RouteType::unsafe;
   Span expiry{0}, aim{0}, gapTarget{0};
@@ -35,8 +35,8 @@
   Span headerTimer{3000}, idleTimer{15000};
 };
 struct Configuration {
-  std::int64_t stamp = 0;
-  std::vector<Mapping> mappings;
+  std::int64_t version = 0;
+  std::vector<Route> routes;
   std::vector<Service> services;
   std::vector<Subscriber> subscribers;
   std::unordered_map<std::string, int> keys;  // key -> subscriber
--- a/libs/charter/src/configuration.cpp
+++ b/libs/charter/src/configuration.cpp
@@ -31,7 +31,7 @@
     r.whole(eng, "stride", s.stride);
   }
 }
-void readMapping(json::Reader& r, const json::Obj& o, const std::map<std::string, int>& services, Mapping& m) {
+void readRoute(json::Reader& r, const json::Obj& o, const std::map<std::string, int>& services, Route& m) {
   r.text(o, "label", m.label);
   r.text(o, "authority", m.authority, true);
   m.authority = lower(m.authority);
@@ -91,7 +91,7 @@
   if (it == byHost.end()) return -1;
   if (const auto q = path.find('?'); q != path.npos) path = path.substr(0, q);
   for (int i : it->second)
-    if (path.substr(0, mappings[i].pathPrefix.size()) == mappings[i].pathPrefix) return i;
+    if (path.substr(0, routes[i].pathPrefix.size()) == routes[i].pathPrefix) return i;
   return -1;
 }
 int Configuration::subscriberOf(std::string_view key) const {
@@ -109,8 +109,8 @@
   if (doc.get(o)) return fault(400, "configuration is no JSON object");
   json::Reader r;
   auto cfg = std::make_shared<Configuration>();
-  r.whole(o, "configVersion", cfg->stamp, true);
-  if (cfg->stamp <= 0) r.blame("no stamp above 0 in", "configVersion");
+  r.whole(o, "configVersion", cfg->version, true);
+  if (cfg->version <= 0) r.blame("no version above 0 in", "configVersion");
   json::Obj sub;
   json::Arr arr;
   if (r.object(o, "limits", sub)) readLimits(r, sub, cfg->limits);
@@ -127,11 +127,11 @@
   if (r.array(o, "routeTable", arr, true))
     for (auto e : arr) {
       if (e.get(sub)) return fault(400, "no object in 'routeTable'");
-      Mapping m;
-      readMapping(r, sub, services, m);
+      Route m;
+      readRoute(r, sub, services, m);
       if (!places.emplace(m.authority, m.pathPrefix).second) r.blame("two routes at", m.authority + m.pathPrefix);
-      cfg->byHost[m.authority].push_back(static_cast<int>(cfg->mappings.size()));
-      cfg->mappings.push_back(std::move(m));
+      cfg->byHost[m.authority].push_back(static_cast<int>(cfg->routes.size()));
+      cfg->routes.push_back(std::move(m));
     }
   if (r.array(o, "subscribers", arr))
     for (auto e : arr) {
@@ -155,7 +155,7 @@
   if (!r.wrong.empty()) return fault(400, "configuration: " + r.wrong);
   for (auto& [host, list] : cfg->byHost)
     std::sort(list.begin(), list.end(), [&](int a, int b) {
-      return cfg->mappings[a].pathPrefix.size() > cfg->mappings[b].pathPrefix.size();
+      return cfg->routes[a].pathPrefix.size() > cfg->routes[b].pathPrefix.size();
     });
   return cfg;
 }
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -67,7 +67,7 @@
     l->start();
   });
   if (!ok) return ok;
-  // Why at once: the first question to the others must not be lost to a wire not dialled yet.
+  // Why at once: the first question to the others must not be lost to a connection not dialled yet.
   for (auto& x : order_->members()) mooring(ipOf(x));
   if (order_->members().empty())
     for (auto& x : seedIps) mooring(x);
@@ -191,7 +191,7 @@
   auto post = [&](Link& l) {
     if (l.backlog() <= kMemberBacklog) l.send(x);
   };
-  // An answer goes back on the wire the other spoke on; only what has none goes on a dialled one.
+  // An answer goes back on the connection the other spoke on; only what has none goes on a dialled one.
   const auto it = lastLink_.find(member);
   if (it != lastLink_.end())
     if (auto l = it->second.lock(); l && l->open() && Clock::now() - l->heard() < 1s) return post(*l);
@@ -324,12 +324,12 @@
       return l->send(stateAck());
     }
     case Kind::challenge: {
-      Msg r = msgOf(Kind::claim);
+      Msg r = msgOf(Kind::lease);
       r.from = order_->self();
       r.nonce = m.nonce;
       r.who = order_->sequencer();
       r.term = order_->term();
-      r.ok = order_->claimed(now);
+      r.ok = order_->leased(now);
       r.num = order_->released();
       r.commit = nodesHeard_;
       if (!m.load.empty()) loads_[m.from] = {m.load, now};
@@ -345,13 +345,13 @@
     case Kind::draw: {
       Msg r = msgOf(Kind::drawn);
       r.from = order_->self();
-      r.ok = order_->claimed(now);
+      r.ok = order_->leased(now);
       // Why for nobody in particular: what waits is spent at once and belongs to no stash.
       if (r.ok) r.grants = quota_.draw(now, {}, m.grants, {}, cfg_.get());
       r.from.clear();
       return l->send(r);
     }
-    case Kind::claim: {
+    case Kind::lease: {
       const auto it = reads_.find(m.nonce);
       if (it == reads_.end()) return;
       if (m.ok) it->second->num = m.num;
@@ -418,7 +418,7 @@
 Outcome<void> Core::fresh(Span within) {
   const auto end = Clock::now() + within;
   while (Clock::now() < end) {
-    if (order_->claimed(Clock::now())) return {};
+    if (order_->leased(Clock::now())) return {};
     const auto seq = order_->sequencer();
     Read me;
     const auto n = ++nonce_;
@@ -436,14 +436,14 @@
     if (me.num >= 0 && copy_.state().num >= me.num) return {};
     Quay::get().pause(50ms);
   }
-  return fault(503, "no fresh claim");
+  return fault(503, "no fresh lease");
 }
 void Core::beat(const std::string& id) {
   beats_[id] = Clock::now();
   beatsToTell_.push_back(id);
 }
 void Core::watchRunners(Instant now) {
-  if (!order_->claimed(now)) return;
+  if (!order_->leased(now)) return;
   // Why not sooner: a runner must have had time to find a node that answers, and we to hear of it.
   const auto patience = s_.heartbeat * 3 + 1500ms;
   if (now - dutySince_ < patience) return;
@@ -516,10 +516,10 @@
   static const char* duties[] = {"learner", "follower", "candidate", "sequencer"};
   std::string s = "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(order_->self()) + ",\"duty\":\"" +
                   duties[static_cast<int>(order_->duty())] + "\",\"term\":" + std::to_string(order_->term()) +
-                  ",\"sequencer\":" + quoteJson(order_->sequencer()) + ",\"claimed\":" +
-                  (order_->claimed(now) ? "true" : "false") + ",\"released\":" + std::to_string(order_->released()) +
+                  ",\"sequencer\":" + quoteJson(order_->sequencer()) + ",\"leased\":" +
+                  (order_->leased(now) ? "true" : "false") + ",\"released\":" + std::to_string(order_->released()) +
                   ",\"applied\":" + std::to_string(copy_.state().num) + ",\"diskSick\":" +
-                  (order_->diskSick(now) ? "true" : "false") + ",\"stamp\":" + std::to_string(copy_.state().stamp) +
+                  (order_->diskSick(now) ? "true" : "false") + ",\"version\":" + std::to_string(copy_.state().version) +
                   ",\"runnersAside\":" + std::to_string(outliers_.list().size()) + ",\"wordsDeclined\":" + std::to_string(outliers_.declined()) +
                   ",\"members\":[";
   bool first = true;
--- a/libs/harbourmaster/src/harbourmaster.cpp
+++ b/libs/harbourmaster/src/harbourmaster.cpp
@@ -65,11 +65,11 @@
     if (c < '0' || c > '9' || base > 1'000'000'000'000'000) return declined(400, "X-Base-Version is no number");
     base = base * 10 + (c - '0');
   }
-  const auto stamp = (*cfg)->stamp;
-  if (core.copy().judge(base, stamp, digestOf(body)) == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}", ""};
-  auto v = core.write(changeOp(base, stamp, body, core.opId(), core.copy().state()), kConfigWait);
+  const auto version = (*cfg)->version;
+  if (core.copy().judge(base, version, digestOf(body)) == 200) return {200, "{\"configVersion\":" + std::to_string(version) + "}", ""};
+  auto v = core.write(changeOp(base, version, body, core.opId(), core.copy().state()), kConfigWait);
   if (!v) return declined(503, v.error().text);
-  if (*v == 200) return {200, "{\"configVersion\":" + std::to_string(stamp) + "}", ""};
+  if (*v == 200) return {200, "{\"configVersion\":" + std::to_string(version) + "}", ""};
   return declined(*v, *v == 412 ? "another configuration is in place" : "configVersion is not above the current one");
 }
 Said onRetrieve(Core& core) {
@@ -121,7 +121,7 @@
   return declined(404, "no such call");
 }
 void serve(Core& core, tcp::socket s, const std::string& uri) {
-  Wire w(std::move(s));
+  Connection w(std::move(s));
   tune(w.sock());
   Buffer buf;
   ReadLimits limits;
--- a/libs/harbourmaster/src/quota.cpp
+++ b/libs/harbourmaster/src/quota.cpp
@@ -17,11 +17,11 @@
   since_ = now;
 }
 const Subscriber* QuotaDesk::tenant(const Configuration& cfg, const std::string& label) {
-  if (indexed_ != &cfg || indexedStamp_ != cfg.stamp) {
+  if (indexed_ != &cfg || indexedVersion_ != cfg.version) {
     byLabel_.clear();
     for (std::size_t i = 0; i < cfg.subscribers.size(); ++i) byLabel_[cfg.subscribers[i].label] = static_cast<int>(i);
     indexed_ = &cfg;
-    indexedStamp_ = cfg.stamp;
+    indexedVersion_ = cfg.version;
   }
   const auto it = byLabel_.find(label);
   return it == byLabel_.end() ? nullptr : &cfg.subscribers[static_cast<std::size_t>(it->second)];
--- a/libs/harbourmaster/src/quota.hpp
+++ b/libs/harbourmaster/src/quota.hpp
@@ -34,7 +34,7 @@
   std::unordered_map<std::string, Purse> purses_;
   std::unordered_map<std::string, int> byLabel_;
   const Configuration* indexed_ = nullptr;
-  std::int64_t indexedStamp_ = -1;
+  std::int64_t indexedVersion_ = -1;
   Instant since_{};
   Bounds bounds_;
 };
--- a/libs/keel/include/keel/quay.hpp
+++ b/libs/keel/include/keel/quay.hpp
@@ -27,7 +27,7 @@
   bool done_ = false;
 };
 
-class Wire;
+class Connection;
 class Quay {
  public:
   Quay();
@@ -41,20 +41,20 @@
   bool waitFor(Waiter& w, Span d);  // false: the time was up first
   // Calls f every d until the quay stops.
   void every(Span d, std::function<void()> f);
-  void watch(Wire& w);
+  void watch(Connection& w);
 
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
 };
 
-// A TCP wire whose operations park the calling fiber; a deadline passed cancels them.
-class Wire : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+// A TCP connection whose operations park the calling fiber; a deadline passed cancels them.
+class Connection : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
-  Wire();
-  explicit Wire(tcp::socket s);
-  ~Wire();
-  Wire(const Wire&) = delete;
+  Connection();
+  explicit Connection(tcp::socket s);
+  ~Connection();
+  Connection(const Connection&) = delete;
   std::size_t read(asio::mutable_buffer b, Ec& ec);
   void write(asio::const_buffer b, Ec& ec);
   void connect(const tcp::endpoint& ep, Ec& ec);
--- a/libs/keel/src/quay.cpp
+++ b/libs/keel/src/quay.cpp
@@ -61,7 +61,7 @@
   int ready = 0;
   bool stopped = false;
   boost::fibers::fixedsize_stack stacks{kStack};
-  boost::intrusive::list<Wire, boost::intrusive::constant_time_size<false>> watched;
+  boost::intrusive::list<Connection, boost::intrusive::constant_time_size<false>> watched;
   asio::steady_timer sweep{io};
   bool sweeping = false;
   void arm() {
@@ -145,15 +145,15 @@
   };
   (*step)();
 }
-void Quay::watch(Wire& w) {
+void Quay::watch(Connection& w) {
   if (!w.is_linked()) impl_->watched.push_back(w);
   if (!impl_->sweeping) impl_->arm();
 }
 
-Wire::Wire() : sock_(Quay::get().io()) {}
-Wire::Wire(tcp::socket s) : sock_(std::move(s)) {}
-Wire::~Wire() { shut(); }
-void Wire::due(Instant t) {
+Connection::Connection() : sock_(Quay::get().io()) {}
+Connection::Connection(tcp::socket s) : sock_(std::move(s)) {}
+Connection::~Connection() { shut(); }
+void Connection::due(Instant t) {
   due_ = t;
   late_ = false;
   if (t == Instant::max()) {
@@ -162,7 +162,7 @@
     Quay::get().watch(*this);
   }
 }
-std::size_t Wire::read(asio::mutable_buffer b, Ec& ec) {
+std::size_t Connection::read(asio::mutable_buffer b, Ec& ec) {
   std::size_t got = 0;
   Waiter w;
   sock_.async_read_some(b, [&](Ec e, std::size_t n) {
@@ -173,7 +173,7 @@
   w.wait();
   return got;
 }
-void Wire::write(asio::const_buffer b, Ec& ec) {
+void Connection::write(asio::const_buffer b, Ec& ec) {
   // Why straight first: most writes fit the socket's window, and a parked fiber costs a wake-up.
   if (!unblocked_) sock_.non_blocking(true, ec), unblocked_ = true;
   const auto n = sock_.send(asio::buffer(b), MSG_NOSIGNAL, ec);
@@ -188,7 +188,7 @@
   });
   w.wait();
 }
-void Wire::connect(const tcp::endpoint& ep, Ec& ec) {
+void Connection::connect(const tcp::endpoint& ep, Ec& ec) {
   Waiter w;
   sock_.open(ep.protocol(), ec);
   if (ec) return;
@@ -199,7 +199,7 @@
   });
   w.wait();
 }
-void Wire::awaitReadable(Ec& ec) {
+void Connection::awaitReadable(Ec& ec) {
   Waiter w;
   sock_.async_wait(tcp::socket::wait_read, [&](Ec e) {
     ec = e;
@@ -207,12 +207,12 @@
   });
   w.wait();
 }
-void Wire::shut() {
+void Connection::shut() {
   Ec ec;
   if (is_linked()) unlink();
   if (sock_.is_open()) sock_.close(ec);
 }
-void Wire::cancel() {
+void Connection::cancel() {
   Ec ec;
   if (sock_.is_open()) sock_.cancel(ec);
 }
--- a/libs/keel/src/ring.cpp
+++ b/libs/keel/src/ring.cpp
@@ -37,7 +37,7 @@
   }
   LOG4CXX_INFO(r.sink, s);
 }
-std::string stamp(const std::string& line) {
+std::string version(const std::string& line) {
   const auto ms = std::chrono::duration_cast<Span>(Clock::now().time_since_epoch()).count();
   char buf[40];
   std::snprintf(buf, sizeof buf, "%lld.%03lld ", static_cast<long long>(ms / 1000), static_cast<long long>(ms % 1000));
@@ -49,7 +49,7 @@
 void verbose(bool on) { self().verbose = on; }
 void note(std::string line) {
   auto& r = self();
-  r.kept.push_back(stamp(line));
+  r.kept.push_back(version(line));
   if (r.kept.size() > kKept) r.kept.pop_front();
   r.fresh = std::min(r.fresh + 1, kKept);
   if (r.verbose) dump();
@@ -62,7 +62,7 @@
   r.lastDump = now;
   dump();
 }
-void say(std::string line) { write(stamp(line)); }
+void say(std::string line) { write(version(line)); }
 void dump() {
   auto& r = self();
   for (auto i = r.kept.size() - std::min(r.fresh, r.kept.size()); i < r.kept.size(); ++i) write(r.kept[i]);
--- a/libs/log/include/log/order.hpp
+++ b/libs/log/include/log/order.hpp
@@ -1,4 +1,4 @@
-// The numbered order, the sequencer's claim and the core's membership as one pure state machine:
+// The numbered order, the sequencer's lease and the core's membership as one pure state machine:
 // events in, actions out, the clock passed in. It touches no socket, no file and no clock.
 #pragma once
 #include "signal/messages.hpp"
@@ -22,7 +22,7 @@
 };
 
 struct OrderParams {
-  Span pulse{120}, claim{500}, margin{80}, electMin{550}, electSpread{300};
+  Span pulse{120}, lease{500}, margin{80}, electMin{550}, electSpread{300};
   Span turn{50};         // how often `tick` is called
   Span diskSick{700};    // an unfinished sync this old makes a sequencer hand over, if another has synced more
   Span deadAfter{2500};  // a silent member may be replaced by a waiting learner
@@ -65,7 +65,7 @@
   std::string sequencer() const;  // empty: unknown
   std::int64_t released() const;
   std::int64_t firstKept() const;
-  bool claimed(Instant now) const;  // holds a valid claim and has released in its own term
+  bool leased(Instant now) const;  // holds a valid lease and has released in its own term
   const std::vector<std::string>& members() const;
   const Entry* at(std::int64_t num) const;
   bool diskSick(Instant now) const;
--- a/libs/log/src/order.cpp
+++ b/libs/log/src/order.cpp
@@ -13,7 +13,7 @@
   std::int64_t next = 0, match = 0;
   std::int64_t whole = 0;  // up to here bodies are never left out: what was sent before may be lost
   Instant heard{}, sentAt{}, progress{};
-  Instant claimFrom{};  // send time of the newest pulse it has answered
+  Instant leaseFrom{};  // send time of the newest pulse it has answered
   bool snapFlying = false;
 };
 struct Held {
@@ -251,8 +251,8 @@
       if (duty == Duty::sequencer) touchLearner(now, m.from);
       return;
     }
-    // A claim handed over binds nobody; any other promise holds until its time.
-    const bool bound = duty == Duty::sequencer ? claimedNow(now) : now < promised;
+    // A lease handed over binds nobody; any other promise holds until its time.
+    const bool bound = duty == Duty::sequencer ? leasedNow(now) : now < promised;
     // So does one whose owner has restarted: who led this very term asks without any memory of its lease. Safe since a
     // promise to a later one is given only once that term is on the disk (`onPulse`), and then the terms differ.
     const bool free = !bound || (duty != Duty::sequencer && ((m.ok && m.commit >= term) || (m.nonce > 0 && m.nonce == term)));
@@ -357,21 +357,21 @@
     }
     for (auto& [x, f] : far) feedOne(now, x, f, beat);
   }
-  Instant claimEnd() const {
+  Instant leaseEnd() const {
     std::vector<Instant> from;
     for (auto& x : members) {
       if (x == self) continue;
       const auto it = far.find(x);
-      from.push_back(it == far.end() ? Instant{} : it->second.claimFrom);
+      from.push_back(it == far.end() ? Instant{} : it->second.leaseFrom);
     }
     const auto need = majority() - (member(self) ? 1 : 0);
     if (need == 0) return Instant::max();
     if (from.size() < need) return Instant{};
     std::sort(from.rbegin(), from.rend());
     const auto base = from[need - 1];
-    return base == Instant{} ? base : base + p.claim - p.margin;
+    return base == Instant{} ? base : base + p.lease - p.margin;
   }
-  bool claimedNow(Instant now) const { return duty == Duty::sequencer && now < claimEnd(); }
+  bool leasedNow(Instant now) const { return duty == Duty::sequencer && now < leaseEnd(); }
   void onPulseAck(Instant now, const Msg& m) {
     if (duty != Duty::sequencer || m.term != term) return;
     const auto it = far.find(m.from);
@@ -379,7 +379,7 @@
     auto& f = it->second;
     f.heard = now;
     if (m.nonce)
-      if (const auto s = pulseSent.find(m.nonce); s != pulseSent.end()) f.claimFrom = std::max(f.claimFrom, s->second);
+      if (const auto s = pulseSent.find(m.nonce); s != pulseSent.end()) f.leaseFrom = std::max(f.leaseFrom, s->second);
     if (m.flag) {  // refetch: it misses what comes after num; below 0 it has nothing, not even the members
       f.snapFlying = false;
       f.next = std::max<std::int64_t>(0, std::min(m.num + 1, lastNum() + 1));
@@ -483,14 +483,14 @@
   std::size_t needed() const { return std::max(foundedWith, 2 * p.tolerate + 1); }
 
   // --- the follower ---
-  // Whoever speaks with the sequencer's voice in this term or a higher one is followed, and promised its claim.
+  // Whoever speaks with the sequencer's voice in this term or a higher one is followed, and promised its lease.
   bool heed(Instant now, const Msg& m) {
     if (m.term > term) adopt(now, m.term);
     if (duty == Duty::sequencer) return false;
     if (duty == Duty::candidate) setDuty(idleDuty());
     leader = m.from;
     leaderHeard = now;
-    promised = now + p.claim;
+    promised = now + p.lease;
     armElection(now);
     return true;
   }
@@ -629,7 +629,7 @@
     m.term = term;
     leader.clear();
     yieldedUntil = now + p.electMin * 3;
-    setDuty(idleDuty());  // the claim ends here, before anybody may start a new one
+    setDuty(idleDuty());  // the lease ends here, before anybody may start a new one
     armElection(now);
     electAt += p.electMin;
     send(best, m);
@@ -686,7 +686,7 @@
     d.out.push_back(std::move(a));
   }
   // A promise made before the restart is not remembered, so it is kept by waiting.
-  d.promised = now + d.p.claim;
+  d.promised = now + d.p.lease;
   d.restarted = true;
   // Why soon after: where all came back at once nobody is there to wait for. Who led the newest term it knows of need not
   // wait: the lease was its own, and it is gone.
@@ -709,8 +709,8 @@
       break;  // in order, one at a time
     }
   if (d.duty == Duty::sequencer) {
-    if (d.claimedNow(now)) d.lastQuorum = now;
-    else if (now - d.lastQuorum > d.p.claim + d.p.electMin) {
+    if (d.leasedNow(now)) d.lastQuorum = now;
+    else if (now - d.lastQuorum > d.p.lease + d.p.electMin) {
       d.leader.clear();
       d.setDuty(d.idleDuty());
       d.armElection(now);
@@ -757,7 +757,7 @@
     case Kind::join:
       if (d.duty == Duty::sequencer) {
         d.touchLearner(now, m.from);
-      } else if (!d.leader.empty() && now - d.leaderHeard < d.p.claim) {
+      } else if (!d.leader.empty() && now - d.leaderHeard < d.p.lease) {
         Msg r = msgOf(Kind::join);
         r.who = m.from;
         r.flag = true;
@@ -859,7 +859,7 @@
 std::string Order::sequencer() const { return impl_->leader; }
 std::int64_t Order::released() const { return impl_->released; }
 std::int64_t Order::firstKept() const { return impl_->logBase + 1; }
-bool Order::claimed(Instant now) const { return impl_->claimedNow(now) && impl_->released >= impl_->takeOverNum; }
+bool Order::leased(Instant now) const { return impl_->leasedNow(now) && impl_->released >= impl_->takeOverNum; }
 const std::vector<std::string>& Order::members() const { return impl_->members; }
 const Entry* Order::at(std::int64_t n) const { return impl_->entryAt(n); }
 bool Order::diskSick(Instant) const { return impl_->sick(); }
--- a/libs/passage/include/passage/http.hpp
+++ b/libs/passage/include/passage/http.hpp
@@ -1,4 +1,4 @@
-// Requests read and plain answers written on a wire, with the library's parser.
+// Requests read and plain answers written on a connection, with the library's parser.
 #pragma once
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -19,17 +19,17 @@
   int status = 0;  // for declined
 };
 // Reads one request; whatever follows it stays in buf.
-ReadResult readRequest(Wire& w, Buffer& buf, RequestParser& p, const ReadLimits& l);
-// Feeds the parser from buf and the wire until its head (or all of it) is read.
+ReadResult readRequest(Connection& w, Buffer& buf, RequestParser& p, const ReadLimits& l);
+// Feeds the parser from buf and the connection until its head (or all of it) is read.
 template <class Parser>
-void pump(Wire& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec);
+void pump(Connection& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec);
 
 std::string_view reasonOf(int status);
 std::string plainAnswer(int status, std::string_view extraHeads, std::string_view type, std::string_view body, bool keep);
 std::string jsonError(std::string_view text);
 
 template <class Parser>
-void pump(Wire& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec) {
+void pump(Connection& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec) {
   for (;;) {
     if (p.is_done() || (headOnly && p.is_header_done())) {
       ec = {};
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -1,4 +1,4 @@
-// One request from its consumer to a runner and back.
+// One request from its client to a runner and back.
 #pragma once
 #include <unordered_set>
 
@@ -42,21 +42,21 @@
       if (std::any_of(gs.begin(), gs.end(), [&](auto& g) { return g.label == *t.label; })) t.waiter->wake();
   }
   std::string zone;
-  Instant claimEnds{};
+  Instant leaseEnds{};
   Instant born = Clock::now();
   bool leaving = false;
   bool doorsShut = false;  // this zone is being closed
   int aboard = 0;  // requests in work
-  int consumers = 0, consumersMost = 1 << 20;        // wires; beyond the most, a new one is closed unread
+  int clients = 0, clientsMost = 1 << 20;        // connections; beyond the most, a new one is closed unread
   std::size_t held = 0, heldMost = std::size_t{1} << 40;  // bytes of bodies in work; beyond the most, nothing new is read
   std::mt19937_64 rng;
-  std::uint64_t served = 0, declined = 0, goes = 0, cut = 0, carried = 0;
-  bool claimed(Instant now) const { return cfg && now < claimEnds; }
-  // When a consumer that finds no claim here should come back.
-  Span untilClaim(Instant now);
+  std::uint64_t served = 0, declined = 0, attempts = 0, cut = 0, carried = 0;
+  bool leased(Instant now) const { return cfg && now < leaseEnds; }
+  // When a client that finds no lease here should come back.
+  Span untilLease(Instant now);
 };
-// Serves a consumer's wire until it ends.
-// Called for each wire that was accepted: serves it, or closes it at once when there are too many.
-void takeConsumer(Waters& wa, tcp::socket s);
-void serveConsumer(Waters& wa, tcp::socket s);
+// Serves a client's connection until it ends.
+// Called for each connection that was accepted: serves it, or closes it at once when there are too many.
+void takeClient(Waters& wa, tcp::socket s);
+void serveClient(Waters& wa, tcp::socket s);
 }  // namespace zc
--- a/libs/passage/src/heads.hpp
+++ b/libs/passage/src/heads.hpp
@@ -11,7 +11,7 @@
   bool hideKey = true;
 };
 std::string outboundHead(const http::request_header<>& h, const Outbound& o, std::size_t bodySize);
-// The answer's head as the consumer gets it, without framing.
+// The answer's head as the client gets it, without framing.
 std::string inboundHead(const http::response_header<>& h);
 std::string_view field(const http::fields& f, std::string_view name);
 }  // namespace zc
--- a/libs/passage/src/http.cpp
+++ b/libs/passage/src/http.cpp
@@ -14,7 +14,7 @@
 }
 }  // namespace
 
-ReadResult readRequest(Wire& w, Buffer& buf, RequestParser& p, const ReadLimits& l) {
+ReadResult readRequest(Connection& w, Buffer& buf, RequestParser& p, const ReadLimits& l) {
   Ec ec;
   p.header_limit(static_cast<std::uint32_t>(l.header));
   p.body_limit(l.body);
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -15,16 +15,16 @@
 constexpr int kConnectTries = 3;       // a runner that can't be reached has been sent nothing
 constexpr auto kWriteStall = 10s;
 
-// Notices that the consumer goes away while nobody reads from it.
+// Notices that the client goes away while nobody reads from it.
 struct Watch {
   bool gone = false, over = false;
-  Wire* runner = nullptr;
+  Connection* runner = nullptr;
 };
-void startWatch(const std::shared_ptr<Watch>& wt, Wire& consumer) {
-  consumer.sock().async_wait(tcp::socket::wait_read, [wt, &consumer](Ec ec) {
+void startWatch(const std::shared_ptr<Watch>& wt, Connection& client) {
+  client.sock().async_wait(tcp::socket::wait_read, [wt, &client](Ec ec) {
     if (ec || wt->over) return;
     char c;
-    const auto n = ::recv(consumer.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto n = ::recv(client.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) return;
     wt->gone = true;
     if (wt->runner) wt->runner->cancel();
@@ -32,12 +32,12 @@
 }
 struct WatchGuard {
   std::shared_ptr<Watch> wt = std::make_shared<Watch>();
-  Wire& consumer;
-  explicit WatchGuard(Wire& c) : consumer(c) { startWatch(wt, c); }
+  Connection& client;
+  explicit WatchGuard(Connection& c) : client(c) { startWatch(wt, c); }
   ~WatchGuard() {
     wt->over = true;
     wt->runner = nullptr;
-    consumer.cancel();
+    client.cancel();
   }
 };
 
@@ -66,34 +66,34 @@
 }
 
 // How one go at a runner ended.
-enum class GoEnd {
-  done,         // the whole answer is with the consumer
+enum class AttemptEnd {
+  done,         // the whole answer is with the client
   unsent,       // no byte left for the runner
   notRun,       // the runner says that it did not run it
   broken,       // sent, and no whole answer: it may have run
   moved,        // its runner's place is closing; the stream goes on elsewhere
   failed,       // the runner ran it and answered with a failure of its own
-  consumerGone,
+  clientGone,
   timeUp,
 };
 
 class Passage {
  public:
-  Passage(Waters& wa, Wire& consumer, RequestParser& p) : wa_(wa), consumer_(consumer), req_(p.get()) {}
+  Passage(Waters& wa, Connection& client, RequestParser& p) : wa_(wa), client_(client), req_(p.get()) {}
   bool carry();
 
  private:
   bool allowed(const std::string& label);
   bool answer(int status, Span retry = Span(0), std::string_view why = {});
-  GoEnd go(int dock);
-  GoEnd relayStream(Wire& w, Buffer& buf, AnswerParser& ap, bool fresh);
-  bool toConsumer(std::string_view bytes);
-  bool chunkToConsumer(std::string_view bytes);
+  AttemptEnd attempt(int dock);
+  AttemptEnd relayStream(Connection& w, Buffer& buf, AnswerParser& ap, bool fresh);
+  bool toClient(std::string_view bytes);
+  bool chunkToClient(std::string_view bytes);
   Instant now() const { return Clock::now(); }
   // Whether the end of an attempt speaks against its runner.
-  bool illness(GoEnd e) const {
-    if (e == GoEnd::unsent || e == GoEnd::broken) return !stale_;
-    return e == GoEnd::failed || e == GoEnd::timeUp;
+  bool illness(AttemptEnd e) const {
+    if (e == AttemptEnd::unsent || e == AttemptEnd::broken) return !stale_;
+    return e == AttemptEnd::failed || e == AttemptEnd::timeUp;
   }
   // The runner has begun to answer, or never will: its prompt no longer waits there.
   // began: it answered, so that the time until then says how it does.
@@ -103,15 +103,15 @@
     wa_.silent.erase(&attempt_);
     if (began) (void)wa_.witness.began(wa_.docks.at(dock_).id, *service_, unread_, toSpan(now() - attempt_.since), attempt_.blamed);
     unread_ = -1;
-    if (map_->aim > Span(0)) wa_.allowance.first(*service_, now() - arrived_ > map_->aim, now());
+    if (route_->aim > Span(0)) wa_.allowance.first(*service_, now() - arrived_ > route_->aim, now());
   }
 
   Waters& wa_;
-  Wire& consumer_;
+  Connection& client_;
   RequestParser::value_type& req_;
   std::shared_ptr<const Configuration> cfg_;
-  const Mapping* map_ = nullptr;
-  std::string subscriber_, goId_;
+  const Route* route_ = nullptr;
+  std::string subscriber_, attemptId_;
   int precedence_ = -1;
   Instant arrived_, deadline_;
   std::int64_t unread_ = -1;
@@ -127,14 +127,14 @@
   std::string saidRetry_;
 };
 
-bool Passage::toConsumer(std::string_view bytes) {
+bool Passage::toClient(std::string_view bytes) {
   Ec ec;
-  consumer_.due(now() + kWriteStall);
-  consumer_.write(asio::buffer(bytes), ec);
-  consumer_.undue();
+  client_.due(now() + kWriteStall);
+  client_.write(asio::buffer(bytes), ec);
+  client_.undue();
   return !ec;
 }
-bool Passage::chunkToConsumer(std::string_view bytes) {
+bool Passage::chunkToClient(std::string_view bytes) {
   char head[24];
   const int n = std::snprintf(head, sizeof head, "%zx\r\n", bytes.size());
   std::string s;
@@ -142,14 +142,14 @@
   s.append(head, static_cast<std::size_t>(n));
   s += bytes;
   s += "\r\n";
-  return toConsumer(s);
+  return toClient(s);
 }
 bool Passage::answer(int status, Span retry, std::string_view why) {
   std::string heads;
-  if (!goId_.empty()) heads += "X-Attempt-Id: " + goId_ + "\r\n";
+  if (!attemptId_.empty()) heads += "X-Attempt-Id: " + attemptId_ + "\r\n";
   if (retry > Span(0)) heads += retryAfter(retry);
   ++wa_.declined;
-  return toConsumer(plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) && keep_;
+  return toClient(plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) && keep_;
 }
 
 // A token of the quota: from the stash, or drawn in one short round trip. A request that finds the purse empty is
@@ -161,7 +161,7 @@
     return true;
   }
   // Why not long: a refusal must come well inside the aim, so that the client's next try still can.
-  const auto end = arrived_ + std::clamp(map_->aim / 5, Span(15), Span(150));
+  const auto end = arrived_ + std::clamp(route_->aim / 5, Span(15), Span(150));
   Waiter w;
   wa_.thirsty.push_back({&label, &w});
   bool has = false;
@@ -181,134 +181,134 @@
   return has;
 }
 
-// One function a request, read top to bottom. True: the wire may carry another.
+// One function a request, read top to bottom. True: the connection may carry another.
 bool Passage::carry() {
   arrived_ = now();
   cfg_ = wa_.cfg;
   keep_ = req_.keep_alive() && !wa_.leaving && !wa_.doorsShut;
-  goId_ = std::string(field(req_, "X-Attempt-Id"));
+  attemptId_ = std::string(field(req_, "X-Attempt-Id"));
 
-  // Why first of all: without a fresh claim this copy may be older than a key that was taken away.
-  if (!wa_.claimed(arrived_)) return answer(503, wa_.untilClaim(arrived_), "no fresh claim");
+  // Why first of all: without a fresh lease this copy may be older than a key that was taken away.
+  if (!wa_.leased(arrived_)) return answer(503, wa_.untilLease(arrived_), "no fresh lease");
 
   const std::string_view target(req_.target().data(), req_.target().size());
   const int mi = cfg_->find(field(req_, "Host"), target);
   if (mi < 0) return answer(404, Span(0), "no route");
-  map_ = &cfg_->mappings[static_cast<std::size_t>(mi)];
-  precedence_ = map_->precedence;
+  route_ = &cfg_->routes[static_cast<std::size_t>(mi)];
+  precedence_ = route_->precedence;
 
   const Subscriber* sub = nullptr;
-  if (!cfg_->subscribers.empty() && !map_->keyless) {
+  if (!cfg_->subscribers.empty() && !route_->keyless) {
     const int si = cfg_->subscriberOf(keyOf(req_));
     if (si < 0) return answer(401, Span(0), "key not known");
     sub = &cfg_->subscribers[static_cast<std::size_t>(si)];
     subscriber_ = sub->label;
     if (sub->precedence >= 0) precedence_ = sub->precedence;
   }
-  std::uint64_t draw = map_->shareSum > 1 ? wa_.rng() % map_->shareSum : 0;
+  std::uint64_t draw = route_->shareSum > 1 ? wa_.rng() % route_->shareSum : 0;
   std::size_t ti = 0;
-  while (ti + 1 < map_->targets.size() && draw >= map_->targets[ti].share) draw -= map_->targets[ti++].share;
-  const auto& service = cfg_->services[static_cast<std::size_t>(map_->targets[ti].service)];
+  while (ti + 1 < route_->targets.size() && draw >= route_->targets[ti].share) draw -= route_->targets[ti++].share;
+  const auto& service = cfg_->services[static_cast<std::size_t>(route_->targets[ti].service)];
   // Why before the quota: what is declined here must not cost a token.
   if (!wa_.allowance.allows(service.label, precedence_, static_cast<double>(wa_.rng() % 1000) / 1000, arrived_))
     return answer(503, Span(400 + static_cast<std::int64_t>(wa_.rng() % 900)), "overloaded");
   if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label, now()), "over quota");
 
-  const auto asked = number(field(req_, "X-Deadline-Ms"), map_->expiry.count());
-  deadline_ = arrived_ + std::min(Span(asked), map_->expiry);
+  const auto asked = number(field(req_, "X-Deadline-Ms"), route_->expiry.count());
+  deadline_ = arrived_ + std::min(Span(asked), route_->expiry);
   wa_.budget.earn(service.label, arrived_);
 
-  WatchGuard guard(consumer_);
+  WatchGuard guard(client_);
   watch_ = guard.wt;
   Wish wish;
   wish.service = service.label;
   wish.zone = wa_.zone;
   wish.engine = service.engine;
-  wish.repeatable = map_->repeatable();
+  wish.repeatable = route_->repeatable();
   if (service.engine) {
     const auto parts = promptOf(field(req_, "X-Prompt-Prefix"));
-    if (map_->affinity) wish.affinity = parts.affinity, wish.sharedTokens = parts.shared;
+    if (route_->affinity) wish.affinity = parts.affinity, wish.sharedTokens = parts.shared;
     wish.promptTokens = std::max(parts.all, number(field(req_, "X-Token-Count").substr(0, field(req_, "X-Token-Count").find(',')), 0));
   }
   int runners = 0;
   bool mayHaveRun = false;
-  GoEnd end = GoEnd::unsent;
-  for (int tries = 0; tries < map_->maxAttempts + kConnectTries; ++tries) {
+  AttemptEnd end = AttemptEnd::unsent;
+  for (int tries = 0; tries < route_->maxAttempts + kConnectTries; ++tries) {
     if (watch_->gone) return false;
     if (now() >= deadline_) {
-      end = GoEnd::timeUp;
+      end = AttemptEnd::timeUp;
       break;
     }
-    // Why asked again before every go: the claim may have ended while an earlier one failed.
-    if (!wa_.claimed(now())) break;
+    // Why asked again before every go: the lease may have ended while an earlier one failed.
+    if (!wa_.leased(now())) break;
     const int dock = wa_.docks.choose(wish, now());
     if (dock < 0) break;
     if (runners > 0 && !std::exchange(prepaid_, false) && !wa_.budget.spend(service.label, now())) break;
-    lastRunner_ = runners + 1 >= map_->maxAttempts;
+    lastRunner_ = runners + 1 >= route_->maxAttempts;
     service_ = &service.label;
     wish.not_.push_back(dock);
-    ++wa_.goes;
+    ++wa_.attempts;
     wa_.docks.went(dock, wish.promptTokens);
     unread_ = wish.promptTokens;
     dock_ = dock;
     attempt_ = {dock, service_, unread_, now(), false};
     wa_.silent.insert(&attempt_);
-    end = go(dock);
+    end = attempt(dock);
     promptRead(false);
     if (illness(end)) wa_.witness.failed(wa_.docks.at(dock).id);
     wa_.docks.came(dock);
-    if (end != GoEnd::unsent) ++runners;
-    if (end == GoEnd::done) {
+    if (end != AttemptEnd::unsent) ++runners;
+    if (end == AttemptEnd::done) {
       ++wa_.served;
       return keep_;
     }
-    if (end == GoEnd::consumerGone) return false;
-    if (end == GoEnd::broken || end == GoEnd::failed || end == GoEnd::timeUp) mayHaveRun = true;
-    if (end == GoEnd::timeUp) break;
-    if (runners >= map_->maxAttempts) break;
+    if (end == AttemptEnd::clientGone) return false;
+    if (end == AttemptEnd::broken || end == AttemptEnd::failed || end == AttemptEnd::timeUp) mayHaveRun = true;
+    if (end == AttemptEnd::timeUp) break;
+    if (runners >= route_->maxAttempts) break;
     // At most once: what may have run goes to nobody else unless the route says that it may.
-    if (mayHaveRun && !map_->repeatable()) break;
+    if (mayHaveRun && !route_->repeatable()) break;
   }
   if (headSent_) {
     ++wa_.cut;
     return false;  // an answer begun and not ended must not look whole
   }
-  if (end == GoEnd::failed && !keptHead_.empty()) {
+  if (end == AttemptEnd::failed && !keptHead_.empty()) {
     std::string s = keptHead_ + "Content-Length: " + std::to_string(keptBody_.size()) + "\r\n" +
                     (keep_ ? "" : "Connection: close\r\n") + "\r\n" + keptBody_;
-    return toConsumer(s) && keep_;
+    return toClient(s) && keep_;
   }
-  if (mayHaveRun && !map_->repeatable()) return answer(end == GoEnd::timeUp ? 504 : 502, Span(0), "the runner's answer was lost");
-  if (end == GoEnd::timeUp) return answer(504, Span(0), "time is up");
+  if (mayHaveRun && !route_->repeatable()) return answer(end == AttemptEnd::timeUp ? 504 : 502, Span(0), "the runner's answer was lost");
+  if (end == AttemptEnd::timeUp) return answer(504, Span(0), "time is up");
   if (mayHaveRun) return answer(502, Span(0), "the runner's answer was lost");
   // Nothing has run: say when to come back, spread so that all do not come at once.
   return answer(503, Span(100 + static_cast<std::int64_t>(wa_.rng() % 200)), "no runner is free");
 }
 
-GoEnd Passage::go(int dock) {
+AttemptEnd Passage::attempt(int dock) {
   const auto id = wa_.docks.at(dock).id;
   const auto address = wa_.docks.at(dock).address;
   Ec ec;
   stale_ = false;
-  auto wire = wa_.pool.take(id, now(), map_->repeatable());
-  const bool reused = wire != nullptr;
-  if (!wire) {
+  auto connection = wa_.pool.take(id, now(), route_->repeatable());
+  const bool reused = connection != nullptr;
+  if (!connection) {
     auto ep = parseEndpoint(address);
-    if (!ep) return GoEnd::unsent;
-    wire = std::make_unique<Wire>();
-    wire->due(std::min(deadline_, now() + kConnect));
-    wire->connect(*ep, ec);
+    if (!ep) return AttemptEnd::unsent;
+    connection = std::make_unique<Connection>();
+    connection->due(std::min(deadline_, now() + kConnect));
+    connection->connect(*ep, ec);
     if (ec) {
       wa_.docks.fault(dock, now());
       wa_.pool.drop(id);
-      return GoEnd::unsent;
+      return AttemptEnd::unsent;
     }
-    wire->undue();
+    connection->undue();
   }
-  if (watch_->gone) return GoEnd::consumerGone;
-  if (!wa_.claimed(now())) {
+  if (watch_->gone) return AttemptEnd::clientGone;
+  if (!wa_.leased(now())) {
     stale_ = true;
-    return GoEnd::unsent;
+    return AttemptEnd::unsent;
   }
   Outbound o;
   o.expectedInstance = id;
@@ -319,22 +319,22 @@
   if (headSent_) o.lastEventId = scan_.lastId();
   auto out = outboundHead(req_, o, req_.body().size());
   out += req_.body();
-  watch_->runner = wire.get();
+  watch_->runner = connection.get();
   struct Unwatch {
     Watch& w;
     ~Unwatch() { w.runner = nullptr; }
   } unwatch{*watch_};
-  wire->due(deadline_ + 50ms);
-  wire->write(asio::buffer(out), ec);
+  connection->due(deadline_ + 50ms);
+  connection->write(asio::buffer(out), ec);
   if (ec) {
-    if (watch_->gone) return GoEnd::consumerGone;
-    if (reused && !wire->late()) {
+    if (watch_->gone) return AttemptEnd::clientGone;
+    if (reused && !connection->late()) {
       stale_ = true;
       wa_.pool.forgotten();
     } else {
       wa_.docks.fault(dock, now());
     }
-    return wire->late() ? GoEnd::timeUp : GoEnd::broken;
+    return connection->late() ? AttemptEnd::timeUp : AttemptEnd::broken;
   }
   Buffer buf;
   std::optional<AnswerParser> ap;
@@ -343,39 +343,39 @@
     ap->eager(true);
     ap->body_limit(64u << 20);
     if (req_.method() == http::verb::head) ap->skip(true);
-    pump(*wire, buf, *ap, true, ec);
+    pump(*connection, buf, *ap, true, ec);
     if (ec) break;
     const auto back = field(ap->get(), "X-Attempt-Id");
-    if (back == goId_ || surplus >= 2) break;
+    if (back == attemptId_ || surplus >= 2) break;
     // A surplus answer to somebody else's request stands in the place of ours: it is read and belongs to nobody.
-    pump(*wire, buf, *ap, false, ec);
+    pump(*connection, buf, *ap, false, ec);
     if (ec) break;
   }
   auto lost = [&] {
-    if (watch_->gone) return GoEnd::consumerGone;
-    if (wire->late() || now() >= deadline_) return GoEnd::timeUp;
+    if (watch_->gone) return AttemptEnd::clientGone;
+    if (connection->late() || now() >= deadline_) return AttemptEnd::timeUp;
     // Why not its fault: a runner may forget a connection that sat idle, and resets what comes on it.
     stale_ = reused && ec == asio::error::connection_reset && !ap->got_some();
     if (stale_) wa_.pool.forgotten();
     else wa_.docks.fault(dock, now());
-    return GoEnd::broken;
+    return AttemptEnd::broken;
   };
   if (ec) return lost();
   const auto& h = ap->get();
-  if (field(h, "X-Attempt-Id") != goId_) return lost();
+  if (field(h, "X-Attempt-Id") != attemptId_) return lost();
   wa_.docks.told(dock, field(h, "X-Instance-Load"), now());
   const int status = static_cast<int>(h.result_int());
   const bool notRun = h.count("X-Not-Executed") > 0 || status == 421;
   if (status / 100 == 2 && (field(h, "X-Server-Seal").empty() || h.count(http::field::content_encoding))) return lost();
 
-  const bool stream = status / 100 == 2 && map_->type == RouteType::stream;
+  const bool stream = status / 100 == 2 && route_->type == RouteType::stream;
   if (stream) {
-    const auto e = relayStream(*wire, buf, *ap, !headSent_);
-    if (e == GoEnd::broken) return lost();
-    if (e == GoEnd::moved) ++wa_.carried;
-    if (e != GoEnd::done) return e;
+    const auto e = relayStream(*connection, buf, *ap, !headSent_);
+    if (e == AttemptEnd::broken) return lost();
+    if (e == AttemptEnd::moved) ++wa_.carried;
+    if (e != AttemptEnd::done) return e;
   } else {
-    pump(*wire, buf, *ap, false, ec);
+    pump(*connection, buf, *ap, false, ec);
     if (ec) return lost();
   }
   const bool ownFailure = status / 100 == 5 && !notRun;
@@ -393,41 +393,41 @@
     }
   std::string head, body;
   if (!stream) head = inboundHead(ap->get()), body = std::move(ap->get().body());
-  wire->undue();
-  if (clean) wa_.pool.give(id, std::move(wire), until, now());
+  connection->undue();
+  if (clean) wa_.pool.give(id, std::move(connection), until, now());
 
   if (notRun) {
     if (status == 421) wa_.docks.fault(dock, now());
-    return GoEnd::notRun;
+    return AttemptEnd::notRun;
   }
-  if (stream) return GoEnd::done;
+  if (stream) return AttemptEnd::done;
   if (status / 100 != 2) {
     // Why changed: those four promise what this runner does not say.
-    if (status == 408 || status == 421 || status == 429 || status == 503) return GoEnd::broken;
+    if (status == 408 || status == 421 || status == 429 || status == 503) return AttemptEnd::broken;
     keptHead_ = std::move(head);
     keptBody_ = std::move(body);
-    return GoEnd::failed;
+    return AttemptEnd::failed;
   }
-  if (headSent_) return GoEnd::broken;
+  if (headSent_) return AttemptEnd::broken;
   head += "Content-Length: " + std::to_string(body.size()) + "\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
   if (req_.method() != http::verb::head) head += body;
   watch_->runner = nullptr;
-  return toConsumer(head) ? GoEnd::done : GoEnd::consumerGone;
+  return toClient(head) ? AttemptEnd::done : AttemptEnd::clientGone;
 }
 
-GoEnd Passage::relayStream(Wire& w, Buffer& buf, AnswerParser& ap, bool fresh) {
+AttemptEnd Passage::relayStream(Connection& w, Buffer& buf, AnswerParser& ap, bool fresh) {
   if (fresh) {
     auto head = inboundHead(ap.get()) + "Transfer-Encoding: chunked\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
     headSent_ = true;
-    if (!toConsumer(head)) return GoEnd::consumerGone;
+    if (!toClient(head)) return AttemptEnd::clientGone;
   }
-  const bool whole = map_->resume;  // only whole events go on where another runner may take the stream up
+  const bool whole = route_->resume;  // only whole events go on where another runner may take the stream up
   for (;;) {
     auto& body = ap.get().body();
     if (!body.empty()) {
       promptRead(true);
       const auto pass = whole ? scan_.feed(body) : std::string_view(body);
-      if (!pass.empty() && !chunkToConsumer(pass)) return GoEnd::consumerGone;
+      if (!pass.empty() && !chunkToClient(pass)) return AttemptEnd::clientGone;
       body.clear();
     }
     if (ap.is_done()) break;
@@ -435,7 +435,7 @@
     if (whole && wa_.docks.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() && wa_.budget.spend(*service_, now())) {
       prepaid_ = true;
       scan_.dropRest();
-      return GoEnd::moved;
+      return AttemptEnd::moved;
     }
     Ec ec;
     if (buf.size() > 0) {
@@ -443,7 +443,7 @@
       buf.consume(n);
       if (ec && ec != http::error::need_more) {
         scan_.dropRest();
-        return GoEnd::broken;
+        return AttemptEnd::broken;
       }
       if (n > 0) continue;
     }
@@ -456,16 +456,16 @@
       }
       // What of an event had come is dropped: whoever goes on begins after the last whole one.
       scan_.dropRest();
-      return GoEnd::broken;
+      return AttemptEnd::broken;
     }
     buf.commit(n);
   }
   if (whole && !scan_.rest().empty()) {
     const auto last = scan_.rest();
-    if (!chunkToConsumer(last)) return GoEnd::consumerGone;
+    if (!chunkToClient(last)) return AttemptEnd::clientGone;
   }
   watch_->runner = nullptr;
-  return toConsumer("0\r\n\r\n") ? GoEnd::done : GoEnd::consumerGone;
+  return toClient("0\r\n\r\n") ? AttemptEnd::done : AttemptEnd::clientGone;
 }
 }  // namespace
 
@@ -476,25 +476,25 @@
       witness.slow(docks.at(a->dock).id);
     }
 }
-Span Waters::untilClaim(Instant now) {
+Span Waters::untilLease(Instant now) {
   const auto spread = Span(rng() % 120);
-  // Why not sooner: a consumer has few tries, and one that meets a second refusal is lost. A process that has just
-  // started has its first claim as soon as the core has a sequencer, which after a loss of all takes this long.
-  if (claimEnds == Instant{}) return std::max(Span(150), Span(800) - toSpan(now - born)) + spread;
+  // Why not sooner: a client has few tries, and one that meets a second refusal is lost. A process that has just
+  // started has its first lease as soon as the core has a sequencer, which after a loss of all takes this long.
+  if (leaseEnds == Instant{}) return std::max(Span(150), Span(800) - toSpan(now - born)) + spread;
   return Span(500) + spread;
 }
-void takeConsumer(Waters& wa, tcp::socket s) {
-  // Closed before anything was read: its consumer may try elsewhere, whatever it wanted.
-  if (wa.consumers >= wa.consumersMost) return;
-  ++wa.consumers;
+void takeClient(Waters& wa, tcp::socket s) {
+  // Closed before anything was read: its client may try elsewhere, whatever it wanted.
+  if (wa.clients >= wa.clientsMost) return;
+  ++wa.clients;
   auto held = std::make_shared<tcp::socket>(std::move(s));
   Quay::get().launch([&wa, held] {
-    serveConsumer(wa, std::move(*held));
-    --wa.consumers;
+    serveClient(wa, std::move(*held));
+    --wa.clients;
   });
 }
-void serveConsumer(Waters& wa, tcp::socket s) {
-  Wire w(std::move(s));
+void serveClient(Waters& wa, tcp::socket s) {
+  Connection w(std::move(s));
   tune(w.sock());
   Buffer buf;
   for (;;) {
@@ -507,7 +507,7 @@
       l.bodyTime = std::max(wa.cfg->limits.idleTimer, Span(5000));
     }
     if (wa.leaving) l.idle = std::min(l.idle, Span(300));
-    // Why wait here: what is not read yet stands in the consumer's own window and costs us nothing.
+    // Why wait here: what is not read yet stands in the client's own window and costs us nothing.
     while (wa.held > wa.heldMost) Quay::get().pause(20ms);
     RequestParser p;
     const auto r = readRequest(w, buf, p, l);
@@ -515,7 +515,7 @@
     Ec ec;
     if (r.end == ReadEnd::declined) {
       w.write(asio::buffer(plainAnswer(r.status, "", "application/json", jsonError(reasonOf(r.status)), false)), ec);
-      // What is left unread would reset the wire and take the answer with it.
+      // What is left unread would reset the connection and take the answer with it.
       w.sock().shutdown(tcp::socket::shutdown_send, ec);
       char sink[2048];
       w.due(Clock::now() + 500ms);
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -23,10 +23,10 @@
     wa_.rng.seed(drawSeed());
     wa_.docks = Docks(drawSeed());
     wa_.docks.regions(s.zones);
-    // Why a margin: an answer is under way while the claim ends, and the far clocks are not ours.
-    claimSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
+    // Why a margin: an answer is under way while the lease ends, and the far clocks are not ours.
+    leaseSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
     // Of the descriptors 200 are not ours; a request may need one on either side.
-    if (s.fdLimit > 0) wa_.consumersMost = std::max(64, (s.fdLimit - 260) / 2);
+    if (s.fdLimit > 0) wa_.clientsMost = std::max(64, (s.fdLimit - 260) / 2);
     if (s.memoryMb > 0) wa_.heldMost = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
     wa_.draw = [this] { challenge(); };
     wa_.ask = [this] { ask(); };
@@ -50,7 +50,7 @@
           l->send(m);
           challenge();
         });
-    auto ok = listen(*access, [this](tcp::socket sock) { takeConsumer(wa_, std::move(sock)); });
+    auto ok = listen(*access, [this](tcp::socket sock) { takeClient(wa_, std::move(sock)); });
     if (!ok) return ok;
     ok = listen(*ready, [this](tcp::socket sock) {
       auto held = std::make_shared<tcp::socket>(std::move(sock));
@@ -60,7 +60,7 @@
     Quay::get().every(kChallenge, [this] { challenge(); });
     // Why oftener without one: each of these goes no further than the agent while there is no sequencer.
     Quay::get().every(kChallenge / 4, [this] {
-      if (!wa_.claimed(Clock::now())) challenge();
+      if (!wa_.leased(Clock::now())) challenge();
     });
     Quay::get().every(1000ms, [this] { wa_.pool.sweep(Clock::now()); });
     return {};
@@ -126,13 +126,13 @@
       }
       if (copy_.damaged()) return mend("a difference did not fit");
       adopt(all);
-      settleClaim(now);
-    } else if (m.what() == Kind::claim) {
+      settleLease(now);
+    } else if (m.what() == Kind::lease) {
       const auto it = asked_.find(m.nonce);
       if (it == asked_.end() || !m.ok) return;
-      // The claim counts from our own question, never from the answer.
-      if (it->second + claimSpan_ > pendingEnd_) {
-        pendingEnd_ = it->second + claimSpan_;
+      // The lease counts from our own question, never from the answer.
+      if (it->second + leaseSpan_ > pendingEnd_) {
+        pendingEnd_ = it->second + leaseSpan_;
         pendingNum_ = std::max(pendingNum_, m.num);
       }
       // Why only the newest: what a later question told of the stash did not know of these tokens yet.
@@ -144,7 +144,7 @@
         wa_.docks.setAside(outliers_);
       }
       asked_.erase(it);
-      settleClaim(now);
+      settleLease(now);
     } else if (m.what() == Kind::drawn && m.ok) {
       wa_.quota.loose(m.grants, now);
       wa_.quench(m.grants);
@@ -154,16 +154,16 @@
   void mend(const std::string& why) {
     ring::alarm(why + ": the whole is asked for");
     copy_.damage();
-    wa_.claimEnds = {};
+    wa_.leaseEnds = {};
     Msg m = msgOf(Kind::follow);
     m.flag = true;
     mooring_->send(m);
   }
-  void settleClaim(Instant) {
+  void settleLease(Instant) {
     // Only once applied as far as the sequencer was when it answered.
     if (pendingEnd_ == Instant{} || copy_.damaged() || queue_.applied() < pendingNum_) return;
-    if (wa_.claimEnds == Instant{}) ring::note("first claim, at number " + std::to_string(queue_.applied()));
-    wa_.claimEnds = std::max(wa_.claimEnds, pendingEnd_);
+    if (wa_.leaseEnds == Instant{}) ring::note("first lease, at number " + std::to_string(queue_.applied()));
+    wa_.leaseEnds = std::max(wa_.leaseEnds, pendingEnd_);
   }
   void adopt(Copy::Change c) {
     if (c.runners) wa_.docks.follow(copy_.state().runners), wa_.docks.setAside(outliers_);
@@ -211,14 +211,14 @@
     return out;
   }
   void serveReadiness(tcp::socket sock) {
-    Wire w(std::move(sock));
+    Connection w(std::move(sock));
     Buffer buf;
     for (;;) {
       RequestParser p;
       const auto r = readRequest(w, buf, p, {});
       if (r.end != ReadEnd::whole) return;
       const bool known = p.get().target() == "/v1/readiness";
-      const bool ready = wa_.claimed(Clock::now()) && !wa_.leaving && !wa_.doorsShut;
+      const bool ready = wa_.leased(Clock::now()) && !wa_.leaving && !wa_.doorsShut;
       const bool keep = p.get().keep_alive();
       Ec ec;
       w.write(asio::buffer(plainAnswer(!known ? 404 : ready ? 200 : 503, "", "application/json",
@@ -242,7 +242,7 @@
   Instant loadAt_ = Clock::now();
   std::uint64_t loadCount_ = 0;
   double perS_ = 0, slackDraw_ = 0;
-  Span claimSpan_;
+  Span leaseSpan_;
 };
 }  // namespace
 
--- a/libs/registry/include/registry/copy.hpp
+++ b/libs/registry/include/registry/copy.hpp
@@ -16,11 +16,11 @@
   RunnerState at() const { return static_cast<RunnerState>(state); }
 };
 struct Taken {  // a configuration that was taken
-  std::int64_t stamp = 0;
+  std::int64_t version = 0;
   std::string digest;
   template <class V>
   void fields(V& v) {
-    v("stamp", stamp), v("digest", digest);
+    v("version", version), v("digest", digest);
   }
 };
 struct Done {  // a write by its operation id, with what became of it
@@ -35,14 +35,14 @@
 struct Closure {
   std::string place, note;
   std::int32_t share = 0;   // percent of new work that keeps away from its runners
-  bool doorsShut = false;   // its pilots take no new consumers; live sessions that may be resumed are carried over
+  bool doorsShut = false;   // its pilots take no new clients; live sessions that may be resumed are carried over
   template <class V>
   void fields(V& v) {
     v("place", place), v("note", note), v("share", share), v("doorsShut", doorsShut);
   }
 };
 struct CopyState {
-  std::int64_t num = 0, term = 0, stamp = 0;
+  std::int64_t num = 0, term = 0, version = 0;
   std::string configuration, digest;
   std::vector<Taken> taken;
   std::vector<Runner> runners;
@@ -55,7 +55,7 @@
   template <class V>
   void fields(V& v) {
     v("partial", partial), v("difference", difference);
-    v("num", num), v("term", term), v("stamp", stamp), v("configuration", configuration), v("digest", digest);
+    v("num", num), v("term", term), v("version", version), v("configuration", configuration), v("digest", digest);
     v("taken", taken), v("runners", runners), v("gone", gone), v("done", done), v("closures", closures);
   }
 };
@@ -69,7 +69,7 @@
   // Applies the next write. Every copy decides alike, so all agree without a word.
   Change apply(const Entry& e);
   const CopyState& state() const { return s_; }
-  bool damaged() const { return s_.stamp > 0 && s_.digest.empty(); }
+  bool damaged() const { return s_.version > 0 && s_.digest.empty(); }
   // What it holds is not to be trusted: it must be had anew, whole.
   void damage() { s_.digest.clear(); }
   std::string snapshot() const;
@@ -79,7 +79,7 @@
   Outcome<void> restore(std::string_view blob);
   std::optional<std::int32_t> verdictOf(const std::string& opId) const;
   // What Replace would be told now; 0: nothing to say yet.
-  std::int32_t judge(std::int64_t base, std::int64_t stamp, const std::string& digest) const;
+  std::int32_t judge(std::int64_t base, std::int64_t version, const std::string& digest) const;
   const Runner* runner(const std::string& id) const;
   bool isGone(const std::string& id) const;
 
@@ -89,8 +89,8 @@
   std::deque<std::pair<std::string, std::string>> before_;  // digest, text: taken before the one in place
 };
 // As its difference from `base` where that is much shorter than the whole.
-Entry changeOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId, const CopyState& on);
-Entry configurationOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId);
+Entry changeOp(std::int64_t base, std::int64_t version, std::string body, std::string opId, const CopyState& on);
+Entry configurationOp(std::int64_t base, std::int64_t version, std::string body, std::string opId);
 // open: the place is in use again, nothing is left of the closure.
 Entry closureOp(const Closure& c, bool open, std::string opId);
 Entry runnerOp(const Runner& r, std::string opId);
--- a/libs/registry/src/copy.cpp
+++ b/libs/registry/src/copy.cpp
@@ -7,8 +7,8 @@
 namespace {
 constexpr std::size_t kBefore = 3;  // older configurations kept, for receivers that were away
 constexpr std::size_t kTaken = 64, kGone = 256, kDone = 128;
-// A configuration's operation id carries its stamp, so that the numbered acknowledgement of a large write stays small.
-std::int64_t stampIn(const Entry& e) {
+// A configuration's operation id carries its version, so that the numbered acknowledgement of a large write stays small.
+std::int64_t versionIn(const Entry& e) {
   const auto at = e.opId.rfind('@');
   return at == std::string::npos ? 0 : std::atoll(e.opId.c_str() + at + 1);
 }
@@ -18,11 +18,11 @@
 }
 }  // namespace
 
-std::int32_t Copy::judge(std::int64_t base, std::int64_t stamp, const std::string& digest) const {
+std::int32_t Copy::judge(std::int64_t base, std::int64_t version, const std::string& digest) const {
   for (auto& t : s_.taken)
-    if (t.stamp == stamp && t.digest == digest) return 200;
-  if (base != s_.stamp) return 412;
-  if (stamp <= s_.stamp) return 400;
+    if (t.version == version && t.digest == digest) return 200;
+  if (base != s_.version) return 412;
+  if (version <= s_.version) return 400;
   return 0;
 }
 Copy::Change Copy::apply(const Entry& e) {
@@ -33,17 +33,17 @@
   if (!e.opId.empty() && verdictOf(e.opId)) return c;
   std::int32_t verdict = 200;
   if (e.op() == OpKind::configuration || e.op() == OpKind::difference) {
-    const auto stamp = stampIn(e);
-    verdict = judge(e.base, stamp, e.digest);
+    const auto version = versionIn(e);
+    verdict = judge(e.base, version, e.digest);
     if (verdict == 0) {
       verdict = 200;
       if (e.op() == OpKind::configuration) {
-        take(stamp, e.digest, e.blob);
+        take(version, e.digest, e.blob);
       } else if (auto body = applyDelta(s_.configuration, s_.digest, e.blob); body && digestOf(*body) == e.digest) {
-        take(stamp, e.digest, std::move(*body));
+        take(version, e.digest, std::move(*body));
       } else {
         // Why the version all the same: the numbered writes say that it was taken; only the text is missing here.
-        take(stamp, {}, {});
+        take(version, {}, {});
         s_.taken.back().digest = e.digest;
         c.damaged = true;
       }
@@ -87,7 +87,7 @@
 void Copy::take(std::int64_t version, std::string digest, std::string body) {
   if (!s_.digest.empty()) before_.emplace_back(std::move(s_.digest), std::move(s_.configuration));
   if (before_.size() > kBefore) before_.pop_front();
-  s_.stamp = version;
+  s_.version = version;
   s_.digest = std::move(digest);
   s_.configuration = std::move(body);
   s_.taken.push_back({version, s_.digest});
@@ -146,19 +146,19 @@
 }
 bool Copy::isGone(const std::string& id) const { return std::find(s_.gone.begin(), s_.gone.end(), id) != s_.gone.end(); }
 
-Entry configurationOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId) {
+Entry configurationOp(std::int64_t base, std::int64_t version, std::string body, std::string opId) {
   Entry e;
   e.kind = static_cast<std::int32_t>(OpKind::configuration);
   e.base = base;
   e.digest = digestOf(body);
   e.blob = std::move(body);
-  e.opId = std::move(opId) + "@" + std::to_string(stamp);
+  e.opId = std::move(opId) + "@" + std::to_string(version);
   return e;
 }
-Entry changeOp(std::int64_t base, std::int64_t stamp, std::string body, std::string opId, const CopyState& on) {
-  auto e = configurationOp(base, stamp, std::move(body), std::move(opId));
+Entry changeOp(std::int64_t base, std::int64_t version, std::string body, std::string opId, const CopyState& on) {
+  auto e = configurationOp(base, version, std::move(body), std::move(opId));
   // On another version it loses its race anyway; without one there is nothing to differ from.
-  if (on.stamp != base || on.digest.empty()) return e;
+  if (on.version != base || on.digest.empty()) return e;
   auto d = deltaOf(on.configuration, on.digest, e.blob, e.digest);
   if (d.size() > e.blob.size() / 2) return e;
   e.kind = static_cast<std::int32_t>(OpKind::difference);
--- a/libs/rehearse/src/hollow.cpp
+++ b/libs/rehearse/src/hollow.cpp
@@ -131,7 +131,7 @@
     case Kind::body:
       queue_.body(m.who, std::move(m.blob));
       return drain();
-    case Kind::claim: {
+    case Kind::lease: {
       const auto it = asked_.find(m.nonce);
       if (!m.ok || it == asked_.end()) return;
       newest_ = std::max(newest_, m.num);
--- a/libs/rehearse/src/hollow.hpp
+++ b/libs/rehearse/src/hollow.hpp
@@ -14,7 +14,7 @@
   void restart();                          // as a process that has just begun
   void request(const std::string& tenant);  // one that wants a token
   bool leased() const { return Clock::now() < leaseEnds_; }
-  std::int64_t version() const { return copy_.state().stamp; }
+  std::int64_t version() const { return copy_.state().version; }
   std::string digest() const { return copy_.state().digest; }
   std::uint64_t granted = 0, refused = 0;
   std::vector<double> drawMs;  // round trips of draws
--- a/libs/signal/include/signal/link.hpp
+++ b/libs/signal/include/signal/link.hpp
@@ -1,10 +1,10 @@
-// A link carries frames both ways over one wire. A mooring keeps a dialled link up.
+// A link carries frames both ways over one connection. A mooring keeps a dialled link up.
 #pragma once
 #include "keel/quay.hpp"
 #include "signal/messages.hpp"
 namespace zc {
 std::string frameOf(const Msg& m);
-// Takes whole frames off the front of buf. A fault means the wire can't be trusted further.
+// Takes whole frames off the front of buf. A fault means the connection can't be trusted further.
 // partial: where the pieces of a large frame are gathered; without it pieces are declined.
 Outcome<std::vector<Msg>> unframe(std::string& buf, std::string* partial = nullptr);
 
--- a/libs/signal/include/signal/messages.hpp
+++ b/libs/signal/include/signal/messages.hpp
@@ -8,7 +8,7 @@
 struct Entry {
   std::int64_t num = 0, term = 0;
   std::int32_t kind = 0;
-  std::int64_t base = 0;  // configuration: the stamp it builds on
+  std::int64_t base = 0;  // configuration: the version it builds on
   std::string opId;       // a write sent again is one write
   std::string digest;     // of the body, for large writes
   std::string blob;
@@ -30,7 +30,7 @@
 };
 enum class Kind : std::int32_t {
   ask = 1, granted, pulse, pulseAck, snapshot, submit, submitAck, handOver, body, join,  // core
-  state = 20, stateAck, follow, feed, challenge, claim, beats, draw, drawn                // towards access
+  state = 20, stateAck, follow, feed, challenge, lease, beats, draw, drawn                // towards access
 };
 struct Msg {
   std::int32_t kind = 0;
--- a/libs/signal/src/link.cpp
+++ b/libs/signal/src/link.cpp
@@ -7,7 +7,7 @@
 
 namespace zc {
 namespace {
-constexpr char kFormat = 2;  // frames of another format stamp are declined
+constexpr char kFormat = 2;  // frames of another format version are declined
 constexpr char kPieceFormat = 3;  // a part of a large frame; the first byte of its body tells whether it is the last
 constexpr std::size_t kPiece = 16 * 1024;
 constexpr std::size_t kMaxFrame = 32u << 20;
@@ -60,7 +60,7 @@
       for (auto& m : *inner) out.push_back(std::move(m));
       continue;
     }
-    if (buf[at + 4] != kFormat) return fault(0, "frame of another format stamp: " + std::to_string(buf[at + 4]));
+    if (buf[at + 4] != kFormat) return fault(0, "frame of another format version: " + std::to_string(buf[at + 4]));
     if (buf.size() - at < 4u + n) break;
     auto m = avro::decode<Msg>(std::string_view(buf).substr(at + 5, n - 1));
     if (!m) return fault(0, "frame: " + m.error().text);
@@ -75,7 +75,7 @@
 const Traffic& trafficSoFar() { return g_traffic; }
 
 struct Link::Impl {
-  Wire wire;
+  Connection connection;
   OnMsg onMsg;
   OnEnd onEnd;
   std::string out, flying;
@@ -84,11 +84,11 @@
   bool writing = false, open = true;
   Instant heard = Clock::now(), unanswered = Instant::max();
   std::string farIp;
-  Impl(tcp::socket s, OnMsg m, OnEnd e) : wire(std::move(s)), onMsg(std::move(m)), onEnd(std::move(e)) {
+  Impl(tcp::socket s, OnMsg m, OnEnd e) : connection(std::move(s)), onMsg(std::move(m)), onEnd(std::move(e)) {
     Ec ec;
-    const auto ep = wire.sock().remote_endpoint(ec);
+    const auto ep = connection.sock().remote_endpoint(ec);
     if (!ec) farIp = ep.address().to_string();
-    tune(wire.sock());
+    tune(connection.sock());
   }
 };
 Link::Link(tcp::socket s, OnMsg m, OnEnd e) : impl_(std::make_unique<Impl>(std::move(s), std::move(m), std::move(e))) {}
@@ -100,7 +100,7 @@
 void Link::end() {
   if (!impl_->open) return;
   impl_->open = false;
-  impl_->wire.shut();
+  impl_->connection.shut();
 }
 void Link::start() {
   Quay::get().launch([self = shared_from_this()] {
@@ -110,7 +110,7 @@
     std::vector<char> chunk(16 * 1024);
     while (d.open) {
       Ec ec;
-      const auto n = d.wire.read(asio::buffer(chunk), ec);
+      const auto n = d.connection.read(asio::buffer(chunk), ec);
       if (ec || n == 0) break;
       d.heard = Clock::now();
       d.unanswered = Instant::max();
@@ -186,7 +186,7 @@
         d.writing = false;
         return;
       }
-      asio::async_write(d.wire.sock(), asio::buffer(d.flying), [again, l](Ec ec, std::size_t) {
+      asio::async_write(d.connection.sock(), asio::buffer(d.flying), [again, l](Ec ec, std::size_t) {
         if (ec) {
           l->impl_->writing = false;
           return l->end();
@@ -212,7 +212,7 @@
     auto& q = Quay::get();
     while (!released) {
       {
-        Wire w;
+        Connection w;
         w.due(Clock::now() + kDial);
         Ec ec;
         w.connect(ep, ec);
@@ -228,7 +228,7 @@
           while (!released && up->open()) {
             q.pause(100ms);
             const auto since = up->unansweredSince();
-            // Why end it: a wire through a cut stays silent long after the cut has healed.
+            // Why end it: a connection through a cut stays silent long after the cut has healed.
             if (since != Instant::max() && Clock::now() - since > kSilence) up->end();
           }
           up->end();
--- a/libs/tender/src/tender.cpp
+++ b/libs/tender/src/tender.cpp
@@ -167,7 +167,7 @@
       case Kind::drawn:
         if (pilot_ && pilot_->open()) pilot_->send(m);
         return;
-      case Kind::claim:
+      case Kind::lease:
         if (m.ok) newest_ = std::max(newest_, m.num), lastLease_ = Clock::now();
         if (m.ok && queue_.applied() < m.num) refetch(true);
         if (pilot_ && pilot_->open()) pilot_->send(m);
--- a/tests/almanac_test.cpp
+++ b/tests/almanac_test.cpp
@@ -10,7 +10,7 @@
 const std::string kBook = "title T\nparam core x\nparam who someone\nstep look\nget /v1/Status\nexpect any node == {who}\nstep change\npost /v1/Set {\"a\":\"{who}\"}\nexpect any status == 200\n";
 struct Stage {
   std::vector<std::string> printed, called;
-  std::string answer = "{\"node\":\"n1\",\"runners\":[{\"id\":\"r.1\",\"state\":\"draining\"}],\"claimed\":true}";
+  std::string answer = "{\"node\":\"n1\",\"runners\":[{\"id\":\"r.1\",\"state\":\"draining\"}],\"leased\":true}";
   int status = 200;
   Instant clock{100s};
   RunbookPorts ports() {
@@ -55,7 +55,7 @@
   EXPECT_TRUE(s.called.empty());
 }
 TEST(Runbook, AwaitAsksAgainUntilItsTime) {
-  auto b = parseRunbook("step x\ngetall /v1/Status\nawait 3 all claimed == true\n", {});
+  auto b = parseRunbook("step x\ngetall /v1/Status\nawait 3 all leased == true\n", {});
   ASSERT_TRUE(b) << b.error().text;
   Stage s;
   EXPECT_EQ(runRunbook(*b, s.ports(), false), 1) << "one node never answers";
--- a/tests/charter_test.cpp
+++ b/tests/charter_test.cpp
@@ -25,11 +25,11 @@
 TEST(Configuration, IsReadInFull) {
   auto c = parseConfiguration(kGood);
   ASSERT_TRUE(c) << c.error().text;
-  EXPECT_EQ((*c)->stamp, 7);
-  EXPECT_EQ((*c)->mappings.size(), 3u);
-  EXPECT_EQ((*c)->mappings[1].shareSum, 100u);
-  EXPECT_TRUE((*c)->mappings[0].repeatable());
-  EXPECT_FALSE((*c)->mappings[2].repeatable());
+  EXPECT_EQ((*c)->version, 7);
+  EXPECT_EQ((*c)->routes.size(), 3u);
+  EXPECT_EQ((*c)->routes[1].shareSum, 100u);
+  EXPECT_TRUE((*c)->routes[0].repeatable());
+  EXPECT_FALSE((*c)->routes[2].repeatable());
   EXPECT_EQ((*c)->subscriberOf("k2"), 0);
   EXPECT_EQ((*c)->subscriberOf("k3"), 1);
   EXPECT_EQ((*c)->subscriberOf("no"), -1);
@@ -58,8 +58,8 @@
       {"no time", with("\"expiryMs\":10000", "\"expiryMs\":0")},
       {"time left out", with("\"expiryMs\":10000,", "")},
       {"key shared", with("\"k3\"", "\"k1\"")},
-      {"no stamp", with("\"configVersion\":7,", "")},
-      {"stamp no number", with("\"configVersion\":7", "\"configVersion\":\"x\"")},
+      {"no version", with("\"configVersion\":7,", "")},
+      {"version no number", with("\"configVersion\":7", "\"configVersion\":\"x\"")},
       {"routes missing", with("routeTable", "routeTabel")},
       {"unknown type", with("\"routeType\":\"safe\"", "\"routeType\":\"sage\"")},
       {"prefix without its slash", with("\"/p/q/\"", "\"/p/q\"")},
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -71,7 +71,7 @@
       differences += e.op() == OpKind::difference;
       EXPECT_FALSE(a.put(e).damaged);
       ASSERT_EQ(a.copy.state().configuration, body) << "seed " << seed;
-      ASSERT_EQ(a.copy.state().stamp, t.version);
+      ASSERT_EQ(a.copy.state().version, t.version);
       base = t.version;
       t.change(rng);
     }
@@ -197,7 +197,7 @@
   big.num = 9;
   big.blob = std::string(40000, 'q');
   const auto frame = frameOf(big);
-  std::string partial, buf = piece(frame.substr(0, 20000), false) + frameOf(msgOf(Kind::claim)) + piece(frame.substr(20000), true);
+  std::string partial, buf = piece(frame.substr(0, 20000), false) + frameOf(msgOf(Kind::lease)) + piece(frame.substr(20000), true);
   std::vector<Msg> got;
   // Byte by byte, as the network may bring it.
   std::string sofar;
@@ -208,7 +208,7 @@
     for (auto& m : *out) got.push_back(m);
   }
   ASSERT_EQ(got.size(), 2u);
-  EXPECT_EQ(got[0].what(), Kind::claim);
+  EXPECT_EQ(got[0].what(), Kind::lease);
   EXPECT_EQ(got[1].num, 9);
   EXPECT_EQ(got[1].blob.size(), 40000u);
   EXPECT_TRUE(partial.empty());
--- a/tests/harbour_sim.hpp
+++ b/tests/harbour_sim.hpp
@@ -40,7 +40,7 @@
   int delayMost = 3;
   // What must hold.
   std::map<std::int64_t, std::string> agreed;                 // number -> what was released under it, anywhere
-  std::map<std::int64_t, std::set<std::string>> claimsOfTerm;  // term -> who held a claim in it
+  std::map<std::int64_t, std::set<std::string>> leasesOfTerm;  // term -> who held a lease in it
   std::map<std::string, std::int64_t> acked;                  // operation -> number at its acknowledgement
   std::vector<std::string> broken;
   int opNo = 0;
@@ -88,15 +88,15 @@
       if (!n.frozen) {
         n.order->tick(now);
         step(n);
-        if (n.order->claimed(now)) {
+        if (n.order->leased(now)) {
           for (auto& [o, x] : nodes)
-            if (o != ip && x.up && x.order->claimed(now)) blame("two leases at one moment, " + ip + " and " + o);
-          auto& who = claimsOfTerm[n.order->term()];
+            if (o != ip && x.up && x.order->leased(now)) blame("two leases at one moment, " + ip + " and " + o);
+          auto& who = leasesOfTerm[n.order->term()];
           who.insert(n.id);
           if (who.size() > 1) blame("two sequencers in term " + std::to_string(n.order->term()));
-          // A valid claim must know of all that was acknowledged.
+          // A valid lease must know of all that was acknowledged.
           for (auto& [op, num] : acked)
-            if (num > n.order->released()) blame("a claim older than an acknowledged write");
+            if (num > n.order->released()) blame("a lease older than an acknowledged write");
         }
       }
       tickLater(ip, life);
@@ -115,9 +115,9 @@
     const auto ip = ipOf(to);
     if (cut.count({from.ip, ip}) || std::uniform_real_distribution<>(0, 1)(rng) < loss) return;
     m.from = from.id;
-    // Why through the frame: what the wire can't carry must not pass here either.
-    auto wire = m;
-    at(Span(1 + draw(static_cast<std::uint64_t>(delayMost))), [this, ip, wire, src = from.ip] { deliver(src, ip, wire); });
+    // Why through the frame: what the connection can't carry must not pass here either.
+    auto connection = m;
+    at(Span(1 + draw(static_cast<std::uint64_t>(delayMost))), [this, ip, connection, src = from.ip] { deliver(src, ip, connection); });
   }
   void deliver(const std::string& src, const std::string& ip, const Msg& m) {
     const auto it = nodes.find(ip);
@@ -220,7 +220,7 @@
   }
   std::string sequencer() {
     for (auto& [ip, n] : nodes)
-      if (n.up && !n.frozen && n.order->claimed(now)) return ip;
+      if (n.up && !n.frozen && n.order->leased(now)) return ip;
     return {};
   }
   void cutOff(const std::string& ip, bool both = true) {
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -9,7 +9,7 @@
   testing::InitGoogleTest(&argc, argv);
   zc::Quay quay;
   const int rc = RUN_ALL_TESTS();
-  // Fibers parked on stand-ins' wires would hold an ordinary exit up.
+  // Fibers parked on stand-ins' connections would hold an ordinary exit up.
   std::fflush(nullptr);
   ::_exit(rc);
 }
--- a/tests/order_test.cpp
+++ b/tests/order_test.cpp
@@ -165,7 +165,7 @@
   EXPECT_FALSE(second.empty());
   EXPECT_NE(first, second);
 }
-TEST(Order, ASequencerCutOffStopsClaimingBeforeAnotherBegins) {
+TEST(Order, ASequencerCutOffStopsLeaseingBeforeAnotherBegins) {
   for (std::uint64_t s = 10; s < 30; ++s) {
     World w(s);
     bootAll(w);
@@ -174,11 +174,11 @@
     w.cutOff(first);
     for (int i = 0; i < 100; ++i) {
       w.runFor(40ms);
-      int claims = 0;
-      for (auto& [ip, n] : w.nodes) claims += n.order->claimed(w.now);
-      EXPECT_LE(claims, 1) << "seed " << s;
+      int leases = 0;
+      for (auto& [ip, n] : w.nodes) leases += n.order->leased(w.now);
+      EXPECT_LE(leases, 1) << "seed " << s;
     }
-    EXPECT_FALSE(w.nodes[first].order->claimed(w.now));
+    EXPECT_FALSE(w.nodes[first].order->leased(w.now));
     EXPECT_FALSE(w.sequencer().empty());
   }
 }
--- a/tests/passage_test.cpp
+++ b/tests/passage_test.cpp
@@ -1,4 +1,4 @@
-// One request through the proxy, against stand-ins for consumer and runner on loopback.
+// One request through the proxy, against stand-ins for client and runner on loopback.
 #include "standins.hpp"
 
 using namespace zc;
@@ -34,10 +34,10 @@
     EXPECT_EQ(once(h, ask("/open/", "a", "", "", "")).status, 200);
   });
 }
-TEST(Passage, WithoutAFreshClaimNothingIsServed) {
+TEST(Passage, WithoutAFreshLeaseNothingIsServed) {
   inHarbour([](Harbour& h) {
     auto r = h.runner("i-1", answers);
-    h.wa.claimEnds = Clock::now() - 1ms;
+    h.wa.leaseEnds = Clock::now() - 1ms;
     const auto a = once(h, ask("/safe/x"));
     EXPECT_EQ(a.status, 503);
     EXPECT_TRUE(a.heads.count("Retry-After"));
@@ -55,12 +55,12 @@
       EXPECT_EQ(a.body, std::string("body of ") + id);
     }
     EXPECT_NE(r->got[1].find("\nabcde"), std::string::npos);
-    EXPECT_EQ(r->wires, 1) << "the runner's wire is used again";
+    EXPECT_EQ(r->connections, 1) << "the runner's connection is used again";
   });
 }
 TEST(Passage, AtMostOnceNothingGoesToASecondRunnerAfterASend) {
   inHarbour([](Harbour& h) {
-    const auto cut = [](StandIn&, Wire& w, const std::string&, const std::string&) { w.shut(); };
+    const auto cut = [](StandIn&, Connection& w, const std::string&, const std::string&) { w.shut(); };
     auto r1 = h.runner("i-1", cut);
     auto r2 = h.runner("i-2", cut);
     for (auto path : {"/once/x", "/stream/x"}) {
@@ -74,7 +74,7 @@
 TEST(Passage, ASafeOneGoesAgainWithinItsAttempts) {
   inHarbour([](Harbour& h) {
     int n = 0;
-    const auto act = [&n](StandIn&, Wire& w, const std::string& id, const std::string&) {
+    const auto act = [&n](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (n++ == 0) w.shut();
       else say(w, whole(id, "second"));
     };
@@ -87,7 +87,7 @@
 TEST(Passage, NotExecutedMovesOnEvenForThoseThatRunOnce) {
   inHarbour([](Harbour& h) {
     int n = 0;
-    const auto act = [&n](StandIn&, Wire& w, const std::string& id, const std::string&) {
+    const auto act = [&n](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (n++ == 0) say(w, whole(id, "no", 421));
       else say(w, whole(id, "ran"));
     };
@@ -98,7 +98,7 @@
 }
 TEST(Passage, AllFullIsARefusalWithATimeToComeBack) {
   inHarbour([](Harbour& h) {
-    const auto full = [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n")); };
+    const auto full = [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n")); };
     h.runner("i-1", full);
     h.runner("i-2", full);
     const auto a = once(h, ask("/once/x"));
@@ -108,13 +108,13 @@
 }
 TEST(Passage, A503ThatMayHaveRunIsNotPassedOnAsAPromise) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "?", 503)); });
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "?", 503)); });
     EXPECT_EQ(once(h, ask("/once/x")).status, 502);
   });
 }
 TEST(Passage, AFailureOfTheRunnersOwnIsPassedOnUnchanged) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "broke", 500)); });
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "broke", 500)); });
     const auto a = once(h, ask("/once/x"));
     EXPECT_EQ(a.status, 500);
     EXPECT_EQ(a.body, "broke");
@@ -122,7 +122,7 @@
 }
 TEST(Passage, ASurplusAnswerBelongsToNobody) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn& me, Wire& w, const std::string& id, const std::string&) {
+    h.runner("i-1", [](StandIn& me, Connection& w, const std::string& id, const std::string&) {
       if (me.got.size() == 1) say(w, whole(id, "first") );
       else say(w, whole("a1", "late surplus") + whole(id, "mine"));
     });
@@ -136,10 +136,10 @@
 }
 TEST(Passage, AWireWithUnaskedBytesIsNotUsedAgain) {
   inHarbour([](Harbour& h) {
-    auto r = h.runner("i-1", [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "ok") + "stray"); });
+    auto r = h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "ok") + "stray"); });
     EXPECT_EQ(once(h, ask("/once/x", "a1")).body, "ok");
     EXPECT_EQ(once(h, ask("/once/x", "a2")).body, "ok");
-    EXPECT_EQ(r->wires, 2);
+    EXPECT_EQ(r->connections, 2);
   });
 }
 TEST(Passage, WhatIsNoAnswerOrHasNoSealOrEndsEarlyIsNoSuccess) {
@@ -151,7 +151,7 @@
       [](const std::string&) { return whole("another", "x"); }};
   for (auto& t : table)
     inHarbour([&](Harbour& h) {
-      h.runner("i-1", [&](StandIn&, Wire& w, const std::string& id, const std::string&) {
+      h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
         say(w, t(id));
         w.shut();
       });
@@ -162,7 +162,7 @@
 }
 TEST(Passage, AStreamPassesAsItComesAndEndsWhenTheRunnerEnds) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Wire& w, const std::string& id, const std::string&) {
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
       Quay::get().pause(5ms);
       say(w, chunk(event(2)) + "0\r\n\r\n");
@@ -177,7 +177,7 @@
 }
 TEST(Passage, AStreamCutShortNeverLooksComplete) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Wire& w, const std::string& id, const std::string&) {
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
       w.shut();
     });
@@ -190,7 +190,7 @@
   inHarbour([](Harbour& h) {
     int n = 0;
     std::string second;
-    const auto act = [&](StandIn&, Wire& w, const std::string& id, const std::string& text) {
+    const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string& text) {
       if (n++ == 0) {
         say(w, streamHead(id, "seal-first") + chunk(event(1) + event(2) + "id: 3\nda"));
         w.shut();
@@ -208,11 +208,11 @@
     EXPECT_NE(second.find("Last-Event-Id: 2\n"), std::string::npos) << second;
   });
 }
-TEST(Passage, AConsumerThatLeavesEndsTheRun) {
+TEST(Passage, AClientThatLeavesEndsTheRun) {
   inHarbour([](Harbour& h) {
     bool ended = false;
     Waiter done;
-    h.runner("i-1", [&](StandIn&, Wire& w, const std::string& id, const std::string&) {
+    h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
       char c;
       Ec ec;
@@ -242,7 +242,7 @@
 }
 TEST(Passage, ASilentRunnerIsWaitedForUntilTheTimeIsUp) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Wire& w, const std::string&, const std::string&) {
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string&, const std::string&) {
       char c;
       Ec ec;
       w.read(asio::buffer(&c, 1), ec);
@@ -254,7 +254,7 @@
 TEST(Passage, BeyondTheMostANewWireIsClosedUnread) {
   inHarbour([](Harbour& h) {
     h.runner("i-1", answers);
-    h.wa.consumersMost = 2;
+    h.wa.clientsMost = 2;
     auto a = h.dial(), b = h.dial();
     Buffer ba, bc;
     say(*a, ask("/safe/x", "a1"));
@@ -265,7 +265,7 @@
     a->shut();
     b->shut();
     Quay::get().pause(20ms);
-    EXPECT_EQ(h.wa.consumers, 0);
+    EXPECT_EQ(h.wa.clients, 0);
     EXPECT_EQ(once(h, ask("/safe/x", "a2")).status, 200);
   });
 }
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -31,7 +31,7 @@
     for (auto* h : {&a, b.get()}) h->saveUp(10, 40);
     Match match;
     auto act = [&match](const std::string& zone) {
-      return [&match, zone](StandIn&, Wire& w, const std::string& id, const std::string& text) {
+      return [&match, zone](StandIn&, Connection& w, const std::string& id, const std::string& text) {
         if (match.closed && zone == "za") ++match.atClosedAfter;
         if (text.find("/once/") != std::string::npos) {
           ++match.pushRuns[id];
@@ -67,7 +67,7 @@
     auto consume = [&](bool push, int n) {
       ++open;
       Quay::get().launch([&, push, n] {
-        // The platform gives new consumers of a zone whose doors are shut to the other.
+        // The platform gives new clients of a zone whose doors are shut to the other.
         auto& h = doors || n % 2 ? *b : a;
         const auto id = (push ? "p" : "s") + std::to_string(n);
         const auto began = Clock::now();
@@ -109,7 +109,7 @@
 }
 TEST(Rehearsal, WhenOnlyTheClosingPlaceIsLeftItServes) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "ok")); });
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "ok")); });
     h.wa.docks.close({{"z", {100, true}}});
     EXPECT_EQ(once(h, ask("/once/x")).status, 200);
   });
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -1,4 +1,4 @@
-// Stand-ins for consumers and runners on loopback, around the proxy's own code.
+// Stand-ins for clients and runners on loopback, around the proxy's own code.
 #pragma once
 #include <gtest/gtest.h>
 
@@ -6,16 +6,16 @@
 #include "passage/passage.hpp"
 
 namespace zc::standin {
-// A runner that does what a test tells it, one wire at a time.
+// A runner that does what a test tells it, one connection at a time.
 struct StandIn {
   std::string id, service = "s";
   std::shared_ptr<tcp::acceptor> acc;
   std::vector<std::string> got;  // requests as they came, whole
-  std::function<void(StandIn&, Wire&, const std::string&, const std::string&)> act;  // wire, attempt id, request
-  int wires = 0;
+  std::function<void(StandIn&, Connection&, const std::string&, const std::string&)> act;  // connection, attempt id, request
+  int connections = 0;
   std::string address() const { return "127.0.0.1:" + std::to_string(acc->local_endpoint().port()); }
 };
-inline void say(Wire& w, const std::string& s) {
+inline void say(Connection& w, const std::string& s) {
   Ec ec;
   w.write(asio::buffer(s), ec);
 }
@@ -40,10 +40,10 @@
   *go = [r, go] {
     r->acc->async_accept([r, go](Ec ec, tcp::socket s) {
       if (ec) return;
-      ++r->wires;
+      ++r->connections;
       auto held = std::make_shared<tcp::socket>(std::move(s));
       Quay::get().launch([r, held] {
-        Wire w(std::move(*held));
+        Connection w(std::move(*held));
         Buffer buf;
         for (;;) {
           RequestParser p;
@@ -81,7 +81,7 @@
       {"label":"open","authority":"h.example","pathPrefix":"/open/","routeType":"safe","expiryMs":20000,"targetService":"s","keyless":true}],
       "serviceTable":[{"label":"s"}],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":3000,"headerTimerMs":200,"idleTimerMs":2000},
       "subscribers":[{"label":"tina","accessKeys":["key1"]}]})");
-    wa.claimEnds = Clock::now() + 60s;
+    wa.leaseEnds = Clock::now() + 60s;
     wa.zone = "z";
     saveUp(2, 12);
     door = std::make_shared<tcp::acceptor>(Quay::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
@@ -90,7 +90,7 @@
   void take() {
     door->async_accept([this](Ec ec, tcp::socket s) {
       if (ec) return;
-      takeConsumer(wa, std::move(s));
+      takeClient(wa, std::move(s));
       take();
     });
   }
@@ -108,8 +108,8 @@
     for (auto& r : runners) rs.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
     wa.docks.follow(rs);
   }
-  std::unique_ptr<Wire> dial() {
-    auto w = std::make_unique<Wire>();
+  std::unique_ptr<Connection> dial() {
+    auto w = std::make_unique<Connection>();
     Ec ec;
     w->connect(door->local_endpoint(), ec);
     EXPECT_FALSE(ec);
@@ -122,7 +122,7 @@
   bool wholeBody = false, chunked = false;
   std::map<std::string, std::string> heads;
 };
-inline Answer hear(Wire& w, Buffer& buf) {
+inline Answer hear(Connection& w, Buffer& buf) {
   Answer a;
   http::response_parser<http::string_body> p;
   p.eager(true);
@@ -164,5 +164,5 @@
   Quay::get().run();
   EXPECT_TRUE(ended);
 }
-const auto answers = [](StandIn&, Wire& w, const std::string& id, const std::string&) { say(w, whole(id, "body of " + id)); };
+const auto answers = [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "body of " + id)); };
 }  // namespace zc::standin
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -21,8 +21,8 @@
     e.num = ++n;
     return copy.apply(e);
   }
-  int replace(std::int64_t base, std::int64_t stamp, const std::string& body, const std::string& op) {
-    auto e = configurationOp(base, stamp, body, op);
+  int replace(std::int64_t base, std::int64_t version, const std::string& body, const std::string& op) {
+    auto e = configurationOp(base, version, body, op);
     const auto id = e.opId;
     put(e);
     return copy.verdictOf(id).value_or(-1);
@@ -66,7 +66,7 @@
   EXPECT_EQ(l.replace(0, 2, "A", "y"), 200);
   EXPECT_EQ(l.replace(2, 4, "B", "z"), 200);
   EXPECT_EQ(l.replace(0, 2, "A", "w"), 200) << "taken before, though another is in place now";
-  EXPECT_EQ(l.copy.state().stamp, 4) << "and nothing goes back";
+  EXPECT_EQ(l.copy.state().version, 4) << "and nothing goes back";
   EXPECT_EQ(l.replace(0, 2, "A2", "v"), 412);
 }
 TEST(Copy, AStampNotAboveTheCurrentIsDeclined) {
@@ -178,7 +178,7 @@
 TEST(Frames, WhatIsNotOursIsDeclined) {
   auto other = frameOf(msgOf(Kind::state));
   other[4] = 9;
-  EXPECT_FALSE(unframe(other)) << "another format stamp";
+  EXPECT_FALSE(unframe(other)) << "another format version";
   std::string huge = "\xff\xff\xff\xff\x01";
   EXPECT_FALSE(unframe(huge));
   auto broken = frameOf(msgOf(Kind::state));
