--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -513,6 +513,8 @@
 }
 std::string Core::statusJson() const {
   const auto now = Clock::now();
+  std::size_t waiting = 0;  // bytes that tenders have not read yet
+  for (auto& [n, t] : tenders_) waiting += t.link->backlog();
   static const char* duties[] = {"learner", "follower", "candidate", "sequencer"};
   std::string s = "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(order_->self()) + ",\"duty\":\"" +
                   duties[static_cast<int>(order_->duty())] + "\",\"term\":" + std::to_string(order_->term()) +
@@ -520,6 +522,7 @@
                   (order_->leased(now) ? "true" : "false") + ",\"released\":" + std::to_string(order_->released()) +
                   ",\"applied\":" + std::to_string(copy_.state().num) + ",\"diskSick\":" +
                   (order_->diskSick(now) ? "true" : "false") + ",\"version\":" + std::to_string(copy_.state().version) +
+                  ",\"tenders\":" + std::to_string(tenders_.size()) + ",\"waitingBytes\":" + std::to_string(waiting) +
                   ",\"runnersAside\":" + std::to_string(outliers_.list().size()) + ",\"wordsDeclined\":" + std::to_string(outliers_.declined()) +
                   ",\"members\":[";
   bool first = true;
