--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -218,11 +218,11 @@
     ++it;
   }
 }
-const std::string& Core::feedFrame(std::int64_t from, const std::string& held) {
+std::shared_ptr<const std::string> Core::feedFrame(std::int64_t from, const std::string& held) {
   if (std::exchange(framesOf_, order_->released()) != order_->released()) frames_.clear();
   const bool whole = from + 1 < order_->firstKept() || from == 0;
   auto& f = whole ? frames_[{-1, held}] : frames_[{from, {}}];
-  if (!f.empty()) return f;
+  if (f) return f;
   Msg m = msgOf(Kind::feed);
   m.from = order_->self();
   m.term = order_->term();
@@ -244,7 +244,7 @@
       }
     }
   }
-  return f = frameOf(m);
+  return f = std::make_shared<const std::string>(frameOf(m));
 }
 void Core::feed(Tender& t) {
   if (t.fed < 0 || !t.link->open() || t.fed >= order_->released() || t.link->backlog() > kTenderBacklog) return;
@@ -275,7 +275,7 @@
   b.blob = e.blob;
   for (auto& x : order_->members())
     if (x != order_->self()) sendTo(x, b);
-  const auto frame = frameOf(b);
+  const auto frame = std::make_shared<const std::string>(frameOf(b));
   for (auto& [n, t] : tenders_)
     if (t.link->open()) t.link->sendBulk(frame);
 }
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -55,7 +55,7 @@
   void feed(Tender& t);
   void feedAll();
   // What brings a copy from a number to the newest, encoded once for all tenders that stand there.
-  const std::string& feedFrame(std::int64_t from, const std::string& held);
+  std::shared_ptr<const std::string> feedFrame(std::int64_t from, const std::string& held);
   void dropSilent(Instant now);
   void tick();
   void tellTenders();
@@ -76,7 +76,7 @@
   std::map<std::string, std::unique_ptr<Mooring>> moorings_;
   std::map<std::string, std::weak_ptr<Link>> lastLink_;
   std::map<std::string, Tender> tenders_;
-  std::map<std::pair<std::int64_t, std::string>, std::string> frames_;  // of `feedFrame`, until the newest number changes
+  std::map<std::pair<std::int64_t, std::string>, std::shared_ptr<const std::string>> frames_;  // of `feedFrame`, until the newest number changes
   std::int64_t framesOf_ = -1;
   std::map<std::string, std::vector<Write*>> writes_;
   std::map<std::int64_t, Read*> reads_;
--- a/libs/signal/include/signal/link.hpp
+++ b/libs/signal/include/signal/link.hpp
@@ -27,7 +27,9 @@
   void send(const Msg& m);
   void sendFrame(std::string_view frame);  // of `frameOf`: for one message to many
   // In pieces that let everything sent meanwhile overtake: for what is large and not urgent.
-  void sendBulk(std::string frame);
+  // Shared: one that goes to hundreds is kept once.
+  void sendBulk(std::shared_ptr<const std::string> frame);
+  void sendBulk(std::string frame) { sendBulk(std::make_shared<const std::string>(std::move(frame))); }
   // Bytes that the far end has not taken yet. Who sends much looks at it first, so that one that does not read costs
   // no more than its share.
   std::size_t backlog() const;
--- a/libs/signal/src/link.cpp
+++ b/libs/signal/src/link.cpp
@@ -79,7 +79,7 @@
   OnMsg onMsg;
   OnEnd onEnd;
   std::string out, flying;
-  std::deque<std::string> bulk;  // frames that go in pieces
+  std::deque<std::shared_ptr<const std::string>> bulk;  // frames that go in pieces
   std::size_t bulkAt = 0, bulkBytes = 0;
   bool writing = false, open = true;
   Instant heard = Clock::now(), unanswered = Instant::max();
@@ -141,11 +141,11 @@
   impl_->out += frame;
   kick();
 }
-void Link::sendBulk(std::string frame) {
+void Link::sendBulk(std::shared_ptr<const std::string> frame) {
   auto& d = *impl_;
   if (!d.open) return;
-  if (frame.size() <= kPiece) return sendFrame(frame);
-  d.bulkBytes += frame.size();
+  if (frame->size() <= kPiece) return sendFrame(*frame);
+  d.bulkBytes += frame->size();
   d.bulk.push_back(std::move(frame));
   kick();
 }
@@ -158,7 +158,7 @@
     return;
   }
   if (d.bulk.empty()) return;
-  const auto& f = d.bulk.front();
+  const auto& f = *d.bulk.front();
   const auto n = std::min(kPiece, f.size() - d.bulkAt);
   const bool last = d.bulkAt + n == f.size();
   putHead(d.flying, n + 1, kPieceFormat);
