--- a/libs/signal/src/link.cpp
+++ b/libs/signal/src/link.cpp
@@ -13,8 +13,10 @@
 constexpr std::size_t kMaxFrame = 32u << 20;
 constexpr std::size_t kMaxOut = 48u << 20;
 constexpr auto kSilence = 900ms;
-constexpr auto kDial = 700ms;
-constexpr auto kRedial = 150ms;
+// Why short: an opening packet to a machine that is not up yet is lost, and the next one is seconds away.
+constexpr auto kDial = 300ms;
+constexpr auto kRedial = 150ms, kRedialSoon = 30ms;
+constexpr int kSoon = 8;  // failures in a row that are followed by another try soon
 }  // namespace
 
 namespace {
@@ -235,7 +237,7 @@
           link.reset();
         }
       }
-      if (!released) q.pause(kRedial);
+      if (!released) q.pause(failed < kSoon ? kRedialSoon : kRedial);
     }
   }
 };
