--- a/libs/berth/include/berth/quota.hpp
+++ b/libs/berth/include/berth/quota.hpp
@@ -18,6 +18,8 @@
   void wait(const std::string& label) { ++purses_[label].unasked; }
   void unwait(const std::string& label);
   std::vector<Grant> unasked();  // requests waiting that no draw has told of yet, by label; told with this
+  // Whether draws are being answered just now: the next answer is then worth waiting for.
+  bool answering(Instant now) const { return now - heard_ < std::chrono::milliseconds(400); }
   Span hint(const std::string& label, Instant now) const;   // when a refused client should come back
   Span until(const std::string& label) const;               // when the purse is thought to hold a token again
   // Demand a second of the steady tenants, smoothed.
@@ -35,6 +37,6 @@
   };
   static bool busy(const Purse& p);
   std::unordered_map<std::string, Purse> purses_;
-  Instant counted_{}, lastLow_{};
+  Instant counted_{}, lastLow_{}, heard_{};
 };
 }  // namespace zc
--- a/libs/berth/src/quota.cpp
+++ b/libs/berth/src/quota.cpp
@@ -19,6 +19,7 @@
   }
 }
 void QuotaStash::loose(const std::vector<Grant>& gs, Instant now) {
+  heard_ = now;
   for (auto& g : gs) {
     auto& p = purses_[g.label];
     if (now - p.freed > looseLife) p.free = 0;
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -160,8 +160,10 @@
     if (quota.low(label, now())) wa_.draw();
     return true;
   }
-  // Why not long: a refusal must come well inside the aim, so that the client's next try still can.
-  const auto end = arrived_ + std::clamp(route_->aim / 5, Span(15), Span(150));
+  // Why not long: a refusal must come well inside the aim, so that the client's next try still can. While draws are
+  // answered one that is merely late is awaited longer: the answer leaves time for the work, another try would not.
+  const auto end = arrived_ + (quota.answering(arrived_) ? std::clamp(route_->aim * 9 / 20, Span(15), Span(250))
+                                                         : std::clamp(route_->aim / 5, Span(15), Span(150)));
   Waiter w;
   wa_.thirsty.push_back({&label, &w});
   bool has = false;
