Hints between partner sites: keyed digests, changes only; long openings go where they are held

Off without partnerSite in the settings. Pushes never go, what can't be repeated never goes; a partner that lies, is slow, cut off or refuses costs a moment and no answer (stand-ins side by side; two real cores exchange).

--- a/libs/charter/include/charter/settings.hpp
+++ b/libs/charter/include/charter/settings.hpp
@@ -8,6 +8,11 @@
   bool revokedFail = true;
   double retryRatio = 0.2, retrySlack = 50, quotaExcess = 0.1, quotaSlack = 20;
 };
+// A site of somebody else's that may hold what is asked for here; the operators of both agree on a secret.
+struct PartnerSite {
+  std::string name, secret;                 // secret: 32 bytes in hex
+  std::vector<std::string> control, access;  // addresses of its nodes; clients' keys of both sites must be known there
+};
 struct Settings {
   std::string node, role, machineClass, ip, zone, region, dataDir;
   std::map<std::string, std::string> zones;
@@ -18,6 +23,7 @@
   Span heartbeat{1200};
   int memoryMb = 0, fdLimit = 0;
   int tolerateMachines = 1;  // `faultTolerance.machines`: members of the core that may be lost at once
+  std::optional<PartnerSite> partner;  // none: no hints, in or out
   Timers timers;
 };
 Outcome<Settings> parseSettings(std::string_view json);
--- a/libs/charter/src/settings.cpp
+++ b/libs/charter/src/settings.cpp
@@ -75,6 +75,25 @@
     r.whole(sub, "machines", s.tolerateMachines);
     if (s.tolerateMachines < 0 || s.tolerateMachines > 100) r.blame("no count of machines in", "faultTolerance");
   }
+  if (r.object(o, "partnerSite", sub)) {
+    PartnerSite p;
+    r.text(sub, "name", p.name, true);
+    r.text(sub, "secret", p.secret, true);
+    auto addresses = [&](const char* k, std::vector<std::string>& to) {
+      json::Arr list;
+      if (!r.array(sub, k, list, true)) return;
+      for (auto e : list) {
+        std::string_view v;
+        if (e.get(v) || !parseEndpoint(v)) r.blame("no IP numbers and ports in", k);
+        else to.emplace_back(v);
+      }
+    };
+    addresses("control", p.control);
+    addresses("access", p.access);
+    if (p.secret.size() != 64 || p.secret.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+      r.blame("no 32 bytes in hex in", "secret");
+    s.partner = std::move(p);
+  }
   if (r.object(o, "timers", sub)) {
     auto& t = s.timers;
     r.ms(sub, "contactMs", t.contact);
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -3,7 +3,9 @@
 #include <dirent.h>
 #include <unistd.h>
 
+#include "almanac/call.hpp"
 #include "keel/ring.hpp"
+#include "signal/avro.hpp"
 
 namespace zc {
 namespace {
@@ -16,6 +18,8 @@
 constexpr std::size_t kTenderBacklog = 64 * 1024, kMemberBacklog = 4u << 20;
 constexpr std::size_t kTenderLinks = 3;  // with more members a tender is not linked to each, and misses bodies sent ahead
 constexpr auto kTenderSilent = 6s;
+constexpr auto kTellPartner = 2000ms;
+constexpr HintBounds kHints{};
 constexpr int kViewEvery = 8;          // state messages: the members and a part of the view go with each so many-th
 std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
 }  // namespace
@@ -26,6 +30,12 @@
 Outcome<void> Core::start() {
   if (s_.dataDir.empty()) return fault(0, "settings name no dataDir for a core machine");
   boot_ = drawSeed();
+  if (s_.partner) {
+    auto key = HintKey::from(s_.partner->secret);
+    if (!key) return tl::unexpected(key.error());
+    hintKey_ = *key;
+    hints_.emplace(*key, kHints, drawSeed());
+  }
   quota_.bounds({s_.timers.quotaExcess, s_.timers.quotaSlack, static_cast<double>(s_.timers.quotaWindow.count()) / 1000});
   const auto now = Clock::now();
   Store store(s_.dataDir);
@@ -86,6 +96,7 @@
     nodesHeard_ = static_cast<std::int64_t>(loads_.size());
     watchRunners(Clock::now());
   });
+  if (hints_) Quay::get().every(kTellPartner, [this] { tellPartner(); });
   run();
   return {};
 }
@@ -351,6 +362,14 @@
       r.from.clear();
       return l->send(r);
     }
+    case Kind::whereHeld: {
+      Msg r = msgOf(Kind::held);
+      r.nonce = m.nonce;
+      // Alike whether the partner does not hold it, or has not told: only whether to go there.
+      if (hints_ && order_->leased(now) && hints_->elsewhere(now, hintEpoch(), static_cast<std::uint64_t>(m.num), static_cast<std::uint64_t>(m.prevTerm)))
+        r.names = s_.partner->access;
+      return l->send(r);
+    }
     case Kind::lease: {
       const auto it = reads_.find(m.nonce);
       if (it == reads_.end()) return;
@@ -462,6 +481,45 @@
   std::erase_if(beats_, [&](auto& b) { return now - b.second > 60s; });
   if (!missed.empty()) run();
 }
+// By the time of day: both sites change the key together, and a list one key old still counts.
+std::int64_t Core::hintEpoch() const {
+  return std::chrono::system_clock::now().time_since_epoch() / kHints.epoch;
+}
+void Core::tellPartner() {
+  if (!order_->leased(Clock::now()) || std::exchange(tellingHints_, true)) return;
+  Quay::get().launch([this] {
+    const auto body = avro::encode(hints_->news(Clock::now(), hintEpoch()));
+    Call c{"POST", "/v1/Hints.Exchange", body, {{"X-Hint-Seal", hintKey_->seal(body)}}};
+    for (auto& a : s_.partner->control) {
+      const auto r = callOne(a, c, 1000ms);
+      if (!r || r->status != 200) continue;
+      const auto cut = r->body.find('\n');
+      const auto theirs = cut == std::string::npos ? std::string{} : r->body.substr(cut + 1);
+      auto n = avro::decode<HintNews>(theirs);
+      if (cut == std::string::npos || !hintKey_->fits(theirs, r->body.substr(0, cut)) || !n) {
+        hints_->decline();
+        ring::note("hints from " + a + " declined");
+      } else if (auto ok = hints_->heard(Clock::now(), hintEpoch(), *n); !ok) {
+        ring::note("hints from " + a + " declined: " + ok.error().text);
+      }
+      break;
+    }
+    tellingHints_ = false;
+  });
+}
+Outcome<std::string> Core::hintsFrom(std::string_view body, std::string_view seal) {
+  if (!hints_) return fault(404, "no partner site");
+  if (!order_->leased(Clock::now())) return fault(503, "no lease");
+  auto n = avro::decode<HintNews>(body);
+  if (!hintKey_->fits(body, seal) || !n) {
+    hints_->decline();
+    ring::note("hints from a stranger declined");
+    return fault(403, "hints of a stranger");
+  }
+  if (auto ok = hints_->heard(Clock::now(), hintEpoch(), *n); !ok) return tl::unexpected(ok.error());
+  const auto ours = avro::encode(hints_->news(Clock::now(), hintEpoch()));
+  return hintKey_->seal(ours) + "\n" + ours;
+}
 void Core::reread(Settings s) {
   std::vector<std::string> ips;
   for (auto& x : s.seeds) ips.push_back(hostOf(x));
@@ -523,7 +581,8 @@
                   ",\"applied\":" + std::to_string(copy_.state().num) + ",\"diskSick\":" +
                   (order_->diskSick(now) ? "true" : "false") + ",\"version\":" + std::to_string(copy_.state().version) +
                   ",\"tenders\":" + std::to_string(tenders_.size()) + ",\"waitingBytes\":" + std::to_string(waiting) +
-                  ",\"runnersAside\":" + std::to_string(outliers_.list().size()) + ",\"wordsDeclined\":" + std::to_string(outliers_.declined()) +
+                  ",\"hintsTold\":" + std::to_string(hints_ ? hints_->told() : 0) + ",\"hintsKnown\":" + std::to_string(hints_ ? hints_->known() : 0) +
+                  ",\"hintsDeclined\":" + std::to_string(hints_ ? hints_->declined() : 0) + ",\"runnersAside\":" + std::to_string(outliers_.list().size()) + ",\"wordsDeclined\":" + std::to_string(outliers_.declined()) +
                   ",\"members\":[";
   bool first = true;
   for (auto& m : order_->members()) s += (std::exchange(first, false) ? "" : ",") + quoteJson(m);
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -3,6 +3,7 @@
 #include "charter/configuration.hpp"
 #include "charter/settings.hpp"
 #include "disk.hpp"
+#include "hints/hints.hpp"
 #include "log/order.hpp"
 #include "outliers.hpp"
 #include "quota.hpp"
@@ -23,6 +24,9 @@
   const Copy& copy() const { return copy_; }
   void beat(const std::string& id);
   void reread(Settings s);
+  // Hints from the partner site, as its call brought them; the answer is our own news, sealed.
+  Outcome<std::string> hintsFrom(std::string_view body, std::string_view seal);
+  std::string hintSeal(std::string_view body) const { return hintKey_ ? hintKey_->seal(body) : std::string{}; }
   void leave(std::function<void()> done);
   std::string statusJson() const;
   std::string closuresJson() const;
@@ -57,6 +61,8 @@
   // What brings a copy from a number to the newest, encoded once for all tenders that stand there.
   std::shared_ptr<const std::string> feedFrame(std::int64_t from, const std::string& held);
   void dropSilent(Instant now);
+  std::int64_t hintEpoch() const;
+  void tellPartner();
   void tick();
   void tellTenders();
   void sendTo(const std::string& member, const Msg& m);
@@ -72,6 +78,9 @@
   std::shared_ptr<const Configuration> cfg_;
   QuotaDesk quota_;
   OutlierDesk outliers_;
+  std::optional<HintKey> hintKey_;
+  std::optional<HintDesk> hints_;  // none: no partner site
+  bool tellingHints_ = false;
   View view_;
   std::map<std::string, std::unique_ptr<Mooring>> moorings_;
   std::map<std::string, std::weak_ptr<Link>> lastLink_;
--- a/libs/harbourmaster/src/harbourmaster.cpp
+++ b/libs/harbourmaster/src/harbourmaster.cpp
@@ -100,6 +100,14 @@
   if (!v) return declined(503, v.error().text);
   return {200, core.closuresJson(), ""};
 }
+// Hints from the partner site go to the sequencer: it alone hears what all nodes send.
+Said onHints(Core& core, std::string_view path, const std::string& body, std::string_view seal) {
+  if (const auto there = core.sequencerControl(); !there.empty())
+    return {307, "{}", "Location: http://" + there + std::string(path) + "\r\n"};
+  auto r = core.hintsFrom(body, seal);
+  if (!r) return declined(r.error().code, r.error().text);
+  return {200, *r};
+}
 // One function a call, read top to bottom.
 Said answer(Core& core, const RequestParser::value_type& req, const std::string& uri) {
   constexpr std::string_view beat = "/v1/Instances.Heartbeat/", detach = "/v1/Instances.Detach/";
@@ -117,6 +125,10 @@
   if (path == "/v1/Configuration.Retrieve") return get ? onRetrieve(core) : declined(405, "GET only");
   if (path == "/v1/Closures.Set") return post ? onClosure(core, std::string(path), &req.body()) : declined(405, "POST only");
   if (path == "/v1/Closures.List") return get ? onClosure(core, std::string(path), nullptr) : declined(405, "GET only");
+  if (path == "/v1/Hints.Exchange") {
+    const auto seal = req["X-Hint-Seal"];
+    return post ? onHints(core, path, req.body(), {seal.data(), seal.size()}) : declined(405, "POST only");
+  }
   if (path == "/v1/Status") return get ? Said{200, core.statusJson(), ""} : declined(405, "GET only");
   return declined(404, "no such call");
 }
--- a/libs/passage/include/passage/passage.hpp
+++ b/libs/passage/include/passage/passage.hpp
@@ -6,6 +6,7 @@
 #include "berth/budget.hpp"
 #include "berth/docks.hpp"
 #include "berth/quota.hpp"
+#include "berth/partner.hpp"
 #include "berth/witness.hpp"
 #include "charter/configuration.hpp"
 #include "passage/http.hpp"
@@ -30,6 +31,11 @@
   std::unordered_set<Attempt*> silent;
   // Counts those that have waited far longer than usual; called now and then.
   void blameSilent(Instant now);
+  // A long opening that this site does not hold and its partner does: an address there, or empty at once or after ms.
+  // No partner site: unset.
+  std::function<std::string(std::uint64_t opening, const std::string& tenant)> heldElsewhere;
+  PartnerTrust partner;
+  std::uint64_t toPartner = 0, fromPartner = 0;  // requests that went there and were answered from there
   std::function<void()> draw = [] {};  // has the stashes filled at once
   std::function<void()> ask = [] {};   // asks for the tokens that requests wait for, once a turn of the loop
   struct Thirsty {
--- a/libs/passage/src/heads.cpp
+++ b/libs/passage/src/heads.cpp
@@ -7,7 +7,7 @@
                                          "proxy-authorization", "te",         "trailer",          "transfer-encoding",
                                          "upgrade",             "content-length", "expect"};
 // Heads that we interpret: an allow list would be ours alone; the protocol has unknown ones pass.
-constexpr std::string_view kOurs[] = {"x-subscriber", "x-expected-instance", "x-deadline-ms", "x-precedence"};
+constexpr std::string_view kOurs[] = {"x-partner-site", "x-subscriber", "x-expected-instance", "x-deadline-ms", "x-precedence"};
 template <std::size_t N>
 bool in(const std::string_view (&list)[N], std::string_view n) {
   for (auto x : list)
@@ -59,7 +59,8 @@
     if (conn && namedByConnection(h, n)) continue;
     put(s, n, {f.value().data(), f.value().size()});
   }
-  put(s, "X-Expected-Instance", o.expectedInstance);
+  if (o.toPartner) put(s, kFromPartner, "1");
+  else put(s, "X-Expected-Instance", o.expectedInstance);
   put(s, "X-Deadline-Ms", std::to_string(std::max<std::int64_t>(1, o.left.count())));
   if (!o.subscriber.empty()) put(s, "X-Subscriber", o.subscriber);
   if (!o.lastEventId.empty()) put(s, "Last-Event-Id", o.lastEventId);
--- a/libs/passage/src/heads.hpp
+++ b/libs/passage/src/heads.hpp
@@ -9,7 +9,10 @@
   Span left{0};
   int precedence = -1;
   bool hideKey = true;
+  bool toPartner = false;  // another site's node, not a runner
 };
+// Marks a request that came from a partner site: it is not sent on to another.
+constexpr std::string_view kFromPartner = "X-Partner-Site";
 std::string outboundHead(const http::request_header<>& h, const Outbound& o, std::size_t bodySize);
 // The answer's head as the client gets it, without framing.
 std::string inboundHead(const http::response_header<>& h);
--- a/libs/passage/src/passage.cpp
+++ b/libs/passage/src/passage.cpp
@@ -86,6 +86,7 @@
   bool allowed(const std::string& label);
   bool answer(int status, Span retry = Span(0), std::string_view why = {});
   AttemptEnd attempt(int dock);
+  AttemptEnd partnerAttempt(const std::string& address);
   AttemptEnd relayStream(Connection& w, Buffer& buf, AnswerParser& ap, bool fresh);
   bool toClient(std::string_view bytes);
   bool chunkToClient(std::string_view bytes);
@@ -119,6 +120,7 @@
   Waters::Attempt attempt_{};
   bool stale_ = false;  // the attempt ended on a connection that the runner had forgotten
   bool prepaid_ = false, lastRunner_ = false;
+  Connection* eager_ = nullptr;  // to a partner that has not begun to answer: it is given little time
   const std::string* service_ = nullptr;
   bool keep_ = true, headSent_ = false, sentWhole_ = false;
   std::shared_ptr<Watch> watch_;
@@ -235,6 +237,24 @@
   int runners = 0;
   bool mayHaveRun = false;
   AttemptEnd end = AttemptEnd::unsent;
+  // A long opening that a partner site holds and this one does not. Only what may be repeated, so that a stale hint or a
+  // partner that fails costs a moment and never an answer: the request then goes on here as if it had not been there.
+  if (wa_.heldElsewhere && wish.repeatable && route_->type == RouteType::stream && wish.sharedTokens >= PartnerTrust::longTokens &&
+      field(req_, kFromPartner).empty()) {
+    service_ = &service.label;
+    if (const auto there = wa_.heldElsewhere(wish.affinity, subscriber_); !there.empty() && wa_.partner.allows(now())) {
+      ++wa_.toPartner;
+      end = partnerAttempt(there);
+      if (end == AttemptEnd::done) {
+        wa_.partner.answered();
+        ++wa_.fromPartner;
+        ++wa_.served;
+        return keep_;
+      }
+      if (end == AttemptEnd::clientGone) return false;
+      wa_.partner.disappointed(now());
+    }
+  }
   for (int tries = 0; tries < route_->maxAttempts + kConnectTries; ++tries) {
     if (watch_->gone) return false;
     if (now() >= deadline_) {
@@ -287,6 +307,57 @@
   return answer(503, Span(100 + static_cast<std::int64_t>(wa_.rng() % 200)), "no runner is free");
 }
 
+// At a partner site's node, as a client of it: with the client's own key, within the aim's fifth until it begins.
+AttemptEnd Passage::partnerAttempt(const std::string& address) {
+  const auto ep = parseEndpoint(address);
+  if (!ep) return AttemptEnd::unsent;
+  Connection there;
+  Ec ec;
+  const auto patience = std::min(deadline_, now() + std::clamp(route_->aim / 5, Span(20), Span(400)));
+  there.due(patience);
+  there.connect(*ep, ec);
+  if (ec) return AttemptEnd::unsent;
+  Outbound o;
+  o.toPartner = true;
+  o.left = toSpan(deadline_ - now());
+  o.hideKey = false;
+  auto out = outboundHead(req_, o, req_.body().size());
+  out += req_.body();
+  watch_->runner = &there;
+  eager_ = &there;
+  struct Unwatch {
+    Passage& p;
+    ~Unwatch() { p.watch_->runner = nullptr, p.eager_ = nullptr; }
+  } unwatch{*this};
+  there.write(asio::buffer(out), ec);
+  Buffer buf;
+  AnswerParser ap;
+  ap.eager(true);
+  ap.body_limit(64u << 20);
+  if (!ec) pump(there, buf, ap, true, ec);
+  if (watch_->gone) return AttemptEnd::clientGone;
+  if (ec) return AttemptEnd::broken;
+  const auto& h = ap.get();
+  // Whatever is no whole success is left there: this site answers for itself.
+  if (h.result_int() / 100 != 2 || field(h, "X-Attempt-Id") != attemptId_ || field(h, "X-Server-Seal").empty() ||
+      h.count(http::field::content_encoding))
+    return AttemptEnd::notRun;
+  // Why the first bytes before the head goes on: one that only says that it begins must not hold the client.
+  for (; ap.get().body().empty() && !ap.is_done();) {
+    if (buf.size() == 0) {
+      const auto n = there.read(buf.prepare(4 * 1024), ec);
+      if (watch_->gone) return AttemptEnd::clientGone;
+      if (ec) return AttemptEnd::broken;
+      buf.commit(n);
+    }
+    const auto n = ap.put(buf.data(), ec);
+    buf.consume(n);
+    if (ec && ec != http::error::need_more) return AttemptEnd::broken;
+  }
+  const auto e = relayStream(there, buf, ap, true);
+  return e == AttemptEnd::broken && watch_->gone ? AttemptEnd::clientGone : e;
+}
+
 AttemptEnd Passage::attempt(int dock) {
   const auto id = wa_.docks.at(dock).id;
   const auto address = wa_.docks.at(dock).address;
@@ -428,13 +499,14 @@
     auto& body = ap.get().body();
     if (!body.empty()) {
       promptRead(true);
+      if (eager_) std::exchange(eager_, nullptr)->due(deadline_ + 50ms);
       const auto pass = whole ? scan_.feed(body) : std::string_view(body);
       if (!pass.empty() && !chunkToClient(pass)) return AttemptEnd::clientGone;
       body.clear();
     }
     if (ap.is_done()) break;
     // A live session leaves a place that closes between two whole events, if the budget has a further go for it.
-    if (whole && wa_.docks.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() && wa_.budget.spend(*service_, now())) {
+    if (whole && dock_ >= 0 && wa_.docks.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() && wa_.budget.spend(*service_, now())) {
       prepaid_ = true;
       scan_.dropRest();
       return AttemptEnd::moved;
--- a/libs/pilot/src/pilot.cpp
+++ b/libs/pilot/src/pilot.cpp
@@ -14,6 +14,8 @@
 namespace {
 constexpr auto kChallenge = 400ms;
 constexpr std::size_t kSeenMost = 24;  // runners told of in one question, the worst first
+constexpr auto kHeldHere = 20s;  // an opening sent so lately is not asked about again
+constexpr auto kHeldWait = 10ms;
 constexpr auto kLinger = 2600ms;  // after SIGTERM: until the platform has surely noticed
 
 class Pilot {
@@ -30,6 +32,8 @@
     if (s.memoryMb > 0) wa_.heldMost = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
     wa_.draw = [this] { challenge(); };
     wa_.ask = [this] { ask(); };
+    if (s.partner && !s.partner->access.empty())
+      wa_.heldElsewhere = [this](std::uint64_t opening, const std::string& tenant) { return heldElsewhere(opening, tenant); };
     wa_.budget = Budget(s.timers.retryRatio * 0.75, s.timers.retryWindow / 4);
     slackDraw_ = static_cast<double>(drawSeed() % 10007) / 10007;
   }
@@ -105,6 +109,28 @@
       if (!m.grants.empty()) mooring_->send(m);
     });
   }
+  // Asks the sequencer, which hears all nodes. What was sent from here not long ago is held here; no answer in ms is a no.
+  std::string heldElsewhere(std::uint64_t opening, const std::string& tenant) {
+    const auto now = Clock::now();
+    if (sent_.size() > 8192) sent_.clear();
+    if (const auto it = sent_.find(opening); it != sent_.end() && now - it->second < kHeldHere) return {};
+    if (!mooring_->up()) return {};
+    Msg m = msgOf(Kind::whereHeld);
+    m.nonce = ++heldNonce_;
+    m.num = static_cast<std::int64_t>(opening);
+    // A mark, the same at all nodes of the site, so that one tenant is counted once; it stays inside the site.
+    m.prevTerm = static_cast<std::int64_t>(hash64(tenant, hash64(s_.partner->secret)));
+    Held h;
+    held_[m.nonce] = &h;
+    mooring_->send(m);
+    (void)Quay::get().waitFor(h.waiter, kHeldWait);
+    held_.erase(m.nonce);
+    if (h.access.empty()) {
+      sent_[opening] = now;
+      return {};
+    }
+    return h.access[wa_.rng() % h.access.size()];
+  }
   void onTender(Msg m) {
     const auto now = Clock::now();
     if (m.what() == Kind::feed) {
@@ -145,6 +171,8 @@
       }
       asked_.erase(it);
       settleLease(now);
+    } else if (m.what() == Kind::held) {
+      if (const auto it = held_.find(m.nonce); it != held_.end()) it->second->access = std::move(m.names), it->second->waiter.wake();
     } else if (m.what() == Kind::drawn && m.ok) {
       wa_.quota.loose(m.grants, now);
       wa_.quench(m.grants);
@@ -236,6 +264,13 @@
   std::map<std::int64_t, Instant> asked_;
   std::int64_t nonce_ = 0, pendingNum_ = 0;
   bool asking_ = false;
+  struct Held {
+    Waiter waiter;
+    std::vector<std::string> access;
+  };
+  std::map<std::int64_t, Held*> held_;  // questions under way
+  std::unordered_map<std::uint64_t, Instant> sent_;
+  std::int64_t heldNonce_ = 0;
   std::int64_t outliersKnown_ = 0;
   std::vector<Grant> outliers_;  // runners set aside, as last told
   Instant pendingEnd_{};
--- a/libs/signal/include/signal/messages.hpp
+++ b/libs/signal/include/signal/messages.hpp
@@ -30,7 +30,7 @@
 };
 enum class Kind : std::int32_t {
   ask = 1, granted, pulse, pulseAck, snapshot, submit, submitAck, handOver, body, join,  // core
-  state = 20, stateAck, follow, feed, challenge, lease, beats, draw, drawn                // towards access
+  state = 20, stateAck, follow, feed, challenge, lease, beats, draw, drawn, whereHeld, held  // towards access
 };
 struct Msg {
   std::int32_t kind = 0;
--- a/libs/tender/src/tender.cpp
+++ b/libs/tender/src/tender.cpp
@@ -164,6 +164,7 @@
       case Kind::body:
         queue_.body(m.who, std::move(m.blob));
         return drain();
+      case Kind::held:
       case Kind::drawn:
         if (pilot_ && pilot_->open()) pilot_->send(m);
         return;
@@ -214,6 +215,7 @@
         return l->send(r);
       }
       case Kind::draw:
+      case Kind::whereHeld:
       case Kind::challenge: {
         if (m.what() == Kind::challenge) m.from = self_;
         if (auto* s = toSequencer(); s && s->up()) s->send(m);
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -44,6 +44,7 @@
       auto held = std::make_shared<tcp::socket>(std::move(s));
       Quay::get().launch([r, held] {
         Connection w(std::move(*held));
+        tune(w.sock());
         Buffer buf;
         for (;;) {
           RequestParser p;
