--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -14,15 +14,18 @@
 #include "keel/ring.hpp"
 #include "pilot/pilot.hpp"
 #include "rehearse/plan.hpp"
+#include "rehearse/trial.hpp"
 #include "tender/tender.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
-ABSL_FLAG(std::vector<std::string>, set, {}, "runbook: name=value,...; a list value is split by +");
+ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, rehearse: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
 ABSL_FLAG(bool, json, false, "status: as JSON");
+ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
 ABSL_FLAG(bool, verbose, false, "write log notes at once, not only when something goes wrong");
 
 namespace {
+constexpr const char* kVersion = "0.3 (frames 2)";
 constexpr const char* kUsage =
     "zinccleat SUBCOMMAND [--settings FILE] [--verbose]\n"
     "  pilot          the proxy on access machines\n"
@@ -31,8 +34,33 @@
     "  check KIND FILE  checks a file; KIND is settings, configuration or runbook\n"
     "  status ADDRESS:PORT... [--json]  what the core's nodes know\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
-    "  rehearse [FILE] [--set name=value,...] [--json]  a scale run on loopback: real harbourmasters, hollow nodes";
+    "  rehearse [FILE] [--set name=value,...] [--json]  a scale run on loopback: real harbourmasters, hollow nodes\n"
+    "  trial [--seconds N]  a small fleet on loopback that serves while a leader and a runner are lost\n"
+    "  --help, --version\n"
+    "exit status: 0 as asked, 1 it went otherwise, 2 the command line or a file is wrong";
 
+// Which subcommands know a flag: one given to another is a mistake worth a word.
+struct Known {
+  std::string_view flag, by;
+};
+constexpr Known kKnown[] = {{"settings", "pilot tender harbourmaster"}, {"verbose", "pilot tender harbourmaster"}, {"set", "runbook rehearse"},
+                            {"dry", "runbook"}, {"json", "status rehearse"}, {"seconds", "trial"}};
+// The first complaint about the flags given; empty: none.
+std::string wrongFlag(int argc, char** argv) {
+  std::string sub;
+  for (int i = 1; i < argc && sub.empty(); ++i)
+    if (argv[i][0] != '-') sub = argv[i];
+  for (int i = 1; i < argc; ++i) {
+    std::string_view a = argv[i];
+    if (a.substr(0, 2) != "--" || a.size() == 2) continue;
+    const auto name = a.substr(2, a.find('=') == a.npos ? a.npos : a.find('=') - 2);
+    const auto* k = std::find_if(std::begin(kKnown), std::end(kKnown), [&](auto& x) { return x.flag == name || (name.substr(0, 2) == "no" && x.flag == name.substr(2)); });
+    if (k == std::end(kKnown)) return "no subcommand knows the flag '--" + std::string(name) + "'";
+    if ((" " + std::string(k->by) + " ").find(" " + sub + " ") == std::string::npos)
+      return "the flag '--" + std::string(name) + "' is for: " + std::string(k->by);
+  }
+  return {};
+}
 // Why not return: the fiber library would wait for fibers that are parked on connections nobody serves any more.
 [[noreturn]] void quit(int rc) {
   std::fflush(nullptr);
@@ -68,6 +96,15 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  for (int i = 1; i < argc; ++i) {
+    const std::string_view a = argv[i];
+    if (a == "--help" || a == "-h") return std::printf("%s\n", kUsage), 0;
+    if (a == "--version") return std::printf("zinccleat %s\n", kVersion), 0;
+  }
+  if (const auto wrong = wrongFlag(argc, argv); !wrong.empty()) {
+    std::fprintf(stderr, "zinccleat: %s\n", wrong.c_str());
+    return 2;
+  }
   absl::SetProgramUsageMessage(kUsage);
   const auto args = absl::ParseCommandLine(argc, argv);
   const std::string sub = args.size() > 1 ? args[1] : "";
@@ -85,6 +122,14 @@
     const auto file = rest[0].find_first_of("./") == std::string::npos ? "runbooks/" + rest[0] + ".run" : rest[0];
     quit(zc::runbookCommand(file, sets, absl::GetFlag(FLAGS_dry)));
   }
+  if (sub == "trial") {
+    const int seconds = absl::GetFlag(FLAGS_seconds);
+    if (seconds < 3 || seconds > 600) {
+      std::fprintf(stderr, "zinccleat trial: --seconds is 3 to 600\n");
+      return 2;
+    }
+    quit(zc::trial("/proc/self/exe", seconds));
+  }
   if (sub == "rehearse") {
     auto text = rest.empty() ? zc::Outcome<std::string>("{}") : zc::readFile(rest[0]);
     auto plan = text ? zc::parsePlan(*text, absl::GetFlag(FLAGS_set)) : zc::Outcome<zc::RehearsalPlan>(tl::unexpected(text.error()));
--- a/libs/rehearse/src/rehearse.cpp
+++ b/libs/rehearse/src/rehearse.cpp
@@ -2,29 +2,18 @@
 #include <filesystem>
 #include <fstream>
 
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "almanac/call.hpp"
 #include "charter/calls.hpp"
+#include "fleet.hpp"
 #include "hollow.hpp"
 #include "rehearse/plan.hpp"
 
-extern char** environ;
-
 namespace zc {
 namespace {
-constexpr unsigned short kPort = 7660, kControl = 8407;
 const char* kKinds[] = {"state", "stateAck", "follow", "feed", "challenge", "lease", "beats", "draw", "drawn"};
 
-struct Process {
-  std::string name;
-  pid_t pid = 0;
-  double cpuS = 0;  // at the beginning of what is measured
-};
 double cpuOf(pid_t pid) {  // seconds, over all threads
   double ns = 0;
   std::error_code ec;
@@ -48,23 +37,13 @@
 }
 class Rehearsal {
  public:
-  Rehearsal(const RehearsalPlan& p, std::string binary) : p_(p), binary_(std::move(binary)), rng_(static_cast<std::uint64_t>(p.seed)) {
-    char t[] = "/tmp/zinccleat-rehearse-XXXXXX";
-    dir_ = ::mkdtemp(t);
-    for (int i = 0; i < p_.core; ++i) core_.push_back("127.0.2." + std::to_string(i + 1));
+  Rehearsal(const RehearsalPlan& p, std::string binary)
+      : p_(p), fleet_(std::move(binary), p.core), rng_(static_cast<std::uint64_t>(p.seed)) {
     keyNo_.assign(static_cast<std::size_t>(p_.tenants), 0);
   }
-  ~Rehearsal() {
-    for (auto& x : processes_) ::kill(x.pid, SIGKILL), ::waitpid(x.pid, nullptr, 0);
-    std::error_code ec;
-    std::filesystem::remove_all(dir_, ec);
-  }
   int run(bool json);
 
  private:
-  std::string control(std::size_t i) const { return core_[i % core_.size()] + ":" + std::to_string(kControl); }
-  void settings(const std::string& name, const std::string& ip, const std::string& role, const std::string& addresses, bool disk);
-  bool spawn(const std::string& name, const std::string& role, const std::string& settings);
   bool until(Span within, const std::function<bool()>& f) {
     for (const auto end = Clock::now() + within; Clock::now() < end; Quay::get().pause(50ms))
       if (f()) return true;
@@ -75,10 +54,9 @@
   void change();
 
   RehearsalPlan p_;
-  std::string binary_, dir_;
+  LocalFleet fleet_;
+  std::map<pid_t, double> cpuS_;  // at the beginning of what is measured
   std::mt19937_64 rng_;
-  std::vector<std::string> core_;
-  std::vector<Process> processes_;
   std::vector<std::unique_ptr<HollowNode>> nodes_;
   std::vector<int> keyNo_;
   std::int64_t version_ = 0, acknowledged_ = 0;
@@ -87,36 +65,10 @@
   std::uint64_t beats_ = 0, beatsLost_ = 0, changes_ = 0, changesLost_ = 0;
   bool over_ = false;
 };
-void Rehearsal::settings(const std::string& name, const std::string& ip, const std::string& role, const std::string& addresses, bool disk) {
-  std::string seeds;
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, core_.size()); ++i) seeds += (i ? ",\"" : "\"") + control(i) + "\"";
-  if (disk) std::filesystem::create_directories(dir_ + "/" + name);
-  std::ofstream(dir_ + "/" + name + ".json")
-      << "{\"nodeName\":\"" << name << "\",\"role\":\"" << role << "\",\"ip\":\"" << ip << "\",\"zone\":\"z\",\"region\":\"r\",\"zones\":{\"z\":\"r\"},"
-      << "\"bindAddresses\":{" << addresses << "},\"internalPorts\":[" << kPort << "," << kPort + 15 << "],\"seedNodes\":[" << seeds
-      << "],\"initialAttach\":true,\"quorumMember\":" << (disk ? "true" : "false") << ",\"dataDir\":"
-      << (disk ? "\"" + dir_ + "/" + name + "\"" : "null") << ",\"heartbeatMs\":1200,\"limits\":{\"memoryMb\":256,\"fdLimit\":8192},"
-      << "\"faultTolerance\":{\"machines\":" << (p_.core - 1) / 2 << "},\"timers\":{}}";
-}
-bool Rehearsal::spawn(const std::string& name, const std::string& role, const std::string& settings) {
-  const auto path = "--settings=" + dir_ + "/" + settings + ".json";
-  char* argv[] = {binary_.data(), const_cast<char*>(role.c_str()), const_cast<char*>(path.c_str()), nullptr};
-  posix_spawn_file_actions_t act;
-  ::posix_spawn_file_actions_init(&act);
-  const auto log = dir_ + "/" + name + ".log";
-  ::posix_spawn_file_actions_addopen(&act, 1, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-  ::posix_spawn_file_actions_adddup2(&act, 1, 2);
-  pid_t pid = 0;
-  const int rc = ::posix_spawn(&pid, binary_.c_str(), &act, nullptr, argv, environ);
-  ::posix_spawn_file_actions_destroy(&act);
-  if (rc != 0) return false;
-  processes_.push_back({name, pid, 0});
-  return true;
-}
 bool Rehearsal::replace(std::int64_t version, Span within) {
   Call c{"POST", "/v1/Configuration.Replace", planConfiguration(p_, version, keyNo_), {{"X-Base-Version", std::to_string(acknowledged_)}}};
   for (const auto end = Clock::now() + within; Clock::now() < end; Quay::get().pause(100ms)) {
-    const auto r = callOne(control(rng_()), c, 3000ms);
+    const auto r = callOne(fleet_.control(rng_()), c, 3000ms);
     if (r && r->status == 200) {
       acknowledged_ = version;
       ackAt_ = Clock::now();
@@ -157,33 +109,26 @@
     Call c{"POST", "/v1/Instances.Heartbeat/" + id,
            "{\"targetService\":\"models\",\"address\":\"" + address + "\",\"zone\":\"z\",\"configVersion\":\"v1\",\"capacity\":8,"
            "\"state\":\"in_service\",\"warmupLeftMs\":0,\"sequence\":" + std::to_string(sequence) + "}", {}};
-    const auto r = callOne(control(static_cast<std::size_t>(i)), c, 1000ms);
+    const auto r = callOne(fleet_.control(static_cast<std::size_t>(i)), c, 1000ms);
     ++(r && r->status == 200 ? beats_ : beatsLost_);
     Quay::get().pause(1200ms);
   }
 }
 int Rehearsal::run(bool json) {
   auto& quay = Quay::get();
-  for (int i = 0; i < p_.core; ++i) {
-    const auto name = "core-" + std::to_string(i + 1);
-    settings(name, core_[static_cast<std::size_t>(i)], "harbourmaster", "\"controlPort\":\"" + control(static_cast<std::size_t>(i)) + "\"", true);
-    if (!spawn(name, "harbourmaster", name)) return std::fprintf(stderr, "zinccleat rehearse: cannot start %s\n", binary_.c_str()), 1;
-  }
+  if (!fleet_.startCore()) return std::fprintf(stderr, "zinccleat rehearse: cannot start %s\n", fleet_.binary().c_str()), 1;
   version_ = 1;
   if (!replace(version_, 15s)) return std::fprintf(stderr, "zinccleat rehearse: the core took no configuration in 15 s\n"), 1;
-  if (p_.pair) {
-    settings("access-1", "127.0.3.1", "pilot", "\"accessPort\":\"127.0.3.1:8405\",\"readinessPort\":\"127.0.3.1:8406\"", false);
-    if (!spawn("tender", "tender", "access-1") || !spawn("pilot", "pilot", "access-1")) return 1;
-  }
+  if (p_.pair && !fleet_.startPair()) return 1;
   for (int i = 0; i < p_.runners; ++i) quay.launch([this, i] { beat(i); });
   for (int i = 0; i < p_.nodes; ++i) {
-    nodes_.push_back(std::make_unique<HollowNode>("127.4." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1) + "#tender", core_, kPort, rng_()));
+    nodes_.push_back(std::make_unique<HollowNode>("127.4." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1) + "#tender", fleet_.core(), LocalFleet::kPort, rng_()));
     nodes_.back()->start();
   }
   auto all = [&] { return std::all_of(nodes_.begin(), nodes_.end(), [&](auto& n) { return n->leased() && n->version() == version_; }); };
   if (!until(30s, all)) return std::fprintf(stderr, "zinccleat rehearse: not all nodes have a lease after 30 s\n"), 1;
   quay.pause(2000ms);  // runners have joined, views are shuffled
-  for (auto& x : processes_) x.cpuS = cpuOf(x.pid);
+  for (auto& x : fleet_.processes()) cpuS_[x.pid] = cpuOf(x.pid);
   const auto traffic = trafficSoFar();
   for (auto& n : nodes_) n->granted = n->refused = 0, n->drawMs.clear();
   const auto begin = Clock::now();
@@ -218,11 +163,11 @@
     std::string duty;
   };
   std::vector<Row> rows;
-  for (std::size_t i = 0; i < processes_.size(); ++i) {
-    auto& x = processes_[i];
-    Row r{x.name, (cpuOf(x.pid) - x.cpuS) / s, peakMb(x.pid), ""};
-    if (i < core_.size())
-      if (const auto st = callOne(control(i), Call{"GET", "/v1/Status", "", {}}, 2000ms))
+  for (std::size_t i = 0; i < fleet_.processes().size(); ++i) {
+    auto& x = fleet_.processes()[i];
+    Row r{x.name, (cpuOf(x.pid) - cpuS_[x.pid]) / s, peakMb(x.pid), ""};
+    if (i < fleet_.core().size())
+      if (const auto st = callOne(fleet_.control(i), Call{"GET", "/v1/Status", "", {}}, 2000ms))
         r.duty = st->body.find("\"duty\":\"sequencer\"") != std::string::npos ? "leads" : "follows";
     rows.push_back(r);
   }
