--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -3,23 +3,16 @@
 #include <dirent.h>
 #include <unistd.h>
 
-#include "almanac/call.hpp"
 #include "keel/ring.hpp"
-#include "signal/avro.hpp"
 
 namespace zc {
 namespace {
 constexpr auto kTick = 50ms;
 constexpr auto kAgain = 250ms;          // a write without an outcome is sent again
 constexpr std::int64_t kCompactAfter = 96;
-constexpr std::size_t kBulky = 16384;
 constexpr std::size_t kView = 12;
-// Bytes that wait for one receiver before nothing more is added: what it misses it is sent once it has read.
-constexpr std::size_t kTenderBacklog = 64 * 1024, kMemberBacklog = 4u << 20;
-constexpr std::size_t kTenderLinks = 3;  // with more members a tender is not linked to each, and misses bodies sent ahead
-constexpr auto kTenderSilent = 6s;
+constexpr std::size_t kMemberBacklog = 4u << 20;  // bytes that wait for a member before it is told again later
 constexpr auto kTellPartner = 2000ms;
-constexpr HintBounds kHints{};
 constexpr int kViewEvery = 8;          // state messages: the members and a part of the view go with each so many-th
 std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
 }  // namespace
@@ -34,7 +27,7 @@
     auto key = HintKey::from(s_.partner->secret);
     if (!key) return tl::unexpected(key.error());
     hintKey_ = *key;
-    hints_.emplace(*key, kHints, drawSeed());
+    hints_.emplace(*key, kHintBounds, drawSeed());
   }
   quota_.bounds({s_.timers.quotaExcess, s_.timers.quotaSlack, static_cast<double>(s_.timers.quotaWindow.count()) / 1000});
   const auto now = Clock::now();
@@ -208,89 +201,6 @@
     if (auto l = it->second.lock(); l && l->open() && Clock::now() - l->heard() < 1s) return post(*l);
   if (auto* mo = mooring(ipOf(member)); mo && mo->up()) post(*mo->link());
 }
-Msg Core::stateAck() {
-  Msg r = msgOf(Kind::stateAck);
-  r.from = order_->self();
-  r.term = order_->term();
-  r.who = order_->sequencer();
-  r.names = order_->members();
-  r.num = order_->released();
-  r.view = view_.sample();
-  return r;
-}
-void Core::tellTenders() {
-  const auto r = stateAck();
-  for (auto it = tenders_.begin(); it != tenders_.end();) {
-    if (!it->second.link->open()) {
-      it = tenders_.erase(it);
-      continue;
-    }
-    it->second.link->send(r);
-    ++it;
-  }
-}
-std::shared_ptr<const std::string> Core::feedFrame(std::int64_t from, const std::string& held) {
-  if (std::exchange(framesOf_, order_->released()) != order_->released()) frames_.clear();
-  const bool whole = from + 1 < order_->firstKept() || from == 0;
-  auto& f = whole ? frames_[{-1, held}] : frames_[{from, {}}];
-  if (f) return f;
-  Msg m = msgOf(Kind::feed);
-  m.from = order_->self();
-  m.term = order_->term();
-  m.num = order_->released();
-  if (whole) {
-    m.ok = true;
-    // What the receiver holds already is not sent again: only the difference from it.
-    m.blob = copy_.snapshotFor(from == 0 ? std::string{} : held);
-    m.num = copy_.state().num;
-  } else {
-    for (auto n = from + 1; n <= order_->released(); ++n) {
-      m.entries.push_back(*order_->at(n));
-      auto& e = m.entries.back();
-      // The node that took a large write has fanned its body out already, to the tenders linked to it.
-      if (e.blob.size() > kBulky && !e.digest.empty() && order_->members().size() <= kTenderLinks &&
-          e.opId.rfind(order_->self() + "/", 0) != 0) {
-        e.blob.clear();
-        e.omitted = true;
-      }
-    }
-  }
-  return f = std::make_shared<const std::string>(frameOf(m));
-}
-void Core::feed(Tender& t) {
-  if (t.fed < 0 || !t.link->open() || t.fed >= order_->released() || t.link->backlog() > kTenderBacklog) return;
-  t.link->sendBulk(feedFrame(t.fed, t.held));
-  t.fed = order_->released();
-  t.held = copy_.state().digest;
-}
-void Core::feedAll() {
-  for (auto& [n, t] : tenders_) feed(t);
-  frames_.clear();
-}
-// A tender that says nothing for long has another link by now, or is gone: nothing is kept for it.
-void Core::dropSilent(Instant now) {
-  for (auto it = tenders_.begin(); it != tenders_.end();) {
-    auto& l = it->second.link;
-    if (l->open() && now - l->heard() < kTenderSilent) {
-      ++it;
-      continue;
-    }
-    l->end();
-    it = tenders_.erase(it);
-  }
-}
-void Core::shareBody(const Entry& e) {
-  Msg b = msgOf(Kind::body);
-  b.from = order_->self();
-  b.who = e.digest;
-  b.blob = e.blob;
-  for (auto& x : order_->members())
-    if (x != order_->self()) sendTo(x, b);
-  const auto frame = std::make_shared<const std::string>(frameOf(b));
-  for (auto& [n, t] : tenders_)
-    if (t.link->open()) t.link->sendBulk(frame);
-}
-
 void Core::onMsg(const LinkPtr& l, Msg m) {
   const auto now = Clock::now();
   switch (m.what()) {
@@ -416,7 +326,7 @@
     } else if (!seq.empty()) {
       Msg m = msgOf(Kind::submit);
       m.entries.push_back(e);
-      if (e.blob.size() > kBulky && !e.digest.empty()) {
+      if (e.blob.size() > kBulkyBody && !e.digest.empty()) {
         if (!shared) shareBody(e);
         // Sent again, it goes whole: the body may have been lost.
         if (!shared) m.entries[0].blob.clear(), m.entries[0].omitted = true;
@@ -481,45 +391,6 @@
   std::erase_if(beats_, [&](auto& b) { return now - b.second > 60s; });
   if (!missed.empty()) run();
 }
-// By the time of day: both sites change the key together, and a list one key old still counts.
-std::int64_t Core::hintEpoch() const {
-  return std::chrono::system_clock::now().time_since_epoch() / kHints.epoch;
-}
-void Core::tellPartner() {
-  if (!order_->leased(Clock::now()) || std::exchange(tellingHints_, true)) return;
-  Quay::get().launch([this] {
-    const auto body = avro::encode(hints_->news(Clock::now(), hintEpoch()));
-    Call c{"POST", "/v1/Hints.Exchange", body, {{"X-Hint-Seal", hintKey_->seal(body)}}};
-    for (auto& a : s_.partner->control) {
-      const auto r = callOne(a, c, 1000ms);
-      if (!r || r->status != 200) continue;
-      const auto cut = r->body.find('\n');
-      const auto theirs = cut == std::string::npos ? std::string{} : r->body.substr(cut + 1);
-      auto n = avro::decode<HintNews>(theirs);
-      if (cut == std::string::npos || !hintKey_->fits(theirs, r->body.substr(0, cut)) || !n) {
-        hints_->decline();
-        ring::note("hints from " + a + " declined");
-      } else if (auto ok = hints_->heard(Clock::now(), hintEpoch(), *n); !ok) {
-        ring::note("hints from " + a + " declined: " + ok.error().text);
-      }
-      break;
-    }
-    tellingHints_ = false;
-  });
-}
-Outcome<std::string> Core::hintsFrom(std::string_view body, std::string_view seal) {
-  if (!hints_) return fault(404, "no partner site");
-  if (!order_->leased(Clock::now())) return fault(503, "no lease");
-  auto n = avro::decode<HintNews>(body);
-  if (!hintKey_->fits(body, seal) || !n) {
-    hints_->decline();
-    ring::note("hints from a stranger declined");
-    return fault(403, "hints of a stranger");
-  }
-  if (auto ok = hints_->heard(Clock::now(), hintEpoch(), *n); !ok) return tl::unexpected(ok.error());
-  const auto ours = avro::encode(hints_->news(Clock::now(), hintEpoch()));
-  return hintKey_->seal(ours) + "\n" + ours;
-}
 void Core::reread(Settings s) {
   std::vector<std::string> ips;
   for (auto& x : s.seeds) ips.push_back(hostOf(x));
@@ -537,60 +408,9 @@
   auto t = std::make_shared<asio::steady_timer>(Quay::get().io(), 400ms);
   t->async_wait([t, done](Ec) { done(); });
 }
-double Core::perS() const {
-  double n = 0;
-  for (auto& [t, l] : loads_)
-    if (Clock::now() - l.at < 5s)
-      for (auto& g : l.places)
-        if (g.label.empty()) n += g.rate;
-  return n;
-}
 std::string Core::sequencerControl() const {
   const auto seq = order_->sequencer();
   if (seq.empty() || seq == order_->self()) return {};
   return ipOf(seq) + s_.controlAddr.substr(s_.controlAddr.rfind(':'));
 }
-std::string Core::closuresJson() const {
-  std::string s = "{\"requestsPerS\":" + std::to_string(perS()) + ",\"closures\":[";
-  bool first = true;
-  for (auto& c : copy_.state().closures) {
-    double runners = 0, pilots = 0;
-    int heard = 0;
-    for (auto& [t, l] : loads_)
-      if (Clock::now() - l.at < 5s) {
-        ++heard;
-        for (auto& g : l.places)
-          if (g.label == c.place) runners += g.rate, pilots += g.burst;
-      }
-    s += (std::exchange(first, false) ? "" : ",") + ("{\"place\":" + quoteJson(c.place)) + ",\"note\":" + quoteJson(c.note) +
-         ",\"share\":" + std::to_string(c.share) + ",\"doorsShut\":" + (c.doorsShut ? "true" : "false") +
-         ",\"atItsRunners\":" + std::to_string(static_cast<int>(runners)) +
-         ",\"atItsPilots\":" + std::to_string(static_cast<int>(pilots)) + ",\"nodesHeard\":" + std::to_string(heard) + "}";
-  }
-  return s + "]}";
-}
-std::string Core::statusJson() const {
-  const auto now = Clock::now();
-  std::size_t waiting = 0;  // bytes that tenders have not read yet
-  for (auto& [n, t] : tenders_) waiting += t.link->backlog();
-  static const char* duties[] = {"learner", "follower", "candidate", "sequencer"};
-  std::string s = "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(order_->self()) + ",\"duty\":\"" +
-                  duties[static_cast<int>(order_->duty())] + "\",\"term\":" + std::to_string(order_->term()) +
-                  ",\"sequencer\":" + quoteJson(order_->sequencer()) + ",\"leased\":" +
-                  (order_->leased(now) ? "true" : "false") + ",\"released\":" + std::to_string(order_->released()) +
-                  ",\"applied\":" + std::to_string(copy_.state().num) + ",\"diskSick\":" +
-                  (order_->diskSick(now) ? "true" : "false") + ",\"version\":" + std::to_string(copy_.state().version) +
-                  ",\"tenders\":" + std::to_string(tenders_.size()) + ",\"waitingBytes\":" + std::to_string(waiting) +
-                  ",\"hintsTold\":" + std::to_string(hints_ ? hints_->told() : 0) + ",\"hintsKnown\":" + std::to_string(hints_ ? hints_->known() : 0) +
-                  ",\"hintsDeclined\":" + std::to_string(hints_ ? hints_->declined() : 0) + ",\"runnersAside\":" + std::to_string(outliers_.list().size()) + ",\"wordsDeclined\":" + std::to_string(outliers_.declined()) +
-                  ",\"members\":[";
-  bool first = true;
-  for (auto& m : order_->members()) s += (std::exchange(first, false) ? "" : ",") + quoteJson(m);
-  s += "],\"runners\":[";
-  first = true;
-  for (auto& r : copy_.state().runners)
-    s += (std::exchange(first, false) ? "" : ",") + ("{\"id\":" + quoteJson(r.id)) + ",\"service\":" + quoteJson(r.service) +
-         ",\"address\":" + quoteJson(r.address) + ",\"state\":\"" + (r.state == 0 ? "in_service" : "draining") + "\"}";
-  return s + "]}";
-}
 }  // namespace zc
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/harbourmaster/src/core.hpp
@@ -11,6 +11,8 @@
 #include "signal/link.hpp"
 #include "signal/view.hpp"
 namespace zc {
+constexpr std::size_t kBulkyBody = 16384;  // above this a write's body goes ahead from its sender
+constexpr HintBounds kHintBounds{};
 class Core {
  public:
   explicit Core(Settings s);
