A disk in another version's format is left alone, not taken for a damaged one

Found by reading the change: pages gained a field, and a page that can't be read empties the disk; an upgrade of all machines at once would have emptied them all.

--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/harbourmaster/src/core.cpp
@@ -33,6 +33,8 @@
   const auto now = Clock::now();
   Store store(s_.dataDir);
   auto pages = store.load();
+  if (!pages && pages.error().code == kOtherFormat)
+    return fault(0, s_.dataDir + ": " + pages.error().text + "; start that version, or empty the folder to join as a new member");
   if (!pages) {
     // What can't be trusted is not voted with: this disk starts again as an empty one.
     ring::alarm("disk declined: " + pages.error().text);
--- a/libs/store/include/store/store.hpp
+++ b/libs/store/include/store/store.hpp
@@ -2,6 +2,8 @@
 #pragma once
 #include "log/order.hpp"
 namespace zc {
+// The code of a fault: the disk is whole, but another version of the program wrote it. Nobody may empty it for that.
+constexpr int kOtherFormat = -2;
 class Store {
  public:
   explicit Store(std::string dir);
--- a/libs/store/src/store.cpp
+++ b/libs/store/src/store.cpp
@@ -12,7 +12,7 @@
 
 namespace zc {
 namespace {
-constexpr std::string_view kMark = "zcpage1 ";
+constexpr std::string_view kMark = "zcpage2 ", kAnyMark = "zcpage";
 std::string nameOf(std::int64_t seq) {
   char b[40];
   std::snprintf(b, sizeof b, "page-%012lld", static_cast<long long>(seq));
@@ -73,6 +73,8 @@
   return std::string(kMark) + digestOf(body) + body;
 }
 Outcome<Page> unsealPage(std::string_view b) {
+  if (b.size() >= kMark.size() && b.substr(0, kAnyMark.size()) == kAnyMark && b.substr(0, kMark.size()) != kMark)
+    return fault(kOtherFormat, "a page in the format of another version of this program");
   if (b.size() < kMark.size() + 32 || b.substr(0, kMark.size()) != kMark) return fault(0, "no page of ours");
   const auto sum = b.substr(kMark.size(), 32);
   const auto body = b.substr(kMark.size() + 32);
@@ -101,6 +103,7 @@
   for (std::size_t i = 0; i < seqs.size(); ++i) {
     auto bytes = slurp(dir_ + "/" + nameOf(seqs[i]));
     auto g = bytes ? unsealPage(*bytes) : Outcome<Page>(tl::unexpected(bytes.error()));
+    if (!g && g.error().code == kOtherFormat) return tl::unexpected(g.error());
     if (!g || g->seq != seqs[i]) return fault(0, "page " + std::to_string(seqs[i]) + " is damaged");
     if (g->full) pages.clear();
     else if (pages.empty() || pages.back().seq + 1 != g->seq) {
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -232,6 +232,22 @@
     std::filesystem::remove_all(dir);
   }
 }
+TEST(Store, ADiskOfAnotherVersionIsNotTakenForADamagedOne) {
+  const auto dir = freshDir();
+  Store s(dir);
+  ASSERT_TRUE(s.load());
+  ASSERT_TRUE(s.keepInOrder(page(1, true)));
+  const auto file = dir + "/page-000000000001";
+  {
+    std::fstream f(file, std::ios::in | std::ios::out);
+    f << "zcpage1 ";
+  }
+  const auto back = Store(dir).load();
+  ASSERT_FALSE(back);
+  EXPECT_EQ(back.error().code, kOtherFormat);
+  EXPECT_TRUE(std::filesystem::exists(file));
+  std::filesystem::remove_all(dir);
+}
 TEST(Store, APageWrittenAsideOnlyIsNoPage) {
   const auto dir = freshDir();
   Store s(dir);
