--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -1,24 +1,23 @@
 // One binary, its programs by subcommand.
-#include <cstdio>
-
-#include <unistd.h>
-
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <unistd.h>
+
+#include <cstdio>
 
-#include "almanac/runbook.hpp"
-#include "charter/configuration.hpp"
-#include "charter/settings.hpp"
-#include "harbourmaster/harbourmaster.hpp"
-#include "keel/ring.hpp"
-#include "pilot/pilot.hpp"
-#include "rehearse/plan.hpp"
-#include "rehearse/trial.hpp"
-#include "tender/tender.hpp"
+#include "agent/agent.hpp"
+#include "config/configuration.hpp"
+#include "config/settings.hpp"
+#include "controller/controller.hpp"
+#include "operations/runbook.hpp"
+#include "proxy_daemon/proxy_daemon.hpp"
+#include "runtime/log_ring.hpp"
+#include "simulation/plan.hpp"
+#include "simulation/trial.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
-ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, rehearse: name=value,...; a list value is split by +");
+ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, scale-run: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
 ABSL_FLAG(bool, json, false, "status: as JSON");
 ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
@@ -28,13 +27,13 @@
 constexpr const char* kVersion = "0.3 (frames 2)";
 constexpr const char* kUsage =
     "zinccleat SUBCOMMAND [--settings FILE] [--verbose]\n"
-    "  pilot          the proxy on access machines\n"
-    "  tender         the agent beside each pilot\n"
-    "  harbourmaster  control, on core machines\n"
+    "  proxy          the proxy on access machines\n"
+    "  agent         the agent beside each proxy\n"
+    "  controller  control, on core machines\n"
     "  check KIND FILE  checks a file; KIND is settings, configuration or runbook\n"
     "  status ADDRESS:PORT... [--json]  what the core's nodes know\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
-    "  rehearse [FILE] [--set name=value,...] [--json]  a scale run on loopback: real harbourmasters, hollow nodes\n"
+    "  scale-run [FILE] [--set name=value,...] [--json]  a scale run on loopback: real controllers, hollow nodes\n"
     "  trial [--seconds N]  a small fleet on loopback that serves while a leader and a runner are lost\n"
     "  --help, --version\n"
     "exit status: 0 as asked, 1 it went otherwise, 2 the command line or a file is wrong";
@@ -43,19 +42,25 @@
 struct Known {
   std::string_view flag, by;
 };
-constexpr Known kKnown[] = {{"settings", "pilot tender harbourmaster"}, {"verbose", "pilot tender harbourmaster"}, {"set", "runbook rehearse"},
-                            {"dry", "runbook"}, {"json", "status rehearse"}, {"seconds", "trial"}};
+constexpr Known kKnown[] = {{"settings", "proxy agent controller"}, {"verbose", "proxy agent controller"},
+                            {"set", "runbook scale-run"},           {"dry", "runbook"},
+                            {"json", "status scale-run"},           {"seconds", "trial"}};
 // The first complaint about the flags given; empty: none.
 std::string wrongFlag(int argc, char** argv) {
   std::string sub;
   for (int i = 1; i < argc && sub.empty(); ++i)
-    if (argv[i][0] != '-') sub = argv[i];
+    if (argv[i][0] != '-')
+      sub = argv[i];
   for (int i = 1; i < argc; ++i) {
     std::string_view a = argv[i];
-    if (a.substr(0, 2) != "--" || a.size() == 2) continue;
+    if (a.substr(0, 2) != "--" || a.size() == 2)
+      continue;
     const auto name = a.substr(2, a.find('=') == a.npos ? a.npos : a.find('=') - 2);
-    const auto* k = std::find_if(std::begin(kKnown), std::end(kKnown), [&](auto& x) { return x.flag == name || (name.substr(0, 2) == "no" && x.flag == name.substr(2)); });
-    if (k == std::end(kKnown)) return "no subcommand knows the flag '--" + std::string(name) + "'";
+    const auto* k = std::find_if(std::begin(kKnown), std::end(kKnown), [&](auto& x) {
+      return x.flag == name || (name.substr(0, 2) == "no" && x.flag == name.substr(2));
+    });
+    if (k == std::end(kKnown))
+      return "no subcommand knows the flag '--" + std::string(name) + "'";
     if ((" " + std::string(k->by) + " ").find(" " + sub + " ") == std::string::npos)
       return "the flag '--" + std::string(name) + "' is for: " + std::string(k->by);
   }
@@ -75,13 +80,17 @@
   const std::string kind = args[2];
   auto text = zc::readFile(args[3]);
   std::string wrong;
-  if (!text) wrong = text.error().text;
+  if (!text)
+    wrong = text.error().text;
   else if (kind == "settings") {
-    if (auto s = zc::parseSettings(*text); !s) wrong = s.error().text;
+    if (auto s = zc::parseSettings(*text); !s)
+      wrong = s.error().text;
   } else if (kind == "configuration") {
-    if (auto c = zc::parseConfiguration(*text); !c) wrong = c.error().text;
+    if (auto c = zc::parseConfiguration(*text); !c)
+      wrong = c.error().text;
   } else if (kind == "runbook") {
-    if (auto b = zc::parseRunbook(*text, zc::sampleValues(*text)); !b) wrong = b.error().text;
+    if (auto b = zc::parseRunbook(*text, zc::sampleValues(*text)); !b)
+      wrong = b.error().text;
   } else {
     std::fprintf(stderr, "zinccleat check: unknown kind '%s'\n", kind.c_str());
     return 2;
@@ -98,8 +107,10 @@
 int main(int argc, char** argv) {
   for (int i = 1; i < argc; ++i) {
     const std::string_view a = argv[i];
-    if (a == "--help" || a == "-h") return std::printf("%s\n", kUsage), 0;
-    if (a == "--version") return std::printf("zinccleat %s\n", kVersion), 0;
+    if (a == "--help" || a == "-h")
+      return std::printf("%s\n", kUsage), 0;
+    if (a == "--version")
+      return std::printf("zinccleat %s\n", kVersion), 0;
   }
   if (const auto wrong = wrongFlag(argc, argv); !wrong.empty()) {
     std::fprintf(stderr, "zinccleat: %s\n", wrong.c_str());
@@ -108,16 +119,20 @@
   absl::SetProgramUsageMessage(kUsage);
   const auto args = absl::ParseCommandLine(argc, argv);
   const std::string sub = args.size() > 1 ? args[1] : "";
-  if (sub == "check") return check(args);
-  const std::vector<std::string> rest(args.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(args.size())), args.end());
-  if (sub == "status") quit(zc::statusCommand(rest, absl::GetFlag(FLAGS_json)));
+  if (sub == "check")
+    return check(args);
+  const std::vector<std::string> rest(
+      args.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(args.size())), args.end());
+  if (sub == "status")
+    quit(zc::statusCommand(rest, absl::GetFlag(FLAGS_json)));
   if (sub == "runbook") {
     if (rest.size() != 1) {
       std::fprintf(stderr, "zinccleat runbook: wants one FILE\n");
       return 2;
     }
     auto sets = absl::GetFlag(FLAGS_set);
-    for (auto& s : sets) std::replace(s.begin(), s.end(), '+', ',');
+    for (auto& s : sets)
+      std::replace(s.begin(), s.end(), '+', ',');
     // A bare name means one of those that come with the program.
     const auto file = rest[0].find_first_of("./") == std::string::npos ? "runbooks/" + rest[0] + ".run" : rest[0];
     quit(zc::runbookCommand(file, sets, absl::GetFlag(FLAGS_dry)));
@@ -130,21 +145,23 @@
     }
     quit(zc::trial("/proc/self/exe", seconds));
   }
-  if (sub == "rehearse") {
+  if (sub == "scale-run") {
     auto text = rest.empty() ? zc::Outcome<std::string>("{}") : zc::readFile(rest[0]);
-    auto plan = text ? zc::parsePlan(*text, absl::GetFlag(FLAGS_set)) : zc::Outcome<zc::RehearsalPlan>(tl::unexpected(text.error()));
+    auto plan = text ? zc::parsePlan(*text, absl::GetFlag(FLAGS_set))
+                     : zc::Outcome<zc::ScaleRunPlan>(tl::unexpected(text.error()));
     if (!plan) {
-      std::fprintf(stderr, "zinccleat rehearse: %s\n", plan.error().text.c_str());
+      std::fprintf(stderr, "zinccleat scale-run: %s\n", plan.error().text.c_str());
       return 2;
     }
-    quit(zc::rehearse(*plan, "/proc/self/exe", absl::GetFlag(FLAGS_json)));
+    quit(zc::runAtScale(*plan, "/proc/self/exe", absl::GetFlag(FLAGS_json)));
   }
-  if (sub != "pilot" && sub != "tender" && sub != "harbourmaster") {
+  if (sub != "proxy" && sub != "agent" && sub != "controller") {
     std::fprintf(stderr, "zinccleat: unknown subcommand '%s'\n%s\n", sub.c_str(), kUsage);
     return 2;
   }
   auto path = absl::GetFlag(FLAGS_settings);
-  if (path.empty()) path = zc::settingsPath();
+  if (path.empty())
+    path = zc::settingsPath();
   auto s = zc::loadSettings(path);
   if (!s) {
     std::fprintf(stderr, "zinccleat %s: %s\n", sub.c_str(), s.error().text.c_str());
@@ -152,6 +169,6 @@
   }
   zc::ring::name(s->node + "/" + sub);
   zc::ring::verbose(absl::GetFlag(FLAGS_verbose));
-  const int rc = sub == "pilot" ? zc::runPilot(*s) : sub == "tender" ? zc::runTender(*s) : zc::runHarbourmaster(*s);
+  const int rc = sub == "proxy" ? zc::runProxy(*s) : sub == "agent" ? zc::runAgent(*s) : zc::runController(*s);
   quit(rc);
 }
--- a/libs/berth/include/berth/allow.hpp
+++ b/libs/balancing/include/balancing/admission.hpp
@@ -1,23 +1,24 @@
-// Whether a request is taken at all while a service is overloaded: a few are declined early, so that the rest arrive
-// inside their aim instead of all arriving late. Follows what was observed here, not any figure of a machine. Pure.
+// Whether a request is taken at all while a service is overloaded: a few are errorResponse early, so that the rest
+// arrive inside their aim instead of all arriving late. Follows what was observed here, not any figure of a machine.
+// Pure.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 class Allowance {
  public:
   // The first event of an answer came, this much of its aim after the request (or the aim went by without one).
   void first(const std::string& service, bool late, Instant now);
-  // draw: 0 to 1. Ranks under 5 go before those above; nobody is declined beyond three in four.
+  // draw: 0 to 1. Ranks under 5 go before those above; nobody is errorResponse beyond three in four.
   bool allows(const std::string& service, int precedence, double draw, Instant now);
   double level(const std::string& service) const;
 
  private:
-  struct Sea {
+  struct ServiceLoad {
     double level = 0;
     int late = 0, all = 0;
     Instant at{};
   };
-  void turn(Sea& s, Instant now);
-  std::unordered_map<std::string, Sea> seas_;
+  void turn(ServiceLoad& s, Instant now);
+  std::unordered_map<std::string, ServiceLoad> loads_;
 };
 }  // namespace zc
--- a/libs/berth/include/berth/budget.hpp
+++ b/libs/balancing/include/balancing/budget.hpp
@@ -2,7 +2,7 @@
 // What a request earns lasts for a short part of the rule's window, so that all nodes together stay inside the ratio
 // however many they are; what is saved beyond that comes from the window's slack, which all nodes share.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 class Budget {
  public:
@@ -16,14 +16,14 @@
 
  private:
   static constexpr int kSlots = 4;
-  struct Purse {
+  struct TokenBucket {
     double saved = 0;
     double earned[kSlots] = {};
     std::int64_t turn = 0;  // the slot of the newest
   };
-  Purse& at(const std::string& service, Instant now);
+  TokenBucket& at(const std::string& service, Instant now);
   double ratio_, most_ = 0;
   Span slot_;
-  std::unordered_map<std::string, Purse> purses_;
+  std::unordered_map<std::string, TokenBucket> buckets_;
 };
 }  // namespace zc
--- a/libs/berth/include/berth/partner.hpp
+++ b/libs/balancing/include/balancing/partner.hpp
@@ -1,6 +1,6 @@
 // How far a partner site's hints are followed: a few of the long requests at most, and less while it disappoints. Pure.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 class PartnerTrust {
  public:
--- a/libs/berth/include/berth/witness.hpp
+++ b/libs/balancing/include/balancing/runner_observer.hpp
@@ -1,14 +1,15 @@
 // What one access node sees of the runners that it sends to: attempts that went well, failed, or took far longer than
-// the same work takes elsewhere. Few samples a runner, so they are told to the sequencer, which weighs all nodes' words
-// (harbourmaster/outliers). Judged against peers, never against a figure from the configuration. Pure.
+// the same work takes elsewhere. Few samples a runner, so they are told to the leader, which weighs all nodes' words
+// (controller/outliers). Judged against peers, never against a figure from the configuration. Pure.
 #pragma once
-#include "signal/messages.hpp"
+#include "transport/messages.hpp"
 namespace zc {
-class Witness {
+class RunnerObserver {
  public:
   // The answer to a prompt of so many tokens (0: none) began after `took`. True: no slower than peers are.
   // blamed: it was counted as slow while it was waited for.
-  bool began(const std::string& runner, const std::string& service, std::int64_t tokens, Span took, bool blamed = false);
+  bool began(const std::string& runner, const std::string& service, std::int64_t tokens, Span took,
+             bool blamed = false);
   void failed(const std::string& runner) { seen_[runner].bad += 1; }
   void slow(const std::string& runner) { seen_[runner].bad += slowWeight; }
   // Of a slow answer, beside one that failed: a queue explains some of it.
--- a/libs/berth/include/berth/docks.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -3,38 +3,38 @@
 #include <random>
 #include <set>
 
-#include "charter/configuration.hpp"
-#include "registry/copy.hpp"
+#include "config/configuration.hpp"
+#include "state_machine/replicated_state.hpp"
 namespace zc {
-struct Dock {
+struct RunnerSlot {
   std::string id, service, address, zone;
   int capacity = 0;
   bool draining = false, present = true;
-  int closedShare = 0;         // percent of new work that keeps away: its place is being closed
-  bool carryOver = false;      // live sessions that may be resumed go on elsewhere
-  int inFlight = 0;            // our own goes
-  int unread = 0;              // of those, the ones whose prompt is still being read
+  int closedShare = 0;     // percent of new work that keeps away: its place is being closed
+  bool carryOver = false;  // live sessions that may be resumed go on elsewhere
+  int inFlight = 0;        // our own goes
+  int unread = 0;          // of those, the ones whose prompt is still being read
   std::int64_t unreadTokens = 0;
   int saidRunning = 0, saidWaiting = 0, saidSlots = 0;  // as last told
-  int ownThen = 0;             // our own in flight when it was told
+  int ownThen = 0;                                      // our own in flight when it was told
   int unreadThen = 0;
   Instant saidAt{};
   int faults = 0;
   Instant shunnedUntil{};
   double aside = 0;  // as all nodes together see it: 1 left alone, less tried by few
 };
-struct Wish {  // what is asked of a choice
+struct RunnerQuery {  // what is asked of a choice
   std::string_view service;
   std::string_view zone;
   std::uint64_t affinity = 0;  // 0: none
   bool engine = false;
   bool repeatable = false;  // only such requests try a runner that was set aside
   std::int64_t promptTokens = 0, sharedTokens = 0;
-  std::vector<int> not_;       // docks already tried
+  std::vector<int> not_;  // runnerPool already tried
 };
-class Docks {
+class RunnerPool {
  public:
-  explicit Docks(std::uint64_t seed) : rng_(seed) {}
+  explicit RunnerPool(std::uint64_t seed) : rng_(seed) {}
   void follow(const std::vector<Runner>& runners);
   // Which zones are being closed, and how far.
   struct Closing {
@@ -44,24 +44,24 @@
   void close(std::map<std::string, Closing> zones);
   void regions(std::map<std::string, std::string> zoneToRegion) { regions_ = std::move(zoneToRegion); }
   int inFlightIn(const std::set<std::string>& zones) const;
-  int choose(const Wish& w, Instant now);  // -1: none
-  Dock& at(int i) { return docks_[static_cast<std::size_t>(i)]; }
+  int choose(const RunnerQuery& w, Instant now);  // -1: none
+  RunnerSlot& at(int i) { return runners_[static_cast<std::size_t>(i)]; }
   void went(int i, std::int64_t promptTokens);
   void read(int i, std::int64_t promptTokens);  // its first event came, or it never will
   void came(int i) { --at(i).inFlight; }
   void told(int i, std::string_view load, Instant now);
   void fine(int i) { at(i).faults = 0, at(i).shunnedUntil = {}; }
   void fault(int i, Instant now);
-  // What the sequencer tells of ill runners (label, how far); those not named are well.
+  // What the leader tells of ill runners (label, how far); those not named are well.
   void setAside(const std::vector<Grant>& runners);
-  std::size_t size() const { return docks_.size(); }
+  std::size_t size() const { return runners_.size(); }
   double load(int i, Instant now) const;
 
  private:
-  std::vector<Dock> docks_;
+  std::vector<RunnerSlot> runners_;
   std::unordered_map<std::string, int> byId_;
-  int chooseEngine(const Wish& w, const std::vector<int>& good, Instant now);
-  int choosePlain(const Wish& w, const std::vector<int>& good, Instant now);
+  int chooseEngine(const RunnerQuery& w, const std::vector<int>& good, Instant now);
+  int choosePlain(const RunnerQuery& w, const std::vector<int>& good, Instant now);
   bool sameRegion(std::string_view a, std::string_view b) const;
   std::map<std::string, Closing> closing_;
   std::map<std::string, std::string> regions_;
--- a/libs/berth/src/allow.cpp
+++ b/libs/balancing/src/admission.cpp
@@ -1,20 +1,23 @@
-#include "berth/allow.hpp"
+#include "balancing/admission.hpp"
 
 namespace zc {
 namespace {
 constexpr auto kTurn = 150ms;
-constexpr int kFew = 6;           // fewer answers than this say nothing
-constexpr double kStormy = 0.5;   // this share late: more are declined
-constexpr double kCalm = 0.25;    // this share late: fewer
+constexpr int kFew = 6;          // fewer answers than this say nothing
+constexpr double kStormy = 0.5;  // this share late: more are errorResponse
+constexpr double kCalm = 0.25;   // this share late: fewer
 constexpr double kUp = 0.12, kDown = 0.03, kMost = 0.75;
 }  // namespace
-void Allowance::turn(Sea& s, Instant now) {
-  if (now - s.at < kTurn) return;
-  // Why slowly down: whoever was declined comes back.
+void Allowance::turn(ServiceLoad& s, Instant now) {
+  if (now - s.at < kTurn)
+    return;
+  // Why slowly down: whoever was errorResponse comes back.
   if (s.all >= kFew) {
     const double share = static_cast<double>(s.late) / s.all;
-    if (share > kStormy) s.level = std::min(1.0, s.level + kUp);
-    else if (share < kCalm) s.level = std::max(0.0, s.level - kDown);
+    if (share > kStormy)
+      s.level = std::min(1.0, s.level + kUp);
+    else if (share < kCalm)
+      s.level = std::max(0.0, s.level - kDown);
     s.late = s.all = 0;
     s.at = now;
   } else if (now - s.at > 4 * kTurn) {
@@ -24,20 +27,21 @@
   }
 }
 void Allowance::first(const std::string& service, bool late, Instant now) {
-  auto& s = seas_[service];
+  auto& s = loads_[service];
   ++s.all;
   s.late += late;
   turn(s, now);
 }
 bool Allowance::allows(const std::string& service, int precedence, double draw, Instant now) {
-  auto& s = seas_[service];
+  auto& s = loads_[service];
   turn(s, now);
-  if (s.level <= 0) return true;
+  if (s.level <= 0)
+    return true;
   const double p = std::min(kMost, s.level * (0.6 + 0.2 * std::clamp(precedence, 0, 4)));
   return draw >= p;
 }
 double Allowance::level(const std::string& service) const {
-  const auto it = seas_.find(service);
-  return it == seas_.end() ? 0 : it->second.level;
+  const auto it = loads_.find(service);
+  return it == loads_.end() ? 0 : it->second.level;
 }
 }  // namespace zc
--- a/libs/berth/src/budget.cpp
+++ b/libs/balancing/src/budget.cpp
@@ -1,12 +1,13 @@
-#include "berth/budget.hpp"
+#include "balancing/budget.hpp"
 
 #include <cmath>
 
 namespace zc {
-Budget::Purse& Budget::at(const std::string& service, Instant now) {
-  auto& p = purses_[service];
+Budget::TokenBucket& Budget::at(const std::string& service, Instant now) {
+  auto& p = buckets_[service];
   const auto turn = now.time_since_epoch() / std::chrono::duration_cast<Clock::duration>(slot_);
-  if (turn - p.turn > kSlots) p.turn = turn - kSlots;
+  if (turn - p.turn > kSlots)
+    p.turn = turn - kSlots;
   for (; p.turn < turn; ++p.turn) {
     // The oldest slot ends: what was not spent of it is saved, as far as there is room.
     auto& old = p.earned[(p.turn + 1) % kSlots];
@@ -23,8 +24,10 @@
 bool Budget::spend(const std::string& s, Instant now) {
   auto& p = at(s, now);
   double all = p.saved;
-  for (double e : p.earned) all += e;
-  if (all < 1) return false;
+  for (double e : p.earned)
+    all += e;
+  if (all < 1)
+    return false;
   double left = 1;
   // What ends first goes first.
   for (int i = 1; i <= kSlots && left > 0; ++i) {
--- a/libs/berth/src/witness.cpp
+++ b/libs/balancing/src/runner_observer.cpp
@@ -1,27 +1,29 @@
-#include "berth/witness.hpp"
+#include "balancing/runner_observer.hpp"
 
 #include <bit>
 #include <cmath>
 
 namespace zc {
 namespace {
-constexpr int kFew = 6;            // answers before anything is called usual
-constexpr double kFarSlower = 3;   // times the usual, and
-constexpr double kSpreads = 5;     // so many times beyond what it usually differs by: short prompts queue behind long ones
-constexpr double kGrain = 40;      // ms below which nothing counts as slow
-constexpr double kWeight = 0.06;   // of a new answer in the usual
+constexpr int kFew = 6;           // answers before anything is called usual
+constexpr double kFarSlower = 3;  // times the usual, and
+constexpr double kSpreads = 5;  // so many times beyond what it usually differs by: short prompts queue behind long ones
+constexpr double kGrain = 40;   // ms below which nothing counts as slow
+constexpr double kWeight = 0.06;  // of a new answer in the usual
 }  // namespace
-int Witness::bucketOf(std::int64_t tokens) {
+int RunnerObserver::bucketOf(std::int64_t tokens) {
   return std::min(23, static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(0, tokens)))));
 }
-Span Witness::patience(const std::string& service, std::int64_t tokens) const {
+Span RunnerObserver::patience(const std::string& service, std::int64_t tokens) const {
   const auto it = usual_.find(service);
   const int b = bucketOf(tokens);
-  if (it == usual_.end() || it->second.count[b] < kFew) return Span::max();
+  if (it == usual_.end() || it->second.count[b] < kFew)
+    return Span::max();
   const auto& u = it->second;
   return Span(static_cast<std::int64_t>(std::max(u.ms[b] * kFarSlower + kGrain, u.ms[b] + kSpreads * u.spread[b])));
 }
-bool Witness::began(const std::string& runner, const std::string& service, std::int64_t tokens, Span took, bool blamed) {
+bool RunnerObserver::began(const std::string& runner, const std::string& service, std::int64_t tokens, Span took,
+                           bool blamed) {
   const bool slow = took > patience(service, tokens);
   auto& u = usual_[service];
   const int b = bucketOf(tokens);
@@ -34,18 +36,23 @@
     u.ms[b] += off * w;
     u.spread[b] += (std::abs(off) - u.spread[b]) * w;
   }
-  if (blamed) return !slow;
+  if (blamed)
+    return !slow;
   auto& s = seen_[runner];
-  if (slow) s.bad += slowWeight;
-  else s.good += 1;
+  if (slow)
+    s.bad += slowWeight;
+  else
+    s.good += 1;
   return !slow;
 }
-std::vector<Grant> Witness::report(std::size_t most) {
+std::vector<Grant> RunnerObserver::report(std::size_t most) {
   std::vector<Grant> out;
-  for (auto& [id, s] : seen_) out.push_back({id, s.good, s.bad});
+  for (auto& [id, s] : seen_)
+    out.push_back({id, s.good, s.bad});
   seen_.clear();
   std::sort(out.begin(), out.end(), [](auto& a, auto& b) { return a.burst > b.burst; });
-  if (out.size() > most) out.resize(most);
+  if (out.size() > most)
+    out.resize(most);
   return out;
 }
 }  // namespace zc
--- a/libs/berth/src/docks.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -1,32 +1,35 @@
-#include "berth/docks.hpp"
+#include "balancing/runner_pool.hpp"
 
 #include <charconv>
 
 namespace zc {
 namespace {
-constexpr auto kSaidFor = 1500ms;  // older news of a load counts for nothing
-constexpr double kReadAgain = 4;   // how much dearer a part read again is than the same prompt waiting
-constexpr int kTryOneIn = 12;      // requests that may go to a runner that was ill not long ago
-constexpr double kOtherZone = 700; // in tokens
+constexpr auto kSaidFor = 1500ms;       // older news of a load counts for nothing
+constexpr double kReadAgain = 4;        // how much dearer a part read again is than the same prompt waiting
+constexpr int kTryOneIn = 12;           // requests that may go to a runner that was ill not long ago
+constexpr double kOtherZone = 700;      // in tokens
 constexpr double kOtherRegion = 30000;  // in tokens: far away, so only when the near ones are clearly busy
-}
-void Docks::follow(const std::vector<Runner>& runners) {
-  for (auto& d : docks_) d.present = false;
+}  // namespace
+void RunnerPool::follow(const std::vector<Runner>& runners) {
+  for (auto& d : runners_)
+    d.present = false;
   for (auto& r : runners) {
     const auto it = byId_.find(r.id);
     int i = 0;
     if (it == byId_.end()) {
       // A place nobody uses any more serves again.
-      for (; i < static_cast<int>(docks_.size()); ++i)
-        if (!docks_[i].present && docks_[i].inFlight == 0 && !byId_.count(docks_[i].id)) break;
-      if (i == static_cast<int>(docks_.size())) docks_.emplace_back();
-      docks_[i] = Dock{};
-      docks_[i].id = r.id;
+      for (; i < static_cast<int>(runners_.size()); ++i)
+        if (!runners_[i].present && runners_[i].inFlight == 0 && !byId_.count(runners_[i].id))
+          break;
+      if (i == static_cast<int>(runners_.size()))
+        runners_.emplace_back();
+      runners_[i] = RunnerSlot{};
+      runners_[i].id = r.id;
       byId_[r.id] = i;
     } else {
       i = it->second;
     }
-    auto& d = docks_[i];
+    auto& d = runners_[i];
     d.service = r.service;
     d.address = r.address;
     d.zone = r.zone;
@@ -36,33 +39,39 @@
   }
   close(std::move(closing_));
   for (auto it = byId_.begin(); it != byId_.end();)
-    if (!docks_[it->second].present) it = byId_.erase(it);
-    else ++it;
+    if (!runners_[it->second].present)
+      it = byId_.erase(it);
+    else
+      ++it;
 }
-void Docks::close(std::map<std::string, Closing> zones) {
+void RunnerPool::close(std::map<std::string, Closing> zones) {
   closing_ = std::move(zones);
-  for (auto& d : docks_) {
+  for (auto& d : runners_) {
     const auto it = closing_.find(d.zone);
     d.closedShare = it == closing_.end() ? 0 : it->second.share;
     d.carryOver = it != closing_.end() && it->second.carryOver;
   }
 }
-int Docks::inFlightIn(const std::set<std::string>& zones) const {
+int RunnerPool::inFlightIn(const std::set<std::string>& zones) const {
   int n = 0;
-  for (auto& d : docks_)
-    if (zones.count(d.zone)) n += d.inFlight;
+  for (auto& d : runners_)
+    if (zones.count(d.zone))
+      n += d.inFlight;
   return n;
 }
-void Docks::told(int i, std::string_view load, Instant now) {
+void RunnerPool::told(int i, std::string_view load, Instant now) {
   int v[3] = {0, 0, 0};
   const char* p = load.data();
   const char* e = p + load.size();
   for (int k = 0; k < 3; ++k) {
-    while (p < e && *p == ' ') ++p;
+    while (p < e && *p == ' ')
+      ++p;
     const auto r = std::from_chars(p, e, v[k]);
-    if (r.ec != std::errc{}) return;
+    if (r.ec != std::errc{})
+      return;
     p = r.ptr;
-    if (p < e && *p == ',') ++p;
+    if (p < e && *p == ',')
+      ++p;
   }
   auto& d = at(i);
   d.saidRunning = v[0];
@@ -72,55 +81,67 @@
   d.unreadThen = d.unread;
   d.saidAt = now;
 }
-double Docks::load(int i, Instant now) const {
-  const auto& d = docks_[static_cast<std::size_t>(i)];
+double RunnerPool::load(int i, Instant now) const {
+  const auto& d = runners_[static_cast<std::size_t>(i)];
   const double slots = std::max(1, d.saidSlots > 0 ? d.saidSlots : d.capacity);
   double n = d.inFlight;
-  if (now - d.saidAt < kSaidFor) n = std::max<double>(d.inFlight, d.saidRunning + d.saidWaiting + (d.inFlight - d.ownThen));
+  if (now - d.saidAt < kSaidFor)
+    n = std::max<double>(d.inFlight, d.saidRunning + d.saidWaiting + (d.inFlight - d.ownThen));
   return n / slots;
 }
-void Docks::fault(int i, Instant now) {
+void RunnerPool::fault(int i, Instant now) {
   auto& d = at(i);
   d.faults = std::min(d.faults + 1, 4);
   d.shunnedUntil = now + 300ms * (1 << d.faults);
 }
-void Docks::went(int i, std::int64_t tokens) {
+void RunnerPool::went(int i, std::int64_t tokens) {
   auto& d = at(i);
   ++d.inFlight;
   ++d.unread;
   d.unreadTokens += tokens;
-  if (tokens > 0) meanPrompt_ = meanPrompt_ * 0.98 + static_cast<double>(tokens) * 0.02;
+  if (tokens > 0)
+    meanPrompt_ = meanPrompt_ * 0.98 + static_cast<double>(tokens) * 0.02;
 }
-void Docks::read(int i, std::int64_t tokens) {
+void RunnerPool::read(int i, std::int64_t tokens) {
   auto& d = at(i);
   --d.unread;
   d.unreadTokens -= tokens;
 }
-void Docks::setAside(const std::vector<Grant>& runners) {
-  for (auto& d : docks_) d.aside = 0;
+void RunnerPool::setAside(const std::vector<Grant>& runners) {
+  for (auto& d : runners_)
+    d.aside = 0;
   for (auto& g : runners)
-    if (const auto it = byId_.find(g.label); it != byId_.end()) docks_[static_cast<std::size_t>(it->second)].aside = g.rate;
+    if (const auto it = byId_.find(g.label); it != byId_.end())
+      runners_[static_cast<std::size_t>(it->second)].aside = g.rate;
 }
-int Docks::choose(const Wish& w, Instant now) {
+int RunnerPool::choose(const RunnerQuery& w, Instant now) {
   std::vector<int> good, shunned, closing;
   // Why by part: all nodes move the same parts at the same step, so each is read anew once, at one place.
   const auto turn = static_cast<int>((w.affinity ? w.affinity >> 8 : rng_()) % 100);
-  for (int i = 0; i < static_cast<int>(docks_.size()); ++i) {
-    auto& d = docks_[i];
-    if (!d.present || d.draining || d.service != w.service) continue;
-    if (std::find(w.not_.begin(), w.not_.end(), i) != w.not_.end()) continue;
+  for (int i = 0; i < static_cast<int>(runners_.size()); ++i) {
+    auto& d = runners_[i];
+    if (!d.present || d.draining || d.service != w.service)
+      continue;
+    if (std::find(w.not_.begin(), w.not_.end(), i) != w.not_.end())
+      continue;
     // Why one at a time after a fault: a runner that is still ill should cost one request, not many.
-    if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0)) shunned.push_back(i);
+    if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0))
+      shunned.push_back(i);
     // Why so few, and only what may be repeated: whoever returns from an illness is not proven well yet.
-    else if (d.aside >= 1 || (d.aside > 0 && (!w.repeatable || d.inFlight > 0 || rng_() % kTryOneIn))) shunned.push_back(i);
-    else if (turn < d.closedShare) closing.push_back(i);
-    else good.push_back(i);
+    else if (d.aside >= 1 || (d.aside > 0 && (!w.repeatable || d.inFlight > 0 || rng_() % kTryOneIn)))
+      shunned.push_back(i);
+    else if (turn < d.closedShare)
+      closing.push_back(i);
+    else
+      good.push_back(i);
   }
   // A place that is closing still serves rather than nobody.
-  if (good.empty()) good = std::move(closing);
+  if (good.empty())
+    good = std::move(closing);
   if (good.empty()) {
     // Why one that is shunned all the same: a guess is worth more than nothing.
-    if (shunned.empty()) return -1;
+    if (shunned.empty())
+      return -1;
     return shunned[rng_() % shunned.size()];
   }
   return w.engine ? chooseEngine(w, good, now) : choosePlain(w, good, now);
@@ -128,55 +149,65 @@
 // Every node ranks the runners of a shared part alike, so the part is read at one place without a word between
 // them. Leaving that place is charged what reading the part again costs, so it happens only when the place has
 // clearly more prompts to read first.
-int Docks::chooseEngine(const Wish& w, const std::vector<int>& good, Instant now) {
+int RunnerPool::chooseEngine(const RunnerQuery& w, const std::vector<int>& good, Instant now) {
   int home = -1;
   std::uint64_t top = 0;
   // A part's home is sought in the client's own region while that has a runner.
-  const bool near = std::any_of(good.begin(), good.end(), [&](int i) { return sameRegion(docks_[i].zone, w.zone); });
+  const bool near = std::any_of(good.begin(), good.end(), [&](int i) { return sameRegion(runners_[i].zone, w.zone); });
   if (w.affinity)
     for (int i : good) {
-      if (near && !sameRegion(docks_[i].zone, w.zone)) continue;
-      const auto r = hash64(docks_[i].id, w.affinity);
-      if (home < 0 || r > top) home = i, top = r;
+      if (near && !sameRegion(runners_[i].zone, w.zone))
+        continue;
+      const auto r = hash64(runners_[i].id, w.affinity);
+      if (home < 0 || r > top)
+        home = i, top = r;
     }
   int best = -1;
   double least = 0;
   for (int i : good) {
-    const auto& d = docks_[i];
+    const auto& d = runners_[i];
     double cost = static_cast<double>(d.unreadTokens);
-    if (now - d.saidAt < kSaidFor) cost += std::max(0, d.saidWaiting - d.unreadThen) * meanPrompt_;
+    if (now - d.saidAt < kSaidFor)
+      cost += std::max(0, d.saidWaiting - d.unreadThen) * meanPrompt_;
     const double full = load(i, now);
     // A batch that fills up slows all its streams; one that is full makes them wait for a place.
     cost += full * 2000;
-    if (full > 0.9) cost += 50000 * (full - 0.9) + 5000;
-    if (i != home) cost += static_cast<double>(w.sharedTokens) * kReadAgain;
+    if (full > 0.9)
+      cost += 50000 * (full - 0.9) + 5000;
+    if (i != home)
+      cost += static_cast<double>(w.sharedTokens) * kReadAgain;
     // Bytes between zones count for little beside a part read again, but for something.
-    if (d.zone != w.zone) cost += sameRegion(d.zone, w.zone) ? kOtherZone : kOtherRegion;
+    if (d.zone != w.zone)
+      cost += sameRegion(d.zone, w.zone) ? kOtherZone : kOtherRegion;
     cost += static_cast<double>(rng_() % 100);
-    if (best < 0 || cost < least) best = i, least = cost;
+    if (best < 0 || cost < least)
+      best = i, least = cost;
   }
   return best;
 }
-bool Docks::sameRegion(std::string_view a, std::string_view b) const {
+bool RunnerPool::sameRegion(std::string_view a, std::string_view b) const {
   const auto x = regions_.find(std::string(a)), y = regions_.find(std::string(b));
   // Zones that nobody has named are taken as near: a guess must not shut a runner out.
   return x == regions_.end() || y == regions_.end() || x->second == y->second;
 }
-int Docks::choosePlain(const Wish& w, const std::vector<int>& good, Instant now) {
+int RunnerPool::choosePlain(const RunnerQuery& w, const std::vector<int>& good, Instant now) {
   int best = -1;
   double least = 0;
   for (int i : good) {
     double cost = load(i, now) + static_cast<double>(rng_() % 100) * 1e-4;
     // Why stay at home while it has room: the other zone is no faster then.
-    if (docks_[i].zone != w.zone) cost += sameRegion(docks_[i].zone, w.zone) ? 0.3 : 1.0;
-    if (best < 0 || cost < least) best = i, least = cost;
+    if (runners_[i].zone != w.zone)
+      cost += sameRegion(runners_[i].zone, w.zone) ? 0.3 : 1.0;
+    if (best < 0 || cost < least)
+      best = i, least = cost;
   }
   return best;
 }
 PromptParts promptOf(std::string_view p) {
   PromptParts out;
   const auto lastComma = p.rfind(',');
-  if (lastComma != p.npos) out.affinity = hash64(p.substr(0, lastComma)) | 1;
+  if (lastComma != p.npos)
+    out.affinity = hash64(p.substr(0, lastComma)) | 1;
   while (!p.empty()) {
     const auto c = std::min(p.find(','), p.size());
     const auto part = p.substr(0, c);
@@ -185,7 +216,8 @@
       std::int64_t n = 0;
       std::from_chars(part.data() + colon + 1, part.data() + part.size(), n);
       out.all += n;
-      if (!last) out.shared += n;
+      if (!last)
+        out.shared += n;
     }
     p.remove_prefix(std::min(p.size(), c + 1));
   }
--- a/libs/charter/include/charter/calls.hpp
+++ b/libs/config/include/config/calls.hpp
@@ -1,6 +1,6 @@
 // The calls of runners, after api/control.yaml.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 struct Beat {
   std::string id, service, address, zone;
--- a/libs/charter/include/charter/configuration.hpp
+++ b/libs/config/include/config/configuration.hpp
@@ -1,6 +1,6 @@
-// The operator's configuration: read in full, checked in full, or declined.
+// The operator's configuration: read in full, checked in full, or errorResponse.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 enum class RouteType { safe, unsafe, stream };
 struct Target {
@@ -39,7 +39,7 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   std::vector<Subscriber> subscribers;
-  std::unordered_map<std::string, int> keys;  // key -> subscriber
+  std::unordered_map<std::string, int> keys;                 // key -> subscriber
   std::unordered_map<std::string, std::vector<int>> byHost;  // longest prefix first
   Limits limits;
   int find(std::string_view host, std::string_view path) const;  // -1: none fits
--- a/libs/charter/include/charter/json.hpp
+++ b/libs/config/include/config/json.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include <simdjson.h>
 
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc::json {
 using Elem = simdjson::dom::element;
 using Obj = simdjson::dom::object;
@@ -20,49 +20,64 @@
 struct Reader {
   std::string wrong;
   void blame(std::string_view what, std::string_view k) {
-    if (wrong.empty()) wrong = std::string(what) + " '" + std::string(k) + "'";
+    if (wrong.empty())
+      wrong = std::string(what) + " '" + std::string(k) + "'";
   }
   bool find(const Obj& o, std::string_view k, Elem& out, bool need) {
-    if (o.at_key(k).get(out) == simdjson::SUCCESS) return !(out.is_null() && !need);
-    if (need) blame("missing field", k);
+    if (o.at_key(k).get(out) == simdjson::SUCCESS)
+      return !(out.is_null() && !need);
+    if (need)
+      blame("missing field", k);
     return false;
   }
   void text(const Obj& o, std::string_view k, std::string& out, bool need = false) {
     Elem e;
-    if (!find(o, k, e, need)) return;
+    if (!find(o, k, e, need))
+      return;
     std::string_view v;
-    if (e.get(v)) blame("no text in", k);
-    else out = std::string(v);
+    if (e.get(v))
+      blame("no text in", k);
+    else
+      out = std::string(v);
   }
   void num(const Obj& o, std::string_view k, double& out, bool need = false) {
     Elem e;
-    if (!find(o, k, e, need)) return;
-    if (e.get(out)) blame("no number in", k);
+    if (!find(o, k, e, need))
+      return;
+    if (e.get(out))
+      blame("no number in", k);
   }
   template <class I>
   void whole(const Obj& o, std::string_view k, I& out, bool need = false) {
     Elem e;
-    if (!find(o, k, e, need)) return;
+    if (!find(o, k, e, need))
+      return;
     std::int64_t v = 0;
     double d = 0;
-    if (!e.get(v)) out = static_cast<I>(v);
+    if (!e.get(v))
+      out = static_cast<I>(v);
     else if (!e.get(d) && d >= -9e15 && d <= 9e15 && d == static_cast<double>(static_cast<std::int64_t>(d)))
       out = static_cast<I>(d);
-    else blame("no whole number in", k);
+    else
+      blame("no whole number in", k);
   }
   void flag(const Obj& o, std::string_view k, bool& out) {
     Elem e;
-    if (!find(o, k, e, false)) return;
-    if (e.get(out)) blame("no true or false in", k);
+    if (!find(o, k, e, false))
+      return;
+    if (e.get(out))
+      blame("no true or false in", k);
   }
   void ms(const Obj& o, std::string_view k, Span& out, double unit = 1) {
     double d = -1;
     num(o, k, d);
-    if (d >= 0) out = Span(static_cast<std::int64_t>(d * unit));
+    if (d >= 0)
+      out = Span(static_cast<std::int64_t>(d * unit));
   }
   bool object(const Obj& o, std::string_view k, Obj& out, bool need = false) {
     Elem e;
-    if (!find(o, k, e, need)) return false;
+    if (!find(o, k, e, need))
+      return false;
     if (e.get(out)) {
       blame("no object in", k);
       return false;
@@ -71,7 +86,8 @@
   }
   bool array(const Obj& o, std::string_view k, Arr& out, bool need = false) {
     Elem e;
-    if (!find(o, k, e, need)) return false;
+    if (!find(o, k, e, need))
+      return false;
     if (e.get(out)) {
       blame("no list in", k);
       return false;
--- a/libs/charter/include/charter/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -1,6 +1,6 @@
 // The settings file a process is told its place by.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 struct Timers {
   Span contact{3000}, ack{4000}, drain{2000}, configApply{2000}, revoke{5000}, revertSlack{250}, lossSlack{200};
@@ -10,7 +10,7 @@
 };
 // A site of somebody else's that may hold what is asked for here; the operators of both agree on a secret.
 struct PartnerSite {
-  std::string name, secret;                 // secret: 32 bytes in hex
+  std::string name, secret;                  // secret: 32 bytes in hex
   std::vector<std::string> control, access;  // addresses of its nodes; clients' keys of both sites must be known there
 };
 struct Settings {
@@ -22,7 +22,7 @@
   bool initialAttach = false, quorumMember = false;
   Span heartbeat{1200};
   int memoryMb = 0, fdLimit = 0;
-  int tolerateMachines = 1;  // `faultTolerance.machines`: members of the core that may be lost at once
+  int tolerateMachines = 1;            // `faultTolerance.machines`: members of the core that may be lost at once
   std::optional<PartnerSite> partner;  // none: no hints, in or out
   Timers timers;
 };
--- a/libs/charter/src/calls.cpp
+++ b/libs/config/src/calls.cpp
@@ -1,14 +1,15 @@
-#include "charter/calls.hpp"
+#include "config/calls.hpp"
 
 #include <cstdio>
 
-#include "charter/json.hpp"
+#include "config/json.hpp"
 
 namespace zc {
 Outcome<Beat> parseBeat(std::string_view id, std::string_view text) {
   json::Text doc(text);
   json::Obj o;
-  if (!doc.object(o)) return fault(400, "heartbeat is no JSON object");
+  if (!doc.object(o))
+    return fault(400, "heartbeat is no JSON object");
   json::Reader r;
   Beat b;
   b.id = std::string(id);
@@ -21,14 +22,17 @@
   r.whole(o, "sequence", b.sequence);
   r.whole(o, "warmupLeftMs", b.warmupLeftMs);
   b.draining = state == "draining";
-  if (!r.wrong.empty()) return fault(400, "heartbeat: " + r.wrong);
-  if (b.id.empty()) return fault(400, "heartbeat without an id");
+  if (!r.wrong.empty())
+    return fault(400, "heartbeat: " + r.wrong);
+  if (b.id.empty())
+    return fault(400, "heartbeat without an id");
   return b;
 }
 Outcome<ClosureCall> parseClosure(std::string_view text) {
   json::Text doc(text);
   json::Obj o;
-  if (!doc.object(o)) return fault(400, "closure is no JSON object");
+  if (!doc.object(o))
+    return fault(400, "closure is no JSON object");
   json::Reader r;
   ClosureCall c;
   r.text(o, "place", c.place, true);
@@ -38,8 +42,10 @@
   r.flag(o, "open", c.open);
   r.flag(o, "force", c.force);
   r.num(o, "calmBelowPerS", c.calmBelowPerS);
-  if (c.share < 0 || c.share > 100) r.blame("no percentage in", "share");
-  if (!r.wrong.empty()) return fault(400, "closure: " + r.wrong);
+  if (c.share < 0 || c.share > 100)
+    r.blame("no percentage in", "share");
+  if (!r.wrong.empty())
+    return fault(400, "closure: " + r.wrong);
   return c;
 }
 std::string quoteJson(std::string_view s) {
--- a/libs/charter/src/configuration.cpp
+++ b/libs/config/src/configuration.cpp
@@ -1,15 +1,16 @@
-#include "charter/configuration.hpp"
+#include "config/configuration.hpp"
 
 #include <set>
 
-#include "charter/json.hpp"
+#include "config/json.hpp"
 
 namespace zc {
 namespace {
 std::string lower(std::string_view s) {
   std::string out(s);
   for (auto& c : out)
-    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+    if (c >= 'A' && c <= 'Z')
+      c = static_cast<char>(c - 'A' + 'a');
   return out;
 }
 void readLimits(json::Reader& r, const json::Obj& o, Limits& l) {
@@ -40,25 +41,33 @@
     r.blame("no prefix between slashes in", "pathPrefix");
   std::string type;
   r.text(o, "routeType", type, true);
-  if (type == "safe") m.type = RouteType::safe;
-  else if (type == "unsafe") m.type = RouteType::unsafe;
-  else if (type == "stream") m.type = RouteType::stream;
-  else r.blame("unknown routeType", type);
+  if (type == "safe")
+    m.type = RouteType::safe;
+  else if (type == "unsafe")
+    m.type = RouteType::unsafe;
+  else if (type == "stream")
+    m.type = RouteType::stream;
+  else
+    r.blame("unknown routeType", type);
   r.ms(o, "expiryMs", m.expiry);
   // Why a missing one counts as 0: a route without a time-out would be held for ever.
-  if (m.expiry <= Span{0}) r.blame("no time in", "expiryMs");
+  if (m.expiry <= Span{0})
+    r.blame("no time in", "expiryMs");
   r.ms(o, "targetLatencyMs", m.aim);
   r.ms(o, "gapTargetMs", m.gapTarget);
   r.whole(o, "precedence", m.precedence);
   r.whole(o, "maxAttempts", m.maxAttempts);
-  if (m.maxAttempts < 1) m.maxAttempts = 1;
+  if (m.maxAttempts < 1)
+    m.maxAttempts = 1;
   r.flag(o, "keyless", m.keyless);
   r.flag(o, "sessionAffinity", m.affinity);
   r.flag(o, "streamResume", m.resume);
   auto add = [&](const std::string& name, std::int64_t share) {
     const auto it = services.find(name);
-    if (it == services.end()) return r.blame("unknown service", name);
-    if (share < 0 || share > 1'000'000'000) return r.blame("no share in", "weightedTargets");
+    if (it == services.end())
+      return r.blame("unknown service", name);
+    if (share < 0 || share > 1'000'000'000)
+      return r.blame("no share in", "weightedTargets");
     m.targets.push_back({it->second, static_cast<std::uint32_t>(share)});
     m.shareSum += static_cast<std::uint64_t>(share);
   };
@@ -79,19 +88,25 @@
   } else {
     std::string name;
     r.text(o, "targetService", name, true);
-    if (r.wrong.empty()) add(name, 1);
+    if (r.wrong.empty())
+      add(name, 1);
   }
-  if (m.shareSum == 0) r.blame("shares sum to 0 on", m.label);
+  if (m.shareSum == 0)
+    r.blame("shares sum to 0 on", m.label);
 }
 }  // namespace
 
 int Configuration::find(std::string_view host, std::string_view path) const {
-  if (const auto c = host.rfind(':'); c != host.npos) host = host.substr(0, c);
+  if (const auto c = host.rfind(':'); c != host.npos)
+    host = host.substr(0, c);
   const auto it = byHost.find(lower(host));
-  if (it == byHost.end()) return -1;
-  if (const auto q = path.find('?'); q != path.npos) path = path.substr(0, q);
+  if (it == byHost.end())
+    return -1;
+  if (const auto q = path.find('?'); q != path.npos)
+    path = path.substr(0, q);
   for (int i : it->second)
-    if (path.substr(0, routes[i].pathPrefix.size()) == routes[i].pathPrefix) return i;
+    if (path.substr(0, routes[i].pathPrefix.size()) == routes[i].pathPrefix)
+      return i;
   return -1;
 }
 int Configuration::subscriberOf(std::string_view key) const {
@@ -106,36 +121,44 @@
   if (auto e = parser.parse(padded).get(doc))
     return fault(400, std::string("configuration is no JSON: ") + simdjson::error_message(e));
   json::Obj o;
-  if (doc.get(o)) return fault(400, "configuration is no JSON object");
+  if (doc.get(o))
+    return fault(400, "configuration is no JSON object");
   json::Reader r;
   auto cfg = std::make_shared<Configuration>();
   r.whole(o, "configVersion", cfg->version, true);
-  if (cfg->version <= 0) r.blame("no version above 0 in", "configVersion");
+  if (cfg->version <= 0)
+    r.blame("no version above 0 in", "configVersion");
   json::Obj sub;
   json::Arr arr;
-  if (r.object(o, "limits", sub)) readLimits(r, sub, cfg->limits);
+  if (r.object(o, "limits", sub))
+    readLimits(r, sub, cfg->limits);
   std::map<std::string, int> services;
   if (r.array(o, "serviceTable", arr, true))
     for (auto e : arr) {
-      if (e.get(sub)) return fault(400, "no object in 'serviceTable'");
+      if (e.get(sub))
+        return fault(400, "no object in 'serviceTable'");
       Service s;
       readService(r, sub, s);
-      if (!services.emplace(s.label, static_cast<int>(cfg->services.size())).second) r.blame("service twice", s.label);
+      if (!services.emplace(s.label, static_cast<int>(cfg->services.size())).second)
+        r.blame("service twice", s.label);
       cfg->services.push_back(std::move(s));
     }
   std::set<std::pair<std::string, std::string>> places;
   if (r.array(o, "routeTable", arr, true))
     for (auto e : arr) {
-      if (e.get(sub)) return fault(400, "no object in 'routeTable'");
+      if (e.get(sub))
+        return fault(400, "no object in 'routeTable'");
       Route m;
       readRoute(r, sub, services, m);
-      if (!places.emplace(m.authority, m.pathPrefix).second) r.blame("two routes at", m.authority + m.pathPrefix);
+      if (!places.emplace(m.authority, m.pathPrefix).second)
+        r.blame("two routes at", m.authority + m.pathPrefix);
       cfg->byHost[m.authority].push_back(static_cast<int>(cfg->routes.size()));
       cfg->routes.push_back(std::move(m));
     }
   if (r.array(o, "subscribers", arr))
     for (auto e : arr) {
-      if (e.get(sub)) return fault(400, "no object in 'subscribers'");
+      if (e.get(sub))
+        return fault(400, "no object in 'subscribers'");
       Subscriber s;
       r.text(sub, "label", s.label, true);
       r.whole(sub, "precedence", s.precedence);
@@ -146,17 +169,18 @@
       if (r.array(sub, "accessKeys", ks))
         for (auto k : ks) {
           std::string_view v;
-          if (k.get(v)) r.blame("no text in", "accessKeys");
+          if (k.get(v))
+            r.blame("no text in", "accessKeys");
           else if (const auto [it, fresh] = cfg->keys.emplace(std::string(v), me); !fresh && it->second != me)
             r.blame("key shared by two subscribers:", s.label);
         }
       cfg->subscribers.push_back(std::move(s));
     }
-  if (!r.wrong.empty()) return fault(400, "configuration: " + r.wrong);
+  if (!r.wrong.empty())
+    return fault(400, "configuration: " + r.wrong);
   for (auto& [host, list] : cfg->byHost)
-    std::sort(list.begin(), list.end(), [&](int a, int b) {
-      return cfg->routes[a].pathPrefix.size() > cfg->routes[b].pathPrefix.size();
-    });
+    std::sort(list.begin(), list.end(),
+              [&](int a, int b) { return cfg->routes[a].pathPrefix.size() > cfg->routes[b].pathPrefix.size(); });
   return cfg;
 }
 }  // namespace zc
--- a/libs/charter/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -1,16 +1,17 @@
-#include "charter/settings.hpp"
+#include "config/settings.hpp"
 
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
 
-#include "charter/json.hpp"
-#include "keel/quay.hpp"
+#include "config/json.hpp"
+#include "runtime/event_loop.hpp"
 
 namespace zc {
 Outcome<std::string> readFile(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
-  if (!in) return fault(0, "cannot read '" + path + "'");
+  if (!in)
+    return fault(0, "cannot read '" + path + "'");
   std::ostringstream ss;
   ss << in.rdbuf();
   return ss.str();
@@ -23,9 +24,11 @@
   simdjson::dom::parser parser;
   simdjson::padded_string padded(text);
   json::Elem doc;
-  if (auto e = parser.parse(padded).get(doc)) return fault(0, std::string("settings are no JSON: ") + simdjson::error_message(e));
+  if (auto e = parser.parse(padded).get(doc))
+    return fault(0, std::string("settings are no JSON: ") + simdjson::error_message(e));
   json::Obj o;
-  if (doc.get(o)) return fault(0, "settings are no JSON object");
+  if (doc.get(o))
+    return fault(0, "settings are no JSON object");
   json::Reader r;
   Settings s;
   r.text(o, "nodeName", s.node, true);
@@ -43,7 +46,8 @@
   if (r.object(o, "zones", sub))
     for (auto f : sub) {
       std::string_view v;
-      if (!f.value.get(v)) s.zones[std::string(f.key)] = std::string(v);
+      if (!f.value.get(v))
+        s.zones[std::string(f.key)] = std::string(v);
     }
   if (r.object(o, "bindAddresses", sub)) {
     r.text(sub, "accessPort", s.accessAddr);
@@ -54,18 +58,24 @@
     std::int64_t p[2] = {0, 0};
     std::size_t i = 0;
     for (auto e : arr)
-      if (i < 2 && e.get(p[i])) r.blame("no ports in", "internalPorts");
-      else ++i;
-    if (i < 2 || p[0] <= 0 || p[1] > 65535 || p[1] < p[0] + 1) r.blame("no range of ports in", "internalPorts");
+      if (i < 2 && e.get(p[i]))
+        r.blame("no ports in", "internalPorts");
+      else
+        ++i;
+    if (i < 2 || p[0] <= 0 || p[1] > 65535 || p[1] < p[0] + 1)
+      r.blame("no range of ports in", "internalPorts");
     s.portFirst = static_cast<unsigned short>(p[0]);
     s.portLast = static_cast<unsigned short>(p[1]);
   }
   if (r.array(o, "seedNodes", arr, true))
     for (auto e : arr) {
       std::string_view v;
-      if (e.get(v)) r.blame("no text in", "seedNodes");
-      else if (!parseEndpoint(v)) r.blame("no IP number and port in seedNodes:", v);
-      else s.seeds.emplace_back(v);
+      if (e.get(v))
+        r.blame("no text in", "seedNodes");
+      else if (!parseEndpoint(v))
+        r.blame("no IP number and port in seedNodes:", v);
+      else
+        s.seeds.emplace_back(v);
     }
   if (r.object(o, "limits", sub)) {
     r.whole(sub, "memoryMb", s.memoryMb);
@@ -73,7 +83,8 @@
   }
   if (r.object(o, "faultTolerance", sub)) {
     r.whole(sub, "machines", s.tolerateMachines);
-    if (s.tolerateMachines < 0 || s.tolerateMachines > 100) r.blame("no count of machines in", "faultTolerance");
+    if (s.tolerateMachines < 0 || s.tolerateMachines > 100)
+      r.blame("no count of machines in", "faultTolerance");
   }
   if (r.object(o, "partnerSite", sub)) {
     PartnerSite p;
@@ -81,11 +92,14 @@
     r.text(sub, "secret", p.secret, true);
     auto addresses = [&](const char* k, std::vector<std::string>& to) {
       json::Arr list;
-      if (!r.array(sub, k, list, true)) return;
+      if (!r.array(sub, k, list, true))
+        return;
       for (auto e : list) {
         std::string_view v;
-        if (e.get(v) || !parseEndpoint(v)) r.blame("no IP numbers and ports in", k);
-        else to.emplace_back(v);
+        if (e.get(v) || !parseEndpoint(v))
+          r.blame("no IP numbers and ports in", k);
+        else
+          to.emplace_back(v);
       }
     };
     addresses("control", p.control);
@@ -114,12 +128,14 @@
     r.num(sub, "quotaExcess", t.quotaExcess);
     r.num(sub, "quotaSlack", t.quotaSlack);
   }
-  if (!r.wrong.empty()) return fault(0, "settings: " + r.wrong);
+  if (!r.wrong.empty())
+    return fault(0, "settings: " + r.wrong);
   return s;
 }
 Outcome<Settings> loadSettings(const std::string& path) {
   auto text = readFile(path);
-  if (!text) return tl::unexpected(text.error());
+  if (!text)
+    return tl::unexpected(text.error());
   return parseSettings(*text);
 }
 }  // namespace zc
--- a/libs/log/include/log/queue.hpp
+++ b/libs/consensus/include/consensus/queue.hpp
@@ -1,13 +1,13 @@
 // A receiver's queue: arrivals in any order, the head taken in strict order, a gap asked for before anything later.
 #pragma once
-#include "signal/messages.hpp"
+#include "transport/messages.hpp"
 namespace zc {
 class Queue {
  public:
   void offer(Entry e);
   void body(const std::string& digest, std::string blob);  // a large body ahead of its number
-  std::optional<Entry> next();                              // the head, if it is the next number
-  void restart(std::int64_t applied);                       // after a snapshot
+  std::optional<Entry> next();                             // the head, if it is the next number
+  void restart(std::int64_t applied);                      // after a snapshot
   std::int64_t applied() const { return applied_; }
   bool gap() const;  // something later waits for what is missing
  private:
--- a/libs/log/src/order.cpp
+++ b/libs/consensus/src/order.cpp
@@ -1,15 +1,17 @@
-#include "log/order.hpp"
+#include "consensus/order.hpp"
 
 #include <random>
 #include <set>
 
-#include "keel/ring.hpp"
+#include "runtime/log_ring.hpp"
 
 namespace zc {
-std::string ipOf(const std::string& m) { return m.substr(0, m.find('#')); }
+std::string ipOf(const std::string& m) {
+  return m.substr(0, m.find('#'));
+}
 
 namespace {
-struct Far {  // what the sequencer knows of one receiver
+struct Far {  // what the leader knows of one receiver
   std::int64_t next = 0, match = 0;
   std::int64_t whole = 0;  // up to here bodies are never left out: what was sent before may be lost
   Instant heard{}, sentAt{}, progress{};
@@ -39,13 +41,13 @@
   std::int64_t logBase = 0, logBaseTerm = 0;
 
   // in memory
-  Duty duty = Duty::learner;
+  Role role = Role::learner;
   std::vector<std::string> members;
   std::string leader;
   std::int64_t released = 0, durable = 0, matched = 0, takeOverNum = 0;
   Instant promised{}, electAt{}, leaderHeard{}, lastPulse{}, lastJoin{}, lastQuorum{}, yieldedUntil{};
   bool preVoting = false, handOverRun = false;
-  // This life began from a disk and has held no duty since: what lease this member once had is void.
+  // This life began from a disk and has held no role since: what lease this member once had is void.
   bool restarted = false;
   std::int64_t termTicket = 0;  // the page that holds the present term
   std::set<std::string> yes;
@@ -55,7 +57,7 @@
   std::int64_t pageSeq = 0, ticketNo = 0;
   struct Keeping {
     std::int64_t ticket, lastNum, lastTerm;
-    Page page;
+    DiskRecord page;
     Instant retryAt;
     bool failed = false;
     Span waited{0};  // as far as this loop itself was awake, see `age`
@@ -68,9 +70,12 @@
 
   std::int64_t lastNum() const { return logBase + static_cast<std::int64_t>(log.size()); }
   std::int64_t termAt(std::int64_t n) const {
-    if (n == logBase) return logBaseTerm;
-    if (n == snapNum) return snapTerm;
-    if (n > logBase && n <= lastNum()) return log[static_cast<std::size_t>(n - logBase - 1)].term;
+    if (n == logBase)
+      return logBaseTerm;
+    if (n == snapNum)
+      return snapTerm;
+    if (n > logBase && n <= lastNum())
+      return log[static_cast<std::size_t>(n - logBase - 1)].term;
     return -1;
   }
   std::int64_t lastTerm() const { return termAt(lastNum()); }
@@ -79,36 +84,43 @@
   void scanMembers() {
     members = snapMembers;
     for (auto& e : log)
-      if (e.op() == OpKind::members && e.num > snapNum) members = splitMembers(e.blob);
-    if (duty == Duty::learner && member(self)) setDuty(Duty::follower);
-    if (duty == Duty::follower && !member(self)) setDuty(Duty::learner);
+      if (e.op() == OpKind::members && e.num > snapNum)
+        members = splitMembers(e.blob);
+    if (role == Role::learner && member(self))
+      setRole(Role::follower);
+    if (role == Role::follower && !member(self))
+      setRole(Role::learner);
   }
   static std::vector<std::string> splitMembers(const std::string& s) {
     std::vector<std::string> v;
     std::size_t at = 0;
     while (at < s.size()) {
       auto e = s.find(' ', at);
-      if (e == s.npos) e = s.size();
-      if (e > at) v.push_back(s.substr(at, e - at));
+      if (e == s.npos)
+        e = s.size();
+      if (e > at)
+        v.push_back(s.substr(at, e - at));
       at = e + 1;
     }
     return v;
   }
   static std::string joinMembers(const std::vector<std::string>& v) {
     std::string s;
-    for (auto& m : v) s += (s.empty() ? "" : " ") + m;
+    for (auto& m : v)
+      s += (s.empty() ? "" : " ") + m;
     return s;
   }
-  // The one place where the duty changes.
-  void setDuty(Duty d) {
-    if (duty == d) return;
-    duty = d;
-    ring::note(self + " duty " + std::to_string(static_cast<int>(d)) + " term " + std::to_string(term));
+  // The one place where the role changes.
+  void setRole(Role d) {
+    if (role == d)
+      return;
+    role = d;
+    ring::note(self + " role " + std::to_string(static_cast<int>(d)) + " term " + std::to_string(term));
     Action a;
-    a.what = Action::What::duty;
+    a.what = Action::What::role;
     out.push_back(std::move(a));
   }
-  Duty idleDuty() const { return member(self) ? Duty::follower : Duty::learner; }
+  Role idleRole() const { return member(self) ? Role::follower : Role::learner; }
 
   void send(const std::string& to, Msg m, std::int64_t after = 0) {
     m.from = self;
@@ -122,7 +134,7 @@
     out.push_back(std::move(a));
   }
   std::int64_t keep(Instant now, std::int64_t from, std::vector<Entry> entries, bool full = false) {
-    Page g;
+    DiskRecord g;
     g.seq = ++pageSeq;
     g.term = term;
     g.led = led;
@@ -151,7 +163,8 @@
     return t;
   }
   void armElection(Instant now) {
-    electAt = now + p.electMin + Span(static_cast<std::int64_t>(rng() % static_cast<std::uint64_t>(p.electSpread.count())));
+    electAt =
+        now + p.electMin + Span(static_cast<std::int64_t>(rng() % static_cast<std::uint64_t>(p.electSpread.count())));
   }
   // A higher term fences whatever this one did in the lower.
   std::int64_t adopt(Instant now, std::int64_t t, const std::string& voteFor = {}) {
@@ -160,13 +173,14 @@
     leader.clear();
     matched = 0;
     preVoting = false;
-    setDuty(idleDuty());
+    setRole(idleRole());
     armElection(now);
     return termTicket = keep(now, 0, {});
   }
   void truncateFrom(std::int64_t n) {
     must(n > released, "a released number is taken back");
-    while (lastNum() >= n) log.pop_back();
+    while (lastNum() >= n)
+      log.pop_back();
     durable = std::min(durable, n - 1);
   }
   void releaseTo(std::int64_t n) {
@@ -179,19 +193,18 @@
       out.push_back(std::move(a));
     }
   }
-  bool upToDate(std::int64_t t, std::int64_t n) const {
-    return t > lastTerm() || (t == lastTerm() && n >= lastNum());
-  }
+  bool upToDate(std::int64_t t, std::int64_t n) const { return t > lastTerm() || (t == lastTerm() && n >= lastNum()); }
 
   // --- election ---
   void campaign(Instant now, bool pre, bool handed) {
-    if (!member(self) || sick()) return armElection(now);
+    if (!member(self) || sick())
+      return armElection(now);
     handOverRun = handed;
     yes = {self};
     armElection(now);
     if (pre) {
       preVoting = true;
-      setDuty(Duty::candidate);
+      setRole(Role::candidate);
       lastAsk = now;
       ask(0);
     } else {
@@ -201,7 +214,7 @@
       vote = self;
       leader.clear();
       matched = 0;
-      setDuty(Duty::candidate);
+      setRole(Role::candidate);
       yes.clear();
       askTerm = before;
       const auto t = keep(now, 0, {});
@@ -218,16 +231,20 @@
     m.ok = handOverRun;
     m.term = preVoting ? term + 1 : term;
     m.commit = askTerm;
-    if (restarted && led > 0 && led == (preVoting ? term : term - 1)) m.nonce = led;
+    if (restarted && led > 0 && led == (preVoting ? term : term - 1))
+      m.nonce = led;
     m.num = lastNum();
     m.prevTerm = lastTerm();
     for (auto& x : members)
-      if (x != self) send(x, m, after);
+      if (x != self)
+        send(x, m, after);
   }
   void maybeWin(Instant now) {
-    if (duty != Duty::candidate || yes.size() < majority()) return;
-    if (preVoting) return campaign(now, false, false);
-    setDuty(Duty::sequencer);
+    if (role != Role::candidate || yes.size() < majority())
+      return;
+    if (preVoting)
+      return campaign(now, false, false);
+    setRole(Role::leader);
     led = term;
     restarted = false;
     leader = self;
@@ -235,7 +252,8 @@
     pulseSent.clear();
     lastQuorum = now;
     for (auto& x : members)
-      if (x != self) far[x] = Far{lastNum() + 1, 0, 0, now, {}, now, {}, false};
+      if (x != self)
+        far[x] = Far{lastNum() + 1, 0, 0, now, {}, now, {}, false};
     Entry e;
     e.kind = static_cast<std::int32_t>(OpKind::takeOver);
     e.blob = self;
@@ -248,25 +266,31 @@
     r.flag = m.flag;
     if (!member(m.from)) {
       // Why answered by a pulse at most: one that was voted out must not unsettle the rest.
-      if (duty == Duty::sequencer) touchLearner(now, m.from);
+      if (role == Role::leader)
+        touchLearner(now, m.from);
       return;
     }
     // A lease handed over binds nobody; any other promise holds until its time.
-    const bool bound = duty == Duty::sequencer ? leasedNow(now) : now < promised;
+    const bool bound = role == Role::leader ? leasedNow(now) : now < promised;
     // So does one whose owner has restarted: who led this very term asks without any memory of its lease. Safe since a
     // promise to a later one is given only once that term is on the disk (`onPulse`), and then the terms differ.
-    const bool free = !bound || (duty != Duty::sequencer && ((m.ok && m.commit >= term) || (m.nonce > 0 && m.nonce == term)));
+    const bool free =
+        !bound || (role != Role::leader && ((m.ok && m.commit >= term) || (m.nonce > 0 && m.nonce == term)));
     if (m.flag) {
       r.term = m.term;
       r.ok = m.term > term && free && upToDate(m.prevTerm, m.num);
-      if (r.ok) send(m.from, r);
+      if (r.ok)
+        send(m.from, r);
       return;
     }
-    if (m.term < term || !free) return;
+    if (m.term < term || !free)
+      return;
     const bool newest = upToDate(m.prevTerm, m.num);
     std::int64_t ticket = 0;
-    if (m.term > term) ticket = adopt(now, m.term, newest ? m.from : std::string{});
-    if (!newest || duty == Duty::sequencer || !(vote.empty() || vote == m.from)) return;
+    if (m.term > term)
+      ticket = adopt(now, m.term, newest ? m.from : std::string{});
+    if (!newest || role == Role::leader || !(vote.empty() || vote == m.from))
+      return;
     if (vote.empty()) {
       vote = m.from;
       ticket = keep(now, 0, {});
@@ -278,13 +302,15 @@
     send(m.from, r, ticket ? ticket : ticketNo);
   }
   void onGranted(Instant now, const Msg& m) {
-    if (duty != Duty::candidate || !m.ok || m.flag != preVoting) return;
-    if (m.term != (preVoting ? term + 1 : term) || !member(m.from)) return;
+    if (role != Role::candidate || !m.ok || m.flag != preVoting)
+      return;
+    if (m.term != (preVoting ? term + 1 : term) || !member(m.from))
+      return;
     yes.insert(m.from);
     maybeWin(now);
   }
 
-  // --- the sequencer ---
+  // --- the leader ---
   void append(Instant now, Entry e) {
     e.term = term;
     e.num = lastNum() + 1;
@@ -292,7 +318,8 @@
     if (e.op() == OpKind::members) {
       members = splitMembers(e.blob);
       for (auto& x : members)
-        if (x != self && !far.count(x)) far[x] = Far{lastNum(), 0, 0, now, {}, now, {}, false};
+        if (x != self && !far.count(x))
+          far[x] = Far{lastNum(), 0, 0, now, {}, now, {}, false};
     }
     keep(now, e.num, {std::move(e)});
   }
@@ -304,7 +331,8 @@
     }
     if (f.next <= logBase) {
       if (f.snapFlying && now - f.sentAt < p.resend * 4) {
-        if (beat) sendPulse(to, lastNum(), {});
+        if (beat)
+          sendPulse(to, lastNum(), {});
         return;
       }
       Msg m = msgOf(Kind::snapshot);
@@ -335,8 +363,10 @@
       bytes += c.blob.size() + 100;
       ++f.next;
     }
-    if (es.empty() && !beat) return;
-    if (!es.empty()) f.sentAt = now;
+    if (es.empty() && !beat)
+      return;
+    if (!es.empty())
+      f.sentAt = now;
     sendPulse(to, prev, std::move(es));
   }
   void sendPulse(const std::string& to, std::int64_t prev, std::vector<Entry> es) {
@@ -353,33 +383,41 @@
     if (beat) {
       lastPulse = now;
       pulseSent[++pulseNonce] = now;
-      while (pulseSent.size() > 64) pulseSent.erase(pulseSent.begin());
+      while (pulseSent.size() > 64)
+        pulseSent.erase(pulseSent.begin());
     }
-    for (auto& [x, f] : far) feedOne(now, x, f, beat);
+    for (auto& [x, f] : far)
+      feedOne(now, x, f, beat);
   }
   Instant leaseEnd() const {
     std::vector<Instant> from;
     for (auto& x : members) {
-      if (x == self) continue;
+      if (x == self)
+        continue;
       const auto it = far.find(x);
       from.push_back(it == far.end() ? Instant{} : it->second.leaseFrom);
     }
     const auto need = majority() - (member(self) ? 1 : 0);
-    if (need == 0) return Instant::max();
-    if (from.size() < need) return Instant{};
+    if (need == 0)
+      return Instant::max();
+    if (from.size() < need)
+      return Instant{};
     std::sort(from.rbegin(), from.rend());
     const auto base = from[need - 1];
     return base == Instant{} ? base : base + p.lease - p.margin;
   }
-  bool leasedNow(Instant now) const { return duty == Duty::sequencer && now < leaseEnd(); }
+  bool leasedNow(Instant now) const { return role == Role::leader && now < leaseEnd(); }
   void onPulseAck(Instant now, const Msg& m) {
-    if (duty != Duty::sequencer || m.term != term) return;
+    if (role != Role::leader || m.term != term)
+      return;
     const auto it = far.find(m.from);
-    if (it == far.end()) return touchLearner(now, m.from);
+    if (it == far.end())
+      return touchLearner(now, m.from);
     auto& f = it->second;
     f.heard = now;
     if (m.nonce)
-      if (const auto s = pulseSent.find(m.nonce); s != pulseSent.end()) f.leaseFrom = std::max(f.leaseFrom, s->second);
+      if (const auto s = pulseSent.find(m.nonce); s != pulseSent.end())
+        f.leaseFrom = std::max(f.leaseFrom, s->second);
     if (m.flag) {  // refetch: it misses what comes after num; below 0 it has nothing, not even the members
       f.snapFlying = false;
       f.next = std::max<std::int64_t>(0, std::min(m.num + 1, lastNum() + 1));
@@ -389,89 +427,115 @@
     if (m.num > f.match && m.num <= lastNum()) {
       f.match = m.num;
       f.progress = now;
-      if (f.next <= f.match) f.next = f.match + 1;
+      if (f.next <= f.match)
+        f.next = f.match + 1;
       f.snapFlying = false;
       settle(now);
-      if (f.next <= lastNum()) feedOne(now, it->first, f, false);
+      if (f.next <= lastNum())
+        feedOne(now, it->first, f, false);
     }
   }
   // Release what a majority of the core has synced.
   void settle(Instant now) {
-    if (duty != Duty::sequencer) return;
+    if (role != Role::leader)
+      return;
     std::vector<std::int64_t> nums;
     for (auto& x : members) {
-      if (x == self) nums.push_back(durable);
-      else if (const auto it = far.find(x); it != far.end()) nums.push_back(std::max<std::int64_t>(0, it->second.match));
-      else nums.push_back(0);
-    }
-    if (nums.size() < majority()) return;
+      if (x == self)
+        nums.push_back(durable);
+      else if (const auto it = far.find(x); it != far.end())
+        nums.push_back(std::max<std::int64_t>(0, it->second.match));
+      else
+        nums.push_back(0);
+    }
+    if (nums.size() < majority())
+      return;
     std::sort(nums.rbegin(), nums.rend());
     const auto n = nums[majority() - 1];
-    if (n <= released || termAt(n) != term) return;
+    if (n <= released || termAt(n) != term)
+      return;
     const auto before = released;
     releaseTo(n);
     for (std::int64_t i = before + 1; i <= released; ++i) {
       const auto* e = entryAt(i);
       if (e && e->op() == OpKind::members && !member(self)) {
-        // Voted out while holding the duty: nothing more to do here.
+        // Voted out while holding the role: nothing more to do here.
         pulse(now, true);
         leader.clear();
-        return setDuty(idleDuty());
+        return setRole(idleRole());
       }
     }
     pulse(now, true);
   }
   const Entry* entryAt(std::int64_t n) const {
-    if (n <= logBase || n > lastNum()) return nullptr;
+    if (n <= logBase || n > lastNum())
+      return nullptr;
     return &log[static_cast<std::size_t>(n - logBase - 1)];
   }
   void touchLearner(Instant now, const std::string& who) {
-    if (who.empty() || who == self) return;
+    if (who.empty() || who == self)
+      return;
     auto [it, fresh] = far.try_emplace(who);
     auto& f = it->second;
     f.heard = now;
-    if (!fresh) return;
+    if (!fresh)
+      return;
     f.next = lastNum() + 1;
     f.progress = now;
     feedOne(now, who, f, true);
   }
   void tendMembers(Instant now) {
     // One numbered change at a time, and only once the last one and our own take-over are released.
-    if (released < takeOverNum) return;
+    if (released < takeOverNum)
+      return;
     for (auto i = released + 1; i <= lastNum(); ++i)
-      if (entryAt(i)->op() == OpKind::members) return;
+      if (entryAt(i)->op() == OpKind::members)
+        return;
     // A learner that has caught up and still answers.
     std::string ready;
     bool returned = false;  // came back empty at a member's place: first
     for (auto& [x, f] : far)
       if (!member(x) && f.match + 8 >= lastNum() && f.match > 0 && now - f.heard < p.pulse * 3) {
-        if (ready.empty()) ready = x;
+        if (ready.empty())
+          ready = x;
         for (auto& mb : members)
-          if (ipOf(mb) == ipOf(x)) ready = x, returned = true;
+          if (ipOf(mb) == ipOf(x))
+            ready = x, returned = true;
       }
     for (auto it = far.begin(); it != far.end();)
-      if (!member(it->first) && now - it->second.heard > p.deadAfter * 2) it = far.erase(it);
-      else ++it;
-    if (ready.empty()) return;
+      if (!member(it->first) && now - it->second.heard > p.deadAfter * 2)
+        it = far.erase(it);
+      else
+        ++it;
+    if (ready.empty())
+      return;
     std::string dead;
     bool allHeard = true;
     for (auto& mb : members) {
-      if (mb == self) continue;
+      if (mb == self)
+        continue;
       const auto it = far.find(mb);
-      if (it == far.end()) continue;
+      if (it == far.end())
+        continue;
       const auto& f = it->second;
       allHeard = allHeard && now - f.heard < p.pulse * 4 && f.match + 8 >= lastNum();
-      if (ipOf(mb) == ipOf(ready) && now - f.heard > p.pulse * 3) dead = mb;
-      if (dead.empty() && now - f.heard > p.deadAfter) dead = mb;
+      if (ipOf(mb) == ipOf(ready) && now - f.heard > p.pulse * 3)
+        dead = mb;
+      if (dead.empty() && now - f.heard > p.deadAfter)
+        dead = mb;
     }
     auto next = members;
-    if (!dead.empty()) next.erase(std::find(next.begin(), next.end(), dead));
-    else if (!returned && (members.size() < needed() || (members.size() < p.membersMost && allHeard))) next.push_back(ready);
-    else return;
+    if (!dead.empty())
+      next.erase(std::find(next.begin(), next.end(), dead));
+    else if (!returned && (members.size() < needed() || (members.size() < p.membersMost && allHeard)))
+      next.push_back(ready);
+    else
+      return;
     Entry e;
     e.kind = static_cast<std::int32_t>(OpKind::members);
     e.blob = joinMembers(next);
-    if (!dead.empty()) far.erase(dead);
+    if (!dead.empty())
+      far.erase(dead);
     append(now, std::move(e));
     pulse(now, false);
   }
@@ -483,11 +547,14 @@
   std::size_t needed() const { return std::max(foundedWith, 2 * p.tolerate + 1); }
 
   // --- the follower ---
-  // Whoever speaks with the sequencer's voice in this term or a higher one is followed, and promised its lease.
+  // Whoever speaks with the leader's voice in this term or a higher one is followed, and promised its lease.
   bool heed(Instant now, const Msg& m) {
-    if (m.term > term) adopt(now, m.term);
-    if (duty == Duty::sequencer) return false;
-    if (duty == Duty::candidate) setDuty(idleDuty());
+    if (m.term > term)
+      adopt(now, m.term);
+    if (role == Role::leader)
+      return false;
+    if (role == Role::candidate)
+      setRole(idleRole());
     leader = m.from;
     leaderHeard = now;
     promised = now + p.lease;
@@ -500,7 +567,8 @@
       r.term = term;
       return send(m.from, r);
     }
-    if (!heed(now, m)) return;
+    if (!heed(now, m))
+      return;
     r.term = term;
     r.nonce = m.nonce;
     if (snapMembers.empty()) {
@@ -513,12 +581,14 @@
       std::erase_if(m.entries, [&](const Entry& e) { return e.num <= logBase; });
       m.num = logBase;
       m.prevTerm = logBaseTerm;
-      if (!m.entries.empty() && m.entries.front().num != logBase + 1) m.entries.clear();
+      if (!m.entries.empty() && m.entries.front().num != logBase + 1)
+        m.entries.clear();
     }
     if (m.num > lastNum() || termAt(m.num) != m.prevTerm) {
       r.flag = true;
       r.num = std::min(std::max(released, std::min(m.num - 1, lastNum())), lastNum());
-      if (m.num <= lastNum()) r.num = released;
+      if (m.num <= lastNum())
+        r.num = released;
       return send(m.from, r, termTicket);
     }
     std::vector<Entry> fresh;
@@ -553,7 +623,7 @@
     }
     releaseTo(std::min(m.commit, matched));
     r.num = std::min(matched, durable);
-    // Why after the term's page: the answer is a promise to this sequencer, which a restart must not forget.
+    // Why after the term's page: the answer is a promise to this leader, which a restart must not forget.
     send(m.from, r, termTicket);
     if (missing) {
       Msg g = msgOf(Kind::pulseAck);
@@ -564,7 +634,8 @@
     }
   }
   void onSnapshot(Instant now, Msg& m) {
-    if (m.term < term || !heed(now, m)) return;
+    if (m.term < term || !heed(now, m))
+      return;
     // Why the log stays where it agrees: what lies above the snapshot may have been counted on already.
     const bool agrees = m.num <= lastNum() && termAt(m.num) == m.prevTerm;
     if (!snapMembers.empty() && (m.num <= released || agrees)) {
@@ -598,11 +669,12 @@
   bool failing() const { return !keeping.empty() && keeping.front().failed; }
   bool sick() const { return !keeping.empty() && (keeping.front().failed || keeping.front().waited > p.diskSick); }
   // A sync ages by the turns of this loop, each counted for two regular ones at most. Why: where the loop itself comes
-  // late, the answer of a good disk lies unread, and the duty would go round among members that are all as busy.
+  // late, the answer of a good disk lies unread, and the role would go round among members that are all as busy.
   void age(Instant now) {
     const auto step = lastTick == Instant{} ? Span(0) : std::min(toSpan(now - lastTick), p.turn * 2);
     lastTick = now;
-    for (auto& k : keeping) k.waited += step;
+    for (auto& k : keeping)
+      k.waited += step;
   }
   Instant lastTick{};
   // Whether any member has synced what we could not: else nobody's disk is better off than ours.
@@ -624,16 +696,17 @@
           best = x;
         }
       }
-    if (best.empty()) return;
+    if (best.empty())
+      return;
     Msg m = msgOf(Kind::handOver);
     m.term = term;
     leader.clear();
     yieldedUntil = now + p.electMin * 3;
-    setDuty(idleDuty());  // the lease ends here, before anybody may start a new one
+    setRole(idleRole());  // the lease ends here, before anybody may start a new one
     armElection(now);
     electAt += p.electMin;
     send(best, m);
-    ring::alarm("hands over the sequencer's duty to " + best);
+    ring::alarm("hands over the leader's role to " + best);
   }
 };
 
@@ -651,7 +724,7 @@
   d.scanMembers();
   d.keep(now, 0, {}, true);
 }
-void Order::recover(const std::vector<Page>& pages, Instant now) {
+void Order::recover(const std::vector<DiskRecord>& pages, Instant now) {
   auto& d = *impl_;
   for (auto& g : pages) {
     d.pageSeq = std::max(d.pageSeq, g.seq);
@@ -669,9 +742,11 @@
       d.logBaseTerm = d.logBase == g.snapNum ? g.snapTerm : -1;
     }
     if (g.from > 0 && !g.entries.empty()) {
-      while (d.lastNum() >= g.from) d.log.pop_back();
+      while (d.lastNum() >= g.from)
+        d.log.pop_back();
       for (auto& e : g.entries)
-        if (e.num == d.lastNum() + 1) d.log.push_back(e);
+        if (e.num == d.lastNum() + 1)
+          d.log.push_back(e);
     }
   }
   d.durable = d.lastNum();
@@ -688,12 +763,14 @@
   // A promise made before the restart is not remembered, so it is kept by waiting.
   d.promised = now + d.p.lease;
   d.restarted = true;
-  // Why soon after: where all came back at once nobody is there to wait for. Who led the newest term it knows of need not
-  // wait: the lease was its own, and it is gone.
+  // Why soon after: where all came back at once nobody is there to wait for. Who led the newest term it knows of need
+  // not wait: the lease was its own, and it is gone.
   d.electAt = d.led > 0 && d.led == d.term ? now + Span(20 + static_cast<std::int64_t>(d.rng() % 30))
                                            : d.promised + Span(20 + static_cast<std::int64_t>(d.rng() % 200));
 }
-void Order::seeds(std::vector<std::string> ips) { impl_->seedIps = std::move(ips); }
+void Order::seeds(std::vector<std::string> ips) {
+  impl_->seedIps = std::move(ips);
+}
 
 void Order::tick(Instant now) {
   auto& d = *impl_;
@@ -708,31 +785,38 @@
       d.out.push_back(std::move(a));
       break;  // in order, one at a time
     }
-  if (d.duty == Duty::sequencer) {
-    if (d.leasedNow(now)) d.lastQuorum = now;
+  if (d.role == Role::leader) {
+    if (d.leasedNow(now))
+      d.lastQuorum = now;
     else if (now - d.lastQuorum > d.p.lease + d.p.electMin) {
       d.leader.clear();
-      d.setDuty(d.idleDuty());
+      d.setRole(d.idleRole());
       d.armElection(now);
       return;
     }
-    if (d.failing() || (d.sick() && d.betterOff(now))) return d.yield(now);
+    if (d.failing() || (d.sick() && d.betterOff(now)))
+      return d.yield(now);
     d.tendMembers(now);
-    if (now - d.lastPulse >= d.p.pulse) d.pulse(now, true);
+    if (now - d.lastPulse >= d.p.pulse)
+      d.pulse(now, true);
     return;
   }
-  if (d.duty == Duty::learner) {
-    if (now - d.lastJoin < d.p.join || now - d.leaderHeard < d.p.pulse * 4) return;
+  if (d.role == Role::learner) {
+    if (now - d.lastJoin < d.p.join || now - d.leaderHeard < d.p.pulse * 4)
+      return;
     d.lastJoin = now;
     Msg m = msgOf(Kind::join);
     std::set<std::string> to;
-    for (auto& x : d.members) to.insert(ipOf(x));
-    for (auto& x : d.seedIps) to.insert(x);
+    for (auto& x : d.members)
+      to.insert(ipOf(x));
+    for (auto& x : d.seedIps)
+      to.insert(x);
     to.erase(ipOf(d.self));
-    for (auto& x : to) d.send(x, m);
+    for (auto& x : to)
+      d.send(x, m);
     return;
   }
-  if (d.duty == Duty::candidate && d.preVoting && now < d.electAt && now - d.lastAsk >= d.p.askAgain) {
+  if (d.role == Role::candidate && d.preVoting && now < d.electAt && now - d.lastAsk >= d.p.askAgain) {
     d.lastAsk = now;
     d.ask(0);
   }
@@ -744,30 +828,36 @@
 void Order::hear(Instant now, Msg m) {
   auto& d = *impl_;
   switch (m.what()) {
-    case Kind::ask: return d.onAsk(now, m);
-    case Kind::granted: return d.onGranted(now, m);
-    case Kind::pulse: return d.onPulse(now, m);
+    case Kind::ask:
+      return d.onAsk(now, m);
+    case Kind::granted:
+      return d.onGranted(now, m);
+    case Kind::pulse:
+      return d.onPulse(now, m);
     case Kind::pulseAck:
       if (m.term > d.term) {
         d.adopt(now, m.term);
         return;
       }
       return d.onPulseAck(now, m);
-    case Kind::snapshot: return d.onSnapshot(now, m);
+    case Kind::snapshot:
+      return d.onSnapshot(now, m);
     case Kind::join:
-      if (d.duty == Duty::sequencer) {
+      if (d.role == Role::leader) {
         d.touchLearner(now, m.from);
       } else if (!d.leader.empty() && now - d.leaderHeard < d.p.lease) {
         Msg r = msgOf(Kind::join);
         r.who = m.from;
         r.flag = true;
-        // Passed on once, so that the sequencer learns of the newcomer.
-        if (!m.flag) d.send(d.leader, r);
+        // Passed on once, so that the leader learns of the newcomer.
+        if (!m.flag)
+          d.send(d.leader, r);
       }
-      if (m.flag && d.duty == Duty::sequencer) d.touchLearner(now, m.who);
+      if (m.flag && d.role == Role::leader)
+        d.touchLearner(now, m.who);
       return;
     case Kind::handOver:
-      if (m.term == d.term && d.duty == Duty::follower && !d.sick()) {
+      if (m.term == d.term && d.role == Role::follower && !d.sick()) {
         d.promised = {};
         d.askTerm = d.term;
         d.campaign(now, false, true);
@@ -782,21 +872,25 @@
         }
       }
       return;
-    default: return;
+    default:
+      return;
   }
 }
 bool Order::submit(Instant now, Entry e) {
   auto& d = *impl_;
-  if (d.duty != Duty::sequencer) return false;
+  if (d.role != Role::leader)
+    return false;
   if (e.omitted) {
     const auto b = d.bodies.find(e.digest);
-    if (b == d.bodies.end()) return false;
+    if (b == d.bodies.end())
+      return false;
     e.blob = b->second;
     e.omitted = false;
   }
   // A write sent again while the first is still on its way is that first write.
   for (auto i = d.released + 1; i <= d.lastNum(); ++i)
-    if (d.entryAt(i)->opId == e.opId) return true;
+    if (d.entryAt(i)->opId == e.opId)
+      return true;
   d.append(now, std::move(e));
   d.pulse(now, false);
   return true;
@@ -804,7 +898,8 @@
 void Order::kept(Instant now, std::int64_t ticket, bool ok) {
   auto& d = *impl_;
   const auto it = std::find_if(d.keeping.begin(), d.keeping.end(), [&](auto& k) { return k.ticket == ticket; });
-  if (it == d.keeping.end()) return;
+  if (it == d.keeping.end())
+    return;
   if (!ok) {
     it->failed = true;
     it->retryAt = now + d.p.keepRetry;
@@ -812,34 +907,41 @@
   }
   const auto lastNum = it->lastNum, lastTerm = it->lastTerm;
   d.keeping.erase(it);
-  if (lastNum <= d.lastNum() && d.termAt(lastNum) == lastTerm) d.durable = std::max(d.durable, lastNum);
-  if (d.duty == Duty::candidate && !d.preVoting && ticket == d.selfVoteTicket) d.yes.insert(d.self);
+  if (lastNum <= d.lastNum() && d.termAt(lastNum) == lastTerm)
+    d.durable = std::max(d.durable, lastNum);
+  if (d.role == Role::candidate && !d.preVoting && ticket == d.selfVoteTicket)
+    d.yes.insert(d.self);
   const auto oldest = d.keeping.empty() ? std::numeric_limits<std::int64_t>::max() : d.keeping.front().ticket;
   auto held = std::move(d.held);
   d.held.clear();
   for (auto& h : held) {
     if (h.ticket < oldest) {
       // Why checked: a vote or a question of a term already left behind says nothing true any more.
-      if (h.msg.term == d.term) d.send(h.to, std::move(h.msg));
+      if (h.msg.term == d.term)
+        d.send(h.to, std::move(h.msg));
     } else {
       d.held.push_back(std::move(h));
     }
   }
   d.maybeWin(now);
-  if (d.duty == Duty::sequencer) return d.settle(now);
+  if (d.role == Role::leader)
+    return d.settle(now);
   if (!d.leader.empty()) {
     Msg r = msgOf(Kind::pulseAck);
     r.term = d.term;
     r.num = std::min(d.matched, d.durable);
-    if (r.num > 0) d.send(d.leader, r);
+    if (r.num > 0)
+      d.send(d.leader, r);
   }
 }
 void Order::compact(std::int64_t num, std::string state, Instant now) {
   auto& d = *impl_;
-  if (num <= d.snapNum || num > d.released) return;
+  if (num <= d.snapNum || num > d.released)
+    return;
   const auto t = d.termAt(num);
   for (auto i = std::max(d.logBase, d.snapNum) + 1; i <= num; ++i)
-    if (d.entryAt(i)->op() == OpKind::members) d.snapMembers = Impl::splitMembers(d.entryAt(i)->blob);
+    if (d.entryAt(i)->op() == OpKind::members)
+      d.snapMembers = Impl::splitMembers(d.entryAt(i)->blob);
   d.snapNum = num;
   d.snapTerm = t;
   d.state = std::move(state);
@@ -851,22 +953,46 @@
   d.keep(now, 0, {}, true);
 }
 void Order::handOver(Instant now) {
-  if (impl_->duty == Duty::sequencer) impl_->yield(now);
+  if (impl_->role == Role::leader)
+    impl_->yield(now);
+}
+std::vector<Action> Order::take() {
+  return std::exchange(impl_->out, {});
+}
+Role Order::role() const {
+  return impl_->role;
+}
+std::int64_t Order::term() const {
+  return impl_->term;
+}
+std::string Order::leader() const {
+  return impl_->leader;
+}
+std::int64_t Order::released() const {
+  return impl_->released;
+}
+std::int64_t Order::firstKept() const {
+  return impl_->logBase + 1;
+}
+bool Order::leased(Instant now) const {
+  return impl_->leasedNow(now) && impl_->released >= impl_->takeOverNum;
+}
+const std::vector<std::string>& Order::members() const {
+  return impl_->members;
+}
+const Entry* Order::at(std::int64_t n) const {
+  return impl_->entryAt(n);
+}
+bool Order::diskSick(Instant) const {
+  return impl_->sick();
 }
-std::vector<Action> Order::take() { return std::exchange(impl_->out, {}); }
-Duty Order::duty() const { return impl_->duty; }
-std::int64_t Order::term() const { return impl_->term; }
-std::string Order::sequencer() const { return impl_->leader; }
-std::int64_t Order::released() const { return impl_->released; }
-std::int64_t Order::firstKept() const { return impl_->logBase + 1; }
-bool Order::leased(Instant now) const { return impl_->leasedNow(now) && impl_->released >= impl_->takeOverNum; }
-const std::vector<std::string>& Order::members() const { return impl_->members; }
-const Entry* Order::at(std::int64_t n) const { return impl_->entryAt(n); }
-bool Order::diskSick(Instant) const { return impl_->sick(); }
 std::string Order::debug() const {
   std::string s = "keeping";
-  for (auto& k : impl_->keeping) s += " " + std::to_string(k.page.seq) + (k.failed ? "(failed)" : "");
+  for (auto& k : impl_->keeping)
+    s += " " + std::to_string(k.page.seq) + (k.failed ? "(failed)" : "");
   return s;
 }
-const std::string& Order::self() const { return impl_->self; }
+const std::string& Order::self() const {
+  return impl_->self;
+}
 }  // namespace zc
--- a/libs/log/src/queue.cpp
+++ b/libs/consensus/src/queue.cpp
@@ -1,22 +1,26 @@
-#include "log/queue.hpp"
+#include "consensus/queue.hpp"
 
 namespace zc {
 namespace {
 constexpr std::size_t kBodies = 4;
 }
 void Queue::offer(Entry e) {
-  if (e.num <= applied_) return;
+  if (e.num <= applied_)
+    return;
   // Why the full one wins: an entry without its body can't be applied, one with it can.
   auto [it, fresh] = waiting_.try_emplace(e.num, e);
-  if (!fresh && it->second.omitted && !e.omitted) it->second = std::move(e);
+  if (!fresh && it->second.omitted && !e.omitted)
+    it->second = std::move(e);
 }
 void Queue::body(const std::string& digest, std::string blob) {
   bodies_.emplace_back(digest, std::move(blob));
-  if (bodies_.size() > kBodies) bodies_.pop_front();
+  if (bodies_.size() > kBodies)
+    bodies_.pop_front();
 }
 std::optional<Entry> Queue::next() {
   const auto it = waiting_.find(applied_ + 1);
-  if (it == waiting_.end()) return std::nullopt;
+  if (it == waiting_.end())
+    return std::nullopt;
   auto& e = it->second;
   if (e.omitted) {
     for (auto& [d, b] : bodies_)
@@ -25,7 +29,8 @@
         e.omitted = false;
         break;
       }
-    if (e.omitted) return std::nullopt;
+    if (e.omitted)
+      return std::nullopt;
   }
   Entry out = std::move(e);
   waiting_.erase(it);
@@ -36,5 +41,7 @@
   applied_ = applied;
   waiting_.erase(waiting_.begin(), waiting_.upper_bound(applied));
 }
-bool Queue::gap() const { return !waiting_.empty(); }
+bool Queue::gap() const {
+  return !waiting_.empty();
+}
 }  // namespace zc
--- a/libs/harbourmaster/src/core.cpp
+++ b/libs/controller/src/core.cpp
@@ -3,82 +3,102 @@
 #include <dirent.h>
 #include <unistd.h>
 
-#include "keel/ring.hpp"
+#include "runtime/log_ring.hpp"
 
 namespace zc {
 namespace {
 constexpr auto kTick = 50ms;
-constexpr auto kAgain = 250ms;          // a write without an outcome is sent again
+constexpr auto kAgain = 250ms;  // a write without an outcome is sent again
 constexpr std::int64_t kCompactAfter = 96;
 constexpr std::size_t kView = 12;
 constexpr std::size_t kMemberBacklog = 4u << 20;  // bytes that wait for a member before it is told again later
 constexpr auto kTellPartner = 2000ms;
-constexpr int kViewEvery = 8;          // state messages: the members and a part of the view go with each so many-th
-std::string hostOf(const std::string& addr) { return addr.substr(0, addr.rfind(':')); }
+constexpr int kViewEvery = 8;  // state messages: the members and a part of the view go with each so many-th
+std::string hostOf(const std::string& addr) {
+  return addr.substr(0, addr.rfind(':'));
+}
 }  // namespace
 
 Core::Core(Settings s) : s_(std::move(s)), view_(s_.ip + "/core", kView, drawSeed()) {}
 Core::~Core() = default;
 
 Outcome<void> Core::start() {
-  if (s_.dataDir.empty()) return fault(0, "settings name no dataDir for a core machine");
+  if (s_.dataDir.empty())
+    return fault(0, "settings name no dataDir for a core machine");
   boot_ = drawSeed();
   if (s_.partner) {
     auto key = HintKey::from(s_.partner->secret);
-    if (!key) return tl::unexpected(key.error());
+    if (!key)
+      return tl::unexpected(key.error());
     hintKey_ = *key;
     hints_.emplace(*key, kHintBounds, drawSeed());
   }
-  quota_.bounds({s_.timers.quotaExcess, s_.timers.quotaSlack, static_cast<double>(s_.timers.quotaWindow.count()) / 1000});
+  quota_.bounds(
+      {s_.timers.quotaExcess, s_.timers.quotaSlack, static_cast<double>(s_.timers.quotaWindow.count()) / 1000});
   const auto now = Clock::now();
-  Store store(s_.dataDir);
+  Storage store(s_.dataDir);
   auto pages = store.load();
   if (!pages && pages.error().code == kOtherFormat)
-    return fault(0, s_.dataDir + ": " + pages.error().text + "; start that version, or empty the folder to join as a new member");
+    return fault(0, s_.dataDir + ": " + pages.error().text +
+                        "; start that version, or empty the folder to join as a new member");
   if (!pages) {
     // What can't be trusted is not voted with: this disk starts again as an empty one.
-    ring::alarm("disk declined: " + pages.error().text);
+    ring::alarm("disk errorResponse: " + pages.error().text);
     if (auto* d = ::opendir(s_.dataDir.c_str())) {
       while (auto* e = ::readdir(d))
-        if (e->d_name[0] != '.') ::unlink((s_.dataDir + "/" + e->d_name).c_str());
+        if (e->d_name[0] != '.')
+          ::unlink((s_.dataDir + "/" + e->d_name).c_str());
       ::closedir(d);
     }
-    store = Store(s_.dataDir);
+    store = Storage(s_.dataDir);
     pages = store.load();
-    if (!pages) return tl::unexpected(pages.error());
+    if (!pages)
+      return tl::unexpected(pages.error());
   }
   std::vector<std::string> founders, seedIps;
-  for (auto& x : s_.seeds) seedIps.push_back(hostOf(x));
-  for (auto& x : seedIps) founders.push_back(x + "#0");
+  for (auto& x : s_.seeds)
+    seedIps.push_back(hostOf(x));
+  for (auto& x : seedIps)
+    founders.push_back(x + "#0");
   const bool founder = s_.initialAttach && std::find(seedIps.begin(), seedIps.end(), s_.ip) != seedIps.end();
   std::string self;
-  if (!pages->empty()) self = pages->front().self;
-  else if (founder) self = s_.ip + "#0";
-  else self = s_.ip + "#" + std::to_string(boot_ | 1);
+  if (!pages->empty())
+    self = pages->front().self;
+  else if (founder)
+    self = s_.ip + "#0";
+  else
+    self = s_.ip + "#" + std::to_string(boot_ | 1);
   OrderParams params;
   params.tolerate = static_cast<std::size_t>(s_.tolerateMachines);
   order_ = std::make_unique<Order>(self, params, boot_, now);
   order_->seeds(seedIps);
-  for (auto& x : seedIps) view_.add(x + "/core");
-  disk_ = std::make_unique<Disk>(std::move(store));
-  if (!pages->empty()) order_->recover(*pages, now);
-  else if (founder) order_->found(founders, now);
+  for (auto& x : seedIps)
+    view_.add(x + "/core");
+  disk_ = std::make_unique<StorageThread>(std::move(store));
+  if (!pages->empty())
+    order_->recover(*pages, now);
+  else if (founder)
+    order_->found(founders, now);
   ring::note("starts as " + self + (pages->empty() ? founder ? ", a founder" : ", empty" : ", with its disk"));
   auto ep = parseEndpoint(s_.ip + ":" + std::to_string(s_.portFirst));
-  if (!ep) return tl::unexpected(ep.error());
+  if (!ep)
+    return tl::unexpected(ep.error());
   auto ok = listen(*ep, [this](tcp::socket sock) {
-    auto l = std::make_shared<Link>(
-        std::move(sock), [this](const LinkPtr& x, Msg m) { onMsg(x, std::move(m)); }, [](const LinkPtr&) {});
+    auto l = std::make_shared<PeerLink>(
+        std::move(sock), [this](const PeerLinkPtr& x, Msg m) { onMsg(x, std::move(m)); }, [](const PeerLinkPtr&) {});
     l->start();
   });
-  if (!ok) return ok;
+  if (!ok)
+    return ok;
   // Why at once: the first question to the others must not be lost to a connection not dialled yet.
-  for (auto& x : order_->members()) mooring(ipOf(x));
+  for (auto& x : order_->members())
+    dialer(ipOf(x));
   if (order_->members().empty())
-    for (auto& x : seedIps) mooring(x);
-  Quay::get().every(kTick, [this] { tick(); });
-  Quay::get().every(1000ms, [this] {
-    const auto seq = order_->sequencer();
+    for (auto& x : seedIps)
+      dialer(x);
+  EventLoop::get().every(kTick, [this] { tick(); });
+  EventLoop::get().every(1000ms, [this] {
+    const auto seq = order_->leader();
     if (!beatsToTell_.empty() && !seq.empty() && seq != order_->self()) {
       Msg m = msgOf(Kind::beats);
       m.names = std::exchange(beatsToTell_, {});
@@ -91,69 +111,87 @@
     nodesHeard_ = static_cast<std::int64_t>(loads_.size());
     watchRunners(Clock::now());
   });
-  if (hints_) Quay::get().every(kTellPartner, [this] { tellPartner(); });
+  if (hints_)
+    EventLoop::get().every(kTellPartner, [this] { tellPartner(); });
   run();
   return {};
 }
 
 void Core::tick() {
   order_->tick(Clock::now());
-  if (wasSequencer_ && ++turns_ % 4 == 0) outliers_.weigh(Clock::now(), copy_.state().runners);
+  if (wasLeader_ && ++turns_ % 4 == 0)
+    outliers_.weigh(Clock::now(), copy_.state().runners);
   run();
 }
 void Core::run() {
   // Why one level only: an action's effect may ask for more, which the running loop picks up.
-  if (running_) return;
+  if (running_)
+    return;
   running_ = true;
   for (auto acts = order_->take(); !acts.empty(); acts = order_->take())
-    for (auto& a : acts) switch (a.what) {
-        case Action::What::send: sendTo(a.to, a.msg); break;
+    for (auto& a : acts)
+      switch (a.what) {
+        case Action::What::send:
+          sendTo(a.to, a.msg);
+          break;
         case Action::What::keep:
           disk_->keep(std::move(a.page), [this, t = a.ticket](bool ok) {
-            if (!ok) ring::alarm("the disk took no page");
+            if (!ok)
+              ring::alarm("the disk took no page");
             order_->kept(Clock::now(), t, ok);
             run();
           });
           break;
-        case Action::What::release: release(a.entry); break;
-        case Action::What::install: install(a.entry); break;
-        case Action::What::duty: break;
+        case Action::What::release:
+          release(a.entry);
+          break;
+        case Action::What::install:
+          install(a.entry);
+          break;
+        case Action::What::role:
+          break;
       }
   running_ = false;
-  const bool seq = order_->duty() == Duty::sequencer;
-  if (seq && !wasSequencer_) {
-    dutySince_ = Clock::now();
-    quota_.takeOver(dutySince_);
+  const bool seq = order_->role() == Role::leader;
+  if (seq && !wasLeader_) {
+    leaderSince_ = Clock::now();
+    quota_.takeOver(leaderSince_);
     outliers_.takeOver(order_->term());
-    ring::note("takes the sequencer's duty in term " + std::to_string(order_->term()));
+    ring::note("takes the leader's role in term " + std::to_string(order_->term()));
   }
-  if (!seq && wasSequencer_)
-    for (auto& [n, t] : tenders_) t.fed = -1;
-  wasSequencer_ = seq;
-  if (order_->sequencer() != lastSequencer_) {
-    lastSequencer_ = order_->sequencer();
-    tellTenders();
+  if (!seq && wasLeader_)
+    for (auto& [n, t] : agents_)
+      t.fed = -1;
+  wasLeader_ = seq;
+  if (order_->leader() != lastLeader_) {
+    lastLeader_ = order_->leader();
+    tellAgents();
     for (auto& [id, ws] : writes_)
-      for (auto* w : ws) w->w.wake();
+      for (auto* w : ws)
+        w->w.wake();
   }
-  if (seq) feedAll();
+  if (seq)
+    feedAll();
 }
 void Core::release(const Entry& e) {
   const auto c = copy_.apply(e);
   // Why stop: what every member applied alike came out otherwise here. The disk's pages, replayed, set it right.
   must(!c.damaged, "a core copy that differs from the others");
-  if (c.configuration) adoptConfiguration();
+  if (c.configuration)
+    adoptConfiguration();
   if (const auto it = writes_.find(e.opId); it != writes_.end())
     for (auto* w : it->second) {
       w->verdict = copy_.verdictOf(e.opId);
       w->w.wake();
     }
   for (auto& [n, r] : reads_)
-    if (r->num >= 0 && copy_.state().num >= r->num) r->w.wake();
+    if (r->num >= 0 && copy_.state().num >= r->num)
+      r->w.wake();
   // State messages tell what nobody will ask for again; one far behind takes a snapshot in the end.
   auto needed = copy_.state().num;
-  for (auto& [n, t] : tenders_)
-    if (t.link->open()) needed = std::min(needed, t.applied);
+  for (auto& [n, t] : agents_)
+    if (t.link->open())
+      needed = std::min(needed, t.applied);
   const bool forgettable = needed + kCompactAfter / 2 >= copy_.state().num;
   if (++sinceCompact_ >= (forgettable ? kCompactAfter : 4 * kCompactAfter)) {
     sinceCompact_ = 0;
@@ -161,7 +199,8 @@
   }
 }
 void Core::install(const Entry& e) {
-  if (auto r = copy_.restore(e.blob); !r) ring::alarm("snapshot declined: " + r.error().text);
+  if (auto r = copy_.restore(e.blob); !r)
+    ring::alarm("snapshot errorResponse: " + r.error().text);
   adoptConfiguration();
   for (auto& [id, ws] : writes_)
     if (auto v = copy_.verdictOf(id))
@@ -171,22 +210,26 @@
       }
 }
 void Core::adoptConfiguration() {
-  if (copy_.state().configuration.empty()) return;
-  if (auto c = parseConfiguration(copy_.state().configuration)) cfg_ = *c;
-  else ring::alarm("a taken configuration can't be read: " + c.error().text);
+  if (copy_.state().configuration.empty())
+    return;
+  if (auto c = parseConfiguration(copy_.state().configuration))
+    cfg_ = *c;
+  else
+    ring::alarm("a taken configuration can't be read: " + c.error().text);
 }
 
-Mooring* Core::mooring(const std::string& ip) {
-  if (ip == s_.ip) return nullptr;
-  auto& m = moorings_[ip];
+Dialer* Core::dialer(const std::string& ip) {
+  if (ip == s_.ip)
+    return nullptr;
+  auto& m = dialers_[ip];
   if (!m) {
     auto ep = parseEndpoint(ip + ":" + std::to_string(s_.portFirst));
     if (!ep) {
-      moorings_.erase(ip);
+      dialers_.erase(ip);
       return nullptr;
     }
-    m = std::make_unique<Mooring>(
-        *ep, [this](const LinkPtr& l, Msg x) { onMsg(l, std::move(x)); }, [](const LinkPtr&) {});
+    m = std::make_unique<Dialer>(
+        *ep, [this](const PeerLinkPtr& l, Msg x) { onMsg(l, std::move(x)); }, [](const PeerLinkPtr&) {});
   }
   return m.get();
 }
@@ -194,23 +237,27 @@
   Msg x = m;
   x.from = order_->self();
   // The order bears losses: one that reads slowly is told again later.
-  auto post = [&](Link& l) {
-    if (l.backlog() <= kMemberBacklog) l.send(x);
+  auto post = [&](PeerLink& l) {
+    if (l.backlog() <= kMemberBacklog)
+      l.send(x);
   };
   // An answer goes back on the connection the other spoke on; only what has none goes on a dialled one.
   const auto it = lastLink_.find(member);
   if (it != lastLink_.end())
-    if (auto l = it->second.lock(); l && l->open() && Clock::now() - l->heard() < 1s) return post(*l);
-  if (auto* mo = mooring(ipOf(member)); mo && mo->up()) post(*mo->link());
+    if (auto l = it->second.lock(); l && l->open() && Clock::now() - l->heard() < 1s)
+      return post(*l);
+  if (auto* mo = dialer(ipOf(member)); mo && mo->up())
+    post(*mo->link());
 }
-void Core::onMsg(const LinkPtr& l, Msg m) {
+void Core::onMsg(const PeerLinkPtr& l, Msg m) {
   const auto now = Clock::now();
   switch (m.what()) {
     case Kind::state: {
-      auto& t = tenders_[m.from];
+      auto& t = agents_[m.from];
       if (t.link != l) {
-        if (t.link && t.link->open()) t.link->end();
-        t = Tender{};
+        if (t.link && t.link->open())
+          t.link->end();
+        t = AgentSession{};
         t.link = l;
       }
       view_.add(ipOf(m.from) + "/access");
@@ -219,26 +266,31 @@
       auto r = stateAck();
       // Changes only: what the far end was told on this link already is left out.
       std::size_t members = 0;
-      for (auto& x : r.names) members = hash64(x, members);
-      if (std::exchange(t.members, members) == members && t.told % kViewEvery) r.names.clear(), r.view.clear();
+      for (auto& x : r.names)
+        members = hash64(x, members);
+      if (std::exchange(t.members, members) == members && t.told % kViewEvery)
+        r.names.clear(), r.view.clear();
       ++t.told;
       return l->send(r);
     }
     case Kind::follow: {
-      auto& t = tenders_[m.from];
+      auto& t = agents_[m.from];
       // Why not while something is under way: it would be sent again and again to one that reads slowly.
-      if (m.flag && t.link == l && t.fed >= 0 && l->backlog() > 0) return;
+      if (m.flag && t.link == l && t.fed >= 0 && l->backlog() > 0)
+        return;
       t.link = l;
       t.fed = std::max<std::int64_t>(0, m.num);
       t.held = m.names.empty() ? std::string{} : m.names.front();
-      if (order_->duty() != Duty::sequencer) return l->send(stateAck());
+      if (order_->role() != Role::leader)
+        return l->send(stateAck());
       // A refetch must be answered in full: what was omitted before is not omitted again.
       // One that holds nothing, or nothing that it trusts, takes a snapshot instead.
       if (m.flag && t.fed > 0 && t.fed + 1 >= order_->firstKept()) {
         Msg r = msgOf(Kind::feed);
         r.from = order_->self();
         r.term = order_->term();
-        for (auto n = t.fed + 1; n <= order_->released(); ++n) r.entries.push_back(*order_->at(n));
+        for (auto n = t.fed + 1; n <= order_->released(); ++n)
+          r.entries.push_back(*order_->at(n));
         r.num = order_->released();
         t.fed = r.num;
         return l->sendBulk(frameOf(r));
@@ -250,18 +302,20 @@
       Msg r = msgOf(Kind::lease);
       r.from = order_->self();
       r.nonce = m.nonce;
-      r.who = order_->sequencer();
+      r.who = order_->leader();
       r.term = order_->term();
       r.ok = order_->leased(now);
       r.num = order_->released();
       r.commit = nodesHeard_;
-      if (!m.load.empty()) loads_[m.from] = {m.load, now};
+      if (!m.load.empty())
+        loads_[m.from] = {m.load, now};
       if (r.ok && m.flag) {
         r.grants = quota_.draw(now, m.from, m.grants, m.holds, cfg_.get());
         outliers_.told(now, m.from, m.seen);
         // Changes only: who has the newest list is told no more.
         r.prevTerm = outliers_.version();
-        if (m.prevTerm != r.prevTerm) r.seen = outliers_.list();
+        if (m.prevTerm != r.prevTerm)
+          r.seen = outliers_.list();
       }
       return l->send(r);
     }
@@ -270,7 +324,8 @@
       r.from = order_->self();
       r.ok = order_->leased(now);
       // Why for nobody in particular: what waits is spent at once and belongs to no stash.
-      if (r.ok) r.grants = quota_.draw(now, {}, m.grants, {}, cfg_.get());
+      if (r.ok)
+        r.grants = quota_.draw(now, {}, m.grants, {}, cfg_.get());
       r.from.clear();
       return l->send(r);
     }
@@ -278,42 +333,55 @@
       Msg r = msgOf(Kind::held);
       r.nonce = m.nonce;
       // Alike whether the partner does not hold it, or has not told: only whether to go there.
-      if (hints_ && order_->leased(now) && hints_->elsewhere(now, hintEpoch(), static_cast<std::uint64_t>(m.num), static_cast<std::uint64_t>(m.prevTerm)))
+      if (hints_ && order_->leased(now) &&
+          hints_->elsewhere(now, hintEpoch(), static_cast<std::uint64_t>(m.num),
+                            static_cast<std::uint64_t>(m.prevTerm)))
         r.names = s_.partner->access;
       return l->send(r);
     }
     case Kind::lease: {
       const auto it = reads_.find(m.nonce);
-      if (it == reads_.end()) return;
-      if (m.ok) it->second->num = m.num;
+      if (it == reads_.end())
+        return;
+      if (m.ok)
+        it->second->num = m.num;
       it->second->w.wake();
       return;
     }
-    case Kind::stateAck: view_.merge(m.view); return;
+    case Kind::stateAck:
+      view_.merge(m.view);
+      return;
     case Kind::submit: {
       lastLink_[m.from] = l;
       Msg r = msgOf(Kind::submitAck);
       r.ok = true;
       // A write sent again after it was released is that same write; the sender sees it in its own queue.
       for (auto& e : m.entries)
-        if (!copy_.verdictOf(e.opId)) r.ok = order_->submit(now, std::move(e)) && r.ok;
+        if (!copy_.verdictOf(e.opId))
+          r.ok = order_->submit(now, std::move(e)) && r.ok;
       sendTo(m.from, r);
       return run();
     }
-    case Kind::submitAck: return;
+    case Kind::submitAck:
+      return;
     case Kind::beats:
-      for (auto& id : m.names) beats_[id] = now;
+      for (auto& id : m.names)
+        beats_[id] = now;
       return l->send(stateAck());
-    default: break;
+    default:
+      break;
   }
-  if (m.from.empty()) return;
+  if (m.from.empty())
+    return;
   lastLink_[m.from] = l;
   view_.add(ipOf(m.from) + "/core");
   order_->hear(now, std::move(m));
   run();
 }
 
-std::string Core::opId() { return order_->self() + "/" + std::to_string(boot_ % 100000) + "." + std::to_string(++opNo_); }
+std::string Core::opId() {
+  return order_->self() + "/" + std::to_string(boot_ % 100000) + "." + std::to_string(++opNo_);
+}
 
 Outcome<std::int32_t> Core::write(Entry e, Span within) {
   const auto end = Clock::now() + within;
@@ -321,7 +389,7 @@
   writes_[e.opId].push_back(&me);
   bool shared = false;
   while (!me.verdict && Clock::now() < end) {
-    const auto seq = order_->sequencer();
+    const auto seq = order_->leader();
     if (seq == order_->self()) {
       order_->submit(Clock::now(), e);
       run();
@@ -329,28 +397,35 @@
       Msg m = msgOf(Kind::submit);
       m.entries.push_back(e);
       if (e.blob.size() > kBulkyBody && !e.digest.empty()) {
-        if (!shared) shareBody(e);
+        if (!shared)
+          shareBody(e);
         // Sent again, it goes whole: the body may have been lost.
-        if (!shared) m.entries[0].blob.clear(), m.entries[0].omitted = true;
+        if (!shared)
+          m.entries[0].blob.clear(), m.entries[0].omitted = true;
         shared = true;
       }
       sendTo(seq, m);
     }
-    if (me.verdict) break;
-    Quay::get().waitFor(me.w, std::min(toSpan(end - Clock::now()) + 1ms, Span(kAgain)));
-    if (!me.verdict) me.verdict = copy_.verdictOf(e.opId);
+    if (me.verdict)
+      break;
+    EventLoop::get().waitFor(me.w, std::min(toSpan(end - Clock::now()) + 1ms, Span(kAgain)));
+    if (!me.verdict)
+      me.verdict = copy_.verdictOf(e.opId);
   }
   auto& v = writes_[e.opId];
   v.erase(std::find(v.begin(), v.end(), &me));
-  if (v.empty()) writes_.erase(e.opId);
-  if (!me.verdict) return fault(503, "no outcome yet");
+  if (v.empty())
+    writes_.erase(e.opId);
+  if (!me.verdict)
+    return fault(503, "no outcome yet");
   return *me.verdict;
 }
 Outcome<void> Core::fresh(Span within) {
   const auto end = Clock::now() + within;
   while (Clock::now() < end) {
-    if (order_->leased(Clock::now())) return {};
-    const auto seq = order_->sequencer();
+    if (order_->leased(Clock::now()))
+      return {};
+    const auto seq = order_->leader();
     Read me;
     const auto n = ++nonce_;
     reads_[n] = &me;
@@ -361,11 +436,14 @@
     }
     const auto until = std::min(end, Clock::now() + 400ms);
     while (Clock::now() < until && (me.num < 0 || copy_.state().num < me.num))
-      if (!Quay::get().waitFor(me.w, std::max(1ms, toSpan(until - Clock::now())))) break;
-      else if (me.num < 0) break;
+      if (!EventLoop::get().waitFor(me.w, std::max(1ms, toSpan(until - Clock::now()))))
+        break;
+      else if (me.num < 0)
+        break;
     reads_.erase(n);
-    if (me.num >= 0 && copy_.state().num >= me.num) return {};
-    Quay::get().pause(50ms);
+    if (me.num >= 0 && copy_.state().num >= me.num)
+      return {};
+    EventLoop::get().pause(50ms);
   }
   return fault(503, "no fresh lease");
 }
@@ -374,14 +452,17 @@
   beatsToTell_.push_back(id);
 }
 void Core::watchRunners(Instant now) {
-  if (!order_->leased(now)) return;
+  if (!order_->leased(now))
+    return;
   // Why not sooner: a runner must have had time to find a node that answers, and we to hear of it.
   const auto patience = s_.heartbeat * 3 + 1500ms;
-  if (now - dutySince_ < patience) return;
+  if (now - leaderSince_ < patience)
+    return;
   std::vector<Runner> missed;
   for (auto& r : copy_.state().runners) {
     const auto it = beats_.find(r.id);
-    if (it == beats_.end() || now - it->second > patience) missed.push_back(r);
+    if (it == beats_.end() || now - it->second > patience)
+      missed.push_back(r);
   }
   for (auto& r : missed) {
     auto gone = r;
@@ -391,28 +472,33 @@
     order_->submit(now, runnerOp(gone, "missed/" + r.id + "/" + std::to_string(r.sequence)));
   }
   std::erase_if(beats_, [&](auto& b) { return now - b.second > 60s; });
-  if (!missed.empty()) run();
+  if (!missed.empty())
+    run();
 }
 void Core::reread(Settings s) {
   std::vector<std::string> ips;
-  for (auto& x : s.seeds) ips.push_back(hostOf(x));
-  for (auto& x : ips) view_.add(x + "/core");
+  for (auto& x : s.seeds)
+    ips.push_back(hostOf(x));
+  for (auto& x : ips)
+    view_.add(x + "/core");
   order_->seeds(ips);
   s_.seeds = s.seeds;
   s_.timers = s.timers;
   ring::note("settings read again");
 }
 void Core::leave(std::function<void()> done) {
-  if (leaving_) return;
+  if (leaving_)
+    return;
   leaving_ = true;
   order_->handOver(Clock::now());
   run();
-  auto t = std::make_shared<asio::steady_timer>(Quay::get().io(), 400ms);
+  auto t = std::make_shared<asio::steady_timer>(EventLoop::get().io(), 400ms);
   t->async_wait([t, done](Ec) { done(); });
 }
-std::string Core::sequencerControl() const {
-  const auto seq = order_->sequencer();
-  if (seq.empty() || seq == order_->self()) return {};
+std::string Core::leaderControl() const {
+  const auto seq = order_->leader();
+  if (seq.empty() || seq == order_->self())
+    return {};
   return ipOf(seq) + s_.controlAddr.substr(s_.controlAddr.rfind(':'));
 }
 }  // namespace zc
--- a/libs/harbourmaster/src/core.hpp
+++ b/libs/controller/src/core.hpp
@@ -1,15 +1,15 @@
 // One core machine's part in the fleet: the order, the copy, the links, and who waits for what.
 #pragma once
-#include "charter/configuration.hpp"
-#include "charter/settings.hpp"
-#include "disk.hpp"
+#include "config/configuration.hpp"
+#include "config/settings.hpp"
+#include "consensus/order.hpp"
 #include "hints/hints.hpp"
-#include "log/order.hpp"
 #include "outliers.hpp"
 #include "quota.hpp"
-#include "registry/copy.hpp"
-#include "signal/link.hpp"
-#include "signal/view.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "storage_thread.hpp"
+#include "transport/partial_view.hpp"
+#include "transport/peer_link.hpp"
 namespace zc {
 constexpr std::size_t kBulkyBody = 16384;  // above this a write's body goes ahead from its sender
 constexpr HintBounds kHintBounds{};
@@ -20,10 +20,10 @@
   Outcome<void> start();
   // Parks the calling fiber until its own write has left the queue here; the verdict is the copy's.
   Outcome<std::int32_t> write(Entry e, Span within);
-  // Parks until this copy is as new as the sequencer's at the time of asking.
+  // Parks until this copy is as new as the leader's at the time of asking.
   Outcome<void> fresh(Span within);
   std::string opId();
-  const Copy& copy() const { return copy_; }
+  const ReplicatedState& copy() const { return copy_; }
   void beat(const std::string& id);
   void reread(Settings s);
   // Hints from the partner site, as its call brought them; the answer is our own news, sealed.
@@ -32,18 +32,18 @@
   void leave(std::function<void()> done);
   std::string statusJson() const;
   std::string closuresJson() const;
-  double perS() const;                     // requests a second over all pilots heard from
-  std::string sequencerControl() const;    // empty: unknown, or it is us
+  double perS() const;                // requests a second over all proxies heard from
+  std::string leaderControl() const;  // empty: unknown, or it is us
   const Settings& settings() const { return s_; }
 
  private:
-  struct Tender {
-    LinkPtr link;
-    std::int64_t fed = -1;  // -1: asks for nothing here
+  struct AgentSession {
+    PeerLinkPtr link;
+    std::int64_t fed = -1;     // -1: asks for nothing here
     std::int64_t applied = 0;  // by its state messages
     int told = 0;              // state messages answered on this link
     std::size_t members = 0;   // hash of the members last told
-    std::string held;          // digest of the configuration that it said it holds
+    std::string held;          // digest of the configuration that it response it holds
   };
   struct Write {
     Waiter w;
@@ -54,40 +54,41 @@
     std::int64_t num = -1;
   };
   void run();  // carries out what the order asks for
-  void onMsg(const LinkPtr& l, Msg m);
+  void onMsg(const PeerLinkPtr& l, Msg m);
   void release(const Entry& e);
   void install(const Entry& e);
   void adoptConfiguration();
-  void feed(Tender& t);
+  void feed(AgentSession& t);
   void feedAll();
-  // What brings a copy from a number to the newest, encoded once for all tenders that stand there.
+  // What brings a copy from a number to the newest, encoded once for all agents that stand there.
   std::shared_ptr<const std::string> feedFrame(std::int64_t from, const std::string& held);
   void dropSilent(Instant now);
   std::int64_t hintEpoch() const;
   void tellPartner();
   void tick();
-  void tellTenders();
+  void tellAgents();
   void sendTo(const std::string& member, const Msg& m);
-  Mooring* mooring(const std::string& ip);
+  Dialer* dialer(const std::string& ip);
   Msg stateAck();
   void watchRunners(Instant now);
   void shareBody(const Entry& e);
 
   Settings s_;
   std::unique_ptr<Order> order_;
-  std::unique_ptr<Disk> disk_;
-  Copy copy_;
+  std::unique_ptr<StorageThread> disk_;
+  ReplicatedState copy_;
   std::shared_ptr<const Configuration> cfg_;
-  QuotaDesk quota_;
-  OutlierDesk outliers_;
+  QuotaAllocator quota_;
+  OutlierDetector outliers_;
   std::optional<HintKey> hintKey_;
-  std::optional<HintDesk> hints_;  // none: no partner site
+  std::optional<HintTable> hints_;  // none: no partner site
   bool tellingHints_ = false;
-  View view_;
-  std::map<std::string, std::unique_ptr<Mooring>> moorings_;
-  std::map<std::string, std::weak_ptr<Link>> lastLink_;
-  std::map<std::string, Tender> tenders_;
-  std::map<std::pair<std::int64_t, std::string>, std::shared_ptr<const std::string>> frames_;  // of `feedFrame`, until the newest number changes
+  PartialView view_;
+  std::map<std::string, std::unique_ptr<Dialer>> dialers_;
+  std::map<std::string, std::weak_ptr<PeerLink>> lastLink_;
+  std::map<std::string, AgentSession> agents_;
+  std::map<std::pair<std::int64_t, std::string>, std::shared_ptr<const std::string>>
+      frames_;  // of `feedFrame`, until the newest number changes
   std::int64_t framesOf_ = -1;
   std::map<std::string, std::vector<Write*>> writes_;
   std::map<std::int64_t, Read*> reads_;
@@ -95,15 +96,15 @@
     std::vector<Grant> places;
     Instant at;
   };
-  std::map<std::string, Load> loads_;  // by tender
+  std::map<std::string, Load> loads_;  // by agent
   std::map<std::string, Instant> beats_;
   std::vector<std::string> beatsToTell_;
   std::int64_t opNo_ = 0, nonce_ = 0, sinceCompact_ = 0;
   std::uint64_t turns_ = 0;
   std::int64_t nodesHeard_ = 0;  // access nodes that asked for a lease in the last half minute
   std::uint64_t boot_ = 0;
-  std::string lastSequencer_;
-  Instant dutySince_{};
-  bool wasSequencer_ = false, running_ = false, leaving_ = false;
+  std::string lastLeader_;
+  Instant leaderSince_{};
+  bool wasLeader_ = false, running_ = false, leaving_ = false;
 };
 }  // namespace zc
--- a/libs/harbourmaster/src/outliers.cpp
+++ b/libs/controller/src/outliers.cpp
@@ -4,20 +4,20 @@
 
 namespace zc {
 namespace {
-constexpr double kHalfLifeS = 2;      // of a word
+constexpr double kHalfLifeS = 2;  // of a word
 constexpr auto kWordLives = 4s;
-constexpr double kEnough = 2.5;       // bad attempts, faded
-constexpr std::size_t kNodes = 2;     // nobody is set aside on one node's word alone
-constexpr double kShare = 0.25;        // of its attempts are bad ...
-constexpr double kPeers = 3;          // ... and so many times more than at its peers,
-constexpr double kFarWorse = 0.4;     // or by so much of all more, where many peers are ill too
-constexpr auto kAside = 1500ms;       // doubled with each strike
+constexpr double kEnough = 2.5;    // bad attempts, faded
+constexpr std::size_t kNodes = 2;  // nobody is set aside on one node's word alone
+constexpr double kShare = 0.25;    // of its attempts are bad ...
+constexpr double kPeers = 3;       // ... and so many times more than at its peers,
+constexpr double kFarWorse = 0.4;  // or by so much of all more, where many peers are ill too
+constexpr auto kAside = 1500ms;    // doubled with each strike
 constexpr int kStrikesMost = 3;
 constexpr auto kTrial = 1500ms;
 constexpr double kTrialLevel = 0.5;
 constexpr auto kForget = 15s;
 }  // namespace
-void OutlierDesk::fade(Mark& m, Instant now) {
+void OutlierDetector::fade(Mark& m, Instant now) {
   if (m.at != Instant{} && now > m.at) {
     const double f = std::exp2(-std::chrono::duration<double>(now - m.at).count() / kHalfLifeS);
     m.good *= f;
@@ -26,20 +26,22 @@
   m.at = now;
   std::erase_if(m.nodes, [&](auto& n) { return now - n.second > kWordLives; });
 }
-void OutlierDesk::set(Mark& m, Standing s, Instant now) {
+void OutlierDetector::set(Mark& m, Standing s, Instant now) {
   m.standing = s;
   m.since = now;
   m.good = m.bad = 0;
   m.nodes.clear();
-  if (s == Standing::aside) m.until = now + kAside * (1 << m.strikes), m.strikes = std::min(kStrikesMost, m.strikes + 1);
-  if (s == Standing::trial) m.until = now + kTrial;
+  if (s == Standing::aside)
+    m.until = now + kAside * (1 << m.strikes), m.strikes = std::min(kStrikesMost, m.strikes + 1);
+  if (s == Standing::trial)
+    m.until = now + kTrial;
 }
-void OutlierDesk::takeOver(std::int64_t term) {
+void OutlierDetector::takeOver(std::int64_t term) {
   marks_.clear();
   list_.clear();
   version_ = (term << 24) + 1;
 }
-void OutlierDesk::told(Instant now, const std::string& node, const std::vector<Grant>& seen) {
+void OutlierDetector::told(Instant now, const std::string& node, const std::vector<Grant>& seen) {
   for (auto& g : seen) {
     // Why nothing beyond some: one node's word counts, its shouting does not.
     const double good = std::clamp(g.rate, 0.0, 50.0), bad = std::clamp(g.burst, 0.0, 4.0);
@@ -47,15 +49,17 @@
       ++declined_;
       continue;
     }
-    if (!(good + bad > 0)) continue;
+    if (!(good + bad > 0))
+      continue;
     auto& m = marks_[g.label];
     fade(m, now);
     m.good += good;
     m.bad += bad;
-    if (bad > 0) m.nodes[node] = now;
+    if (bad > 0)
+      m.nodes[node] = now;
   }
 }
-void OutlierDesk::weigh(Instant now, const std::vector<Runner>& runners) {
+void OutlierDetector::weigh(Instant now, const std::vector<Runner>& runners) {
   struct Fleet {
     std::size_t count = 0, aside = 0;
     double good = 0, bad = 0;
@@ -67,13 +71,18 @@
     auto& f = fleets[r.service];
     ++f.count;
     const auto it = marks_.find(r.id);
-    if (it == marks_.end()) continue;
+    if (it == marks_.end())
+      continue;
     auto& m = it->second;
     fade(m, now);
-    if (m.standing == Standing::aside && now >= m.until) set(m, Standing::trial, now);
-    else if (m.standing == Standing::trial && m.bad >= 0.9 && m.bad > m.good * 0.5) set(m, Standing::aside, now);
-    else if (m.standing == Standing::trial && now >= m.until) set(m, Standing::fine, now);
-    if (m.standing == Standing::fine && now - m.since > kForget) m.strikes = 0;
+    if (m.standing == Standing::aside && now >= m.until)
+      set(m, Standing::trial, now);
+    else if (m.standing == Standing::trial && m.bad >= 0.9 && m.bad > m.good * 0.5)
+      set(m, Standing::aside, now);
+    else if (m.standing == Standing::trial && now >= m.until)
+      set(m, Standing::fine, now);
+    if (m.standing == Standing::fine && now - m.since > kForget)
+      m.strikes = 0;
     f.good += m.good;
     f.bad += m.bad;
     f.aside += m.standing != Standing::fine;
@@ -86,37 +95,44 @@
   std::vector<Suspect> suspects;
   for (auto& r : runners) {
     const auto it = marks_.find(r.id);
-    if (it == marks_.end() || it->second.standing != Standing::fine) continue;
+    if (it == marks_.end() || it->second.standing != Standing::fine)
+      continue;
     auto& m = it->second;
-    if (m.bad < kEnough || m.nodes.size() < kNodes) continue;
+    if (m.bad < kEnough || m.nodes.size() < kNodes)
+      continue;
     auto& f = fleets[r.service];
     const double share = m.bad / (m.bad + m.good);
     const double others = f.bad - m.bad, all = others + f.good - m.good;
     const double peers = all > 0 ? others / all : 0;
-    if (share >= kShare && share >= std::min(kPeers * peers, peers + kFarWorse)) suspects.push_back({share, &m, &f});
+    if (share >= kShare && share >= std::min(kPeers * peers, peers + kFarWorse))
+      suspects.push_back({share, &m, &f});
   }
   std::sort(suspects.begin(), suspects.end(), [](auto& a, auto& b) { return a.share > b.share; });
   for (auto& s : suspects) {
     // Why a cap: with many aside the rest would drown, and then the fault is hardly the runners'.
     const auto most = s.fleet->count < 2 ? 0 : std::max<std::size_t>(1, s.fleet->count / 5);
-    if (s.fleet->aside >= most) continue;
+    if (s.fleet->aside >= most)
+      continue;
     ++s.fleet->aside;
     set(*s.mark, Standing::aside, now);
   }
   std::vector<Grant> list;
   for (auto& r : runners) {
     const auto it = marks_.find(r.id);
-    if (it == marks_.end() || it->second.standing == Standing::fine) continue;
+    if (it == marks_.end() || it->second.standing == Standing::fine)
+      continue;
     list.push_back({r.id, it->second.standing == Standing::aside ? 1.0 : kTrialLevel, 0});
   }
   std::erase_if(marks_, [&](auto& x) {
-    if (!known_.count(x.first)) return true;
+    if (!known_.count(x.first))
+      return true;
     return x.second.standing == Standing::fine && x.second.good + x.second.bad < 0.01 && now - x.second.since > kForget;
   });
-  const bool same = list.size() == list_.size() && std::equal(list.begin(), list.end(), list_.begin(), [](auto& a, auto& b) {
-                      return a.label == b.label && a.rate == b.rate;
-                    });
-  if (same) return;
+  const bool same = list.size() == list_.size() &&
+                    std::equal(list.begin(), list.end(), list_.begin(),
+                               [](auto& a, auto& b) { return a.label == b.label && a.rate == b.rate; });
+  if (same)
+    return;
   list_ = std::move(list);
   ++version_;
 }
--- a/libs/harbourmaster/src/outliers.hpp
+++ b/libs/controller/src/outliers.hpp
@@ -1,12 +1,12 @@
-// Which runners all nodes had better leave alone: what nodes tell of their attempts, weighed together at the sequencer.
-// Soft state, outside the numbered order: it ends by itself, and a new sequencer hears it anew within a second. Pure.
+// Which runners all nodes had better leave alone: what nodes tell of their attempts, weighed together at the leader.
+// Soft state, outside the numbered order: it ends by itself, and a new leader hears it anew within a second. Pure.
 #pragma once
 #include <set>
 
-#include "registry/copy.hpp"
-#include "signal/messages.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "transport/messages.hpp"
 namespace zc {
-class OutlierDesk {
+class OutlierDetector {
  public:
   // seen: runner, attempts that went well, that did not, since this node's last word.
   void told(Instant now, const std::string& node, const std::vector<Grant>& seen);
@@ -15,8 +15,8 @@
   void takeOver(std::int64_t term);
   // Runner and how far it is set aside: 1 wholly, less while a few requests try it again. At most a fifth of a service.
   const std::vector<Grant>& list() const { return list_; }
-  std::uint64_t declined() const { return declined_; }  // words about runners that nobody knows
-  std::int64_t version() const { return version_; }  // changes with the list; 0 is never used
+  std::uint64_t errorResponse() const { return declined_; }  // words about runners that nobody knows
+  std::int64_t version() const { return version_; }          // changes with the list; 0 is never used
 
  private:
   enum class Standing { fine, aside, trial };
--- a/libs/harbourmaster/src/quota.cpp
+++ b/libs/controller/src/quota.cpp
@@ -4,56 +4,66 @@
 
 namespace zc {
 namespace {
-constexpr auto kStashLives = 4s;     // a node not heard from for so long has used or lost what it held
+constexpr auto kStashLives = 4s;        // a node not heard from for so long has used or lost what it held
 constexpr auto kUnknownLives = 4500ms;  // after a take-over: until every stash is told of again or has ended
 const Grant* find(const std::vector<Grant>& v, const std::string& l) {
   for (auto& g : v)
-    if (g.label == l) return &g;
+    if (g.label == l)
+      return &g;
   return nullptr;
 }
 }  // namespace
-void QuotaDesk::takeOver(Instant now) {
-  purses_.clear();
+void QuotaAllocator::takeOver(Instant now) {
+  buckets_.clear();
   since_ = now;
 }
-const Subscriber* QuotaDesk::tenant(const Configuration& cfg, const std::string& label) {
+const Subscriber* QuotaAllocator::tenant(const Configuration& cfg, const std::string& label) {
   if (indexed_ != &cfg || indexedVersion_ != cfg.version) {
     byLabel_.clear();
-    for (std::size_t i = 0; i < cfg.subscribers.size(); ++i) byLabel_[cfg.subscribers[i].label] = static_cast<int>(i);
+    for (std::size_t i = 0; i < cfg.subscribers.size(); ++i)
+      byLabel_[cfg.subscribers[i].label] = static_cast<int>(i);
     indexed_ = &cfg;
     indexedVersion_ = cfg.version;
   }
   const auto it = byLabel_.find(label);
   return it == byLabel_.end() ? nullptr : &cfg.subscribers[static_cast<std::size_t>(it->second)];
 }
-std::vector<Grant> QuotaDesk::draw(Instant now, const std::string& node, const std::vector<Grant>& demand,
-                                   const std::vector<Grant>& holds, const Configuration* cfg) {
+std::vector<Grant> QuotaAllocator::draw(Instant now, const std::string& node, const std::vector<Grant>& demand,
+                                        const std::vector<Grant>& holds, const Configuration* cfg) {
   std::vector<Grant> out;
-  if (!cfg) return out;
+  if (!cfg)
+    return out;
   for (auto& d : demand) {
     const auto* sub = tenant(*cfg, d.label);
-    if (!sub || sub->ratePerS <= 0) continue;
-    auto& p = purses_[d.label];
-    if (p.at == Instant{}) p.at = since_, p.tokens = bounds_.slack * 0.2;
+    if (!sub || sub->ratePerS <= 0)
+      continue;
+    auto& p = buckets_[d.label];
+    if (p.at == Instant{})
+      p.at = since_, p.tokens = bounds_.slack * 0.2;
     // A part of the excess goes to the rate; the rest, with most of the slack, to what may be used at once, in the
-    // purse and in the stashes together.
+    // purse and in the holders together.
     const double rate = sub->ratePerS * (1 + bounds_.excess * 0.3);
     const double room = sub->burstSize * (1 + bounds_.excess) + sub->ratePerS * bounds_.windowS * bounds_.excess * 0.5 +
                         bounds_.slack * 0.7;
     const auto* h = find(holds, d.label);
     const double mine = h ? h->rate : 0;
     double held = 0;  // by the others
-    for (auto it = p.stashes.begin(); it != p.stashes.end();)
-      if (now - it->second.told > kStashLives) it = p.stashes.erase(it);
-      else held += it->first == node ? 0 : it->second.tokens, ++it;
+    for (auto it = p.holders.begin(); it != p.holders.end();)
+      if (now - it->second.told > kStashLives)
+        it = p.holders.erase(it);
+      else
+        held += it->first == node ? 0 : it->second.tokens, ++it;
     const bool stash = d.rate > 0 || h;
-    if (stash) p.stashes[node] = {mine, now};
-    else if (const auto it = p.stashes.find(node); it != p.stashes.end()) held += it->second.tokens;
-    // Why less after a take-over: stashes that nobody has told of yet may still be out there.
-    const double most = now - since_ < kUnknownLives ? room * 0.4 : std::max(room * 0.4, room - held - (stash ? mine : 0));
+    if (stash)
+      p.holders[node] = {mine, now};
+    else if (const auto it = p.holders.find(node); it != p.holders.end())
+      held += it->second.tokens;
+    // Why less after a take-over: holders that nobody has told of yet may still be out there.
+    const double most =
+        now - since_ < kUnknownLives ? room * 0.4 : std::max(room * 0.4, room - held - (stash ? mine : 0));
     p.tokens = std::min(most, p.tokens + std::chrono::duration<double>(now - p.at).count() * rate);
     p.at = now;
-    // First what waits now, then what keeps the node going for a while, as far as the stashes have room.
+    // First what waits now, then what keeps the node going for a while, as far as the holders have room.
     const double waiting = std::max(0.0, d.burst);
     const double first = std::min(std::floor(p.tokens + 1e-9), waiting);
     p.tokens -= first;
@@ -62,7 +72,7 @@
       const double wish = std::min(d.rate * stashFor + 1, std::max(0.0, room * 0.6 - held));
       more = std::min(p.tokens, std::max(0.0, wish - mine));
       p.tokens -= more;
-      p.stashes[node].tokens = mine + more;
+      p.holders[node].tokens = mine + more;
     }
     // Who is told to come back must find something: those still unserved here stand before it.
     out.push_back({d.label, first + more, std::max(0.05, (1 - p.tokens + 2 * (waiting - first)) / rate)});
--- a/libs/harbourmaster/src/quota.hpp
+++ b/libs/controller/src/quota.hpp
@@ -1,17 +1,17 @@
-// The sequencer's purse of each tenant's quota: access nodes draw tokens from it as their requests need them.
-// Pure. What all nodes may use in a window is bounded by what the purse gives out in it and by the stashes that
+// The leader's purse of each tenant's quota: access nodes draw tokens from it as their requests need them.
+// Pure. What all nodes may use in a window is bounded by what the purse gives out in it and by the holders that
 // nodes held when it began; both together stay within what the window may hold. Only tenants named in a draw cost.
 #pragma once
-#include "charter/configuration.hpp"
-#include "signal/messages.hpp"
+#include "config/configuration.hpp"
+#include "transport/messages.hpp"
 namespace zc {
-class QuotaDesk {
+class QuotaAllocator {
  public:
   struct Bounds {  // what a window may hold beyond the limit before it counts as broken
     double excess = 0.1, slack = 20, windowS = 5;
   };
   void bounds(Bounds b) { bounds_ = b; }
-  // Purses begin all but empty: what the sequencer before gave out is not known, and must not be given out again.
+  // Purses begin all but empty: what the leader before gave out is not known, and must not be given out again.
   void takeOver(Instant now);
   // demand: label, requests a second that a stash is wanted for, requests waiting right now. holds: label, tokens in
   // the stash. Tokens for waiting requests count as spent at once; a stash is told of by its node until it ends.
@@ -21,17 +21,17 @@
   static constexpr double stashFor = 1.6;  // seconds of its demand that a node may keep, to bridge a take-over
 
  private:
-  struct Stash {
+  struct GrantHolder {
     double tokens = 0;
     Instant told{};
   };
-  struct Purse {
+  struct TokenBucket {
     double tokens = 0;
     Instant at{};
-    std::map<std::string, Stash> stashes;
+    std::map<std::string, GrantHolder> holders;
   };
   const Subscriber* tenant(const Configuration& cfg, const std::string& label);
-  std::unordered_map<std::string, Purse> purses_;
+  std::unordered_map<std::string, TokenBucket> buckets_;
   std::unordered_map<std::string, int> byLabel_;
   const Configuration* indexed_ = nullptr;
   std::int64_t indexedVersion_ = -1;
--- a/libs/hints/include/hints/hints.hpp
+++ b/libs/hints/include/hints/hints.hpp
@@ -1,10 +1,11 @@
 // Which long openings of prompts partner sites hold, told without telling whose they are. Pure; the clock is passed in.
 // A hint is a keyed digest under a key that rotates; only openings that several tenants have sent are told, so none
-// can be laid at one tenant's door; lists are filled up to a round number. A hint is only a hint: see docs/notes-hints.md.
+// can be laid at one tenant's door; lists are filled up to a round number. A hint is only a hint: see
+// docs/notes-hints.md.
 #pragma once
 #include <set>
 
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 // The secret that two sites share, 32 bytes in hex.
 class HintKey {
@@ -19,7 +20,8 @@
 };
 // What one site tells the other: what came and went since the version that the other has, or all (base 0).
 struct HintNews {
-  std::int64_t epoch = 0, known = 0, base = 0, version = 0;  // known: the version of the receiver's list that the sender has
+  std::int64_t epoch = 0, known = 0, base = 0,
+               version = 0;  // known: the version of the receiver's list that the sender has
   std::vector<std::int64_t> added, gone;
   template <class V>
   void fields(V& v) {
@@ -27,17 +29,17 @@
   }
 };
 struct HintBounds {
-  Span lives{60000};           // an opening not sent for so long is not told of any more
-  Span epoch{600000};          // a key's time
-  Span stale{10000};           // a partner's list not renewed for so long counts for nothing
-  std::size_t tenants = 2;     // so many have sent an opening before it is told
-  std::size_t most = 2048;     // openings told at most, the newest
-  std::size_t fill = 64;       // lists are filled up to a multiple of this
-  std::size_t kept = 65536;    // openings remembered at most
+  Span lives{60000};         // an opening not sent for so long is not told of any more
+  Span epoch{600000};        // a key's time
+  Span stale{10000};         // a partner's list not renewed for so long counts for nothing
+  std::size_t tenants = 2;   // so many have sent an opening before it is told
+  std::size_t most = 2048;   // openings told at most, the newest
+  std::size_t fill = 64;     // lists are filled up to a multiple of this
+  std::size_t kept = 65536;  // openings remembered at most
 };
-class HintDesk {
+class HintTable {
  public:
-  HintDesk(HintKey key, HintBounds b, std::uint64_t seed) : key_(std::move(key)), b_(b), rng_(seed) {}
+  HintTable(HintKey key, HintBounds b, std::uint64_t seed) : key_(std::move(key)), b_(b), rng_(seed) {}
   // A node is about to send a prompt with this opening; the tenant's name is not kept, only a mark of it.
   // True: not held here, but at the partner. False in every other case, and then it counts as held here.
   bool elsewhere(Instant now, std::int64_t epoch, std::uint64_t opening, std::uint64_t tenantMark);
@@ -46,7 +48,7 @@
   Outcome<void> heard(Instant now, std::int64_t epoch, const HintNews& n);
   std::size_t told() const { return told_.size(); }
   std::size_t known() const { return theirs_.size(); }
-  std::uint64_t declined() const { return declined_; }
+  std::uint64_t errorResponse() const { return declined_; }
   void decline() { ++declined_; }
 
  private:
--- a/libs/hints/src/hints.cpp
+++ b/libs/hints/src/hints.cpp
@@ -1,9 +1,9 @@
 #include "hints/hints.hpp"
 
-#include <cstring>
-
 #include <sodium.h>
 
+#include <cstring>
+
 namespace zc {
 namespace {
 constexpr char kContext[crypto_kdf_CONTEXTBYTES + 1] = "zchints1";
@@ -12,7 +12,8 @@
   must(sodium_init() >= 0, "libsodium");
   unsigned char raw[crypto_kdf_KEYBYTES];
   std::size_t n = 0;
-  if (sodium_hex2bin(raw, sizeof raw, hex.data(), hex.size(), nullptr, &n, nullptr) != 0 || n != sizeof raw || hex.size() != 2 * sizeof raw)
+  if (sodium_hex2bin(raw, sizeof raw, hex.data(), hex.size(), nullptr, &n, nullptr) != 0 || n != sizeof raw ||
+      hex.size() != 2 * sizeof raw)
     return fault(0, "a partner's secret is not 32 bytes in hex");
   HintKey k;
   k.secret_.assign(reinterpret_cast<char*>(raw), sizeof raw);
@@ -30,7 +31,8 @@
 }
 std::string HintKey::seal(std::string_view text) const {
   unsigned char mac[crypto_auth_BYTES];
-  crypto_auth(mac, reinterpret_cast<const unsigned char*>(text.data()), text.size(), reinterpret_cast<const unsigned char*>(secret_.data()));
+  crypto_auth(mac, reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+              reinterpret_cast<const unsigned char*>(secret_.data()));
   std::string hex(2 * sizeof mac + 1, '\0');
   sodium_bin2hex(hex.data(), hex.size(), mac, sizeof mac);
   hex.pop_back();
@@ -41,43 +43,53 @@
   return own.size() == s.size() && sodium_memcmp(own.data(), s.data(), own.size()) == 0;
 }
 
-void HintDesk::forget(Instant now) {
-  if (now - forgotAt_ < 1s && mine_.size() < b_.kept) return;
+void HintTable::forget(Instant now) {
+  if (now - forgotAt_ < 1s && mine_.size() < b_.kept)
+    return;
   forgotAt_ = now;
   std::erase_if(mine_, [&](auto& o) { return now - o.second.at > b_.lives; });
   // Why all of it: what is lost is a hint, and an order by age would cost more than it is worth.
-  if (mine_.size() >= b_.kept) mine_.clear();
+  if (mine_.size() >= b_.kept)
+    mine_.clear();
 }
-bool HintDesk::elsewhere(Instant now, std::int64_t epoch, std::uint64_t opening, std::uint64_t tenantMark) {
+bool HintTable::elsewhere(Instant now, std::int64_t epoch, std::uint64_t opening, std::uint64_t tenantMark) {
   forget(now);
   auto it = mine_.find(opening);
   const bool held = it != mine_.end() && now - it->second.at <= b_.lives;
   const bool fresh = now - theirsAt_ <= b_.stale && (theirEpoch_ == epoch || theirEpoch_ + 1 == epoch);
-  if (!held && fresh && theirs_.count(key_.digest(opening, theirEpoch_))) return true;
-  if (!held) it = mine_.insert_or_assign(opening, Opening{}).first;
+  if (!held && fresh && theirs_.count(key_.digest(opening, theirEpoch_)))
+    return true;
+  if (!held)
+    it = mine_.insert_or_assign(opening, Opening{}).first;
   it->second.at = now;
-  if (it->second.tenants.size() < b_.tenants) it->second.tenants.insert(tenantMark);
+  if (it->second.tenants.size() < b_.tenants)
+    it->second.tenants.insert(tenantMark);
   return false;
 }
-HintNews HintDesk::news(Instant now, std::int64_t epoch) {
+HintNews HintTable::news(Instant now, std::int64_t epoch) {
   forget(now);
   std::vector<std::pair<Instant, std::uint64_t>> newest;
   for (auto& [o, x] : mine_)
-    if (x.tenants.size() >= b_.tenants) newest.emplace_back(x.at, o);
+    if (x.tenants.size() >= b_.tenants)
+      newest.emplace_back(x.at, o);
   if (newest.size() > b_.most) {
-    std::nth_element(newest.begin(), newest.begin() + static_cast<std::ptrdiff_t>(b_.most), newest.end(), std::greater<>());
+    std::nth_element(newest.begin(), newest.begin() + static_cast<std::ptrdiff_t>(b_.most), newest.end(),
+                     std::greater<>());
     newest.resize(b_.most);
   }
   std::set<std::int64_t> now_;
-  for (auto& [at, o] : newest) now_.insert(key_.digest(o, epoch));
+  for (auto& [at, o] : newest)
+    now_.insert(key_.digest(o, epoch));
   // Filled up with what nobody holds, the same from one time to the next: how few there are is not told either.
-  if (toldEpoch_ != epoch) fill_.clear();
+  if (toldEpoch_ != epoch)
+    fill_.clear();
   const auto want = (now_.size() + b_.fill - 1) / b_.fill * b_.fill;
   while (now_.size() + fill_.size() < std::max(want, b_.fill)) {
     rng_ = hash64("fill", rng_);
     fill_.insert(static_cast<std::int64_t>(rng_));
   }
-  while (!fill_.empty() && now_.size() + fill_.size() > std::max(want, b_.fill)) fill_.erase(fill_.begin());
+  while (!fill_.empty() && now_.size() + fill_.size() > std::max(want, b_.fill))
+    fill_.erase(fill_.begin());
   now_.insert(fill_.begin(), fill_.end());
   HintNews n;
   n.epoch = epoch;
@@ -87,13 +99,14 @@
   std::set_difference(now_.begin(), now_.end(), before.begin(), before.end(), std::back_inserter(n.added));
   std::set_difference(before.begin(), before.end(), now_.begin(), now_.end(), std::back_inserter(n.gone));
   n.base = whole ? 0 : version_;
-  if (whole || !n.added.empty() || !n.gone.empty()) ++version_;
+  if (whole || !n.added.empty() || !n.gone.empty())
+    ++version_;
   n.version = version_;
   told_ = std::move(now_);
   toldEpoch_ = epoch;
   return n;
 }
-Outcome<void> HintDesk::heard(Instant now, std::int64_t epoch, const HintNews& n) {
+Outcome<void> HintTable::heard(Instant now, std::int64_t epoch, const HintNews& n) {
   acked_ = n.known;
   const auto size = n.added.size() + n.gone.size();
   if (std::abs(n.epoch - epoch) > 1 || size > 2 * (b_.most + b_.fill)) {
@@ -106,8 +119,10 @@
     theirs_.clear();
     return {};
   }
-  if (n.base == 0) theirs_.clear();
-  for (auto g : n.gone) theirs_.erase(g);
+  if (n.base == 0)
+    theirs_.clear();
+  for (auto g : n.gone)
+    theirs_.erase(g);
   theirs_.insert(n.added.begin(), n.added.end());
   if (theirs_.size() > b_.most + b_.fill) {
     theirs_.clear();
--- a/libs/almanac/include/almanac/observe.hpp
+++ b/libs/operations/include/operations/observe.hpp
@@ -1,6 +1,6 @@
 // What a runbook's step is told to see in an answer. Pure.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 // One word for how many answers must meet it, then FIELD OP VALUE. FIELD goes through objects by dots; NAME# counts a
 // list; NAME[key=value] picks an entry. OP is one of == != < <= > >= has.
--- a/libs/almanac/include/almanac/runbook.hpp
+++ b/libs/operations/include/operations/runbook.hpp
@@ -1,16 +1,16 @@
 // Runbooks that can be executed: steps and the observations they expect stand in a plain file.
 #pragma once
-#include "almanac/call.hpp"
-#include "almanac/observe.hpp"
+#include "operations/call.hpp"
+#include "operations/observe.hpp"
 namespace zc {
 struct Step {
   enum class Do { step, tell, get, getall, post, head, expect, await, pause } what = Do::step;
   int line = 0;
-  std::string text;          // step, tell; head: NAME VALUE
-  std::string path, body;    // calls; a body @FILE is read from that file
-  Observation see;           // expect, await
-  bool status = false;       // the observation is about the call's status
-  Span within{0};            // await, pause
+  std::string text;        // step, tell; head: NAME VALUE
+  std::string path, body;  // calls; a body @FILE is read from that file
+  Observation see;         // expect, await
+  bool status = false;     // the observation is about the call's status
+  Span within{0};          // await, pause
 };
 struct Runbook {
   std::string title;
--- a/libs/almanac/src/call.cpp
+++ b/libs/operations/src/call.cpp
@@ -1,28 +1,35 @@
-#include "almanac/call.hpp"
+#include "operations/call.hpp"
 
-#include "passage/http.hpp"
+#include "proxy/http.hpp"
 
 namespace zc {
 namespace {
-Outcome<Called> callThere(const std::string& address, const std::string& path, const Call& c, Span within, std::string& location) {
+Outcome<Called> callThere(const std::string& address, const std::string& path, const Call& c, Span within,
+                          std::string& location) {
   auto ep = parseEndpoint(address);
-  if (!ep) return tl::unexpected(ep.error());
+  if (!ep)
+    return tl::unexpected(ep.error());
   Connection w;
   Ec ec;
   w.due(Clock::now() + within);
   w.connect(*ep, ec);
-  if (ec) return fault(0, address + ": " + (w.late() ? "no answer" : ec.message()));
+  if (ec)
+    return fault(0, address + ": " + (w.late() ? "no answer" : ec.message()));
   std::string s = c.method + " " + path + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n";
-  for (auto& [n, v] : c.heads) s += n + ": " + v + "\r\n";
-  if (!c.body.empty()) s += "Content-Type: application/json\r\n";
+  for (auto& [n, v] : c.heads)
+    s += n + ": " + v + "\r\n";
+  if (!c.body.empty())
+    s += "Content-Type: application/json\r\n";
   s += "Content-Length: " + std::to_string(c.body.size()) + "\r\n\r\n" + c.body;
   w.write(asio::buffer(s), ec);
   Buffer buf;
   http::response_parser<http::string_body> p;
   p.eager(true);
   p.body_limit(64u << 20);
-  if (!ec) pump(w, buf, p, false, ec);
-  if (ec) return fault(0, address + ": " + (w.late() ? "no answer" : ec.message()));
+  if (!ec)
+    pump(w, buf, p, false, ec);
+  if (ec)
+    return fault(0, address + ": " + (w.late() ? "no answer" : ec.message()));
   const auto l = p.get()[http::field::location];
   location.assign(l.data(), l.size());
   return Called{static_cast<int>(p.get().result_int()), p.get().body(), address};
@@ -34,9 +41,11 @@
   for (int hop = 0;; ++hop) {
     std::string location;
     auto r = callThere(address, path, c, within, location);
-    if (!r || r->status != 307 || hop == 2) return r;
+    if (!r || r->status != 307 || hop == 2)
+      return r;
     constexpr std::string_view scheme = "http://";
-    if (location.rfind(scheme, 0) != 0) return fault(0, address + ": a redirection without an address");
+    if (location.rfind(scheme, 0) != 0)
+      return fault(0, address + ": a redirection without an address");
     location.erase(0, scheme.size());
     const auto slash = location.find('/');
     address = location.substr(0, slash);
@@ -47,7 +56,8 @@
   Outcome<Called> last = fault(0, "no address to call");
   for (auto& a : addresses) {
     last = callOne(a, c, within);
-    if (last && last->status < 500) return last;
+    if (last && last->status < 500)
+      return last;
   }
   return last;
 }
@@ -55,19 +65,20 @@
   std::vector<std::string> out;
   while (!s.empty()) {
     const auto c = std::min(s.find(','), s.size());
-    if (c > 0) out.emplace_back(s.substr(0, c));
+    if (c > 0)
+      out.emplace_back(s.substr(0, c));
     s.remove_prefix(std::min(s.size(), c + 1));
   }
   return out;
 }
 int onQuay(const std::function<int()>& f) {
-  Quay quay;
+  EventLoop loop;
   int rc = 0;
-  quay.launch([&] {
+  loop.launch([&] {
     rc = f();
-    quay.stop();
+    loop.stop();
   });
-  quay.run();
+  loop.run();
   return rc;
 }
 }  // namespace zc
--- a/libs/almanac/src/commands.cpp
+++ b/libs/operations/src/commands.cpp
@@ -1,13 +1,15 @@
 #include <cstdio>
 
-#include "almanac/runbook.hpp"
-#include "charter/settings.hpp"
-#include "keel/quay.hpp"
+#include "config/settings.hpp"
+#include "operations/runbook.hpp"
+#include "runtime/event_loop.hpp"
 
 namespace zc {
 namespace {
 constexpr auto kCallWait = 3000ms;
-void line(const std::string& s) { std::printf("%s\n", s.c_str()), std::fflush(stdout); }
+void line(const std::string& s) {
+  std::printf("%s\n", s.c_str()), std::fflush(stdout);
+}
 }  // namespace
 
 int runbookCommand(const std::string& file, const std::vector<std::string>& sets, bool dry) {
@@ -40,10 +42,11 @@
     io.any = [&](const Call& c) { return callAny(core, c, kCallWait); };
     io.all = [&](const Call& c) {
       std::vector<Outcome<Called>> out;
-      for (auto& a : core) out.push_back(callOne(a, c, kCallWait));
+      for (auto& a : core)
+        out.push_back(callOne(a, c, kCallWait));
       return out;
     };
-    io.pause = [](Span d) { Quay::get().pause(d); };
+    io.pause = [](Span d) { EventLoop::get().pause(d); };
     io.print = line;
     io.now = [] { return Clock::now(); };
     return runRunbook(*b, io, dry);
@@ -58,14 +61,18 @@
   return onQuay([&] {
     int silent = 0;
     std::string all = "[";
-    if (!json) std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", "node", "duty", "term", "released", "applied", "leased", "disk", "runners", "members");
+    if (!json)
+      std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", "node", "role", "term", "released", "applied", "leased",
+                  "disk", "runners", "members");
     for (auto& a : addresses) {
       auto r = callOne(a, Call{"GET", "/v1/Status", "", {}}, kCallWait);
       if (!r || r->status != 200) {
         ++silent;
         const auto why = r ? "status " + std::to_string(r->status) : r.error().text;
-        if (json) all += (all.size() > 1 ? "," : "") + ("{\"node\":\"" + a + "\",\"error\":\"" + why + "\"}");
-        else std::printf("%-22s %s\n", a.c_str(), why.c_str());
+        if (json)
+          all += (all.size() > 1 ? "," : "") + ("{\"node\":\"" + a + "\",\"error\":\"" + why + "\"}");
+        else
+          std::printf("%-22s %s\n", a.c_str(), why.c_str());
         continue;
       }
       if (json) {
@@ -73,11 +80,12 @@
         continue;
       }
       auto f = [&](const char* n) { return fieldOf(r->body, n).value_or("?"); };
-      std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", f("node").c_str(), f("duty").c_str(), f("term").c_str(),
-                  f("released").c_str(), f("applied").c_str(), f("leased").c_str(), f("diskSick") == "true" ? "sick" : "fine",
-                  f("runners#").c_str(), f("members").c_str());
+      std::printf("%-22s %-10s %5s %8s %8s %7s %-7s %7s  %s\n", f("node").c_str(), f("role").c_str(), f("term").c_str(),
+                  f("released").c_str(), f("applied").c_str(), f("leased").c_str(),
+                  f("diskSick") == "true" ? "sick" : "fine", f("runners#").c_str(), f("members").c_str());
     }
-    if (json) std::printf("%s]\n", all.c_str());
+    if (json)
+      std::printf("%s]\n", all.c_str());
     return silent == static_cast<int>(addresses.size()) ? 1 : 0;
   });
 }
--- a/libs/almanac/src/runbook.cpp
+++ b/libs/operations/src/runbook.cpp
@@ -1,17 +1,20 @@
-#include "almanac/runbook.hpp"
+#include "operations/runbook.hpp"
 
 #include <sstream>
 
-#include "charter/settings.hpp"
+#include "config/settings.hpp"
 
 namespace zc {
 namespace {
 std::string trimmed(std::string s) {
-  while (!s.empty() && (s.back() == ' ' || s.back() == '\r' || s.back() == '\t')) s.pop_back();
+  while (!s.empty() && (s.back() == ' ' || s.back() == '\r' || s.back() == '\t'))
+    s.pop_back();
   const auto at = s.find_first_not_of(" \t");
   return at == std::string::npos ? "" : s.substr(at);
 }
-tl::unexpected<Fault> at(int line, const std::string& what) { return fault(0, "line " + std::to_string(line) + ": " + what); }
+tl::unexpected<Fault> at(int line, const std::string& what) {
+  return fault(0, "line " + std::to_string(line) + ": " + what);
+}
 // Braces of JSON bodies stay: only {name} with a plain word in it is a parameter.
 Outcome<std::string> fill(const std::string& s, const std::map<std::string, std::string>& given, int line) {
   std::string out;
@@ -23,7 +26,8 @@
       continue;
     }
     const auto v = given.find(name);
-    if (v == given.end()) return at(line, "no value for '" + name + "': say --set " + name + "=...");
+    if (v == given.end())
+      return at(line, "no value for '" + name + "': say --set " + name + "=...");
     out += v->second;
     i = end;
   }
@@ -41,7 +45,8 @@
   while (std::getline(in, raw)) {
     ++line;
     raw = trimmed(raw);
-    if (raw.empty() || raw[0] == '#') continue;
+    if (raw.empty() || raw[0] == '#')
+      continue;
     const auto sp = raw.find(' ');
     const auto word = raw.substr(0, sp);
     auto rest = sp == std::string::npos ? "" : trimmed(raw.substr(sp));
@@ -61,7 +66,8 @@
       continue;
     }
     auto filled = fill(rest, values, line);
-    if (!filled) return tl::unexpected(filled.error());
+    if (!filled)
+      return tl::unexpected(filled.error());
     rest = *filled;
     Step s;
     s.line = line;
@@ -72,23 +78,28 @@
       s.what = word == "get" ? Step::Do::get : word == "getall" ? Step::Do::getall : Step::Do::post;
       const auto e = rest.find(' ');
       s.path = rest.substr(0, e);
-      if (e != std::string::npos) s.body = trimmed(rest.substr(e));
-      if (s.path.empty() || s.path[0] != '/') return at(line, "a call needs a path");
+      if (e != std::string::npos)
+        s.body = trimmed(rest.substr(e));
+      if (s.path.empty() || s.path[0] != '/')
+        return at(line, "a call needs a path");
       called = true;
     } else if (word == "pause") {
       s.what = Step::Do::pause;
       s.within = Span(std::atoi(rest.c_str()) * 1000);
     } else if (word == "expect" || word == "await") {
       s.what = word == "expect" ? Step::Do::expect : Step::Do::await;
-      if (!called) return at(line, "nothing was called that could be observed");
+      if (!called)
+        return at(line, "nothing was called that could be observed");
       if (word == "await") {
         const auto e = rest.find(' ');
         s.within = Span(std::atoi(rest.substr(0, e).c_str()) * 1000);
-        if (s.within <= Span(0) || e == std::string::npos) return at(line, "await needs seconds");
+        if (s.within <= Span(0) || e == std::string::npos)
+          return at(line, "await needs seconds");
         rest = trimmed(rest.substr(e));
       }
       auto o = parseObservation(rest);
-      if (!o) return at(line, o.error().text);
+      if (!o)
+        return at(line, o.error().text);
       s.see = *o;
       s.status = o->field == "status";
     } else {
@@ -96,7 +107,8 @@
     }
     b.steps.push_back(std::move(s));
   }
-  if (b.steps.empty()) return fault(0, "no step in it");
+  if (b.steps.empty())
+    return fault(0, "no step in it");
   return b;
 }
 
@@ -106,7 +118,8 @@
   std::string word, name;
   for (std::string line; std::getline(in, line);) {
     std::istringstream l(line);
-    if (l >> word >> name && word == "param" && name.find('=') == std::string::npos) out[name] = "sample";
+    if (l >> word >> name && word == "param" && name.find('=') == std::string::npos)
+      out[name] = "sample";
   }
   return out;
 }
@@ -124,22 +137,31 @@
     auto take = [&](const Outcome<Called>& r) {
       answers.push_back(r ? r->body : "{}");
       statuses.push_back("{\"status\":" + std::to_string(r ? r->status : 0) + "}");
-      if (!r) io.print("     " + r.error().text);
+      if (!r)
+        io.print("     " + r.error().text);
     };
     if (all)
-      for (auto& r : io.all(c)) take(r);
-    else take(io.any(c));
+      for (auto& r : io.all(c))
+        take(r);
+    else
+      take(io.any(c));
   };
-  for (auto& s : b.steps) switch (s.what) {
-      case Step::Do::step: io.print(std::to_string(++n) + ". " + s.text); break;
-      case Step::Do::tell: io.print("     " + s.text); break;
+  for (auto& s : b.steps)
+    switch (s.what) {
+      case Step::Do::step:
+        io.print(std::to_string(++n) + ". " + s.text);
+        break;
+      case Step::Do::tell:
+        io.print("     " + s.text);
+        break;
       case Step::Do::head: {
         const auto e = s.text.find(' ');
         heads.emplace_back(s.text.substr(0, e), e == std::string::npos ? "" : trimmed(s.text.substr(e)));
         break;
       }
       case Step::Do::pause:
-        if (!dry) io.pause(s.within);
+        if (!dry)
+          io.pause(s.within);
         break;
       case Step::Do::get:
       case Step::Do::getall:
@@ -148,7 +170,8 @@
         heads.clear();
         lastAll = s.what == Step::Do::getall;
         io.print("     " + last.method + " " + last.path + (last.body.empty() ? "" : " " + last.body.substr(0, 100)));
-        if (dry) break;
+        if (dry)
+          break;
         if (!last.body.empty() && last.body[0] == '@') {
           auto f = readFile(last.body.substr(1));
           if (!f) {
@@ -175,7 +198,8 @@
         }
         if (!meets(s.see, what)) {
           io.print("stopped at line " + std::to_string(s.line) + ": wanted " + want + ", saw " + seen(s.see, what));
-          for (auto& a : answers) io.print("     answer: " + a.substr(0, 300));
+          for (auto& a : answers)
+            io.print("     answer: " + a.substr(0, 300));
           return 1;
         }
         io.print("     seen: " + want);
--- a/libs/passage/include/passage/pool.hpp
+++ b/libs/proxy/include/proxy/connection_pool.hpp
@@ -1,6 +1,6 @@
 // Clean connections to runners, kept for use again. A connection with anything unasked on it is never used again.
 #pragma once
-#include "keel/quay.hpp"
+#include "runtime/event_loop.hpp"
 namespace zc {
 class Pool {
  public:
--- a/libs/passage/include/passage/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -3,7 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include "keel/quay.hpp"
+#include "runtime/event_loop.hpp"
 namespace zc {
 namespace http = boost::beast::http;
 using Buffer = boost::beast::flat_buffer;
@@ -13,10 +13,10 @@
   std::size_t header = 16384, body = 4194304;
   Span idle{15000}, headerTime{3000}, bodyTime{10000};
 };
-enum class ReadEnd { whole, closed, declined };
+enum class ReadEnd { whole, closed, errorResponse };
 struct ReadResult {
   ReadEnd end = ReadEnd::closed;
-  int status = 0;  // for declined
+  int status = 0;  // for errorResponse
 };
 // Reads one request; whatever follows it stays in buf.
 ReadResult readRequest(Connection& w, Buffer& buf, RequestParser& p, const ReadLimits& l);
@@ -25,7 +25,8 @@
 void pump(Connection& w, Buffer& buf, Parser& p, bool headOnly, Ec& ec);
 
 std::string_view reasonOf(int status);
-std::string plainAnswer(int status, std::string_view extraHeads, std::string_view type, std::string_view body, bool keep);
+std::string plainAnswer(int status, std::string_view extraHeads, std::string_view type, std::string_view body,
+                        bool keep);
 std::string jsonError(std::string_view text);
 
 template <class Parser>
@@ -38,8 +39,10 @@
     if (buf.size() > 0) {
       const auto n = p.put(buf.data(), ec);
       buf.consume(n);
-      if (ec && ec != http::error::need_more) return;
-      if (n > 0) continue;
+      if (ec && ec != http::error::need_more)
+        return;
+      if (n > 0)
+        continue;
     }
     ec = {};
     const auto room = buf.prepare(8 * 1024);
@@ -48,7 +51,8 @@
       if (ec == asio::error::eof && p.is_header_done() && !p.chunked() && !p.content_length()) {
         Ec done;
         p.put_eof(done);
-        if (!done) ec = {};
+        if (!done)
+          ec = {};
       }
       return;
     }
--- a/libs/passage/src/pool.cpp
+++ b/libs/proxy/src/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "passage/pool.hpp"
+#include "proxy/connection_pool.hpp"
 
 #include <sys/socket.h>
 
@@ -13,25 +13,32 @@
 }  // namespace
 std::unique_ptr<Connection> Pool::take(const std::string& id, Instant now, bool repeatable) {
   const auto it = idle_.find(id);
-  if (it == idle_.end()) return nullptr;
+  if (it == idle_.end())
+    return nullptr;
   auto& v = it->second;
   while (!v.empty()) {
-    if (!repeatable && now - v.back().since > safeIdle_) return nullptr;  // all others sat longer
+    if (!repeatable && now - v.back().since > safeIdle_)
+      return nullptr;              // all others sat longer
     auto x = std::move(v.back());  // the one used last: the others may age and go
     v.pop_back();
-    if (x.until > now && clean(*x.connection)) return std::move(x.connection);
+    if (x.until > now && clean(*x.connection))
+      return std::move(x.connection);
   }
   return nullptr;
 }
 void Pool::give(const std::string& id, std::unique_ptr<Connection> w, Instant until, Instant now) {
   idle_[id].push_back({std::move(w), until, now});
 }
-void Pool::drop(const std::string& id) { idle_.erase(id); }
+void Pool::drop(const std::string& id) {
+  idle_.erase(id);
+}
 void Pool::sweep(Instant now) {
   for (auto it = idle_.begin(); it != idle_.end();) {
     std::erase_if(it->second, [&](Idle& x) { return x.until <= now; });
-    if (it->second.empty()) it = idle_.erase(it);
-    else ++it;
+    if (it->second.empty())
+      it = idle_.erase(it);
+    else
+      ++it;
   }
 }
 }  // namespace zc
--- a/libs/passage/src/events.hpp
+++ b/libs/proxy/src/events.hpp
@@ -1,6 +1,6 @@
 // A light scan of an event stream: where whole events end, and the id of the last one. Pure.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 class EventScan {
  public:
--- a/libs/passage/src/heads.hpp
+++ b/libs/proxy/src/heads.hpp
@@ -1,6 +1,6 @@
 // Which heads go on, and which are ours to read or write.
 #pragma once
-#include "passage/http.hpp"
+#include "proxy/http.hpp"
 namespace zc {
 bool sameText(std::string_view a, std::string_view b);
 // The request's head as the runner gets it.
--- a/libs/passage/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -1,12 +1,14 @@
-#include "passage/http.hpp"
+#include "proxy/http.hpp"
 
-#include "charter/calls.hpp"
+#include "config/calls.hpp"
 
 namespace zc {
 namespace {
 int statusOf(const Ec& ec) {
-  if (ec == http::error::header_limit) return 431;
-  if (ec == http::error::body_limit) return 413;
+  if (ec == http::error::header_limit)
+    return 431;
+  if (ec == http::error::body_limit)
+    return 413;
   return 400;
 }
 bool protocolFault(const Ec& ec) {
@@ -23,7 +25,8 @@
     w.due(Clock::now() + l.idle);
     const auto n = w.read(buf.prepare(8 * 1024), ec);
     w.undue();
-    if (ec || n == 0) return {ReadEnd::closed, 0};
+    if (ec || n == 0)
+      return {ReadEnd::closed, 0};
     buf.commit(n);
   }
   const auto began = Clock::now();
@@ -31,20 +34,26 @@
   pump(w, buf, p, true, ec);
   if (!ec && !p.is_done()) {
     w.due(Clock::now() + l.bodyTime);
-    // Why said at once: a caller that asks first would wait for ever.
-    if (p.get().count(http::field::expect)) w.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec);
-    if (!ec) pump(w, buf, p, false, ec);
+    // Why response at once: a caller that asks first would wait for ever.
+    if (p.get().count(http::field::expect))
+      w.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec);
+    if (!ec)
+      pump(w, buf, p, false, ec);
   }
   const bool late = w.late();
   w.undue();
-  if (!ec) return {ReadEnd::whole, 0};
-  if (late) return {ReadEnd::declined, 408};
+  if (!ec)
+    return {ReadEnd::whole, 0};
+  if (late)
+    return {ReadEnd::errorResponse, 408};
   if (protocolFault(ec) && ec != http::error::end_of_stream && ec != http::error::partial_message)
-    return {ReadEnd::declined, statusOf(ec)};
+    return {ReadEnd::errorResponse, statusOf(ec)};
   return {ReadEnd::closed, 0};
 }
 
-std::string_view reasonOf(int s) { return http::obsolete_reason(static_cast<http::status>(s)); }
+std::string_view reasonOf(int s) {
+  return http::obsolete_reason(static_cast<http::status>(s));
+}
 std::string plainAnswer(int status, std::string_view heads, std::string_view type, std::string_view body, bool keep) {
   std::string a;
   a.reserve(160 + heads.size() + body.size());
@@ -52,12 +61,16 @@
   a += reasonOf(status);
   a += "\r\n";
   a += heads;
-  if (!body.empty()) (a += "Content-Type: ") += type, a += "\r\n";
+  if (!body.empty())
+    (a += "Content-Type: ") += type, a += "\r\n";
   a += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  if (!keep) a += "Connection: close\r\n";
+  if (!keep)
+    a += "Connection: close\r\n";
   a += "\r\n";
   a += body;
   return a;
 }
-std::string jsonError(std::string_view text) { return "{\"error\":" + quoteJson(text) + "}"; }
+std::string jsonError(std::string_view text) {
+  return "{\"error\":" + quoteJson(text) + "}";
+}
 }  // namespace zc
--- a/libs/passage/src/passage.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -1,18 +1,19 @@
-#include "passage/passage.hpp"
+#include "proxy/proxy.hpp"
 
-#include <cstdio>
 #include <sys/socket.h>
 
+#include <cstdio>
+
 #include "events.hpp"
 #include "heads.hpp"
-#include "keel/ring.hpp"
+#include "runtime/log_ring.hpp"
 
 namespace zc {
 namespace {
 using AnswerParser = http::response_parser<http::string_body>;
 constexpr auto kConnect = 300ms;
-constexpr auto kIdleRunner = 20s;      // where the runner names no time itself
-constexpr int kConnectTries = 3;       // a runner that can't be reached has been sent nothing
+constexpr auto kIdleRunner = 20s;  // where the runner names no time itself
+constexpr int kConnectTries = 3;   // a runner that can't be reached has been sent nothing
 constexpr auto kWriteStall = 10s;
 
 // Notices that the client goes away while nobody reads from it.
@@ -22,12 +23,15 @@
 };
 void startWatch(const std::shared_ptr<Watch>& wt, Connection& client) {
   client.sock().async_wait(tcp::socket::wait_read, [wt, &client](Ec ec) {
-    if (ec || wt->over) return;
+    if (ec || wt->over)
+      return;
     char c;
     const auto n = ::recv(client.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) return;
+    if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+      return;
     wt->gone = true;
-    if (wt->runner) wt->runner->cancel();
+    if (wt->runner)
+      wt->runner->cancel();
   });
 }
 struct WatchGuard {
@@ -49,17 +53,22 @@
 std::string_view keyOf(const http::fields& f) {
   auto v = field(f, "Authorization");
   constexpr std::string_view scheme = "bearer ";
-  if (v.size() <= scheme.size() || !sameText(v.substr(0, scheme.size()), scheme)) return {};
+  if (v.size() <= scheme.size() || !sameText(v.substr(0, scheme.size()), scheme))
+    return {};
   v.remove_prefix(scheme.size());
-  while (!v.empty() && v.front() == ' ') v.remove_prefix(1);
-  while (!v.empty() && v.back() == ' ') v.remove_suffix(1);
+  while (!v.empty() && v.front() == ' ')
+    v.remove_prefix(1);
+  while (!v.empty() && v.back() == ' ')
+    v.remove_suffix(1);
   return v;
 }
 std::int64_t number(std::string_view s, std::int64_t otherwise) {
-  if (s.empty() || s.size() > 12) return otherwise;
+  if (s.empty() || s.size() > 12)
+    return otherwise;
   std::int64_t n = 0;
   for (char c : s) {
-    if (c < '0' || c > '9') return otherwise;
+    if (c < '0' || c > '9')
+      return otherwise;
     n = n * 10 + (c - '0');
   }
   return n;
@@ -67,19 +76,19 @@
 
 // How one go at a runner ended.
 enum class AttemptEnd {
-  done,         // the whole answer is with the client
-  unsent,       // no byte left for the runner
-  notRun,       // the runner says that it did not run it
-  broken,       // sent, and no whole answer: it may have run
-  moved,        // its runner's place is closing; the stream goes on elsewhere
-  failed,       // the runner ran it and answered with a failure of its own
+  done,    // the whole answer is with the client
+  unsent,  // no byte left for the runner
+  notRun,  // the runner says that it did not run it
+  broken,  // sent, and no whole answer: it may have run
+  moved,   // its runner's place is closing; the stream goes on elsewhere
+  failed,  // the runner ran it and answered with a failure of its own
   clientGone,
   timeUp,
 };
 
 class Passage {
  public:
-  Passage(Waters& wa, Connection& client, RequestParser& p) : wa_(wa), client_(client), req_(p.get()) {}
+  Passage(ProxyContext& wa, Connection& client, RequestParser& p) : wa_(wa), client_(client), req_(p.get()) {}
   bool carry();
 
  private:
@@ -93,21 +102,26 @@
   Instant now() const { return Clock::now(); }
   // Whether the end of an attempt speaks against its runner.
   bool illness(AttemptEnd e) const {
-    if (e == AttemptEnd::unsent || e == AttemptEnd::broken) return !stale_;
+    if (e == AttemptEnd::unsent || e == AttemptEnd::broken)
+      return !stale_;
     return e == AttemptEnd::failed || e == AttemptEnd::timeUp;
   }
   // The runner has begun to answer, or never will: its prompt no longer waits there.
   // began: it answered, so that the time until then says how it does.
   void promptRead(bool began) {
-    if (unread_ < 0) return;
-    wa_.docks.read(dock_, unread_);
+    if (unread_ < 0)
+      return;
+    wa_.runnerPool.read(dock_, unread_);
     wa_.silent.erase(&attempt_);
-    if (began) (void)wa_.witness.began(wa_.docks.at(dock_).id, *service_, unread_, toSpan(now() - attempt_.since), attempt_.blamed);
+    if (began)
+      (void)wa_.observer.began(wa_.runnerPool.at(dock_).id, *service_, unread_, toSpan(now() - attempt_.since),
+                               attempt_.blamed);
     unread_ = -1;
-    if (route_->aim > Span(0)) wa_.allowance.first(*service_, now() - arrived_ > route_->aim, now());
+    if (route_->aim > Span(0))
+      wa_.allowance.first(*service_, now() - arrived_ > route_->aim, now());
   }
 
-  Waters& wa_;
+  ProxyContext& wa_;
   Connection& client_;
   RequestParser::value_type& req_;
   std::shared_ptr<const Configuration> cfg_;
@@ -117,7 +131,7 @@
   Instant arrived_, deadline_;
   std::int64_t unread_ = -1;
   int dock_ = -1;
-  Waters::Attempt attempt_{};
+  ProxyContext::Attempt attempt_{};
   bool stale_ = false;  // the attempt ended on a connection that the runner had forgotten
   bool prepaid_ = false, lastRunner_ = false;
   Connection* eager_ = nullptr;  // to a partner that has not begun to answer: it is given little time
@@ -148,10 +162,14 @@
 }
 bool Passage::answer(int status, Span retry, std::string_view why) {
   std::string heads;
-  if (!attemptId_.empty()) heads += "X-Attempt-Id: " + attemptId_ + "\r\n";
-  if (retry > Span(0)) heads += retryAfter(retry);
-  ++wa_.declined;
-  return toClient(plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) && keep_;
+  if (!attemptId_.empty())
+    heads += "X-Attempt-Id: " + attemptId_ + "\r\n";
+  if (retry > Span(0))
+    heads += retryAfter(retry);
+  ++wa_.errorResponse;
+  return toClient(
+             plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) &&
+         keep_;
 }
 
 // A token of the quota: from the stash, or drawn in one short round trip. A request that finds the purse empty is
@@ -159,7 +177,8 @@
 bool Passage::allowed(const std::string& label) {
   auto& quota = wa_.quota;
   if (quota.take(label, now())) {
-    if (quota.low(label, now())) wa_.draw();
+    if (quota.low(label, now()))
+      wa_.draw();
     return true;
   }
   // Why not long: a refusal must come well inside the aim, so that the client's next try still can. While draws are
@@ -167,21 +186,25 @@
   const auto end = arrived_ + (quota.answering(arrived_) ? std::clamp(route_->aim * 9 / 20, Span(15), Span(250))
                                                          : std::clamp(route_->aim / 5, Span(15), Span(150)));
   Waiter w;
-  wa_.thirsty.push_back({&label, &w});
+  wa_.tokenWaiters.push_back({&label, &w});
   bool has = false;
   while (!has && now() < end) {
     quota.wait(label);
     wa_.ask();
-    const bool told = Quay::get().waitFor(w, std::max(Span(1), std::min(Span(100), toSpan(end - now()) + Span(1))));
+    const bool told =
+        EventLoop::get().waitFor(w, std::max(Span(1), std::min(Span(100), toSpan(end - now()) + Span(1))));
     has = quota.retake(label, now());
-    if (has || !told) continue;
+    if (has || !told)
+      continue;
     const auto again = quota.until(label);
-    if (now() + again >= end) break;
-    (void)Quay::get().waitFor(w, again);
+    if (now() + again >= end)
+      break;
+    (void)EventLoop::get().waitFor(w, again);
     has = quota.retake(label, now());
   }
-  if (!has) quota.unwait(label);
-  std::erase_if(wa_.thirsty, [&](auto& t) { return t.waiter == &w; });
+  if (!has)
+    quota.unwait(label);
+  std::erase_if(wa_.tokenWaiters, [&](auto& t) { return t.waiter == &w; });
   return has;
 }
 
@@ -193,30 +216,36 @@
   attemptId_ = std::string(field(req_, "X-Attempt-Id"));
 
   // Why first of all: without a fresh lease this copy may be older than a key that was taken away.
-  if (!wa_.leased(arrived_)) return answer(503, wa_.untilLease(arrived_), "no fresh lease");
+  if (!wa_.leased(arrived_))
+    return answer(503, wa_.untilLease(arrived_), "no fresh lease");
 
   const std::string_view target(req_.target().data(), req_.target().size());
   const int mi = cfg_->find(field(req_, "Host"), target);
-  if (mi < 0) return answer(404, Span(0), "no route");
+  if (mi < 0)
+    return answer(404, Span(0), "no route");
   route_ = &cfg_->routes[static_cast<std::size_t>(mi)];
   precedence_ = route_->precedence;
 
   const Subscriber* sub = nullptr;
   if (!cfg_->subscribers.empty() && !route_->keyless) {
     const int si = cfg_->subscriberOf(keyOf(req_));
-    if (si < 0) return answer(401, Span(0), "key not known");
+    if (si < 0)
+      return answer(401, Span(0), "key not known");
     sub = &cfg_->subscribers[static_cast<std::size_t>(si)];
     subscriber_ = sub->label;
-    if (sub->precedence >= 0) precedence_ = sub->precedence;
+    if (sub->precedence >= 0)
+      precedence_ = sub->precedence;
   }
   std::uint64_t draw = route_->shareSum > 1 ? wa_.rng() % route_->shareSum : 0;
   std::size_t ti = 0;
-  while (ti + 1 < route_->targets.size() && draw >= route_->targets[ti].share) draw -= route_->targets[ti++].share;
+  while (ti + 1 < route_->targets.size() && draw >= route_->targets[ti].share)
+    draw -= route_->targets[ti++].share;
   const auto& service = cfg_->services[static_cast<std::size_t>(route_->targets[ti].service)];
-  // Why before the quota: what is declined here must not cost a token.
+  // Why before the quota: what is errorResponse here must not cost a token.
   if (!wa_.allowance.allows(service.label, precedence_, static_cast<double>(wa_.rng() % 1000) / 1000, arrived_))
     return answer(503, Span(400 + static_cast<std::int64_t>(wa_.rng() % 900)), "overloaded");
-  if (sub && sub->ratePerS > 0 && !allowed(sub->label)) return answer(429, wa_.quota.hint(sub->label, now()), "over quota");
+  if (sub && sub->ratePerS > 0 && !allowed(sub->label))
+    return answer(429, wa_.quota.hint(sub->label, now()), "over quota");
 
   const auto asked = number(field(req_, "X-Deadline-Ms"), route_->expiry.count());
   deadline_ = arrived_ + std::min(Span(asked), route_->expiry);
@@ -224,23 +253,25 @@
 
   WatchGuard guard(client_);
   watch_ = guard.wt;
-  Wish wish;
+  RunnerQuery wish;
   wish.service = service.label;
   wish.zone = wa_.zone;
   wish.engine = service.engine;
   wish.repeatable = route_->repeatable();
   if (service.engine) {
     const auto parts = promptOf(field(req_, "X-Prompt-Prefix"));
-    if (route_->affinity) wish.affinity = parts.affinity, wish.sharedTokens = parts.shared;
-    wish.promptTokens = std::max(parts.all, number(field(req_, "X-Token-Count").substr(0, field(req_, "X-Token-Count").find(',')), 0));
+    if (route_->affinity)
+      wish.affinity = parts.affinity, wish.sharedTokens = parts.shared;
+    wish.promptTokens =
+        std::max(parts.all, number(field(req_, "X-Token-Count").substr(0, field(req_, "X-Token-Count").find(',')), 0));
   }
   int runners = 0;
   bool mayHaveRun = false;
   AttemptEnd end = AttemptEnd::unsent;
-  // A long opening that a partner site holds and this one does not. Only what may be repeated, so that a stale hint or a
-  // partner that fails costs a moment and never an answer: the request then goes on here as if it had not been there.
-  if (wa_.heldElsewhere && wish.repeatable && route_->type == RouteType::stream && wish.sharedTokens >= PartnerTrust::longTokens &&
-      field(req_, kFromPartner).empty()) {
+  // A long opening that a partner site holds and this one does not. Only what may be repeated, so that a stale hint or
+  // a partner that fails costs a moment and never an answer: the request then goes on here as if it had not been there.
+  if (wa_.heldElsewhere && wish.repeatable && route_->type == RouteType::stream &&
+      wish.sharedTokens >= PartnerTrust::longTokens && field(req_, kFromPartner).empty()) {
     service_ = &service.label;
     if (const auto there = wa_.heldElsewhere(wish.affinity, subscriber_); !there.empty() && wa_.partner.allows(now())) {
       ++wa_.toPartner;
@@ -251,45 +282,57 @@
         ++wa_.served;
         return keep_;
       }
-      if (end == AttemptEnd::clientGone) return false;
+      if (end == AttemptEnd::clientGone)
+        return false;
       wa_.partner.disappointed(now());
     }
   }
   for (int tries = 0; tries < route_->maxAttempts + kConnectTries; ++tries) {
-    if (watch_->gone) return false;
+    if (watch_->gone)
+      return false;
     if (now() >= deadline_) {
       end = AttemptEnd::timeUp;
       break;
     }
     // Why asked again before every go: the lease may have ended while an earlier one failed.
-    if (!wa_.leased(now())) break;
-    const int dock = wa_.docks.choose(wish, now());
-    if (dock < 0) break;
-    if (runners > 0 && !std::exchange(prepaid_, false) && !wa_.budget.spend(service.label, now())) break;
+    if (!wa_.leased(now()))
+      break;
+    const int dock = wa_.runnerPool.choose(wish, now());
+    if (dock < 0)
+      break;
+    if (runners > 0 && !std::exchange(prepaid_, false) && !wa_.budget.spend(service.label, now()))
+      break;
     lastRunner_ = runners + 1 >= route_->maxAttempts;
     service_ = &service.label;
     wish.not_.push_back(dock);
     ++wa_.attempts;
-    wa_.docks.went(dock, wish.promptTokens);
+    wa_.runnerPool.went(dock, wish.promptTokens);
     unread_ = wish.promptTokens;
     dock_ = dock;
     attempt_ = {dock, service_, unread_, now(), false};
     wa_.silent.insert(&attempt_);
     end = attempt(dock);
     promptRead(false);
-    if (illness(end)) wa_.witness.failed(wa_.docks.at(dock).id);
-    wa_.docks.came(dock);
-    if (end != AttemptEnd::unsent) ++runners;
+    if (illness(end))
+      wa_.observer.failed(wa_.runnerPool.at(dock).id);
+    wa_.runnerPool.came(dock);
+    if (end != AttemptEnd::unsent)
+      ++runners;
     if (end == AttemptEnd::done) {
       ++wa_.served;
       return keep_;
     }
-    if (end == AttemptEnd::clientGone) return false;
-    if (end == AttemptEnd::broken || end == AttemptEnd::failed || end == AttemptEnd::timeUp) mayHaveRun = true;
-    if (end == AttemptEnd::timeUp) break;
-    if (runners >= route_->maxAttempts) break;
+    if (end == AttemptEnd::clientGone)
+      return false;
+    if (end == AttemptEnd::broken || end == AttemptEnd::failed || end == AttemptEnd::timeUp)
+      mayHaveRun = true;
+    if (end == AttemptEnd::timeUp)
+      break;
+    if (runners >= route_->maxAttempts)
+      break;
     // At most once: what may have run goes to nobody else unless the route says that it may.
-    if (mayHaveRun && !route_->repeatable()) break;
+    if (mayHaveRun && !route_->repeatable())
+      break;
   }
   if (headSent_) {
     ++wa_.cut;
@@ -300,9 +343,12 @@
                     (keep_ ? "" : "Connection: close\r\n") + "\r\n" + keptBody_;
     return toClient(s) && keep_;
   }
-  if (mayHaveRun && !route_->repeatable()) return answer(end == AttemptEnd::timeUp ? 504 : 502, Span(0), "the runner's answer was lost");
-  if (end == AttemptEnd::timeUp) return answer(504, Span(0), "time is up");
-  if (mayHaveRun) return answer(502, Span(0), "the runner's answer was lost");
+  if (mayHaveRun && !route_->repeatable())
+    return answer(end == AttemptEnd::timeUp ? 504 : 502, Span(0), "the runner's answer was lost");
+  if (end == AttemptEnd::timeUp)
+    return answer(504, Span(0), "time is up");
+  if (mayHaveRun)
+    return answer(502, Span(0), "the runner's answer was lost");
   // Nothing has run: say when to come back, spread so that all do not come at once.
   return answer(503, Span(100 + static_cast<std::int64_t>(wa_.rng() % 200)), "no runner is free");
 }
@@ -310,13 +356,15 @@
 // At a partner site's node, as a client of it: with the client's own key, within the aim's fifth until it begins.
 AttemptEnd Passage::partnerAttempt(const std::string& address) {
   const auto ep = parseEndpoint(address);
-  if (!ep) return AttemptEnd::unsent;
+  if (!ep)
+    return AttemptEnd::unsent;
   Connection there;
   Ec ec;
   const auto patience = std::min(deadline_, now() + std::clamp(route_->aim / 5, Span(20), Span(400)));
   there.due(patience);
   there.connect(*ep, ec);
-  if (ec) return AttemptEnd::unsent;
+  if (ec)
+    return AttemptEnd::unsent;
   Outbound o;
   o.toPartner = true;
   o.left = toSpan(deadline_ - now());
@@ -334,9 +382,12 @@
   AnswerParser ap;
   ap.eager(true);
   ap.body_limit(64u << 20);
-  if (!ec) pump(there, buf, ap, true, ec);
-  if (watch_->gone) return AttemptEnd::clientGone;
-  if (ec) return AttemptEnd::broken;
+  if (!ec)
+    pump(there, buf, ap, true, ec);
+  if (watch_->gone)
+    return AttemptEnd::clientGone;
+  if (ec)
+    return AttemptEnd::broken;
   const auto& h = ap.get();
   // Whatever is no whole success is left there: this site answers for itself.
   if (h.result_int() / 100 != 2 || field(h, "X-Attempt-Id") != attemptId_ || field(h, "X-Server-Seal").empty() ||
@@ -346,39 +397,44 @@
   for (; ap.get().body().empty() && !ap.is_done();) {
     if (buf.size() == 0) {
       const auto n = there.read(buf.prepare(4 * 1024), ec);
-      if (watch_->gone) return AttemptEnd::clientGone;
-      if (ec) return AttemptEnd::broken;
+      if (watch_->gone)
+        return AttemptEnd::clientGone;
+      if (ec)
+        return AttemptEnd::broken;
       buf.commit(n);
     }
     const auto n = ap.put(buf.data(), ec);
     buf.consume(n);
-    if (ec && ec != http::error::need_more) return AttemptEnd::broken;
+    if (ec && ec != http::error::need_more)
+      return AttemptEnd::broken;
   }
   const auto e = relayStream(there, buf, ap, true);
   return e == AttemptEnd::broken && watch_->gone ? AttemptEnd::clientGone : e;
 }
 
 AttemptEnd Passage::attempt(int dock) {
-  const auto id = wa_.docks.at(dock).id;
-  const auto address = wa_.docks.at(dock).address;
+  const auto id = wa_.runnerPool.at(dock).id;
+  const auto address = wa_.runnerPool.at(dock).address;
   Ec ec;
   stale_ = false;
   auto connection = wa_.pool.take(id, now(), route_->repeatable());
   const bool reused = connection != nullptr;
   if (!connection) {
     auto ep = parseEndpoint(address);
-    if (!ep) return AttemptEnd::unsent;
+    if (!ep)
+      return AttemptEnd::unsent;
     connection = std::make_unique<Connection>();
     connection->due(std::min(deadline_, now() + kConnect));
     connection->connect(*ep, ec);
     if (ec) {
-      wa_.docks.fault(dock, now());
+      wa_.runnerPool.fault(dock, now());
       wa_.pool.drop(id);
       return AttemptEnd::unsent;
     }
     connection->undue();
   }
-  if (watch_->gone) return AttemptEnd::clientGone;
+  if (watch_->gone)
+    return AttemptEnd::clientGone;
   if (!wa_.leased(now())) {
     stale_ = true;
     return AttemptEnd::unsent;
@@ -389,7 +445,8 @@
   o.left = toSpan(deadline_ - now());
   o.precedence = precedence_;
   o.hideKey = !cfg_->subscribers.empty();
-  if (headSent_) o.lastEventId = scan_.lastId();
+  if (headSent_)
+    o.lastEventId = scan_.lastId();
   auto out = outboundHead(req_, o, req_.body().size());
   out += req_.body();
   watch_->runner = connection.get();
@@ -400,12 +457,13 @@
   connection->due(deadline_ + 50ms);
   connection->write(asio::buffer(out), ec);
   if (ec) {
-    if (watch_->gone) return AttemptEnd::clientGone;
+    if (watch_->gone)
+      return AttemptEnd::clientGone;
     if (reused && !connection->late()) {
       stale_ = true;
       wa_.pool.forgotten();
     } else {
-      wa_.docks.fault(dock, now());
+      wa_.runnerPool.fault(dock, now());
     }
     return connection->late() ? AttemptEnd::timeUp : AttemptEnd::broken;
   }
@@ -415,46 +473,64 @@
     ap.emplace();
     ap->eager(true);
     ap->body_limit(64u << 20);
-    if (req_.method() == http::verb::head) ap->skip(true);
+    if (req_.method() == http::verb::head)
+      ap->skip(true);
     pump(*connection, buf, *ap, true, ec);
-    if (ec) break;
+    if (ec)
+      break;
     const auto back = field(ap->get(), "X-Attempt-Id");
-    if (back == attemptId_ || surplus >= 2) break;
+    if (back == attemptId_ || surplus >= 2)
+      break;
     // A surplus answer to somebody else's request stands in the place of ours: it is read and belongs to nobody.
     pump(*connection, buf, *ap, false, ec);
-    if (ec) break;
+    if (ec)
+      break;
   }
   auto lost = [&] {
-    if (watch_->gone) return AttemptEnd::clientGone;
-    if (connection->late() || now() >= deadline_) return AttemptEnd::timeUp;
+    if (watch_->gone)
+      return AttemptEnd::clientGone;
+    if (connection->late() || now() >= deadline_)
+      return AttemptEnd::timeUp;
     // Why not its fault: a runner may forget a connection that sat idle, and resets what comes on it.
     stale_ = reused && ec == asio::error::connection_reset && !ap->got_some();
-    if (stale_) wa_.pool.forgotten();
-    else wa_.docks.fault(dock, now());
+    if (stale_)
+      wa_.pool.forgotten();
+    else
+      wa_.runnerPool.fault(dock, now());
     return AttemptEnd::broken;
   };
-  if (ec) return lost();
+  if (ec)
+    return lost();
   const auto& h = ap->get();
-  if (field(h, "X-Attempt-Id") != attemptId_) return lost();
-  wa_.docks.told(dock, field(h, "X-Instance-Load"), now());
+  if (field(h, "X-Attempt-Id") != attemptId_)
+    return lost();
+  wa_.runnerPool.told(dock, field(h, "X-Instance-Load"), now());
   const int status = static_cast<int>(h.result_int());
   const bool notRun = h.count("X-Not-Executed") > 0 || status == 421;
-  if (status / 100 == 2 && (field(h, "X-Server-Seal").empty() || h.count(http::field::content_encoding))) return lost();
+  if (status / 100 == 2 && (field(h, "X-Server-Seal").empty() || h.count(http::field::content_encoding)))
+    return lost();
 
   const bool stream = status / 100 == 2 && route_->type == RouteType::stream;
   if (stream) {
     const auto e = relayStream(*connection, buf, *ap, !headSent_);
-    if (e == AttemptEnd::broken) return lost();
-    if (e == AttemptEnd::moved) ++wa_.carried;
-    if (e != AttemptEnd::done) return e;
+    if (e == AttemptEnd::broken)
+      return lost();
+    if (e == AttemptEnd::moved)
+      ++wa_.carried;
+    if (e != AttemptEnd::done)
+      return e;
   } else {
     pump(*connection, buf, *ap, false, ec);
-    if (ec) return lost();
+    if (ec)
+      return lost();
   }
   const bool ownFailure = status / 100 == 5 && !notRun;
-  if (ownFailure) wa_.docks.fault(dock, now());
-  else wa_.docks.fine(dock);
-  if (!ownFailure && !notRun) promptRead(true);
+  if (ownFailure)
+    wa_.runnerPool.fault(dock, now());
+  else
+    wa_.runnerPool.fine(dock);
+  if (!ownFailure && !notRun)
+    promptRead(true);
   const bool clean = ap->get().keep_alive() && buf.size() == 0;
   Instant until = now() + kIdleRunner;
   if (const auto ka = field(ap->get(), "Keep-Alive"); !ka.empty())
@@ -465,48 +541,61 @@
       until = now() + Span(number(v, 1) * 1000 - 700);
     }
   std::string head, body;
-  if (!stream) head = inboundHead(ap->get()), body = std::move(ap->get().body());
+  if (!stream)
+    head = inboundHead(ap->get()), body = std::move(ap->get().body());
   connection->undue();
-  if (clean) wa_.pool.give(id, std::move(connection), until, now());
+  if (clean)
+    wa_.pool.give(id, std::move(connection), until, now());
 
   if (notRun) {
-    if (status == 421) wa_.docks.fault(dock, now());
+    if (status == 421)
+      wa_.runnerPool.fault(dock, now());
     return AttemptEnd::notRun;
   }
-  if (stream) return AttemptEnd::done;
+  if (stream)
+    return AttemptEnd::done;
   if (status / 100 != 2) {
     // Why changed: those four promise what this runner does not say.
-    if (status == 408 || status == 421 || status == 429 || status == 503) return AttemptEnd::broken;
+    if (status == 408 || status == 421 || status == 429 || status == 503)
+      return AttemptEnd::broken;
     keptHead_ = std::move(head);
     keptBody_ = std::move(body);
     return AttemptEnd::failed;
   }
-  if (headSent_) return AttemptEnd::broken;
+  if (headSent_)
+    return AttemptEnd::broken;
   head += "Content-Length: " + std::to_string(body.size()) + "\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
-  if (req_.method() != http::verb::head) head += body;
+  if (req_.method() != http::verb::head)
+    head += body;
   watch_->runner = nullptr;
   return toClient(head) ? AttemptEnd::done : AttemptEnd::clientGone;
 }
 
 AttemptEnd Passage::relayStream(Connection& w, Buffer& buf, AnswerParser& ap, bool fresh) {
   if (fresh) {
-    auto head = inboundHead(ap.get()) + "Transfer-Encoding: chunked\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
+    auto head =
+        inboundHead(ap.get()) + "Transfer-Encoding: chunked\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
     headSent_ = true;
-    if (!toClient(head)) return AttemptEnd::clientGone;
+    if (!toClient(head))
+      return AttemptEnd::clientGone;
   }
   const bool whole = route_->resume;  // only whole events go on where another runner may take the stream up
   for (;;) {
     auto& body = ap.get().body();
     if (!body.empty()) {
       promptRead(true);
-      if (eager_) std::exchange(eager_, nullptr)->due(deadline_ + 50ms);
+      if (eager_)
+        std::exchange(eager_, nullptr)->due(deadline_ + 50ms);
       const auto pass = whole ? scan_.feed(body) : std::string_view(body);
-      if (!pass.empty() && !chunkToClient(pass)) return AttemptEnd::clientGone;
+      if (!pass.empty() && !chunkToClient(pass))
+        return AttemptEnd::clientGone;
       body.clear();
     }
-    if (ap.is_done()) break;
+    if (ap.is_done())
+      break;
     // A live session leaves a place that closes between two whole events, if the budget has a further go for it.
-    if (whole && dock_ >= 0 && wa_.docks.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() && wa_.budget.spend(*service_, now())) {
+    if (whole && dock_ >= 0 && wa_.runnerPool.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() &&
+        wa_.budget.spend(*service_, now())) {
       prepaid_ = true;
       scan_.dropRest();
       return AttemptEnd::moved;
@@ -519,14 +608,16 @@
         scan_.dropRest();
         return AttemptEnd::broken;
       }
-      if (n > 0) continue;
+      if (n > 0)
+        continue;
     }
     ec = {};
     const auto n = w.read(buf.prepare(4 * 1024), ec);
     if (ec) {
       if (ec == asio::error::eof && !ap.chunked() && !ap.content_length()) {
         ap.put_eof(ec);
-        if (!ec) continue;
+        if (!ec)
+          continue;
       }
       // What of an event had come is dropped: whoever goes on begins after the last whole one.
       scan_.dropRest();
@@ -536,38 +627,41 @@
   }
   if (whole && !scan_.rest().empty()) {
     const auto last = scan_.rest();
-    if (!chunkToClient(last)) return AttemptEnd::clientGone;
+    if (!chunkToClient(last))
+      return AttemptEnd::clientGone;
   }
   watch_->runner = nullptr;
   return toClient("0\r\n\r\n") ? AttemptEnd::done : AttemptEnd::clientGone;
 }
 }  // namespace
 
-void Waters::blameSilent(Instant now) {
+void ProxyContext::blameSilent(Instant now) {
   for (auto* a : silent)
-    if (!a->blamed && now - a->since > witness.patience(*a->service, a->tokens)) {
+    if (!a->blamed && now - a->since > observer.patience(*a->service, a->tokens)) {
       a->blamed = true;
-      witness.slow(docks.at(a->dock).id);
+      observer.slow(runnerPool.at(a->dock).id);
     }
 }
-Span Waters::untilLease(Instant now) {
+Span ProxyContext::untilLease(Instant now) {
   const auto spread = Span(rng() % 120);
   // Why not sooner: a client has few tries, and one that meets a second refusal is lost. A process that has just
-  // started has its first lease as soon as the core has a sequencer, which after a loss of all takes this long.
-  if (leaseEnds == Instant{}) return std::max(Span(150), Span(800) - toSpan(now - born)) + spread;
+  // started has its first lease as soon as the core has a leader, which after a loss of all takes this long.
+  if (leaseEnds == Instant{})
+    return std::max(Span(150), Span(800) - toSpan(now - born)) + spread;
   return Span(500) + spread;
 }
-void takeClient(Waters& wa, tcp::socket s) {
+void takeClient(ProxyContext& wa, tcp::socket s) {
   // Closed before anything was read: its client may try elsewhere, whatever it wanted.
-  if (wa.clients >= wa.clientsMost) return;
+  if (wa.clients >= wa.clientsMost)
+    return;
   ++wa.clients;
   auto held = std::make_shared<tcp::socket>(std::move(s));
-  Quay::get().launch([&wa, held] {
+  EventLoop::get().launch([&wa, held] {
     serveClient(wa, std::move(*held));
     --wa.clients;
   });
 }
-void serveClient(Waters& wa, tcp::socket s) {
+void serveClient(ProxyContext& wa, tcp::socket s) {
   Connection w(std::move(s));
   tune(w.sock());
   Buffer buf;
@@ -580,14 +674,17 @@
       l.headerTime = wa.cfg->limits.headerTimer;
       l.bodyTime = std::max(wa.cfg->limits.idleTimer, Span(5000));
     }
-    if (wa.leaving) l.idle = std::min(l.idle, Span(300));
+    if (wa.leaving)
+      l.idle = std::min(l.idle, Span(300));
     // Why wait here: what is not read yet stands in the client's own window and costs us nothing.
-    while (wa.held > wa.heldMost) Quay::get().pause(20ms);
+    while (wa.held > wa.heldMost)
+      EventLoop::get().pause(20ms);
     RequestParser p;
     const auto r = readRequest(w, buf, p, l);
-    if (r.end == ReadEnd::closed) return;
+    if (r.end == ReadEnd::closed)
+      return;
     Ec ec;
-    if (r.end == ReadEnd::declined) {
+    if (r.end == ReadEnd::errorResponse) {
       w.write(asio::buffer(plainAnswer(r.status, "", "application/json", jsonError(reasonOf(r.status)), false)), ec);
       // What is left unread would reset the connection and take the answer with it.
       w.sock().shutdown(tcp::socket::shutdown_send, ec);
@@ -603,7 +700,8 @@
     const bool more = Passage(wa, w, p).carry();
     wa.held -= bytes;
     --wa.aboard;
-    if (!more) return;
+    if (!more)
+      return;
   }
 }
 }  // namespace zc
--- a/libs/pilot/include/pilot/pilot.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/proxy_daemon.hpp
@@ -1,6 +1,6 @@
 // The access program: the proxy, with the applied copy that every request reads.
 #pragma once
-#include "charter/settings.hpp"
+#include "config/settings.hpp"
 namespace zc {
-int runPilot(const Settings& s);
+int runProxy(const Settings& s);
 }
