--- a/libs/pilot/src/pilot.cpp
+++ b/libs/proxy_daemon/src/proxy_daemon.cpp
@@ -1,39 +1,43 @@
-#include "pilot/pilot.hpp"
+#include "proxy_daemon/proxy_daemon.hpp"
 
 #include <set>
 
-#include "keel/lifecycle.hpp"
-#include "keel/ring.hpp"
-#include "log/queue.hpp"
-#include "passage/passage.hpp"
-#include "registry/copy.hpp"
-#include "signal/link.hpp"
-#include "tender/port.hpp"
+#include "agent/port.hpp"
+#include "consensus/queue.hpp"
+#include "proxy/proxy.hpp"
+#include "runtime/lifecycle.hpp"
+#include "runtime/log_ring.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "transport/peer_link.hpp"
 
 namespace zc {
 namespace {
 constexpr auto kChallenge = 400ms;
 constexpr std::size_t kSeenMost = 24;  // runners told of in one question, the worst first
-constexpr auto kHeldHere = 20s;  // an opening sent so lately is not asked about again
+constexpr auto kHeldHere = 20s;        // an opening sent so lately is not asked about again
 constexpr auto kHeldWait = 10ms;
 constexpr auto kLinger = 2600ms;  // after SIGTERM: until the platform has surely noticed
 
-class Pilot {
+class ProxyDaemon {
  public:
-  explicit Pilot(const Settings& s) : s_(s) {
+  explicit ProxyDaemon(const Settings& s) : s_(s) {
     wa_.zone = s.zone;
     wa_.rng.seed(drawSeed());
-    wa_.docks = Docks(drawSeed());
-    wa_.docks.regions(s.zones);
+    wa_.runnerPool = RunnerPool(drawSeed());
+    wa_.runnerPool.regions(s.zones);
     // Why a margin: an answer is under way while the lease ends, and the far clocks are not ours.
     leaseSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
     // Of the descriptors 200 are not ours; a request may need one on either side.
-    if (s.fdLimit > 0) wa_.clientsMost = std::max(64, (s.fdLimit - 260) / 2);
-    if (s.memoryMb > 0) wa_.heldMost = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
+    if (s.fdLimit > 0)
+      wa_.clientsMost = std::max(64, (s.fdLimit - 260) / 2);
+    if (s.memoryMb > 0)
+      wa_.heldMost = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
     wa_.draw = [this] { challenge(); };
     wa_.ask = [this] { ask(); };
     if (s.partner && !s.partner->access.empty())
-      wa_.heldElsewhere = [this](std::uint64_t opening, const std::string& tenant) { return heldElsewhere(opening, tenant); };
+      wa_.heldElsewhere = [this](std::uint64_t opening, const std::string& tenant) {
+        return heldElsewhere(opening, tenant);
+      };
     wa_.budget = Budget(s.timers.retryRatio * 0.75, s.timers.retryWindow / 4);
     slackDraw_ = static_cast<double>(drawSeed() % 10007) / 10007;
   }
@@ -41,12 +45,15 @@
     auto access = parseEndpoint(s_.accessAddr);
     auto ready = parseEndpoint(s_.readinessAddr);
     auto agent = parseEndpoint("127.0.0.1:" + std::to_string(s_.portFirst + kTenderPort));
-    if (!access) return tl::unexpected(access.error());
-    if (!ready) return tl::unexpected(ready.error());
-    if (!agent) return tl::unexpected(agent.error());
-    mooring_ = std::make_unique<Mooring>(
-        *agent, [this](const LinkPtr&, Msg m) { onTender(std::move(m)); },
-        [this](const LinkPtr& l) {
+    if (!access)
+      return tl::unexpected(access.error());
+    if (!ready)
+      return tl::unexpected(ready.error());
+    if (!agent)
+      return tl::unexpected(agent.error());
+    mooring_ = std::make_unique<Dialer>(
+        *agent, [this](const PeerLinkPtr&, Msg m) { onTender(std::move(m)); },
+        [this](const PeerLinkPtr& l) {
           Msg m = msgOf(Kind::follow);
           m.num = queue_.applied();
           m.names = {copy_.state().digest};
@@ -55,35 +62,41 @@
           challenge();
         });
     auto ok = listen(*access, [this](tcp::socket sock) { takeClient(wa_, std::move(sock)); });
-    if (!ok) return ok;
+    if (!ok)
+      return ok;
     ok = listen(*ready, [this](tcp::socket sock) {
       auto held = std::make_shared<tcp::socket>(std::move(sock));
-      Quay::get().launch([this, held] { serveReadiness(std::move(*held)); });
+      EventLoop::get().launch([this, held] { serveReadiness(std::move(*held)); });
     });
-    if (!ok) return ok;
-    Quay::get().every(kChallenge, [this] { challenge(); });
-    // Why oftener without one: each of these goes no further than the agent while there is no sequencer.
-    Quay::get().every(kChallenge / 4, [this] {
-      if (!wa_.leased(Clock::now())) challenge();
+    if (!ok)
+      return ok;
+    EventLoop::get().every(kChallenge, [this] { challenge(); });
+    // Why oftener without one: each of these goes no further than the agent while there is no leader.
+    EventLoop::get().every(kChallenge / 4, [this] {
+      if (!wa_.leased(Clock::now()))
+        challenge();
     });
-    Quay::get().every(1000ms, [this] { wa_.pool.sweep(Clock::now()); });
+    EventLoop::get().every(1000ms, [this] { wa_.pool.sweep(Clock::now()); });
     return {};
   }
   void leave() {
-    if (wa_.leaving) return;
+    if (wa_.leaving)
+      return;
     wa_.leaving = true;
     const auto end = Clock::now() + s_.timers.grace * 9 / 10;
     const auto from = Clock::now() + std::min(Span(kLinger), s_.timers.grace / 2);
-    Quay::get().every(100ms, [this, end, from] {
+    EventLoop::get().every(100ms, [this, end, from] {
       const auto now = Clock::now();
-      if (now >= end || (now >= from && wa_.aboard == 0)) Quay::get().stop();
+      if (now >= end || (now >= from && wa_.aboard == 0))
+        EventLoop::get().stop();
     });
   }
   void reread(const Settings& s) { s_.timers = s.timers; }
 
  private:
   void challenge() {
-    if (!mooring_->up()) return;
+    if (!mooring_->up())
+      return;
     const auto now = Clock::now();
     Msg m = msgOf(Kind::challenge);
     m.nonce = ++nonce_;
@@ -92,29 +105,36 @@
     m.holds = wa_.quota.holds(now);
     m.load = load(now);
     wa_.blameSilent(now);
-    m.seen = wa_.witness.report(kSeenMost);
+    m.seen = wa_.observer.report(kSeenMost);
     m.prevTerm = outliersKnown_;
     asked_[m.nonce] = now;
-    while (asked_.size() > 16) asked_.erase(asked_.begin());
+    while (asked_.size() > 16)
+      asked_.erase(asked_.begin());
     mooring_->send(m);
   }
   // What requests wait for goes out once a turn of the loop, at once, and names nobody else.
   void ask() {
-    if (std::exchange(asking_, true)) return;
-    asio::post(Quay::get().io(), [this] {
+    if (std::exchange(asking_, true))
+      return;
+    asio::post(EventLoop::get().io(), [this] {
       asking_ = false;
-      if (!mooring_->up()) return;
+      if (!mooring_->up())
+        return;
       Msg m = msgOf(Kind::draw);
       m.grants = wa_.quota.unasked();
-      if (!m.grants.empty()) mooring_->send(m);
+      if (!m.grants.empty())
+        mooring_->send(m);
     });
   }
-  // Asks the sequencer, which hears all nodes. What was sent from here not long ago is held here; no answer in ms is a no.
+  // Asks the leader, which hears all nodes. What was sent from here not long ago is held here; no answer in ms is a no.
   std::string heldElsewhere(std::uint64_t opening, const std::string& tenant) {
     const auto now = Clock::now();
-    if (sent_.size() > 8192) sent_.clear();
-    if (const auto it = sent_.find(opening); it != sent_.end() && now - it->second < kHeldHere) return {};
-    if (!mooring_->up()) return {};
+    if (sent_.size() > 8192)
+      sent_.clear();
+    if (const auto it = sent_.find(opening); it != sent_.end() && now - it->second < kHeldHere)
+      return {};
+    if (!mooring_->up())
+      return {};
     Msg m = msgOf(Kind::whereHeld);
     m.nonce = ++heldNonce_;
     m.num = static_cast<std::int64_t>(opening);
@@ -123,7 +143,7 @@
     Held h;
     held_[m.nonce] = &h;
     mooring_->send(m);
-    (void)Quay::get().waitFor(h.waiter, kHeldWait);
+    (void)EventLoop::get().waitFor(h.waiter, kHeldWait);
     held_.erase(m.nonce);
     if (h.access.empty()) {
       sent_[opening] = now;
@@ -135,44 +155,52 @@
     const auto now = Clock::now();
     if (m.what() == Kind::feed) {
       if (m.ok) {
-        if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged())) return;  // never back in number
-        if (auto r = copy_.restore(m.blob); !r) return mend("snapshot declined: " + r.error().text);
+        if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged()))
+          return;  // never back in number
+        if (auto r = copy_.restore(m.blob); !r)
+          return mend("snapshot errorResponse: " + r.error().text);
         queue_.restart(m.num);
         adopt({true, true, true});
       } else {
-        for (auto& e : m.entries) queue_.offer(std::move(e));
+        for (auto& e : m.entries)
+          queue_.offer(std::move(e));
       }
       // A fiber applies without yielding: nothing reads a copy half applied.
-      Copy::Change all;
+      ReplicatedState::Change all;
       while (auto e = queue_.next()) {
         const auto c = copy_.apply(*e);
         all.configuration |= c.configuration;
         all.runners |= c.runners;
         all.closures |= c.closures;
       }
-      if (copy_.damaged()) return mend("a difference did not fit");
+      if (copy_.damaged())
+        return mend("a difference did not fit");
       adopt(all);
       settleLease(now);
     } else if (m.what() == Kind::lease) {
       const auto it = asked_.find(m.nonce);
-      if (it == asked_.end() || !m.ok) return;
+      if (it == asked_.end() || !m.ok)
+        return;
       // The lease counts from our own question, never from the answer.
       if (it->second + leaseSpan_ > pendingEnd_) {
         pendingEnd_ = it->second + leaseSpan_;
         pendingNum_ = std::max(pendingNum_, m.num);
       }
       // Why only the newest: what a later question told of the stash did not know of these tokens yet.
-      if (m.nonce == nonce_) wa_.quota.drawn(m.grants, it->second);
-      if (m.commit > 0) wa_.budget.share(s_.timers.retrySlack * 0.5 / static_cast<double>(m.commit), slackDraw_);
+      if (m.nonce == nonce_)
+        wa_.quota.drawn(m.grants, it->second);
+      if (m.commit > 0)
+        wa_.budget.share(s_.timers.retrySlack * 0.5 / static_cast<double>(m.commit), slackDraw_);
       if (m.prevTerm != 0 && m.prevTerm != outliersKnown_) {
         outliersKnown_ = m.prevTerm;
         outliers_ = m.seen;
-        wa_.docks.setAside(outliers_);
+        wa_.runnerPool.setAside(outliers_);
       }
       asked_.erase(it);
       settleLease(now);
     } else if (m.what() == Kind::held) {
-      if (const auto it = held_.find(m.nonce); it != held_.end()) it->second->access = std::move(m.names), it->second->waiter.wake();
+      if (const auto it = held_.find(m.nonce); it != held_.end())
+        it->second->access = std::move(m.names), it->second->waiter.wake();
     } else if (m.what() == Kind::drawn && m.ok) {
       wa_.quota.loose(m.grants, now);
       wa_.quench(m.grants);
@@ -188,29 +216,36 @@
     mooring_->send(m);
   }
   void settleLease(Instant) {
-    // Only once applied as far as the sequencer was when it answered.
-    if (pendingEnd_ == Instant{} || copy_.damaged() || queue_.applied() < pendingNum_) return;
-    if (wa_.leaseEnds == Instant{}) ring::note("first lease, at number " + std::to_string(queue_.applied()));
+    // Only once applied as far as the leader was when it answered.
+    if (pendingEnd_ == Instant{} || copy_.damaged() || queue_.applied() < pendingNum_)
+      return;
+    if (wa_.leaseEnds == Instant{})
+      ring::note("first lease, at number " + std::to_string(queue_.applied()));
     wa_.leaseEnds = std::max(wa_.leaseEnds, pendingEnd_);
   }
-  void adopt(Copy::Change c) {
-    if (c.runners) wa_.docks.follow(copy_.state().runners), wa_.docks.setAside(outliers_);
-    if (c.closures) adoptClosures();
-    if (!c.configuration || copy_.state().configuration.empty()) return;
+  void adopt(ReplicatedState::Change c) {
+    if (c.runners)
+      wa_.runnerPool.follow(copy_.state().runners), wa_.runnerPool.setAside(outliers_);
+    if (c.closures)
+      adoptClosures();
+    if (!c.configuration || copy_.state().configuration.empty())
+      return;
     // Built aside and swapped: requests under way keep the table they began with.
     auto cfg = parseConfiguration(copy_.state().configuration);
-    if (!cfg) return ring::alarm("a taken configuration can't be read: " + cfg.error().text);
+    if (!cfg)
+      return ring::alarm("a taken configuration can't be read: " + cfg.error().text);
     wa_.cfg = *cfg;
     challenge();
   }
   std::set<std::string> zonesOf(const std::string& place) const {
     std::set<std::string> out;
     for (auto& [zone, region] : s_.zones)
-      if (zone == place || region == place) out.insert(zone);
+      if (zone == place || region == place)
+        out.insert(zone);
     return out;
   }
   void adoptClosures() {
-    std::map<std::string, Docks::Closing> zones;
+    std::map<std::string, RunnerPool::Closing> zones;
     for (auto& c : copy_.state().closures)
       for (auto& z : zonesOf(c.place)) {
         auto& x = zones[z];
@@ -219,13 +254,13 @@
       }
     const auto mine = zones.find(s_.zone);
     wa_.doorsShut = mine != zones.end() && mine->second.carryOver;
-    wa_.docks.close(std::move(zones));
+    wa_.runnerPool.close(std::move(zones));
   }
   // What the core tells operators of a closing place's progress, and how busy the fleet is.
   std::vector<Grant> load(Instant now) {
     std::vector<Grant> out;
     const double s = std::max(0.05, std::chrono::duration<double>(now - loadAt_).count());
-    const auto all = wa_.served + wa_.declined;
+    const auto all = wa_.served + wa_.errorResponse;
     if (now - loadAt_ > 900ms) {
       perS_ = static_cast<double>(all - loadCount_) / s;
       loadAt_ = now;
@@ -234,7 +269,8 @@
     out.push_back({"", perS_, 0});
     for (auto& c : copy_.state().closures) {
       const auto zones = zonesOf(c.place);
-      out.push_back({c.place, static_cast<double>(wa_.docks.inFlightIn(zones)), zones.count(s_.zone) ? wa_.aboard * 1.0 : 0.0});
+      out.push_back({c.place, static_cast<double>(wa_.runnerPool.inFlightIn(zones)),
+                     zones.count(s_.zone) ? wa_.aboard * 1.0 : 0.0});
     }
     return out;
   }
@@ -244,23 +280,27 @@
     for (;;) {
       RequestParser p;
       const auto r = readRequest(w, buf, p, {});
-      if (r.end != ReadEnd::whole) return;
+      if (r.end != ReadEnd::whole)
+        return;
       const bool known = p.get().target() == "/v1/readiness";
       const bool ready = wa_.leased(Clock::now()) && !wa_.leaving && !wa_.doorsShut;
       const bool keep = p.get().keep_alive();
       Ec ec;
-      w.write(asio::buffer(plainAnswer(!known ? 404 : ready ? 200 : 503, "", "application/json",
-                                       ready ? "{\"ready\":true}" : "{\"ready\":false}", keep)),
+      w.write(asio::buffer(plainAnswer(!known  ? 404
+                                       : ready ? 200
+                                               : 503,
+                                       "", "application/json", ready ? "{\"ready\":true}" : "{\"ready\":false}", keep)),
               ec);
-      if (ec || !keep) return;
+      if (ec || !keep)
+        return;
     }
   }
 
   Settings s_;
-  Waters wa_;
+  ProxyContext wa_;
   Queue queue_;
-  Copy copy_;
-  std::unique_ptr<Mooring> mooring_;
+  ReplicatedState copy_;
+  std::unique_ptr<Dialer> mooring_;
   std::map<std::int64_t, Instant> asked_;
   std::int64_t nonce_ = 0, pendingNum_ = 0;
   bool asking_ = false;
@@ -281,19 +321,21 @@
 };
 }  // namespace
 
-int runPilot(const Settings& s) {
-  Quay quay;
-  Pilot p(s);
+int runProxy(const Settings& s) {
+  EventLoop loop;
+  ProxyDaemon p(s);
   if (auto r = p.start(); !r) {
-    ring::say("pilot: " + r.error().text);
+    ring::say("proxy: " + r.error().text);
     return 1;
   }
   watchLifecycle(settingsPath(), {[&] { p.leave(); },
                                   [&] {
-                                    if (auto n = loadSettings(settingsPath())) p.reread(*n);
-                                    else ring::alarm(n.error().text);
+                                    if (auto n = loadSettings(settingsPath()))
+                                      p.reread(*n);
+                                    else
+                                      ring::alarm(n.error().text);
                                   }});
-  quay.run();
+  loop.run();
   return 0;
 }
 }  // namespace zc
--- a/libs/keel/include/keel/common.hpp
+++ b/libs/runtime/include/runtime/common.hpp
@@ -10,12 +10,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 namespace zc {
 using namespace std::chrono_literals;
 using Clock = std::chrono::steady_clock;
@@ -31,12 +30,15 @@
 inline tl::unexpected<Fault> fault(int code, std::string text) {
   return tl::unexpected<Fault>(Fault{code, std::move(text)});
 }
-inline Span toSpan(Clock::duration d) { return std::chrono::duration_cast<Span>(d); }
+inline Span toSpan(Clock::duration d) {
+  return std::chrono::duration_cast<Span>(d);
+}
 
 // Only a broken invariant of our own may stop the process; everything else is a value.
 [[noreturn]] void scuttle(const char* what);
 inline void must(bool ok, const char* what) {
-  if (!ok) scuttle(what);
+  if (!ok)
+    scuttle(what);
 }
 std::uint64_t hash64(std::string_view s, std::uint64_t seed = 0);
 std::string digestOf(std::string_view s);  // 128 bits, hex
--- a/libs/keel/include/keel/quay.hpp
+++ b/libs/runtime/include/runtime/event_loop.hpp
@@ -8,7 +8,7 @@
 #include <boost/fiber/fixedsize_stack.hpp>
 #include <boost/intrusive/list.hpp>
 
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 
 namespace zc {
 namespace asio = boost::asio;
@@ -28,18 +28,18 @@
 };
 
 class Connection;
-class Quay {
+class EventLoop {
  public:
-  Quay();
-  ~Quay();
-  static Quay& get();
+  EventLoop();
+  ~EventLoop();
+  static EventLoop& get();
   asio::io_context& io();
   void run();
   void stop();
   void launch(std::function<void()> f);
   void pause(Span d);
   bool waitFor(Waiter& w, Span d);  // false: the time was up first
-  // Calls f every d until the quay stops.
+  // Calls f every d until the loop stops.
   void every(Span d, std::function<void()> f);
   void watch(Connection& w);
 
@@ -67,7 +67,10 @@
   void cancel();
   tcp::socket& sock() { return sock_; }
   Instant dueAt() const { return due_; }
-  void strike() { late_ = true; cancel(); }
+  void strike() {
+    late_ = true;
+    cancel();
+  }
 
  private:
   tcp::socket sock_;
--- a/libs/keel/include/keel/lifecycle.hpp
+++ b/libs/runtime/include/runtime/lifecycle.hpp
@@ -1,6 +1,6 @@
 // What the platform tells a process by signals, and a settings file that changes silently.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 struct Lifecycle {
   std::function<void()> onTerm, onSettings;
--- a/libs/keel/src/common.cpp
+++ b/libs/runtime/src/common.cpp
@@ -1,12 +1,12 @@
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
+
+#include <xxhash.h>
 
 #include <cstdio>
 #include <cstdlib>
 #include <random>
 
-#include <xxhash.h>
-
-#include "keel/ring.hpp"
+#include "runtime/log_ring.hpp"
 
 namespace zc {
 void scuttle(const char* what) {
@@ -14,7 +14,9 @@
   ring::dump();
   std::abort();
 }
-std::uint64_t hash64(std::string_view s, std::uint64_t seed) { return XXH3_64bits_withSeed(s.data(), s.size(), seed); }
+std::uint64_t hash64(std::string_view s, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(s.data(), s.size(), seed);
+}
 std::string digestOf(std::string_view s) {
   const auto h = XXH3_128bits(s.data(), s.size());
   char buf[40];
--- a/libs/keel/src/quay.cpp
+++ b/libs/runtime/src/event_loop.cpp
@@ -1,6 +1,5 @@
-#include "keel/quay.hpp"
+#include "runtime/event_loop.hpp"
 
-#include <csignal>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -8,12 +7,13 @@
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/type.hpp>
+#include <csignal>
 
 namespace zc {
 namespace {
 constexpr auto kSweep = 20ms;
 constexpr std::size_t kStack = 64 * 1024;
-Quay* g_quay = nullptr;
+EventLoop* g_quay = nullptr;
 
 // Why an order of our own: the io loop must know whether any fiber but itself and the library's
 // dispatcher can run, or it would spin or sleep wrongly.
@@ -21,14 +21,17 @@
  public:
   explicit Deck(int* ready) : ready_(ready) {}
   void awakened(boost::fibers::context* c) noexcept override {
-    if (!c->is_context(boost::fibers::type::dispatcher_context)) ++*ready_;
+    if (!c->is_context(boost::fibers::type::dispatcher_context))
+      ++*ready_;
     c->ready_link(queue_);
   }
   boost::fibers::context* pick_next() noexcept override {
-    if (queue_.empty()) return nullptr;
+    if (queue_.empty())
+      return nullptr;
     auto* c = &queue_.front();
     queue_.pop_front();
-    if (!c->is_context(boost::fibers::type::dispatcher_context)) --*ready_;
+    if (!c->is_context(boost::fibers::type::dispatcher_context))
+      --*ready_;
     return c;
   }
   bool has_ready_fibers() const noexcept override { return !queue_.empty(); }
@@ -51,12 +54,14 @@
   done_ = false;
 }
 void Waiter::wake() {
-  if (done_) return;
+  if (done_)
+    return;
   done_ = true;
-  if (ctx_) boost::fibers::context::active()->schedule(ctx_);
+  if (ctx_)
+    boost::fibers::context::active()->schedule(ctx_);
 }
 
-struct Quay::Impl {
+struct EventLoop::Impl {
   asio::io_context io{1};
   int ready = 0;
   bool stopped = false;
@@ -69,53 +74,63 @@
     sweep.expires_after(kSweep);
     sweep.async_wait([this](Ec ec) {
       sweeping = false;
-      if (ec || stopped) return;
+      if (ec || stopped)
+        return;
       const auto now = Clock::now();
       for (auto it = watched.begin(); it != watched.end();) {
         auto& w = *it++;
-        if (w.dueAt() <= now) w.strike();
+        if (w.dueAt() <= now)
+          w.strike();
       }
-      if (!watched.empty()) arm();
+      if (!watched.empty())
+        arm();
     });
   }
 };
 
-Quay::Quay() : impl_(std::make_unique<Impl>()) {
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {
   g_quay = this;
   std::signal(SIGPIPE, SIG_IGN);
   boost::fibers::use_scheduling_algorithm<Deck>(&impl_->ready);
 }
-Quay::~Quay() = default;
-Quay& Quay::get() { return *g_quay; }
-asio::io_context& Quay::io() { return impl_->io; }
-void Quay::stop() {
+EventLoop::~EventLoop() = default;
+EventLoop& EventLoop::get() {
+  return *g_quay;
+}
+asio::io_context& EventLoop::io() {
+  return impl_->io;
+}
+void EventLoop::stop() {
   impl_->stopped = true;
   impl_->io.stop();
 }
-void Quay::run() {
+void EventLoop::run() {
   impl_->stopped = false;
   impl_->io.restart();
   auto keep = asio::make_work_guard(impl_->io);
   while (!impl_->stopped) {
-    while (impl_->ready > 0) boost::this_fiber::yield();
-    if (!impl_->stopped) impl_->io.run_one();
+    while (impl_->ready > 0)
+      boost::this_fiber::yield();
+    if (!impl_->stopped)
+      impl_->io.run_one();
   }
 }
-void Quay::launch(std::function<void()> f) {
+void EventLoop::launch(std::function<void()> f) {
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, impl_->stacks, std::move(f)).detach();
 }
-void Quay::pause(Span d) {
+void EventLoop::pause(Span d) {
   asio::steady_timer t(impl_->io, d);
   Waiter w;
   t.async_wait([&](Ec) { w.wake(); });
   w.wait();
 }
-bool Quay::waitFor(Waiter& w, Span d) {
+bool EventLoop::waitFor(Waiter& w, Span d) {
   bool timedOut = false, fired = false;
   asio::steady_timer t(impl_->io, d);
   t.async_wait([&](Ec ec) {
     fired = true;
-    if (!ec) timedOut = true;
+    if (!ec)
+      timedOut = true;
     w.wake();
   });
   w.wait();
@@ -129,37 +144,44 @@
   }
   return false;
 }
-void Quay::every(Span d, std::function<void()> f) {
+void EventLoop::every(Span d, std::function<void()> f) {
   auto t = std::make_shared<asio::steady_timer>(impl_->io);
   auto fn = std::make_shared<std::function<void()>>(std::move(f));
   auto step = std::make_shared<std::function<void()>>();
   std::weak_ptr<std::function<void()>> weak = step;
   *step = [this, t, fn, d, step] {
-    if (impl_->stopped) return;
+    if (impl_->stopped)
+      return;
     t->expires_after(d);
     t->async_wait([fn, step](Ec ec) {
-      if (ec) return;
+      if (ec)
+        return;
       (*fn)();
       (*step)();
     });
   };
   (*step)();
 }
-void Quay::watch(Connection& w) {
-  if (!w.is_linked()) impl_->watched.push_back(w);
-  if (!impl_->sweeping) impl_->arm();
+void EventLoop::watch(Connection& w) {
+  if (!w.is_linked())
+    impl_->watched.push_back(w);
+  if (!impl_->sweeping)
+    impl_->arm();
 }
 
-Connection::Connection() : sock_(Quay::get().io()) {}
+Connection::Connection() : sock_(EventLoop::get().io()) {}
 Connection::Connection(tcp::socket s) : sock_(std::move(s)) {}
-Connection::~Connection() { shut(); }
+Connection::~Connection() {
+  shut();
+}
 void Connection::due(Instant t) {
   due_ = t;
   late_ = false;
   if (t == Instant::max()) {
-    if (is_linked()) unlink();
+    if (is_linked())
+      unlink();
   } else {
-    Quay::get().watch(*this);
+    EventLoop::get().watch(*this);
   }
 }
 std::size_t Connection::read(asio::mutable_buffer b, Ec& ec) {
@@ -175,11 +197,15 @@
 }
 void Connection::write(asio::const_buffer b, Ec& ec) {
   // Why straight first: most writes fit the socket's window, and a parked fiber costs a wake-up.
-  if (!unblocked_) sock_.non_blocking(true, ec), unblocked_ = true;
+  if (!unblocked_)
+    sock_.non_blocking(true, ec), unblocked_ = true;
   const auto n = sock_.send(asio::buffer(b), MSG_NOSIGNAL, ec);
-  if (ec == asio::error::would_block) ec = {};
-  else if (ec) return;
-  if (n >= b.size()) return;
+  if (ec == asio::error::would_block)
+    ec = {};
+  else if (ec)
+    return;
+  if (n >= b.size())
+    return;
   b += n;
   Waiter w;
   asio::async_write(sock_, asio::buffer(b), [&](Ec e, std::size_t) {
@@ -191,7 +217,8 @@
 void Connection::connect(const tcp::endpoint& ep, Ec& ec) {
   Waiter w;
   sock_.open(ep.protocol(), ec);
-  if (ec) return;
+  if (ec)
+    return;
   tune(sock_);
   sock_.async_connect(ep, [&](Ec e) {
     ec = e;
@@ -209,12 +236,15 @@
 }
 void Connection::shut() {
   Ec ec;
-  if (is_linked()) unlink();
-  if (sock_.is_open()) sock_.close(ec);
+  if (is_linked())
+    unlink();
+  if (sock_.is_open())
+    sock_.close(ec);
 }
 void Connection::cancel() {
   Ec ec;
-  if (sock_.is_open()) sock_.cancel(ec);
+  if (sock_.is_open())
+    sock_.cancel(ec);
 }
 void tune(tcp::socket& s) {
   Ec ec;
@@ -224,16 +254,20 @@
 }
 Outcome<tcp::endpoint> parseEndpoint(std::string_view s) {
   const auto c = s.rfind(':');
-  if (c == s.npos) return fault(0, "no port in address '" + std::string(s) + "'");
+  if (c == s.npos)
+    return fault(0, "no port in address '" + std::string(s) + "'");
   Ec ec;
   const auto ip = asio::ip::make_address(std::string(s.substr(0, c)), ec);
-  if (ec) return fault(0, "no IP number in address '" + std::string(s) + "'");
+  if (ec)
+    return fault(0, "no IP number in address '" + std::string(s) + "'");
   unsigned port = 0;
   for (char ch : s.substr(c + 1)) {
-    if (ch < '0' || ch > '9' || port > 65535) return fault(0, "no port in address '" + std::string(s) + "'");
+    if (ch < '0' || ch > '9' || port > 65535)
+      return fault(0, "no port in address '" + std::string(s) + "'");
     port = port * 10 + static_cast<unsigned>(ch - '0');
   }
-  if (port == 0 || port > 65535) return fault(0, "no port in address '" + std::string(s) + "'");
+  if (port == 0 || port > 65535)
+    return fault(0, "no port in address '" + std::string(s) + "'");
   return tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 }  // namespace zc
--- a/libs/keel/src/ring.cpp
+++ b/libs/runtime/src/log_ring.cpp
@@ -1,13 +1,13 @@
-#include "keel/ring.hpp"
-
-#include <cstdio>
-#include <ctime>
+#include "runtime/log_ring.hpp"
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <cstdio>
+#include <ctime>
+
 namespace zc::ring {
 namespace {
 constexpr std::size_t kKept = 400;
@@ -45,28 +45,40 @@
 }
 }  // namespace
 
-void name(std::string node) { self().node = std::move(node); }
-void verbose(bool on) { self().verbose = on; }
+void name(std::string node) {
+  self().node = std::move(node);
+}
+void verbose(bool on) {
+  self().verbose = on;
+}
 void note(std::string line) {
   auto& r = self();
   r.kept.push_back(version(line));
-  if (r.kept.size() > kKept) r.kept.pop_front();
+  if (r.kept.size() > kKept)
+    r.kept.pop_front();
   r.fresh = std::min(r.fresh + 1, kKept);
-  if (r.verbose) dump();
+  if (r.verbose)
+    dump();
 }
 void alarm(std::string line) {
   note("ALARM " + std::move(line));
   auto& r = self();
   const auto now = Clock::now();
-  if (r.lastDump != Instant{} && now - r.lastDump < kBetweenDumps) return;
+  if (r.lastDump != Instant{} && now - r.lastDump < kBetweenDumps)
+    return;
   r.lastDump = now;
   dump();
 }
-void say(std::string line) { write(version(line)); }
+void say(std::string line) {
+  write(version(line));
+}
 void dump() {
   auto& r = self();
-  for (auto i = r.kept.size() - std::min(r.fresh, r.kept.size()); i < r.kept.size(); ++i) write(r.kept[i]);
+  for (auto i = r.kept.size() - std::min(r.fresh, r.kept.size()); i < r.kept.size(); ++i)
+    write(r.kept[i]);
   r.fresh = 0;
 }
-std::vector<std::string> lines() { return {self().kept.begin(), self().kept.end()}; }
+std::vector<std::string> lines() {
+  return {self().kept.begin(), self().kept.end()};
+}
 }  // namespace zc::ring
--- a/libs/rehearse/src/fleet.cpp
+++ b/libs/simulation/src/fleet.cpp
@@ -1,37 +1,46 @@
 #include "fleet.hpp"
 
-#include <csignal>
-#include <filesystem>
-#include <fstream>
-
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
 extern char** environ;
 
 namespace zc {
 LocalFleet::LocalFleet(std::string binary, int core) : binary_(std::move(binary)) {
   std::string t = std::filesystem::temp_directory_path() / "zinccleat-fleet-XXXXXX";
   dir_ = ::mkdtemp(t.data());
-  for (int i = 0; i < core; ++i) core_.push_back("127.0.2." + std::to_string(i + 1));
+  for (int i = 0; i < core; ++i)
+    core_.push_back("127.0.2." + std::to_string(i + 1));
 }
 LocalFleet::~LocalFleet() {
-  for (std::size_t i = 0; i < processes_.size(); ++i) kill(i);
+  for (std::size_t i = 0; i < processes_.size(); ++i)
+    kill(i);
   std::error_code ec;
   std::filesystem::remove_all(dir_, ec);
 }
-std::string LocalFleet::control(std::size_t i) const { return core_[i % core_.size()] + ":" + std::to_string(kControl); }
-void LocalFleet::settings(const std::string& name, const std::string& ip, const std::string& role, const std::string& addresses, bool disk) {
+std::string LocalFleet::control(std::size_t i) const {
+  return core_[i % core_.size()] + ":" + std::to_string(kControl);
+}
+void LocalFleet::settings(const std::string& name, const std::string& ip, const std::string& role,
+                          const std::string& addresses, bool disk) {
   std::string seeds;
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, core_.size()); ++i) seeds += (i ? ",\"" : "\"") + control(i) + "\"";
-  if (disk) std::filesystem::create_directories(dir_ + "/" + name);
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, core_.size()); ++i)
+    seeds += (i ? ",\"" : "\"") + control(i) + "\"";
+  if (disk)
+    std::filesystem::create_directories(dir_ + "/" + name);
   std::ofstream(dir_ + "/" + name + ".json")
-      << "{\"nodeName\":\"" << name << "\",\"role\":\"" << role << "\",\"ip\":\"" << ip << "\",\"zone\":\"z\",\"region\":\"r\",\"zones\":{\"z\":\"r\"},"
-      << "\"bindAddresses\":{" << addresses << "},\"internalPorts\":[" << kPort << "," << kPort + 15 << "],\"seedNodes\":[" << seeds
-      << "],\"initialAttach\":true,\"quorumMember\":" << (disk ? "true" : "false") << ",\"dataDir\":"
-      << (disk ? "\"" + dir_ + "/" + name + "\"" : "null") << ",\"heartbeatMs\":1200,\"limits\":{\"memoryMb\":256,\"fdLimit\":8192},"
+      << "{\"nodeName\":\"" << name << "\",\"role\":\"" << role << "\",\"ip\":\"" << ip
+      << "\",\"zone\":\"z\",\"region\":\"r\",\"zones\":{\"z\":\"r\"},"
+      << "\"bindAddresses\":{" << addresses << "},\"internalPorts\":[" << kPort << "," << kPort + 15
+      << "],\"seedNodes\":[" << seeds << "],\"initialAttach\":true,\"quorumMember\":" << (disk ? "true" : "false")
+      << ",\"dataDir\":" << (disk ? "\"" + dir_ + "/" + name + "\"" : "null")
+      << ",\"heartbeatMs\":1200,\"limits\":{\"memoryMb\":256,\"fdLimit\":8192},"
       << "\"faultTolerance\":{\"machines\":" << (core_.size() - 1) / 2 << "},\"timers\":{}}";
 }
 bool LocalFleet::spawn(Process& p) {
@@ -50,29 +59,35 @@
 }
 bool LocalFleet::startCore() {
   for (std::size_t i = 0; i < core_.size(); ++i) {
-    Process p{"core-" + std::to_string(i + 1), "harbourmaster", "core-" + std::to_string(i + 1)};
+    Process p{"core-" + std::to_string(i + 1), "controller", "core-" + std::to_string(i + 1)};
     settings(p.name, core_[i], p.role, "\"controlPort\":\"" + control(i) + "\"", true);
-    if (!spawn(p)) return false;
+    if (!spawn(p))
+      return false;
     processes_.push_back(std::move(p));
   }
   return true;
 }
 bool LocalFleet::startPair() {
-  settings("access-1", "127.0.3.1", "pilot", "\"accessPort\":\"" + access() + "\",\"readinessPort\":\"127.0.3.1:8406\"", false);
-  for (const char* role : {"tender", "pilot"}) {
+  settings("access-1", "127.0.3.1", "proxy", "\"accessPort\":\"" + access() + "\",\"readinessPort\":\"127.0.3.1:8406\"",
+           false);
+  for (const char* role : {"agent", "proxy"}) {
     Process p{role, role, "access-1"};
-    if (!spawn(p)) return false;
+    if (!spawn(p))
+      return false;
     processes_.push_back(std::move(p));
   }
   return true;
 }
 bool LocalFleet::kill(std::size_t i) {
   auto& p = processes_[i];
-  if (p.pid <= 0) return false;
+  if (p.pid <= 0)
+    return false;
   ::kill(p.pid, SIGKILL);
   ::waitpid(p.pid, nullptr, 0);
   p.pid = 0;
   return true;
 }
-bool LocalFleet::startAgain(std::size_t i) { return processes_[i].pid == 0 && spawn(processes_[i]); }
+bool LocalFleet::startAgain(std::size_t i) {
+  return processes_[i].pid == 0 && spawn(processes_[i]);
+}
 }  // namespace zc
--- a/libs/rehearse/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include <sys/types.h>
 
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 class LocalFleet {
  public:
@@ -15,8 +15,8 @@
   ~LocalFleet();
   LocalFleet(const LocalFleet&) = delete;
   bool startCore();
-  bool startPair();  // a tender and a pilot
-  bool kill(std::size_t process);     // without a word
+  bool startPair();                // a agent and a proxy
+  bool kill(std::size_t process);  // without a word
   bool startAgain(std::size_t process);
   std::string control(std::size_t i) const;
   static std::string access() { return "127.0.3.1:" + std::to_string(kAccess); }
@@ -26,7 +26,8 @@
   const std::string& folder() const { return dir_; }
 
  private:
-  void settings(const std::string& name, const std::string& ip, const std::string& role, const std::string& addresses, bool disk);
+  void settings(const std::string& name, const std::string& ip, const std::string& role, const std::string& addresses,
+                bool disk);
   bool spawn(Process& p);
   std::string binary_, dir_;
   std::vector<std::string> core_;
--- a/libs/rehearse/src/hollow.hpp
+++ b/libs/simulation/src/hollow_node.hpp
@@ -1,17 +1,17 @@
-// A hollow access node: the tender's and the pilot's side of every exchange with the core, without the traffic itself.
+// A hollow access node: the agent's and the proxy's side of every exchange with the core, without the traffic itself.
 #pragma once
 #include <random>
 
-#include "berth/quota.hpp"
-#include "log/queue.hpp"
-#include "registry/copy.hpp"
-#include "signal/link.hpp"
+#include "balancing/quota.hpp"
+#include "consensus/queue.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "transport/peer_link.hpp"
 namespace zc {
 class HollowNode {
  public:
   HollowNode(std::string self, std::vector<std::string> core, unsigned short port, std::uint64_t seed);
   void start();
-  void restart();                          // as a process that has just begun
+  void restart();                           // as a process that has just begun
   void request(const std::string& tenant);  // one that wants a token
   bool leased() const { return Clock::now() < leaseEnds_; }
   std::int64_t version() const { return copy_.state().version; }
@@ -22,18 +22,18 @@
 
  private:
   void dial();
-  void onMsg(const LinkPtr& l, Msg m);
+  void onMsg(const PeerLinkPtr& l, Msg m);
   void follow();
   void drain();
-  Mooring* sequencer();
+  Dialer* leader();
   std::string self_, sequencer_;
   std::vector<std::string> core_;
   unsigned short port_;
   std::mt19937_64 rng_;
-  std::map<std::string, std::unique_ptr<Mooring>> links_;
+  std::map<std::string, std::unique_ptr<Dialer>> links_;
   Queue queue_;
-  Copy copy_;
-  QuotaStash stash_;
+  ReplicatedState copy_;
+  QuotaGrants stash_;
   std::map<std::int64_t, Instant> asked_;
   Instant leaseEnds_{}, followed_{}, drawnAt_{};
   std::int64_t nonce_ = 0, term_ = 0, newest_ = 0, outliersKnown_ = 0;
--- a/libs/rehearse/src/rehearse.cpp
+++ b/libs/simulation/src/scale_run.cpp
@@ -1,16 +1,16 @@
+#include <sys/resource.h>
+
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 
-#include <sys/resource.h>
-
-#include "almanac/call.hpp"
-#include "charter/calls.hpp"
-#include "charter/configuration.hpp"
+#include "config/calls.hpp"
+#include "config/configuration.hpp"
 #include "fleet.hpp"
-#include "hollow.hpp"
-#include "registry/delta.hpp"
-#include "rehearse/plan.hpp"
+#include "hollow_node.hpp"
+#include "operations/call.hpp"
+#include "simulation/plan.hpp"
+#include "state_machine/delta.hpp"
 
 namespace zc {
 namespace {
@@ -22,24 +22,27 @@
   for (auto& t : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", ec)) {
     std::ifstream in(t.path() / "schedstat");
     double x = 0;
-    if (in >> x) ns += x;
+    if (in >> x)
+      ns += x;
   }
   return ns / 1e9;
 }
 double peakMb(pid_t pid) {
   std::ifstream in("/proc/" + std::to_string(pid) + "/status");
   for (std::string line; std::getline(in, line);)
-    if (line.rfind("VmHWM:", 0) == 0) return std::atof(line.c_str() + 6) / 1024;
+    if (line.rfind("VmHWM:", 0) == 0)
+      return std::atof(line.c_str() + 6) / 1024;
   return 0;
 }
 double quantile(std::vector<double> v, double q) {
-  if (v.empty()) return 0;
+  if (v.empty())
+    return 0;
   std::sort(v.begin(), v.end());
   return v[std::min(v.size() - 1, static_cast<std::size_t>(q * static_cast<double>(v.size())))];
 }
-class Rehearsal {
+class ScaleRun {
  public:
-  Rehearsal(const RehearsalPlan& p, std::string binary)
+  ScaleRun(const ScaleRunPlan& p, std::string binary)
       : p_(p), fleet_(std::move(binary), p.core), rng_(static_cast<std::uint64_t>(p.seed)) {
     keyNo_.assign(static_cast<std::size_t>(p_.tenants), 0);
   }
@@ -47,15 +50,16 @@
 
  private:
   bool until(Span within, const std::function<bool()>& f) {
-    for (const auto end = Clock::now() + within; Clock::now() < end; Quay::get().pause(50ms))
-      if (f()) return true;
+    for (const auto end = Clock::now() + within; Clock::now() < end; EventLoop::get().pause(50ms))
+      if (f())
+        return true;
     return f();
   }
   bool replace(std::int64_t version, Span within);
   void beat(int runner);
   void change();
 
-  RehearsalPlan p_;
+  ScaleRunPlan p_;
   LocalFleet fleet_;
   std::map<pid_t, double> cpuS_;  // at the beginning of what is measured
   std::mt19937_64 rng_;
@@ -69,9 +73,12 @@
   std::uint64_t beats_ = 0, beatsLost_ = 0, changes_ = 0, changesLost_ = 0;
   bool over_ = false;
 };
-bool Rehearsal::replace(std::int64_t version, Span within) {
-  Call c{"POST", "/v1/Configuration.Replace", planConfiguration(p_, version, keyNo_), {{"X-Base-Version", std::to_string(acknowledged_)}}};
-  for (const auto end = Clock::now() + within; Clock::now() < end; Quay::get().pause(100ms)) {
+bool ScaleRun::replace(std::int64_t version, Span within) {
+  Call c{"POST",
+         "/v1/Configuration.Replace",
+         planConfiguration(p_, version, keyNo_),
+         {{"X-Base-Version", std::to_string(acknowledged_)}}};
+  for (const auto end = Clock::now() + within; Clock::now() < end; EventLoop::get().pause(100ms)) {
     const auto r = callOne(fleet_.control(rng_()), c, 3000ms);
     if (r && r->status == 200) {
       acknowledged_ = version;
@@ -81,7 +88,7 @@
   }
   return false;
 }
-void Rehearsal::change() {
+void ScaleRun::change() {
   ++keyNo_[rng_() % keyNo_.size()];
   version_ += 1 + static_cast<std::int64_t>(rng_() % 3);
   // Whoever has it before its acknowledgement came has it after 0 ms.
@@ -100,79 +107,106 @@
         --left;
         inForceMs_.push_back(std::chrono::duration<double, std::milli>(Clock::now() - at).count());
       }
-    if (left) Quay::get().pause(2ms);
+    if (left)
+      EventLoop::get().pause(2ms);
   }
   for (bool w : *waiting)
-    if (w) inForceMs_.push_back(13000);
+    if (w)
+      inForceMs_.push_back(13000);
 }
-void Rehearsal::beat(int i) {
+void ScaleRun::beat(int i) {
   auto id = "i-" + std::to_string(i);
   const auto address = "10.9." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1) + ":8080";
-  Quay::get().pause(Span(rng_() % 1200));
+  EventLoop::get().pause(Span(rng_() % 1200));
   for (int sequence = 1; !over_; ++sequence) {
-    Call c{"POST", "/v1/Instances.Heartbeat/" + id,
-           "{\"targetService\":\"models\",\"address\":\"" + address + "\",\"zone\":\"z\",\"configVersion\":\"v1\",\"capacity\":8,"
-           "\"state\":\"in_service\",\"warmupLeftMs\":0,\"sequence\":" + std::to_string(sequence) + "}", {}};
+    Call c{"POST",
+           "/v1/Instances.Heartbeat/" + id,
+           "{\"targetService\":\"models\",\"address\":\"" + address +
+               "\",\"zone\":\"z\",\"configVersion\":\"v1\",\"capacity\":8,"
+               "\"state\":\"in_service\",\"warmupLeftMs\":0,\"sequence\":" +
+               std::to_string(sequence) + "}",
+           {}};
     const auto r = callOne(fleet_.control(static_cast<std::size_t>(i)), c, 1000ms);
     ++(r && r->status == 200 ? beats_ : beatsLost_);
-    Quay::get().pause(1200ms);
-    if (ending_ <= 0) continue;
+    EventLoop::get().pause(1200ms);
+    if (ending_ <= 0)
+      continue;
     // Leaves in order: says so, waits a little, goes; then a new life at the same address.
     --ending_;
     const auto draining = callOne(fleet_.control(static_cast<std::size_t>(i)),
-                                  Call{"POST", "/v1/Instances.Heartbeat/" + id,
-                                       "{\"targetService\":\"models\",\"address\":\"" + address + "\",\"zone\":\"z\",\"capacity\":8,\"state\":\"draining\",\"sequence\":" +
-                                           std::to_string(++sequence) + "}", {}}, 1000ms);
-    Quay::get().pause(300ms);
-    const auto gone = callOne(fleet_.control(static_cast<std::size_t>(i) + 1), Call{"POST", "/v1/Instances.Detach/" + id, "{}", {}}, 1000ms);
+                                  Call{"POST",
+                                       "/v1/Instances.Heartbeat/" + id,
+                                       "{\"targetService\":\"models\",\"address\":\"" + address +
+                                           "\",\"zone\":\"z\",\"capacity\":8,\"state\":\"draining\",\"sequence\":" +
+                                           std::to_string(++sequence) + "}",
+                                       {}},
+                                  1000ms);
+    EventLoop::get().pause(300ms);
+    const auto gone = callOne(fleet_.control(static_cast<std::size_t>(i) + 1),
+                              Call{"POST", "/v1/Instances.Detach/" + id, "{}", {}}, 1000ms);
     ++(draining && draining->status == 200 && gone && gone->status == 200 ? ends_ : endsLost_);
     id = "i-" + std::to_string(i) + "-" + std::to_string(++lives_);
     sequence = 0;
   }
 }
-int Rehearsal::run(bool json) {
-  auto& quay = Quay::get();
-  if (!fleet_.startCore()) return std::fprintf(stderr, "zinccleat rehearse: cannot start %s\n", fleet_.binary().c_str()), 1;
+int ScaleRun::run(bool json) {
+  auto& loop = EventLoop::get();
+  if (!fleet_.startCore())
+    return std::fprintf(stderr, "zinccleat scale-run: cannot start %s\n", fleet_.binary().c_str()), 1;
   version_ = 1;
-  if (!replace(version_, 15s)) return std::fprintf(stderr, "zinccleat rehearse: the core took no configuration in 15 s\n"), 1;
-  if (p_.pair && !fleet_.startPair()) return 1;
-  for (int i = 0; i < p_.runners; ++i) quay.launch([this, i] { beat(i); });
+  if (!replace(version_, 15s))
+    return std::fprintf(stderr, "zinccleat scale-run: the core took no configuration in 15 s\n"), 1;
+  if (p_.pair && !fleet_.startPair())
+    return 1;
+  for (int i = 0; i < p_.runners; ++i)
+    loop.launch([this, i] { beat(i); });
   for (int i = 0; i < p_.nodes; ++i) {
-    nodes_.push_back(std::make_unique<HollowNode>("127.4." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1) + "#tender", fleet_.core(), LocalFleet::kPort, rng_()));
+    nodes_.push_back(
+        std::make_unique<HollowNode>("127.4." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1) + "#agent",
+                                     fleet_.core(), LocalFleet::kPort, rng_()));
     nodes_.back()->start();
   }
-  auto all = [&] { return std::all_of(nodes_.begin(), nodes_.end(), [&](auto& n) { return n->leased() && n->version() == version_; }); };
-  if (!until(30s, all)) return std::fprintf(stderr, "zinccleat rehearse: not all nodes have a lease after 30 s\n"), 1;
-  quay.pause(2000ms);  // runners have joined, views are shuffled
-  for (auto& x : fleet_.processes()) cpuS_[x.pid] = cpuOf(x.pid);
+  auto all = [&] {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](auto& n) { return n->leased() && n->version() == version_; });
+  };
+  if (!until(30s, all))
+    return std::fprintf(stderr, "zinccleat scale-run: not all nodes have a lease after 30 s\n"), 1;
+  loop.pause(2000ms);  // runners have joined, views are shuffled
+  for (auto& x : fleet_.processes())
+    cpuS_[x.pid] = cpuOf(x.pid);
   const auto traffic = trafficSoFar();
-  for (auto& n : nodes_) n->granted = n->refused = 0, n->drawMs.clear();
+  for (auto& n : nodes_)
+    n->granted = n->refused = 0, n->drawMs.clear();
   const auto begin = Clock::now();
   const auto end = begin + std::chrono::seconds(p_.seconds);
-  quay.launch([&] {
+  loop.launch([&] {
     std::exponential_distribution<double> gap(std::max(0.001, p_.requestsPerS));
     auto due = std::chrono::duration<double>(0);
     while (!over_ && p_.requestsPerS > 0) {
       // All that are due by now: a timer for each would cost more than what it plays.
       while (begin + std::chrono::duration_cast<Clock::duration>(due) <= Clock::now()) {
-        nodes_[rng_() % nodes_.size()]->request("tenant-" + std::to_string(rng_() % static_cast<std::uint64_t>(p_.tenants)));
+        nodes_[rng_() % nodes_.size()]->request("tenant-" +
+                                                std::to_string(rng_() % static_cast<std::uint64_t>(p_.tenants)));
         due += std::chrono::duration<double>(gap(rng_));
       }
-      Quay::get().pause(2ms);
+      EventLoop::get().pause(2ms);
     }
   });
-  quay.launch([&] {
+  loop.launch([&] {
     while (!over_ && p_.changesPerMinute > 0) {
-      Quay::get().pause(Span(static_cast<std::int64_t>(60000 / p_.changesPerMinute)));
-      if (!over_) change();
+      EventLoop::get().pause(Span(static_cast<std::int64_t>(60000 / p_.changesPerMinute)));
+      if (!over_)
+        change();
     }
   });
   auto spread = [&](int times, std::function<void()> what) {
-    if (times <= 0) return;
-    quay.launch([&, times, what] {
+    if (times <= 0)
+      return;
+    loop.launch([&, times, what] {
       for (int i = 0; i < times && !over_; ++i) {
-        Quay::get().pause(toSpan(end - begin) / (times + 1));
-        if (!over_) what();
+        EventLoop::get().pause(toSpan(end - begin) / (times + 1));
+        if (!over_)
+          what();
       }
     });
   };
@@ -181,17 +215,20 @@
   spread(p_.coreKills, [this] {
     for (std::size_t i = 0; i < fleet_.core().size(); ++i) {
       const auto st = callOne(fleet_.control(i), Call{"GET", "/v1/Status", "", {}}, 1000ms);
-      if (!st || st->body.find("\"leased\":true") == std::string::npos) continue;
+      if (!st || st->body.find("\"leased\":true") == std::string::npos)
+        continue;
       const auto at = Clock::now();
       cpuS_[fleet_.processes()[i].pid] = 0;
       fleet_.kill(i);
       // Until a draw is answered again at some node: what a request without a token meets.
       std::uint64_t before = 0, after = 0;
-      for (auto& n : nodes_) before += n->drawMs.size();
+      for (auto& n : nodes_)
+        before += n->drawMs.size();
       do {
-        Quay::get().pause(5ms);
+        EventLoop::get().pause(5ms);
         after = 0;
-        for (auto& n : nodes_) after += n->drawMs.size();
+        for (auto& n : nodes_)
+          after += n->drawMs.size();
       } while (after == before && Clock::now() - at < 10s);
       takeOverMs_.push_back(std::chrono::duration<double, std::milli>(Clock::now() - at).count());
       fleet_.startAgain(i);
@@ -199,12 +236,13 @@
       return;
     }
   });
-  while (Clock::now() < end) quay.pause(50ms);
+  while (Clock::now() < end)
+    loop.pause(50ms);
   const double s = std::chrono::duration<double>(Clock::now() - begin).count();
   struct Row {
     std::string name;
     double cpu, mb;
-    std::string duty;
+    std::string role;
   };
   std::vector<Row> rows;
   for (std::size_t i = 0; i < fleet_.processes().size(); ++i) {
@@ -212,12 +250,13 @@
     Row r{x.name, (cpuOf(x.pid) - cpuS_[x.pid]) / s, peakMb(x.pid), ""};
     if (i < fleet_.core().size())
       if (const auto st = callOne(fleet_.control(i), Call{"GET", "/v1/Status", "", {}}, 2000ms))
-        r.duty = st->body.find("\"duty\":\"sequencer\"") != std::string::npos ? "leads" : "follows";
+        r.role = st->body.find("\"role\":\"leader\"") != std::string::npos ? "leads" : "follows";
     rows.push_back(r);
   }
   const auto now = trafficSoFar();
   over_ = true;
-  const bool same = until(5s, all) && std::all_of(nodes_.begin(), nodes_.end(), [&](auto& n) { return n->digest() == nodes_[0]->digest(); });
+  const bool same = until(5s, all) && std::all_of(nodes_.begin(), nodes_.end(),
+                                                  [&](auto& n) { return n->digest() == nodes_[0]->digest(); });
   std::uint64_t granted = 0, refused = 0;
   std::vector<double> draws;
   for (auto& n : nodes_) {
@@ -233,8 +272,10 @@
     const double r = static_cast<double>(now.received[i].bytes - traffic.received[i].bytes) / perNode;
     out += o, in += r;
     char b[160];
-    std::snprintf(b, sizeof b, json ? "%s\"%s\":{\"out\":%.1f,\"in\":%.1f}" : "%s%-10s %9.1f %9.1f\n", json && k > 20 ? "," : "", kKinds[k - 20], o, r);
-    if (o + r > 0 || json) kinds += b;
+    std::snprintf(b, sizeof b, json ? "%s\"%s\":{\"out\":%.1f,\"in\":%.1f}" : "%s%-10s %9.1f %9.1f\n",
+                  json && k > 20 ? "," : "", kKinds[k - 20], o, r);
+    if (o + r > 0 || json)
+      kinds += b;
   }
   // What a change costs each process, apart from its way: timed here, on the plan's own configuration.
   const auto whole = planConfiguration(p_, 1, keyNo_);
@@ -242,64 +283,88 @@
   const auto next = planConfiguration(p_, 2, keyNo_);
   const auto timed = [](const std::function<void()>& f) {
     const auto at = Clock::now();
-    for (int i = 0; i < 10; ++i) f();
+    for (int i = 0; i < 10; ++i)
+      f();
     return std::chrono::duration<double, std::milli>(Clock::now() - at).count() / 10;
   };
   const auto wholeDigest = digestOf(whole), nextDigest = digestOf(next);
   std::string difference;
   const double parseMs = timed([&] { must(parseConfiguration(whole).has_value(), "the plan's own configuration"); });
   const double differMs = timed([&] { difference = deltaOf(whole, wholeDigest, next, nextDigest); });
-  const double applyMs = timed([&] { must(applyDelta(whole, wholeDigest, difference).has_value(), "its own difference"); });
+  const double applyMs =
+      timed([&] { must(applyDelta(whole, wholeDigest, difference).has_value(), "its own difference"); });
   // A leader killed leaves requests without tokens until the next one stands; that is shown, not judged here.
-  const bool fine = same && (refused * 1000 <= granted + refused || p_.coreKills > 0) && changesLost_ == 0 && (endsLost_ == 0 || p_.coreKills > 0);
+  const bool fine = same && (refused * 1000 <= granted + refused || p_.coreKills > 0) && changesLost_ == 0 &&
+                    (endsLost_ == 0 || p_.coreKills > 0);
   if (json) {
-    std::printf("{\"core\":%d,\"nodes\":%d,\"runners\":%d,\"tenants\":%d,\"routes\":%d,\"requestsPerS\":%.1f,\"changesPerMinute\":%.1f,\"restarts\":%d,"
-                "\"seconds\":%.1f,\"fine\":%s,\"bytesPerNodePerS\":{\"out\":%.1f,\"in\":%.1f,\"kinds\":{%s}},\"processes\":[",
-                p_.core, p_.nodes, p_.runners, p_.tenants, p_.routes, p_.requestsPerS, p_.changesPerMinute, p_.restarts, s, fine ? "true" : "false", out, in,
-                kinds.c_str());
+    std::printf(
+        "{\"core\":%d,\"nodes\":%d,\"runners\":%d,\"tenants\":%d,\"routes\":%d,\"requestsPerS\":%.1f,"
+        "\"changesPerMinute\":%.1f,\"restarts\":%d,"
+        "\"seconds\":%.1f,\"fine\":%s,\"bytesPerNodePerS\":{\"out\":%.1f,\"in\":%.1f,\"kinds\":{%s}},\"processes\":[",
+        p_.core, p_.nodes, p_.runners, p_.tenants, p_.routes, p_.requestsPerS, p_.changesPerMinute, p_.restarts, s,
+        fine ? "true" : "false", out, in, kinds.c_str());
     for (std::size_t i = 0; i < rows.size(); ++i)
-      std::printf("%s{\"name\":\"%s\",\"duty\":\"%s\",\"cores\":%.4f,\"peakMb\":%.1f}", i ? "," : "", rows[i].name.c_str(), rows[i].duty.c_str(), rows[i].cpu, rows[i].mb);
-    std::printf("],\"inForceMs\":{\"median\":%.1f,\"p99\":%.1f,\"worst\":%.1f},\"drawMs\":{\"median\":%.2f,\"p99\":%.2f},\"granted\":%llu,\"refused\":%llu,"
-                "\"changes\":%llu,\"changesLost\":%llu,\"beats\":%llu,\"beatsLost\":%llu,\"runnersLeft\":%llu,\"runnersLeftWithoutAck\":%llu,"
-                "\"takeOverMs\":{\"count\":%zu,\"median\":%.0f,\"worst\":%.0f},"
-                "\"configuration\":{\"bytes\":%zu,\"differenceBytes\":%zu,\"parseMs\":%.2f,\"differMs\":%.2f,\"applyMs\":%.2f}}\n",
-                quantile(inForceMs_, 0.5), quantile(inForceMs_, 0.99), quantile(inForceMs_, 1), quantile(draws, 0.5), quantile(draws, 0.99),
-                static_cast<unsigned long long>(granted), static_cast<unsigned long long>(refused), static_cast<unsigned long long>(changes_),
-                static_cast<unsigned long long>(changesLost_), static_cast<unsigned long long>(beats_), static_cast<unsigned long long>(beatsLost_),
-                static_cast<unsigned long long>(ends_), static_cast<unsigned long long>(endsLost_), takeOverMs_.size(), quantile(takeOverMs_, 0.5),
-                quantile(takeOverMs_, 1), whole.size(), difference.size(), parseMs, differMs, applyMs);
+      std::printf("%s{\"name\":\"%s\",\"role\":\"%s\",\"cores\":%.4f,\"peakMb\":%.1f}", i ? "," : "",
+                  rows[i].name.c_str(), rows[i].role.c_str(), rows[i].cpu, rows[i].mb);
+    std::printf(
+        "],\"inForceMs\":{\"median\":%.1f,\"p99\":%.1f,\"worst\":%.1f},\"drawMs\":{\"median\":%.2f,\"p99\":%.2f},"
+        "\"granted\":%llu,\"refused\":%llu,"
+        "\"changes\":%llu,\"changesLost\":%llu,\"beats\":%llu,\"beatsLost\":%llu,\"runnersLeft\":%llu,"
+        "\"runnersLeftWithoutAck\":%llu,"
+        "\"takeOverMs\":{\"count\":%zu,\"median\":%.0f,\"worst\":%.0f},"
+        "\"configuration\":{\"bytes\":%zu,\"differenceBytes\":%zu,\"parseMs\":%.2f,\"differMs\":%.2f,\"applyMs\":%.2f}}"
+        "\n",
+        quantile(inForceMs_, 0.5), quantile(inForceMs_, 0.99), quantile(inForceMs_, 1), quantile(draws, 0.5),
+        quantile(draws, 0.99), static_cast<unsigned long long>(granted), static_cast<unsigned long long>(refused),
+        static_cast<unsigned long long>(changes_), static_cast<unsigned long long>(changesLost_),
+        static_cast<unsigned long long>(beats_), static_cast<unsigned long long>(beatsLost_),
+        static_cast<unsigned long long>(ends_), static_cast<unsigned long long>(endsLost_), takeOverMs_.size(),
+        quantile(takeOverMs_, 0.5), quantile(takeOverMs_, 1), whole.size(), difference.size(), parseMs, differMs,
+        applyMs);
   } else {
-    std::printf("measured on loopback for %.1f s: %d core, %d hollow nodes, %d runners, %d tenants, %d routes\n\nprocess     duty      cores  peak MB\n", s,
-                p_.core, p_.nodes, p_.runners, p_.tenants, p_.routes);
-    for (auto& r : rows) std::printf("%-11s %-8s %6.4f %8.1f\n", r.name.c_str(), r.duty.c_str(), r.cpu, r.mb);
+    std::printf(
+        "measured on loopback for %.1f s: %d core, %d hollow nodes, %d runners, %d tenants, %d routes\n\nprocess     "
+        "role      cores  peak MB\n",
+        s, p_.core, p_.nodes, p_.runners, p_.tenants, p_.routes);
+    for (auto& r : rows)
+      std::printf("%-11s %-8s %6.4f %8.1f\n", r.name.c_str(), r.role.c_str(), r.cpu, r.mb);
     std::printf("\nbytes a second and node   out        in\n%s%-10s %9.1f %9.1f\n", kinds.c_str(), "all", out, in);
-    std::printf("\nchanges: %llu acknowledged, %llu not; in force everywhere: median %.1f ms, 99th %.1f ms, worst %.1f ms\n",
-                static_cast<unsigned long long>(changes_), static_cast<unsigned long long>(changesLost_), quantile(inForceMs_, 0.5),
-                quantile(inForceMs_, 0.99), quantile(inForceMs_, 1));
+    std::printf(
+        "\nchanges: %llu acknowledged, %llu not; in force everywhere: median %.1f ms, 99th %.1f ms, worst %.1f ms\n",
+        static_cast<unsigned long long>(changes_), static_cast<unsigned long long>(changesLost_),
+        quantile(inForceMs_, 0.5), quantile(inForceMs_, 0.99), quantile(inForceMs_, 1));
     std::printf("requests: %llu with a token, %llu refused below the limit; a draw takes %.2f ms, 99th %.2f ms\n",
-                static_cast<unsigned long long>(granted), static_cast<unsigned long long>(refused), quantile(draws, 0.5), quantile(draws, 0.99));
-    if (ends_ + endsLost_) std::printf("runners that left in order: %llu acknowledged, %llu not\n", static_cast<unsigned long long>(ends_), static_cast<unsigned long long>(endsLost_));
-    for (double ms : takeOverMs_) std::printf("leader killed: draws answered again after %.0f ms\n", ms);
-    std::printf("configuration: %zu bytes whole, %zu for one key changed; read in %.2f ms, difference made in %.2f ms, applied in %.2f ms\n", whole.size(),
-                difference.size(), parseMs, differMs, applyMs);
-    std::printf("runners' beats: %llu acknowledged, %llu not\ncopies at the end: %s\n", static_cast<unsigned long long>(beats_),
-                static_cast<unsigned long long>(beatsLost_), same ? "all alike" : "NOT alike");
+                static_cast<unsigned long long>(granted), static_cast<unsigned long long>(refused),
+                quantile(draws, 0.5), quantile(draws, 0.99));
+    if (ends_ + endsLost_)
+      std::printf("runners that left in order: %llu acknowledged, %llu not\n", static_cast<unsigned long long>(ends_),
+                  static_cast<unsigned long long>(endsLost_));
+    for (double ms : takeOverMs_)
+      std::printf("leader killed: draws answered again after %.0f ms\n", ms);
+    std::printf(
+        "configuration: %zu bytes whole, %zu for one key changed; read in %.2f ms, difference made in %.2f ms, applied "
+        "in %.2f ms\n",
+        whole.size(), difference.size(), parseMs, differMs, applyMs);
+    std::printf("runners' beats: %llu acknowledged, %llu not\ncopies at the end: %s\n",
+                static_cast<unsigned long long>(beats_), static_cast<unsigned long long>(beatsLost_),
+                same ? "all alike" : "NOT alike");
   }
   return fine ? 0 : 1;
 }
 }  // namespace
-int rehearse(const RehearsalPlan& p, const std::string& binary, bool json) {
+int runAtScale(const ScaleRunPlan& p, const std::string& binary, bool json) {
   rlimit r{};
-  if (::getrlimit(RLIMIT_NOFILE, &r) == 0) r.rlim_cur = r.rlim_max, ::setrlimit(RLIMIT_NOFILE, &r);
-  // Why the quay outlives everything on it: sockets end on the loop that they were made on.
-  static Quay quay;
-  Rehearsal show(p, binary);
+  if (::getrlimit(RLIMIT_NOFILE, &r) == 0)
+    r.rlim_cur = r.rlim_max, ::setrlimit(RLIMIT_NOFILE, &r);
+  // Why the loop outlives everything on it: sockets end on the loop that they were made on.
+  static EventLoop loop;
+  ScaleRun show(p, binary);
   int rc = 1;
-  quay.launch([&] {
+  loop.launch([&] {
     rc = show.run(json);
-    quay.stop();
+    loop.stop();
   });
-  quay.run();
+  loop.run();
   return rc;
 }
 }  // namespace zc
--- a/libs/rehearse/src/trial.cpp
+++ b/libs/simulation/src/trial.cpp
@@ -1,11 +1,11 @@
-#include "rehearse/trial.hpp"
+#include "simulation/trial.hpp"
 
 #include <cstdio>
 #include <random>
 
-#include "almanac/call.hpp"
 #include "fleet.hpp"
-#include "passage/http.hpp"
+#include "operations/call.hpp"
+#include "proxy/http.hpp"
 
 namespace zc {
 namespace {
@@ -45,11 +45,12 @@
 };
 void Trial::serve(const std::shared_ptr<StandInRunner>& r) {
   r->door->async_accept([this, r](Ec ec, tcp::socket s) {
-    if (ec || !r->up) return;
+    if (ec || !r->up)
+      return;
     auto c = std::make_shared<Connection>(std::move(s));
     tune(c->sock());
     r->open.push_back(c);
-    Quay::get().launch([this, r, c] { answer(*r, *c); });
+    EventLoop::get().launch([this, r, c] { answer(*r, *c); });
     serve(r);
   });
 }
@@ -58,11 +59,13 @@
   Ec ec;
   while (r.up && !ec) {
     RequestParser p;
-    if (readRequest(c, buf, p, {}).end != ReadEnd::whole) return;
+    if (readRequest(c, buf, p, {}).end != ReadEnd::whole)
+      return;
     auto& q = p.get();
     const std::string id(q["X-Attempt-Id"]);
     const auto head = [&](const char* status, const std::string& more) {
-      return std::string("HTTP/1.1 ") + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: " + r.id + "\r\n" + more;
+      return std::string("HTTP/1.1 ") + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: " + r.id + "\r\n" +
+             more;
     };
     if (q["X-Expected-Instance"] != r.id) {
       c.write(asio::buffer(head("421 Other", "Content-Length: 0\r\n\r\n")), ec);
@@ -71,53 +74,65 @@
       const auto body = "pushed " + id;
       c.write(asio::buffer(head("200 OK", "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)), ec);
     } else {
-      c.write(asio::buffer(head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")), ec);
+      c.write(asio::buffer(head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")),
+              ec);
       // A stream that was cut goes on behind what its client has.
       for (int i = std::atoi(std::string(q["Last-Event-Id"]).c_str()) + 1; i <= kEvents && !ec && r.up; ++i) {
-        Quay::get().pause(15ms);
+        EventLoop::get().pause(15ms);
         const auto e = "id: " + std::to_string(i) + "\ndata: recap\n\n";
         char size[16];
         std::snprintf(size, sizeof size, "%zx\r\n", e.size());
         c.write(asio::buffer(size + e + "\r\n"), ec);
       }
-      if (!ec && r.up) c.write(asio::buffer("0\r\n\r\n", 5), ec);
+      if (!ec && r.up)
+        c.write(asio::buffer("0\r\n\r\n", 5), ec);
     }
   }
 }
 void Trial::beat(const std::shared_ptr<StandInRunner>& r) {
-  for (int n = 1; r->up && !over_; ++n, Quay::get().pause(kBeat)) {
-    Call c{"POST", "/v1/Instances.Heartbeat/" + r->id,
-           "{\"targetService\":\"" + r->service + "\",\"address\":\"" + r->address + "\",\"zone\":\"z\",\"capacity\":8,\"state\":\"in_service\",\"sequence\":" +
-               std::to_string(n) + "}", {}};
+  for (int n = 1; r->up && !over_; ++n, EventLoop::get().pause(kBeat)) {
+    Call c{"POST",
+           "/v1/Instances.Heartbeat/" + r->id,
+           "{\"targetService\":\"" + r->service + "\",\"address\":\"" + r->address +
+               "\",\"zone\":\"z\",\"capacity\":8,\"state\":\"in_service\",\"sequence\":" + std::to_string(n) + "}",
+           {}};
     (void)callOne(fleet_.control(rng_()), c, 1000ms);
   }
 }
-// One try at the pilot. True: the whole right answer came.
+// One try at the proxy. True: the whole right answer came.
 bool Trial::attempt(const std::string& path, const std::string& id, Span& again) {
   Connection c;
   Ec ec;
   c.due(Clock::now() + 3s);
   c.connect(*parseEndpoint(LocalFleet::access()), ec);
-  if (ec) return ++seen_.failures, false;
+  if (ec)
+    return ++seen_.failures, false;
   tune(c.sock());
-  c.write(asio::buffer("POST " + path + " HTTP/1.1\r\nHost: trial.example\r\nAuthorization: Bearer trial-key\r\nX-Attempt-Id: " + id +
-                       "\r\nX-Deadline-Ms: 3000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), ec);
+  c.write(asio::buffer("POST " + path +
+                       " HTTP/1.1\r\nHost: trial.example\r\nAuthorization: Bearer trial-key\r\nX-Attempt-Id: " + id +
+                       "\r\nX-Deadline-Ms: 3000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
+          ec);
   Buffer buf;
   http::response_parser<http::string_body> p;
   p.eager(true);
-  if (!ec) pump(c, buf, p, false, ec);
-  if (ec || !p.is_done()) return ++seen_.failures, false;
+  if (!ec)
+    pump(c, buf, p, false, ec);
+  if (ec || !p.is_done())
+    return ++seen_.failures, false;
   const auto status = p.get().result_int();
   if (status == 503 || status == 429) {
     ++seen_.refusals;
     again = Span(static_cast<std::int64_t>(std::atof(std::string(p.get()["Retry-After"]).c_str()) * 1000));
     return false;
   }
-  if (status != 200) return ++seen_.failures, false;
+  if (status != 200)
+    return ++seen_.failures, false;
   const bool push = path.find("/push/") != std::string::npos;
   std::string whole;
-  for (int i = 1; i <= kEvents; ++i) whole += "id: " + std::to_string(i) + "\ndata: recap\n\n";
-  if (p.get().body() != (push ? "pushed " + id : whole)) return ++seen_.wrong, false;
+  for (int i = 1; i <= kEvents; ++i)
+    whole += "id: " + std::to_string(i) + "\ndata: recap\n\n";
+  if (p.get().body() != (push ? "pushed " + id : whole))
+    return ++seen_.wrong, false;
   return true;
 }
 void Trial::client(int no) {
@@ -128,28 +143,38 @@
     bool done = false;
     for (int t = 0; !done && Clock::now() - began < kPatience; ++t) {
       Span again{50};
-      done = attempt(push ? "/push/x" : "/recap/x", std::to_string(no) + "-" + std::to_string(n) + "-" + std::to_string(t), again);
-      if (!done) Quay::get().pause(std::max(again, Span(20)));
+      done = attempt(push ? "/push/x" : "/recap/x",
+                     std::to_string(no) + "-" + std::to_string(n) + "-" + std::to_string(t), again);
+      if (!done)
+        EventLoop::get().pause(std::max(again, Span(20)));
     }
-    if (!done) ++seen_.lost;
-    else ++(push ? seen_.pushes : seen_.streams);
-    if (done && Clock::now() - began > 1s) ++seen_.late;
-    Quay::get().pause(20ms);
+    if (!done)
+      ++seen_.lost;
+    else
+      ++(push ? seen_.pushes : seen_.streams);
+    if (done && Clock::now() - began > 1s)
+      ++seen_.late;
+    EventLoop::get().pause(20ms);
   }
   --clients_;
 }
 std::optional<std::size_t> Trial::leader() {
   for (std::size_t i = 0; i < fleet_.core().size(); ++i)
-    if (const auto r = callOne(fleet_.control(i), Call{"GET", "/v1/Status", "", {}}, 1000ms); r && r->body.find("\"leased\":true") != std::string::npos)
+    if (const auto r = callOne(fleet_.control(i), Call{"GET", "/v1/Status", "", {}}, 1000ms);
+        r && r->body.find("\"leased\":true") != std::string::npos)
       return i;
   return std::nullopt;
 }
 int Trial::run() {
-  auto& quay = Quay::get();
+  auto& loop = EventLoop::get();
   auto say = [](const std::string& s) { std::printf("%s\n", s.c_str()), std::fflush(stdout); };
-  const auto fail = [](const std::string& why) { return std::fprintf(stderr, "zinccleat trial: %s\n", why.c_str()), 1; };
-  if (!fleet_.startCore() || !fleet_.startPair()) return fail("cannot start " + fleet_.binary());
-  Call c{"POST", "/v1/Configuration.Replace",
+  const auto fail = [](const std::string& why) {
+    return std::fprintf(stderr, "zinccleat trial: %s\n", why.c_str()), 1;
+  };
+  if (!fleet_.startCore() || !fleet_.startPair())
+    return fail("cannot start " + fleet_.binary());
+  Call c{"POST",
+         "/v1/Configuration.Replace",
          R"({"configVersion":1,"routeTable":[
          {"label":"push","authority":"trial.example","pathPrefix":"/push/","routeType":"unsafe","expiryMs":3000,"targetLatencyMs":300,"targetService":"gateway","maxAttempts":2},
          {"label":"recap","authority":"trial.example","pathPrefix":"/recap/","routeType":"stream","streamResume":true,"expiryMs":3000,"targetLatencyMs":600,"targetService":"models","maxAttempts":2}],
@@ -159,59 +184,69 @@
   for (int i = 0; i < 100 && !taken; ++i) {
     const auto r = callOne(fleet_.control(static_cast<std::size_t>(i)), c, 2000ms);
     taken = r && r->status == 200;
-    if (!taken) quay.pause(100ms);
+    if (!taken)
+      loop.pause(100ms);
   }
-  if (!taken) return fail("the core took no configuration in 10 s");
+  if (!taken)
+    return fail("the core took no configuration in 10 s");
   for (int i = 0; i < kRunners; ++i) {
     auto r = std::make_shared<StandInRunner>();
     r->id = "runner-" + std::to_string(i + 1);
     r->service = i % 2 ? "gateway" : "models";
-    r->door = std::make_shared<tcp::acceptor>(quay.io(), tcp::endpoint(asio::ip::make_address("127.0.7.1"), 0));
+    r->door = std::make_shared<tcp::acceptor>(loop.io(), tcp::endpoint(asio::ip::make_address("127.0.7.1"), 0));
     r->address = "127.0.7.1:" + std::to_string(r->door->local_endpoint().port());
     runners_.push_back(r);
     serve(r);
-    quay.launch([this, r] { beat(r); });
+    loop.launch([this, r] { beat(r); });
   }
-  for (int i = 0; i < 100 && !leader(); ++i) quay.pause(50ms);
-  quay.pause(1000ms);  // the pilot has its lease, the runners are known
-  say("a core of three, a tender and a pilot, " + std::to_string(kRunners) + " runners, " + std::to_string(kClients) + " clients; folder " + fleet_.folder());
+  for (int i = 0; i < 100 && !leader(); ++i)
+    loop.pause(50ms);
+  loop.pause(1000ms);  // the proxy has its lease, the runners are known
+  say("a core of three, a agent and a proxy, " + std::to_string(kRunners) + " runners, " + std::to_string(kClients) +
+      " clients; folder " + fleet_.folder());
   say("while it runs: zinccleat status " + fleet_.control(0) + " " + fleet_.control(1) + " " + fleet_.control(2));
-  for (int i = 0; i < kClients; ++i) quay.launch([this, i] { client(i); });
+  for (int i = 0; i < kClients; ++i)
+    loop.launch([this, i] { client(i); });
   const auto third = Span(seconds_ * 1000 / 3);
-  quay.pause(third);
+  loop.pause(third);
   if (const auto l = leader()) {
     say("kills the leader, " + fleet_.processes()[*l].name + ", without a word");
     fleet_.kill(*l);
-    quay.pause(300ms);
+    loop.pause(300ms);
     fleet_.startAgain(*l);
   }
-  quay.pause(third);
+  loop.pause(third);
   say("kills " + runners_[0]->id + ", without a word");
   runners_[0]->up = false;
   Ec ec;
   runners_[0]->door->close(ec);
-  for (auto& x : runners_[0]->open) x->shut();
-  quay.pause(third);
+  for (auto& x : runners_[0]->open)
+    x->shut();
+  loop.pause(third);
   over_ = true;
-  for (int i = 0; i < 120 && clients_ > 0; ++i) quay.pause(50ms);
+  for (int i = 0; i < 120 && clients_ > 0; ++i)
+    loop.pause(50ms);
   int doubled = 0;
-  for (auto& [id, n] : runs_) doubled += n > 1;
-  std::printf("\npushes served %d, streams served %d, of these late (over a second) %d\nrefused with a time to come back %d, failed tries %d\n"
-              "lost %d, wrong %d, run twice %d\n\nfurther: docs/design.md, docs/operators, zinccleat rehearse\n",
-              seen_.pushes, seen_.streams, seen_.late, seen_.refusals, seen_.failures, seen_.lost, seen_.wrong, doubled);
+  for (auto& [id, n] : runs_)
+    doubled += n > 1;
+  std::printf(
+      "\npushes served %d, streams served %d, of these late (over a second) %d\nrefused with a time to come back %d, "
+      "failed tries %d\n"
+      "lost %d, wrong %d, run twice %d\n\nfurther: docs/design.md, docs/operators, zinccleat scale-run\n",
+      seen_.pushes, seen_.streams, seen_.late, seen_.refusals, seen_.failures, seen_.lost, seen_.wrong, doubled);
   return seen_.lost + seen_.wrong + doubled == 0 && seen_.pushes > 0 && seen_.streams > 0 ? 0 : 1;
 }
 }  // namespace
 int trial(const std::string& binary, int seconds) {
-  // Why the quay outlives everything on it: sockets end on the loop that they were made on.
-  static Quay quay;
+  // Why the loop outlives everything on it: sockets end on the loop that they were made on.
+  static EventLoop loop;
   Trial t(binary, seconds);
   int rc = 1;
-  quay.launch([&] {
+  loop.launch([&] {
     rc = t.run();
-    quay.stop();
+    loop.stop();
   });
-  quay.run();
+  loop.run();
   return rc;
 }
 }  // namespace zc
--- a/libs/registry/include/registry/delta.hpp
+++ b/libs/state_machine/include/state_machine/delta.hpp
@@ -2,7 +2,7 @@
 // the operator's text has its parts (members of the outer object, elements of its lists), so that a change to one route
 // or tenant travels as that one. The result is the taken text byte for byte. Pure. Offsets and lengths are bytes.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
 struct DeltaRun {
   std::int64_t from = 0, length = 0;  // of the base
--- a/libs/registry/include/registry/copy.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -1,7 +1,7 @@
 // The applied copy of the fleet's state: what every numbered write changes, in order, and nothing else does.
 #pragma once
-#include "charter/calls.hpp"
-#include "signal/messages.hpp"
+#include "config/calls.hpp"
+#include "transport/messages.hpp"
 namespace zc {
 enum class RunnerState : std::int32_t { inService = 0, draining = 1, gone = 2 };
 struct Runner {
@@ -34,14 +34,14 @@
 // A zone or region that is being closed for maintenance.
 struct Closure {
   std::string place, note;
-  std::int32_t share = 0;   // percent of new work that keeps away from its runners
-  bool doorsShut = false;   // its pilots take no new clients; live sessions that may be resumed are carried over
+  std::int32_t share = 0;  // percent of new work that keeps away from its runners
+  bool doorsShut = false;  // its proxies take no new clients; live sessions that may be resumed are carried over
   template <class V>
   void fields(V& v) {
     v("place", place), v("note", note), v("share", share), v("doorsShut", doorsShut);
   }
 };
-struct CopyState {
+struct StateContents {
   std::int64_t num = 0, term = 0, version = 0;
   std::string configuration, digest;
   std::vector<Taken> taken;
@@ -59,7 +59,7 @@
     v("taken", taken), v("runners", runners), v("gone", gone), v("done", done), v("closures", closures);
   }
 };
-class Copy {
+class ReplicatedState {
  public:
   struct Change {
     bool configuration = false, runners = false, closures = false;
@@ -68,7 +68,7 @@
   };
   // Applies the next write. Every copy decides alike, so all agree without a word.
   Change apply(const Entry& e);
-  const CopyState& state() const { return s_; }
+  const StateContents& state() const { return s_; }
   bool damaged() const { return s_.version > 0 && s_.digest.empty(); }
   // What it holds is not to be trusted: it must be had anew, whole.
   void damage() { s_.digest.clear(); }
@@ -85,11 +85,11 @@
 
  private:
   void take(std::int64_t version, std::string digest, std::string body);
-  CopyState s_;
+  StateContents s_;
   std::deque<std::pair<std::string, std::string>> before_;  // digest, text: taken before the one in place
 };
 // As its difference from `base` where that is much shorter than the whole.
-Entry changeOp(std::int64_t base, std::int64_t version, std::string body, std::string opId, const CopyState& on);
+Entry changeOp(std::int64_t base, std::int64_t version, std::string body, std::string opId, const StateContents& on);
 Entry configurationOp(std::int64_t base, std::int64_t version, std::string body, std::string opId);
 // open: the place is in use again, nothing is left of the closure.
 Entry closureOp(const Closure& c, bool open, std::string opId);
--- a/libs/registry/src/delta.cpp
+++ b/libs/state_machine/src/delta.cpp
@@ -1,6 +1,6 @@
-#include "registry/delta.hpp"
+#include "state_machine/delta.hpp"
 
-#include "signal/avro.hpp"
+#include "transport/avro.hpp"
 
 namespace zc {
 namespace {
@@ -13,16 +13,21 @@
   for (std::size_t i = 0; i < s.size(); ++i) {
     const char c = s[i];
     if (quoted) {
-      if (c == '\\') ++i;
-      else if (c == '"') quoted = false;
+      if (c == '\\')
+        ++i;
+      else if (c == '"')
+        quoted = false;
       continue;
     }
-    if (c == '"') quoted = true;
+    if (c == '"')
+      quoted = true;
     else if (c == '{' || c == '[') {
       // An opened list ends a part, so that its first element is one of its own.
-      if (++depth <= 2) ends.push_back(i + 1);
+      if (++depth <= 2)
+        ends.push_back(i + 1);
     } else if (c == '}' || c == ']') {
-      if (depth-- <= 2 && i > 0) ends.push_back(i);
+      if (depth-- <= 2 && i > 0)
+        ends.push_back(i);
     } else if (c == ',' && depth <= 2) {
       ends.push_back(i + 1);
     }
@@ -31,7 +36,8 @@
   ends.erase(std::unique(ends.begin(), ends.end()), ends.end());
   return ends;
 }
-std::string deltaOf(std::string_view base, std::string_view baseDigest, std::string_view text, std::string_view digest) {
+std::string deltaOf(std::string_view base, std::string_view baseDigest, std::string_view text,
+                    std::string_view digest) {
   std::unordered_map<std::uint64_t, std::size_t> at;  // a part's hash -> its index in the base
   const auto ends = partsOf(base);
   auto part = [&](std::size_t i) {
@@ -39,7 +45,8 @@
     return base.substr(from, ends[i] - from);
   };
   at.reserve(ends.size());
-  for (std::size_t i = 0; i < ends.size(); ++i) at.try_emplace(hash64(part(i)), i);
+  for (std::size_t i = 0; i < ends.size(); ++i)
+    at.try_emplace(hash64(part(i)), i);
   Delta d;
   d.base = baseDigest;
   d.result = digest;
@@ -48,7 +55,8 @@
   for (const auto end : partsOf(text)) {
     const auto p = text.substr(from, end - from);
     from = end;
-    if (p.empty()) continue;
+    if (p.empty())
+      continue;
     auto& run = d.runs.back();
     // Why the neighbour first: equal parts (commas, brackets) stand in many places, a run goes on in one.
     if (next < ends.size() && run.text.empty() && part(next) == p) {
@@ -58,14 +66,17 @@
     }
     std::size_t i = next < ends.size() && part(next) == p ? next : ends.size();
     if (i == ends.size())
-      if (const auto it = at.find(hash64(p)); it != at.end() && part(it->second) == p) i = it->second;
+      if (const auto it = at.find(hash64(p)); it != at.end() && part(it->second) == p)
+        i = it->second;
     if (i == ends.size()) {
       run.text += p;
       // What replaced a part stands in its place: the run may go on behind it.
-      if (next < ends.size()) ++next;
+      if (next < ends.size())
+        ++next;
       continue;
     }
-    if (run.length > 0 || !run.text.empty()) d.runs.emplace_back();
+    if (run.length > 0 || !run.text.empty())
+      d.runs.emplace_back();
     d.runs.back().from = static_cast<std::int64_t>(i ? ends[i - 1] : 0);
     d.runs.back().length = static_cast<std::int64_t>(p.size());
     next = i + 1;
@@ -74,17 +85,22 @@
 }
 Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta) {
   auto d = avro::decode<Delta>(delta);
-  if (!d) return tl::unexpected(d.error());
-  if (d->base != baseDigest) return fault(0, "a difference from another text");
+  if (!d)
+    return tl::unexpected(d.error());
+  if (d->base != baseDigest)
+    return fault(0, "a difference from another text");
   std::string out;
   for (auto& r : d->runs) {
     const auto size = static_cast<std::int64_t>(base.size());
-    if (r.from < 0 || r.length < 0 || r.from > size || r.length > size - r.from) return fault(0, "a difference reaches outside its base");
-    if (out.size() + static_cast<std::size_t>(r.length) + r.text.size() > kMostText) return fault(0, "a difference grows beyond bounds");
+    if (r.from < 0 || r.length < 0 || r.from > size || r.length > size - r.from)
+      return fault(0, "a difference reaches outside its base");
+    if (out.size() + static_cast<std::size_t>(r.length) + r.text.size() > kMostText)
+      return fault(0, "a difference grows beyond bounds");
     out.append(base.substr(static_cast<std::size_t>(r.from), static_cast<std::size_t>(r.length)));
     out += r.text;
   }
-  if (digestOf(out) != d->result) return fault(0, "a difference whose result is another text");
+  if (digestOf(out) != d->result)
+    return fault(0, "a difference whose result is another text");
   return out;
 }
 }  // namespace zc
--- a/libs/signal/include/signal/avro.hpp
+++ b/libs/transport/include/transport/avro.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include <avro.h>
 
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 
 namespace zc::avro {
 struct SchemaOf {
@@ -35,13 +35,20 @@
 }
 template <class T>
 std::string SchemaOf::type() {
-  if constexpr (std::is_same_v<T, bool>) return "\"boolean\"";
-  else if constexpr (std::is_same_v<T, std::int32_t>) return "\"int\"";
-  else if constexpr (std::is_same_v<T, std::int64_t>) return "\"long\"";
-  else if constexpr (std::is_same_v<T, double>) return "\"double\"";
-  else if constexpr (std::is_same_v<T, std::string>) return "\"bytes\"";
-  else if constexpr (IsVec<T>::value) return "{\"type\":\"array\",\"items\":" + type<typename IsVec<T>::Of>() + "}";
-  else return schemaText<T>();
+  if constexpr (std::is_same_v<T, bool>)
+    return "\"boolean\"";
+  else if constexpr (std::is_same_v<T, std::int32_t>)
+    return "\"int\"";
+  else if constexpr (std::is_same_v<T, std::int64_t>)
+    return "\"long\"";
+  else if constexpr (std::is_same_v<T, double>)
+    return "\"double\"";
+  else if constexpr (std::is_same_v<T, std::string>)
+    return "\"bytes\"";
+  else if constexpr (IsVec<T>::value)
+    return "{\"type\":\"array\",\"items\":" + type<typename IsVec<T>::Of>() + "}";
+  else
+    return schemaText<T>();
 }
 struct Writer {
   avro_value_t* rec;
@@ -50,7 +57,9 @@
   static void put(avro_value_t* f, std::int32_t x) { avro_value_set_int(f, x); }
   static void put(avro_value_t* f, std::int64_t x) { avro_value_set_long(f, x); }
   static void put(avro_value_t* f, double x) { avro_value_set_double(f, x); }
-  static void put(avro_value_t* f, const std::string& x) { avro_value_set_bytes(f, const_cast<char*>(x.data()), x.size()); }
+  static void put(avro_value_t* f, const std::string& x) {
+    avro_value_set_bytes(f, const_cast<char*>(x.data()), x.size());
+  }
   template <class T>
   static void put(avro_value_t* f, std::vector<T>& x) {
     for (auto& e : x) {
@@ -71,7 +80,7 @@
     put(&f, x);
   }
 };
-struct Puller {
+struct FieldReader {
   avro_value_t* rec;
   int i = 0;
   static void get(avro_value_t* f, bool& x) {
@@ -100,8 +109,8 @@
     }
   }
   template <class T>
-  static auto get(avro_value_t* f, T& x) -> decltype(x.fields(std::declval<Puller&>())) {
-    Puller p{f};
+  static auto get(avro_value_t* f, T& x) -> decltype(x.fields(std::declval<FieldReader&>())) {
+    FieldReader p{f};
     x.fields(p);
   }
   template <class T>
@@ -113,9 +122,9 @@
 };
 // One value a type, kept: making one anew costs far more than clearing it.
 template <class T>
-struct Mould {
+struct CachedValue {
   avro_value_t value{};
-  Mould() {
+  CachedValue() {
     const auto text = schemaText<T>();
     avro_schema_t s = nullptr;
     must(avro_schema_from_json_length(text.data(), text.size(), &s) == 0, "own Avro schema");
@@ -123,14 +132,14 @@
     must(iface != nullptr, "own Avro class");
     avro_generic_value_new(iface, &value);
   }
-  static Mould& get() {
-    static Mould m;
+  static CachedValue& get() {
+    static CachedValue m;
     return m;
   }
 };
 template <class T>
 std::string encode(T t) {
-  auto& v = Mould<T>::get().value;
+  auto& v = CachedValue<T>::get().value;
   avro_value_reset(&v);
   Writer w{&v};
   t.fields(w);
@@ -145,7 +154,7 @@
 }
 template <class T>
 Outcome<T> decode(std::string_view s) {
-  auto& v = Mould<T>::get().value;
+  auto& v = CachedValue<T>::get().value;
   avro_value_reset(&v);
   auto* rd = avro_reader_memory(s.data(), static_cast<std::int64_t>(s.size()));
   const int bad = avro_value_read(rd, &v);
@@ -155,7 +164,7 @@
     return fault(0, "no valid Avro record");
   }
   T t{};
-  Puller p{&v};
+  FieldReader p{&v};
   t.fields(p);
   avro_value_reset(&v);
   return t;
--- a/libs/signal/include/signal/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -1,8 +1,15 @@
 // What the system's own processes say to each other.
 #pragma once
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
-enum class OpKind : std::int32_t { takeOver = 0, configuration = 1, runner = 2, members = 3, closure = 4, difference = 5 };
+enum class OpKind : std::int32_t {
+  takeOver = 0,
+  configuration = 1,
+  runner = 2,
+  members = 3,
+  closure = 4,
+  difference = 5
+};
 
 // One numbered write: the operation and its parameters.
 struct Entry {
@@ -12,7 +19,7 @@
   std::string opId;       // a write sent again is one write
   std::string digest;     // of the body, for large writes
   std::string blob;
-  bool omitted = false;   // the body went ahead from its sender
+  bool omitted = false;  // the body went ahead from its sender
   template <class V>
   void fields(V& v) {
     v("num", num), v("term", term), v("kind", kind), v("base", base), v("opId", opId), v("digest", digest);
@@ -29,8 +36,27 @@
   }
 };
 enum class Kind : std::int32_t {
-  ask = 1, granted, pulse, pulseAck, snapshot, submit, submitAck, handOver, body, join,  // core
-  state = 20, stateAck, follow, feed, challenge, lease, beats, draw, drawn, whereHeld, held  // towards access
+  ask = 1,
+  granted,
+  pulse,
+  pulseAck,
+  snapshot,
+  submit,
+  submitAck,
+  handOver,
+  body,
+  join,  // core
+  state = 20,
+  stateAck,
+  follow,
+  feed,
+  challenge,
+  lease,
+  beats,
+  draw,
+  drawn,
+  whereHeld,
+  held  // towards access
 };
 struct Msg {
   std::int32_t kind = 0;
@@ -41,7 +67,7 @@
   std::vector<std::string> names;  // members
   std::vector<std::string> view;   // a shuffled part of the sender's partial view
   std::vector<Grant> grants;       // asked: the demand; answered: the shares
-  std::vector<Grant> load;         // asked: a place that closes, requests at its runners, requests at its pilots
+  std::vector<Grant> load;         // asked: a place that closes, requests at its runners, requests at its proxies
   std::vector<Grant> holds;        // asked: what the asker still holds
   std::vector<Grant> seen;         // asked: runner, attempts gone well, gone ill; answered: runner, how far set aside
   std::string blob;
@@ -49,7 +75,8 @@
   void fields(V& v) {
     v("kind", kind), v("from", from), v("who", who), v("term", term), v("num", num), v("prevTerm", prevTerm);
     v("commit", commit), v("nonce", nonce), v("ok", ok), v("flag", flag), v("entries", entries);
-    v("names", names), v("view", view), v("grants", grants), v("holds", holds), v("load", load), v("seen", seen), v("blob", blob);
+    v("names", names), v("view", view), v("grants", grants), v("holds", holds), v("load", load), v("seen", seen),
+        v("blob", blob);
   }
   Kind what() const { return static_cast<Kind>(kind); }
 };
--- a/libs/signal/include/signal/view.hpp
+++ b/libs/transport/include/transport/partial_view.hpp
@@ -2,13 +2,14 @@
 #pragma once
 #include <random>
 
-#include "keel/common.hpp"
+#include "runtime/common.hpp"
 namespace zc {
-class View {
+class PartialView {
  public:
-  View(std::string self, std::size_t most, std::uint64_t seed) : self_(std::move(self)), most_(most), rng_(seed) {}
-  void add(const std::string& node);        // heard from directly: young again
-  std::vector<std::string> sample();        // a shuffled part, ourselves included
+  PartialView(std::string self, std::size_t most, std::uint64_t seed)
+      : self_(std::move(self)), most_(most), rng_(seed) {}
+  void add(const std::string& node);  // heard from directly: young again
+  std::vector<std::string> sample();  // a shuffled part, ourselves included
   void merge(const std::vector<std::string>& theirs);
   std::vector<std::string> all() const;
 
--- a/libs/signal/include/signal/link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -1,11 +1,11 @@
-// A link carries frames both ways over one connection. A mooring keeps a dialled link up.
+// A link carries frames both ways over one connection. A dialer keeps a dialled link up.
 #pragma once
-#include "keel/quay.hpp"
-#include "signal/messages.hpp"
+#include "runtime/event_loop.hpp"
+#include "transport/messages.hpp"
 namespace zc {
 std::string frameOf(const Msg& m);
 // Takes whole frames off the front of buf. A fault means the connection can't be trusted further.
-// partial: where the pieces of a large frame are gathered; without it pieces are declined.
+// partial: where the pieces of a large frame are gathered; without it pieces are errorResponse.
 Outcome<std::vector<Msg>> unframe(std::string& buf, std::string* partial = nullptr);
 
 // What this process has framed and taken apart so far, by kind of message; bytes with their frames.
@@ -17,12 +17,12 @@
 };
 const Traffic& trafficSoFar();
 
-class Link : public std::enable_shared_from_this<Link> {
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
-  using OnMsg = std::function<void(const std::shared_ptr<Link>&, Msg)>;
-  using OnEnd = std::function<void(const std::shared_ptr<Link>&)>;
-  Link(tcp::socket s, OnMsg onMsg, OnEnd onEnd);
-  ~Link();
+  using OnMsg = std::function<void(const std::shared_ptr<PeerLink>&, Msg)>;
+  using OnEnd = std::function<void(const std::shared_ptr<PeerLink>&)>;
+  PeerLink(tcp::socket s, OnMsg onMsg, OnEnd onEnd);
+  ~PeerLink();
   void start();
   void send(const Msg& m);
   void sendFrame(std::string_view frame);  // of `frameOf`: for one message to many
@@ -46,21 +46,21 @@
   struct Impl;
   std::unique_ptr<Impl> impl_;
 };
-using LinkPtr = std::shared_ptr<Link>;
+using PeerLinkPtr = std::shared_ptr<PeerLink>;
 
-class Mooring {
+class Dialer {
  public:
-  Mooring(tcp::endpoint ep, Link::OnMsg onMsg, std::function<void(const LinkPtr&)> onUp);
-  ~Mooring();
+  Dialer(tcp::endpoint ep, PeerLink::OnMsg onMsg, std::function<void(const PeerLinkPtr&)> onUp);
+  ~Dialer();
   bool send(const Msg& m);  // false: no link now
   bool up() const;
-  LinkPtr link() const;
-  void release();           // stop redialling
+  PeerLinkPtr link() const;
+  void release();  // stop redialling
 
  private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
 };
-// Accepts on an address for as long as the quay runs.
+// Accepts on an address for as long as the loop runs.
 Outcome<void> listen(const tcp::endpoint& ep, std::function<void(tcp::socket)> take);
 }  // namespace zc
--- a/libs/signal/src/link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -1,13 +1,13 @@
-#include "signal/link.hpp"
+#include "transport/peer_link.hpp"
 
 #include <boost/asio/write.hpp>
 
-#include "keel/ring.hpp"
-#include "signal/avro.hpp"
+#include "runtime/log_ring.hpp"
+#include "transport/avro.hpp"
 
 namespace zc {
 namespace {
-constexpr char kFormat = 2;  // frames of another format version are declined
+constexpr char kFormat = 2;       // frames of another format version are errorResponse
 constexpr char kPieceFormat = 3;  // a part of a large frame; the first byte of its body tells whether it is the last
 constexpr std::size_t kPiece = 16 * 1024;
 constexpr std::size_t kMaxFrame = 32u << 20;
@@ -28,7 +28,8 @@
 }
 void putHead(std::string& out, std::size_t bodySize, char format) {
   const auto n = static_cast<std::uint32_t>(bodySize + 1);
-  for (int i = 0; i < 4; ++i) out += static_cast<char>(n >> (24 - 8 * i));
+  for (int i = 0; i < 4; ++i)
+    out += static_cast<char>(n >> (24 - 8 * i));
   out += format;
 }
 }  // namespace
@@ -45,27 +46,39 @@
   std::size_t at = 0;
   while (buf.size() - at >= 5) {
     std::uint32_t n = 0;
-    for (int i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(buf[at + i]);
-    if (n < 1 || n > kMaxFrame) return fault(0, "frame of an impossible length");
+    for (int i = 0; i < 4; ++i)
+      n = n << 8 | static_cast<unsigned char>(buf[at + i]);
+    if (n < 1 || n > kMaxFrame)
+      return fault(0, "frame of an impossible length");
     if (buf[at + 4] == kPieceFormat && partial) {
-      if (n < 2) return fault(0, "an empty piece");
-      if (buf.size() - at < 4u + n) break;
+      if (n < 2)
+        return fault(0, "an empty piece");
+      if (buf.size() - at < 4u + n)
+        break;
       partial->append(buf, at + 6, n - 2);
-      if (partial->size() > kMaxFrame) return fault(0, "pieces of an impossible length");
+      if (partial->size() > kMaxFrame)
+        return fault(0, "pieces of an impossible length");
       const bool last = buf[at + 5] != 0;
       at += 4u + n;
-      if (!last) continue;
+      if (!last)
+        continue;
       auto frame = std::exchange(*partial, {});
       auto inner = unframe(frame);
-      if (!inner) return inner;
-      if (!frame.empty()) return fault(0, "pieces that make no frame");
-      for (auto& m : *inner) out.push_back(std::move(m));
+      if (!inner)
+        return inner;
+      if (!frame.empty())
+        return fault(0, "pieces that make no frame");
+      for (auto& m : *inner)
+        out.push_back(std::move(m));
       continue;
     }
-    if (buf[at + 4] != kFormat) return fault(0, "frame of another format version: " + std::to_string(buf[at + 4]));
-    if (buf.size() - at < 4u + n) break;
+    if (buf[at + 4] != kFormat)
+      return fault(0, "frame of another format version: " + std::to_string(buf[at + 4]));
+    if (buf.size() - at < 4u + n)
+      break;
     auto m = avro::decode<Msg>(std::string_view(buf).substr(at + 5, n - 1));
-    if (!m) return fault(0, "frame: " + m.error().text);
+    if (!m)
+      return fault(0, "frame: " + m.error().text);
     count(g_traffic.received, m->kind, n + 4);
     out.push_back(std::move(*m));
     at += 4u + n;
@@ -74,9 +87,11 @@
   return out;
 }
 
-const Traffic& trafficSoFar() { return g_traffic; }
+const Traffic& trafficSoFar() {
+  return g_traffic;
+}
 
-struct Link::Impl {
+struct PeerLink::Impl {
   Connection connection;
   OnMsg onMsg;
   OnEnd onEnd;
@@ -89,23 +104,34 @@
   Impl(tcp::socket s, OnMsg m, OnEnd e) : connection(std::move(s)), onMsg(std::move(m)), onEnd(std::move(e)) {
     Ec ec;
     const auto ep = connection.sock().remote_endpoint(ec);
-    if (!ec) farIp = ep.address().to_string();
+    if (!ec)
+      farIp = ep.address().to_string();
     tune(connection.sock());
   }
 };
-Link::Link(tcp::socket s, OnMsg m, OnEnd e) : impl_(std::make_unique<Impl>(std::move(s), std::move(m), std::move(e))) {}
-Link::~Link() = default;
-bool Link::open() const { return impl_->open; }
-Instant Link::heard() const { return impl_->heard; }
-Instant Link::unansweredSince() const { return impl_->unanswered; }
-std::string Link::farIp() const { return impl_->farIp; }
-void Link::end() {
-  if (!impl_->open) return;
+PeerLink::PeerLink(tcp::socket s, OnMsg m, OnEnd e)
+    : impl_(std::make_unique<Impl>(std::move(s), std::move(m), std::move(e))) {}
+PeerLink::~PeerLink() = default;
+bool PeerLink::open() const {
+  return impl_->open;
+}
+Instant PeerLink::heard() const {
+  return impl_->heard;
+}
+Instant PeerLink::unansweredSince() const {
+  return impl_->unanswered;
+}
+std::string PeerLink::farIp() const {
+  return impl_->farIp;
+}
+void PeerLink::end() {
+  if (!impl_->open)
+    return;
   impl_->open = false;
   impl_->connection.shut();
 }
-void Link::start() {
-  Quay::get().launch([self = shared_from_this()] {
+void PeerLink::start() {
+  EventLoop::get().launch([self = shared_from_this()] {
     auto& d = *self->impl_;
     std::string buf, partial;
     // Why from the heap: fiber stacks are small.
@@ -113,17 +139,19 @@
     while (d.open) {
       Ec ec;
       const auto n = d.connection.read(asio::buffer(chunk), ec);
-      if (ec || n == 0) break;
+      if (ec || n == 0)
+        break;
       d.heard = Clock::now();
       d.unanswered = Instant::max();
       buf.append(chunk.data(), n);
       auto msgs = unframe(buf, &partial);
       if (!msgs) {
-        ring::alarm("link to " + d.farIp + " declined: " + msgs.error().text);
+        ring::alarm("link to " + d.farIp + " errorResponse: " + msgs.error().text);
         break;
       }
       for (auto& m : *msgs) {
-        if (!d.open) break;
+        if (!d.open)
+          break;
         d.onMsg(self, std::move(m));
       }
     }
@@ -134,32 +162,39 @@
     d.onEnd = nullptr;
   });
 }
-std::size_t Link::backlog() const { return impl_->out.size() + impl_->flying.size() + impl_->bulkBytes; }
-void Link::send(const Msg& m) {
-  if (impl_->open) sendFrame(frameOf(m));
+std::size_t PeerLink::backlog() const {
+  return impl_->out.size() + impl_->flying.size() + impl_->bulkBytes;
+}
+void PeerLink::send(const Msg& m) {
+  if (impl_->open)
+    sendFrame(frameOf(m));
 }
-void Link::sendFrame(std::string_view frame) {
-  if (!impl_->open) return;
+void PeerLink::sendFrame(std::string_view frame) {
+  if (!impl_->open)
+    return;
   impl_->out += frame;
   kick();
 }
-void Link::sendBulk(std::shared_ptr<const std::string> frame) {
+void PeerLink::sendBulk(std::shared_ptr<const std::string> frame) {
   auto& d = *impl_;
-  if (!d.open) return;
-  if (frame->size() <= kPiece) return sendFrame(*frame);
+  if (!d.open)
+    return;
+  if (frame->size() <= kPiece)
+    return sendFrame(*frame);
   d.bulkBytes += frame->size();
   d.bulk.push_back(std::move(frame));
   kick();
 }
 // What goes next: all that is urgent, or else one piece.
-void Link::load() {
+void PeerLink::load() {
   auto& d = *impl_;
   d.flying.clear();
   if (!d.out.empty()) {
     std::swap(d.flying, d.out);
     return;
   }
-  if (d.bulk.empty()) return;
+  if (d.bulk.empty())
+    return;
   const auto& f = *d.bulk.front();
   const auto n = std::min(kPiece, f.size() - d.bulkAt);
   const bool last = d.bulkAt + n == f.size();
@@ -168,22 +203,26 @@
   d.flying.append(f, d.bulkAt, n);
   d.bulkAt += n;
   d.bulkBytes -= n;
-  if (last) d.bulk.pop_front(), d.bulkAt = 0;
+  if (last)
+    d.bulk.pop_front(), d.bulkAt = 0;
 }
-void Link::kick() {
+void PeerLink::kick() {
   auto& d = *impl_;
   if (backlog() > kMaxOut) {
     ring::alarm("link to " + d.farIp + " ended: it does not read");
     return end();
   }
-  if (d.unanswered == Instant::max()) d.unanswered = Clock::now();
-  if (d.writing) return;
+  if (d.unanswered == Instant::max())
+    d.unanswered = Clock::now();
+  if (d.writing)
+    return;
   d.writing = true;
   // Why posted: what one turn of the loop has to say leaves in one write.
-  asio::post(Quay::get().io(), [self = shared_from_this()] {
-    auto step = [](auto&& again, const LinkPtr& l) -> void {
+  asio::post(EventLoop::get().io(), [self = shared_from_this()] {
+    auto step = [](auto&& again, const PeerLinkPtr& l) -> void {
       auto& d = *l->impl_;
-      if (d.open) l->load();
+      if (d.open)
+        l->load();
       if (!d.open || d.flying.empty()) {
         d.writing = false;
         return;
@@ -200,18 +239,18 @@
   });
 }
 
-struct Mooring::Impl : std::enable_shared_from_this<Mooring::Impl> {
+struct Dialer::Impl : std::enable_shared_from_this<Dialer::Impl> {
   tcp::endpoint ep;
-  Link::OnMsg onMsg;
-  std::function<void(const LinkPtr&)> onUp;
-  LinkPtr link;
+  PeerLink::OnMsg onMsg;
+  std::function<void(const PeerLinkPtr&)> onUp;
+  PeerLinkPtr link;
   bool released = false;
   int failed = 0;
   void run() {
-    Quay::get().launch([self = shared_from_this()] { self->loop(); });
+    EventLoop::get().launch([self = shared_from_this()] { self->loop(); });
   }
   void loop() {
-    auto& q = Quay::get();
+    auto& q = EventLoop::get();
     while (!released) {
       {
         Connection w;
@@ -220,10 +259,11 @@
         w.connect(ep, ec);
         w.undue();
         if (ec && failed++ % 200 == 0)
-          ring::note("cannot reach " + ep.address().to_string() + ": " + (w.late() ? "no answer" : ec.message()) + "; tried again");
+          ring::note("cannot reach " + ep.address().to_string() + ": " + (w.late() ? "no answer" : ec.message()) +
+                     "; tried again");
         if (!ec && !released) {
           failed = 0;
-          auto up = std::make_shared<Link>(std::move(w.sock()), onMsg, [](const LinkPtr&) {});
+          auto up = std::make_shared<PeerLink>(std::move(w.sock()), onMsg, [](const PeerLinkPtr&) {});
           link = up;
           up->start();
           onUp(up);
@@ -231,55 +271,68 @@
             q.pause(100ms);
             const auto since = up->unansweredSince();
             // Why end it: a connection through a cut stays silent long after the cut has healed.
-            if (since != Instant::max() && Clock::now() - since > kSilence) up->end();
+            if (since != Instant::max() && Clock::now() - since > kSilence)
+              up->end();
           }
           up->end();
           link.reset();
         }
       }
-      if (!released) q.pause(failed < kSoon ? kRedialSoon : kRedial);
+      if (!released)
+        q.pause(failed < kSoon ? kRedialSoon : kRedial);
     }
   }
 };
-Mooring::Mooring(tcp::endpoint ep, Link::OnMsg onMsg, std::function<void(const LinkPtr&)> onUp)
+Dialer::Dialer(tcp::endpoint ep, PeerLink::OnMsg onMsg, std::function<void(const PeerLinkPtr&)> onUp)
     : impl_(std::make_shared<Impl>()) {
   impl_->ep = std::move(ep);
   impl_->onMsg = std::move(onMsg);
   impl_->onUp = std::move(onUp);
   impl_->run();
 }
-Mooring::~Mooring() { release(); }
-bool Mooring::send(const Msg& m) {
-  if (!up()) return false;
+Dialer::~Dialer() {
+  release();
+}
+bool Dialer::send(const Msg& m) {
+  if (!up())
+    return false;
   impl_->link->send(m);
   return true;
 }
-bool Mooring::up() const { return impl_->link && impl_->link->open(); }
-LinkPtr Mooring::link() const { return impl_->link; }
-void Mooring::release() {
+bool Dialer::up() const {
+  return impl_->link && impl_->link->open();
+}
+PeerLinkPtr Dialer::link() const {
+  return impl_->link;
+}
+void Dialer::release() {
   impl_->released = true;
-  if (impl_->link) impl_->link->end();
+  if (impl_->link)
+    impl_->link->end();
 }
 
 Outcome<void> listen(const tcp::endpoint& ep, std::function<void(tcp::socket)> take) {
-  auto acc = std::make_shared<tcp::acceptor>(Quay::get().io());
+  auto acc = std::make_shared<tcp::acceptor>(EventLoop::get().io());
   Ec ec;
   acc->open(ep.protocol(), ec);
   acc->set_option(tcp::acceptor::reuse_address(true), ec);
   acc->bind(ep, ec);
-  if (ec) return fault(0, "cannot bind " + ep.address().to_string() + ":" + std::to_string(ep.port()) + ": " + ec.message());
+  if (ec)
+    return fault(0, "cannot bind " + ep.address().to_string() + ":" + std::to_string(ep.port()) + ": " + ec.message());
   acc->listen(512, ec);
-  if (ec) return fault(0, "cannot listen: " + ec.message());
+  if (ec)
+    return fault(0, "cannot listen: " + ec.message());
   auto go = std::make_shared<std::function<void()>>();
   *go = [acc, take = std::move(take), go] {
     acc->async_accept([take, go, acc](Ec e, tcp::socket s) {
-      if (e == asio::error::operation_aborted) return;
+      if (e == asio::error::operation_aborted)
+        return;
       if (!e) {
         take(std::move(s));
         return (*go)();
       }
       // Why a pause: out of descriptors, the same error would come back at once for ever.
-      auto t = std::make_shared<asio::steady_timer>(Quay::get().io(), 20ms);
+      auto t = std::make_shared<asio::steady_timer>(EventLoop::get().io(), 20ms);
       t->async_wait([t, go](Ec) { (*go)(); });
     });
   };
--- a/tests/berth_test.cpp
+++ b/tests/balancing_test.cpp
@@ -1,19 +1,21 @@
 // Quota, budget and runner choice.
-#include <random>
-
 #include <gtest/gtest.h>
 
-#include "berth/allow.hpp"
-#include "berth/budget.hpp"
-#include "berth/docks.hpp"
-#include "berth/quota.hpp"
+#include <random>
+
+#include "balancing/admission.hpp"
+#include "balancing/budget.hpp"
+#include "balancing/quota.hpp"
+#include "balancing/runner_pool.hpp"
 #include "quota.hpp"
 
 using namespace zc;
 namespace {
 std::shared_ptr<const Configuration> tenants(double rate, double burst) {
-  auto c = parseConfiguration("{\"configVersion\":1,\"routeTable\":[],\"serviceTable\":[],\"subscribers\":[{\"label\":\"t\",\"accessKeys\":[\"k\"],\"ratePerS\":" +
-                              std::to_string(rate) + ",\"burstSize\":" + std::to_string(burst) + "}]}");
+  auto c = parseConfiguration(
+      "{\"configVersion\":1,\"routeTable\":[],\"serviceTable\":[],\"subscribers\":[{\"label\":\"t\",\"accessKeys\":["
+      "\"k\"],\"ratePerS\":" +
+      std::to_string(rate) + ",\"burstSize\":" + std::to_string(burst) + "}]}");
   return *c;
 }
 Runner dock(const std::string& id, const std::string& zone, RunnerState st = RunnerState::inService) {
@@ -21,20 +23,21 @@
 }
 }  // namespace
 
-// Nodes that restart, a sequencer that changes, demand far above the limit: no window holds more than it may. Few nodes
-// with steady tenants (stashes) and many that send rarely (loose tokens); answers that come late; nodes cut off.
+// Nodes that restart, a leader that changes, demand far above the limit: no window holds more than it may. Few nodes
+// with steady tenants (holders) and many that send rarely (loose tokens); answers that come late; nodes cut off.
 TEST(Quota, NoWindowHoldsMoreThanItMay) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 rng(seed);
     const std::size_t count = seed % 3 == 0 ? 70 : 6;
-    const double rate = 2 + static_cast<double>(rng() % 60), burst = rate * (0.5 + static_cast<double>(rng() % 3) * 0.5);
+    const double rate = 2 + static_cast<double>(rng() % 60),
+                 burst = rate * (0.5 + static_cast<double>(rng() % 3) * 0.5);
     auto cfg = tenants(rate, burst);
     Instant now{100s};
-    auto desk = std::make_unique<QuotaDesk>();
+    auto desk = std::make_unique<QuotaAllocator>();
     desk->bounds({0.1, 20, 5});
     desk->takeOver(now);
     struct Node {
-      QuotaStash stash;
+      QuotaGrants stash;
       int waiting = 0;
       Instant cutUntil{};
     };
@@ -55,10 +58,11 @@
         nodes[pick] = Node{};
         std::erase_if(flying, [&](auto& f) { return f.node == pick; });
       }
-      if (rng() % 700 == 0) nodes[pick].cutUntil = now + Span(500 + rng() % 6000);
+      if (rng() % 700 == 0)
+        nodes[pick].cutUntil = now + Span(500 + rng() % 6000);
       if (rng() % 1500 == 0 && ms - lastChange > 6000) {
         lastChange = ms;
-        desk = std::make_unique<QuotaDesk>();
+        desk = std::make_unique<QuotaAllocator>();
         desk->bounds({0.1, 20, 5});
         desk->takeOver(now);
       }
@@ -67,7 +71,8 @@
           auto& n = nodes[f.node];
           if (f.loose) {
             n.stash.loose(f.grants, now);
-            while (n.waiting > 0 && n.stash.retake("t", now)) --n.waiting, ran.push_back(now);
+            while (n.waiting > 0 && n.stash.retake("t", now))
+              --n.waiting, ran.push_back(now);
           } else if (newest[f.node] == f.asked) {
             n.stash.drawn(f.grants, f.asked);
           }
@@ -77,10 +82,13 @@
         auto& n = nodes[i];
         const int wants = count > 20 ? rng() % 12 == 0 : static_cast<int>(rng() % 3);
         for (int k = 0; k < wants; ++k) {
-          if (n.stash.take("t", now)) ran.push_back(now);
-          else if (n.waiting < 20) ++n.waiting, n.stash.wait("t");
+          if (n.stash.take("t", now))
+            ran.push_back(now);
+          else if (n.waiting < 20)
+            ++n.waiting, n.stash.wait("t");
         }
-        if (n.cutUntil > now) continue;
+        if (n.cutUntil > now)
+          continue;
         const auto name = "n" + std::to_string(i);
         const Span delay(rng() % 50 == 0 ? 900 : rng() % 12);
         if (const auto w = n.stash.unasked(); !w.empty())
@@ -91,21 +99,23 @@
           flying.push_back({i, now, now + delay, desk->draw(now, name, n.stash.demand(now), holds, cfg.get()), false});
         }
       }
-      while (!ran.empty() && now - ran.front() > 5s) ran.pop_front();
+      while (!ran.empty() && now - ran.front() > 5s)
+        ran.pop_front();
       ASSERT_LE(ran.size(), (rate * 5 + burst) * 1.1 + 20) << "seed " << seed << " at " << ms << " ms";
     }
   }
 }
-// A tenant's requests spread over few nodes or many: a token waited for costs one draw, none is wasted where it expires.
+// A tenant's requests spread over few nodes or many: a token waited for costs one draw, none is wasted where it
+// expires.
 TEST(Quota, WhatLiesBelowTheLimitIsAllowed) {
   for (const std::size_t count : {9u, 70u, 330u}) {
     std::mt19937_64 rng(3);
     auto cfg = tenants(32, 32);
-    QuotaDesk desk;
+    QuotaAllocator desk;
     desk.bounds({0.1, 20, 5});
     Instant now{100s};
     desk.takeOver(now);
-    std::vector<QuotaStash> nodes(count);
+    std::vector<QuotaGrants> nodes(count);
     int asked = 0, refused = 0;
     for (int ms = 0; ms < 40000; ms += 10, now += 10ms) {
       // 20 a second, in clumps of three at one node.
@@ -125,37 +135,45 @@
       }
       if (ms % 400 == 0)
         for (std::size_t i = 0; i < nodes.size(); ++i)
-          nodes[i].drawn(desk.draw(now, "n" + std::to_string(i), nodes[i].demand(now), nodes[i].holds(now), cfg.get()), now);
+          nodes[i].drawn(desk.draw(now, "n" + std::to_string(i), nodes[i].demand(now), nodes[i].holds(now), cfg.get()),
+                         now);
     }
     EXPECT_GT(asked, 500);
     EXPECT_LE(refused * 1000, asked) << refused << " of " << asked << " on " << count << " nodes";
   }
 }
 TEST(Quota, AStashEndsByItself) {
-  QuotaStash s;
+  QuotaGrants s;
   Instant now{100s};
   s.drawn({{"t", 5, 0.1}}, now);
   EXPECT_TRUE(s.take("t", now + 1s));
-  EXPECT_FALSE(s.take("t", now + QuotaStash::life + 1ms));
+  EXPECT_FALSE(s.take("t", now + QuotaGrants::life + 1ms));
   s.loose({{"t", 2, 0.1}}, now);
   EXPECT_TRUE(s.retake("t", now + 10ms));
-  EXPECT_FALSE(s.retake("t", now + QuotaStash::looseLife + 1ms));
+  EXPECT_FALSE(s.retake("t", now + QuotaGrants::looseLife + 1ms));
 }
-// What a node says of tenants is bounded by those that send to it steadily, however many are configured or came by once.
+// What a node says of tenants is bounded by those that send to it steadily, however many are configured or came by
+// once.
 TEST(Quota, OnlySteadyTenantsAreToldOf) {
-  QuotaStash s;
+  QuotaGrants s;
   Instant now{100s};
   for (int ms = 0; ms < 20000; ms += 10, now += 10ms) {
-    if (ms % 100 == 0) s.take("steady", now);
-    if (ms % 50 == 0) s.take("rare" + std::to_string(ms / 50 % 200), now);
+    if (ms % 100 == 0)
+      s.take("steady", now);
+    if (ms % 50 == 0)
+      s.take("rare" + std::to_string(ms / 50 % 200), now);
     if (ms % 400 == 0) {
       const auto d = s.demand(now);
       EXPECT_LE(d.size(), 1u);
-      if (ms > 4000) { ASSERT_EQ(d.size(), 1u); }
-      for (auto& g : d) EXPECT_EQ(g.label, "steady");
+      if (ms > 4000) {
+        ASSERT_EQ(d.size(), 1u);
+      }
+      for (auto& g : d)
+        EXPECT_EQ(g.label, "steady");
     }
   }
-  for (int i = 0; i < 200; ++i, now += 400ms) (void)s.demand(now);
+  for (int i = 0; i < 200; ++i, now += 400ms)
+    (void)s.demand(now);
   EXPECT_EQ(s.size(), 0u) << "and forgets who stays away";
 }
 TEST(Budget, FurtherAttemptsStayInsideTheShare) {
@@ -165,11 +183,15 @@
   std::deque<std::pair<int, bool>> window;  // ms, whether it was a further attempt
   Instant now{100s};
   for (int t = 0; t < 100000; ++t, now += 10ms) {
-    if (rng() % 10 == 0) b.earn("s", now), window.emplace_back(t, false);
-    while (rng() % 5 == 0 && b.spend("s", now)) window.emplace_back(t, true);
-    while (!window.empty() && window.front().first < t - 1000) window.pop_front();
+    if (rng() % 10 == 0)
+      b.earn("s", now), window.emplace_back(t, false);
+    while (rng() % 5 == 0 && b.spend("s", now))
+      window.emplace_back(t, true);
+    while (!window.empty() && window.front().first < t - 1000)
+      window.pop_front();
     double firsts = 0, again = 0;
-    for (auto& [at, more] : window) (more ? again : firsts) += 1;
+    for (auto& [at, more] : window)
+      (more ? again : firsts) += 1;
     ASSERT_LE(again, 0.2 * firsts + 12) << t;
   }
 }
@@ -179,19 +201,23 @@
   for (int nodes : {3, 6, 9, 20, 70, 330}) {
     const double slack = 50;
     std::vector<Budget> b(static_cast<std::size_t>(nodes), Budget(0.15, 2500ms));
-    for (auto& x : b) x.share(slack * 0.5 / nodes, static_cast<double>(rng() % 1000) / 1000);
+    for (auto& x : b)
+      x.share(slack * 0.5 / nodes, static_cast<double>(rng() % 1000) / 1000);
     Instant now{100s};
     // Much traffic once, then little: what was earned long ago must not be spent on the little.
     for (int i = 0; i < 500; ++i, now += 10ms)
-      for (auto& x : b) x.earn("s", now);
+      for (auto& x : b)
+        x.earn("s", now);
     now += 20s;
     int firsts = 0, again = 0;
     for (int i = 0; i < 40; ++i, now += 100ms)
       for (auto& x : b) {
-        if (nodes > 20 && rng() % 10) continue;
+        if (nodes > 20 && rng() % 10)
+          continue;
         x.earn("s", now);
         ++firsts;
-        while (x.spend("s", now)) ++again;
+        while (x.spend("s", now))
+          ++again;
       }
     EXPECT_LE(again, 0.2 * firsts + slack) << nodes;
     EXPECT_GT(again, 0) << nodes;
@@ -203,23 +229,26 @@
   b.share(0.2, 0.9);
   Instant now{100s};
   int firsts = 0;
-  for (int i = 0; i < 1000; ++i, now += 10ms) b.earn("s", now), ++firsts;
+  for (int i = 0; i < 1000; ++i, now += 10ms)
+    b.earn("s", now), ++firsts;
   int again = 0;
   for (int i = 0; i < 1000; ++i, now += 10ms)
-    while (b.spend("s", now)) ++again;
+    while (b.spend("s", now))
+      ++again;
   EXPECT_GT(again, 10);
   EXPECT_LE(again, 0.15 * firsts * 0.26);
 }
-TEST(Docks, NodesAgreeOnTheRunnerOfASharedPart) {
+TEST(RunnerPool, NodesAgreeOnTheRunnerOfASharedPart) {
   std::vector<Runner> rs;
-  for (int i = 0; i < 18; ++i) rs.push_back(dock("r" + std::to_string(i), "z" + std::to_string(i % 3)));
-  Docks a(1), b(2);
+  for (int i = 0; i < 18; ++i)
+    rs.push_back(dock("r" + std::to_string(i), "z" + std::to_string(i % 3)));
+  RunnerPool a(1), b(2);
   a.follow(rs);
   std::reverse(rs.begin(), rs.end());
   b.follow(rs);
   std::set<std::string> used;
   for (int part = 1; part < 60; ++part) {
-    Wish w;
+    RunnerQuery w;
     w.service = "s", w.zone = "z0", w.engine = true, w.affinity = hash64(std::to_string(part)), w.sharedTokens = 5000;
     const auto x = a.at(a.choose(w, Instant{100s})).id;
     w.zone = "z2";
@@ -228,10 +257,10 @@
   }
   EXPECT_GT(used.size(), 12u) << "parts spread over the runners";
 }
-TEST(Docks, APlaceWithMuchToReadIsLeft) {
-  Docks d(1);
+TEST(RunnerPool, APlaceWithMuchToReadIsLeft) {
+  RunnerPool d(1);
   d.follow({dock("r1", "z"), dock("r2", "z")});
-  Wish w;
+  RunnerQuery w;
   w.service = "s", w.zone = "z", w.engine = true, w.affinity = 77, w.sharedTokens = 1000, w.promptTokens = 3000;
   const int home = d.choose(w, Instant{100s});
   d.went(home, 3000);
@@ -241,37 +270,41 @@
   d.read(home, 30000);
   EXPECT_EQ(d.choose(w, Instant{100s}), home) << "and it comes back";
 }
-TEST(Docks, DrainingOnesAreNeverChosenShunnedOnesOnlyAtNeed) {
-  Docks d(1);
+TEST(RunnerPool, DrainingOnesAreNeverChosenShunnedOnesOnlyAtNeed) {
+  RunnerPool d(1);
   d.follow({dock("r1", "z", RunnerState::draining), dock("r2", "z"), dock("r3", "z")});
-  Wish w;
+  RunnerQuery w;
   w.service = "s", w.zone = "z";
-  for (int i = 0; i < 50; ++i) EXPECT_NE(d.at(d.choose(w, Instant{100s})).id, "r1");
+  for (int i = 0; i < 50; ++i)
+    EXPECT_NE(d.at(d.choose(w, Instant{100s})).id, "r1");
   int r2 = 0;
-  while (d.at(r2).id != "r2") ++r2;
+  while (d.at(r2).id != "r2")
+    ++r2;
   d.fault(r2, Instant{100s});
-  for (int i = 0; i < 20; ++i) EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r3");
+  for (int i = 0; i < 20; ++i)
+    EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r3");
   d.follow({dock("r2", "z")});
   EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r2");
   d.follow({});
   EXPECT_EQ(d.choose(w, Instant{100s}), -1);
 }
-TEST(Docks, AnotherRegionIsForNeedOnly) {
-  Docks d(1);
+TEST(RunnerPool, AnotherRegionIsForNeedOnly) {
+  RunnerPool d(1);
   d.regions({{"a1", "a"}, {"a2", "a"}, {"b1", "b"}});
   d.follow({dock("r1", "a2"), dock("r2", "b1"), dock("r3", "b1")});
   for (bool engine : {false, true})
     for (int part = 1; part < 30; ++part) {
-      Wish w;
-      w.service = "s", w.zone = "a1", w.engine = engine, w.affinity = hash64(std::to_string(part)), w.sharedTokens = 2000;
+      RunnerQuery w;
+      w.service = "s", w.zone = "a1", w.engine = engine, w.affinity = hash64(std::to_string(part)),
+      w.sharedTokens = 2000;
       EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r1");
     }
   d.follow({dock("r2", "b1")});
-  Wish w;
+  RunnerQuery w;
   w.service = "s", w.zone = "a1", w.engine = true, w.affinity = 5, w.sharedTokens = 2000;
   EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r2") << "far away is better than nowhere";
 }
-TEST(Docks, PromptPartsAreRead) {
+TEST(RunnerPool, PromptPartsAreRead) {
   const auto p = promptOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
   EXPECT_EQ(p.all, 1460);
   EXPECT_EQ(p.shared, 1210);
@@ -289,7 +322,8 @@
     a.first("s", i % 3 == 0, now);
     ASSERT_TRUE(a.allows("s", 4, 0.0, now)) << "a third late is no storm";
   }
-  for (int i = 0; i < 400; ++i, now += 10ms) a.first("s", true, now);
+  for (int i = 0; i < 400; ++i, now += 10ms)
+    a.first("s", true, now);
   int urgent = 0, other = 0;
   for (int i = 0; i < 1000; ++i) {
     urgent += a.allows("s", 0, i / 1000.0, now);
@@ -299,14 +333,17 @@
   EXPECT_GT(urgent, other);
   EXPECT_GE(other, 250) << "nobody is shut out";
   EXPECT_TRUE(a.allows("another", 4, 0.0, now)) << "each service for itself";
-  for (int i = 0; i < 2000; ++i, now += 10ms) a.first("s", false, now);
+  for (int i = 0; i < 2000; ++i, now += 10ms)
+    a.first("s", false, now);
   EXPECT_DOUBLE_EQ(a.level("s"), 0);
 }
 TEST(Allowance, SilenceEndsAStorm) {
   Allowance a;
   Instant now{100s};
-  for (int i = 0; i < 300; ++i, now += 10ms) a.first("s", true, now);
+  for (int i = 0; i < 300; ++i, now += 10ms)
+    a.first("s", true, now);
   EXPECT_GT(a.level("s"), 0);
-  for (int i = 0; i < 60; ++i, now += 1s) (void)a.allows("s", 4, 0.5, now);
+  for (int i = 0; i < 60; ++i, now += 1s)
+    (void)a.allows("s", 4, 0.5, now);
   EXPECT_DOUBLE_EQ(a.level("s"), 0);
 }
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -21,11 +21,11 @@
 want 2 "no subcommand knows" status --foo
 want 2 "3 to 600" trial --seconds 1
 want 2 "unknown subcommand" nope
-want 2 "out of bounds 'nodes'" rehearse --set nodes=5000
-want 2 "unknown field 'tenents'" rehearse --set tenents=5
-want 2 "no name=value" rehearse --set nodes
-want 2 "cannot read" rehearse /nowhere.json
-want 2 "cannot read" pilot --settings=/nowhere.json
+want 2 "out of bounds 'nodes'" scale-run --set nodes=5000
+want 2 "unknown field 'tenents'" scale-run --set tenents=5
+want 2 "no name=value" scale-run --set nodes
+want 2 "cannot read" scale-run /nowhere.json
+want 2 "cannot read" proxy --settings=/nowhere.json
 want 2 "say which nodes" status
 want 2 "wants one FILE" runbook
 want 2 "unknown kind" check nonsense /dev/null
--- a/tests/charter_test.cpp
+++ b/tests/config_test.cpp
@@ -1,9 +1,9 @@
 // What is valid and what is not, after the protocol's list.
 #include <gtest/gtest.h>
 
-#include "charter/calls.hpp"
-#include "charter/configuration.hpp"
-#include "charter/settings.hpp"
+#include "config/calls.hpp"
+#include "config/configuration.hpp"
+#include "config/settings.hpp"
 
 using namespace zc;
 namespace {
@@ -44,7 +44,8 @@
   } table[] = {{"ficu.example", "/p/x", 0},    {"FICU.example", "/p/q/x", 1}, {"ficu.example", "/p/q", 0},
                {"ficu.example", "/z", 2},      {"other.example", "/p/x", -1}, {"ficu.example:8405", "/p/x", 0},
                {"ficu.example", "/?a=/p/", 2}, {"ficu.example", "/pq", 2}};
-  for (auto& t : table) EXPECT_EQ((*c)->find(t.host, t.path), t.want) << t.host << t.path;
+  for (auto& t : table)
+    EXPECT_EQ((*c)->find(t.host, t.path), t.want) << t.host << t.path;
 }
 TEST(Configuration, WhatIsInvalidIsDeclinedWithA4xx) {
   const std::pair<const char*, std::string> table[] = {
@@ -52,9 +53,11 @@
       {"empty", ""},
       {"no object", "[1]"},
       {"unknown service", with("\"targetService\":\"s1\"", "\"targetService\":\"nope\"")},
-      {"unknown weighted service", with("{\"targetService\":\"s2\",\"share\":10}", "{\"targetService\":\"zz\",\"share\":10}")},
+      {"unknown weighted service",
+       with("{\"targetService\":\"s2\",\"share\":10}", "{\"targetService\":\"zz\",\"share\":10}")},
       {"two routes at one place", with("\"/p/q/\"", "\"/p/\"")},
-      {"shares sum to 0", with("\"share\":90},{\"targetService\":\"s2\",\"share\":10}", "\"share\":0},{\"targetService\":\"s2\",\"share\":0}")},
+      {"shares sum to 0", with("\"share\":90},{\"targetService\":\"s2\",\"share\":10}",
+                               "\"share\":0},{\"targetService\":\"s2\",\"share\":0}")},
       {"no time", with("\"expiryMs\":10000", "\"expiryMs\":0")},
       {"time left out", with("\"expiryMs\":10000,", "")},
       {"key shared", with("\"k3\"", "\"k1\"")},
@@ -74,32 +77,37 @@
 TEST(Configuration, HundredsOfRoutes) {
   std::string routes;
   for (int i = 0; i < 600; ++i)
-    routes += std::string(i ? "," : "") + R"({"label":"r","authority":"h.example","pathPrefix":"/x)" + std::to_string(i) +
-              R"(/","routeType":"safe","expiryMs":5,"targetService":"s"})";
-  auto c = parseConfiguration("{\"configVersion\":1,\"routeTable\":[" + routes + "],\"serviceTable\":[{\"label\":\"s\"}]}");
+    routes += std::string(i ? "," : "") + R"({"label":"r","authority":"h.example","pathPrefix":"/x)" +
+              std::to_string(i) + R"(/","routeType":"safe","expiryMs":5,"targetService":"s"})";
+  auto c =
+      parseConfiguration("{\"configVersion\":1,\"routeTable\":[" + routes + "],\"serviceTable\":[{\"label\":\"s\"}]}");
   ASSERT_TRUE(c) << c.error().text;
   EXPECT_EQ((*c)->find("h.example", "/x599/y"), 599);
 }
 TEST(Settings, UnknownFieldsAreIgnoredAndBrokenOnesNamed) {
-  const std::string good = R"({"nodeName":"n","role":"r","ip":"10.1.0.5","zone":"z","bindAddresses":{"accessPort":"10.1.0.5:1","readinessPort":"10.1.0.5:2"},
+  const std::string good =
+      R"({"nodeName":"n","role":"r","ip":"10.1.0.5","zone":"z","bindAddresses":{"accessPort":"10.1.0.5:1","readinessPort":"10.1.0.5:2"},
     "internalPorts":[7660,7675],"seedNodes":["10.1.0.7:8407"],"initialAttach":true,"dataDir":null,"somethingNew":{"a":[1]},"timers":{"revokeMs":5000,"graceS":8,"retryRatio":0.2}})";
   auto s = parseSettings(good);
   ASSERT_TRUE(s) << s.error().text;
   EXPECT_EQ(s->timers.grace, Span(8000));
   EXPECT_EQ(s->portLast, 7675);
   EXPECT_TRUE(s->dataDir.empty());
-  for (std::string broken : {std::string("{"), std::string("[]"), std::string("{}"),
-                             std::string(R"({"nodeName":1,"ip":"a","zone":"z","internalPorts":[1,2],"seedNodes":[]})"),
-                             std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9],"seedNodes":[]})"),
-                             std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9,12],"seedNodes":["somewhere:80"]})"),
-                             std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9,2],"seedNodes":[]})")}) {
+  for (std::string broken :
+       {std::string("{"), std::string("[]"), std::string("{}"),
+        std::string(R"({"nodeName":1,"ip":"a","zone":"z","internalPorts":[1,2],"seedNodes":[]})"),
+        std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9],"seedNodes":[]})"),
+        std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9,12],"seedNodes":["somewhere:80"]})"),
+        std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9,2],"seedNodes":[]})")}) {
     auto b = parseSettings(broken);
     ASSERT_FALSE(b) << broken;
     EXPECT_FALSE(b.error().text.empty());
   }
 }
 TEST(Calls, HeartbeatsAreCheckedWhole) {
-  auto b = parseBeat("i-1", R"({"targetService":"s","address":"10.0.0.1:80","zone":"z","capacity":4,"state":"draining","sequence":9,"more":1})");
+  auto b = parseBeat(
+      "i-1",
+      R"({"targetService":"s","address":"10.0.0.1:80","zone":"z","capacity":4,"state":"draining","sequence":9,"more":1})");
   ASSERT_TRUE(b);
   EXPECT_TRUE(b->draining);
   EXPECT_EQ(b->sequence, 9);
--- a/tests/order_test.cpp
+++ b/tests/consensus_test.cpp
@@ -1,30 +1,34 @@
 // Conformance of the numbered order, after docs/design.md; worlds are seeded, a failing one names its seed.
-#include <cstdlib>
-
 #include <gtest/gtest.h>
 
-#include "harbour_sim.hpp"
+#include <cstdlib>
+
+#include "simulated_cluster.hpp"
 
 using namespace zc;
 using zc::sim::World;
 namespace {
 const std::vector<std::string> kSeeds = {"10.1.0.1", "10.2.0.1", "10.3.0.1"};
 void bootAll(World& w) {
-  for (auto& s : kSeeds) w.boot(s, kSeeds, true);
+  for (auto& s : kSeeds)
+    w.boot(s, kSeeds, true);
   w.runFor(4000ms);
 }
 // A core of n machines, founded by the first three of them; two may be lost at once.
 std::vector<std::string> bootMany(World& w, int n) {
   w.params.tolerate = 2;
   std::vector<std::string> ips = kSeeds;
-  for (int i = 3; i < n; ++i) ips.push_back("10." + std::to_string(i % 3 + 1) + ".0." + std::to_string(2 + i / 3));
-  for (auto& s : ips) w.boot(s, kSeeds, true);
+  for (int i = 3; i < n; ++i)
+    ips.push_back("10." + std::to_string(i % 3 + 1) + ".0." + std::to_string(2 + i / 3));
+  for (auto& s : ips)
+    w.boot(s, kSeeds, true);
   w.runFor(6000ms);
   return ips;
 }
 std::string joined(const std::vector<std::string>& v) {
   std::string s;
-  for (auto& x : v) s += x + "\n";
+  for (auto& x : v)
+    s += x + "\n";
   return s;
 }
 // Everything acknowledged stands in every caught-up copy.
@@ -35,19 +39,21 @@
     n.frozen = false;
     n.diskFull = false;
     n.syncTime = Span(4);
-    if (!n.up && n.life > 0 && n.life < 1000) w.boot(ip, kSeeds, false);
+    if (!n.up && n.life > 0 && n.life < 1000)
+      w.boot(ip, kSeeds, false);
   }
   w.runFor(12000ms);
-  const auto seq = w.sequencer();
+  const auto seq = w.leader();
   std::string states;
   for (auto& [ip, n] : w.nodes)
     if (n.up) {
-      states += n.id + " duty " + std::to_string(static_cast<int>(n.order->duty())) + " term " +
+      states += n.id + " role " + std::to_string(static_cast<int>(n.order->role())) + " term " +
                 std::to_string(n.order->term()) + " released " + std::to_string(n.order->released()) + " sick " +
                 std::to_string(n.order->diskSick(w.now)) + " members";
-      states += " last page " +
-                (n.disk.empty() ? "none" : std::to_string(unsealPage(n.disk.back())->seq)) + " " + n.order->debug();
-      for (auto& m : n.order->members()) states += " " + m;
+      states += " last page " + (n.disk.empty() ? "none" : std::to_string(decodeRecord(n.disk.back())->seq)) + " " +
+                n.order->debug();
+      for (auto& m : n.order->members())
+        states += " " + m;
       states += "\n";
     }
   ASSERT_FALSE(seq.empty()) << "nobody took over (seed " << w.seed << ")\n" << states;
@@ -56,7 +62,8 @@
   w.runFor(3000ms);
   EXPECT_GT(w.acked.size(), before) << "no write passes at the end (seed " << w.seed << ")";
   std::string all;
-  for (auto& [num, c] : w.agreed) all += c + "\n";
+  for (auto& [num, c] : w.agreed)
+    all += c + "\n";
   for (auto& [op, num] : w.acked)
     EXPECT_NE(all.find("|" + op + "|"), std::string::npos) << op << " lost (seed " << w.seed << ")";
   EXPECT_GE(w.nodes[seq].order->released(), w.agreed.rbegin()->first) << "seed " << w.seed;
@@ -64,11 +71,12 @@
 }
 void trouble(World& w) {
   std::vector<std::string> ips;
-  for (auto& [ip, n] : w.nodes) ips.push_back(ip);
+  for (auto& [ip, n] : w.nodes)
+    ips.push_back(ip);
   const auto ip = ips[w.draw(ips.size())];
   auto& n = w.nodes[ip];
   // All well: every machine a member with a working disk, none behind a cut.
-  const auto seq = w.sequencer();
+  const auto seq = w.leader();
   bool well = !seq.empty() && w.cut.empty();
   for (auto& [o, x] : w.nodes) {
     well = well && x.up && !x.frozen && !x.diskFull && x.syncTime == Span(4);
@@ -81,17 +89,23 @@
     case 0:  // power lost, back with its disk
       if (n.up) {
         w.kill(ip);
-        w.at(Span(300 + w.draw(3000)), [&w, ip] { if (!w.nodes[ip].up) w.boot(ip, kSeeds, false); });
+        w.at(Span(300 + w.draw(3000)), [&w, ip] {
+          if (!w.nodes[ip].up)
+            w.boot(ip, kSeeds, false);
+        });
       }
       break;
-      case 1:  // disks lost: only while all others are well, as the deployment promises
+    case 1:  // disks lost: only while all others are well, as the deployment promises
       if (well) {
         const auto at = std::find(ips.begin(), ips.end(), ip) - ips.begin();
         for (std::size_t k = 0; k < w.params.tolerate; ++k) {
           const auto lost = ips[(static_cast<std::size_t>(at) + k) % ips.size()];
           w.kill(lost);
           w.nodes[lost].disk.clear();
-          w.at(Span(300 + w.draw(2000)), [&w, lost] { if (!w.nodes[lost].up) w.boot(lost, kSeeds, false); });
+          w.at(Span(300 + w.draw(2000)), [&w, lost] {
+            if (!w.nodes[lost].up)
+              w.boot(lost, kSeeds, false);
+          });
         }
         w.runFor(9000ms);
       }
@@ -118,22 +132,30 @@
       w.at(Span(2500), [&w] { w.loss = 0, w.delayMost = 3; });
       break;
     case 7:
-      if (n.up && !n.frozen) n.order->handOver(w.now), w.step(n);
+      if (n.up && !n.frozen)
+        n.order->handOver(w.now), w.step(n);
       break;
     case 8:  // all at once, with their disks
       for (auto& o : ips) {
-        if (!w.nodes[o].up) continue;
+        if (!w.nodes[o].up)
+          continue;
         w.kill(o);
-        w.at(Span(200 + w.draw(900)), [&w, o] { if (!w.nodes[o].up) w.boot(o, kSeeds, false); });
+        w.at(Span(200 + w.draw(900)), [&w, o] {
+          if (!w.nodes[o].up)
+            w.boot(o, kSeeds, false);
+        });
       }
       break;
   }
 }
 void play(std::uint64_t seed) {
   World w(seed);
-  if (seed % 4 == 1) bootMany(w, 6);
-  else if (seed % 4 == 3) bootMany(w, 8);
-  else bootAll(w);
+  if (seed % 4 == 1)
+    bootMany(w, 6);
+  else if (seed % 4 == 3)
+    bootMany(w, 8);
+  else
+    bootAll(w);
   for (int i = 0; i < 14; ++i) {
     for (int k = 0; k < 3; ++k) {
       w.write(kSeeds[w.draw(3)], w.draw(6) == 0 ? 40000 : 10);
@@ -149,8 +171,9 @@
 TEST(Order, FoundersFindASequencerAndWritesPass) {
   World w(1);
   bootAll(w);
-  ASSERT_FALSE(w.sequencer().empty());
-  for (auto& s : kSeeds) w.write(s);
+  ASSERT_FALSE(w.leader().empty());
+  for (auto& s : kSeeds)
+    w.write(s);
   w.runFor(1000ms);
   EXPECT_EQ(w.acked.size(), 3u);
   EXPECT_TRUE(w.broken.empty()) << joined(w.broken);
@@ -158,10 +181,10 @@
 TEST(Order, TheNextTakesOverWhenTheSequencerLosesPower) {
   World w(2);
   bootAll(w);
-  const auto first = w.sequencer();
+  const auto first = w.leader();
   w.kill(first);
   w.runFor(3500ms);
-  const auto second = w.sequencer();
+  const auto second = w.leader();
   EXPECT_FALSE(second.empty());
   EXPECT_NE(first, second);
 }
@@ -169,33 +192,35 @@
   for (std::uint64_t s = 10; s < 30; ++s) {
     World w(s);
     bootAll(w);
-    const auto first = w.sequencer();
+    const auto first = w.leader();
     ASSERT_FALSE(first.empty());
     w.cutOff(first);
     for (int i = 0; i < 100; ++i) {
       w.runFor(40ms);
       int leases = 0;
-      for (auto& [ip, n] : w.nodes) leases += n.order->leased(w.now);
+      for (auto& [ip, n] : w.nodes)
+        leases += n.order->leased(w.now);
       EXPECT_LE(leases, 1) << "seed " << s;
     }
     EXPECT_FALSE(w.nodes[first].order->leased(w.now));
-    EXPECT_FALSE(w.sequencer().empty());
+    EXPECT_FALSE(w.leader().empty());
   }
 }
 TEST(Order, AnEmptyDiskIsANewMemberThatReplacesTheOneItFollows) {
   World w(3);
   bootAll(w);
-  for (int i = 0; i < 5; ++i) w.write(kSeeds[0]), w.runFor(100ms);
-  const auto seq = w.sequencer();
+  for (int i = 0; i < 5; ++i)
+    w.write(kSeeds[0]), w.runFor(100ms);
+  const auto seq = w.leader();
   const auto lost = seq == kSeeds[2] ? kSeeds[1] : kSeeds[2];
   const auto oldId = w.nodes[lost].id;
   w.kill(lost);
   w.nodes[lost].disk.clear();
   w.runFor(1000ms);
   w.boot(lost, kSeeds, false);
-  EXPECT_EQ(w.nodes[lost].order->duty(), Duty::learner);
+  EXPECT_EQ(w.nodes[lost].order->role(), Role::learner);
   w.runFor(8000ms);
-  const auto now = w.sequencer();
+  const auto now = w.leader();
   ASSERT_FALSE(now.empty());
   const auto& m = w.nodes[now].order->members();
   EXPECT_EQ(m.size(), 3u);
@@ -213,7 +238,7 @@
   w.runFor(1500ms);
   w.boot("10.9.0.9", kSeeds, false);
   w.runFor(9000ms);
-  const auto now = w.sequencer();
+  const auto now = w.leader();
   ASSERT_FALSE(now.empty());
   const auto& m = w.nodes[now].order->members();
   EXPECT_EQ(std::count(m.begin(), m.end(), w.nodes["10.9.0.9"].id), 1) << joined(m);
@@ -224,7 +249,8 @@
   for (std::uint64_t s = 100; s < 130; ++s) {
     World w(s);
     bootAll(w);
-    for (int i = 0; i < 40; ++i) w.write(kSeeds[w.draw(3)]), w.runFor(60ms);
+    for (int i = 0; i < 40; ++i)
+      w.write(kSeeds[w.draw(3)]), w.runFor(60ms);
     // First one is wiped and replaced, later another, and then all go at once.
     for (int round = 0; round < 2; ++round) {
       const auto ip = kSeeds[w.draw(3)];
@@ -232,12 +258,15 @@
       w.nodes[ip].disk.clear();
       if (round == 1)
         for (auto& o : kSeeds)
-          if (o != ip) w.kill(o);
+          if (o != ip)
+            w.kill(o);
       w.runFor(900ms);
       for (auto& o : kSeeds)
-        if (!w.nodes[o].up) w.boot(o, kSeeds, false);
+        if (!w.nodes[o].up)
+          w.boot(o, kSeeds, false);
       w.runFor(9000ms);
-      for (int i = 0; i < 12; ++i) w.write(kSeeds[w.draw(3)]), w.runFor(60ms);
+      for (int i = 0; i < 12; ++i)
+        w.write(kSeeds[w.draw(3)]), w.runFor(60ms);
     }
     checkEnd(w);
   }
@@ -250,7 +279,8 @@
   auto settle = [&] {
     for (auto acts = o.take(); !acts.empty(); acts = o.take())
       for (auto& a : acts)
-        if (a.what == Action::What::keep) o.kept(now, a.ticket, true);
+        if (a.what == Action::What::keep)
+          o.kept(now, a.ticket, true);
   };
   settle();
   Msg p = msgOf(Kind::pulse);
@@ -284,21 +314,26 @@
     for (std::uint64_t s = 400; s < 430; ++s) {
       World w(s);
       const auto ips = bootMany(w, size);
-      for (int i = 0; i < 10; ++i) w.write(ips[w.draw(ips.size())]), w.runFor(60ms);
+      for (int i = 0; i < 10; ++i)
+        w.write(ips[w.draw(ips.size())]), w.runFor(60ms);
       const auto a = w.draw(ips.size()), b = (a + 1 + w.draw(ips.size() - 1)) % ips.size();
       for (std::size_t i = 0; i < ips.size(); ++i) {
         const bool wiped = i == a || i == b;
-        if (!wiped && s % 2) continue;
+        if (!wiped && s % 2)
+          continue;
         w.kill(ips[i]);
-        if (wiped) w.nodes[ips[i]].disk.clear();
+        if (wiped)
+          w.nodes[ips[i]].disk.clear();
       }
       w.runFor(900ms);
       for (auto& o : ips)
-        if (!w.nodes[o].up) w.boot(o, kSeeds, false);
+        if (!w.nodes[o].up)
+          w.boot(o, kSeeds, false);
       w.runFor(4000ms);
-      ASSERT_FALSE(w.sequencer().empty()) << size << " machines, seed " << s;
+      ASSERT_FALSE(w.leader().empty()) << size << " machines, seed " << s;
       checkEnd(w);
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 // Most of the core together must be able to go on, whichever machines were there first.
@@ -307,16 +342,19 @@
     World w(s);
     const auto ips = bootMany(w, 8);
     std::set<std::string> away;
-    while (away.size() < 3) away.insert(ips[w.draw(ips.size())]);
+    while (away.size() < 3)
+      away.insert(ips[w.draw(ips.size())]);
     for (auto& x : ips)
       for (auto& y : ips)
-        if (away.count(x) != away.count(y)) w.cut.insert({x, y});
+        if (away.count(x) != away.count(y))
+          w.cut.insert({x, y});
     w.runFor(4000ms);
-    const auto seq = w.sequencer();
+    const auto seq = w.leader();
     ASSERT_FALSE(seq.empty()) << "seed " << s;
     EXPECT_FALSE(away.count(seq)) << "seed " << s;
     checkEnd(w);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 // A loop that comes late finds the answers of its disk late; that is no sick disk.
@@ -329,20 +367,27 @@
     auto settle = [&] {
       for (auto acts = o.take(); !acts.empty(); acts = o.take())
         for (auto& a : acts) {
-          if (a.what == Action::What::keep && !keepNothing) o.kept(now, a.ticket, true);
-          if (a.what != Action::What::send) continue;
+          if (a.what == Action::What::keep && !keepNothing)
+            o.kept(now, a.ticket, true);
+          if (a.what != Action::What::send)
+            continue;
           handedOver |= a.msg.what() == Kind::handOver;
           Msg r;
           r.from = a.to;
           r.term = a.msg.term;
-          if (a.msg.what() == Kind::ask) r.kind = static_cast<int>(Kind::granted), r.ok = true, r.flag = a.msg.flag;
-          else if (a.msg.what() == Kind::pulse) r.kind = static_cast<int>(Kind::pulseAck), r.num = a.msg.num + static_cast<int>(a.msg.entries.size()), r.nonce = a.msg.nonce;
-          else continue;
+          if (a.msg.what() == Kind::ask)
+            r.kind = static_cast<int>(Kind::granted), r.ok = true, r.flag = a.msg.flag;
+          else if (a.msg.what() == Kind::pulse)
+            r.kind = static_cast<int>(Kind::pulseAck), r.num = a.msg.num + static_cast<int>(a.msg.entries.size()),
+            r.nonce = a.msg.nonce;
+          else
+            continue;
           o.hear(now, r);
         }
     };
-    for (int i = 0; i < 100 && o.duty() != Duty::sequencer; ++i, now += 50ms) o.tick(now), settle();
-    ASSERT_EQ(o.duty(), Duty::sequencer);
+    for (int i = 0; i < 100 && o.role() != Role::leader; ++i, now += 50ms)
+      o.tick(now), settle();
+    ASSERT_EQ(o.role(), Role::leader);
     keepNothing = true;  // the disk's answers stay away from here on, the others' come
     Entry e;
     e.opId = "w";
@@ -360,51 +405,57 @@
 TEST(Order, NobodyHandsOverToAMemberThatHasSyncedNoMore) {
   World w(7);
   bootAll(w);
-  for (auto& [ip, n] : w.nodes) n.syncTime = Span(1500);
-  const auto first = w.sequencer();
+  for (auto& [ip, n] : w.nodes)
+    n.syncTime = Span(1500);
+  const auto first = w.leader();
   const auto term = w.nodes[first].order->term();
   w.write(first);
   w.runFor(5000ms);
-  EXPECT_EQ(w.sequencer(), first);
+  EXPECT_EQ(w.leader(), first);
   EXPECT_EQ(w.nodes[first].order->term(), term);
 }
-// The old sequencer's lease is gone with its process, and it may say so: nobody waits the lease out for it.
+// The old leader's lease is gone with its process, and it may say so: nobody waits the lease out for it.
 TEST(Order, ARestartOfAllIsOverSoonerThanALease) {
   int soon = 0;
   for (std::uint64_t s = 600; s < 640; ++s) {
     World w(s);
     const auto ips = s % 2 ? bootMany(w, 8) : kSeeds;
-    if (s % 2 == 0) bootAll(w);
-    for (int i = 0; i < 5; ++i) w.write(ips[w.draw(ips.size())]), w.runFor(60ms);
-    for (auto& o : ips) w.kill(o);
+    if (s % 2 == 0)
+      bootAll(w);
+    for (int i = 0; i < 5; ++i)
+      w.write(ips[w.draw(ips.size())]), w.runFor(60ms);
+    for (auto& o : ips)
+      w.kill(o);
     w.runFor(500ms);
-    for (auto& o : ips) w.boot(o, kSeeds, false);
+    for (auto& o : ips)
+      w.boot(o, kSeeds, false);
     w.runFor(300ms);
-    soon += !w.sequencer().empty();
+    soon += !w.leader().empty();
     checkEnd(w);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
   EXPECT_GE(soon, 36) << "of 40";
 }
 TEST(Order, HandOverMovesTheDutyAtOnce) {
   World w(5);
   bootAll(w);
-  const auto first = w.sequencer();
+  const auto first = w.leader();
   w.nodes[first].order->handOver(w.now);
   w.step(w.nodes[first]);
   w.runFor(400ms);
-  EXPECT_FALSE(w.sequencer().empty());
-  EXPECT_NE(w.sequencer(), first);
+  EXPECT_FALSE(w.leader().empty());
+  EXPECT_NE(w.leader(), first);
 }
 TEST(Order, ASickDiskGivesTheDutyAway) {
   World w(6);
   bootAll(w);
-  const auto first = w.sequencer();
+  const auto first = w.leader();
   w.nodes[first].syncTime = Span(20000);
   w.write(first);
   w.runFor(3000ms);
-  EXPECT_FALSE(w.sequencer().empty());
-  EXPECT_NE(w.sequencer(), first);
+  EXPECT_FALSE(w.leader().empty());
+  EXPECT_NE(w.leader(), first);
 }
 TEST(Order, HundredsOfShortWorlds) {
   // A longer sweep: ZINCCLEAT_WORLDS=5000 ZINCCLEAT_FROM=1000 target/tests/zinccleat_tests --gtest_filter=*Worlds
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,14 +1,14 @@
 // One core machine with its real links, on loopback: what one receiver that does not read may cost.
-#include <filesystem>
+#include "core.hpp"
 
+#include <gtest/gtest.h>
 #include <sys/socket.h>
 
-#include <gtest/gtest.h>
+#include <filesystem>
 
-#include "almanac/observe.hpp"
-#include "almanac/runbook.hpp"
-#include "core.hpp"
-#include "rehearse/plan.hpp"
+#include "operations/observe.hpp"
+#include "operations/runbook.hpp"
+#include "simulation/plan.hpp"
 
 using namespace zc;
 namespace {
@@ -25,14 +25,17 @@
     core = std::make_unique<Core>(s);
   }
   bool until(Span within, const std::function<bool()>& f) {
-    for (const auto end = Clock::now() + within; Clock::now() < end; Quay::get().pause(5ms))
-      if (f()) return true;
+    for (const auto end = Clock::now() + within; Clock::now() < end; EventLoop::get().pause(5ms))
+      if (f())
+        return true;
     return false;
   }
-  std::int64_t status(const char* field) const { return std::atoll(fieldOf(core->statusJson(), field).value_or("-1").c_str()); }
+  std::int64_t status(const char* field) const {
+    return std::atoll(fieldOf(core->statusJson(), field).value_or("-1").c_str());
+  }
 };
 std::string body(int version) {
-  RehearsalPlan p;
+  ScaleRunPlan p;
   p.tenants = 1500;
   return planConfiguration(p, version, std::vector<int>(1500, version));
 }
@@ -41,7 +44,7 @@
 // Found as a core machine over its memory: an answer to each refetch was added to what already waited.
 TEST(Core, ATenderThatDoesNotReadCostsABoundedBacklog) {
   static std::vector<std::unique_ptr<Alone>> kept;  // its timers refer to it
-  Quay::get().launch([] {
+  EventLoop::get().launch([] {
     kept.push_back(std::make_unique<Alone>("127.0.5.1"));
     auto& a = *kept.back();
     ASSERT_TRUE(a.core->start());
@@ -61,7 +64,7 @@
     deaf.sock().connect(*parseEndpoint("127.0.5.1:7960"), ec);
     ASSERT_FALSE(ec);
     auto say = [&](Msg m) {
-      m.from = "127.0.5.9#tender";
+      m.from = "127.0.5.9#agent";
       const auto f = frameOf(m);
       deaf.write(asio::buffer(f), ec);
     };
@@ -72,13 +75,13 @@
       m.num = 1;
       m.flag = true;
       say(m);
-      Quay::get().pause(2ms);
+      EventLoop::get().pause(2ms);
       most = std::max(most, a.status("waitingBytes"));
     }
-    EXPECT_EQ(a.status("tenders"), 1);
+    EXPECT_EQ(a.status("agents"), 1);
     EXPECT_GT(most, 0) << "something must wait, or this shows nothing";
     EXPECT_LT(most, static_cast<std::int64_t>(4 * size)) << "once what it misses, not once a refetch";
-    Quay::get().stop();
+    EventLoop::get().stop();
   });
-  Quay::get().run();
+  EventLoop::get().run();
 }
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -1,11 +1,13 @@
-// Changes, not wholes: a configuration as its difference, snapshots that leave out what is held, large frames in pieces.
-#include <random>
+// Changes, not wholes: a configuration as its difference, snapshots that leave out what is held, large frames in
+// pieces.
+#include "state_machine/delta.hpp"
 
 #include <gtest/gtest.h>
 
-#include "registry/copy.hpp"
-#include "registry/delta.hpp"
-#include "signal/link.hpp"
+#include <random>
+
+#include "state_machine/replicated_state.hpp"
+#include "transport/peer_link.hpp"
 
 using namespace zc;
 namespace {
@@ -15,23 +17,29 @@
   std::string body() const {
     auto join = [](const std::vector<std::string>& v) {
       std::string s;
-      for (auto& x : v) s += (s.empty() ? "" : ",") + x;
+      for (auto& x : v)
+        s += (s.empty() ? "" : ",") + x;
       return s;
     };
     return "{\"configVersion\":" + std::to_string(version) + ",\"routeTable\":[" + join(routes) +
-           "],\"serviceTable\":[{\"label\":\"a\"}],\"limits\":{\"maxBodyBytes\":4194304},\"subscribers\":[" + join(tenants) + "]}";
+           "],\"serviceTable\":[{\"label\":\"a\"}],\"limits\":{\"maxBodyBytes\":4194304},\"subscribers\":[" +
+           join(tenants) + "]}";
   }
   std::string route() {
     const auto n = std::to_string(++serial);
-    return "{\"label\":\"r-" + n + "\",\"authority\":\"h" + n + ".example\",\"note\":\"a \\\" quote, [and] {more}\",\"targets\":[{\"s\":1},{\"s\":2}]}";
+    return "{\"label\":\"r-" + n + "\",\"authority\":\"h" + n +
+           ".example\",\"note\":\"a \\\" quote, [and] {more}\",\"targets\":[{\"s\":1},{\"s\":2}]}";
   }
   std::string tenant() {
     const auto n = std::to_string(++serial);
-    return "{\"label\":\"t" + n + "\",\"accessKeys\":[\"key-" + n + "-a\",\"key-" + n + "-b\"],\"precedence\":1,\"ratePerS\":3" + n + ",\"burstSize\":5}";
+    return "{\"label\":\"t" + n + "\",\"accessKeys\":[\"key-" + n + "-a\",\"key-" + n +
+           "-b\"],\"precedence\":1,\"ratePerS\":3" + n + ",\"burstSize\":5}";
   }
   Text(int r, int t) {
-    for (int i = 0; i < r; ++i) routes.push_back(route());
-    for (int i = 0; i < t; ++i) tenants.push_back(tenant());
+    for (int i = 0; i < r; ++i)
+      routes.push_back(route());
+    for (int i = 0; i < t; ++i)
+      tenants.push_back(tenant());
   }
   void change(std::mt19937_64& rng) {
     version += 1 + static_cast<int>(rng() % 3);
@@ -40,18 +48,29 @@
       const bool isRoute = &v == &routes;
       const auto i = v.empty() ? 0 : rng() % v.size();
       switch (rng() % 4) {
-        case 0: v.insert(v.begin() + static_cast<std::ptrdiff_t>(i), isRoute ? route() : tenant()); break;
-        case 1: if (!v.empty()) v.erase(v.begin() + static_cast<std::ptrdiff_t>(i)); break;
-        case 2: if (!v.empty()) v[i] = isRoute ? route() : tenant(); break;
-        default: if (!v.empty()) std::swap(v[i], v.back()); break;
+        case 0:
+          v.insert(v.begin() + static_cast<std::ptrdiff_t>(i), isRoute ? route() : tenant());
+          break;
+        case 1:
+          if (!v.empty())
+            v.erase(v.begin() + static_cast<std::ptrdiff_t>(i));
+          break;
+        case 2:
+          if (!v.empty())
+            v[i] = isRoute ? route() : tenant();
+          break;
+        default:
+          if (!v.empty())
+            std::swap(v[i], v.back());
+          break;
       }
     }
   }
 };
 struct Chain {
-  Copy copy;
+  ReplicatedState copy;
   std::int64_t n = 0;
-  Copy::Change put(Entry e) {
+  ReplicatedState::Change put(Entry e) {
     e.num = ++n;
     return copy.apply(e);
   }
@@ -93,9 +112,11 @@
   const std::string alphabet = "{}[],\"\\:ab ";
   for (int i = 0; i < 3000; ++i) {
     std::string a, b;
-    for (auto n = rng() % 60; n > 0; --n) a += alphabet[rng() % alphabet.size()];
+    for (auto n = rng() % 60; n > 0; --n)
+      a += alphabet[rng() % alphabet.size()];
     b = a;
-    for (auto n = rng() % 6; n > 0 && !b.empty(); --n) b[rng() % b.size()] = alphabet[rng() % alphabet.size()];
+    for (auto n = rng() % 6; n > 0 && !b.empty(); --n)
+      b[rng() % b.size()] = alphabet[rng() % alphabet.size()];
     const auto d = deltaOf(a, "x", b, digestOf(b));
     ASSERT_EQ(applyDelta(a, "x", d).value(), b) << a << " -> " << b;
   }
@@ -152,7 +173,8 @@
   const auto third = changeOp(2, 3, t.body(), "w3", good.copy.state());
   good.put(third);
   EXPECT_TRUE(ill.put(third).damaged) << "and stays so";
-  EXPECT_FALSE(ill.copy.restore(good.copy.snapshotFor(good.copy.state().digest))) << "what it does not hold can't be left out";
+  EXPECT_FALSE(ill.copy.restore(good.copy.snapshotFor(good.copy.state().digest)))
+      << "what it does not hold can't be left out";
   ASSERT_TRUE(ill.copy.restore(good.copy.snapshotFor(ill.copy.state().digest)));
   EXPECT_FALSE(ill.copy.damaged());
   EXPECT_EQ(ill.copy.snapshot(), good.copy.snapshot());
@@ -180,7 +202,7 @@
   EXPECT_GT(far.size(), t.body().size()) << "long away: the whole";
   ASSERT_TRUE(away.copy.restore(far));
   EXPECT_EQ(away.copy.snapshot(), a.copy.snapshot());
-  Copy empty;
+  ReplicatedState empty;
   ASSERT_TRUE(empty.restore(a.copy.snapshotFor({})));
   EXPECT_EQ(empty.snapshot(), a.copy.snapshot());
 }
@@ -188,7 +210,8 @@
 std::string piece(const std::string& bytes, bool last) {
   std::string out;
   const auto n = static_cast<std::uint32_t>(bytes.size() + 2);
-  for (int i = 0; i < 4; ++i) out += static_cast<char>(n >> (24 - 8 * i));
+  for (int i = 0; i < 4; ++i)
+    out += static_cast<char>(n >> (24 - 8 * i));
   return out + '\3' + (last ? '\1' : '\0') + bytes;
 }
 }  // namespace
@@ -197,7 +220,8 @@
   big.num = 9;
   big.blob = std::string(40000, 'q');
   const auto frame = frameOf(big);
-  std::string partial, buf = piece(frame.substr(0, 20000), false) + frameOf(msgOf(Kind::lease)) + piece(frame.substr(20000), true);
+  std::string partial,
+      buf = piece(frame.substr(0, 20000), false) + frameOf(msgOf(Kind::lease)) + piece(frame.substr(20000), true);
   std::vector<Msg> got;
   // Byte by byte, as the network may bring it.
   std::string sofar;
@@ -205,7 +229,8 @@
     sofar += c;
     auto out = unframe(sofar, &partial);
     ASSERT_TRUE(out);
-    for (auto& m : *out) got.push_back(m);
+    for (auto& m : *out)
+      got.push_back(m);
   }
   ASSERT_EQ(got.size(), 2u);
   EXPECT_EQ(got[0].what(), Kind::lease);
--- a/tests/hints_test.cpp
+++ b/tests/hints_test.cpp
@@ -1,17 +1,22 @@
 // Hints between partner sites: what they tell, what they hide, and that a wrong one costs a moment and never an answer.
 #include "hints/hints.hpp"
-#include "signal/avro.hpp"
+
 #include "standins.hpp"
+#include "transport/avro.hpp"
 
 using namespace zc;
 using namespace zc::standin;
 namespace {
 const std::string kSecret(64, 'a');
-HintKey key(char c = 'a') { return *HintKey::from(std::string(64, c)); }
-HintDesk desk(std::uint64_t seed = 1, char c = 'a') { return HintDesk(key(c), HintBounds{}, seed); }
+HintKey key(char c = 'a') {
+  return *HintKey::from(std::string(64, c));
+}
+HintTable desk(std::uint64_t seed = 1, char c = 'a') {
+  return HintTable(key(c), HintBounds{}, seed);
+}
 constexpr Instant kStart{1000s};
 // Both sites tell each other, as often as asked.
-void exchange(HintDesk& a, HintDesk& b, Instant now, std::int64_t epoch, int times = 2) {
+void exchange(HintTable& a, HintTable& b, Instant now, std::int64_t epoch, int times = 2) {
   for (int i = 0; i < times; ++i) {
     (void)b.heard(now, epoch, a.news(now, epoch));
     (void)a.heard(now, epoch, b.news(now, epoch));
@@ -30,7 +35,8 @@
 }
 TEST(Hints, WhatOneTenantSentIsNeverToldHoweverOften) {
   auto a = desk(1), b = desk(2);
-  for (int i = 0; i < 100; ++i) (void)b.elsewhere(kStart, 7, 42, 1);
+  for (int i = 0; i < 100; ++i)
+    (void)b.elsewhere(kStart, 7, 42, 1);
   const auto n = b.news(kStart, 7);
   EXPECT_EQ(std::count(n.added.begin(), n.added.end(), key().digest(42, 7)), 0);
   exchange(a, b, kStart, 7);
@@ -39,23 +45,28 @@
 // An observer of the lists: as long for nothing, one tenant's or forty openings; nothing alike from key to key.
 TEST(Hints, ListsShowNeitherHowManyNorTheSameTwice) {
   auto none = desk(1), one = desk(2), many = desk(3);
-  for (int i = 0; i < 50; ++i) (void)one.elsewhere(kStart, 7, static_cast<std::uint64_t>(i), 1);
+  for (int i = 0; i < 50; ++i)
+    (void)one.elsewhere(kStart, 7, static_cast<std::uint64_t>(i), 1);
   for (int i = 0; i < 40; ++i)
-    for (std::uint64_t t = 1; t < 4; ++t) (void)many.elsewhere(kStart, 7, static_cast<std::uint64_t>(i), t);
+    for (std::uint64_t t = 1; t < 4; ++t)
+      (void)many.elsewhere(kStart, 7, static_cast<std::uint64_t>(i), t);
   EXPECT_EQ(none.news(kStart, 7).added.size(), 64u);
   EXPECT_EQ(one.news(kStart, 7).added.size(), 64u);
   const auto first = many.news(kStart, 7), second = many.news(kStart + 1s, 8);
   EXPECT_EQ(first.added.size(), 64u);
   ASSERT_EQ(second.added.size(), 64u) << "whole under the new key";
   std::vector<std::int64_t> both;
-  std::set_intersection(first.added.begin(), first.added.end(), second.added.begin(), second.added.end(), std::back_inserter(both));
+  std::set_intersection(first.added.begin(), first.added.end(), second.added.begin(), second.added.end(),
+                        std::back_inserter(both));
   EXPECT_TRUE(both.empty());
   // Without the secret nobody can test a guess.
-  for (int i = 0; i < 40; ++i) EXPECT_EQ(std::count(first.added.begin(), first.added.end(), key('b').digest(static_cast<std::uint64_t>(i), 7)), 0);
+  for (int i = 0; i < 40; ++i)
+    EXPECT_EQ(std::count(first.added.begin(), first.added.end(), key('b').digest(static_cast<std::uint64_t>(i), 7)), 0);
 }
 TEST(Hints, OnlyChangesAreToldAndALossHealsByTheWhole) {
   auto a = desk(1), b = desk(2);
-  for (std::uint64_t o = 0; o < 60; ++o) (void)b.elsewhere(kStart, 7, o, 1), (void)b.elsewhere(kStart, 7, o, 2);
+  for (std::uint64_t o = 0; o < 60; ++o)
+    (void)b.elsewhere(kStart, 7, o, 1), (void)b.elsewhere(kStart, 7, o, 2);
   exchange(a, b, kStart, 7, 3);
   (void)b.elsewhere(kStart, 7, 100, 1), (void)b.elsewhere(kStart, 7, 100, 2);
   const auto change = b.news(kStart, 7);
@@ -86,14 +97,16 @@
   exchange(a, b, kStart, 7);
   HintNews flood;
   flood.epoch = 7;
-  for (int i = 0; i < 10000; ++i) flood.added.push_back(i);
+  for (int i = 0; i < 10000; ++i)
+    flood.added.push_back(i);
   EXPECT_FALSE(a.heard(kStart, 7, flood));
   HintNews old;
   old.epoch = 3;
   EXPECT_FALSE(a.heard(kStart, 7, old));
-  EXPECT_EQ(a.declined(), 2u);
+  EXPECT_EQ(a.errorResponse(), 2u);
   EXPECT_TRUE(a.elsewhere(kStart, 7, 42, 9)) << "what was known stands";
-  for (std::uint64_t o = 0; o < 70000; ++o) (void)a.elsewhere(kStart, 7, o << 8, 1);
+  for (std::uint64_t o = 0; o < 70000; ++o)
+    (void)a.elsewhere(kStart, 7, o << 8, 1);
   EXPECT_LE(a.news(kStart, 7).added.size(), 2048u + 64u);
 }
 TEST(Hints, TheSealIsTheSecretsOwn) {
@@ -108,12 +121,14 @@
   PartnerTrust t;
   int went = 0;
   Instant now = kStart;
-  for (int i = 0; i < 1000; ++i, now += 10ms) went += t.allows(now);
+  for (int i = 0; i < 1000; ++i, now += 10ms)
+    went += t.allows(now);
   EXPECT_LE(went, 255);
   EXPECT_GT(went, 200);
   went = 0;
   for (int i = 0; i < 1000; ++i, now += 10ms)
-    if (t.allows(now)) ++went, t.disappointed(now);
+    if (t.allows(now))
+      ++went, t.disappointed(now);
   EXPECT_LE(went, 5);
 }
 
@@ -121,7 +136,7 @@
 // A runner as both sites have them: a shared opening that it has not read takes time before the first event.
 struct Site {
   std::shared_ptr<Harbour> h;
-  HintDesk hints;
+  HintTable hints;
   std::set<std::string> held;
   int streams = 0, pushes = 0, fromPartner = 0;
   Span reading{25};
@@ -140,10 +155,12 @@
       fromPartner += text.find("X-Partner-Site") != std::string::npos;  // it must not reach a runner
       const auto at = text.find("X-Prompt-Prefix: ");
       const auto opening = text.substr(at, text.find(',', at) - at);
-      if (held.insert(opening).second) Quay::get().pause(reading);
+      if (held.insert(opening).second)
+        EventLoop::get().pause(reading);
       say(w, streamHead(id));
       std::string all;
-      for (int e = 0; e < 5; ++e) all += event(e);
+      for (int e = 0; e < 5; ++e)
+        all += event(e);
       say(w, chunk(all) + "0\r\n\r\n");
     });
   }
@@ -169,25 +186,31 @@
     for (int i = 0; i < count; ++i) {
       there->held.insert("X-Prompt-Prefix: " + name(i));
       const auto opening = promptOf(name(i) + ",x:100").affinity;
-      for (std::uint64_t t = 1; t < 3; ++t) (void)there->hints.elsewhere(kStart, 7, opening, t);
+      for (std::uint64_t t = 1; t < 3; ++t)
+        (void)there->hints.elsewhere(kStart, 7, opening, t);
     }
     exchange(here->hints, there->hints, kStart, 7, 3);
     if (hints)
       here->h->wa.heldElsewhere = [this](std::uint64_t opening, const std::string&) {
         return here->hints.elsewhere(kStart, 7, opening, 99) ? partnerDoor : std::string{};
       };
-    else here->h->wa.heldElsewhere = nullptr;
+    else
+      here->h->wa.heldElsewhere = nullptr;
     Played p;
     for (int i = 0; i < count; ++i) {
       const auto began = Clock::now();
-      const auto a = once(*here->h, ask("/recap/x", mark + "a" + std::to_string(i), "X-Prompt-Prefix: " + name(i) + ",own" + std::to_string(i) + ":100\r\nX-Token-Count: 5100,50\r\n"));
+      const auto a = once(*here->h, ask("/recap/x", mark + "a" + std::to_string(i),
+                                        "X-Prompt-Prefix: " + name(i) + ",own" + std::to_string(i) +
+                                            ":100\r\nX-Token-Count: 5100,50\r\n"));
       const double ms = std::chrono::duration<double, std::milli>(Clock::now() - began).count();
       std::string all;
-      for (int e = 0; e < 5; ++e) all += event(e);
+      for (int e = 0; e < 5; ++e)
+        all += event(e);
       p.whole += a.status == 200 && a.wholeBody && a.body == all;
       p.meanMs += ms / count;
       p.worstMs = std::max(p.worstMs, ms);
-      p.pushes += once(*here->h, ask("/push/x", mark + "p" + std::to_string(i))).body == "pushed " + mark + "p" + std::to_string(i);
+      p.pushes += once(*here->h, ask("/push/x", mark + "p" + std::to_string(i))).body ==
+                  "pushed " + mark + "p" + std::to_string(i);
     }
     return p;
   }
@@ -226,20 +249,28 @@
     two.here->h->wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
     int whole = 0;
     for (int i = 0; i < 8; ++i)
-      whole += once(*two.here->h, ask("/recap/x", "n" + std::to_string(i), "X-Prompt-Prefix: n" + std::to_string(i) + ":5000,o:1\r\nX-Token-Count: 5001,5\r\n")).wholeBody;
+      whole +=
+          once(*two.here->h, ask("/recap/x", "n" + std::to_string(i),
+                                 "X-Prompt-Prefix: n" + std::to_string(i) + ":5000,o:1\r\nX-Token-Count: 5001,5\r\n"))
+              .wholeBody;
     EXPECT_EQ(whole, 8);
   });
 }
 TEST(PartnerSites, OneThatIsCutOffSlowOrRefusesCostsAMomentAndNoAnswer) {
-  for (const int how : {0, 1, 2, 3}) inHarbour([how](Harbour& h) {
+  for (const int how : {0, 1, 2, 3})
+    inHarbour([how](Harbour& h) {
       Two two(h);
-      if (how == 0) two.partnerDoor = "127.0.0.1:1";                            // nobody there
-      if (how == 1) two.there->reading = 3000ms;                                 // holds nothing, and reads slowly
-      if (how == 2) two.there->h->wa.leaseEnds = Clock::now() - 1s;             // refuses
-      if (how == 3) two.there->h->runners[0]->act = [](StandIn&, Connection& w, const std::string& id, const std::string&) {
-        say(w, streamHead(id) + chunk(event(0) + event(1)));                     // begins, and is cut
-        w.shut();
-      };
+      if (how == 0)
+        two.partnerDoor = "127.0.0.1:1";  // nobody there
+      if (how == 1)
+        two.there->reading = 3000ms;  // holds nothing, and reads slowly
+      if (how == 2)
+        two.there->h->wa.leaseEnds = Clock::now() - 1s;  // refuses
+      if (how == 3)
+        two.there->h->runners[0]->act = [](StandIn&, Connection& w, const std::string& id, const std::string&) {
+          say(w, streamHead(id) + chunk(event(0) + event(1)));  // begins, and is cut
+          w.shut();
+        };
       const auto p = [&] {
         auto r = two.play(true, 0, "s");
         two.here->h->wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
@@ -248,11 +279,14 @@
       (void)p;
       for (int i = 0; i < 10; ++i) {
         const auto began = Clock::now();
-        const auto a = once(*two.here->h, ask("/recap/x", "k" + std::to_string(i), "X-Prompt-Prefix: k" + std::to_string(i) + ":5000,o:1\r\nX-Token-Count: 5001,5\r\n"));
+        const auto a = once(*two.here->h,
+                            ask("/recap/x", "k" + std::to_string(i),
+                                "X-Prompt-Prefix: k" + std::to_string(i) + ":5000,o:1\r\nX-Token-Count: 5001,5\r\n"));
         EXPECT_EQ(a.status, 200) << how;
         EXPECT_TRUE(a.wholeBody) << how;
         int events = 0;
-        for (std::size_t at = 0; (at = a.body.find("id: ", at)) != std::string::npos; ++at) ++events;
+        for (std::size_t at = 0; (at = a.body.find("id: ", at)) != std::string::npos; ++at)
+          ++events;
         // A cut one goes on behind what had come; this stand-in says all of it again.
         EXPECT_EQ(events, how == 3 && i < 4 && events != 5 ? 7 : 5) << how;
         EXPECT_LT(Clock::now() - began, 500ms + 400ms) << how;
@@ -266,7 +300,9 @@
   inHarbour([](Harbour& h) {
     Two two(h);
     two.here->h->wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
-    const auto a = once(*two.here->h, ask("/recap/x", "z1", "X-Partner-Site: 1\r\nX-Prompt-Prefix: z:5000,o:1\r\nX-Token-Count: 5001,5\r\n"));
+    const auto a =
+        once(*two.here->h,
+             ask("/recap/x", "z1", "X-Partner-Site: 1\r\nX-Prompt-Prefix: z:5000,o:1\r\nX-Token-Count: 5001,5\r\n"));
     EXPECT_EQ(a.status, 200);
     EXPECT_EQ(two.there->streams, 0);
     EXPECT_EQ(two.here->streams, 1);
--- a/tests/illness_test.cpp
+++ b/tests/illness_test.cpp
@@ -8,20 +8,23 @@
 using namespace zc;
 using namespace zc::standin;
 namespace {
-// What the sequencer would make of this node's words, had another node seen the same.
-void exchange(Harbour& h, OutlierDesk& desk, const std::vector<Runner>& runners, Instant now) {
-  const auto seen = h.wa.witness.report(24);
+// What the leader would make of this node's words, had another node seen the same.
+void exchange(Harbour& h, OutlierDetector& desk, const std::vector<Runner>& runners, Instant now) {
+  const auto seen = h.wa.observer.report(24);
   desk.told(now, "node-a", seen);
   desk.told(now, "node-b", seen);
   desk.weigh(now, runners);
-  h.wa.docks.setAside(desk.list());
+  h.wa.runnerPool.setAside(desk.list());
 }
 std::vector<Runner> known(const Harbour& h) {
   std::vector<Runner> v;
-  for (auto& r : h.runners) v.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
+  for (auto& r : h.runners)
+    v.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
   return v;
 }
-int asked(const StandIn& r) { return static_cast<int>(r.got.size()); }
+int asked(const StandIn& r) {
+  return static_cast<int>(r.got.size());
+}
 bool probed(const StandIn& r) {
   return std::any_of(r.got.begin(), r.got.end(), [](auto& g) { return g.find("/health") != std::string::npos; });
 }
@@ -31,49 +34,58 @@
   inHarbour([](Harbour& h) {
     int n = 0;
     auto ill = h.runner("i-0", [&n](StandIn& r, Connection& w, const std::string& id, const std::string& text) {
-      if (++n % 2) say(w, whole(id, "failed", 500));
-      else answers(r, w, id, text);
+      if (++n % 2)
+        say(w, whole(id, "failed", 500));
+      else
+        answers(r, w, id, text);
     });
-    for (int i = 1; i < 5; ++i) h.runner("i-" + std::to_string(i), answers);
-    OutlierDesk desk;
+    for (int i = 1; i < 5; ++i)
+      h.runner("i-" + std::to_string(i), answers);
+    OutlierDetector desk;
     const auto rs = known(h);
     Instant now = Clock::now();
     desk.weigh(now, rs);
     int served = 0;
     for (int i = 0; i < 120; ++i) {
-      h.wa.docks.fine(0);  // as seen by nodes that have not met it yet
+      h.wa.runnerPool.fine(0);  // as seen by nodes that have not met it yet
       const auto a = once(h, ask("/open/" + std::to_string(i), "a" + std::to_string(i)));
       served += a.status == 200;
-      if (i % 10 == 9) exchange(h, desk, rs, now += 100ms);
+      if (i % 10 == 9)
+        exchange(h, desk, rs, now += 100ms);
     }
     const auto before = asked(*ill);
     EXPECT_GT(before, 4);
     ASSERT_FALSE(desk.list().empty());
     EXPECT_EQ(desk.list()[0].label, "i-0");
     EXPECT_EQ(desk.list().size(), 1u);
-    for (int i = 0; i < 40; ++i) EXPECT_EQ(once(h, ask("/open/x", "b" + std::to_string(i))).status, 200);
+    for (int i = 0; i < 40; ++i)
+      EXPECT_EQ(once(h, ask("/open/x", "b" + std::to_string(i))).status, 200);
     EXPECT_EQ(asked(*ill), before) << "left alone";
-    for (auto& r : h.runners) EXPECT_FALSE(probed(*r)) << "no health answer is believed, so none is asked for";
+    for (auto& r : h.runners)
+      EXPECT_FALSE(probed(*r)) << "no health answer is believed, so none is asked for";
   });
 }
 TEST(Illness, ARunnerThatHangsIsToldOfWhileItIsWaitedFor) {
   inHarbour([](Harbour& h) {
     auto hangs = h.runner("i-0", answers);
     auto well = h.runner("i-1", answers);
-    for (int i = 0; i < 30; ++i) EXPECT_EQ(once(h, ask("/open/x", "a" + std::to_string(i))).status, 200);
-    (void)h.wa.witness.report(24);
-    for (auto& r : {hangs, well}) r->act = [](StandIn&, Connection&, const std::string&, const std::string&) { Quay::get().pause(300ms); };
+    for (int i = 0; i < 30; ++i)
+      EXPECT_EQ(once(h, ask("/open/x", "a" + std::to_string(i))).status, 200);
+    (void)h.wa.observer.report(24);
+    for (auto& r : {hangs, well})
+      r->act = [](StandIn&, Connection&, const std::string&, const std::string&) { EventLoop::get().pause(300ms); };
     auto w = h.dial();
     say(*w, ask("/open/x", "waits"));
-    for (int i = 0; i < 200 && h.wa.silent.empty(); ++i) Quay::get().pause(1ms);
+    for (int i = 0; i < 200 && h.wa.silent.empty(); ++i)
+      EventLoop::get().pause(1ms);
     ASSERT_EQ(h.wa.silent.size(), 1u);
     h.wa.blameSilent(Clock::now());
-    EXPECT_TRUE(h.wa.witness.report(24).empty()) << "not at once";
+    EXPECT_TRUE(h.wa.observer.report(24).empty()) << "not at once";
     h.wa.blameSilent(Clock::now() + 2s);
     h.wa.blameSilent(Clock::now() + 4s);
-    const auto said = h.wa.witness.report(24);
-    ASSERT_EQ(said.size(), 1u);
-    EXPECT_EQ(said[0].burst, Witness::slowWeight) << "once a request";
+    const auto response = h.wa.observer.report(24);
+    ASSERT_EQ(response.size(), 1u);
+    EXPECT_EQ(response[0].burst, RunnerObserver::slowWeight) << "once a request";
   });
 }
 TEST(Illness, ARunnerThatFlapsCostsNobodyAnAnswer) {
@@ -82,36 +94,38 @@
     h.runner("i-1", answers);
     const auto rs = known(h);
     for (int i = 0; i < 60; ++i) {
-      if (i == 10) flaps->acc->close();  // down: connections are refused
+      if (i == 10)
+        flaps->acc->close();  // down: connections are refused
       h.wa.pool.drop("i-0");
-      h.wa.docks.fine(0);
+      h.wa.runnerPool.fine(0);
       EXPECT_EQ(once(h, ask(i % 2 ? "/open/x" : "/once/x", "a" + std::to_string(i))).status, 200) << i;
     }
-    const auto said = h.wa.witness.report(24);
-    const auto it = std::find_if(said.begin(), said.end(), [](auto& g) { return g.label == "i-0"; });
-    ASSERT_NE(it, said.end());
+    const auto response = h.wa.observer.report(24);
+    const auto it = std::find_if(response.begin(), response.end(), [](auto& g) { return g.label == "i-0"; });
+    ASSERT_NE(it, response.end());
     EXPECT_GT(it->burst, 3);
   });
 }
 // A new one takes its share, not the crowd: what it is given follows from what it has in work.
 TEST(Illness, AnEmptyRunnerThatJoinsIsNotRushed) {
   inHarbour([](Harbour& h) {
-    for (int i = 0; i < 4; ++i) h.runner("i-" + std::to_string(i), answers);
+    for (int i = 0; i < 4; ++i)
+      h.runner("i-" + std::to_string(i), answers);
     std::map<std::string, int> by;
     std::vector<int> busy;
     for (int i = 0; i < 8; ++i) {
-      Wish w;
+      RunnerQuery w;
       w.service = "s", w.zone = "z";
-      const int d = h.wa.docks.choose(w, Clock::now());
-      h.wa.docks.went(d, 0);
+      const int d = h.wa.runnerPool.choose(w, Clock::now());
+      h.wa.runnerPool.went(d, 0);
     }
     h.runner("i-new", answers);
     for (int i = 0; i < 12; ++i) {
-      Wish w;
+      RunnerQuery w;
       w.service = "s", w.zone = "z";
-      const int d = h.wa.docks.choose(w, Clock::now());
-      h.wa.docks.went(d, 0);
-      ++by[h.wa.docks.at(d).id];
+      const int d = h.wa.runnerPool.choose(w, Clock::now());
+      h.wa.runnerPool.went(d, 0);
+      ++by[h.wa.runnerPool.at(d).id];
     }
     EXPECT_GE(by["i-new"], 2);
     EXPECT_LE(by["i-new"], 5);
@@ -147,8 +161,9 @@
     auto r = h.runner("i-0", act);
     EXPECT_EQ(once(h, ask("/open/x", "a1")).status, 200);
     (void)once(h, ask("/open/x", "a2"));
-    for (auto& g : h.wa.witness.report(24)) EXPECT_EQ(g.burst, 0) << g.label;
-    EXPECT_EQ(h.wa.docks.at(0).faults, 0);
+    for (auto& g : h.wa.observer.report(24))
+      EXPECT_EQ(g.burst, 0) << g.label;
+    EXPECT_EQ(h.wa.runnerPool.at(0).faults, 0);
   });
 }
 // One tenant sends many times its usual: it is held at its limit, and the others are served as ever.
@@ -156,16 +171,17 @@
   std::mt19937_64 rng(8);
   auto cfg = *parseConfiguration(R"({"configVersion":1,"routeTable":[],"serviceTable":[],"subscribers":[
     {"label":"flood","accessKeys":["a"],"ratePerS":20,"burstSize":20},{"label":"other","accessKeys":["b"],"ratePerS":20,"burstSize":20}]})");
-  QuotaDesk desk;
+  QuotaAllocator desk;
   desk.bounds({0.1, 20, 5});
   Instant now{100s};
   desk.takeOver(now);
-  std::vector<QuotaStash> nodes(70);
+  std::vector<QuotaGrants> nodes(70);
   std::map<std::string, int> got, sent;
   for (int ms = 0; ms < 30000; ms += 5, now += 5ms)
     for (int k = 0; k < 2; ++k) {
       const std::string who = rng() % 12 == 0 && k == 0 ? "other" : "flood";
-      if (who == "flood" && rng() % 4) continue;
+      if (who == "flood" && rng() % 4)
+        continue;
       const auto i = rng() % nodes.size();
       auto& n = nodes[i];
       ++sent[who];
--- a/tests/almanac_test.cpp
+++ b/tests/operations_test.cpp
@@ -1,13 +1,15 @@
 // Runbooks: read whole, run step by step, stopped by what is not seen.
 #include <gtest/gtest.h>
 
-#include "almanac/runbook.hpp"
-#include "charter/settings.hpp"
-#include "registry/copy.hpp"
+#include "config/settings.hpp"
+#include "operations/runbook.hpp"
+#include "state_machine/replicated_state.hpp"
 
 using namespace zc;
 namespace {
-const std::string kBook = "title T\nparam core x\nparam who someone\nstep look\nget /v1/Status\nexpect any node == {who}\nstep change\npost /v1/Set {\"a\":\"{who}\"}\nexpect any status == 200\n";
+const std::string kBook =
+    "title T\nparam core x\nparam who someone\nstep look\nget /v1/Status\nexpect any node == {who}\nstep change\npost "
+    "/v1/Set {\"a\":\"{who}\"}\nexpect any status == 200\n";
 struct Stage {
   std::vector<std::string> printed, called;
   std::string answer = "{\"node\":\"n1\",\"runners\":[{\"id\":\"r.1\",\"state\":\"draining\"}],\"leased\":true}";
@@ -45,7 +47,8 @@
   EXPECT_EQ(runRunbook(*b, s.ports(), false), 1);
   EXPECT_EQ(s.called.size(), 1u) << "nothing after it was done";
   std::string all;
-  for (auto& p : s.printed) all += p + "\n";
+  for (auto& p : s.printed)
+    all += p + "\n";
   EXPECT_NE(all.find("wanted node == n2, saw n1"), std::string::npos) << all;
 }
 TEST(Runbook, ADryRunCallsNothing) {
@@ -68,7 +71,8 @@
     EXPECT_FALSE(parseRunbook(bad, {})) << bad;
 }
 TEST(Runbook, ThoseThatComeWithTheProgramAreWhole) {
-  for (auto name : {"replace-core", "drain-runner", "why-not-ready", "revoke-key", "roll-version", "close-zone", "open-zone"}) {
+  for (auto name :
+       {"replace-core", "drain-runner", "why-not-ready", "revoke-key", "roll-version", "close-zone", "open-zone"}) {
     auto text = readFile("runbooks/" + std::string(name) + ".run");
     ASSERT_TRUE(text) << name;
     auto b = parseRunbook(*text, sampleValues(*text));
@@ -88,7 +92,7 @@
   EXPECT_FALSE(meets(*o, {j, j}));
 }
 TEST(Closure, IsNumberedStateLikeTheRest) {
-  Copy c;
+  ReplicatedState c;
   auto put = [&, n = 0](Entry e) mutable {
     e.num = ++n;
     return c.apply(e);
@@ -97,7 +101,7 @@
   put(closureOp({"za", "sunday", 100, true}, false, "2"));
   ASSERT_EQ(c.state().closures.size(), 1u);
   EXPECT_EQ(c.state().closures[0].share, 100);
-  Copy d;
+  ReplicatedState d;
   ASSERT_TRUE(d.restore(c.snapshot()));
   EXPECT_TRUE(d.state().closures[0].doorsShut);
   put(closureOp({"za", "", 0, false}, true, "3"));
@@ -105,6 +109,7 @@
 }
 TEST(Closure, CallsAreChecked) {
   EXPECT_TRUE(parseClosure(R"({"place":"za","share":50,"calmBelowPerS":20})"));
-  for (auto bad : {"{", "[]", "{}", R"({"place":"za","share":101})", R"({"place":"za","share":-1})", R"({"place":7})", R"({"place":"z","doorsShut":"yes"})"})
+  for (auto bad : {"{", "[]", "{}", R"({"place":"za","share":101})", R"({"place":"za","share":-1})", R"({"place":7})",
+                   R"({"place":"z","doorsShut":"yes"})"})
     EXPECT_FALSE(parseClosure(bad)) << bad;
 }
--- a/tests/outlier_test.cpp
+++ b/tests/outlier_test.cpp
@@ -1,10 +1,10 @@
 // Ill runners: what one node sees, how all nodes' words are weighed, and what the choice makes of it.
-#include <random>
-
 #include <gtest/gtest.h>
 
-#include "berth/docks.hpp"
-#include "berth/witness.hpp"
+#include <random>
+
+#include "balancing/runner_observer.hpp"
+#include "balancing/runner_pool.hpp"
 #include "outliers.hpp"
 
 using namespace zc;
@@ -14,16 +14,17 @@
 }
 std::vector<Runner> fleet(int n) {
   std::vector<Runner> v;
-  for (int i = 0; i < n; ++i) v.push_back(runner("r" + std::to_string(i)));
+  for (int i = 0; i < n; ++i)
+    v.push_back(runner("r" + std::to_string(i)));
   return v;
 }
-bool aside(const OutlierDesk& d, const std::string& id) {
+bool aside(const OutlierDetector& d, const std::string& id) {
   return std::any_of(d.list().begin(), d.list().end(), [&](auto& g) { return g.label == id && g.rate >= 1; });
 }
 // 70 nodes, 8 requests a second each, spread evenly; `ill` says whether an attempt at a runner goes badly.
 struct Play {
   std::mt19937_64 rng;
-  OutlierDesk desk;
+  OutlierDetector desk;
   std::vector<Runner> runners;
   Instant now{100s};
   std::function<double(const std::string&)> ill;
@@ -34,9 +35,11 @@
       for (int node = 0; node < 70; ++node) {
         std::map<std::string, Grant> seen;
         for (int k = 0; k < 2; ++k) {
-          if (rng() % 10 >= 8) continue;
+          if (rng() % 10 >= 8)
+            continue;
           const auto& r = runners[rng() % runners.size()];
-          if (aside(desk, r.id)) continue;
+          if (aside(desk, r.id))
+            continue;
           auto& g = seen[r.id];
           g.label = r.id;
           const bool bad = static_cast<double>(rng() % 1000) < ill(r.id) * 1000;
@@ -44,7 +47,8 @@
           atIll += ill(r.id) > 0.1;
         }
         std::vector<Grant> v;
-        for (auto& [id, g] : seen) v.push_back(g);
+        for (auto& [id, g] : seen)
+          v.push_back(g);
         desk.told(now, "n" + std::to_string(node), v);
       }
       desk.weigh(now, runners);
@@ -62,7 +66,8 @@
     for (int i = 0; i < 20; ++i) {
       p.run(200ms);
       times += aside(p.desk, "r7");
-      for (auto& g : p.desk.list()) EXPECT_TRUE(g.label == "r7" || g.label == "r40") << g.label << " seed " << seed;
+      for (auto& g : p.desk.list())
+        EXPECT_TRUE(g.label == "r7" || g.label == "r40") << g.label << " seed " << seed;
     }
     EXPECT_GE(times, 10) << "seed " << seed;
   }
@@ -83,7 +88,7 @@
   EXPECT_GE(p.desk.list().size(), 1u);
 }
 TEST(Outliers, OneNodesWordAloneSetsNobodyAside) {
-  OutlierDesk d;
+  OutlierDetector d;
   Instant now{100s};
   const auto rs = fleet(10);
   d.weigh(now, rs);
@@ -103,24 +108,25 @@
   EXPECT_TRUE(p.desk.list().empty());
 }
 TEST(Outliers, UnknownRunnersAreDeclinedAndCounted) {
-  OutlierDesk d;
+  OutlierDetector d;
   Instant now{100s};
   d.weigh(now, fleet(3));
   d.told(now, "a", {{"nobody", 0, 4}});
   d.told(now, "b", {{"nobody", 0, 4}, {"r1", 1, 0}});
-  EXPECT_EQ(d.declined(), 2u);
+  EXPECT_EQ(d.errorResponse(), 2u);
   d.weigh(now, fleet(3));
   EXPECT_TRUE(d.list().empty());
 }
 TEST(Outliers, TheVersionChangesWithTheListOnly) {
-  OutlierDesk d;
+  OutlierDetector d;
   Instant now{100s};
   const auto rs = fleet(10);
   d.weigh(now, rs);
   const auto before = d.version();
   d.weigh(now + 1s, rs);
   EXPECT_EQ(d.version(), before);
-  for (const char* n : {"a", "b", "c"}) d.told(now + 1s, n, {{"r1", 0, 4}});
+  for (const char* n : {"a", "b", "c"})
+    d.told(now + 1s, n, {{"r1", 0, 4}});
   d.weigh(now + 1s, rs);
   EXPECT_NE(d.version(), before);
   EXPECT_TRUE(aside(d, "r1"));
@@ -128,8 +134,8 @@
   EXPECT_TRUE(d.list().empty());
   EXPECT_NE(d.version(), before);
 }
-TEST(Witness, JudgesByWhatIsUsualForThePromptsSize) {
-  Witness w;
+TEST(RunnerObserver, JudgesByWhatIsUsualForThePromptsSize) {
+  RunnerObserver w;
   for (int i = 0; i < 50; ++i) {
     EXPECT_TRUE(w.began("r" + std::to_string(i % 5), "s", 600, 30ms));
     EXPECT_TRUE(w.began("r" + std::to_string(i % 5), "s", 9000, 400ms));
@@ -137,39 +143,42 @@
   (void)w.report(100);
   EXPECT_FALSE(w.began("r1", "s", 600, 400ms));
   EXPECT_TRUE(w.began("r2", "s", 9000, 500ms));
-  const auto said = w.report(100);
-  ASSERT_EQ(said.size(), 2u);
-  EXPECT_EQ(said[0].label, "r1") << "the worst first";
-  EXPECT_EQ(said[0].burst, Witness::slowWeight);
-  EXPECT_EQ(said[1].rate, 1);
+  const auto response = w.report(100);
+  ASSERT_EQ(response.size(), 2u);
+  EXPECT_EQ(response[0].label, "r1") << "the worst first";
+  EXPECT_EQ(response[0].burst, RunnerObserver::slowWeight);
+  EXPECT_EQ(response[1].rate, 1);
   EXPECT_TRUE(w.report(100).empty()) << "only what is new";
 }
 // Short prompts wait behind long ones now and then; that is how things are, no illness.
-TEST(Witness, WhatQueuesNowAndThenIsUsual) {
+TEST(RunnerObserver, WhatQueuesNowAndThenIsUsual) {
   std::mt19937_64 rng(2);
-  Witness w;
+  RunnerObserver w;
   int slow = 0;
   for (int i = 0; i < 5000; ++i) {
     const auto took = Span(20 + rng() % 20 + (rng() % 6 == 0 ? rng() % 250 : 0));
     const bool fine = w.began("r", "s", 600, took);
-    if (i > 200) slow += !fine;
+    if (i > 200)
+      slow += !fine;
   }
   EXPECT_LT(slow, 4800 * 6 / 100);
   EXPECT_FALSE(w.began("r", "s", 600, 900ms));
 }
-TEST(Witness, HangingNeverBecomesUsual) {
-  Witness w;
-  for (int i = 0; i < 30; ++i) w.began("good", "s", 600, 30ms);
-  for (int i = 0; i < 8; ++i) w.began("ill", "s", 600, 8000ms);
+TEST(RunnerObserver, HangingNeverBecomesUsual) {
+  RunnerObserver w;
+  for (int i = 0; i < 30; ++i)
+    w.began("good", "s", 600, 30ms);
+  for (int i = 0; i < 8; ++i)
+    w.began("ill", "s", 600, 8000ms);
   EXPECT_LT(w.patience("s", 600), 500ms);
 }
-TEST(Docks, OneSetAsideIsLeftAloneAndTriedByFewThatMayBeRepeated) {
-  Docks d(1);
+TEST(RunnerPool, OneSetAsideIsLeftAloneAndTriedByFewThatMayBeRepeated) {
+  RunnerPool d(1);
   d.follow(fleet(4));
   d.setAside({{"r1", 1, 0}, {"r2", 0.5, 0}, {"unknown", 1, 0}});
   std::map<std::string, int> safe, once;
   for (int i = 0; i < 2000; ++i) {
-    Wish w;
+    RunnerQuery w;
     w.service = "s", w.zone = "z";
     ++once[d.at(d.choose(w, Instant{100s})).id];
     w.repeatable = true;
@@ -183,7 +192,7 @@
   d.setAside({});
   once.clear();
   for (int i = 0; i < 400; ++i) {
-    Wish w;
+    RunnerQuery w;
     w.service = "s", w.zone = "z";
     ++once[d.at(d.choose(w, Instant{100s})).id];
   }
--- a/tests/partner_sites.sh
+++ b/tests/partner_sites.sh
@@ -10,13 +10,13 @@
 site() {  # name ip partner's ip
   mkdir -p "$dir/$1"
   cat > "$dir/$1.json" <<J
-{"nodeName":"$1","role":"harbourmaster","ip":"$2","zone":"z","region":"r","zones":{"z":"r"},"bindAddresses":{"controlPort":"$2:8437"},
+{"nodeName":"$1","role":"controller","ip":"$2","zone":"z","region":"r","zones":{"z":"r"},"bindAddresses":{"controlPort":"$2:8437"},
  "internalPorts":[7860,7875],"seedNodes":["$2:8437"],"initialAttach":true,"quorumMember":true,"dataDir":"$dir/$1","heartbeatMs":1200,
  "faultTolerance":{"machines":0},"timers":{},
  "partnerSite":{"name":"other","secret":"$secret","control":["$3:8437"],"access":["$3:8405"]}}
 J
   "$program" check settings "$dir/$1.json"
-  "$program" harbourmaster --settings="$dir/$1.json" > "$dir/$1.log" 2>&1 &
+  "$program" controller --settings="$dir/$1.json" > "$dir/$1.log" 2>&1 &
   pids+=($!)
 }
 site here 127.0.6.1 127.0.6.2
--- a/tests/passage_test.cpp
+++ b/tests/proxy_test.cpp
@@ -7,16 +7,20 @@
 TEST(Passage, CarriesARequestAndItsAnswerUnchanged) {
   inHarbour([](Harbour& h) {
     auto r = h.runner("i-1", answers);
-    const auto a = once(h, ask("/safe/x?y=1", "a9", "X-Subscriber: forged\r\nX-Unknown: stays\r\nConnection: X-Hop\r\nX-Hop: goes\r\n", "hello"));
+    const auto a =
+        once(h, ask("/safe/x?y=1", "a9",
+                    "X-Subscriber: forged\r\nX-Unknown: stays\r\nConnection: X-Hop\r\nX-Hop: goes\r\n", "hello"));
     EXPECT_EQ(a.status, 200);
     EXPECT_EQ(a.body, "body of a9");
     EXPECT_EQ(a.heads.at("X-Server-Seal"), "seal-1");
     ASSERT_EQ(r->got.size(), 1u);
     const auto& g = r->got[0];
     EXPECT_EQ(g.rfind("POST /safe/x?y=1\n", 0), 0u);
-    for (auto has : {"X-Attempt-Id: a9\n", "X-Subscriber: tina\n", "X-Expected-Instance: i-1\n", "X-Unknown: stays\n", "\nhello", "X-Deadline-Ms: "})
+    for (auto has : {"X-Attempt-Id: a9\n", "X-Subscriber: tina\n", "X-Expected-Instance: i-1\n", "X-Unknown: stays\n",
+                     "\nhello", "X-Deadline-Ms: "})
       EXPECT_NE(g.find(has), std::string::npos) << has << g;
-    for (auto hasNot : {"forged", "key1", "X-Hop"}) EXPECT_EQ(g.find(hasNot), std::string::npos) << hasNot;
+    for (auto hasNot : {"forged", "key1", "X-Hop"})
+      EXPECT_EQ(g.find(hasNot), std::string::npos) << hasNot;
   });
 }
 TEST(Passage, DeclinesWhatIsNotAllowed) {
@@ -28,7 +32,11 @@
     EXPECT_EQ(once(h, ask("/safe/", "a", "", std::string(4000, 'x'))).status, 413);
     EXPECT_EQ(once(h, ask("/safe/", "a", "X-Long: " + std::string(4000, 'x') + "\r\n")).status, 431);
     EXPECT_EQ(once(h, "NONSENSE\r\n\r\n").status, 400);
-    EXPECT_EQ(once(h, "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").status, 400);
+    EXPECT_EQ(once(h,
+                   "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: "
+                   "chunked\r\n\r\n0\r\n\r\n")
+                  .status,
+              400);
     EXPECT_EQ(once(h, "POST /safe/ HTTP/1.1\r\nHost: h.ex").status, 408);
     EXPECT_TRUE(r->got.empty());
     EXPECT_EQ(once(h, ask("/open/", "a", "", "", "")).status, 200);
@@ -49,7 +57,10 @@
     auto r = h.runner("i-1", answers);
     auto w = h.dial();
     Buffer b;
-    say(*w, ask("/safe/1", "p1") + "POST /safe/2 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: p2\r\nAuthorization: Bearer key1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" + ask("/safe/3", "p3"));
+    say(*w, ask("/safe/1", "p1") +
+                "POST /safe/2 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: p2\r\nAuthorization: Bearer "
+                "key1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" +
+                ask("/safe/3", "p3"));
     for (auto id : {"p1", "p2", "p3"}) {
       const auto a = hear(*w, b);
       EXPECT_EQ(a.body, std::string("body of ") + id);
@@ -67,7 +78,8 @@
       r1->got.clear(), r2->got.clear();
       const auto a = once(h, ask(path));
       EXPECT_EQ(r1->got.size() + r2->got.size(), 1u) << path;
-      EXPECT_TRUE(a.status == 502 || a.status == 0) << a.status << ": 408, 421, 429 and 503 would promise that it never ran";
+      EXPECT_TRUE(a.status == 502 || a.status == 0)
+          << a.status << ": 408, 421, 429 and 503 would promise that it never ran";
     }
   });
 }
@@ -75,8 +87,10 @@
   inHarbour([](Harbour& h) {
     int n = 0;
     const auto act = [&n](StandIn&, Connection& w, const std::string& id, const std::string&) {
-      if (n++ == 0) w.shut();
-      else say(w, whole(id, "second"));
+      if (n++ == 0)
+        w.shut();
+      else
+        say(w, whole(id, "second"));
     };
     h.runner("i-1", act);
     h.runner("i-2", act);
@@ -88,8 +102,10 @@
   inHarbour([](Harbour& h) {
     int n = 0;
     const auto act = [&n](StandIn&, Connection& w, const std::string& id, const std::string&) {
-      if (n++ == 0) say(w, whole(id, "no", 421));
-      else say(w, whole(id, "ran"));
+      if (n++ == 0)
+        say(w, whole(id, "no", 421));
+      else
+        say(w, whole(id, "ran"));
     };
     h.runner("i-1", act);
     h.runner("i-2", act);
@@ -98,7 +114,9 @@
 }
 TEST(Passage, AllFullIsARefusalWithATimeToComeBack) {
   inHarbour([](Harbour& h) {
-    const auto full = [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n")); };
+    const auto full = [](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n"));
+    };
     h.runner("i-1", full);
     h.runner("i-2", full);
     const auto a = once(h, ask("/once/x"));
@@ -108,13 +126,16 @@
 }
 TEST(Passage, A503ThatMayHaveRunIsNotPassedOnAsAPromise) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "?", 503)); });
+    h.runner("i-1",
+             [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "?", 503)); });
     EXPECT_EQ(once(h, ask("/once/x")).status, 502);
   });
 }
 TEST(Passage, AFailureOfTheRunnersOwnIsPassedOnUnchanged) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "broke", 500)); });
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      say(w, whole(id, "broke", 500));
+    });
     const auto a = once(h, ask("/once/x"));
     EXPECT_EQ(a.status, 500);
     EXPECT_EQ(a.body, "broke");
@@ -123,8 +144,10 @@
 TEST(Passage, ASurplusAnswerBelongsToNobody) {
   inHarbour([](Harbour& h) {
     h.runner("i-1", [](StandIn& me, Connection& w, const std::string& id, const std::string&) {
-      if (me.got.size() == 1) say(w, whole(id, "first") );
-      else say(w, whole("a1", "late surplus") + whole(id, "mine"));
+      if (me.got.size() == 1)
+        say(w, whole(id, "first"));
+      else
+        say(w, whole("a1", "late surplus") + whole(id, "mine"));
     });
     auto w = h.dial();
     Buffer b;
@@ -136,7 +159,9 @@
 }
 TEST(Passage, AWireWithUnaskedBytesIsNotUsedAgain) {
   inHarbour([](Harbour& h) {
-    auto r = h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "ok") + "stray"); });
+    auto r = h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      say(w, whole(id, "ok") + "stray");
+    });
     EXPECT_EQ(once(h, ask("/once/x", "a1")).body, "ok");
     EXPECT_EQ(once(h, ask("/once/x", "a2")).body, "ok");
     EXPECT_EQ(r->connections, 2);
@@ -145,7 +170,9 @@
 TEST(Passage, WhatIsNoAnswerOrHasNoSealOrEndsEarlyIsNoSuccess) {
   const std::function<std::string(const std::string&)> table[] = {
       [](const std::string&) { return std::string("garbage garbage\r\n\r\n"); },
-      [](const std::string& id) { return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 2\r\n\r\nhi"; },
+      [](const std::string& id) {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 2\r\n\r\nhi";
+      },
       [](const std::string& id) { return whole(id, "hi", 200, "Content-Encoding: gzip\r\n"); },
       [](const std::string& id) { return whole(id, "0123456789").substr(0, whole(id, "0123456789").size() - 4); },
       [](const std::string&) { return whole("another", "x"); }};
@@ -164,7 +191,7 @@
   inHarbour([](Harbour& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
-      Quay::get().pause(5ms);
+      EventLoop::get().pause(5ms);
       say(w, chunk(event(2)) + "0\r\n\r\n");
     });
     for (auto path : {"/stream/x", "/resume/x"}) {
@@ -227,7 +254,7 @@
     char buf[400];
     EXPECT_GT(w->read(asio::buffer(buf), ec), 0u);
     w->shut();
-    EXPECT_TRUE(Quay::get().waitFor(done, 3000ms));
+    EXPECT_TRUE(EventLoop::get().waitFor(done, 3000ms));
     EXPECT_TRUE(ended);
   });
 }
@@ -236,8 +263,10 @@
     auto dead = h.runner("i-0", answers);
     auto r = h.runner("i-1", answers);
     dead->acc->close();
-    h.wa.docks.follow({Runner{"i-0", "s", "127.0.0.1:1", "z", 4, 1, 0}, Runner{"i-1", "s", r->address(), "z", 4, 1, 0}});
-    for (int i = 0; i < 6; ++i) EXPECT_EQ(once(h, ask("/once/x", "a" + std::to_string(i))).status, 200);
+    h.wa.runnerPool.follow(
+        {Runner{"i-0", "s", "127.0.0.1:1", "z", 4, 1, 0}, Runner{"i-1", "s", r->address(), "z", 4, 1, 0}});
+    for (int i = 0; i < 6; ++i)
+      EXPECT_EQ(once(h, ask("/once/x", "a" + std::to_string(i))).status, 200);
   });
 }
 TEST(Passage, ASilentRunnerIsWaitedForUntilTheTimeIsUp) {
@@ -264,7 +293,7 @@
     EXPECT_EQ(hear(*c, bc).status, 0);
     a->shut();
     b->shut();
-    Quay::get().pause(20ms);
+    EventLoop::get().pause(20ms);
     EXPECT_EQ(h.wa.clients, 0);
     EXPECT_EQ(once(h, ask("/safe/x", "a2")).status, 200);
   });
@@ -276,7 +305,7 @@
     auto w = h.dial();
     Buffer b;
     say(*w, ask("/safe/x", "a1"));
-    Quay::get().pause(60ms);
+    EventLoop::get().pause(60ms);
     EXPECT_TRUE(r->got.empty());
     h.wa.held = 0;
     EXPECT_EQ(hear(*w, b).status, 200);
--- a/tests/rehearsal_test.cpp
+++ b/tests/scale_run_test.cpp
@@ -13,29 +13,32 @@
 };
 std::string headOf(const std::string& request, const std::string& name) {
   const auto at = request.find("\n" + name + ": ");
-  if (at == std::string::npos) return {};
+  if (at == std::string::npos)
+    return {};
   const auto from = at + name.size() + 3;
   return request.substr(from, request.find('\n', from) - from);
 }
 void closeZone(Harbour& h, int share, bool doors) {
-  h.wa.docks.close({{"za", {share, doors}}});
+  h.wa.runnerPool.close({{"za", {share, doors}}});
   h.wa.doorsShut = doors && h.wa.zone == "za";
 }
 }  // namespace
 
-TEST(Rehearsal, AZoneClosesMidMatchAndEveryPushAndStreamArrivesOnce) {
+TEST(ScaleRun, AZoneClosesMidMatchAndEveryPushAndStreamArrivesOnce) {
   inHarbour([](Harbour& a) {
     auto b = std::make_shared<Harbour>();
     a.wa.zone = "za";
     b->wa.zone = "zb";
-    for (auto* h : {&a, b.get()}) h->saveUp(10, 40);
+    for (auto* h : {&a, b.get()})
+      h->saveUp(10, 40);
     Match match;
     auto act = [&match](const std::string& zone) {
       return [&match, zone](StandIn&, Connection& w, const std::string& id, const std::string& text) {
-        if (match.closed && zone == "za") ++match.atClosedAfter;
+        if (match.closed && zone == "za")
+          ++match.atClosedAfter;
         if (text.find("/once/") != std::string::npos) {
           ++match.pushRuns[id];
-          Quay::get().pause(2ms);
+          EventLoop::get().pause(2ms);
           return say(w, whole(id, "pushed " + id));
         }
         ++match.streamStarts[id];
@@ -43,7 +46,7 @@
         say(w, streamHead(id, "seal " + zone));
         for (int e = last.empty() ? 1 : std::stoi(last) + 1; e <= kEvents && w.sock().is_open(); ++e) {
           say(w, chunk(event(e)));
-          Quay::get().pause(8ms);
+          EventLoop::get().pause(8ms);
         }
         say(w, "0\r\n\r\n");
       };
@@ -58,15 +61,17 @@
       a.runners.push_back(r);
       all.push_back(Runner{r->id, "s", r->address(), zone, 64, 1, 0});
     }
-    for (auto* h : {&a, b.get()}) h->wa.docks.follow(all);
+    for (auto* h : {&a, b.get()})
+      h->wa.runnerPool.follow(all);
 
     int open = 0, pushes = 0, streams = 0, pushesFine = 0, streamsFine = 0, latestMs = 0;
     std::string wanted;
-    for (int e = 1; e <= kEvents; ++e) wanted += event(e);
+    for (int e = 1; e <= kEvents; ++e)
+      wanted += event(e);
     bool doors = false;
     auto consume = [&](bool push, int n) {
       ++open;
-      Quay::get().launch([&, push, n] {
+      EventLoop::get().launch([&, push, n] {
         // The platform gives new clients of a zone whose doors are shut to the other.
         auto& h = doors || n % 2 ? *b : a;
         const auto id = (push ? "p" : "s") + std::to_string(n);
@@ -82,35 +87,41 @@
       });
     };
     // Announced, a quarter, half, all new work, doors shut: with the match going on throughout.
-    const std::vector<std::pair<int, bool>> steps = {{0, false}, {25, false}, {50, false}, {100, false}, {100, true}, {100, true}};
+    const std::vector<std::pair<int, bool>> steps = {{0, false},   {25, false}, {50, false},
+                                                     {100, false}, {100, true}, {100, true}};
     for (auto [share, shut] : steps) {
       closeZone(a, share, shut);
       closeZone(*b, share, shut);
       doors = shut;
-      if (share == 100) match.closed = true;
+      if (share == 100)
+        match.closed = true;
       for (int k = 0; k < 12; ++k) {
         consume(true, pushes++);
-        if (k % 2 == 0) consume(false, streams++);
-        Quay::get().pause(5ms);
+        if (k % 2 == 0)
+          consume(false, streams++);
+        EventLoop::get().pause(5ms);
       }
     }
-    while (open > 0) Quay::get().pause(10ms);
+    while (open > 0)
+      EventLoop::get().pause(10ms);
     EXPECT_EQ(pushesFine, pushes) << "every push arrived";
     EXPECT_EQ(static_cast<int>(match.pushRuns.size()), pushes);
-    for (auto& [id, n] : match.pushRuns) EXPECT_EQ(n, 1) << id << " ran " << n << " times";
+    for (auto& [id, n] : match.pushRuns)
+      EXPECT_EQ(n, 1) << id << " ran " << n << " times";
     EXPECT_LT(latestMs, 300) << "and on time";
     EXPECT_EQ(streamsFine, streams) << "every stream whole, nothing missing, nothing twice";
     EXPECT_EQ(match.atClosedAfter, 0) << "no new work at the place's runners once all keeps away";
     EXPECT_GT(a.wa.carried + b->wa.carried, 0u) << "live sessions were carried over";
-    EXPECT_EQ(a.wa.docks.inFlightIn({"za"}) + b->wa.docks.inFlightIn({"za"}), 0) << "nothing is left there";
+    EXPECT_EQ(a.wa.runnerPool.inFlightIn({"za"}) + b->wa.runnerPool.inFlightIn({"za"}), 0) << "nothing is left there";
     static std::vector<std::shared_ptr<Harbour>> kept;
     kept.push_back(b);
   });
 }
-TEST(Rehearsal, WhenOnlyTheClosingPlaceIsLeftItServes) {
+TEST(ScaleRun, WhenOnlyTheClosingPlaceIsLeftItServes) {
   inHarbour([](Harbour& h) {
-    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "ok")); });
-    h.wa.docks.close({{"z", {100, true}}});
+    h.runner("i-1",
+             [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "ok")); });
+    h.wa.runnerPool.close({{"z", {100, true}}});
     EXPECT_EQ(once(h, ask("/once/x")).status, 200);
   });
 }
