--- a/tests/harbour_sim.hpp
+++ b/tests/simulated_cluster.hpp
@@ -5,21 +5,21 @@
 #include <random>
 #include <set>
 
-#include "log/order.hpp"
-#include "registry/copy.hpp"
-#include "store/store.hpp"
+#include "consensus/order.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "storage/storage.hpp"
 
 namespace zc::sim {
 struct World {
   struct Node {
     std::string ip, id;
     std::unique_ptr<Order> order;
-    Copy copy;
+    ReplicatedState copy;
     std::vector<std::string> disk;  // sealed pages that a sync covered
     int life = 0;
     bool up = false, frozen = false, diskFull = false;
     Span syncTime{4};
-    std::deque<std::pair<std::int64_t, Page>> pages;  // waiting for the disk
+    std::deque<std::pair<std::int64_t, DiskRecord>> pages;      // waiting for the disk
     std::vector<std::pair<std::int64_t, std::string>> applied;  // this life's numbers, with what stood under them
     std::int64_t lastApplied = 0;
   };
@@ -39,9 +39,9 @@
   double loss = 0.0;
   int delayMost = 3;
   // What must hold.
-  std::map<std::int64_t, std::string> agreed;                 // number -> what was released under it, anywhere
+  std::map<std::int64_t, std::string> agreed;                  // number -> what was released under it, anywhere
   std::map<std::int64_t, std::set<std::string>> leasesOfTerm;  // term -> who held a lease in it
-  std::map<std::string, std::int64_t> acked;                  // operation -> number at its acknowledgement
+  std::map<std::string, std::int64_t> acked;                   // operation -> number at its acknowledgement
   std::vector<std::string> broken;
   int opNo = 0;
   OrderParams params;
@@ -57,25 +57,28 @@
     n.up = true;
     n.frozen = false;
     ++n.life;
-    n.copy = Copy{};
+    n.copy = ReplicatedState{};
     n.applied.clear();
     n.lastApplied = 0;
     n.pages.clear();
-    std::vector<Page> pages;
+    std::vector<DiskRecord> pages;
     for (auto& b : n.disk) {
-      auto g = unsealPage(b);
+      auto g = decodeRecord(b);
       must(g.has_value(), "a synced page reads back");
-      if (g->full) pages.clear();
+      if (g->full)
+        pages.clear();
       pages.push_back(*g);
     }
     const bool founder = first && std::find(seeds.begin(), seeds.end(), ip) != seeds.end();
     n.id = !pages.empty() ? pages.front().self : founder ? ip + "#0" : ip + "#" + std::to_string(draw(1000000) + 1);
     n.order = std::make_unique<Order>(n.id, params, rng(), now);
     n.order->seeds(seeds);
-    if (!pages.empty()) n.order->recover(pages, now);
+    if (!pages.empty())
+      n.order->recover(pages, now);
     else if (founder) {
       std::vector<std::string> f;
-      for (auto& s : seeds) f.push_back(s + "#0");
+      for (auto& s : seeds)
+        f.push_back(s + "#0");
       n.order->found(f, now);
     }
     step(n);
@@ -84,19 +87,23 @@
   void tickLater(const std::string& ip, int life) {
     at(Span(40 + draw(20)), [this, ip, life] {
       auto& n = nodes[ip];
-      if (!n.up || n.life != life) return;
+      if (!n.up || n.life != life)
+        return;
       if (!n.frozen) {
         n.order->tick(now);
         step(n);
         if (n.order->leased(now)) {
           for (auto& [o, x] : nodes)
-            if (o != ip && x.up && x.order->leased(now)) blame("two leases at one moment, " + ip + " and " + o);
+            if (o != ip && x.up && x.order->leased(now))
+              blame("two leases at one moment, " + ip + " and " + o);
           auto& who = leasesOfTerm[n.order->term()];
           who.insert(n.id);
-          if (who.size() > 1) blame("two sequencers in term " + std::to_string(n.order->term()));
+          if (who.size() > 1)
+            blame("two sequencers in term " + std::to_string(n.order->term()));
           // A valid lease must know of all that was acknowledged.
           for (auto& [op, num] : acked)
-            if (num > n.order->released()) blame("a lease older than an acknowledged write");
+            if (num > n.order->released())
+              blame("a lease older than an acknowledged write");
         }
       }
       tickLater(ip, life);
@@ -105,35 +112,45 @@
   void step(Node& n) {
     for (auto acts = n.order->take(); !acts.empty(); acts = n.order->take())
       for (auto& a : acts) {
-        if (a.what == Action::What::send) post(n, a.to, a.msg);
-        else if (a.what == Action::What::keep) keep(n, a.ticket, a.page);
-        else if (a.what == Action::What::release) release(n, a.entry);
-        else if (a.what == Action::What::install) install(n, a.entry);
+        if (a.what == Action::What::send)
+          post(n, a.to, a.msg);
+        else if (a.what == Action::What::keep)
+          keep(n, a.ticket, a.page);
+        else if (a.what == Action::What::release)
+          release(n, a.entry);
+        else if (a.what == Action::What::install)
+          install(n, a.entry);
       }
   }
   void post(Node& from, const std::string& to, Msg m) {
     const auto ip = ipOf(to);
-    if (cut.count({from.ip, ip}) || std::uniform_real_distribution<>(0, 1)(rng) < loss) return;
+    if (cut.count({from.ip, ip}) || std::uniform_real_distribution<>(0, 1)(rng) < loss)
+      return;
     m.from = from.id;
     // Why through the frame: what the connection can't carry must not pass here either.
     auto connection = m;
-    at(Span(1 + draw(static_cast<std::uint64_t>(delayMost))), [this, ip, connection, src = from.ip] { deliver(src, ip, connection); });
+    at(Span(1 + draw(static_cast<std::uint64_t>(delayMost))),
+       [this, ip, connection, src = from.ip] { deliver(src, ip, connection); });
   }
   void deliver(const std::string& src, const std::string& ip, const Msg& m) {
     const auto it = nodes.find(ip);
-    if (it == nodes.end() || !it->second.up || cut.count({src, ip})) return;
+    if (it == nodes.end() || !it->second.up || cut.count({src, ip}))
+      return;
     auto& n = it->second;
-    if (n.frozen) return at(Span(50), [this, src, ip, m] { deliver(src, ip, m); });
+    if (n.frozen)
+      return at(Span(50), [this, src, ip, m] { deliver(src, ip, m); });
     if (m.what() == Kind::submit) {
-      for (auto e : m.entries) n.order->submit(now, e);
+      for (auto e : m.entries)
+        n.order->submit(now, e);
     } else {
       n.order->hear(now, m);
     }
     step(n);
   }
-  void keep(Node& n, std::int64_t ticket, const Page& g) {
+  void keep(Node& n, std::int64_t ticket, const DiskRecord& g) {
     n.pages.emplace_back(ticket, g);
-    if (n.pages.size() == 1) startSync(n.ip, n.life);
+    if (n.pages.size() == 1)
+      startSync(n.ip, n.life);
   }
   // One page at a time; how long it takes is the disk's state when it begins.
   void startSync(const std::string& ip, int life) {
@@ -141,41 +158,53 @@
   }
   void endSync(const std::string& ip, int life) {
     auto& n = nodes[ip];
-    if (n.life != life || !n.up) return;  // power was lost before the sync: the page is gone
-    if (n.frozen) return at(Span(50), [this, ip, life] { endSync(ip, life); });
+    if (n.life != life || !n.up)
+      return;  // power was lost before the sync: the page is gone
+    if (n.frozen)
+      return at(Span(50), [this, ip, life] { endSync(ip, life); });
     const auto [ticket, g] = n.pages.front();
     n.pages.pop_front();
-    if (!n.pages.empty()) startSync(ip, life);
+    if (!n.pages.empty())
+      startSync(ip, life);
     settleKeep(ip, life, ticket, g);
   }
-  void settleKeep(const std::string& ip, int life, std::int64_t ticket, const Page& g) {
+  void settleKeep(const std::string& ip, int life, std::int64_t ticket, const DiskRecord& g) {
     auto& n = nodes[ip];
-    if (n.life != life || !n.up) return;
+    if (n.life != life || !n.up)
+      return;
     std::int64_t last = 0;
-    if (!n.disk.empty()) last = unsealPage(n.disk.back())->seq;
+    if (!n.disk.empty())
+      last = decodeRecord(n.disk.back())->seq;
     const bool ok = !n.diskFull && g.seq == last + 1;
-    if (ok) n.disk.push_back(sealPage(g));
+    if (ok)
+      n.disk.push_back(encodeRecord(g));
     n.order->kept(now, ticket, ok);
     step(n);
   }
   static std::string contentOf(const Entry& e) { return std::to_string(e.term) + "|" + e.opId + "|" + e.blob; }
   void release(Node& n, const Entry& e) {
-    if (e.num != n.lastApplied + 1) blame("applied out of order at " + n.ip);
+    if (e.num != n.lastApplied + 1)
+      blame("applied out of order at " + n.ip);
     n.lastApplied = e.num;
     auto [it, fresh] = agreed.emplace(e.num, contentOf(e));
-    if (!fresh && it->second != contentOf(e)) blame("two writes under number " + std::to_string(e.num));
+    if (!fresh && it->second != contentOf(e))
+      blame("two writes under number " + std::to_string(e.num));
     n.copy.apply(e);
-    if (e.num % 16 == 0) n.order->compact(e.num, n.copy.snapshot(), now);
+    if (e.num % 16 == 0)
+      n.order->compact(e.num, n.copy.snapshot(), now);
   }
   void install(Node& n, const Entry& e) {
-    if (e.num < n.lastApplied) blame("went back in number at " + n.ip);
+    if (e.num < n.lastApplied)
+      blame("went back in number at " + n.ip);
     n.lastApplied = e.num;
-    if (!n.copy.restore(e.blob)) blame("snapshot unreadable");
+    if (!n.copy.restore(e.blob))
+      blame("snapshot unreadable");
   }
-  // A writer at any node: point-to-point to the sequencer, acknowledged once its own queue releases it.
+  // A writer at any node: point-to-point to the leader, acknowledged once its own queue releases it.
   void write(const std::string& ip, std::size_t bytes = 10) {
     auto& n = nodes[ip];
-    if (!n.up || n.frozen) return;
+    if (!n.up || n.frozen)
+      return;
     const auto op = n.id + "/" + std::to_string(++opNo);
     Entry e = configurationOp(0, opNo, std::string(bytes, 'x') + op, op);
     e.opId = op + "@" + std::to_string(opNo);
@@ -183,13 +212,14 @@
   }
   void tryWrite(const std::string& ip, int life, Entry e, int left) {
     auto& n = nodes[ip];
-    if (!n.up || n.life != life || left == 0) return;
+    if (!n.up || n.life != life || left == 0)
+      return;
     if (!n.frozen) {
       if (n.copy.verdictOf(e.opId)) {
         acked.emplace(e.opId, n.lastApplied);
         return;
       }
-      const auto seq = n.order->sequencer();
+      const auto seq = n.order->leader();
       if (seq == n.id) {
         n.order->submit(now, e);
         step(n);
@@ -214,20 +244,23 @@
       events.pop();
       now = std::max(now, e.at);
       e.run();
-      if (broken.size() > 5) return;
+      if (broken.size() > 5)
+        return;
     }
     now = end;
   }
-  std::string sequencer() {
+  std::string leader() {
     for (auto& [ip, n] : nodes)
-      if (n.up && !n.frozen && n.order->leased(now)) return ip;
+      if (n.up && !n.frozen && n.order->leased(now))
+        return ip;
     return {};
   }
   void cutOff(const std::string& ip, bool both = true) {
     for (auto& [o, n] : nodes)
       if (o != ip) {
         cut.insert({ip, o});
-        if (both) cut.insert({o, ip});
+        if (both)
+          cut.insert({o, ip});
       }
   }
 };
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "events.hpp"
-#include "passage/passage.hpp"
+#include "proxy/proxy.hpp"
 
 namespace zc::standin {
 // A runner that does what a test tells it, one connection at a time.
@@ -11,7 +11,8 @@
   std::string id, service = "s";
   std::shared_ptr<tcp::acceptor> acc;
   std::vector<std::string> got;  // requests as they came, whole
-  std::function<void(StandIn&, Connection&, const std::string&, const std::string&)> act;  // connection, attempt id, request
+  std::function<void(StandIn&, Connection&, const std::string&, const std::string&)>
+      act;  // connection, attempt id, request
   int connections = 0;
   std::string address() const { return "127.0.0.1:" + std::to_string(acc->local_endpoint().port()); }
 };
@@ -19,9 +20,10 @@
   Ec ec;
   w.write(asio::buffer(s), ec);
 }
-inline std::string whole(const std::string& attempt, const std::string& body, int status = 200, const std::string& more = {}) {
-  return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: seal-1\r\n" + more +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+inline std::string whole(const std::string& attempt, const std::string& body, int status = 200,
+                         const std::string& more = {}) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: seal-1\r\n" +
+         more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 inline std::string chunk(const std::string& s) {
   char b[20];
@@ -29,33 +31,40 @@
   return b + s + "\r\n";
 }
 inline std::string streamHead(const std::string& attempt, const std::string& seal = "seal-1") {
-  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + seal +
-         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + attempt +
+         "\r\nX-Server-Seal: " + seal + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
 }
-inline std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n"; }
 
 inline void runStandIn(const std::shared_ptr<StandIn>& r) {
-  r->acc = std::make_shared<tcp::acceptor>(Quay::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  r->acc =
+      std::make_shared<tcp::acceptor>(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   auto go = std::make_shared<std::function<void()>>();
   *go = [r, go] {
     r->acc->async_accept([r, go](Ec ec, tcp::socket s) {
-      if (ec) return;
+      if (ec)
+        return;
       ++r->connections;
       auto held = std::make_shared<tcp::socket>(std::move(s));
-      Quay::get().launch([r, held] {
+      EventLoop::get().launch([r, held] {
         Connection w(std::move(*held));
         tune(w.sock());
         Buffer buf;
         for (;;) {
           RequestParser p;
-          if (readRequest(w, buf, p, {}).end != ReadEnd::whole) return;
+          if (readRequest(w, buf, p, {}).end != ReadEnd::whole)
+            return;
           auto& q = p.get();
           std::string text = std::string(q.method_string()) + " " + std::string(q.target()) + "\n";
-          for (auto& f : q) text += std::string(f.name_string()) + ": " + std::string(f.value()) + "\n";
+          for (auto& f : q)
+            text += std::string(f.name_string()) + ": " + std::string(f.value()) + "\n";
           text += "\n" + q.body();
           r->got.push_back(text);
           r->act(*r, w, std::string(q["X-Attempt-Id"]), text);
-          if (!w.sock().is_open()) return;
+          if (!w.sock().is_open())
+            return;
         }
       });
       (*go)();
@@ -64,12 +73,13 @@
   (*go)();
 }
 struct Harbour {
-  Waters wa;
+  ProxyContext wa;
   // A budget with so much saved already, and room for no more than most.
   void saveUp(double saved, double most) {
     wa.budget = Budget(0.15, Span(2500));
     wa.budget.share(most, 0.5);
-    for (double x = 0; x < saved; x += 0.15) wa.budget.earn("s", Clock::now() - 10s);
+    for (double x = 0; x < saved; x += 0.15)
+      wa.budget.earn("s", Clock::now() - 10s);
   }
   std::vector<std::shared_ptr<StandIn>> runners;
   std::shared_ptr<tcp::acceptor> door;
@@ -85,12 +95,14 @@
     wa.leaseEnds = Clock::now() + 60s;
     wa.zone = "z";
     saveUp(2, 12);
-    door = std::make_shared<tcp::acceptor>(Quay::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    door =
+        std::make_shared<tcp::acceptor>(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     take();
   }
   void take() {
     door->async_accept([this](Ec ec, tcp::socket s) {
-      if (ec) return;
+      if (ec)
+        return;
       takeClient(wa, std::move(s));
       take();
     });
@@ -106,8 +118,9 @@
   }
   void follow() {
     std::vector<Runner> rs;
-    for (auto& r : runners) rs.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
-    wa.docks.follow(rs);
+    for (auto& r : runners)
+      rs.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
+    wa.runnerPool.follow(rs);
   }
   std::unique_ptr<Connection> dial() {
     auto w = std::make_unique<Connection>();
@@ -133,17 +146,19 @@
   w.undue();
   if (p.is_header_done()) {
     a.status = static_cast<int>(p.get().result_int());
-    for (auto& f : p.get()) a.heads[std::string(f.name_string())] = std::string(f.value());
+    for (auto& f : p.get())
+      a.heads[std::string(f.name_string())] = std::string(f.value());
     a.chunked = p.chunked();
   }
   a.body = p.get().body();
   a.wholeBody = !ec && p.is_done();
   return a;
 }
-inline std::string ask(const std::string& path, const std::string& attempt = "a1", const std::string& more = {}, const std::string& body = {},
-                const std::string& key = "key1") {
+inline std::string ask(const std::string& path, const std::string& attempt = "a1", const std::string& more = {},
+                       const std::string& body = {}, const std::string& key = "key1") {
   return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + attempt + "\r\n" +
-         (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+         (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 inline Answer once(Harbour& h, const std::string& request) {
   auto w = h.dial();
@@ -154,16 +169,18 @@
 template <class F>
 void inHarbour(F f) {
   bool ended = false;
-  Quay::get().launch([&] {
+  EventLoop::get().launch([&] {
     auto h = std::make_shared<Harbour>();
     f(*h);
     static std::vector<std::shared_ptr<Harbour>> kept;  // its fibers may still refer to it
     kept.push_back(h);
     ended = true;
-    Quay::get().stop();
+    EventLoop::get().stop();
   });
-  Quay::get().run();
+  EventLoop::get().run();
   EXPECT_TRUE(ended);
 }
-const auto answers = [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "body of " + id)); };
+const auto answers = [](StandIn&, Connection& w, const std::string& id, const std::string&) {
+  say(w, whole(id, "body of " + id));
+};
 }  // namespace zc::standin
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -1,23 +1,23 @@
 // The applied copy, the receiver's queue, frames and pages: conformance tables after docs/design.md.
+#include <gtest/gtest.h>
+
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
-#include <gtest/gtest.h>
-
-#include "log/queue.hpp"
-#include "registry/copy.hpp"
-#include "signal/avro.hpp"
-#include "signal/link.hpp"
-#include "signal/view.hpp"
-#include "store/store.hpp"
+#include "consensus/queue.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "storage/storage.hpp"
+#include "transport/avro.hpp"
+#include "transport/partial_view.hpp"
+#include "transport/peer_link.hpp"
 
 using namespace zc;
 namespace {
 struct Log {
-  Copy copy;
+  ReplicatedState copy;
   std::int64_t n = 0;
-  Copy::Change put(Entry e) {
+  ReplicatedState::Change put(Entry e) {
     e.num = ++n;
     return copy.apply(e);
   }
@@ -41,26 +41,27 @@
   std::string t = std::filesystem::temp_directory_path() / "zinccleat-store-XXXXXX";
   return ::mkdtemp(t.data());
 }
-Page page(std::int64_t seq, bool full, std::int64_t from = 0) {
-  Page g;
+DiskRecord page(std::int64_t seq, bool full, std::int64_t from = 0) {
+  DiskRecord g;
   g.seq = seq;
   g.term = 3;
   g.self = "10.1.0.1#0";
   g.full = full;
   g.snapMembers = {"10.1.0.1#0"};
-  if (from) g.from = from, g.entries = {numbered(from)};
+  if (from)
+    g.from = from, g.entries = {numbered(from)};
   return g;
 }
 }  // namespace
 
-TEST(Copy, OfTwoChangesOnOneStampOneWins) {
+TEST(ReplicatedState, OfTwoChangesOnOneStampOneWins) {
   Log l;
   EXPECT_EQ(l.replace(0, 2, "A", "x"), 200);
   EXPECT_EQ(l.replace(2, 5, "B", "y"), 200);
   EXPECT_EQ(l.replace(2, 6, "C", "z"), 412);
   EXPECT_EQ(l.copy.state().configuration, "B");
 }
-TEST(Copy, TheExactSameOneSentAgainIsAcknowledgedAgain) {
+TEST(ReplicatedState, TheExactSameOneSentAgainIsAcknowledgedAgain) {
   Log l;
   EXPECT_EQ(l.replace(0, 2, "A", "x"), 200);
   EXPECT_EQ(l.replace(0, 2, "A", "y"), 200);
@@ -69,13 +70,13 @@
   EXPECT_EQ(l.copy.state().version, 4) << "and nothing goes back";
   EXPECT_EQ(l.replace(0, 2, "A2", "v"), 412);
 }
-TEST(Copy, AStampNotAboveTheCurrentIsDeclined) {
+TEST(ReplicatedState, AStampNotAboveTheCurrentIsDeclined) {
   Log l;
   EXPECT_EQ(l.replace(0, 4, "A", "x"), 200);
   EXPECT_EQ(l.replace(4, 4, "B", "y"), 400);
   EXPECT_EQ(l.replace(4, 3, "B", "z"), 400);
 }
-TEST(Copy, RunnersJoinDrainAndLeave) {
+TEST(ReplicatedState, RunnersJoinDrainAndLeave) {
   Log l;
   l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 1), "1"));
   ASSERT_TRUE(l.copy.runner("i1"));
@@ -90,7 +91,7 @@
   l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 10), "6"));
   EXPECT_FALSE(l.copy.runner("i1")) << "it has left for good";
 }
-TEST(Copy, AMissedRunnerMayBeatAgainANewLifeTakesTheAddress) {
+TEST(ReplicatedState, AMissedRunnerMayBeatAgainANewLifeTakesTheAddress) {
   Log l;
   l.put(runnerOp(runner("i1", "a:1", RunnerState::inService, 1), "1"));
   auto missed = runner("i1", "a:1", RunnerState::gone, 0);
@@ -102,7 +103,7 @@
   EXPECT_FALSE(l.copy.runner("i1"));
   EXPECT_TRUE(l.copy.runner("i2"));
 }
-TEST(Copy, AWriteThatCameTwiceIsOneWrite) {
+TEST(ReplicatedState, AWriteThatCameTwiceIsOneWrite) {
   Log l;
   EXPECT_EQ(l.replace(0, 2, "A", "x"), 200);
   l.put(runnerOp(runner("i1", "a:1", RunnerState::gone, 0), "missed"));
@@ -112,11 +113,11 @@
   EXPECT_EQ(l.replace(0, 2, "A", "x"), 200);
   EXPECT_EQ(l.copy.state().num, 5) << "but its number is taken";
 }
-TEST(Copy, ASnapshotHoldsEverything) {
+TEST(ReplicatedState, ASnapshotHoldsEverything) {
   Log l;
   l.replace(0, 2, "A", "x");
   l.put(runnerOp(runner("i1", "a:1", RunnerState::draining, 1), "1"));
-  Copy other;
+  ReplicatedState other;
   ASSERT_TRUE(other.restore(l.copy.snapshot()));
   EXPECT_EQ(other.snapshot(), l.copy.snapshot());
   EXPECT_EQ(other.state().num, 2);
@@ -129,7 +130,8 @@
   EXPECT_FALSE(q.next());
   EXPECT_TRUE(q.gap());
   q.offer(numbered(1));
-  for (int i = 1; i <= 3; ++i) EXPECT_EQ(q.next()->num, i);
+  for (int i = 1; i <= 3; ++i)
+    EXPECT_EQ(q.next()->num, i);
   EXPECT_FALSE(q.gap());
   q.offer(numbered(2));
   EXPECT_FALSE(q.next()) << "what was applied is not applied again";
@@ -182,59 +184,66 @@
   std::string huge = "\xff\xff\xff\xff\x01";
   EXPECT_FALSE(unframe(huge));
   auto broken = frameOf(msgOf(Kind::state));
-  for (std::size_t i = 5; i < broken.size(); ++i) broken[i] = static_cast<char>(0xff);
+  for (std::size_t i = 5; i < broken.size(); ++i)
+    broken[i] = static_cast<char>(0xff);
   EXPECT_FALSE(unframe(broken));
   std::string http = "GET / HTTP/1.1\r\n\r\n";
   EXPECT_FALSE(unframe(http));
 }
-TEST(Store, PagesComeBackInOrder) {
+TEST(Storage, PagesComeBackInOrder) {
   const auto dir = freshDir();
-  Store s(dir);
+  Storage s(dir);
   ASSERT_TRUE(s.load());
   ASSERT_TRUE(s.keepInOrder(page(1, true)));
   ASSERT_TRUE(s.keepInOrder(page(2, false, 1)));
   EXPECT_FALSE(s.keepInOrder(page(4, false, 3))) << "a page is missing before it";
   ASSERT_TRUE(s.keepInOrder(page(3, false, 2)));
-  auto back = Store(dir).load();
+  auto back = Storage(dir).load();
   ASSERT_TRUE(back);
   EXPECT_EQ(back->size(), 3u);
   std::filesystem::remove_all(dir);
 }
-TEST(Store, AWholePageLetsTheOldOnesGo) {
+TEST(Storage, AWholePageLetsTheOldOnesGo) {
   const auto dir = freshDir();
-  Store s(dir);
+  Storage s(dir);
   ASSERT_TRUE(s.load());
-  for (int i = 1; i <= 5; ++i) ASSERT_TRUE(s.keepInOrder(page(i, i == 1 || i == 5, i == 1 || i == 5 ? 0 : i)));
+  for (int i = 1; i <= 5; ++i)
+    ASSERT_TRUE(s.keepInOrder(page(i, i == 1 || i == 5, i == 1 || i == 5 ? 0 : i)));
   int files = 0;
-  for (auto& f : std::filesystem::directory_iterator(dir)) (void)f, ++files;
+  for (auto& f : std::filesystem::directory_iterator(dir))
+    (void)f, ++files;
   EXPECT_EQ(files, 1);
-  auto back = Store(dir).load();
+  auto back = Storage(dir).load();
   ASSERT_TRUE(back);
   EXPECT_EQ(back->size(), 1u);
   std::filesystem::remove_all(dir);
 }
-TEST(Store, TornForeignAndMissingPagesAreFound) {
+TEST(Storage, TornForeignAndMissingPagesAreFound) {
   for (int how = 0; how < 4; ++how) {
     const auto dir = freshDir();
-    Store s(dir);
+    Storage s(dir);
     ASSERT_TRUE(s.load());
-    for (int i = 1; i <= 4; ++i) ASSERT_TRUE(s.keepInOrder(page(i, i == 1, i == 1 ? 0 : i)));
+    for (int i = 1; i <= 4; ++i)
+      ASSERT_TRUE(s.keepInOrder(page(i, i == 1, i == 1 ? 0 : i)));
     const auto file = dir + "/page-000000000003";
-    if (how == 0) std::filesystem::resize_file(file, 60);
-    if (how == 1) std::ofstream(file, std::ios::trunc) << "something else";
-    if (how == 2) std::filesystem::remove(file);
+    if (how == 0)
+      std::filesystem::resize_file(file, 60);
+    if (how == 1)
+      std::ofstream(file, std::ios::trunc) << "something else";
+    if (how == 2)
+      std::filesystem::remove(file);
     if (how == 3) {
       std::fstream f(file, std::ios::in | std::ios::out);
       f.seekp(50);
       f.put('~');
     }
-    EXPECT_FALSE(Store(dir).load()) << how;
+    EXPECT_FALSE(Storage(dir).load()) << how;
     std::filesystem::remove_all(dir);
   }
 }
-TEST(Store, ADiskOfAnotherVersionIsNotTakenForADamagedOne) {
+TEST(Storage, ADiskOfAnotherVersionIsNotTakenForADamagedOne) {
   const auto dir = freshDir();
-  Store s(dir);
+  Storage s(dir);
   ASSERT_TRUE(s.load());
   ASSERT_TRUE(s.keepInOrder(page(1, true)));
   const auto file = dir + "/page-000000000001";
@@ -242,28 +251,30 @@
     std::fstream f(file, std::ios::in | std::ios::out);
     f << "zcpage1 ";
   }
-  const auto back = Store(dir).load();
+  const auto back = Storage(dir).load();
   ASSERT_FALSE(back);
   EXPECT_EQ(back.error().code, kOtherFormat);
   EXPECT_TRUE(std::filesystem::exists(file));
   std::filesystem::remove_all(dir);
 }
-TEST(Store, APageWrittenAsideOnlyIsNoPage) {
+TEST(Storage, APageWrittenAsideOnlyIsNoPage) {
   const auto dir = freshDir();
-  Store s(dir);
+  Storage s(dir);
   ASSERT_TRUE(s.load());
   ASSERT_TRUE(s.keepInOrder(page(1, true)));
   std::ofstream(dir + "/aside-2") << "half";
-  auto back = Store(dir).load();
+  auto back = Storage(dir).load();
   ASSERT_TRUE(back);
   EXPECT_EQ(back->size(), 1u);
   EXPECT_FALSE(std::filesystem::exists(dir + "/aside-2"));
   std::filesystem::remove_all(dir);
 }
-TEST(View, StaysSmallAndSpreads) {
-  std::vector<View> v;
-  for (int i = 0; i < 40; ++i) v.emplace_back("n" + std::to_string(i), 8, 77 + i);
-  for (int i = 0; i < 40; ++i) v[i].add("n" + std::to_string((i + 1) % 40));
+TEST(PartialView, StaysSmallAndSpreads) {
+  std::vector<PartialView> v;
+  for (int i = 0; i < 40; ++i)
+    v.emplace_back("n" + std::to_string(i), 8, 77 + i);
+  for (int i = 0; i < 40; ++i)
+    v[i].add("n" + std::to_string((i + 1) % 40));
   std::mt19937 rng(5);
   for (int round = 0; round < 60; ++round)
     for (auto& x : v) {
@@ -276,6 +287,7 @@
     }
   std::set<std::string> known;
   for (auto& x : v)
-    for (auto& n : x.all()) known.insert(n);
+    for (auto& n : x.all())
+      known.insert(n);
   EXPECT_GT(known.size(), 30u);
 }
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Plays the rehearsal at one size after the other and writes a line of JSON for each: docs/capacity/measured.jsonl.
+# Plays the scale run at one size after the other and writes a line of JSON for each: docs/capacity/measured.jsonl.
 # Usage: tools/capacity.sh [PROGRAM] [OUT]   about four minutes; loopback only, ends by itself.
 set -euo pipefail
 program=${1:-target/zinccleat}
 out=${2:-docs/capacity/measured.jsonl}
 : > "$out"
-play() { "$program" rehearse --json --set "seconds=${2:-8},$1" >> "$out" || echo "not as expected: $1" >&2; }
+play() { "$program" scale-run --json --set "seconds=${2:-8},$1" >> "$out" || echo "not as expected: $1" >&2; }
 for n in 10 40 100 200 330; do play "nodes=$n,requestsPerS=0,changesPerMinute=0"; done
 for t in 80 1000 3000 6100; do play "nodes=40,tenants=$t,requestsPerS=200,changesPerMinute=40"; done
 for r in 0 100 300 600; do play "nodes=10,runners=$r,requestsPerS=0,changesPerMinute=0"; done
