--- a/libs/agent/src/agent.cpp
+++ b/libs/agent/src/agent.cpp
@@ -3,7 +3,7 @@
 #include <set>
 
 #include "agent/port.hpp"
-#include "consensus/order.hpp"
+#include "consensus/cluster_config.hpp"
 #include "consensus/queue.hpp"
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
@@ -77,17 +77,17 @@
     auto others = members_;
     std::sort(others.begin(), others.end(), [this](auto& a, auto& b) { return hash64(a, rank_) > hash64(b, rank_); });
     if (!sequencer_.empty())
-      want.insert(ipOf(sequencer_));
+      want.insert(addressOf(sequencer_));
     for (auto& x : others)
       if (want.size() < kOthers + 1)
-        want.insert(ipOf(x));
+        want.insert(addressOf(x));
     bool up = false;
     for (auto& [ip, m] : dialers_)
       up = up || (m->up() && want.count(ip));
     // Why also without a lease: those we know may all be on the smaller side of a cut.
     if (want.empty() || !up || Clock::now() - lastLease_ > kNoLease) {
       for (auto& x : members_)
-        want.insert(ipOf(x));
+        want.insert(addressOf(x));
       for (auto& x : s_.seeds)
         want.insert(hostOf(x));
       for (auto& n : view_.all())
@@ -104,7 +104,7 @@
           *ep, [this](const PeerLinkPtr& l, Msg m) { onCore(l, std::move(m)); },
           [this, ip](const PeerLinkPtr& l) {
             l->send(stateMsg());
-            if (ip == ipOf(sequencer_))
+            if (ip == addressOf(sequencer_))
               follow(l, false);
           });
     }
@@ -117,7 +117,7 @@
   Dialer* toSequencer() {
     if (sequencer_.empty())
       return nullptr;
-    const auto it = dialers_.find(ipOf(sequencer_));
+    const auto it = dialers_.find(addressOf(sequencer_));
     return it == dialers_.end() ? nullptr : it->second.get();
   }
   void follow(const PeerLinkPtr& l, bool whole) {
@@ -143,7 +143,7 @@
   }
   void onCore(const PeerLinkPtr& l, Msg m) {
     if (!m.from.empty())
-      view_.add(ipOf(m.from) + "/core");
+      view_.add(addressOf(m.from) + "/core");
     switch (m.what()) {
       case Kind::stateAck: {
         view_.merge(m.view);
--- /dev/null
+++ b/libs/consensus/include/consensus/disk_record.hpp
@@ -0,0 +1,28 @@
+// What a member of the replicated log keeps on its disk: one record for each change of what must survive a restart.
+#pragma once
+#include "transport/messages.hpp"
+namespace zc {
+// Records are numbered without gaps. A full record holds everything; any other one holds what came on top of the one
+// before it. Term, vote and identity stand in every record.
+struct DiskRecord {
+  std::int64_t seq = 0;          // the record's number on this disk, from 1
+  std::int64_t term = 0;         // the newest term that this member has seen
+  std::int64_t lastLedTerm = 0;  // the newest term in which this member was the leader; 0: none
+  std::string self;              // this disk's identity
+  std::string votedFor;          // who got this member's vote in `term`; empty: nobody
+  bool full = false;
+  // A full record's snapshot: the applied state up to and with `snapshotNumber`.
+  std::int64_t snapshotNumber = 0, snapshotTerm = 0;
+  std::string snapshotConfig;  // see `encodeConfig`
+  std::string state;
+  // Entries that replace everything at and after `fromNumber`; 0: none.
+  std::int64_t fromNumber = 0;
+  std::vector<Entry> entries;
+  template <class V>
+  void fields(V& v) {
+    v("seq", seq), v("term", term), v("lastLedTerm", lastLedTerm), v("self", self), v("votedFor", votedFor);
+    v("full", full), v("snapshotNumber", snapshotNumber), v("snapshotTerm", snapshotTerm);
+    v("snapshotConfig", snapshotConfig), v("state", state), v("fromNumber", fromNumber), v("entries", entries);
+  }
+};
+}  // namespace zc
--- /dev/null
+++ b/libs/consensus/include/consensus/raft_node.hpp
@@ -0,0 +1,114 @@
+// One member of the replicated log as a pure state machine: events in, actions out, the clock passed in. It touches
+// no socket, no file and no clock. Design, invariants and what differs from published Raft: docs/consensus.md.
+//
+// A caller feeds it events (`tick`, `receive`, `submit`, `persisted`, ...) and after each one carries out what
+// `takeActions` returns, in order. All times are the steady clock's.
+#pragma once
+#include "consensus/disk_record.hpp"
+#include "consensus/messages.hpp"
+namespace zc {
+enum class Role { learner, follower, candidate, leader };
+
+// Faults that a test plants to show that its checks would find them. Never set outside of tests.
+struct PlantedFaults {
+  bool commitWithoutMajority = false;
+  bool voteBeforeSync = false;
+  bool leaseOutlivesStepDown = false;
+  bool separateMajorities = false;  // a change of voters skips the joint configuration
+};
+struct RaftOptions {
+  Span heartbeatInterval{120};
+  Span lease{500};            // a follower promises its leader to elect nobody else for so long
+  Span leaseMargin{80};       // the leader stops relying on the promise so much sooner
+  Span electionTimeout{550};  // longer than the lease
+  Span electionTimeoutSpread{300};
+  Span tickInterval{50};       // how often `tick` is called
+  Span syncStalledAfter{700};  // a sync this old makes a leader hand over, if another member has synced more
+  Span silentAfter{2500};      // a voter not heard for so long may be replaced or removed
+  Span voteRetry{100};         // a pre-vote without a majority is asked again
+  Span resendAfter{400};       // entries without an acknowledgement are sent again
+  Span joinInterval{500};
+  Span leaveInterval{100};
+  Span persistRetry{300};         // a record that the disk refused is handed to it again
+  std::size_t largeBody = 16384;  // bytes; bodies above this are sent ahead by the node that took the write
+  std::size_t mostVoters = 9;     // further machines only follow: each write would wait for more syncs
+  // Whether the applied state could be restored from a snapshot's text; a snapshot that fails it is not installed.
+  std::function<bool(const std::string&)> snapshotIsValid;
+  PlantedFaults faults;
+};
+
+struct SendMessage {
+  MemberId to;  // or an address alone, for a join request
+  ConsensusMessage message;
+};
+// Write the record to the disk, then call `persisted` with the ticket.
+struct PersistRecord {
+  std::int64_t ticket = 0;
+  DiskRecord record;
+};
+// The entry is committed; entries come in order, each once in a life, after the snapshot below them.
+struct ApplyEntry {
+  Entry entry;
+};
+// Replaces the applied state.
+struct RestoreSnapshot {
+  std::int64_t number = 0, term = 0;
+  std::string state;
+};
+using RaftAction = std::variant<SendMessage, PersistRecord, ApplyEntry, RestoreSnapshot>;
+
+class RaftNode {
+ public:
+  // `self`: this disk's identity. `seed`: of the election jitter.
+  RaftNode(MemberId self, RaftOptions options, std::uint64_t seed, Instant now);
+  ~RaftNode();
+  RaftNode(const RaftNode& other);
+  RaftNode& operator=(const RaftNode& other);
+
+  // Start with exactly one of: the founders, on the first start of the whole system; the records that the disk
+  // held; or neither, with an empty disk: a learner.
+  void found(const std::vector<MemberId>& founders, Instant now);
+  void recover(const std::vector<DiskRecord>& records, Instant now);
+  // Addresses to ask where no configuration is known.
+  void setSeeds(std::vector<std::string> addresses);
+
+  void tick(Instant now);
+  void receive(Instant now, const MemberId& from, ConsensusMessage message);
+  // Appends a write. False: this member is not the leader, or the write's large body is not here.
+  bool submit(Instant now, Entry entry);
+  // The disk has taken a record (`ok`), or refused it: it will be handed over again.
+  void persisted(Instant now, std::int64_t ticket, bool ok);
+  // Replaces the log up to `number` by the applied state at that number.
+  void compact(std::int64_t number, std::string state, Instant now);
+  // Gives the leadership away, where there is a member to take it.
+  void transferLeadership(Instant now);
+  // Begins to leave for good: hands the leadership over and asks the leader until `mayExit`.
+  void leave(Instant now);
+  std::vector<RaftAction> takeActions();
+
+  Role role() const;
+  std::int64_t term() const;
+  MemberId leader() const;  // empty: unknown
+  std::int64_t commitNumber() const;
+  std::int64_t firstNumber() const;  // the oldest entry still in the log
+  // Whether this member is the leader, holds a valid lease and has committed an entry of its own term.
+  bool hasLease(Instant now) const;
+  // Whether a majority has been in touch within the lease: the leader by its own lease, others by their leader's.
+  bool inContactWithMajority(Instant now) const;
+  // Whether the others can do without this member, after `leave`.
+  bool mayExit() const;
+  const ClusterConfig& config() const;
+  // All voters of the newest configuration.
+  std::vector<MemberId> voters() const;
+  const Entry* entryAt(std::int64_t number) const;  // null: not in the log
+  bool diskStalled() const;
+  const MemberId& self() const;
+  std::int64_t snapshotsRefused() const;
+  // All that decides how this member goes on, with times relative to `now`: equal texts behave alike. For tests.
+  std::string fingerprint(Instant now) const;
+
+ private:
+  struct Core;
+  std::unique_ptr<Core> core_;
+};
+}  // namespace zc
--- /dev/null
+++ b/libs/consensus/src/membership.cpp
@@ -0,0 +1,174 @@
+// Joining, leaving, and the leader's changes of who votes. Every change passes through a joint configuration, begins
+// only once the last one and an entry of the leader's own term are committed, and only under a valid lease.
+#include "raft_core.hpp"
+
+namespace zc {
+namespace {
+constexpr std::int64_t kCaughtUpWithin = 8;  // entries that a learner may still lack
+constexpr int kJoinAfterHeartbeats = 4;      // a learner without a leader for so long asks again
+constexpr int kLearnerGoneFactor = 2;        // times `silentAfter`
+constexpr int kSupersededAfterHeartbeats = 3;
+constexpr int kLostAfterElections = 3;  // a voter without a leader for so many election timeouts asks anybody
+constexpr int kLeavingForIntervals = 10;
+}  // namespace
+
+void RaftNode::Core::tickMembership(Instant now) {
+  dropSilentLearners(now);
+  if (!leaseValid(now) || commitNumber < firstNumberOfTerm || log.configNumber() > commitNumber)
+    return;
+  if (log.config().joint())
+    return leaveJointConfig(now);
+  auto chosen = chooseVoters(voterStatus(now), readyLearners(now), options.mostVoters);
+  auto present = log.config().voters;
+  std::sort(chosen.begin(), chosen.end());
+  std::sort(present.begin(), present.end());
+  if (chosen != present)
+    changeVoters(now, chosen);
+}
+void RaftNode::Core::changeVoters(Instant now, const std::vector<MemberId>& voters) {
+  ClusterConfig next{log.config().voters, voters};
+  if (options.faults.separateMajorities)
+    next = ClusterConfig{voters, {}};
+  Entry entry;
+  entry.kind = static_cast<std::int32_t>(OpKind::members);
+  entry.blob = encodeConfig(next);
+  appendAsLeader(now, std::move(entry));
+  replicate(now);
+}
+void RaftNode::Core::leaveJointConfig(Instant now) {
+  Entry entry;
+  entry.kind = static_cast<std::int32_t>(OpKind::members);
+  entry.blob = encodeConfig(ClusterConfig{log.config().nextVoters, {}});
+  appendAsLeader(now, std::move(entry));
+  replicate(now);
+}
+bool RaftNode::Core::isLeaving(Instant now, const PeerProgress& progress) const {
+  return progress.leaveAskedAt != Instant{} &&
+         now - progress.leaveAskedAt < options.leaveInterval * kLeavingForIntervals;
+}
+std::vector<VoterStatus> RaftNode::Core::voterStatus(Instant now) const {
+  const auto supersededBy = [&](const MemberId& voter) {
+    return std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
+      return !log.config().isVoter(peer.first) && addressOf(peer.first) == addressOf(voter) &&
+             recentlyHeard(now, peer.second);
+    });
+  };
+  std::vector<VoterStatus> status;
+  if (isVoter())
+    status.push_back({self, VoterHealth::healthy});
+  for (const auto& voter : log.config().voters) {
+    const auto peer = peers.find(voter);
+    if (voter == self || peer == peers.end())
+      continue;
+    const auto& progress = peer->second;
+    const auto silence = now - progress.heardAt;
+    auto health = VoterHealth::healthy;
+    if (silence > options.heartbeatInterval * kSupersededAfterHeartbeats && supersededBy(voter))
+      health = VoterHealth::superseded;
+    else if (isLeaving(now, progress))
+      health = VoterHealth::leaving;
+    else if (silence > options.silentAfter)
+      health = VoterHealth::silent;
+    status.push_back({voter, health});
+  }
+  return status;
+}
+bool RaftNode::Core::caughtUp(const PeerProgress& progress) const {
+  return progress.matchedNumber > 0 && progress.matchedNumber + kCaughtUpWithin >= log.lastNumber();
+}
+// Those that came back empty at a voter's address first: that voter is lost for good.
+std::vector<MemberId> RaftNode::Core::readyLearners(Instant now) const {
+  std::vector<MemberId> returned, others;
+  const auto voters = log.config().allVoters();
+  for (const auto& [peer, progress] : peers) {
+    const bool ready = caughtUp(progress) && recentlyHeard(now, progress) && !isLeaving(now, progress);
+    if (log.config().isVoter(peer) || !ready)
+      continue;
+    const bool atVotersAddress = std::any_of(voters.begin(), voters.end(), [&address = peer](const MemberId& voter) {
+      return addressOf(voter) == addressOf(address);
+    });
+    (atVotersAddress ? returned : others).push_back(peer);
+  }
+  returned.insert(returned.end(), others.begin(), others.end());
+  return returned;
+}
+bool RaftNode::Core::learnerCatchingUp(Instant now) const {
+  return std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
+    const bool learner = !log.config().isVoter(peer.first) && recentlyHeard(now, peer.second);
+    return learner && !isLeaving(now, peer.second) && !caughtUp(peer.second);
+  });
+}
+void RaftNode::Core::dropSilentLearners(Instant now) {
+  std::erase_if(peers, [&](const auto& peer) {
+    return !log.config().isVoter(peer.first) && now - peer.second.heardAt > options.silentAfter * kLearnerGoneFactor;
+  });
+}
+void RaftNode::Core::onJoinRequest(Instant now, const MemberId& from, const JoinRequest& request) {
+  if (role == Role::leader)
+    return trackPeer(now, request.forwarded ? request.member : from);
+  if (request.forwarded || leader.empty() || now - leaderHeardAt >= options.lease)
+    return;
+  send(leader, JoinRequest{from, true});
+}
+// A learner asks for the log. So does a voter that has heard no leader for long: it may have been removed, and all
+// whom it knows may be gone.
+void RaftNode::Core::tickJoin(Instant now) {
+  const auto patience = role == Role::learner ? options.heartbeatInterval * kJoinAfterHeartbeats
+                                              : options.electionTimeout * kLostAfterElections;
+  if (now - lastJoinAt < options.joinInterval || now - leaderHeardAt < patience)
+    return;
+  lastJoinAt = now;
+  std::set<std::string> addresses(seedAddresses.begin(), seedAddresses.end());
+  for (const auto& voter : log.config().allVoters())
+    addresses.insert(addressOf(voter));
+  addresses.erase(addressOf(self));
+  for (const auto& address : addresses)
+    send(address, JoinRequest{self, false});
+}
+void RaftNode::Core::tickLeave(Instant now) {
+  if (!leaving || exitAllowed)
+    return;
+  if (log.config().voters == std::vector<MemberId>{self} && !log.config().joint())
+    exitAllowed = true;  // there is nobody to leave anything to
+  if (now - lastLeaveAt < options.leaveInterval)
+    return;
+  lastLeaveAt = now;
+  if (role == Role::leader)
+    return transferLeadership(now);
+  if (!leader.empty())
+    send(leader, LeaveRequest{currentTerm});
+}
+void RaftNode::Core::onLeaveRequest(Instant now, const MemberId& from) {
+  if (role != Role::leader)
+    return;
+  trackPeer(now, from);
+  peers[from].leaveAskedAt = now;
+  tickMembership(now);
+  if (canDoWithout(now, from))
+    send(from, LeaveResponse{currentTerm});
+}
+// Whether a member that wants to end may do so: it is out of the committed configuration, or removing it would bear
+// no more losses than keeping it; and a majority without it has on disk all that is committed.
+bool RaftNode::Core::canDoWithout(Instant now, const MemberId& member) const {
+  const bool settled = leaseValid(now) && commitNumber >= firstNumberOfTerm && log.configNumber() <= commitNumber;
+  if (!settled || log.config().joint())
+    return false;
+  if (!log.config().isVoter(member))
+    return true;
+  return !learnerCatchingUp(now) && holdsCommitted(member);
+}
+bool RaftNode::Core::holdsCommitted(const MemberId& without) const {
+  const auto& voters = log.config().voters;
+  std::size_t holding = 0, others = 0;
+  for (const auto& voter : voters) {
+    if (voter == without)
+      continue;
+    ++others;
+    const auto peer = peers.find(voter);
+    const auto onDisk = voter == self ? persistedNumber : peer == peers.end() ? 0 : peer->second.matchedNumber;
+    if (onDisk >= commitNumber)
+      ++holding;
+  }
+  return holding >= std::min(majorityOf(voters.size()), others);
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/consensus/src/membership_policy.cpp
@@ -0,0 +1,51 @@
+#include "consensus/membership_policy.hpp"
+
+namespace zc {
+namespace {
+constexpr std::size_t kFewestVoters = 3;  // below this a single lost disk could take what was acknowledged
+
+// Unhealthy voters that may be kept to fill up an odd number, the most likely to come back first.
+std::vector<MemberId> unhealthyInOrder(const std::vector<VoterStatus>& voters) {
+  std::vector<MemberId> ordered;
+  for (const auto health : {VoterHealth::silent, VoterHealth::leaving, VoterHealth::superseded})
+    for (const auto& voter : voters)
+      if (voter.health == health)
+        ordered.push_back(voter.id);
+  return ordered;
+}
+std::size_t oddAtMost(std::size_t count) {
+  return count % 2 == 1 ? count : count - 1;
+}
+// With an even number of healthy machines: one silent voter kept beside them bears as much as one machine fewer, and
+// a voter that only restarts needs no change of the configuration then.
+std::size_t targetSize(std::size_t healthy, std::size_t present, bool anyUnhealthy) {
+  if (healthy % 2 == 1)
+    return healthy;
+  if (anyUnhealthy && healthy + 1 <= present)
+    return healthy + 1;
+  return healthy > 0 ? healthy - 1 : 0;
+}
+}  // namespace
+
+std::vector<MemberId> chooseVoters(const std::vector<VoterStatus>& voters, const std::vector<MemberId>& learners,
+                                   std::size_t mostVoters) {
+  std::vector<MemberId> candidates;
+  for (const auto& voter : voters)
+    if (voter.health == VoterHealth::healthy)
+      candidates.push_back(voter.id);
+  candidates.insert(candidates.end(), learners.begin(), learners.end());
+  const auto unhealthy = unhealthyInOrder(voters);
+
+  auto target = targetSize(candidates.size(), voters.size(), !unhealthy.empty());
+  target = std::min(target, oddAtMost(mostVoters));
+  target = std::max(target, std::min(kFewestVoters, voters.size()));
+
+  auto chosen = candidates;
+  if (chosen.size() > target)
+    chosen.resize(target);
+  for (const auto& member : unhealthy)
+    if (chosen.size() < target)
+      chosen.push_back(member);
+  return chosen;
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/consensus/src/messages.cpp
@@ -0,0 +1,32 @@
+#include "consensus/messages.hpp"
+
+#include "transport/avro.hpp"
+
+namespace zc {
+namespace {
+template <std::size_t Index = 0>
+Outcome<ConsensusMessage> decodeAlternative(std::size_t type, std::string_view record) {
+  if constexpr (Index == std::variant_size_v<ConsensusMessage>) {
+    return fault(0, "unknown type of consensus message " + std::to_string(type));
+  } else {
+    if (type != Index)
+      return decodeAlternative<Index + 1>(type, record);
+    auto message = avro::decode<std::variant_alternative_t<Index, ConsensusMessage>>(record);
+    if (!message)
+      return tl::unexpected(message.error());
+    return ConsensusMessage(std::move(*message));
+  }
+}
+}  // namespace
+
+std::string encodeMessage(const ConsensusMessage& message) {
+  std::string bytes(1, static_cast<char>(message.index()));
+  bytes += std::visit([](const auto& alternative) { return avro::encode(alternative); }, message);
+  return bytes;
+}
+Outcome<ConsensusMessage> decodeMessage(std::string_view bytes) {
+  if (bytes.empty())
+    return fault(0, "empty consensus message");
+  return decodeAlternative(static_cast<unsigned char>(bytes.front()), bytes.substr(1));
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/consensus/src/persistence.hpp
@@ -0,0 +1,52 @@
+// Records on their way to the disk, and the messages that may only be sent once a record is there.
+#pragma once
+#include "consensus/disk_record.hpp"
+#include "consensus/messages.hpp"
+namespace zc {
+// Names a record handed to the disk; tickets rise.
+using PersistTicket = std::int64_t;
+
+struct HeldMessage {
+  MemberId to;
+  ConsensusMessage message;
+  std::int64_t term = 0;  // the sender's term when it was written; void in a later one
+};
+class Persistence {
+ public:
+  struct Pending {
+    PersistTicket ticket = 0;
+    DiskRecord record;
+    std::int64_t lastNumber = 0, lastTerm = 0;  // the end of the log that it makes durable
+    bool failed = false;
+    Instant retryAt{};
+    Span waited{0};
+  };
+  // The next record's number on this disk.
+  std::int64_t nextSequence() { return ++lastSequence_; }
+  void recoveredSequence(std::int64_t sequence) { lastSequence_ = std::max(lastSequence_, sequence); }
+  PersistTicket add(DiskRecord record, std::int64_t lastNumber, std::int64_t lastTerm);
+  PersistTicket newestTicket() const { return lastTicket_; }
+  // Keeps a message until `ticket` is on the disk. False: it is there already, the message may go.
+  bool hold(PersistTicket ticket, HeldMessage message);
+  // The disk has taken a record. Nothing: an unknown ticket.
+  std::optional<Pending> completed(PersistTicket ticket);
+  // Messages whose records are all on the disk.
+  std::vector<HeldMessage> releasedMessages();
+  void failed(PersistTicket ticket, Instant retryAt);
+  // The oldest failed record whose time has come, with its retry set to `next`.
+  const Pending* dueRetry(Instant now, Instant next);
+  // Adds `step` to the age of all records under way.
+  void age(Span step);
+  bool oldestFailed() const { return !pending_.empty() && pending_.front().failed; }
+  Span oldestWait() const { return pending_.empty() ? Span(0) : pending_.front().waited; }
+  const std::deque<Pending>& pending() const { return pending_; }
+  std::size_t heldCount() const { return held_.size(); }
+  const std::vector<std::pair<PersistTicket, HeldMessage>>& held() const { return held_; }
+
+ private:
+  std::int64_t lastSequence_ = 0;
+  PersistTicket lastTicket_ = 0;
+  std::deque<Pending> pending_;
+  std::vector<std::pair<PersistTicket, HeldMessage>> held_;
+};
+}  // namespace zc
--- /dev/null
+++ b/libs/consensus/src/raft_core.cpp
@@ -0,0 +1,259 @@
+#include "raft_core.hpp"
+
+#include "runtime/log_ring.hpp"
+
+namespace zc {
+namespace {
+constexpr std::size_t kMostBodies = 4;  // large bodies kept that came ahead of their entries
+}
+
+RaftNode::Core::Core(MemberId member, RaftOptions raftOptions, std::uint64_t seed)
+    : self(std::move(member)),
+      options(std::move(raftOptions)),
+      random(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))) {}
+
+void RaftNode::Core::setRole(Role next) {
+  if (role == next)
+    return;
+  role = next;
+  ring::note(self + " role " + std::to_string(static_cast<int>(role)) + " term " + std::to_string(currentTerm));
+}
+// A learner that is named a voter becomes a follower, and the other way round.
+void RaftNode::Core::followConfig() {
+  if (role == Role::learner || role == Role::follower)
+    setRole(idleRole());
+}
+// With `after`: once that record and all before it are on the disk.
+void RaftNode::Core::send(const MemberId& to, ConsensusMessage message, PersistTicket after) {
+  HeldMessage held{to, std::move(message), currentTerm};
+  if (persistence.hold(after, held))
+    return;
+  actions.push_back(SendMessage{std::move(held.to), std::move(held.message)});
+}
+DiskRecord RaftNode::Core::emptyRecord() {
+  DiskRecord record;
+  record.seq = persistence.nextSequence();
+  record.term = currentTerm;
+  record.lastLedTerm = lastLedTerm;
+  record.self = self;
+  record.votedFor = votedFor;
+  return record;
+}
+PersistTicket RaftNode::Core::handToDisk(DiskRecord record) {
+  const auto ticket = persistence.add(record, log.lastNumber(), log.lastTerm());
+  actions.push_back(PersistRecord{ticket, std::move(record)});
+  return ticket;
+}
+// Term and vote, and the entries from `fromNumber` on (0: none).
+PersistTicket RaftNode::Core::persist(std::int64_t fromNumber, std::vector<Entry> entries) {
+  auto record = emptyRecord();
+  record.fromNumber = fromNumber;
+  record.entries = std::move(entries);
+  return handToDisk(std::move(record));
+}
+PersistTicket RaftNode::Core::persistAll() {
+  auto record = emptyRecord();
+  record.full = true;
+  record.snapshotNumber = log.snapshot().number;
+  record.snapshotTerm = log.snapshot().term;
+  record.snapshotConfig = encodeConfig(log.snapshot().config);
+  record.state = log.snapshot().state;
+  record.fromNumber = log.snapshot().number + 1;
+  record.entries.assign(log.entries().begin(), log.entries().end());
+  return handToDisk(std::move(record));
+}
+// A higher term ends whatever this member did in the lower one.
+PersistTicket RaftNode::Core::enterTerm(Instant now, std::int64_t term, const MemberId& voteFor) {
+  currentTerm = term;
+  votedFor = voteFor;
+  leader.clear();
+  matchedNumber = 0;
+  preVoting = false;
+  setRole(idleRole());
+  armElection(now);
+  termTicket = persist(0, {});
+  return termTicket;
+}
+void RaftNode::Core::armElection(Instant now) {
+  const auto spread = static_cast<std::uint64_t>(std::max<std::int64_t>(1, options.electionTimeoutSpread.count()));
+  electionAt = now + options.electionTimeout + Span(static_cast<std::int64_t>(random() % spread));
+}
+void RaftNode::Core::commitUpTo(std::int64_t number) {
+  number = std::min(number, log.lastNumber());
+  while (commitNumber < number) {
+    ++commitNumber;
+    actions.push_back(ApplyEntry{*log.at(commitNumber)});
+  }
+}
+void RaftNode::Core::rememberBody(EntryBody body) {
+  const auto [entry, added] = bodies.emplace(body.digest, std::move(body.body));
+  if (!added)
+    return;
+  bodyOrder.push_back(entry->first);
+  if (bodyOrder.size() <= kMostBodies)
+    return;
+  bodies.erase(bodyOrder.front());
+  bodyOrder.pop_front();
+}
+// False: the entry's body was left out and has not come ahead of it.
+bool RaftNode::Core::fillBody(Entry& entry) const {
+  if (!entry.omitted)
+    return true;
+  const auto body = bodies.find(entry.digest);
+  if (body == bodies.end())
+    return false;
+  entry.blob = body->second;
+  entry.omitted = false;
+  return true;
+}
+// A sync ages by the turns of this loop, each counted for two regular ones at most. Why: where the loop itself comes
+// late, the answer of a good disk lies unread, and the leadership would go round among members that are all as busy.
+void RaftNode::Core::ageSyncs(Instant now) {
+  const auto sinceTick = lastTickAt == Instant{} ? Span(0) : toSpan(now - lastTickAt);
+  lastTickAt = now;
+  persistence.age(std::min(sinceTick, options.tickInterval * 2));
+}
+bool RaftNode::Core::diskStalled() const {
+  return persistence.oldestFailed() || persistence.oldestWait() > options.syncStalledAfter;
+}
+void RaftNode::Core::retryPersist(Instant now) {
+  const auto* due = persistence.dueRetry(now, now + options.persistRetry);
+  if (due)
+    actions.push_back(PersistRecord{due->ticket, due->record});
+}
+void RaftNode::Core::onPersisted(Instant now, PersistTicket ticket) {
+  const auto done = persistence.completed(ticket);
+  if (!done)
+    return;
+  // What was replaced meanwhile is not the log's any more.
+  if (done->lastNumber <= log.lastNumber() && log.termAt(done->lastNumber) == done->lastTerm)
+    persistedNumber = std::max(persistedNumber, done->lastNumber);
+  if (role == Role::candidate && !preVoting && ticket == ownVoteTicket)
+    votes.insert(self);
+  for (auto& held : persistence.releasedMessages())
+    if (held.term == currentTerm)  // a vote or a question of a term already left behind is void
+      actions.push_back(SendMessage{std::move(held.to), std::move(held.message)});
+  winIfElected(now);
+  if (role == Role::leader)
+    return advanceCommit(now);
+  if (std::min(matchedNumber, persistedNumber) > 0)
+    acknowledge(0, 0);
+}
+
+RaftNode::RaftNode(MemberId self, RaftOptions options, std::uint64_t seed, Instant now)
+    : core_(std::make_unique<Core>(std::move(self), std::move(options), seed)) {
+  core_->armElection(now);
+}
+RaftNode::~RaftNode() = default;
+RaftNode::RaftNode(const RaftNode& other) : core_(std::make_unique<Core>(*other.core_)) {}
+RaftNode& RaftNode::operator=(const RaftNode& other) {
+  *core_ = *other.core_;
+  return *this;
+}
+void RaftNode::found(const std::vector<MemberId>& founders, Instant) {
+  core_->found(founders);
+}
+void RaftNode::recover(const std::vector<DiskRecord>& records, Instant now) {
+  core_->recover(records, now);
+}
+void RaftNode::setSeeds(std::vector<std::string> addresses) {
+  core_->seedAddresses = std::move(addresses);
+}
+void RaftNode::tick(Instant now) {
+  auto& core = *core_;
+  core.ageSyncs(now);
+  core.retryPersist(now);
+  core.tickLeave(now);
+  if (core.role == Role::leader)
+    return core.tickLeader(now);
+  core.tickJoin(now);
+  if (core.role != Role::learner)
+    core.tickElection(now);
+}
+void RaftNode::receive(Instant now, const MemberId& from, ConsensusMessage message) {
+  auto& core = *core_;
+  struct Dispatch {
+    Core& core;
+    Instant now;
+    const MemberId& from;
+    void operator()(VoteRequest& m) { core.onVoteRequest(now, from, m); }
+    void operator()(VoteResponse& m) { core.onVoteResponse(now, from, m); }
+    void operator()(AppendEntries& m) { core.onAppendEntries(now, from, std::move(m)); }
+    void operator()(AppendEntriesResponse& m) { core.onAppendResponse(now, from, m); }
+    void operator()(InstallSnapshot& m) { core.onInstallSnapshot(now, from, std::move(m)); }
+    void operator()(TransferLeadership& m) { core.onTransferLeadership(now, m); }
+    void operator()(JoinRequest& m) { core.onJoinRequest(now, from, m); }
+    void operator()(LeaveRequest&) { core.onLeaveRequest(now, from); }
+    void operator()(LeaveResponse&) { core.exitAllowed = core.leaving; }
+    void operator()(EntryBody& m) { core.rememberBody(std::move(m)); }
+  };
+  std::visit(Dispatch{core, now, from}, message);
+}
+bool RaftNode::submit(Instant now, Entry entry) {
+  return core_->submit(now, std::move(entry));
+}
+void RaftNode::persisted(Instant now, std::int64_t ticket, bool ok) {
+  if (ok)
+    core_->onPersisted(now, ticket);
+  else
+    core_->persistence.failed(ticket, now + core_->options.persistRetry);
+}
+void RaftNode::compact(std::int64_t number, std::string state, Instant) {
+  core_->compact(number, std::move(state));
+}
+void RaftNode::transferLeadership(Instant now) {
+  if (core_->role == Role::leader)
+    core_->transferLeadership(now);
+}
+void RaftNode::leave(Instant now) {
+  core_->leaving = true;
+  core_->tickLeave(now);
+}
+std::vector<RaftAction> RaftNode::takeActions() {
+  return std::exchange(core_->actions, {});
+}
+Role RaftNode::role() const {
+  return core_->role;
+}
+std::int64_t RaftNode::term() const {
+  return core_->currentTerm;
+}
+MemberId RaftNode::leader() const {
+  return core_->leader;
+}
+std::int64_t RaftNode::commitNumber() const {
+  return core_->commitNumber;
+}
+std::int64_t RaftNode::firstNumber() const {
+  return core_->log.snapshot().number + 1;
+}
+bool RaftNode::hasLease(Instant now) const {
+  return core_->leaseValid(now) && core_->commitNumber >= core_->firstNumberOfTerm;
+}
+bool RaftNode::inContactWithMajority(Instant now) const {
+  if (core_->role == Role::leader)
+    return hasLease(now);
+  return !core_->leader.empty() && core_->leaderHadLease && now - core_->leaderHeardAt < core_->options.lease;
+}
+bool RaftNode::mayExit() const {
+  return core_->exitAllowed;
+}
+const ClusterConfig& RaftNode::config() const {
+  return core_->log.config();
+}
+std::vector<MemberId> RaftNode::voters() const {
+  return core_->log.config().allVoters();
+}
+const Entry* RaftNode::entryAt(std::int64_t number) const {
+  return core_->log.at(number);
+}
+bool RaftNode::diskStalled() const {
+  return core_->diskStalled();
+}
+const MemberId& RaftNode::self() const {
+  return core_->self;
+}
+std::int64_t RaftNode::snapshotsRefused() const {
+  return core_->snapshotsRefused;
+}
+}  // namespace zc
--- a/libs/controller/src/core.cpp
+++ b/libs/controller/src/core.cpp
@@ -13,7 +13,9 @@
 constexpr std::size_t kView = 12;
 constexpr std::size_t kMemberBacklog = 4u << 20;  // bytes that wait for a member before it is told again later
 constexpr auto kTellPartner = 2000ms;
-constexpr int kViewEvery = 8;  // state messages: the members and a part of the view go with each so many-th
+constexpr Span kLeaveAtLeast = 400ms;   // answers under way are sent before the process ends
+constexpr Span kLeaveReserve = 1500ms;  // the process ends so long before it would be killed, whatever the others say
+constexpr int kViewEvery = 8;           // state messages: the members and a part of the view go with each so many-th
 std::string hostOf(const std::string& addr) {
   return addr.substr(0, addr.rfind(':'));
 }
@@ -68,17 +70,18 @@
     self = s_.ip + "#0";
   else
     self = s_.ip + "#" + std::to_string(boot_ | 1);
-  OrderParams params;
-  params.tolerate = static_cast<std::size_t>(s_.tolerateMachines);
-  order_ = std::make_unique<Order>(self, params, boot_, now);
-  order_->seeds(seedIps);
+  RaftOptions options;
+  options.largeBody = kBulkyBody;
+  options.snapshotIsValid = [](const std::string& state) { return ReplicatedState{}.restore(state).has_value(); };
+  raft_ = std::make_unique<RaftNode>(self, options, boot_, now);
+  raft_->setSeeds(seedIps);
   for (auto& x : seedIps)
     view_.add(x + "/core");
   disk_ = std::make_unique<StorageThread>(std::move(store));
   if (!pages->empty())
-    order_->recover(*pages, now);
+    raft_->recover(*pages, now);
   else if (founder)
-    order_->found(founders, now);
+    raft_->found(founders, now);
   ring::note("starts as " + self + (pages->empty() ? founder ? ", a founder" : ", empty" : ", with its disk"));
   auto ep = parseEndpoint(s_.ip + ":" + std::to_string(s_.portFirst));
   if (!ep)
@@ -91,15 +94,15 @@
   if (!ok)
     return ok;
   // Why at once: the first question to the others must not be lost to a connection not dialled yet.
-  for (auto& x : order_->members())
-    dialer(ipOf(x));
-  if (order_->members().empty())
+  for (auto& x : raft_->voters())
+    dialer(addressOf(x));
+  if (raft_->voters().empty())
     for (auto& x : seedIps)
       dialer(x);
   EventLoop::get().every(kTick, [this] { tick(); });
   EventLoop::get().every(1000ms, [this] {
-    const auto seq = order_->leader();
-    if (!beatsToTell_.empty() && !seq.empty() && seq != order_->self()) {
+    const auto seq = raft_->leader();
+    if (!beatsToTell_.empty() && !seq.empty() && seq != raft_->self()) {
       Msg m = msgOf(Kind::beats);
       m.names = std::exchange(beatsToTell_, {});
       sendTo(seq, m);
@@ -118,7 +121,7 @@
 }
 
 void Core::tick() {
-  order_->tick(Clock::now());
+  raft_->tick(Clock::now());
   if (wasLeader_ && ++turns_ % 4 == 0)
     outliers_.weigh(Clock::now(), copy_.state().runners);
   run();
@@ -128,43 +131,23 @@
   if (running_)
     return;
   running_ = true;
-  for (auto acts = order_->take(); !acts.empty(); acts = order_->take())
-    for (auto& a : acts)
-      switch (a.what) {
-        case Action::What::send:
-          sendTo(a.to, a.msg);
-          break;
-        case Action::What::keep:
-          disk_->keep(std::move(a.page), [this, t = a.ticket](bool ok) {
-            if (!ok)
-              ring::alarm("the disk took no page");
-            order_->kept(Clock::now(), t, ok);
-            run();
-          });
-          break;
-        case Action::What::release:
-          release(a.entry);
-          break;
-        case Action::What::install:
-          install(a.entry);
-          break;
-        case Action::What::role:
-          break;
-      }
+  for (auto actions = raft_->takeActions(); !actions.empty(); actions = raft_->takeActions())
+    for (auto& action : actions)
+      std::visit([this](auto& alternative) { carryOut(alternative); }, action);
   running_ = false;
-  const bool seq = order_->role() == Role::leader;
+  const bool seq = raft_->role() == Role::leader;
   if (seq && !wasLeader_) {
     leaderSince_ = Clock::now();
     quota_.takeOver(leaderSince_);
-    outliers_.takeOver(order_->term());
-    ring::note("takes the leader's role in term " + std::to_string(order_->term()));
+    outliers_.takeOver(raft_->term());
+    ring::note("takes the leader's role in term " + std::to_string(raft_->term()));
   }
   if (!seq && wasLeader_)
     for (auto& [n, t] : agents_)
       t.fed = -1;
   wasLeader_ = seq;
-  if (order_->leader() != lastLeader_) {
-    lastLeader_ = order_->leader();
+  if (raft_->leader() != lastLeader_) {
+    lastLeader_ = raft_->leader();
     tellAgents();
     for (auto& [id, ws] : writes_)
       for (auto* w : ws)
@@ -173,6 +156,25 @@
   if (seq)
     feedAll();
 }
+void Core::carryOut(SendMessage& action) {
+  Msg m = msgOf(Kind::consensus);
+  m.blob = encodeMessage(action.message);
+  sendTo(action.to, m);
+}
+void Core::carryOut(PersistRecord& action) {
+  disk_->keep(std::move(action.record), [this, ticket = action.ticket](bool ok) {
+    if (!ok)
+      ring::alarm("the disk took no record");
+    raft_->persisted(Clock::now(), ticket, ok);
+    run();
+  });
+}
+void Core::carryOut(ApplyEntry& action) {
+  release(action.entry);
+}
+void Core::carryOut(RestoreSnapshot& action) {
+  install(action.state);
+}
 void Core::release(const Entry& e) {
   const auto c = copy_.apply(e);
   // Why stop: what every member applied alike came out otherwise here. The disk's pages, replayed, set it right.
@@ -195,12 +197,12 @@
   const bool forgettable = needed + kCompactAfter / 2 >= copy_.state().num;
   if (++sinceCompact_ >= (forgettable ? kCompactAfter : 4 * kCompactAfter)) {
     sinceCompact_ = 0;
-    order_->compact(copy_.state().num, copy_.snapshot(), Clock::now());
+    raft_->compact(copy_.state().num, copy_.snapshot(), Clock::now());
   }
 }
-void Core::install(const Entry& e) {
-  if (auto r = copy_.restore(e.blob); !r)
-    ring::alarm("snapshot errorResponse: " + r.error().text);
+void Core::install(const std::string& state) {
+  // Why stop: what was agreed on stands in this snapshot, and nothing may be applied on top of anything else.
+  must(copy_.restore(state).has_value(), "a snapshot that was found valid restores");
   adoptConfiguration();
   for (auto& [id, ws] : writes_)
     if (auto v = copy_.verdictOf(id))
@@ -235,7 +237,7 @@
 }
 void Core::sendTo(const std::string& member, const Msg& m) {
   Msg x = m;
-  x.from = order_->self();
+  x.from = raft_->self();
   // The order bears losses: one that reads slowly is told again later.
   auto post = [&](PeerLink& l) {
     if (l.backlog() <= kMemberBacklog)
@@ -246,7 +248,7 @@
   if (it != lastLink_.end())
     if (auto l = it->second.lock(); l && l->open() && Clock::now() - l->heard() < 1s)
       return post(*l);
-  if (auto* mo = dialer(ipOf(member)); mo && mo->up())
+  if (auto* mo = dialer(addressOf(member)); mo && mo->up())
     post(*mo->link());
 }
 void Core::onMsg(const PeerLinkPtr& l, Msg m) {
@@ -260,7 +262,7 @@
         t = AgentSession{};
         t.link = l;
       }
-      view_.add(ipOf(m.from) + "/access");
+      view_.add(addressOf(m.from) + "/access");
       view_.merge(m.view);
       t.applied = m.num;
       auto r = stateAck();
@@ -281,17 +283,17 @@
       t.link = l;
       t.fed = std::max<std::int64_t>(0, m.num);
       t.held = m.names.empty() ? std::string{} : m.names.front();
-      if (order_->role() != Role::leader)
+      if (raft_->role() != Role::leader)
         return l->send(stateAck());
       // A refetch must be answered in full: what was omitted before is not omitted again.
       // One that holds nothing, or nothing that it trusts, takes a snapshot instead.
-      if (m.flag && t.fed > 0 && t.fed + 1 >= order_->firstKept()) {
+      if (m.flag && t.fed > 0 && t.fed + 1 >= raft_->firstNumber()) {
         Msg r = msgOf(Kind::feed);
-        r.from = order_->self();
-        r.term = order_->term();
-        for (auto n = t.fed + 1; n <= order_->released(); ++n)
-          r.entries.push_back(*order_->at(n));
-        r.num = order_->released();
+        r.from = raft_->self();
+        r.term = raft_->term();
+        for (auto n = t.fed + 1; n <= raft_->commitNumber(); ++n)
+          r.entries.push_back(*raft_->entryAt(n));
+        r.num = raft_->commitNumber();
         t.fed = r.num;
         return l->sendBulk(frameOf(r));
       }
@@ -300,12 +302,12 @@
     }
     case Kind::challenge: {
       Msg r = msgOf(Kind::lease);
-      r.from = order_->self();
+      r.from = raft_->self();
       r.nonce = m.nonce;
-      r.who = order_->leader();
-      r.term = order_->term();
-      r.ok = order_->leased(now);
-      r.num = order_->released();
+      r.who = raft_->leader();
+      r.term = raft_->term();
+      r.ok = raft_->hasLease(now);
+      r.num = raft_->commitNumber();
       r.commit = nodesHeard_;
       if (!m.load.empty())
         loads_[m.from] = {m.load, now};
@@ -321,8 +323,8 @@
     }
     case Kind::draw: {
       Msg r = msgOf(Kind::drawn);
-      r.from = order_->self();
-      r.ok = order_->leased(now);
+      r.from = raft_->self();
+      r.ok = raft_->hasLease(now);
       // Why for nobody in particular: what waits is spent at once and belongs to no stash.
       if (r.ok)
         r.grants = quota_.draw(now, {}, m.grants, {}, cfg_.get());
@@ -333,7 +335,7 @@
       Msg r = msgOf(Kind::held);
       r.nonce = m.nonce;
       // Alike whether the partner does not hold it, or has not told: only whether to go there.
-      if (hints_ && order_->leased(now) &&
+      if (hints_ && raft_->hasLease(now) &&
           hints_->elsewhere(now, hintEpoch(), static_cast<std::uint64_t>(m.num),
                             static_cast<std::uint64_t>(m.prevTerm)))
         r.names = s_.partner->access;
@@ -358,7 +360,7 @@
       // A write sent again after it was released is that same write; the sender sees it in its own queue.
       for (auto& e : m.entries)
         if (!copy_.verdictOf(e.opId))
-          r.ok = order_->submit(now, std::move(e)) && r.ok;
+          r.ok = raft_->submit(now, std::move(e)) && r.ok;
       sendTo(m.from, r);
       return run();
     }
@@ -374,13 +376,18 @@
   if (m.from.empty())
     return;
   lastLink_[m.from] = l;
-  view_.add(ipOf(m.from) + "/core");
-  order_->hear(now, std::move(m));
+  view_.add(addressOf(m.from) + "/core");
+  if (m.what() != Kind::consensus)
+    return;
+  auto message = decodeMessage(m.blob);
+  if (!message)
+    return ring::alarm(m.from + ": " + message.error().text);
+  raft_->receive(now, m.from, std::move(*message));
   run();
 }
 
 std::string Core::opId() {
-  return order_->self() + "/" + std::to_string(boot_ % 100000) + "." + std::to_string(++opNo_);
+  return raft_->self() + "/" + std::to_string(boot_ % 100000) + "." + std::to_string(++opNo_);
 }
 
 Outcome<std::int32_t> Core::write(Entry e, Span within) {
@@ -389,9 +396,9 @@
   writes_[e.opId].push_back(&me);
   bool shared = false;
   while (!me.verdict && Clock::now() < end) {
-    const auto seq = order_->leader();
-    if (seq == order_->self()) {
-      order_->submit(Clock::now(), e);
+    const auto seq = raft_->leader();
+    if (seq == raft_->self()) {
+      raft_->submit(Clock::now(), e);
       run();
     } else if (!seq.empty()) {
       Msg m = msgOf(Kind::submit);
@@ -423,13 +430,13 @@
 Outcome<void> Core::fresh(Span within) {
   const auto end = Clock::now() + within;
   while (Clock::now() < end) {
-    if (order_->leased(Clock::now()))
+    if (raft_->hasLease(Clock::now()))
       return {};
-    const auto seq = order_->leader();
+    const auto seq = raft_->leader();
     Read me;
     const auto n = ++nonce_;
     reads_[n] = &me;
-    if (!seq.empty() && seq != order_->self()) {
+    if (!seq.empty() && seq != raft_->self()) {
       Msg m = msgOf(Kind::challenge);
       m.nonce = n;
       sendTo(seq, m);
@@ -452,7 +459,7 @@
   beatsToTell_.push_back(id);
 }
 void Core::watchRunners(Instant now) {
-  if (!order_->leased(now))
+  if (!raft_->hasLease(now))
     return;
   // Why not sooner: a runner must have had time to find a node that answers, and we to hear of it.
   const auto patience = s_.heartbeat * 3 + 1500ms;
@@ -469,7 +476,7 @@
     gone.state = static_cast<std::int32_t>(RunnerState::gone);
     gone.sequence = 0;  // missed, not left: it may beat again
     ring::note("runner " + r.id + " missed");
-    order_->submit(now, runnerOp(gone, "missed/" + r.id + "/" + std::to_string(r.sequence)));
+    raft_->submit(now, runnerOp(gone, "missed/" + r.id + "/" + std::to_string(r.sequence)));
   }
   std::erase_if(beats_, [&](auto& b) { return now - b.second > 60s; });
   if (!missed.empty())
@@ -481,7 +488,7 @@
     ips.push_back(hostOf(x));
   for (auto& x : ips)
     view_.add(x + "/core");
-  order_->seeds(ips);
+  raft_->setSeeds(ips);
   s_.seeds = s.seeds;
   s_.timers = s.timers;
   ring::note("settings read again");
@@ -490,15 +497,20 @@
   if (leaving_)
     return;
   leaving_ = true;
-  order_->handOver(Clock::now());
+  raft_->leave(Clock::now());
   run();
-  auto t = std::make_shared<asio::steady_timer>(EventLoop::get().io(), 400ms);
-  t->async_wait([t, done](Ec) { done(); });
+  const auto begun = Clock::now();
+  const auto deadline = begun + std::max(kLeaveAtLeast, s_.timers.grace - kLeaveReserve);
+  EventLoop::get().every(kTick, [this, done, begun, deadline] {
+    const auto now = Clock::now();
+    if (now - begun >= kLeaveAtLeast && (raft_->mayExit() || now >= deadline))
+      done();
+  });
 }
 std::string Core::leaderControl() const {
-  const auto seq = order_->leader();
-  if (seq.empty() || seq == order_->self())
+  const auto seq = raft_->leader();
+  if (seq.empty() || seq == raft_->self())
     return {};
-  return ipOf(seq) + s_.controlAddr.substr(s_.controlAddr.rfind(':'));
+  return addressOf(seq) + s_.controlAddr.substr(s_.controlAddr.rfind(':'));
 }
 }  // namespace zc
--- a/libs/controller/src/core.hpp
+++ b/libs/controller/src/core.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include "config/configuration.hpp"
 #include "config/settings.hpp"
-#include "consensus/order.hpp"
+#include "consensus/raft_node.hpp"
 #include "hints/hints.hpp"
 #include "outliers.hpp"
 #include "quota.hpp"
@@ -55,8 +55,12 @@
   };
   void run();  // carries out what the order asks for
   void onMsg(const PeerLinkPtr& l, Msg m);
+  void carryOut(SendMessage& action);
+  void carryOut(PersistRecord& action);
+  void carryOut(ApplyEntry& action);
+  void carryOut(RestoreSnapshot& action);
   void release(const Entry& e);
-  void install(const Entry& e);
+  void install(const std::string& state);
   void adoptConfiguration();
   void feed(AgentSession& t);
   void feedAll();
@@ -74,7 +78,7 @@
   void shareBody(const Entry& e);
 
   Settings s_;
-  std::unique_ptr<Order> order_;
+  std::unique_ptr<RaftNode> raft_;
   std::unique_ptr<StorageThread> disk_;
   ReplicatedState copy_;
   std::shared_ptr<const Configuration> cfg_;
--- a/libs/controller/src/core_feed.cpp
+++ b/libs/controller/src/core_feed.cpp
@@ -11,11 +11,11 @@
 
 Msg Core::stateAck() {
   Msg r = msgOf(Kind::stateAck);
-  r.from = order_->self();
-  r.term = order_->term();
-  r.who = order_->leader();
-  r.names = order_->members();
-  r.num = order_->released();
+  r.from = raft_->self();
+  r.term = raft_->term();
+  r.who = raft_->leader();
+  r.names = raft_->voters();
+  r.num = raft_->commitNumber();
   r.view = view_.sample();
   return r;
 }
@@ -31,28 +31,28 @@
   }
 }
 std::shared_ptr<const std::string> Core::feedFrame(std::int64_t from, const std::string& held) {
-  if (std::exchange(framesOf_, order_->released()) != order_->released())
+  if (std::exchange(framesOf_, raft_->commitNumber()) != raft_->commitNumber())
     frames_.clear();
-  const bool whole = from + 1 < order_->firstKept() || from == 0;
+  const bool whole = from + 1 < raft_->firstNumber() || from == 0;
   auto& f = whole ? frames_[{-1, held}] : frames_[{from, {}}];
   if (f)
     return f;
   Msg m = msgOf(Kind::feed);
-  m.from = order_->self();
-  m.term = order_->term();
-  m.num = order_->released();
+  m.from = raft_->self();
+  m.term = raft_->term();
+  m.num = raft_->commitNumber();
   if (whole) {
     m.ok = true;
     // What the receiver holds already is not sent again: only the difference from it.
     m.blob = copy_.snapshotFor(from == 0 ? std::string{} : held);
     m.num = copy_.state().num;
   } else {
-    for (auto n = from + 1; n <= order_->released(); ++n) {
-      m.entries.push_back(*order_->at(n));
+    for (auto n = from + 1; n <= raft_->commitNumber(); ++n) {
+      m.entries.push_back(*raft_->entryAt(n));
       auto& e = m.entries.back();
       // The node that took a large write has fanned its body out already, to the agents linked to it.
-      if (e.blob.size() > kBulkyBody && !e.digest.empty() && order_->members().size() <= kAgentLinks &&
-          e.opId.rfind(order_->self() + "/", 0) != 0) {
+      if (e.blob.size() > kBulkyBody && !e.digest.empty() && raft_->voters().size() <= kAgentLinks &&
+          e.opId.rfind(raft_->self() + "/", 0) != 0) {
         e.blob.clear();
         e.omitted = true;
       }
@@ -61,10 +61,10 @@
   return f = std::make_shared<const std::string>(frameOf(m));
 }
 void Core::feed(AgentSession& t) {
-  if (t.fed < 0 || !t.link->open() || t.fed >= order_->released() || t.link->backlog() > kAgentBacklog)
+  if (t.fed < 0 || !t.link->open() || t.fed >= raft_->commitNumber() || t.link->backlog() > kAgentBacklog)
     return;
   t.link->sendBulk(feedFrame(t.fed, t.held));
-  t.fed = order_->released();
+  t.fed = raft_->commitNumber();
   t.held = copy_.state().digest;
 }
 void Core::feedAll() {
@@ -85,13 +85,15 @@
   }
 }
 void Core::shareBody(const Entry& e) {
+  Msg toMembers = msgOf(Kind::consensus);
+  toMembers.blob = encodeMessage(EntryBody{e.digest, e.blob});
+  for (auto& x : raft_->voters())
+    if (x != raft_->self())
+      sendTo(x, toMembers);
   Msg b = msgOf(Kind::body);
-  b.from = order_->self();
+  b.from = raft_->self();
   b.who = e.digest;
   b.blob = e.blob;
-  for (auto& x : order_->members())
-    if (x != order_->self())
-      sendTo(x, b);
   const auto frame = std::make_shared<const std::string>(frameOf(b));
   for (auto& [n, t] : agents_)
     if (t.link->open())
--- a/libs/controller/src/core_partner.cpp
+++ b/libs/controller/src/core_partner.cpp
@@ -10,7 +10,7 @@
   return std::chrono::system_clock::now().time_since_epoch() / kHintBounds.epoch;
 }
 void Core::tellPartner() {
-  if (!order_->leased(Clock::now()) || std::exchange(tellingHints_, true))
+  if (!raft_->hasLease(Clock::now()) || std::exchange(tellingHints_, true))
     return;
   EventLoop::get().launch([this] {
     const auto body = avro::encode(hints_->news(Clock::now(), hintEpoch()));
@@ -36,7 +36,7 @@
 Outcome<std::string> Core::hintsFrom(std::string_view body, std::string_view seal) {
   if (!hints_)
     return fault(404, "no partner site");
-  if (!order_->leased(Clock::now()))
+  if (!raft_->hasLease(Clock::now()))
     return fault(503, "no lease");
   auto n = avro::decode<HintNews>(body);
   if (!hintKey_->fits(body, seal) || !n) {
--- a/libs/controller/src/core_report.cpp
+++ b/libs/controller/src/core_report.cpp
@@ -40,11 +40,11 @@
     waiting += t.link->backlog();
   static const char* duties[] = {"learner", "follower", "candidate", "leader"};
   std::string s =
-      "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(order_->self()) + ",\"role\":\"" +
-      duties[static_cast<int>(order_->role())] + "\",\"term\":" + std::to_string(order_->term()) +
-      ",\"leader\":" + quoteJson(order_->leader()) + ",\"leased\":" + (order_->leased(now) ? "true" : "false") +
-      ",\"released\":" + std::to_string(order_->released()) + ",\"applied\":" + std::to_string(copy_.state().num) +
-      ",\"diskSick\":" + (order_->diskSick(now) ? "true" : "false") +
+      "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(raft_->self()) + ",\"role\":\"" +
+      duties[static_cast<int>(raft_->role())] + "\",\"term\":" + std::to_string(raft_->term()) +
+      ",\"leader\":" + quoteJson(raft_->leader()) + ",\"leased\":" + (raft_->hasLease(now) ? "true" : "false") +
+      ",\"released\":" + std::to_string(raft_->commitNumber()) + ",\"applied\":" + std::to_string(copy_.state().num) +
+      ",\"diskSick\":" + (raft_->diskStalled() ? "true" : "false") +
       ",\"version\":" + std::to_string(copy_.state().version) + ",\"agents\":" + std::to_string(agents_.size()) +
       ",\"waitingBytes\":" + std::to_string(waiting) + ",\"hintsTold\":" + std::to_string(hints_ ? hints_->told() : 0) +
       ",\"hintsKnown\":" + std::to_string(hints_ ? hints_->known() : 0) +
@@ -52,7 +52,7 @@
       ",\"runnersAside\":" + std::to_string(outliers_.list().size()) +
       ",\"wordsDeclined\":" + std::to_string(outliers_.errorResponse()) + ",\"members\":[";
   bool first = true;
-  for (auto& m : order_->members())
+  for (auto& m : raft_->voters())
     s += (std::exchange(first, false) ? "" : ",") + quoteJson(m);
   s += "],\"runners\":[";
   first = true;
--- a/libs/storage/include/storage/storage.hpp
+++ b/libs/storage/include/storage/storage.hpp
@@ -1,6 +1,6 @@
 // Pages on disk: one file a page, written aside, synced, renamed, the folder synced. Blocking; for the disk thread.
 #pragma once
-#include "consensus/order.hpp"
+#include "consensus/disk_record.hpp"
 namespace zc {
 // The code of a fault: the disk is whole, but another version of the program wrote it. Nobody may empty it for that.
 constexpr int kOtherFormat = -2;
--- a/libs/storage/src/storage.cpp
+++ b/libs/storage/src/storage.cpp
@@ -13,7 +13,7 @@
 
 namespace zc {
 namespace {
-constexpr std::string_view kMark = "zcpage2 ", kAnyMark = "zcpage";
+constexpr std::string_view kMark = "zcpage3 ", kAnyMark = "zcpage";
 std::string nameOf(std::int64_t seq) {
   char b[40];
   std::snprintf(b, sizeof b, "page-%012lld", static_cast<long long>(seq));
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -36,16 +36,12 @@
   }
 };
 enum class Kind : std::int32_t {
-  ask = 1,
-  granted,
-  pulse,
-  pulseAck,
-  snapshot,
-  submit,
-  submitAck,
-  handOver,
-  body,
-  join,  // core
+  // Between core machines; `consensus` carries an encoded ConsensusMessage in `blob`.
+  consensus = 1,
+  submit = 6,
+  submitAck = 7,
+  body = 9,
+  // Towards access machines.
   state = 20,
   stateAck,
   follow,
@@ -56,7 +52,7 @@
   draw,
   drawn,
   whereHeld,
-  held  // towards access
+  held
 };
 struct Msg {
   std::int32_t kind = 0;
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -16,7 +16,7 @@
 }
 // A core of n machines, founded by the first three of them; two may be lost at once.
 std::vector<std::string> bootMany(World& w, int n) {
-  w.params.tolerate = 2;
+  w.tolerated = 2;
   std::vector<std::string> ips = kSeeds;
   for (int i = 3; i < n; ++i)
     ips.push_back("10." + std::to_string(i % 3 + 1) + ".0." + std::to_string(2 + i / 3));
@@ -47,12 +47,11 @@
   std::string states;
   for (auto& [ip, n] : w.nodes)
     if (n.up) {
-      states += n.id + " role " + std::to_string(static_cast<int>(n.order->role())) + " term " +
-                std::to_string(n.order->term()) + " released " + std::to_string(n.order->released()) + " sick " +
-                std::to_string(n.order->diskSick(w.now)) + " members";
-      states += " last page " + (n.disk.empty() ? "none" : std::to_string(decodeRecord(n.disk.back())->seq)) + " " +
-                n.order->debug();
-      for (auto& m : n.order->members())
+      states += n.id + " role " + std::to_string(static_cast<int>(n.raft->role())) + " term " +
+                std::to_string(n.raft->term()) + " released " + std::to_string(n.raft->commitNumber()) + " sick " +
+                std::to_string(n.raft->diskStalled()) + " members";
+      states += " last page " + (n.disk.empty() ? "none" : std::to_string(decodeRecord(n.disk.back())->seq)) + "";
+      for (auto& m : n.raft->voters())
         states += " " + m;
       states += "\n";
     }
@@ -66,7 +65,7 @@
     all += c + "\n";
   for (auto& [op, num] : w.acked)
     EXPECT_NE(all.find("|" + op + "|"), std::string::npos) << op << " lost (seed " << w.seed << ")";
-  EXPECT_GE(w.nodes[seq].order->released(), w.agreed.rbegin()->first) << "seed " << w.seed;
+  EXPECT_GE(w.nodes[seq].raft->commitNumber(), w.agreed.rbegin()->first) << "seed " << w.seed;
   EXPECT_TRUE(w.broken.empty()) << joined(w.broken);
 }
 void trouble(World& w) {
@@ -81,8 +80,9 @@
   for (auto& [o, x] : w.nodes) {
     well = well && x.up && !x.frozen && !x.diskFull && x.syncTime == Span(4);
     if (well) {
-      const auto& m = w.nodes[seq].order->members();
-      well = std::count(m.begin(), m.end(), x.id) == 1 && x.order->released() + 2 >= w.nodes[seq].order->released();
+      const auto& m = w.nodes[seq].raft->voters();
+      well =
+          std::count(m.begin(), m.end(), x.id) == 1 && x.raft->commitNumber() + 2 >= w.nodes[seq].raft->commitNumber();
     }
   }
   switch (w.draw(9)) {
@@ -98,7 +98,7 @@
     case 1:  // disks lost: only while all others are well, as the deployment promises
       if (well) {
         const auto at = std::find(ips.begin(), ips.end(), ip) - ips.begin();
-        for (std::size_t k = 0; k < w.params.tolerate; ++k) {
+        for (std::size_t k = 0; k < w.tolerated; ++k) {
           const auto lost = ips[(static_cast<std::size_t>(at) + k) % ips.size()];
           w.kill(lost);
           w.nodes[lost].disk.clear();
@@ -133,7 +133,7 @@
       break;
     case 7:
       if (n.up && !n.frozen)
-        n.order->handOver(w.now), w.step(n);
+        n.raft->transferLeadership(w.now), w.step(n);
       break;
     case 8:  // all at once, with their disks
       for (auto& o : ips) {
@@ -166,6 +166,24 @@
   }
   checkEnd(w);
 }
+// The other members of a node under test: they answer everything at once.
+struct AgreeingMembers {
+  RaftNode& node;
+  Instant now;
+  const MemberId& to;
+  bool& handedOver;
+  void operator()(const VoteRequest& m) { node.receive(now, to, VoteResponse{m.term, m.preVote}); }
+  void operator()(const AppendEntries& m) {
+    AppendEntriesResponse response;
+    response.term = m.term;
+    response.heartbeatId = m.heartbeatId;
+    response.matchedNumber = m.previousNumber + static_cast<std::int64_t>(m.entries.size());
+    node.receive(now, to, response);
+  }
+  void operator()(const TransferLeadership&) { handedOver = true; }
+  template <class Other>
+  void operator()(const Other&) {}
+};
 }  // namespace
 
 TEST(Order, FoundersFindASequencerAndWritesPass) {
@@ -199,10 +217,10 @@
       w.runFor(40ms);
       int leases = 0;
       for (auto& [ip, n] : w.nodes)
-        leases += n.order->leased(w.now);
+        leases += n.raft->hasLease(w.now);
       EXPECT_LE(leases, 1) << "seed " << s;
     }
-    EXPECT_FALSE(w.nodes[first].order->leased(w.now));
+    EXPECT_FALSE(w.nodes[first].raft->hasLease(w.now));
     EXPECT_FALSE(w.leader().empty());
   }
 }
@@ -218,11 +236,11 @@
   w.nodes[lost].disk.clear();
   w.runFor(1000ms);
   w.boot(lost, kSeeds, false);
-  EXPECT_EQ(w.nodes[lost].order->role(), Role::learner);
+  EXPECT_EQ(w.nodes[lost].raft->role(), Role::learner);
   w.runFor(8000ms);
   const auto now = w.leader();
   ASSERT_FALSE(now.empty());
-  const auto& m = w.nodes[now].order->members();
+  const auto& m = w.nodes[now].raft->voters();
   EXPECT_EQ(m.size(), 3u);
   EXPECT_EQ(std::count(m.begin(), m.end(), oldId), 0);
   EXPECT_EQ(std::count(m.begin(), m.end(), w.nodes[lost].id), 1);
@@ -240,7 +258,7 @@
   w.runFor(9000ms);
   const auto now = w.leader();
   ASSERT_FALSE(now.empty());
-  const auto& m = w.nodes[now].order->members();
+  const auto& m = w.nodes[now].raft->voters();
   EXPECT_EQ(std::count(m.begin(), m.end(), w.nodes["10.9.0.9"].id), 1) << joined(m);
   EXPECT_EQ(m.size(), 3u);
   checkEnd(w);
@@ -274,39 +292,37 @@
 // A snapshot may arrive late at a member whose log already reaches beyond it: that log was counted on.
 TEST(Order, ALateSnapshotTakesNothingBackThatWasSynced) {
   const Instant now{100s};
-  Order o("10.1.0.1#0", OrderParams{}, 1, now);
-  o.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
+  RaftNode node("10.1.0.1#0", RaftOptions{}, 1, now);
+  node.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
   auto settle = [&] {
-    for (auto acts = o.take(); !acts.empty(); acts = o.take())
-      for (auto& a : acts)
-        if (a.what == Action::What::keep)
-          o.kept(now, a.ticket, true);
+    for (auto actions = node.takeActions(); !actions.empty(); actions = node.takeActions())
+      for (auto& action : actions)
+        if (const auto* record = std::get_if<PersistRecord>(&action))
+          node.persisted(now, record->ticket, true);
   };
   settle();
-  Msg p = msgOf(Kind::pulse);
-  p.from = "10.2.0.1#0";
-  p.term = 1;
+  const MemberId leader = "10.2.0.1#0";
+  AppendEntries append;
+  append.term = 1;
   for (int i = 1; i <= 5; ++i) {
-    Entry e;
-    e.num = i;
-    e.term = 1;
-    e.opId = std::to_string(i);
-    p.entries.push_back(e);
+    Entry entry;
+    entry.num = i;
+    entry.term = 1;
+    entry.opId = std::to_string(i);
+    append.entries.push_back(entry);
   }
-  o.hear(now, p);
+  node.receive(now, leader, append);
   settle();
-  Msg s = msgOf(Kind::snapshot);
-  s.from = p.from;
-  s.term = 1;
-  s.num = 3;
-  s.prevTerm = 1;
-  s.nonce = 3;
-  s.names = o.members();
-  o.hear(now, s);
+  InstallSnapshot snapshot;
+  snapshot.term = 1;
+  snapshot.lastNumber = 3;
+  snapshot.lastTerm = 1;
+  snapshot.config = encodeConfig(node.config());
+  node.receive(now, leader, snapshot);
   settle();
-  ASSERT_NE(o.at(5), nullptr) << "an entry that this member has acknowledged is gone";
-  EXPECT_EQ(o.at(5)->opId, "5");
-  EXPECT_EQ(o.released(), 3);
+  ASSERT_NE(node.entryAt(5), nullptr) << "an entry that this member has acknowledged is gone";
+  EXPECT_EQ(node.entryAt(5)->opId, "5");
+  EXPECT_EQ(node.commitNumber(), 3);
 }
 // Found by a hunt on a core of six of which two may be lost: only the three founders were members.
 TEST(Order, TwoDisksLostOfSixOrEightWhileAllOthersLosePower) {
@@ -361,42 +377,32 @@
 TEST(Order, ALateLoopGivesNoDutyAway) {
   for (const bool late : {true, false}) {
     Instant now{100s};
-    Order o("10.1.0.1#0", OrderParams{}, 1, now);
-    o.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
-    bool handedOver = false, keepNothing = false;
+    RaftNode node("10.1.0.1#0", RaftOptions{}, 1, now);
+    node.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
+    bool handedOver = false, diskSilent = false;
     auto settle = [&] {
-      for (auto acts = o.take(); !acts.empty(); acts = o.take())
-        for (auto& a : acts) {
-          if (a.what == Action::What::keep && !keepNothing)
-            o.kept(now, a.ticket, true);
-          if (a.what != Action::What::send)
-            continue;
-          handedOver |= a.msg.what() == Kind::handOver;
-          Msg r;
-          r.from = a.to;
-          r.term = a.msg.term;
-          if (a.msg.what() == Kind::ask)
-            r.kind = static_cast<int>(Kind::granted), r.ok = true, r.flag = a.msg.flag;
-          else if (a.msg.what() == Kind::pulse)
-            r.kind = static_cast<int>(Kind::pulseAck), r.num = a.msg.num + static_cast<int>(a.msg.entries.size()),
-            r.nonce = a.msg.nonce;
-          else
-            continue;
-          o.hear(now, r);
+      for (auto actions = node.takeActions(); !actions.empty(); actions = node.takeActions())
+        for (auto& action : actions) {
+          if (const auto* record = std::get_if<PersistRecord>(&action); record && !diskSilent)
+            node.persisted(now, record->ticket, true);
+          if (const auto* sent = std::get_if<SendMessage>(&action))
+            std::visit(AgreeingMembers{node, now, sent->to, handedOver}, sent->message);
         }
     };
-    for (int i = 0; i < 100 && o.role() != Role::leader; ++i, now += 50ms)
-      o.tick(now), settle();
-    ASSERT_EQ(o.role(), Role::leader);
-    keepNothing = true;  // the disk's answers stay away from here on, the others' come
-    Entry e;
-    e.opId = "w";
-    ASSERT_TRUE(o.submit(now, e));
+    for (int i = 0; i < 100 && node.role() != Role::leader; ++i, now += 50ms) {
+      node.tick(now);
+      settle();
+    }
+    ASSERT_EQ(node.role(), Role::leader);
+    diskSilent = true;
+    Entry entry;
+    entry.opId = "w";
+    ASSERT_TRUE(node.submit(now, entry));
     settle();
     const int turns = late ? 3 : 20;
     for (int i = 0; i < turns; ++i) {
       now += late ? 350ms : 50ms;
-      o.tick(now);
+      node.tick(now);
       settle();
     }
     EXPECT_EQ(handedOver, !late);
@@ -408,11 +414,11 @@
   for (auto& [ip, n] : w.nodes)
     n.syncTime = Span(1500);
   const auto first = w.leader();
-  const auto term = w.nodes[first].order->term();
+  const auto term = w.nodes[first].raft->term();
   w.write(first);
   w.runFor(5000ms);
   EXPECT_EQ(w.leader(), first);
-  EXPECT_EQ(w.nodes[first].order->term(), term);
+  EXPECT_EQ(w.nodes[first].raft->term(), term);
 }
 // The old leader's lease is gone with its process, and it may say so: nobody waits the lease out for it.
 TEST(Order, ARestartOfAllIsOverSoonerThanALease) {
@@ -441,7 +447,7 @@
   World w(5);
   bootAll(w);
   const auto first = w.leader();
-  w.nodes[first].order->handOver(w.now);
+  w.nodes[first].raft->transferLeadership(w.now);
   w.step(w.nodes[first]);
   w.runFor(400ms);
   EXPECT_FALSE(w.leader().empty());
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <set>
 
-#include "consensus/order.hpp"
+#include "consensus/raft_node.hpp"
 #include "state_machine/replicated_state.hpp"
 #include "storage/storage.hpp"
 
@@ -13,7 +13,7 @@
 struct World {
   struct Node {
     std::string ip, id;
-    std::unique_ptr<Order> order;
+    std::unique_ptr<RaftNode> raft;
     ReplicatedState copy;
     std::vector<std::string> disk;  // sealed pages that a sync covered
     int life = 0;
@@ -44,7 +44,8 @@
   std::map<std::string, std::int64_t> acked;                   // operation -> number at its acknowledgement
   std::vector<std::string> broken;
   int opNo = 0;
-  OrderParams params;
+  RaftOptions options;
+  std::size_t tolerated = 1;  // machines that may be lost at once, disks and all
 
   explicit World(std::uint64_t s) : rng(s), seed(s) {}
   std::uint64_t draw(std::uint64_t n) { return rng() % n; }
@@ -71,15 +72,15 @@
     }
     const bool founder = first && std::find(seeds.begin(), seeds.end(), ip) != seeds.end();
     n.id = !pages.empty() ? pages.front().self : founder ? ip + "#0" : ip + "#" + std::to_string(draw(1000000) + 1);
-    n.order = std::make_unique<Order>(n.id, params, rng(), now);
-    n.order->seeds(seeds);
+    n.raft = std::make_unique<RaftNode>(n.id, options, rng(), now);
+    n.raft->setSeeds(seeds);
     if (!pages.empty())
-      n.order->recover(pages, now);
+      n.raft->recover(pages, now);
     else if (founder) {
       std::vector<std::string> f;
       for (auto& s : seeds)
         f.push_back(s + "#0");
-      n.order->found(f, now);
+      n.raft->found(f, now);
     }
     step(n);
     tickLater(ip, n.life);
@@ -90,19 +91,19 @@
       if (!n.up || n.life != life)
         return;
       if (!n.frozen) {
-        n.order->tick(now);
+        n.raft->tick(now);
         step(n);
-        if (n.order->leased(now)) {
+        if (n.raft->hasLease(now)) {
           for (auto& [o, x] : nodes)
-            if (o != ip && x.up && x.order->leased(now))
+            if (o != ip && x.up && x.raft->hasLease(now))
               blame("two leases at one moment, " + ip + " and " + o);
-          auto& who = leasesOfTerm[n.order->term()];
+          auto& who = leasesOfTerm[n.raft->term()];
           who.insert(n.id);
           if (who.size() > 1)
-            blame("two sequencers in term " + std::to_string(n.order->term()));
+            blame("two sequencers in term " + std::to_string(n.raft->term()));
           // A valid lease must know of all that was acknowledged.
           for (auto& [op, num] : acked)
-            if (num > n.order->released())
+            if (num > n.raft->commitNumber())
               blame("a lease older than an acknowledged write");
         }
       }
@@ -110,42 +111,58 @@
     });
   }
   void step(Node& n) {
-    for (auto acts = n.order->take(); !acts.empty(); acts = n.order->take())
-      for (auto& a : acts) {
-        if (a.what == Action::What::send)
-          post(n, a.to, a.msg);
-        else if (a.what == Action::What::keep)
-          keep(n, a.ticket, a.page);
-        else if (a.what == Action::What::release)
-          release(n, a.entry);
-        else if (a.what == Action::What::install)
-          install(n, a.entry);
-      }
+    for (auto actions = n.raft->takeActions(); !actions.empty(); actions = n.raft->takeActions())
+      for (auto& action : actions)
+        std::visit([&](auto& alternative) { carryOut(n, alternative); }, action);
+  }
+  void carryOut(Node& n, const SendMessage& action) { post(n, action.to, encodeMessage(action.message)); }
+  void carryOut(Node& n, const PersistRecord& action) { keep(n, action.ticket, action.record); }
+  void carryOut(Node& n, const ApplyEntry& action) { release(n, action.entry); }
+  void carryOut(Node& n, const RestoreSnapshot& action) { install(n, action); }
+  // Whether a message from one address to the other is lost on its way.
+  bool lost(const std::string& from, const std::string& to) {
+    return cut.count({from, to}) || std::uniform_real_distribution<>(0, 1)(rng) < loss;
   }
-  void post(Node& from, const std::string& to, Msg m) {
-    const auto ip = ipOf(to);
-    if (cut.count({from.ip, ip}) || std::uniform_real_distribution<>(0, 1)(rng) < loss)
+  Span delay() { return Span(1 + draw(static_cast<std::uint64_t>(delayMost))); }
+  // Messages pass through their encoding: what the connection can't carry must not pass here either.
+  void post(Node& from, const std::string& to, const std::string& bytes) {
+    const auto ip = addressOf(to);
+    if (lost(from.ip, ip))
       return;
-    m.from = from.id;
-    // Why through the frame: what the connection can't carry must not pass here either.
-    auto connection = m;
-    at(Span(1 + draw(static_cast<std::uint64_t>(delayMost))),
-       [this, ip, connection, src = from.ip] { deliver(src, ip, connection); });
+    at(delay(), [this, ip, bytes, src = from.ip, sender = from.id] { deliver(src, sender, ip, bytes); });
   }
-  void deliver(const std::string& src, const std::string& ip, const Msg& m) {
+  // The node at an address, if it is up and a packet from `src` reaches it.
+  Node* reach(const std::string& src, const std::string& ip) {
     const auto it = nodes.find(ip);
     if (it == nodes.end() || !it->second.up || cut.count({src, ip}))
+      return nullptr;
+    return &it->second;
+  }
+  void deliver(const std::string& src, const MemberId& sender, const std::string& ip, const std::string& bytes) {
+    auto* n = reach(src, ip);
+    if (!n)
       return;
-    auto& n = it->second;
-    if (n.frozen)
-      return at(Span(50), [this, src, ip, m] { deliver(src, ip, m); });
-    if (m.what() == Kind::submit) {
-      for (auto e : m.entries)
-        n.order->submit(now, e);
-    } else {
-      n.order->hear(now, m);
-    }
-    step(n);
+    if (n->frozen)
+      return at(Span(50), [this, src, sender, ip, bytes] { deliver(src, sender, ip, bytes); });
+    auto message = decodeMessage(bytes);
+    must(message.has_value(), "a member's own message reads back");
+    n->raft->receive(now, sender, std::move(*message));
+    step(*n);
+  }
+  void postWrite(Node& from, const std::string& to, const Entry& entry) {
+    const auto ip = addressOf(to);
+    if (lost(from.ip, ip))
+      return;
+    at(delay(), [this, ip, entry, src = from.ip] { deliverWrite(src, ip, entry); });
+  }
+  void deliverWrite(const std::string& src, const std::string& ip, const Entry& entry) {
+    auto* n = reach(src, ip);
+    if (!n)
+      return;
+    if (n->frozen)
+      return at(Span(50), [this, src, ip, entry] { deliverWrite(src, ip, entry); });
+    n->raft->submit(now, entry);
+    step(*n);
   }
   void keep(Node& n, std::int64_t ticket, const DiskRecord& g) {
     n.pages.emplace_back(ticket, g);
@@ -178,7 +195,7 @@
     const bool ok = !n.diskFull && g.seq == last + 1;
     if (ok)
       n.disk.push_back(encodeRecord(g));
-    n.order->kept(now, ticket, ok);
+    n.raft->persisted(now, ticket, ok);
     step(n);
   }
   static std::string contentOf(const Entry& e) { return std::to_string(e.term) + "|" + e.opId + "|" + e.blob; }
@@ -191,13 +208,13 @@
       blame("two writes under number " + std::to_string(e.num));
     n.copy.apply(e);
     if (e.num % 16 == 0)
-      n.order->compact(e.num, n.copy.snapshot(), now);
+      n.raft->compact(e.num, n.copy.snapshot(), now);
   }
-  void install(Node& n, const Entry& e) {
-    if (e.num < n.lastApplied)
+  void install(Node& n, const RestoreSnapshot& snapshot) {
+    if (snapshot.number < n.lastApplied)
       blame("went back in number at " + n.ip);
-    n.lastApplied = e.num;
-    if (!n.copy.restore(e.blob))
+    n.lastApplied = snapshot.number;
+    if (!n.copy.restore(snapshot.state))
       blame("snapshot unreadable");
   }
   // A writer at any node: point-to-point to the leader, acknowledged once its own queue releases it.
@@ -219,14 +236,12 @@
         acked.emplace(e.opId, n.lastApplied);
         return;
       }
-      const auto seq = n.order->leader();
+      const auto seq = n.raft->leader();
       if (seq == n.id) {
-        n.order->submit(now, e);
+        n.raft->submit(now, e);
         step(n);
       } else if (!seq.empty()) {
-        Msg m = msgOf(Kind::submit);
-        m.entries = {e};
-        post(n, seq, m);
+        postWrite(n, seq, e);
       }
     }
     at(Span(120), [this, ip, life, e, left] { tryWrite(ip, life, e, left - 1); });
@@ -235,7 +250,26 @@
     auto& n = nodes[ip];
     n.up = false;
     ++n.life;
-    n.order.reset();
+    n.raft.reset();
+  }
+  // Planned work: the member asks the others to do without it and ends when they can, or at the last moment.
+  void leave(const std::string& ip, Span grace = Span(6500)) {
+    auto& n = nodes[ip];
+    if (!n.up)
+      return;
+    n.raft->leave(now);
+    step(n);
+    endWhenAllowed(ip, n.life, now + grace);
+  }
+  void endWhenAllowed(const std::string& ip, int life, Instant deadline) {
+    at(Span(50), [this, ip, life, deadline] {
+      auto& n = nodes[ip];
+      if (!n.up || n.life != life)
+        return;
+      if ((n.raft->mayExit() && !n.frozen) || now >= deadline)
+        return kill(ip);
+      endWhenAllowed(ip, life, deadline);
+    });
   }
   void runFor(Span d) {
     const auto end = now + d;
@@ -251,7 +285,7 @@
   }
   std::string leader() {
     for (auto& [ip, n] : nodes)
-      if (n.up && !n.frozen && n.order->leased(now))
+      if (n.up && !n.frozen && n.raft->hasLease(now))
         return ip;
     return {};
   }
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -47,9 +47,9 @@
   g.term = 3;
   g.self = "10.1.0.1#0";
   g.full = full;
-  g.snapMembers = {"10.1.0.1#0"};
+  g.snapshotConfig = "10.1.0.1#0";
   if (from)
-    g.from = from, g.entries = {numbered(from)};
+    g.fromNumber = from, g.entries = {numbered(from)};
   return g;
 }
 }  // namespace
