--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -44,6 +44,7 @@
   std::map<std::string, std::int64_t> acked;                   // operation -> number at its acknowledgement
   std::vector<std::string> broken;
   int opNo = 0;
+  int timesWell = 0;  // how often all was well when the next trouble was drawn
   RaftOptions options;
   std::size_t tolerated = 1;  // machines that may be lost at once, disks and all
 
