An order that was taken is never refused later, however many changes came since

Cause: the applied state remembered 64 taken configurations, 128 operations and 256 ended runners. An order sent again after 64 other changes was told 412 though it had been taken; an operation repeated after 128 others was applied twice (a late "missed" removed a live runner); a late heartbeat of a runner that ended 256 ends ago registered it anew.

An order older than the table gets no clear answer (503) in place of 412. A draining runner does not come back, however it went.

difference's result is hashed once, not twice. apply() is split by kind of write. The controller words the new answer (one hook).

--- a/libs/controller/src/controller.cpp
+++ b/libs/controller/src/controller.cpp
@@ -91,6 +91,8 @@
     return errorResponse(503, v.error().text);
   if (*v == 200)
     return {200, "{\"configVersion\":" + std::to_string(version) + "}", ""};
+  if (*v == ReplicatedState::kNoClearAnswer)
+    return errorResponse(503, "too old to tell whether it was taken");
   return errorResponse(*v,
                        *v == 412 ? "another configuration is in place" : "configVersion is not above the current one");
 }
--- a/libs/state_machine/include/state_machine/delta.hpp
+++ b/libs/state_machine/include/state_machine/delta.hpp
@@ -26,4 +26,7 @@
 std::string deltaOf(std::string_view base, std::string_view baseDigest, std::string_view text, std::string_view digest);
 // Declined: no delta, another base, runs outside of it, or another result than its digest says.
 Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta);
+// Declined as well: a result other than the one with the digest `expected`.
+Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta,
+                                std::string_view expected);
 }  // namespace zc
--- a/libs/state_machine/include/state_machine/replicated_state.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -1,6 +1,8 @@
-// The applied copy of the fleet's state: what every numbered write changes, in order, and nothing else does.
+// The fleet's state: what every numbered write changes, in order, and nothing else does. Every node holds a copy of it,
+// applies the same writes in the same order and so decides alike, without a word to the others.
 #pragma once
 #include "config/calls.hpp"
+#include "state_machine/history.hpp"
 #include "transport/messages.hpp"
 namespace zc {
 enum class RunnerState : std::int32_t { inService = 0, draining = 1, gone = 2 };
@@ -15,22 +17,6 @@
   }
   RunnerState at() const { return static_cast<RunnerState>(state); }
 };
-struct Taken {  // a configuration that was taken
-  std::int64_t version = 0;
-  std::string digest;
-  template <class V>
-  void fields(V& v) {
-    v("version", version), v("digest", digest);
-  }
-};
-struct Done {  // a write by its operation id, with what became of it
-  std::string opId;
-  std::int32_t verdict = 0;
-  template <class V>
-  void fields(V& v) {
-    v("opId", opId), v("verdict", verdict);
-  }
-};
 // A zone or region that is being closed for maintenance.
 struct Closure {
   std::string place, note;
@@ -41,57 +27,71 @@
     v("place", place), v("note", note), v("share", share), v("doorsShut", doorsShut);
   }
 };
+// What a copy holds.
 struct StateContents {
-  std::int64_t num = 0, term = 0, version = 0;
+  std::int64_t num = 0, term = 0;  // of the newest write applied
+  std::int64_t version = 0;        // of the configuration in place; 0: none yet
   std::string configuration, digest;
-  std::vector<Taken> taken;
   std::vector<Runner> runners;
-  std::vector<std::string> gone;
-  std::vector<Done> done;
   std::vector<Closure> closures;
-  // In a snapshot for one receiver: its configuration is this difference from what it holds (empty: the very same).
-  bool partial = false;
-  std::string difference;
-  template <class V>
-  void fields(V& v) {
-    v("partial", partial), v("difference", difference);
-    v("num", num), v("term", term), v("version", version), v("configuration", configuration), v("digest", digest);
-    v("taken", taken), v("runners", runners), v("gone", gone), v("done", done), v("closures", closures);
-  }
+  TakenConfigurations taken;
+  OperationHistory operations;
+  EndedRunners endedRunners;
 };
 class ReplicatedState {
  public:
+  // What one write changed.
   struct Change {
     bool configuration = false, runners = false, closures = false;
     // The copy is not what all others are: a difference did not fit it. It must be had anew, whole.
     bool damaged = false;
   };
-  // Applies the next write. Every copy decides alike, so all agree without a word.
+  // Applies the next write. Every copy decides alike: what it changes hangs on the contents, the operations and the
+  // ended runners alone. Only the verdict on a configuration may differ where a copy lacks the table of those taken.
   Change apply(const Entry& e);
-  const StateContents& state() const { return s_; }
-  bool damaged() const { return s_.version > 0 && s_.digest.empty(); }
+  const StateContents& state() const { return contents_; }
+  bool damaged() const { return contents_.version > 0 && contents_.digest.empty(); }
   // What it holds is not to be trusted: it must be had anew, whole.
-  void damage() { s_.digest.clear(); }
+  void damage() { contents_.digest.clear(); }
+
+  // Everything, for a member of the core and for its disk.
   std::string snapshot() const;
-  // For a receiver that says which configuration it holds: that one, or one taken not long ago, is not sent again.
+  // For an access node that says which configuration it holds: that one, or one taken not long ago, is not sent again.
+  // The table of taken configurations and the verdicts are left out: access nodes answer no operator.
   std::string snapshotFor(const std::string& heldDigest) const;
-  // From either; what the snapshot leaves out is taken from this copy. Declined: nothing has changed.
-  Outcome<void> restore(std::string_view blob);
-  std::optional<std::int32_t> verdictOf(const std::string& opId) const;
-  // What Replace would be told now; 0: nothing to say yet.
+  // From either, and from the older format of `snapshot`; what a snapshot leaves out is taken from this copy. An empty
+  // one is the state before the first write. Declined: nothing has changed.
+  Outcome<void> restore(std::string_view snapshot);
+
+  std::optional<std::int32_t> verdictOf(const std::string& operationId) const;
+  // What a Replace with these would be told now: kAcknowledged for that very configuration if it was taken, now or
+  // earlier; kInvalid or kOtherVersion; kNoClearAnswer if it is too old to tell; kUndecided: it would be taken.
   std::int32_t judge(std::int64_t base, std::int64_t version, const std::string& digest) const;
+  static constexpr std::int32_t kUndecided = 0, kAcknowledged = 200, kInvalid = 400, kOtherVersion = 412,
+                                kNoClearAnswer = 503;
   const Runner* runner(const std::string& id) const;
+  // Whether a runner has ended for good: its id does not come back.
   bool isGone(const std::string& id) const;
 
  private:
+  std::int32_t applyConfiguration(const Entry& e, Change& change);
+  void applyClosure(const Entry& e, Change& change);
+  void applyRunner(const Entry& e, Change& change);
+  void removeRunner(const Runner& ended);
+  void joinRunner(Runner joining, Change& change);
+  void updateRunner(Runner& known, Runner update, Change& change);
   void take(std::int64_t version, std::string digest, std::string body);
-  StateContents s_;
-  std::deque<std::pair<std::string, std::string>> before_;  // digest, text: taken before the one in place
+  void rememberConfiguration();
+
+  StateContents contents_;
+  std::deque<std::pair<std::string, std::string>> earlier_;  // digest, text: in place before the current one
 };
-// As its difference from `base` where that is much shorter than the whole.
+// A change of the configuration, as its difference from `on` where that is much shorter than the whole.
 Entry changeOp(std::int64_t base, std::int64_t version, std::string body, std::string opId, const StateContents& on);
+// A change of the configuration, whole.
 Entry configurationOp(std::int64_t base, std::int64_t version, std::string body, std::string opId);
 // open: the place is in use again, nothing is left of the closure.
 Entry closureOp(const Closure& c, bool open, std::string opId);
+// A runner's news: it joins, drains, or is gone (sequence 0: only missed, it may beat again).
 Entry runnerOp(const Runner& r, std::string opId);
 }  // namespace zc
--- a/libs/state_machine/src/delta.cpp
+++ b/libs/state_machine/src/delta.cpp
@@ -83,24 +83,38 @@
   }
   return avro::encode(std::move(d));
 }
-Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta) {
-  auto d = avro::decode<Delta>(delta);
-  if (!d)
-    return tl::unexpected(d.error());
-  if (d->base != baseDigest)
+namespace {
+Outcome<std::string> resultOf(const Delta& delta, std::string_view base, std::string_view baseDigest) {
+  if (delta.base != baseDigest)
     return fault(0, "a difference from another text");
-  std::string out;
-  for (auto& r : d->runs) {
-    const auto size = static_cast<std::int64_t>(base.size());
-    if (r.from < 0 || r.length < 0 || r.from > size || r.length > size - r.from)
+  const auto size = static_cast<std::int64_t>(base.size());
+  std::string result;
+  for (auto& run : delta.runs) {
+    if (run.from < 0 || run.length < 0 || run.from > size || run.length > size - run.from)
       return fault(0, "a difference reaches outside its base");
-    if (out.size() + static_cast<std::size_t>(r.length) + r.text.size() > kMostText)
+    if (result.size() + static_cast<std::size_t>(run.length) + run.text.size() > kMostText)
       return fault(0, "a difference grows beyond bounds");
-    out.append(base.substr(static_cast<std::size_t>(r.from), static_cast<std::size_t>(r.length)));
-    out += r.text;
+    result.append(base.substr(static_cast<std::size_t>(run.from), static_cast<std::size_t>(run.length)));
+    result += run.text;
   }
-  if (digestOf(out) != d->result)
+  if (digestOf(result) != delta.result)
     return fault(0, "a difference whose result is another text");
-  return out;
+  return result;
+}
+}  // namespace
+Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta) {
+  const auto decoded = avro::decode<Delta>(delta);
+  if (!decoded)
+    return tl::unexpected(decoded.error());
+  return resultOf(*decoded, base, baseDigest);
+}
+Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta,
+                                std::string_view expected) {
+  const auto decoded = avro::decode<Delta>(delta);
+  if (!decoded)
+    return tl::unexpected(decoded.error());
+  if (decoded->result != expected)
+    return fault(0, "a difference to another text than the one announced");
+  return resultOf(*decoded, base, baseDigest);
 }
 }  // namespace zc
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -177,7 +177,7 @@
       << "what it does not hold can't be left out";
   ASSERT_TRUE(ill.copy.restore(good.copy.snapshotFor(ill.copy.state().digest)));
   EXPECT_FALSE(ill.copy.damaged());
-  EXPECT_EQ(ill.copy.snapshot(), good.copy.snapshot());
+  EXPECT_EQ(ill.copy.snapshotFor({}), good.copy.snapshotFor({}));
 }
 TEST(Delta, ASnapshotLeavesOutWhatIsHeld) {
   Text t(40, 500);
@@ -193,7 +193,7 @@
   const auto s = a.copy.snapshotFor(held);
   EXPECT_LT(s.size(), 2000u) << "of " << a.copy.snapshot().size();
   ASSERT_TRUE(away.copy.restore(s));
-  EXPECT_EQ(away.copy.snapshot(), a.copy.snapshot());
+  EXPECT_EQ(away.copy.snapshotFor({}), a.copy.snapshotFor({}));
   for (int i = 4; i < 12; ++i) {
     t.version = i, t.tenants[static_cast<std::size_t>(i)] = t.tenant();
     a.put(changeOp(i - 1, i, t.body(), "w" + std::to_string(i), a.copy.state()));
@@ -201,10 +201,10 @@
   const auto far = a.copy.snapshotFor(held);
   EXPECT_GT(far.size(), t.body().size()) << "long away: the whole";
   ASSERT_TRUE(away.copy.restore(far));
-  EXPECT_EQ(away.copy.snapshot(), a.copy.snapshot());
+  EXPECT_EQ(away.copy.snapshotFor({}), a.copy.snapshotFor({}));
   ReplicatedState empty;
   ASSERT_TRUE(empty.restore(a.copy.snapshotFor({})));
-  EXPECT_EQ(empty.snapshot(), a.copy.snapshot());
+  EXPECT_EQ(empty.snapshotFor({}), a.copy.snapshotFor({}));
 }
 namespace {
 std::string piece(const std::string& bytes, bool last) {
--- /dev/null
+++ b/tests/snapshot_test.cpp
@@ -0,0 +1,195 @@
+// Snapshots of the fleet's state: formats, sizes, what they leave out, what is declined.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "state_machine/replicated_state.hpp"
+#include "transport/avro.hpp"
+
+using namespace zc;
+namespace {
+// The format before the tables of history were packed, field by field.
+struct OldTaken {
+  std::int64_t version = 0;
+  std::string digest;
+  template <class V>
+  void fields(V& v) {
+    v("version", version), v("digest", digest);
+  }
+};
+struct OldOperation {
+  std::string opId;
+  std::int32_t verdict = 0;
+  template <class V>
+  void fields(V& v) {
+    v("opId", opId), v("verdict", verdict);
+  }
+};
+struct OldSnapshot {
+  bool partial = false;
+  std::string difference;
+  std::int64_t num = 0, term = 0, version = 0;
+  std::string configuration, digest;
+  std::vector<OldTaken> taken;
+  std::vector<Runner> runners;
+  std::vector<std::string> gone;
+  std::vector<OldOperation> done;
+  std::vector<Closure> closures;
+  template <class V>
+  void fields(V& v) {
+    v("partial", partial), v("difference", difference);
+    v("num", num), v("term", term), v("version", version), v("configuration", configuration), v("digest", digest);
+    v("taken", taken), v("runners", runners), v("gone", gone), v("done", done), v("closures", closures);
+  }
+};
+Entry randomRunnerWrite(std::mt19937_64& random, int serial) {
+  const auto id = std::to_string(random() % 40);
+  const Runner r{"i" + id,
+                 "s",
+                 "a:" + std::to_string(random() % 30),
+                 "z",
+                 4,
+                 static_cast<std::int64_t>(random() % 20),
+                 static_cast<std::int32_t>(random() % 3)};
+  return runnerOp(r, "runner/" + std::to_string(random() % 4 ? serial : serial / 2));
+}
+Entry randomConfigurationWrite(std::mt19937_64& random, int serial, const StateContents& on) {
+  const auto base = random() % 3 ? on.version : static_cast<std::int64_t>(random() % 300);
+  const auto version = base + static_cast<std::int64_t>(random() % 3);
+  return configurationOp(base, version, "body " + std::to_string(version) + (random() % 4 ? "" : "b"),
+                         "operator/" + std::to_string(serial));
+}
+Entry randomWrite(std::mt19937_64& random, int serial, const StateContents& on) {
+  const auto kind = random() % 8;
+  if (kind < 3)
+    return randomConfigurationWrite(random, serial, on);
+  if (kind == 3)
+    return closureOp(Closure{"z" + std::to_string(random() % 3), "", 10, false}, random() % 2 == 0,
+                     "closure/" + std::to_string(serial));
+  return randomRunnerWrite(random, serial);
+}
+// What an access node works by.
+std::string essence(const ReplicatedState& copy) {
+  return copy.snapshotFor({});
+}
+ReplicatedState fullOfHistory() {
+  ReplicatedState copy;
+  std::int64_t applied = 0;
+  auto put = [&](Entry e) {
+    e.num = ++applied;
+    copy.apply(e);
+  };
+  for (int i = 1; i <= 6000; ++i)
+    put(configurationOp(i - 1, i, "{}", "operator/" + std::to_string(i)));
+  for (int i = 1; i <= 6000; ++i)
+    put(runnerOp(Runner{"i" + std::to_string(i), "s", "a", "z", 4, 1, 2}, "gone/" + std::to_string(i)));
+  return copy;
+}
+}  // namespace
+
+// An access node's copy lacks the table of taken configurations; whatever comes, it must hold what the core holds.
+TEST(Snapshot, ACopyWithoutTheTableOfTakenConfigurationsDecidesAsTheCoreDoes) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    std::mt19937_64 random(seed);
+    ReplicatedState core, access;
+    std::int64_t applied = 0;
+    for (int i = 0; i < 600; ++i) {
+      auto e = randomWrite(random, i, core.state());
+      e.num = ++applied;
+      core.apply(e);
+      access.apply(e);
+      if (random() % 40 == 0) {
+        const auto held = random() % 2 ? access.state().digest : std::string{};
+        ASSERT_TRUE(access.restore(core.snapshotFor(held)));
+      }
+      if (i % 3 == 0)
+        ASSERT_EQ(essence(access), essence(core)) << "seed " << seed << ", write " << i;
+    }
+  }
+}
+TEST(Snapshot, AMemberOfTheCoreIsToldTheTableOfTakenConfigurations) {
+  ReplicatedState first;
+  for (int i = 1; i <= 1000; ++i) {
+    auto e = configurationOp(i - 1, i, "body " + std::to_string(i), "operator/" + std::to_string(i));
+    e.num = i;
+    first.apply(e);
+  }
+  ReplicatedState second;
+  ASSERT_TRUE(second.restore(first.snapshot()));
+  EXPECT_EQ(second.snapshot(), first.snapshot());
+  EXPECT_EQ(second.judge(0, 1, digestOf("body 1")), ReplicatedState::kAcknowledged);
+  ReplicatedState access;
+  ASSERT_TRUE(access.restore(first.snapshotFor({})));
+  EXPECT_EQ(access.judge(0, 1, digestOf("body 1")), ReplicatedState::kNoClearAnswer)
+      << "it can't tell, and does not refuse";
+  EXPECT_EQ(access.judge(999, 1000, digestOf("body 1000")), ReplicatedState::kAcknowledged);
+}
+TEST(Snapshot, TheTablesStaySmall) {
+  const auto copy = fullOfHistory();
+  EXPECT_EQ(copy.state().taken.size(), TakenConfigurations::kMost);
+  EXPECT_EQ(copy.state().operations.size(), OperationHistory::kMost);
+  EXPECT_EQ(copy.state().endedRunners.size(), EndedRunners::kMost);
+  EXPECT_LT(copy.snapshot().size(), 145'000u) << "a core's: 64 + 41 + 33 KB";
+  EXPECT_LT(copy.snapshotFor({}).size(), 76'000u) << "an access node's: 41 + 33 KB";
+  ReplicatedState other;
+  ASSERT_TRUE(other.restore(copy.snapshot()));
+  EXPECT_EQ(other.snapshot(), copy.snapshot());
+}
+TEST(Snapshot, OneOfTheFormatBeforeIsRead) {
+  OldSnapshot old;
+  old.num = 90, old.term = 4, old.version = 70;
+  old.configuration = "body 70", old.digest = digestOf("body 70");
+  for (int i = 7; i <= 70; ++i)
+    old.taken.push_back({i, digestOf("body " + std::to_string(i))});
+  old.runners = {Runner{"i1", "s", "a:1", "z", 4, 3, 1}};
+  old.gone = {"i0"};
+  old.done = {{"operator/1@70", 200}, {"operator/2@70", 412}};
+  old.closures = {Closure{"z", "note", 50, false}};
+  ReplicatedState copy;
+  ASSERT_TRUE(copy.restore(avro::encode(old)));
+  EXPECT_EQ(copy.state().num, 90);
+  EXPECT_EQ(copy.state().term, 4);
+  EXPECT_EQ(copy.state().configuration, "body 70");
+  EXPECT_EQ(copy.judge(6, 7, digestOf("body 7")), 200);
+  EXPECT_EQ(copy.judge(5, 6, digestOf("body 6")), 503) << "the older format did not keep it: no clear answer";
+  EXPECT_EQ(copy.judge(6, 7, digestOf("another")), 412);
+  EXPECT_TRUE(copy.isGone("i0"));
+  EXPECT_EQ(copy.verdictOf("operator/2@70"), 412);
+  ASSERT_TRUE(copy.runner("i1"));
+  EXPECT_EQ(copy.runner("i1")->at(), RunnerState::draining);
+  ASSERT_EQ(copy.state().closures.size(), 1u);
+  EXPECT_EQ(copy.state().closures[0].share, 50);
+  ReplicatedState again;
+  ASSERT_TRUE(again.restore(copy.snapshot()));
+  EXPECT_EQ(again.snapshot(), copy.snapshot());
+}
+TEST(Snapshot, AnotherFormatIsRefusedByName) {
+  ReplicatedState copy;
+  auto later = copy.snapshot();
+  later[7] = '3';
+  const auto result = copy.restore(later);
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error().text, "a snapshot of another format version");
+}
+TEST(Snapshot, WhatIsDeclinedChangesNothing) {
+  const auto full = fullOfHistory().snapshot();
+  ReplicatedState copy;
+  auto e = configurationOp(0, 1, "mine", "operator/1");
+  e.num = 1;
+  copy.apply(e);
+  const auto before = copy.snapshot();
+  for (std::size_t cut = 1; cut < full.size(); cut += 997) {
+    EXPECT_FALSE(copy.restore(full.substr(0, cut))) << cut;
+    EXPECT_EQ(copy.snapshot(), before);
+  }
+  auto otherText = before;
+  otherText[otherText.find("mine")] = 'M';
+  EXPECT_FALSE(copy.restore(otherText)) << "a configuration that is not what its digest says";
+  EXPECT_EQ(copy.snapshot(), before);
+}
+TEST(Snapshot, AnEmptyOneIsTheStateBeforeTheFirstWrite) {
+  auto copy = fullOfHistory();
+  ASSERT_TRUE(copy.restore({}));
+  EXPECT_EQ(copy.snapshot(), ReplicatedState{}.snapshot());
+  EXPECT_EQ(copy.judge(0, 1, "x"), ReplicatedState::kUndecided);
+}
