--- a/libs/proxy/src/events.hpp
+++ b/libs/proxy/src/events.hpp
@@ -10,9 +10,12 @@
   const std::string& rest() const { return rest_; }
   void dropRest() { rest_.clear(); }
   const std::string& lastId() const { return lastId_; }
+  // Whether another runner that goes on after lastId() would bring nothing twice: no event without an id came since.
+  bool resumable() const { return !nameless_; }
 
  private:
   std::string rest_, whole_;
   std::string lastId_;
+  bool nameless_ = false;
 };
 }  // namespace zc
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -32,6 +32,9 @@
   const auto began = Clock::now();
   w.due(began + l.headerTime);
   pump(w, buf, p, true, ec);
+  // A coding that is not chunked leaves open where the body ends: what follows must not be read as a request.
+  if (!ec && !p.chunked() && p.get().count(http::field::transfer_encoding))
+    ec = http::error::bad_transfer_encoding;
   if (!ec && !p.is_done()) {
     w.due(Clock::now() + l.bodyTime);
     // Why response at once: a caller that asks first would wait for ever.
--- a/libs/proxy/src/proxy.cpp
+++ b/libs/proxy/src/proxy.cpp
@@ -15,6 +15,7 @@
 constexpr auto kIdleRunner = 20s;  // where the runner names no time itself
 constexpr int kConnectTries = 3;   // a runner that can't be reached has been sent nothing
 constexpr auto kWriteStall = 10s;
+constexpr int kMostInterim = 16;  // interim answers (1xx) read past before the final one
 
 // Notices that the client goes away while nobody reads from it.
 struct Watch {
@@ -30,8 +31,9 @@
     if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
       return;
     wt->gone = true;
+    // Why shut and not only cancelled: whoever is about to read from it again must not park there.
     if (wt->runner)
-      wt->runner->cancel();
+      wt->runner->shut();
   });
 }
 struct WatchGuard {
@@ -98,6 +100,9 @@
   AttemptEnd partnerAttempt(const std::string& address);
   AttemptEnd relayStream(Connection& w, Buffer& buf, AnswerParser& ap, bool fresh);
   bool toClient(std::string_view bytes);
+  // Whether the client's connection stays open after this answer, as things stand when its head is written.
+  bool keep() { return keep_ = keep_ && !wa_.leaving && !wa_.doorsShut; }
+  bool canMove();
   bool chunkToClient(std::string_view bytes);
   Instant now() const { return Clock::now(); }
   // Whether the end of an attempt speaks against its runner.
@@ -139,6 +144,7 @@
   bool keep_ = true, headSent_ = false, sentWhole_ = false;
   std::shared_ptr<Watch> watch_;
   EventScan scan_;
+  RunnerQuery wish_;
   std::string keptHead_, keptBody_;  // a runner's own failure, to be passed on unchanged
   std::string saidRetry_;
 };
@@ -168,7 +174,7 @@
     heads += retryAfter(retry);
   ++wa_.errorResponse;
   return toClient(
-             plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep_)) &&
+             plainAnswer(status, heads, "application/json", jsonError(why.empty() ? reasonOf(status) : why), keep())) &&
          keep_;
 }
 
@@ -212,7 +218,7 @@
 bool Passage::carry() {
   arrived_ = now();
   cfg_ = wa_.cfg;
-  keep_ = req_.keep_alive() && !wa_.leaving && !wa_.doorsShut;
+  keep_ = req_.keep_alive();
   attemptId_ = std::string(field(req_, "X-Attempt-Id"));
 
   // Why first of all: without a fresh lease this copy may be older than a key that was taken away.
@@ -253,7 +259,7 @@
 
   WatchGuard guard(client_);
   watch_ = guard.wt;
-  RunnerQuery wish;
+  auto& wish = wish_;
   wish.service = service.label;
   wish.zone = wa_.zone;
   wish.engine = service.engine;
@@ -266,12 +272,15 @@
         std::max(parts.all, number(field(req_, "X-Token-Count").substr(0, field(req_, "X-Token-Count").find(',')), 0));
   }
   int runners = 0;
+  // A partner site keeps more attempts for itself; a try that came from there has one runner here.
+  int mostRunners = field(req_, kFromPartner).empty() ? route_->maxAttempts : 1;
   bool mayHaveRun = false;
   AttemptEnd end = AttemptEnd::unsent;
   // A long opening that a partner site holds and this one does not. Only what may be repeated, so that a stale hint or
   // a partner that fails costs a moment and never an answer: the request then goes on here as if it had not been there.
-  if (wa_.heldElsewhere && wish.repeatable && route_->type == RouteType::stream &&
-      wish.sharedTokens >= PartnerTrust::longTokens && field(req_, kFromPartner).empty()) {
+  // A runner there counts among those of the try, so at least one must be left for this site.
+  if (wa_.heldElsewhere && mostRunners > 1 && wish.repeatable && route_->type == RouteType::stream &&
+      wish.sharedTokens >= PartnerTrust::longTokens) {
     service_ = &service.label;
     if (const auto there = wa_.heldElsewhere(wish.affinity, subscriber_); !there.empty() && wa_.partner.allows(now())) {
       ++wa_.toPartner;
@@ -285,9 +294,11 @@
       if (end == AttemptEnd::clientGone)
         return false;
       wa_.partner.disappointed(now());
+      if (end == AttemptEnd::broken)
+        mayHaveRun = true, --mostRunners;
     }
   }
-  for (int tries = 0; tries < route_->maxAttempts + kConnectTries; ++tries) {
+  for (int tries = 0; tries < mostRunners + kConnectTries; ++tries) {
     if (watch_->gone)
       return false;
     if (now() >= deadline_) {
@@ -302,7 +313,7 @@
       break;
     if (runners > 0 && !std::exchange(prepaid_, false) && !wa_.budget.spend(service.label, now()))
       break;
-    lastRunner_ = runners + 1 >= route_->maxAttempts;
+    lastRunner_ = runners + 1 >= mostRunners;
     service_ = &service.label;
     wish.not_.push_back(dock);
     ++wa_.attempts;
@@ -328,7 +339,9 @@
       mayHaveRun = true;
     if (end == AttemptEnd::timeUp)
       break;
-    if (runners >= route_->maxAttempts)
+    if (runners >= mostRunners)
+      break;
+    if (headSent_ && !scan_.resumable())
       break;
     // At most once: what may have run goes to nobody else unless the route says that it may.
     if (mayHaveRun && !route_->repeatable())
@@ -340,7 +353,7 @@
   }
   if (end == AttemptEnd::failed && !keptHead_.empty()) {
     std::string s = keptHead_ + "Content-Length: " + std::to_string(keptBody_.size()) + "\r\n" +
-                    (keep_ ? "" : "Connection: close\r\n") + "\r\n" + keptBody_;
+                    (keep() ? "" : "Connection: close\r\n") + "\r\n" + keptBody_;
     return toClient(s) && keep_;
   }
   if (mayHaveRun && !route_->repeatable())
@@ -390,9 +403,11 @@
     return AttemptEnd::broken;
   const auto& h = ap.get();
   // Whatever is no whole success is left there: this site answers for itself.
+  if (h.result_int() / 100 == 4 || h.result_int() == 503)
+    return AttemptEnd::notRun;
   if (h.result_int() / 100 != 2 || field(h, "X-Attempt-Id") != attemptId_ || field(h, "X-Server-Seal").empty() ||
       h.count(http::field::content_encoding))
-    return AttemptEnd::notRun;
+    return AttemptEnd::broken;
   // Why the first bytes before the head goes on: one that only says that it begins must not hold the client.
   for (; ap.get().body().empty() && !ap.is_done();) {
     if (buf.size() == 0) {
@@ -455,21 +470,29 @@
     ~Unwatch() { w.runner = nullptr; }
   } unwatch{*watch_};
   connection->due(deadline_ + 50ms);
-  connection->write(asio::buffer(out), ec);
+  const auto written = connection->write(asio::buffer(out), ec);
+  const bool sentInPart = static_cast<bool>(ec);
   if (ec) {
     if (watch_->gone)
       return AttemptEnd::clientGone;
-    if (reused && !connection->late()) {
-      stale_ = true;
-      wa_.pool.forgotten();
-    } else {
+    if (connection->late()) {
       wa_.runnerPool.fault(dock, now());
+      return AttemptEnd::timeUp;
+    }
+    if (written == 0) {
+      // The one case in which a connection that was open has certainly carried nothing.
+      stale_ = reused;
+      if (reused)
+        wa_.pool.forgotten();
+      else
+        wa_.runnerPool.fault(dock, now());
+      return AttemptEnd::unsent;
     }
-    return connection->late() ? AttemptEnd::timeUp : AttemptEnd::broken;
+    // A part has left: only an answer that is here already can say what became of it.
   }
   Buffer buf;
   std::optional<AnswerParser> ap;
-  for (int surplus = 0;; ++surplus) {
+  for (int surplus = 0, interim = 0;; ++surplus) {
     ap.emplace();
     ap->eager(true);
     ap->body_limit(64u << 20);
@@ -478,6 +501,14 @@
     pump(*connection, buf, *ap, true, ec);
     if (ec)
       break;
+    if (ap->get().result_int() / 100 == 1) {
+      if (++interim > kMostInterim) {
+        ec = http::error::bad_status;
+        break;
+      }
+      --surplus;
+      continue;
+    }
     const auto back = field(ap->get(), "X-Attempt-Id");
     if (back == attemptId_ || surplus >= 2)
       break;
@@ -507,10 +538,12 @@
   wa_.runnerPool.told(dock, field(h, "X-Instance-Load"), now());
   const int status = static_cast<int>(h.result_int());
   const bool notRun = h.count("X-Not-Executed") > 0 || status == 421;
-  if (status / 100 == 2 && (field(h, "X-Server-Seal").empty() || h.count(http::field::content_encoding)))
+  // A success that says not executed contradicts itself: it is no answer, and no promise either.
+  if (status / 100 == 2 && (notRun || field(h, "X-Server-Seal").empty() || h.count(http::field::content_encoding)))
     return lost();
 
-  const bool stream = status / 100 == 2 && route_->type == RouteType::stream;
+  const bool stream =
+      status / 100 == 2 && status != 204 && route_->type == RouteType::stream && req_.method() != http::verb::head;
   if (stream) {
     const auto e = relayStream(*connection, buf, *ap, !headSent_);
     if (e == AttemptEnd::broken)
@@ -521,7 +554,10 @@
       return e;
   } else {
     pump(*connection, buf, *ap, false, ec);
-    if (ec)
+    if (ec && watch_->gone)
+      return AttemptEnd::clientGone;
+    // What a whole head says of not executed holds, whatever becomes of the rest.
+    if (ec && !notRun)
       return lost();
   }
   const bool ownFailure = status / 100 == 5 && !notRun;
@@ -531,7 +567,7 @@
     wa_.runnerPool.fine(dock);
   if (!ownFailure && !notRun)
     promptRead(true);
-  const bool clean = ap->get().keep_alive() && buf.size() == 0;
+  const bool clean = !ec && !sentInPart && ap->keep_alive() && buf.size() == 0;
   Instant until = now() + kIdleRunner;
   if (const auto ka = field(ap->get(), "Keep-Alive"); !ka.empty())
     if (const auto at = ka.find("timeout="); at != ka.npos) {
@@ -564,17 +600,22 @@
   }
   if (headSent_)
     return AttemptEnd::broken;
-  head += "Content-Length: " + std::to_string(body.size()) + "\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
+  head += "Content-Length: " + std::to_string(body.size()) + "\r\n" + (keep() ? "" : "Connection: close\r\n") + "\r\n";
   if (req_.method() != http::verb::head)
     head += body;
   watch_->runner = nullptr;
   return toClient(head) ? AttemptEnd::done : AttemptEnd::clientGone;
 }
 
+// Whether a live stream would find a runner elsewhere: one that nobody can take up stays where it is.
+bool Passage::canMove() {
+  const int there = wa_.runnerPool.choose(wish_, now());
+  return there >= 0 && !wa_.runnerPool.at(there).carryOver && wa_.runnerPool.at(there).faults == 0;
+}
 AttemptEnd Passage::relayStream(Connection& w, Buffer& buf, AnswerParser& ap, bool fresh) {
   if (fresh) {
     auto head =
-        inboundHead(ap.get()) + "Transfer-Encoding: chunked\r\n" + (keep_ ? "" : "Connection: close\r\n") + "\r\n";
+        inboundHead(ap.get()) + "Transfer-Encoding: chunked\r\n" + (keep() ? "" : "Connection: close\r\n") + "\r\n";
     headSent_ = true;
     if (!toClient(head))
       return AttemptEnd::clientGone;
@@ -595,7 +636,7 @@
       break;
     // A live session leaves a place that closes between two whole events, if the budget has a further go for it.
     if (whole && dock_ >= 0 && wa_.runnerPool.at(dock_).carryOver && !lastRunner_ && !scan_.lastId().empty() &&
-        wa_.budget.spend(*service_, now())) {
+        scan_.resumable() && canMove() && wa_.budget.spend(*service_, now())) {
       prepaid_ = true;
       scan_.dropRest();
       return AttemptEnd::moved;
--- a/libs/runtime/include/runtime/event_loop.hpp
+++ b/libs/runtime/include/runtime/event_loop.hpp
@@ -56,7 +56,9 @@
   ~Connection();
   Connection(const Connection&) = delete;
   std::size_t read(asio::mutable_buffer b, Ec& ec);
-  void write(asio::const_buffer b, Ec& ec);
+  // Writes all of b and returns how many bytes the kernel took. Only 0 together with an error says with certainty that
+  // nothing of b can reach the far end.
+  std::size_t write(asio::const_buffer b, Ec& ec);
   void connect(const tcp::endpoint& ep, Ec& ec);
   // Parks until bytes can be read, without reading them.
   void awaitReadable(Ec& ec);
--- a/libs/runtime/src/event_loop.cpp
+++ b/libs/runtime/src/event_loop.cpp
@@ -195,24 +195,26 @@
   w.wait();
   return got;
 }
-void Connection::write(asio::const_buffer b, Ec& ec) {
+std::size_t Connection::write(asio::const_buffer b, Ec& ec) {
   // Why straight first: most writes fit the socket's window, and a parked fiber costs a wake-up.
   if (!unblocked_)
     sock_.non_blocking(true, ec), unblocked_ = true;
-  const auto n = sock_.send(asio::buffer(b), MSG_NOSIGNAL, ec);
+  auto written = sock_.send(asio::buffer(b), MSG_NOSIGNAL, ec);
   if (ec == asio::error::would_block)
     ec = {};
   else if (ec)
-    return;
-  if (n >= b.size())
-    return;
-  b += n;
+    return 0;
+  if (written >= b.size())
+    return written;
+  b += written;
   Waiter w;
-  asio::async_write(sock_, asio::buffer(b), [&](Ec e, std::size_t) {
+  asio::async_write(sock_, asio::buffer(b), [&](Ec e, std::size_t n) {
     ec = e;
+    written += n;
     w.wake();
   });
   w.wait();
+  return written;
 }
 void Connection::connect(const tcp::endpoint& ep, Ec& ec) {
   Waiter w;
--- /dev/null
+++ b/tests/resend_test.cpp
@@ -0,0 +1,889 @@
+// What is sent again after a reset, a close or silence, and what is not: every kind of request, on a new and on a
+// reused connection, with each trouble at each byte position of request and answer. Runners and clients are stand-ins
+// on loopback. Expectations follow the protocol page, not the code: `expected` below is the table in words.
+#include <sys/socket.h>
+
+#include <cstdlib>
+
+#include "standins.hpp"
+
+using namespace zc;
+using namespace zc::standin;
+namespace {
+
+enum class CallKind { safe, unsafe, stream, resumable };
+enum class Trouble { reset, close, silence, garbage, notExecuted, otherId, extraBytes };
+// Where the trouble comes. The first five count the bytes of the request that the runner has read by then; the others
+// those of its answer that it has sent.
+enum class Position {
+  beforeConnect,
+  nothingRead,
+  partOfHead,
+  wholeHead,
+  partOfBody,
+  wholeRequest,  // and no byte of the answer
+  inStatusLine,
+  inAnswerHead,
+  afterAnswerHead,
+  inAnswerBody,
+  allButLastByte,
+};
+constexpr CallKind kKinds[] = {CallKind::safe, CallKind::unsafe, CallKind::stream, CallKind::resumable};
+constexpr Trouble kTroubles[] = {Trouble::reset,       Trouble::close,   Trouble::silence,   Trouble::garbage,
+                                 Trouble::notExecuted, Trouble::otherId, Trouble::extraBytes};
+constexpr Position kPositions[] = {Position::beforeConnect, Position::nothingRead,   Position::partOfHead,
+                                   Position::wholeHead,     Position::partOfBody,    Position::wholeRequest,
+                                   Position::inStatusLine,  Position::inAnswerHead,  Position::afterAnswerHead,
+                                   Position::inAnswerBody,  Position::allButLastByte};
+const char* name(CallKind k) {
+  constexpr const char* n[] = {"safe", "unsafe", "stream", "resumable stream"};
+  return n[static_cast<int>(k)];
+}
+const char* name(Trouble t) {
+  constexpr const char* n[] = {"reset", "close", "silence", "garbage", "X-Not-Executed", "another id", "extra bytes"};
+  return n[static_cast<int>(t)];
+}
+const char* name(Position p) {
+  constexpr const char* n[] = {"before connect", "nothing read",    "part of head",     "whole head",
+                               "part of body",   "whole request",   "in status line",   "in answer's head",
+                               "after its head", "in body / event", "all but last byte"};
+  return n[static_cast<int>(p)];
+}
+const char* path(CallKind k) {
+  constexpr const char* n[] = {"/safe/x", "/once/x", "/stream/x", "/resume/x"};
+  return n[static_cast<int>(k)];
+}
+bool streams(CallKind k) {
+  return k == CallKind::stream || k == CallKind::resumable;
+}
+bool repeatable(CallKind k) {
+  return k == CallKind::safe || k == CallKind::resumable;
+}
+
+constexpr int kEvents = 4;
+const std::string kBody = "0123456789";
+// The right answer to a request, from its first event on or after the one that it names.
+std::string rightAnswer(CallKind k, const std::string& id, int after = 0) {
+  if (!streams(k))
+    return whole(id, "body of " + id);
+  std::string s = streamHead(id);
+  for (int i = after + 1; i <= kEvents; ++i)
+    s += chunk(event(i));
+  return s + "0\r\n\r\n";
+}
+std::string rightBody(CallKind k, const std::string& id) {
+  if (!streams(k))
+    return "body of " + id;
+  std::string s;
+  for (int i = 1; i <= kEvents; ++i)
+    s += event(i);
+  return s;
+}
+std::string answerPrefix(CallKind k, Position p, const std::string& id) {
+  const auto all = rightAnswer(k, id);
+  const auto head = all.find("\r\n\r\n") + 4;
+  switch (p) {
+    case Position::inStatusLine:
+      return all.substr(0, 7);
+    case Position::inAnswerHead:
+      return all.substr(0, head - 9);
+    case Position::afterAnswerHead:
+      return all.substr(0, head);
+    case Position::inAnswerBody:  // a stream: in the middle of its second event, inside a chunk
+      return streams(k) ? all.substr(0, head + chunk(event(1)).size() + 9) : all.substr(0, head + 4);
+    case Position::allButLastByte:
+      return all.substr(0, all.size() - 1);
+    default:
+      return {};
+  }
+}
+
+// A runner that reads as much as it is told and then does what it is told. One script for all runners of a rig: the
+// first connection that bears a request plays it; all later requests are answered as they should be.
+struct Rig {
+  struct Seen {
+    std::string runner, bytes;
+    bool notExecuted = false;
+  };
+  Harbour h;
+  CallKind kind = CallKind::safe;
+  Trouble trouble = Trouble::reset;
+  Position position = Position::wholeRequest;
+  bool played = false;
+  int fibers = 0;
+  std::vector<std::shared_ptr<Seen>> seen;  // one a request that began, in order
+  struct Door {
+    std::string id;
+    std::shared_ptr<tcp::acceptor> acceptor;
+  };
+  std::vector<std::shared_ptr<Door>> doors;
+  std::vector<std::unique_ptr<Connection>> fillers;
+
+  explicit Rig(int runners = 3) {
+    for (int i = 0; i < runners; ++i) {
+      auto d = std::make_shared<Door>();
+      d->id = "i-" + std::to_string(i);
+      d->acceptor =
+          std::make_shared<tcp::acceptor>(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+      doors.push_back(d);
+      accept(d);
+    }
+    follow();
+    h.saveUp(8, 12);
+  }
+  void follow(const std::string& firstAddress = {}) {
+    std::vector<Runner> rs;
+    for (auto& d : doors) {
+      auto address = "127.0.0.1:" + std::to_string(d->acceptor->local_endpoint().port());
+      if (!firstAddress.empty() && d == doors.front())
+        address = firstAddress;
+      rs.push_back(Runner{d->id, "s", address, "z", 4, 1, 0});
+    }
+    h.wa.runnerPool.follow(rs);
+  }
+  void accept(const std::shared_ptr<Door>& d) {
+    d->acceptor->async_accept([this, d](Ec ec, tcp::socket s) {
+      if (ec)
+        return;
+      auto held = std::make_shared<tcp::socket>(std::move(s));
+      ++fibers;
+      EventLoop::get().launch([this, d, held] {
+        {
+          Connection w(std::move(*held));
+          tune(w.sock());
+          while (serve(*d, w)) {
+          }
+        }
+        --fibers;
+      });
+      accept(d);
+    });
+  }
+  static bool readMore(Connection& w, std::string& got, std::size_t most) {
+    char b[4096];
+    Ec ec;
+    const auto n = w.read(asio::buffer(b, std::min(sizeof b, most)), ec);
+    got.append(b, n);
+    return !ec && n > 0;
+  }
+  static void resetIt(Connection& w) {
+    const linger now{1, 0};
+    ::setsockopt(w.sock().native_handle(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    w.shut();
+  }
+  static std::string headOf(const std::string& request, const std::string& n) {
+    const auto at = request.find("\r\n" + n + ": ");
+    if (at == std::string::npos)
+      return {};
+    const auto from = at + n.size() + 4;
+    return request.substr(from, request.find("\r\n", from) - from);
+  }
+  // One request on a connection. False: the connection is over.
+  bool serve(Door& d, Connection& w) {
+    Ec ec;
+    w.awaitReadable(ec);
+    char c;
+    if (ec || ::recv(w.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+      return false;
+    auto s = std::make_shared<Seen>();
+    s->runner = d.id;
+    seen.push_back(s);
+    const bool mine = !std::exchange(played, true);
+    const auto readUpTo = mine ? position : Position::wholeRequest;
+    auto& got = s->bytes;
+    const auto wanted = [&]() -> std::size_t {
+      const auto head = got.find("\r\n\r\n");
+      switch (readUpTo) {
+        case Position::nothingRead:
+          return 0;
+        case Position::partOfHead:
+          return 25;
+        case Position::wholeHead:
+          return head == std::string::npos ? got.size() + 1 : head + 4;
+        case Position::partOfBody:
+          return head == std::string::npos ? got.size() + 1 : head + 4 + kBody.size() / 2;
+        default: {
+          const auto length = headOf(got, "Content-Length");
+          return head == std::string::npos ? got.size() + 1 : head + 4 + (length.empty() ? 0 : std::stoul(length));
+        }
+      }
+    };
+    while (got.size() < wanted())
+      if (!readMore(w, got, readUpTo == Position::wholeRequest ? 4096 : 1))
+        return false;
+    const auto id = headOf(got, "X-Attempt-Id");
+    const auto after = headOf(got, "Last-Event-Id");
+    if (!mine) {
+      say(w, rightAnswer(kind, id, after.empty() ? 0 : std::stoi(after)));
+      return true;
+    }
+    return play(w, *s, id.empty() ? "a1" : id);
+  }
+  bool play(Connection& w, Seen& s, const std::string& id) {
+    if (const auto prefix = answerPrefix(kind, position, id); !prefix.empty()) {
+      say(w, prefix);
+      // It arrives by itself: a reset would take back what the proxy has not read yet.
+      EventLoop::get().pause(2ms);
+    }
+    switch (trouble) {
+      case Trouble::reset:
+        resetIt(w);
+        return false;
+      case Trouble::close:
+        w.shut();
+        return false;
+      case Trouble::silence: {
+        std::string rest;
+        while (readMore(w, rest, 4096)) {
+        }
+        return false;
+      }
+      case Trouble::garbage:
+        say(w, "\x16\x03\x01 nothing of this is an answer\r\n\r\n");
+        w.shut();
+        return false;
+      case Trouble::notExecuted:
+        s.notExecuted = true;
+        say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n"));
+        if (position == Position::wholeRequest)
+          return true;
+        // The rest is read, so that the close does not take the answer back.
+        w.sock().shutdown(tcp::socket::shutdown_send, ignored_);
+        for (std::string rest; readMore(w, rest, 4096);) {
+        }
+        return false;
+      case Trouble::otherId:
+        say(w, rightAnswer(kind, "of-another") + rightAnswer(kind, id));
+        return true;
+      case Trouble::extraBytes:
+        say(w, rightAnswer(kind, id) + rightAnswer(kind, "of-another"));
+        return true;
+    }
+    return false;
+  }
+  // Closes everything and waits until nothing refers to this rig.
+  void end() {
+    Ec ec;
+    h.door->close(ec);
+    for (auto& d : doors)
+      d->acceptor->close(ec);
+    fillers.clear();
+    h.wa.pool = Pool();
+    for (int i = 0; i < 4000 && (fibers > 0 || h.wa.clients > 0); ++i)
+      EventLoop::get().pause(1ms);
+    EXPECT_EQ(fibers, 0);
+    EXPECT_EQ(h.wa.clients, 0);
+    EventLoop::get().pause(1ms);  // handlers of closed acceptors
+  }
+  int begun() const { return static_cast<int>(seen.size()); }
+
+ private:
+  Ec ignored_;
+};
+
+struct Row {
+  CallKind kind;
+  bool reused;
+  Trouble trouble;
+  Position position;
+};
+std::string text(const Row& r) {
+  return std::string(name(r.kind)) + ", " + (r.reused ? "reused" : "new") + ", " + name(r.trouble) + ", " +
+         name(r.position);
+}
+// Rows that make sense: X-Not-Executed, another id and surplus bytes are answers, so they come at a position of the
+// request. Garbage that fills up a length announced before it can't be told from the answer that was due.
+bool exists(const Row& r) {
+  if (r.position == Position::beforeConnect)
+    return !r.reused && (r.trouble == Trouble::reset || r.trouble == Trouble::silence);
+  if (r.trouble == Trouble::notExecuted)
+    return r.position >= Position::partOfHead && r.position <= Position::wholeRequest;
+  if (r.trouble == Trouble::otherId || r.trouble == Trouble::extraBytes)
+    return r.position == Position::wholeRequest;
+  if (r.trouble == Trouble::garbage)
+    return streams(r.kind) ? r.position != Position::inAnswerBody : r.position <= Position::inAnswerHead;
+  return true;
+}
+struct Result {
+  int begun = 0;       // connections on which the runners saw a byte of this request
+  int ran = 0;         // of those, the ones whose runner did not say X-Not-Executed
+  int status = 0;      // what the client got; 0: a closed connection
+  bool whole = false;  // the answer came in full
+  std::string body;
+};
+// The table in words.
+Result expected(const Row& r) {
+  const Result right{1, 1, 200, true, rightBody(r.kind, "a1")};
+  auto again = right;
+  again.begun = 2, again.ran = 2;
+  if (r.position == Position::beforeConnect)
+    return right;  // nothing was sent: the next runner has it
+  if (r.trouble == Trouble::notExecuted) {
+    again.ran = 1;  // the first runner says so
+    return again;
+  }
+  if (r.trouble == Trouble::otherId || r.trouble == Trouble::extraBytes)
+    return right;  // those bytes belong to no request
+  const bool begun = r.kind == CallKind::stream && r.position >= Position::afterAnswerHead;
+  Result cut{1, 1, 200, false, {}};  // a stream that had begun, and that no other runner may take up
+  if (r.position == Position::inAnswerBody)
+    cut.body = event(1) + "id: 2";
+  if (r.position == Position::allButLastByte)
+    cut.body = rightBody(r.kind, "a1");
+  if (r.trouble == Trouble::silence) {
+    // A runner's silence is no reason to end sooner, nor to run it elsewhere: the deadline ends it.
+    if (r.kind == CallKind::resumable && r.position >= Position::afterAnswerHead) {
+      cut.body = r.position == Position::inAnswerBody     ? event(1)
+                 : r.position == Position::allButLastByte ? rightBody(r.kind, "a1")
+                                                          : "";
+      return cut;
+    }
+    return begun ? cut : Result{1, 1, 504, true, {}};
+  }
+  if (begun)
+    return cut;
+  if (repeatable(r.kind))
+    return again;
+  return {1, 1, 502, true, {}};
+}
+
+Result play(const Row& row) {
+  auto rig = std::make_unique<Rig>();
+  auto& h = rig->h;
+  rig->kind = row.kind;
+  rig->trouble = row.trouble;
+  rig->position = row.position;
+  Ec ec;
+  if (row.reused) {
+    for (auto& d : rig->doors) {
+      auto c = std::make_unique<Connection>();
+      c->connect(d->acceptor->local_endpoint(), ec);
+      EXPECT_FALSE(ec);
+      h.wa.pool.give(d->id, std::move(c), Clock::now() + 20s, Clock::now());
+    }
+  }
+  std::optional<tcp::acceptor> deaf;
+  if (row.position == Position::beforeConnect) {
+    rig->played = true;
+    if (row.trouble == Trouble::reset) {
+      rig->follow("127.0.0.1:1");  // refused
+    } else {
+      // A queue of connections that is full: the handshake gets no answer.
+      deaf.emplace(EventLoop::get().io());
+      deaf->open(tcp::v4());
+      deaf->bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+      deaf->listen(0);
+      for (int i = 0; i < 2; ++i) {
+        rig->fillers.push_back(std::make_unique<Connection>());
+        auto& f = *rig->fillers.back();
+        f.due(Clock::now() + 20ms);
+        f.connect(deaf->local_endpoint(), ec);
+        f.undue();
+      }
+      rig->follow("127.0.0.1:" + std::to_string(deaf->local_endpoint().port()));
+    }
+    // The trouble must be met: the others are busy.
+    for (int i = 1; i < 3; ++i)
+      for (int k = 0; k < 3; ++k)
+        h.wa.runnerPool.went(i, 0);
+  }
+  auto client = h.dial();
+  Buffer buf;
+  const bool waits = row.trouble == Trouble::silence && row.position != Position::beforeConnect;
+  say(*client, ask(path(row.kind), "a1", waits ? "X-Deadline-Ms: 40\r\n" : "", kBody));
+  const auto a = hear(*client, buf);
+  Result out;
+  out.begun = rig->begun();
+  for (auto& s : rig->seen)
+    out.ran += !s->notExecuted;
+  out.status = a.status;
+  out.whole = a.wholeBody;
+  if (a.status == 200)
+    out.body = a.body;
+  if (row.position != Position::beforeConnect)
+    EXPECT_TRUE(rig->played) << text(row);
+
+  // Nothing of it reaches the next caller, on this connection or a new one, though runners' connections are used again.
+  for (int i = 0; i < 6; ++i) {
+    const auto id = "next-" + std::to_string(i);
+    if (i % 2 || !a.wholeBody) {
+      const auto b = once(h, ask(path(row.kind), id, "", kBody));
+      EXPECT_EQ(b.body, rightBody(row.kind, id)) << text(row);
+      EXPECT_TRUE(b.wholeBody) << text(row);
+    } else {
+      say(*client, ask(path(row.kind), id, "", kBody));
+      const auto b = hear(*client, buf);
+      EXPECT_EQ(b.body, rightBody(row.kind, id)) << text(row);
+      EXPECT_EQ(b.heads.count("X-Attempt-Id") ? b.heads.at("X-Attempt-Id") : "", id) << text(row);
+    }
+  }
+  client->shut();
+  client.reset();
+  rig->end();
+  return out;
+}
+}  // namespace
+
+TEST(Resend, EachKindConnectionTroubleAndBytePosition) {
+  std::vector<Row> rows;
+  for (auto kind : kKinds)
+    for (bool reused : {false, true})
+      for (auto trouble : kTroubles)
+        for (auto position : kPositions)
+          if (const Row r{kind, reused, trouble, position}; exists(r))
+            rows.push_back(r);
+  ASSERT_EQ(rows.size(), 360u);
+  std::vector<Result> results(rows.size());
+  // Side by side, so that those that wait for a deadline wait together.
+  std::size_t next = 0, ended = 0;
+  for (int worker = 0; worker < 24; ++worker)
+    EventLoop::get().launch([&] {
+      while (next < rows.size()) {
+        const auto i = next++;
+        results[i] = play(rows[i]);
+        if (++ended == rows.size())
+          EventLoop::get().stop();
+      }
+    });
+  EventLoop::get().run();
+  ASSERT_EQ(ended, rows.size());
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const auto want = expected(rows[i]);
+    const auto& got = results[i];
+    EXPECT_EQ(got.begun, want.begun) << text(rows[i]);
+    EXPECT_EQ(got.ran, want.ran) << text(rows[i]);
+    EXPECT_EQ(got.status, want.status) << text(rows[i]);
+    EXPECT_EQ(got.whole, want.whole) << text(rows[i]);
+    if (want.status == 200)
+      EXPECT_EQ(got.body, want.body) << text(rows[i]);
+    if (!repeatable(rows[i].kind))
+      EXPECT_LE(got.ran, 1) << text(rows[i]);
+  }
+  if (std::getenv("ZINCCLEAT_PRINT_TABLE")) {
+    std::puts(
+        "| kind | connection | trouble | position | begun | may have run | client gets "
+        "|\n|---|---|---|---|---|---|---|");
+    for (std::size_t i = 0; i < rows.size(); ++i)
+      std::printf("| %s | %s | %s | %s | %d | %d | %d%s |\n", name(rows[i].kind), rows[i].reused ? "reused" : "new",
+                  name(rows[i].trouble), name(rows[i].position), results[i].begun, results[i].ran, results[i].status,
+                  results[i].whole ? "" : ", cut");
+  }
+}
+
+// The client, the deadline, the lease, the configuration or the process ends in the middle.
+
+TEST(Resend, AClientThatLeavesInTheMiddleEndsItEverywhere) {
+  for (const char* where : {"/safe/x", "/once/x", "/stream/x", "/resume/x"})
+    for (bool begun : {false, true})
+      inHarbour([&](Harbour& h) {
+        int requests = 0, closed = 0;
+        Waiter arrived, over;
+        const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+          ++requests;
+          if (begun)
+            say(w, streamHead(id) + chunk(event(1)));
+          arrived.wake();
+          char c;
+          Ec ec;
+          w.read(asio::buffer(&c, 1), ec);
+          closed += static_cast<bool>(ec);
+          w.shut();
+          over.wake();
+        };
+        h.runner("i-1", act);
+        h.runner("i-2", act);
+        auto client = h.dial();
+        say(*client, ask(where));
+        EXPECT_TRUE(EventLoop::get().waitFor(arrived, 3000ms));
+        EventLoop::get().pause(2ms);
+        client->shut();
+        EXPECT_TRUE(EventLoop::get().waitFor(over, 3000ms)) << where;
+        EventLoop::get().pause(5ms);
+        EXPECT_EQ(closed, 1) << where;
+        EXPECT_EQ(requests, 1) << where << ": nobody waits for a second one";
+        EXPECT_EQ(h.wa.aboard, 0);
+      });
+}
+TEST(Resend, PastTheDeadlineNothingIsSentAgain) {
+  for (const char* where : {"/safe/x", "/resume/x", "/once/x"})
+    inHarbour([&](Harbour& h) {
+      int requests = 0;
+      const auto act = [&](StandIn&, Connection& w, const std::string&, const std::string&) {
+        ++requests;
+        EventLoop::get().pause(60ms);
+        w.shut();
+      };
+      h.runner("i-1", act);
+      h.runner("i-2", act);
+      EXPECT_EQ(once(h, ask(where, "a1", "X-Deadline-Ms: 40\r\n")).status, 504) << where;
+      EXPECT_EQ(requests, 1) << where;
+    });
+}
+TEST(Resend, ALeaseThatEndsInTheMiddleStopsFurtherAttempts) {
+  for (const char* where : {"/safe/x", "/once/x"})
+    for (bool sent : {false, true})
+      inHarbour([&](Harbour& h) {
+        int requests = 0;
+        const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+          ++requests;
+          h.wa.leaseEnds = Clock::now() - 1ms;
+          if (sent)
+            return w.shut();
+          say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n"));
+        };
+        h.runner("i-1", act);
+        h.runner("i-2", act);
+        EXPECT_EQ(once(h, ask(where)).status, sent ? 502 : 503) << where;
+        EXPECT_EQ(requests, 1) << where;
+      });
+}
+TEST(Resend, AConfigurationThatChangesInTheMiddleLeavesARequestWithItsOwn) {
+  inHarbour([](Harbour& h) {
+    const auto before = h.wa.cfg;
+    int requests = 0;
+    const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      if (++requests == 1) {
+        // All routes go, and the service with them.
+        h.wa.cfg = *parseConfiguration(R"({"configVersion":8,"routeTable":[],"serviceTable":[{"label":"other"}]})");
+        w.shut();
+      } else {
+        say(w, whole(id, "second"));
+      }
+    };
+    h.runner("i-1", act);
+    h.runner("i-2", act);
+    EXPECT_EQ(once(h, ask("/safe/x")).body, "second");
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(once(h, ask("/safe/x")).status, 404);
+    h.wa.cfg = before;
+    requests = 0;
+    EXPECT_EQ(once(h, ask("/once/x")).status, 502);
+    EXPECT_EQ(requests, 1);
+  });
+}
+// SIGTERM while a request is in work: it is served to its end, further attempts too, and its connection closes in
+// order, so that no client sends its next request into a connection that is about to go.
+TEST(Resend, AnOrderlyStopInTheMiddleServesToTheEndAndClosesInOrder) {
+  for (const char* where : {"/safe/x", "/resume/x", "/once/x"})
+    inHarbour([&](Harbour& h) {
+      const bool stream = std::string_view(where) == "/resume/x";
+      int requests = 0;
+      const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+        h.wa.leaving = true;
+        if (++requests == 1 && std::string_view(where) != "/once/x")
+          return w.shut();
+        say(w, rightAnswer(stream ? CallKind::resumable : CallKind::safe, id));
+      };
+      h.runner("i-1", act);
+      h.runner("i-2", act);
+      const auto a = once(h, ask(where));
+      EXPECT_EQ(a.status, 200) << where;
+      EXPECT_TRUE(a.wholeBody) << where;
+      ASSERT_TRUE(a.heads.count("Connection")) << where;
+      EXPECT_EQ(a.heads.at("Connection"), "close") << where;
+    });
+}
+
+// Answers that contradict themselves, and answers of unusual form.
+
+TEST(Resend, ASuccessThatSaysNotExecutedIsNoAnswerAndIsNotRepeated) {
+  for (const char* where : {"/stream/x", "/once/x", "/resume/x", "/safe/x"})
+    inHarbour([&](Harbour& h) {
+      int requests = 0;
+      const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+        ++requests;
+        say(w, whole(id, event(1), 200, "X-Not-Executed: 1\r\n"));
+      };
+      h.runner("i-1", act);
+      h.runner("i-2", act);
+      auto client = h.dial();
+      Buffer buf;
+      say(*client, ask(where));
+      EXPECT_EQ(hear(*client, buf).status, 502) << where;
+      const bool again = std::string_view(where) == "/safe/x" || std::string_view(where) == "/resume/x";
+      EXPECT_EQ(requests, again ? 2 : 1) << where;
+    });
+}
+TEST(Resend, AnswersWithoutABodyBringNoBytesAfterTheirHead) {
+  inHarbour([](Harbour& h) {
+    h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string& text) {
+      if (text.rfind("HEAD", 0) == 0)
+        say(w, streamHead(id));
+      else if (id == "none")
+        say(w, "HTTP/1.1 204 No Content\r\nX-Attempt-Id: none\r\nX-Server-Seal: s\r\n\r\n");
+      else
+        say(w, rightAnswer(CallKind::stream, id));
+    });
+    auto client = h.dial();
+    Buffer buf;
+    say(*client,
+        "HEAD /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: head\r\nAuthorization: Bearer key1\r\n\r\n" +
+            ask("/stream/x", "none") + ask("/stream/x", "after"));
+    http::response_parser<http::string_body> head;
+    head.skip(true);
+    Ec ec;
+    client->due(Clock::now() + 5s);
+    pump(*client, buf, head, true, ec);
+    EXPECT_FALSE(ec);
+    EXPECT_EQ(head.get()["X-Attempt-Id"], "head");
+    auto a = hear(*client, buf);
+    EXPECT_EQ(a.status, 204);
+    a = hear(*client, buf);
+    EXPECT_EQ(a.heads["X-Attempt-Id"], "after");
+    EXPECT_EQ(a.body, rightBody(CallKind::stream, "after"));
+  });
+}
+TEST(Resend, AnInterimAnswerIsNotTheAnswer) {
+  inHarbour([](Harbour& h) {
+    int requests = 0;
+    h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      ++requests;
+      std::string s;
+      for (int i = 0; i < 4; ++i)
+        s += "HTTP/1.1 102 Processing\r\nX-Attempt-Id: " + id + "\r\n\r\n";
+      say(w, s + whole(id, "final"));
+    });
+    EXPECT_EQ(once(h, ask("/once/x")).body, "final");
+    EXPECT_EQ(requests, 1);
+  });
+}
+// The runner says that it did not run it, and breaks off after saying so.
+TEST(Resend, NotExecutedCountsFromItsHead) {
+  inHarbour([](Harbour& h) {
+    int requests = 0;
+    const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      if (++requests > 1)
+        return say(w, whole(id, "ran"));
+      const auto full = whole(id, "full", 503, "X-Not-Executed: 1\r\n");
+      say(w, full.substr(0, full.size() - 2));
+      w.shut();
+    };
+    h.runner("i-1", act);
+    h.runner("i-2", act);
+    EXPECT_EQ(once(h, ask("/once/x")).body, "ran");
+    EXPECT_EQ(requests, 2);
+  });
+}
+// An event without an id can't be named to another runner: whoever went on after the last id would bring it twice.
+TEST(Resend, AStreamIsNotTakenUpPastAnEventWithoutAnId) {
+  for (bool firstHasId : {true, false})
+    inHarbour([&](Harbour& h) {
+      int requests = 0;
+      const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+        ++requests;
+        say(w, streamHead(id) + chunk((firstHasId ? event(1) : "") + "data: nameless\n\n"));
+        w.shut();
+      };
+      h.runner("i-1", act);
+      h.runner("i-2", act);
+      const auto a = once(h, ask("/resume/x"));
+      EXPECT_EQ(requests, 1);
+      EXPECT_FALSE(a.wholeBody);
+      EXPECT_EQ(a.body, (firstHasId ? event(1) : "") + "data: nameless\n\n");
+    });
+}
+// Comments are no events: a stream that is kept alive by them is taken up as ever.
+TEST(Resend, AStreamIsTakenUpPastAComment) {
+  inHarbour([](Harbour& h) {
+    int requests = 0;
+    const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      if (++requests > 1)
+        return say(w, streamHead(id) + chunk(event(2)) + "0\r\n\r\n");
+      say(w, streamHead(id) + chunk(event(1) + ": still here\n\n"));
+      w.shut();
+    };
+    h.runner("i-1", act);
+    h.runner("i-2", act);
+    const auto a = once(h, ask("/resume/x"));
+    EXPECT_TRUE(a.wholeBody);
+    EXPECT_EQ(a.body, event(1) + ": still here\n\n" + event(2));
+  });
+}
+// A place that closes asks for live streams to be moved: one that nobody can take stays where it is.
+TEST(Resend, AStreamThatNobodyCanTakeIsNotMoved) {
+  inHarbour([](Harbour& h) {
+    h.saveUp(8, 12);
+    h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
+      say(w, streamHead(id) + chunk(event(1)));
+      h.wa.runnerPool.close({{"z", {100, true}}});
+      EventLoop::get().pause(3ms);
+      say(w, chunk(event(2)));
+      EventLoop::get().pause(3ms);
+      say(w, chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n");
+    });
+    const auto a = once(h, ask("/resume/x"));
+    EXPECT_TRUE(a.wholeBody);
+    EXPECT_EQ(a.body, rightBody(CallKind::resumable, "a1"));
+  });
+}
+TEST(Resend, ARequestInACodingThatHasNoEndIsTurnedAway) {
+  inHarbour([](Harbour& h) {
+    auto r = h.runner("i-1", answers);
+    EXPECT_EQ(once(h,
+                   "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nAuthorization: Bearer key1\r\n"
+                   "Transfer-Encoding: identity\r\n\r\n" +
+                       ask("/once/x", "smuggled"))
+                  .status,
+              400);
+    EXPECT_TRUE(r->got.empty());
+  });
+}
+
+// Bodies larger than the sockets' buffers: only a part of the request has left when the runner breaks off.
+
+namespace {
+void takeLargeBodies(Harbour& h) {
+  auto cfg = std::make_shared<Configuration>(*h.wa.cfg);
+  cfg->limits.maxBodyBytes = 64u << 20;
+  cfg->limits.idleTimer = 5s;
+  h.wa.cfg = cfg;
+}
+// A runner that reads the beginning of each request and then does what the test says.
+struct PartReader {
+  int begun = 0;
+  std::shared_ptr<tcp::acceptor> acceptor;
+  std::function<void(Connection&, int, const std::string&)> act;  // the how many-th, and what was read
+  void accept() {
+    acceptor->async_accept([this](Ec ec, tcp::socket s) {
+      if (ec)
+        return;
+      auto held = std::make_shared<tcp::socket>(std::move(s));
+      EventLoop::get().launch([this, held] {
+        Connection w(std::move(*held));
+        std::string got;
+        if (Rig::readMore(w, got, 4096))
+          act(w, ++begun, got);
+      });
+      accept();
+    });
+  }
+  explicit PartReader(decltype(act) a) : act(std::move(a)) {
+    acceptor = std::make_shared<tcp::acceptor>(EventLoop::get().io());
+    acceptor->open(tcp::v4());
+    acceptor->set_option(asio::socket_base::receive_buffer_size(8192));
+    acceptor->bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    acceptor->listen();
+    accept();
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor->local_endpoint().port()); }
+};
+void readAll(Connection& w, std::string got, std::size_t bodyBytes) {
+  auto left = got.find("\r\n\r\n") + 4 + bodyBytes - got.size();
+  while (left > 0) {
+    got.clear();
+    if (!Rig::readMore(w, got, 4096))
+      return;
+    left -= std::min(left, got.size());
+  }
+}
+}  // namespace
+TEST(Resend, APartOfALargeBodyThatLeftMayHaveRun) {
+  const std::string body(24u << 20, 'b');
+  for (const char* where : {"/safe/x", "/once/x"})
+    for (int how = 0; how < 3; ++how)
+      inHarbour([&](Harbour& h) {
+        takeLargeBodies(h);
+        // Static, like the harbour: its fibers may outlive the test.
+        auto& r = *new PartReader([how, &body](Connection& w, int n, const std::string& got) {
+          if (n == 1 && how == 0)
+            return Rig::resetIt(w);
+          if (n == 1 && how == 1)
+            return w.shut();
+          if (n == 1) {
+            say(w, whole("a1", "full", 503, "X-Not-Executed: 1\r\n"));
+            return Rig::resetIt(w);
+          }
+          readAll(w, got, body.size());
+          say(w, whole("a1", "ran"));
+        });
+        h.wa.runnerPool.follow(
+            {Runner{"i-1", "s", r.address(), "z", 4, 1, 0}, Runner{"i-2", "s", r.address(), "z", 4, 1, 0}});
+        const auto a = once(h, ask(where, "a1", "", body));
+        const bool safe = std::string_view(where) == "/safe/x";
+        // A runner's word that it did not run it may be lost with the reset: then it may have run.
+        if (how == 2 && r.begun == 2) {
+          EXPECT_EQ(a.body, "ran") << where;
+        } else if (safe) {
+          EXPECT_EQ(r.begun, 2) << how;
+          EXPECT_EQ(a.body, "ran") << how;
+        } else {
+          EXPECT_EQ(r.begun, 1) << how;
+          EXPECT_EQ(a.status, 502) << how;
+        }
+      });
+}
+// Only a write that took no byte at all is certain not to have arrived.
+TEST(Resend, AWriteTellsHowManyBytesLeft) {
+  inHarbour([](Harbour&) {
+    tcp::acceptor acceptor(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Connection w;
+    Ec ec;
+    w.connect(acceptor.local_endpoint(), ec);
+    ASSERT_FALSE(ec);
+    {
+      Connection far(acceptor.accept());
+      EXPECT_EQ(w.write(asio::buffer("abc", 3), ec), 3u);
+      EXPECT_FALSE(ec);
+      char got[3];
+      EXPECT_EQ(far.read(asio::buffer(got), ec), 3u);
+      Rig::resetIt(far);
+    }
+    w.awaitReadable(ec);
+    EXPECT_EQ(w.write(asio::buffer("abc", 3), ec), 0u);
+    EXPECT_TRUE(ec);
+  });
+}
+
+// A partner site's node is a runner of the try like any other.
+
+namespace {
+std::shared_ptr<const Configuration> partnerRoutes(int maxAttempts) {
+  return *parseConfiguration(R"({"configVersion":7,"routeTable":[
+    {"label":"recap","authority":"h.example","pathPrefix":"/recap/","routeType":"stream","streamResume":true,"sessionAffinity":true,"expiryMs":20000,"targetLatencyMs":2000,"targetService":"s","maxAttempts":)" +
+                             std::to_string(maxAttempts) + R"(,"keyless":true}],
+    "serviceTable":[{"label":"s","engine":{"capacity":8,"kvCapacity":400000,"modelList":[{"label":"m"}]}}],"subscribers":[]})");
+}
+const std::string kLongPrompt = "X-Model: m\r\nX-Token-Count: 9000,80\r\nX-Prompt-Prefix: aa:6000,bb:3000\r\n";
+}  // namespace
+TEST(Resend, WhatAPartnerSiteMayHaveRunIsNotPromisedAway) {
+  inHarbour([](Harbour& h) {
+    h.wa.cfg = partnerRoutes(2);
+    int there = 0;
+    auto& partner = *new PartReader([&there](Connection& w, int n, const std::string&) { there = n, w.shut(); });
+    h.wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return partner.address(); };
+    const auto a = once(h, ask("/recap/x", "a1", kLongPrompt, "", ""));
+    EXPECT_EQ(there, 1);
+    EXPECT_EQ(a.status, 502) << "503 would promise that it has not run and never will";
+  });
+}
+TEST(Resend, APartnerSiteCountsAmongTheRunnersOfATry) {
+  for (int most : {1, 2, 3})
+    inHarbour([most](Harbour& h) {
+      h.wa.cfg = partnerRoutes(most);
+      h.saveUp(8, 12);
+      int all = 0;
+      auto& partner = *new PartReader([&all](Connection& w, int, const std::string&) { ++all, w.shut(); });
+      h.wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return partner.address(); };
+      for (int i = 0; i < 4; ++i)
+        h.runner("i-" + std::to_string(i), [&all](StandIn&, Connection& w, const std::string&, const std::string&) {
+          ++all;
+          w.shut();
+        });
+      EXPECT_EQ(once(h, ask("/recap/x", "a1", kLongPrompt, "", "")).status, 502);
+      EXPECT_EQ(all, most);
+    });
+}
+// There one of its runners has it at most: this site's own come on top.
+TEST(Resend, ARequestFromAPartnerSiteGoesToOneRunner) {
+  inHarbour([](Harbour& h) {
+    h.saveUp(8, 12);
+    int all = 0;
+    for (int i = 0; i < 3; ++i)
+      h.runner("i-" + std::to_string(i), [&all](StandIn&, Connection& w, const std::string&, const std::string&) {
+        ++all;
+        w.shut();
+      });
+    EXPECT_EQ(once(h, ask("/resume/x", "a1", "X-Partner-Site: 1\r\n")).status, 502);
+    EXPECT_EQ(all, 1);
+  });
+}
