A backlog behind a refusing disk is written as one record

Cause: while a disk is full its records pile up; each was tried again by itself, also behind one that had failed, where the disk refuses it as out of order, and each refusal put its next try 300 ms off. Change: records behind a failed one wait; the oldest is tried again, with all that came since in one full record.

--- a/libs/consensus/src/fingerprint.cpp
+++ b/libs/consensus/src/fingerprint.cpp
@@ -57,6 +57,7 @@
   writer(core.leaving)(core.exitAllowed);
   for (const auto& pending : core.persistence.pending()) {
     writer(pending.ticket - core.persistence.newestTicket())(pending.lastNumber)(pending.lastTerm)(pending.failed);
+    writer(pending.inFlight);
     writer(pending.retryAt)(static_cast<std::int64_t>(pending.waited.count()));
   }
   for (const auto& [ticket, held] : core.persistence.held())
--- a/libs/consensus/src/persistence.cpp
+++ b/libs/consensus/src/persistence.cpp
@@ -1,9 +1,17 @@
 #include "persistence.hpp"
 
 namespace zc {
-PersistTicket Persistence::add(DiskRecord record, std::int64_t lastNumber, std::int64_t lastTerm) {
-  pending_.push_back({++lastTicket_, std::move(record), lastNumber, lastTerm, false, {}, Span(0)});
-  return lastTicket_;
+const Persistence::Pending& Persistence::add(DiskRecord record, std::int64_t lastNumber, std::int64_t lastTerm) {
+  const bool waits = oldestFailed();
+  Pending pending;
+  pending.ticket = ++lastTicket_;
+  pending.record = std::move(record);
+  pending.lastNumber = lastNumber;
+  pending.lastTerm = lastTerm;
+  pending.inFlight = !waits;
+  pending.failed = waits;
+  pending_.push_back(std::move(pending));
+  return pending_.back();
 }
 bool Persistence::hold(PersistTicket ticket, HeldMessage message) {
   if (ticket == 0 || pending_.empty() || pending_.front().ticket > ticket)
@@ -36,18 +44,32 @@
   for (auto& pending : pending_) {
     if (pending.ticket != ticket)
       continue;
+    pending.inFlight = false;
     pending.failed = true;
     pending.retryAt = retryAt;
   }
 }
-const Persistence::Pending* Persistence::dueRetry(Instant now, Instant next) {
-  for (auto& pending : pending_) {
-    if (!pending.failed || now < pending.retryAt)
-      continue;
-    pending.retryAt = next;
-    return &pending;
-  }
-  return nullptr;
+bool Persistence::retryDue(Instant now) const {
+  if (!oldestFailed() || now < pending_.front().retryAt)
+    return false;
+  return std::none_of(pending_.begin(), pending_.end(), [](const Pending& pending) { return pending.inFlight; });
+}
+const Persistence::Pending& Persistence::retryOldest() {
+  pending_.front().inFlight = true;
+  return pending_.front();
+}
+const Persistence::Pending& Persistence::replaceAll(DiskRecord full, std::int64_t lastNumber, std::int64_t lastTerm) {
+  auto merged = pending_.front();
+  merged.ticket = pending_.back().ticket;
+  full.seq = merged.record.seq;
+  lastSequence_ = full.seq;
+  merged.record = std::move(full);
+  merged.lastNumber = lastNumber;
+  merged.lastTerm = lastTerm;
+  merged.inFlight = true;
+  pending_.clear();
+  pending_.push_back(std::move(merged));
+  return pending_.front();
 }
 void Persistence::age(Span step) {
   for (auto& pending : pending_)
--- a/libs/consensus/src/persistence.hpp
+++ b/libs/consensus/src/persistence.hpp
@@ -17,6 +17,7 @@
     PersistTicket ticket = 0;
     DiskRecord record;
     std::int64_t lastNumber = 0, lastTerm = 0;  // the end of the log that it makes durable
+    bool inFlight = false;                      // handed to the disk and not answered yet
     bool failed = false;
     Instant retryAt{};
     Span waited{0};
@@ -24,7 +25,8 @@
   // The next record's number on this disk.
   std::int64_t nextSequence() { return ++lastSequence_; }
   void recoveredSequence(std::int64_t sequence) { lastSequence_ = std::max(lastSequence_, sequence); }
-  PersistTicket add(DiskRecord record, std::int64_t lastNumber, std::int64_t lastTerm);
+  // Notes a record. Its `inFlight` says whether it is to be handed to the disk now: behind one that failed it waits.
+  const Pending& add(DiskRecord record, std::int64_t lastNumber, std::int64_t lastTerm);
   PersistTicket newestTicket() const { return lastTicket_; }
   // Keeps a message until `ticket` is on the disk. False: it is there already, the message may go.
   bool hold(PersistTicket ticket, HeldMessage message);
@@ -33,8 +35,13 @@
   // Messages whose records are all on the disk.
   std::vector<HeldMessage> releasedMessages();
   void failed(PersistTicket ticket, Instant retryAt);
-  // The oldest failed record whose time has come, with its retry set to `next`.
-  const Pending* dueRetry(Instant now, Instant next);
+  // Whether the oldest record failed, its time has come, and nothing is with the disk.
+  bool retryDue(Instant now) const;
+  // Hands the oldest record to the disk once more.
+  const Pending& retryOldest();
+  // Puts one full record in the place of all that wait, under the oldest one's sequence and the newest one's ticket:
+  // what came while the disk refused to write is made durable by a single write.
+  const Pending& replaceAll(DiskRecord full, std::int64_t lastNumber, std::int64_t lastTerm);
   // Adds `step` to the age of all records under way.
   void age(Span step);
   bool oldestFailed() const { return !pending_.empty() && pending_.front().failed; }
--- a/libs/consensus/src/raft_core.cpp
+++ b/libs/consensus/src/raft_core.cpp
@@ -40,9 +40,10 @@
   return record;
 }
 PersistTicket RaftNode::Core::handToDisk(DiskRecord record) {
-  const auto ticket = persistence.add(record, log.lastNumber(), log.lastTerm());
-  actions.push_back(PersistRecord{ticket, std::move(record)});
-  return ticket;
+  const auto& pending = persistence.add(std::move(record), log.lastNumber(), log.lastTerm());
+  if (pending.inFlight)
+    actions.push_back(PersistRecord{pending.ticket, pending.record});
+  return pending.ticket;
 }
 // Term and vote, and the entries from `fromNumber` on (0: none).
 PersistTicket RaftNode::Core::persist(std::int64_t fromNumber, std::vector<Entry> entries) {
@@ -51,7 +52,7 @@
   record.entries = std::move(entries);
   return handToDisk(std::move(record));
 }
-PersistTicket RaftNode::Core::persistAll() {
+DiskRecord RaftNode::Core::fullRecord() {
   auto record = emptyRecord();
   record.full = true;
   record.snapshotNumber = log.snapshot().number;
@@ -60,7 +61,10 @@
   record.state = log.snapshot().state;
   record.fromNumber = log.snapshot().number + 1;
   record.entries.assign(log.entries().begin(), log.entries().end());
-  return handToDisk(std::move(record));
+  return record;
+}
+PersistTicket RaftNode::Core::persistAll() {
+  return handToDisk(fullRecord());
 }
 // A higher term ends whatever this member did in the lower one.
 PersistTicket RaftNode::Core::enterTerm(Instant now, std::int64_t term, const MemberId& voteFor) {
@@ -116,10 +120,15 @@
 bool RaftNode::Core::diskStalled() const {
   return persistence.oldestFailed() || persistence.oldestWait() > options.syncStalledAfter;
 }
+// Only the oldest record is tried again, since the disk takes them in order. What came behind it meanwhile goes along
+// in one full record: a backlog of single records would take longer to write than it took to gather.
 void RaftNode::Core::retryPersist(Instant now) {
-  const auto* due = persistence.dueRetry(now, now + options.persistRetry);
-  if (due)
-    actions.push_back(PersistRecord{due->ticket, due->record});
+  if (!persistence.retryDue(now))
+    return;
+  const bool alone = persistence.pending().size() == 1 || log.holdsNothing();
+  const auto& retried =
+      alone ? persistence.retryOldest() : persistence.replaceAll(fullRecord(), log.lastNumber(), log.lastTerm());
+  actions.push_back(PersistRecord{retried.ticket, retried.record});
 }
 void RaftNode::Core::onPersisted(Instant now, PersistTicket ticket) {
   const auto done = persistence.completed(ticket);
@@ -128,7 +137,7 @@
   // What was replaced meanwhile is not the log's any more.
   if (done->lastNumber <= log.lastNumber() && log.termAt(done->lastNumber) == done->lastTerm)
     persistedNumber = std::max(persistedNumber, done->lastNumber);
-  if (role == Role::candidate && !preVoting && ticket == ownVoteTicket)
+  if (role == Role::candidate && !preVoting && ticket >= ownVoteTicket)
     votes.insert(self);
   for (auto& held : persistence.releasedMessages())
     if (held.term == currentTerm)  // a vote or a question of a term already left behind is void
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -69,6 +69,7 @@
   PersistTicket persistAll();
   PersistTicket handToDisk(DiskRecord record);
   DiskRecord emptyRecord();
+  DiskRecord fullRecord();
   PersistTicket enterTerm(Instant now, std::int64_t term, const MemberId& voteFor = {});
   void armElection(Instant now);
   void commitUpTo(std::int64_t number);
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -500,6 +500,30 @@
   EXPECT_FALSE(w.leader().empty());
   EXPECT_NE(w.leader(), first);
 }
+// Found on the users' bench: while a disk is full the records pile up; each was then tried by itself and out of order,
+// and for up to half a minute after it had room again the member could neither vote nor lead.
+TEST(Order, AMemberWhoseDiskWasFullServesAgainAtOnce) {
+  for (std::uint64_t s = 700; s < 720; ++s) {
+    World w(s);
+    bootAll(w);
+    const auto leader = w.leader();
+    const auto full = leader == kSeeds[0] ? kSeeds[1] : kSeeds[0];
+    w.nodes[full].diskFull = true;
+    for (int i = 0; i < 200; ++i) {
+      w.write(leader);
+      w.runFor(65ms);
+    }
+    w.nodes[full].diskFull = false;
+    w.runFor(500ms);
+    EXPECT_FALSE(w.nodes[full].raft->diskStalled()) << "seed " << s;
+    w.kill(leader);
+    w.runFor(2500ms);
+    ASSERT_FALSE(w.leader().empty()) << "seed " << s;
+    checkEnd(w);
+    if (HasFailure())
+      return;
+  }
+}
 TEST(Order, HundredsOfShortWorlds) {
   // A longer sweep: ZINCCLEAT_WORLDS=5000 ZINCCLEAT_FROM=1000 target/tests/zinccleat_tests --gtest_filter=*Worlds
   const char* n = std::getenv("ZINCCLEAT_WORLDS");
