--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <unordered_set>
 
+#include "core.hpp"
 #include "simulated_disk.hpp"
 
 using namespace zc;
@@ -746,6 +747,27 @@
   std::filesystem::remove_all(folder);
 }
 
+TEST(StorageLock, ACoreMachineRefusesAFolderThatItCannotUse) {
+  Settings settings;
+  settings.ip = "127.0.5.2";
+  settings.dataDir = freshDir();
+  Storage held(settings.dataDir);
+  ASSERT_TRUE(held.lock());
+  const auto locked = Core(settings).start();
+  ASSERT_FALSE(locked);
+  EXPECT_EQ(locked.error().text, settings.dataDir + ": another process uses this folder");
+  EXPECT_EQ(filesIn(settings.dataDir), 1);
+  std::filesystem::remove_all(settings.dataDir);
+
+  settings.dataDir = freshDir();
+  std::ofstream(settings.dataDir + "/page-000000000001") << "zcpage2 and so on";
+  const auto older = Core(settings).start();
+  ASSERT_FALSE(older);
+  EXPECT_NE(older.error().text.find("page-000000000001 is in an older format"), std::string::npos);
+  EXPECT_TRUE(std::filesystem::exists(settings.dataDir + "/page-000000000001"));
+  std::filesystem::remove_all(settings.dataDir);
+}
+
 // --- the operating system's files ---
 
 TEST(PosixStorage, RecordsComeBackInOrder) {
