A core machine that is cut off acknowledges and refuses nothing; operation ids unique over lives

Cause: onBeat answered 200 from its copy and named itself as heartbeatUri, orders waited 2.5 s while a caller waits one, a forwarded batch of beats was forgotten when it was sent, a runner that had joined at another machine was dropped by a leader that had no beat of it yet, and operation ids held five digits of the boot and a counter that began anew.

Change: the calls are a module without sockets (calls.hpp) over a narrow interface. Without contact with a majority, or while the leader answers no batch of beats, or while this machine leaves, the answer is 503 at once (beats) or after at most 0.3 s (orders); no answer later than 0.85 s plus 1 ms per KiB of body. Beats are sent again until a leader with a lease acknowledges them, with their age; a leader that had no lease, or stood still, or sees a runner for the first time, listens for its full patience. Ids: identity, all 64 bits of the boot, counter. A state on the disk that can't be restored is refused at the start by one line, nothing changed. Settings whose seeds hold this machine alone are refused (a founder with faultTolerance.machines 0 is a core of one). Frames and messages that don't parse are counted in the status.

core_test.cpp: its machine alone now says faultTolerance.machines 0, since its settings are refused without.

--- a/libs/controller/src/core.cpp
+++ b/libs/controller/src/core.cpp
@@ -16,17 +16,37 @@
 constexpr Span kLeaveAtLeast = 400ms;   // answers under way are sent before the process ends
 constexpr Span kLeaveReserve = 1500ms;  // the process ends so long before it would be killed, whatever the others say
 constexpr int kViewEvery = 8;           // state messages: the members and a part of the view go with each so many-th
+constexpr auto kForwardHeartbeats = 500ms;
+constexpr auto kContactPoll = 25ms;
 std::string hostOf(const std::string& addr) {
   return addr.substr(0, addr.rfind(':'));
 }
 }  // namespace
 
-Core::Core(Settings s) : s_(std::move(s)), view_(s_.ip + "/core", kView, drawSeed()) {}
+bool snapshotIsValid(const std::string& state) {
+  ReplicatedState probe;
+  return probe.restore(state).has_value();
+}
+std::optional<std::string> unusableSettings(const Settings& s) {
+  if (s.dataDir.empty())
+    return "settings name no dataDir for a core machine";
+  const bool alone = std::all_of(s.seeds.begin(), s.seeds.end(), [&](auto& seed) { return hostOf(seed) == s.ip; });
+  if (!alone)
+    return std::nullopt;
+  if (!s.initialAttach)
+    return "seedNodes hold this machine alone: there is nobody to join";
+  if (s.tolerateMachines > 0)
+    return "seedNodes hold this machine alone, and faultTolerance.machines is " + std::to_string(s.tolerateMachines) +
+           ": a core of one bears no loss";
+  return std::nullopt;
+}
+
+Core::Core(Settings s) : s_(std::move(s)), view_(s_.ip + "/core", kView, drawSeed()), runnerMonitor_(s_.heartbeat) {}
 Core::~Core() = default;
 
 Outcome<void> Core::start() {
-  if (s_.dataDir.empty())
-    return fault(0, "settings name no dataDir for a core machine");
+  if (const auto why = unusableSettings(s_))
+    return fault(0, *why);
   boot_ = drawSeed();
   if (s_.partner) {
     auto key = HintKey::from(s_.partner->secret);
@@ -70,9 +90,14 @@
     self = s_.ip + "#0";
   else
     self = s_.ip + "#" + std::to_string(boot_ | 1);
+  // Why before anything is taken over: a disk whose state this program can't read must not be led or voted with.
+  for (auto& page : *pages)
+    if (page.full && !page.state.empty() && !snapshotIsValid(page.state))
+      return fault(0, s_.dataDir + ": page " + std::to_string(page.seq) + " holds a state that can't be restored");
+  operationIds_.emplace(self, boot_);
   RaftOptions options;
   options.largeBody = kBulkyBody;
-  options.snapshotIsValid = [](const std::string& state) { return ReplicatedState{}.restore(state).has_value(); };
+  options.snapshotIsValid = snapshotIsValid;
   raft_ = std::make_unique<RaftNode>(self, options, boot_, now);
   raft_->setSeeds(seedIps);
   for (auto& x : seedIps)
@@ -101,19 +126,13 @@
       dialer(x);
   EventLoop::get().every(kTick, [this] { tick(); });
   EventLoop::get().every(1000ms, [this] {
-    const auto seq = raft_->leader();
-    if (!beatsToTell_.empty() && !seq.empty() && seq != raft_->self()) {
-      Msg m = msgOf(Kind::beats);
-      m.names = std::exchange(beatsToTell_, {});
-      sendTo(seq, m);
-    }
-    beatsToTell_.clear();
     const auto heard = Clock::now() - 30s;
     std::erase_if(loads_, [&](auto& l) { return l.second.at < heard; });
     dropSilent(Clock::now());
     nodesHeard_ = static_cast<std::int64_t>(loads_.size());
     watchRunners(Clock::now());
   });
+  EventLoop::get().every(kForwardHeartbeats, [this] { forwardHeartbeats(Clock::now()); });
   if (hints_)
     EventLoop::get().every(kTellPartner, [this] { tellPartner(); });
   run();
@@ -137,8 +156,7 @@
   running_ = false;
   const bool seq = raft_->role() == Role::leader;
   if (seq && !wasLeader_) {
-    leaderSince_ = Clock::now();
-    quota_.takeOver(leaderSince_);
+    quota_.takeOver(Clock::now());
     outliers_.takeOver(raft_->term());
     ring::note("takes the leader's role in term " + std::to_string(raft_->term()));
   }
@@ -148,6 +166,7 @@
   wasLeader_ = seq;
   if (raft_->leader() != lastLeader_) {
     lastLeader_ = raft_->leader();
+    heartbeats_.leaderChanged();
     tellAgents();
     for (auto& [id, ws] : writes_)
       for (auto* w : ws)
@@ -201,7 +220,8 @@
   }
 }
 void Core::install(const std::string& state) {
-  // Why stop: what was agreed on stands in this snapshot, and nothing may be applied on top of anything else.
+  // Why stop: what was agreed on stands in this snapshot, and nothing may be applied on top of anything else. Each way
+  // in checks the state first: `start` for the disk, `snapshotIsValid` for another member.
   must(copy_.restore(state).has_value(), "a snapshot that was found valid restores");
   adoptConfiguration();
   for (auto& [id, ws] : writes_)
@@ -366,10 +386,20 @@
     }
     case Kind::submitAck:
       return;
-    case Kind::beats:
-      for (auto& id : m.names)
-        beats_[id] = now;
-      return l->send(stateAck());
+    case Kind::beats: {
+      if (!raft_->hasLease(now))
+        return;
+      for (auto& runner : m.load)
+        runnerMonitor_.heard(runner.label, now - Span(static_cast<std::int64_t>(runner.rate)));
+      Msg r = msgOf(Kind::beatsAck);
+      r.from = raft_->self();
+      r.nonce = m.nonce;
+      return l->send(r);
+    }
+    case Kind::beatsAck:
+      if (m.from == raft_->leader())
+        heartbeats_.acknowledged(m.nonce);
+      return;
     default:
       break;
   }
@@ -380,19 +410,19 @@
   if (m.what() != Kind::consensus)
     return;
   auto message = decodeMessage(m.blob);
-  if (!message)
-    return ring::alarm(m.from + ": " + message.error().text);
+  if (!message) {
+    ++messagesDeclined_;
+    ring::alarm("link to " + m.from + " ended: " + message.error().text);
+    return l->end();
+  }
   raft_->receive(now, m.from, std::move(*message));
   run();
 }
 
-std::string Core::opId() {
-  return raft_->self() + "/" + std::to_string(boot_ % 100000) + "." + std::to_string(++opNo_);
-}
-
 Outcome<std::int32_t> Core::write(Entry e, Span within) {
   const auto end = Clock::now() + within;
   Write me;
+  me.verdict = copy_.verdictOf(e.opId);
   writes_[e.opId].push_back(&me);
   bool shared = false;
   while (!me.verdict && Clock::now() < end) {
@@ -454,31 +484,53 @@
   }
   return fault(503, "no fresh lease");
 }
-void Core::beat(const std::string& id) {
-  beats_[id] = Clock::now();
-  beatsToTell_.push_back(id);
+bool Core::inContact() const {
+  return raft_->inContactWithMajority(Clock::now());
 }
-void Core::watchRunners(Instant now) {
-  if (!raft_->hasLease(now))
-    return;
-  // Why not sooner: a runner must have had time to find a node that answers, and we to hear of it.
-  const auto patience = s_.heartbeat * 3 + 1500ms;
-  if (now - leaderSince_ < patience)
+bool Core::awaitContact(Span within) {
+  const auto end = Clock::now() + within;
+  while (!inContact()) {
+    if (Clock::now() >= end)
+      return false;
+    EventLoop::get().pause(kContactPoll);
+  }
+  return true;
+}
+bool Core::heartbeatsReachLeader() const {
+  // Who leaves sends its runners on before it is gone.
+  return !leaving_ && heartbeats_.leaderAnswers(Clock::now());
+}
+void Core::noteHeartbeat(const std::string& runnerId) {
+  const auto now = Clock::now();
+  heartbeats_.heard(runnerId, now);
+  runnerMonitor_.heard(runnerId, now);
+}
+void Core::forwardHeartbeats(Instant now) {
+  const auto leader = raft_->leader();
+  if (leader == raft_->self()) {
+    heartbeats_.takeAll();  // each was noted by our own monitor when it came
     return;
-  std::vector<Runner> missed;
-  for (auto& r : copy_.state().runners) {
-    const auto it = beats_.find(r.id);
-    if (it == beats_.end() || now - it->second > patience)
-      missed.push_back(r);
   }
-  for (auto& r : missed) {
-    auto gone = r;
+  if (leader.empty())
+    return;
+  const auto batch = heartbeats_.nextBatch(now);
+  if (!batch)
+    return;
+  Msg m = msgOf(Kind::beats);
+  m.nonce = batch->number;
+  for (auto& runner : batch->runners)
+    m.load.push_back({runner.id, static_cast<double>(toSpan(now - runner.at).count()), 0});
+  sendTo(leader, m);
+}
+void Core::watchRunners(Instant now) {
+  const auto missed = runnerMonitor_.missed(now, raft_->hasLease(now), copy_.state().runners);
+  for (auto& runner : missed) {
+    auto gone = runner;
     gone.state = static_cast<std::int32_t>(RunnerState::gone);
     gone.sequence = 0;  // missed, not left: it may beat again
-    ring::note("runner " + r.id + " missed");
-    raft_->submit(now, runnerOp(gone, "missed/" + r.id + "/" + std::to_string(r.sequence)));
+    ring::note("runner " + runner.id + " missed");
+    raft_->submit(now, runnerOp(gone, "missed/" + runner.id + "/" + std::to_string(runner.sequence)));
   }
-  std::erase_if(beats_, [&](auto& b) { return now - b.second > 60s; });
   if (!missed.empty())
     run();
 }
--- a/libs/controller/src/core.hpp
+++ b/libs/controller/src/core.hpp
@@ -1,9 +1,12 @@
 // One core machine's part in the fleet: the order, the copy, the links, and who waits for what.
 #pragma once
+#include "calls.hpp"
 #include "config/configuration.hpp"
 #include "config/settings.hpp"
 #include "consensus/raft_node.hpp"
+#include "heartbeats.hpp"
 #include "hints/hints.hpp"
+#include "operation_ids.hpp"
 #include "outliers.hpp"
 #include "quota.hpp"
 #include "state_machine/replicated_state.hpp"
@@ -13,28 +16,33 @@
 namespace zc {
 constexpr std::size_t kBulkyBody = 16384;  // above this a write's body goes ahead from its sender
 constexpr HintBounds kHintBounds{};
-class Core {
+/// Whether a replicated state, as the consensus hands it on, can be restored by this program.
+bool snapshotIsValid(const std::string& state);
+/// Settings that no core machine can start with, as one line; none: it can.
+std::optional<std::string> unusableSettings(const Settings& s);
+
+class Core : public CoreServices {
  public:
   explicit Core(Settings s);
-  ~Core();
+  ~Core() override;
   Outcome<void> start();
-  // Parks the calling fiber until its own write has left the queue here; the verdict is the copy's.
-  Outcome<std::int32_t> write(Entry e, Span within);
-  // Parks until this copy is as new as the leader's at the time of asking.
-  Outcome<void> fresh(Span within);
-  std::string opId();
-  const ReplicatedState& copy() const { return copy_; }
-  void beat(const std::string& id);
+  Outcome<std::int32_t> write(Entry e, Span within) override;
+  Outcome<void> fresh(Span within) override;
+  std::string operationId() override { return operationIds_->next(); }
+  const ReplicatedState& copy() const override { return copy_; }
+  bool inContact() const override;
+  bool awaitContact(Span within) override;
+  bool heartbeatsReachLeader() const override;
+  void noteHeartbeat(const std::string& runnerId) override;
   void reread(Settings s);
-  // Hints from the partner site, as its call brought them; the answer is our own news, sealed.
-  Outcome<std::string> hintsFrom(std::string_view body, std::string_view seal);
+  Outcome<std::string> hintsFrom(std::string_view body, std::string_view seal) override;
   std::string hintSeal(std::string_view body) const { return hintKey_ ? hintKey_->seal(body) : std::string{}; }
   void leave(std::function<void()> done);
-  std::string statusJson() const;
-  std::string closuresJson() const;
-  double perS() const;                // requests a second over all proxies heard from
-  std::string leaderControl() const;  // empty: unknown, or it is us
-  const Settings& settings() const { return s_; }
+  std::string statusJson() const override;
+  std::string closuresJson() const override;
+  double requestsPerS() const override;  // over all proxies heard from
+  std::string leaderControl() const override;
+  const Settings& settings() const override { return s_; }
 
  private:
   struct AgentSession {
@@ -75,6 +83,7 @@
   Dialer* dialer(const std::string& ip);
   Msg stateAck();
   void watchRunners(Instant now);
+  void forwardHeartbeats(Instant now);
   void shareBody(const Entry& e);
 
   Settings s_;
@@ -101,14 +110,15 @@
     Instant at;
   };
   std::map<std::string, Load> loads_;  // by agent
-  std::map<std::string, Instant> beats_;
-  std::vector<std::string> beatsToTell_;
-  std::int64_t opNo_ = 0, nonce_ = 0, sinceCompact_ = 0;
+  HeartbeatForwarder heartbeats_;
+  RunnerMonitor runnerMonitor_;
+  std::optional<OperationIds> operationIds_;
+  std::int64_t nonce_ = 0, sinceCompact_ = 0;
+  std::uint64_t messagesDeclined_ = 0;  // from members, not readable
   std::uint64_t turns_ = 0;
   std::int64_t nodesHeard_ = 0;  // access nodes that asked for a lease in the last half minute
   std::uint64_t boot_ = 0;
   std::string lastLeader_;
-  Instant leaderSince_{};
   bool wasLeader_ = false, running_ = false, leaving_ = false;
 };
 }  // namespace zc
--- a/libs/controller/src/core_report.cpp
+++ b/libs/controller/src/core_report.cpp
@@ -2,7 +2,7 @@
 #include "core.hpp"
 
 namespace zc {
-double Core::perS() const {
+double Core::requestsPerS() const {
   double n = 0;
   for (auto& [t, l] : loads_)
     if (Clock::now() - l.at < 5s)
@@ -12,7 +12,7 @@
   return n;
 }
 std::string Core::closuresJson() const {
-  std::string s = "{\"requestsPerS\":" + std::to_string(perS()) + ",\"closures\":[";
+  std::string s = "{\"requestsPerS\":" + std::to_string(requestsPerS()) + ",\"closures\":[";
   bool first = true;
   for (auto& c : copy_.state().closures) {
     double runners = 0, proxies = 0;
@@ -44,6 +44,11 @@
       duties[static_cast<int>(raft_->role())] + "\",\"term\":" + std::to_string(raft_->term()) +
       ",\"leader\":" + quoteJson(raft_->leader()) + ",\"leased\":" + (raft_->hasLease(now) ? "true" : "false") +
       ",\"released\":" + std::to_string(raft_->commitNumber()) + ",\"applied\":" + std::to_string(copy_.state().num) +
+      ",\"inContact\":" + (raft_->inContactWithMajority(now) ? "true" : "false") +
+      ",\"snapshotsDeclined\":" + std::to_string(raft_->snapshotsRefused()) +
+      ",\"framesDeclined\":" + std::to_string(trafficSoFar().framesDeclined) +
+      ",\"messagesDeclined\":" + std::to_string(messagesDeclined_) +
+      ",\"framesOfOtherFormats\":" + std::to_string(trafficSoFar().framesOfOtherFormats) +
       ",\"diskSick\":" + (raft_->diskStalled() ? "true" : "false") +
       ",\"version\":" + std::to_string(copy_.state().version) + ",\"agents\":" + std::to_string(agents_.size()) +
       ",\"waitingBytes\":" + std::to_string(waiting) + ",\"hintsTold\":" + std::to_string(hints_ ? hints_->told() : 0) +
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -52,7 +52,8 @@
   draw,
   drawn,
   whereHeld,
-  held
+  held,
+  beatsAck
 };
 struct Msg {
   std::int32_t kind = 0;
--- a/libs/transport/include/transport/peer_link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -14,6 +14,8 @@
     std::uint64_t messages = 0, bytes = 0;
   };
   Count sent[64], received[64];
+  // Each ended its connection.
+  std::uint64_t framesDeclined = 0, framesOfOtherFormats = 0;
 };
 const Traffic& trafficSoFar();
 
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -72,7 +72,7 @@
         out.push_back(std::move(m));
       continue;
     }
-    if (buf[at + 4] != kFormat)
+    if (buf[at + 4] != kFormat && ++g_traffic.framesOfOtherFormats)
       return fault(0, "frame of another format version: " + std::to_string(buf[at + 4]));
     if (buf.size() - at < 4u + n)
       break;
@@ -146,7 +146,8 @@
       buf.append(chunk.data(), n);
       auto msgs = unframe(buf, &partial);
       if (!msgs) {
-        ring::alarm("link to " + d.farIp + " errorResponse: " + msgs.error().text);
+        ++g_traffic.framesDeclined;
+        ring::alarm("link to " + d.farIp + " ended: " + msgs.error().text);
         break;
       }
       for (auto& m : *msgs) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -15,13 +15,16 @@
 struct Alone {
   std::unique_ptr<Core> core;
   Settings s;
-  explicit Alone(const std::string& ip) {
+  explicit Alone(const std::string& ip, std::vector<std::string> others = {}) {
     std::string t = std::filesystem::temp_directory_path() / "zinccleat-core-XXXXXX";
     s.node = "core", s.ip = ip, s.zone = "z", s.dataDir = ::mkdtemp(t.data());
     s.portFirst = 7960, s.portLast = 7975;
     s.controlAddr = ip + ":8477";
     s.seeds = {s.controlAddr};
+    for (auto& other : others)
+      s.seeds.push_back(other + ":8477");
     s.initialAttach = true;
+    s.tolerateMachines = static_cast<int>(others.size() / 2);
     core = std::make_unique<Core>(s);
   }
   bool until(Span within, const std::function<bool()>& f) {
@@ -34,6 +37,18 @@
     return std::atoll(fieldOf(core->statusJson(), field).value_or("-1").c_str());
   }
 };
+/// Runs f in a fiber of the loop until it ends.
+void onLoop(const std::function<void()>& f) {
+  EventLoop::get().launch([f] {
+    f();
+    EventLoop::get().stop();
+  });
+  EventLoop::get().run();
+}
+std::vector<std::unique_ptr<Alone>>& kept() {  // their timers refer to them
+  static std::vector<std::unique_ptr<Alone>> all;
+  return all;
+}
 std::string body(int version) {
   ScaleRunPlan p;
   p.tenants = 1500;
@@ -53,7 +68,7 @@
     for (int v = 1; v <= 3; ++v) {
       const auto b = body(v);
       size = b.size();
-      const auto r = a.core->write(configurationOp(v - 1, v, b, a.core->opId()), 5000ms);
+      const auto r = a.core->write(configurationOp(v - 1, v, b, a.core->operationId()), 5000ms);
       ASSERT_TRUE(r && *r == 200);
     }
     ASSERT_GT(size, 150'000u);
@@ -85,3 +100,107 @@
   });
   EventLoop::get().run();
 }
+
+// Found by reading: a founder whose fellows never came acknowledged beats and held the runners at itself.
+TEST(Core, OneThatReachesNobodySendsItsCallersOn) {
+  onLoop([] {
+    kept().push_back(std::make_unique<Alone>("127.0.5.2", std::vector<std::string>{"127.0.5.3", "127.0.5.4"}));
+    auto& core = *kept().back()->core;
+    ASSERT_TRUE(core.start());
+    auto call = [&](const std::string& method, const std::string& target, const std::string& body) {
+      const auto from = Clock::now();
+      const auto answer = answerCall(core, {method, target, body, "", ""}, "http://127.0.5.2:8477");
+      EXPECT_EQ(answer.status, 503) << target;
+      EXPECT_LT(Clock::now() - from, 900ms) << target;
+    };
+    call("POST", "/v1/Instances.Heartbeat/i1", R"({"targetService":"s","address":"10.0.1.1:80","sequence":1})");
+    call("POST", "/v1/Instances.Detach/i1", "");
+    call("POST", "/v1/Configuration.Replace", body(1));
+    call("GET", "/v1/Configuration.Retrieve", "");
+  });
+}
+// Found by reading: `install` only logged it, and later entries went on top of the old state.
+TEST(Core, ASnapshotThatCantBeRestoredIsDeclinedAndNothingChanges) {
+  onLoop([] {
+    kept().push_back(std::make_unique<Alone>("127.0.5.5", std::vector<std::string>{"127.0.5.6", "127.0.5.7"}));
+    auto& a = *kept().back();
+    ASSERT_TRUE(a.core->start());
+    Connection leader;
+    Ec ec;
+    leader.connect(*parseEndpoint("127.0.5.5:7960"), ec);
+    ASSERT_FALSE(ec);
+    InstallSnapshot snapshot;
+    snapshot.term = 1;
+    snapshot.lastNumber = 40;
+    snapshot.lastTerm = 1;
+    snapshot.commitNumber = 40;
+    snapshot.config = "127.0.5.5#0 127.0.5.6#0 127.0.5.7#0";
+    snapshot.state = "no state at all \xff\xff\xff\xff\xff\xff\xff\xff\xff\xff";
+    auto say = [&] {
+      Msg m = msgOf(Kind::consensus);
+      m.from = "127.0.5.6#0";
+      m.blob = encodeMessage(snapshot);
+      leader.write(asio::buffer(frameOf(m)), ec);
+    };
+    say();
+    ASSERT_TRUE(a.until(5s, [&] { return a.status("snapshotsDeclined") == 1; }));
+    EXPECT_EQ(a.status("released"), 0);
+    EXPECT_EQ(a.status("applied"), 0);
+    ReplicatedState whole;
+    auto entry = configurationOp(0, 1, body(1), "op");
+    entry.num = 40;
+    whole.apply(entry);
+    snapshot.state = whole.snapshot();
+    say();
+    ASSERT_TRUE(a.until(5s, [&] { return a.status("applied") == 40; })) << "a whole one is taken";
+    EXPECT_EQ(a.status("version"), 1);
+  });
+}
+TEST(Core, AFrameThatDoesNotParseEndsItsConnectionAndIsCounted) {
+  onLoop([] {
+    kept().push_back(std::make_unique<Alone>("127.0.5.8"));
+    auto& a = *kept().back();
+    ASSERT_TRUE(a.core->start());
+    const auto before = a.status("framesDeclined"), others = a.status("framesOfOtherFormats");
+    for (const char format : {2, 9}) {
+      auto frame = frameOf(msgOf(Kind::state));
+      frame[4] = format;
+      for (std::size_t i = 5; i < frame.size(); ++i)
+        frame[i] = '\xff';
+      Connection stranger;
+      Ec ec;
+      stranger.connect(*parseEndpoint("127.0.5.8:7960"), ec);
+      stranger.write(asio::buffer(frame), ec);
+      char byte;
+      stranger.due(Clock::now() + 5s);
+      stranger.read(asio::buffer(&byte, 1), ec);
+      EXPECT_TRUE(ec);
+      EXPECT_FALSE(stranger.late()) << "the far end closes it";
+    }
+    EXPECT_EQ(a.status("framesDeclined"), before + 2);
+    EXPECT_EQ(a.status("framesOfOtherFormats"), others + 1);
+  });
+}
+TEST(Core, SettingsWhoseSeedsHoldThisMachineAloneAreRefused) {
+  Settings s;
+  s.ip = "10.0.0.4", s.dataDir = "/tmp/x", s.seeds = {"10.0.0.4:8080"};
+  s.tolerateMachines = 0;
+  EXPECT_TRUE(unusableSettings(s)) << "nobody to join";
+  s.initialAttach = true;
+  EXPECT_FALSE(unusableSettings(s)) << "a core of one";
+  s.tolerateMachines = 1;
+  EXPECT_TRUE(unusableSettings(s)) << "a core of one bears no loss";
+  s.seeds.push_back("10.0.0.5:8080");
+  EXPECT_FALSE(unusableSettings(s));
+}
+TEST(Core, OnlyAWholeStateIsAValidSnapshot) {
+  ReplicatedState copy;
+  auto entry = configurationOp(0, 1, body(1), "op");
+  entry.num = 1;
+  copy.apply(entry);
+  EXPECT_TRUE(snapshotIsValid(copy.snapshot()));
+  EXPECT_FALSE(snapshotIsValid(copy.snapshotFor(copy.state().digest))) << "a part of one";
+  auto cut = copy.snapshot();
+  cut.resize(cut.size() / 2);
+  EXPECT_FALSE(snapshotIsValid(cut));
+}
