Loopback fleets take a network of their own

Cause: scale-run, trial and the partner sites' test used fixed loopback addresses, so two runs on one machine reached each other's processes. Change: a fleet reserves 127.N.0.0/16 by a bound socket; the partner sites' test picks its own by process number.

--- a/libs/simulation/src/fleet.cpp
+++ b/libs/simulation/src/fleet.cpp
@@ -15,8 +15,28 @@
 LocalFleet::LocalFleet(std::string binary, int core) : binary_(std::move(binary)) {
   std::string t = std::filesystem::temp_directory_path() / "zinccleat-fleet-XXXXXX";
   dir_ = ::mkdtemp(t.data());
+  reserveNetwork();
   for (int i = 0; i < core; ++i)
-    core_.push_back("127.0.2." + std::to_string(i + 1));
+    core_.push_back(ip(2, i + 1));
+}
+void LocalFleet::reserveNetwork() {
+  using boost::asio::ip::tcp;
+  constexpr int kFirst = 16;
+  constexpr int kCount = 224;
+  for (int tried = 0; tried < kCount; ++tried) {
+    network_ = kFirst + (::getpid() + tried) % kCount;
+    boost::system::error_code ec;
+    reservation_.open(tcp::v4(), ec);
+    // Without address reuse: the kernel gives the address to one process at a time and frees it when that one ends.
+    reservation_.bind({boost::asio::ip::make_address_v4(ip(255, 254)), kControl}, ec);
+    if (!ec)
+      return;
+    reservation_.close(ec);
+  }
+  must(false, "no free loopback network");
+}
+std::string LocalFleet::ip(int third, int fourth) const {
+  return "127." + std::to_string(network_) + "." + std::to_string(third) + "." + std::to_string(fourth);
 }
 LocalFleet::~LocalFleet() {
   for (std::size_t i = 0; i < processes_.size(); ++i)
@@ -68,8 +88,8 @@
   return true;
 }
 bool LocalFleet::startPair() {
-  settings("access-1", "127.0.3.1", "proxy", "\"accessPort\":\"" + access() + "\",\"readinessPort\":\"127.0.3.1:8406\"",
-           false);
+  settings("access-1", ip(3, 1), "proxy",
+           "\"accessPort\":\"" + access() + "\",\"readinessPort\":\"" + ip(3, 1) + ":8406\"", false);
   for (const char* role : {"agent", "proxy"}) {
     Process p{role, role, "access-1"};
     if (!spawn(p))
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -1,7 +1,11 @@
-// Real processes of the system on loopback addresses, with a folder of their own that goes when they do.
+// Real processes of the system on loopback addresses, with a folder of their own that goes when they do. Each fleet
+// reserves a network 127.N.0.0/16 for itself, so that several fleets on one machine never meet.
 #pragma once
 #include <sys/types.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include "runtime/common.hpp"
 namespace zc {
 class LocalFleet {
@@ -15,21 +19,31 @@
   ~LocalFleet();
   LocalFleet(const LocalFleet&) = delete;
   bool startCore();
-  bool startPair();                // a agent and a proxy
-  bool kill(std::size_t process);  // without a word
+  // Starts an agent and a proxy beside the core.
+  bool startPair();
+  // Ends a process at once (SIGKILL) and waits until it is gone. False: it was not running.
+  bool kill(std::size_t process);
   bool startAgain(std::size_t process);
+  // Address and port of the control interface of core machine i, counted round.
   std::string control(std::size_t i) const;
-  static std::string access() { return "127.0.3.1:" + std::to_string(kAccess); }
+  // Address and port where the proxy serves clients.
+  std::string access() const { return ip(3, 1) + ":" + std::to_string(kAccess); }
+  // An address of the fleet's own network.
+  std::string ip(int third, int fourth) const;
   const std::vector<std::string>& core() const { return core_; }
   const std::vector<Process>& processes() const { return processes_; }
   const std::string& binary() const { return binary_; }
   const std::string& folder() const { return dir_; }
 
  private:
+  void reserveNetwork();
   void settings(const std::string& name, const std::string& ip, const std::string& role, const std::string& addresses,
                 bool disk);
   bool spawn(Process& p);
   std::string binary_, dir_;
+  int network_ = 0;  // N of 127.N.0.0/16
+  boost::asio::io_context reservationIo_;
+  boost::asio::ip::tcp::acceptor reservation_{reservationIo_};  // held as long as the network is ours
   std::vector<std::string> core_;
   std::vector<Process> processes_;
 };
--- a/libs/simulation/src/hollow_node.cpp
+++ b/libs/simulation/src/hollow_node.cpp
@@ -7,7 +7,7 @@
   links_.clear();
   auto some = core_;
   std::shuffle(some.begin(), some.end(), rng_);
-  // As a agent does: the leader and two others; here who they are is known.
+  // As an agent does: the leader and two others; here who they are is known.
   if (some.size() > 3)
     some.resize(3);
   if (!sequencer_.empty() && std::find(some.begin(), some.end(), sequencer_) == some.end())
--- a/libs/simulation/src/trial.cpp
+++ b/libs/simulation/src/trial.cpp
@@ -104,7 +104,7 @@
   Connection c;
   Ec ec;
   c.due(Clock::now() + 3s);
-  c.connect(*parseEndpoint(LocalFleet::access()), ec);
+  c.connect(*parseEndpoint(fleet_.access()), ec);
   if (ec)
     return ++seen_.failures, false;
   tune(c.sock());
@@ -193,8 +193,8 @@
     auto r = std::make_shared<StandInRunner>();
     r->id = "runner-" + std::to_string(i + 1);
     r->service = i % 2 ? "gateway" : "models";
-    r->door = std::make_shared<tcp::acceptor>(loop.io(), tcp::endpoint(asio::ip::make_address("127.0.7.1"), 0));
-    r->address = "127.0.7.1:" + std::to_string(r->door->local_endpoint().port());
+    r->door = std::make_shared<tcp::acceptor>(loop.io(), tcp::endpoint(asio::ip::make_address(fleet_.ip(7, 1)), 0));
+    r->address = fleet_.ip(7, 1) + ":" + std::to_string(r->door->local_endpoint().port());
     runners_.push_back(r);
     serve(r);
     loop.launch([this, r] { beat(r); });
@@ -202,7 +202,7 @@
   for (int i = 0; i < 100 && !leader(); ++i)
     loop.pause(50ms);
   loop.pause(1000ms);  // the proxy has its lease, the runners are known
-  say("a core of three, a agent and a proxy, " + std::to_string(kRunners) + " runners, " + std::to_string(kClients) +
+  say("a core of three, an agent and a proxy, " + std::to_string(kRunners) + " runners, " + std::to_string(kClients) +
       " clients; folder " + fleet_.folder());
   say("while it runs: zinccleat status " + fleet_.control(0) + " " + fleet_.control(1) + " " + fleet_.control(2));
   for (int i = 0; i < kClients; ++i)
--- a/tests/partner_sites.sh
+++ b/tests/partner_sites.sh
@@ -6,6 +6,7 @@
 pids=()
 finish() { kill -9 "${pids[@]}" 2>/dev/null || true; rm -rf "$dir"; }
 trap finish EXIT
+network=127.$((16 + $$ % 224)).6  # of its own, so that runs beside each other don't meet
 secret=$(printf 'ab%.0s' {1..32})
 site() {  # name ip partner's ip
   mkdir -p "$dir/$1"
@@ -19,14 +20,14 @@
   "$program" controller --settings="$dir/$1.json" > "$dir/$1.log" 2>&1 &
   pids+=($!)
 }
-site here 127.0.6.1 127.0.6.2
-site there 127.0.6.2 127.0.6.1
+site here $network.1 $network.2
+site there $network.2 $network.1
 known() { "$program" status "$1:8437" --json | sed -n 's/.*"hintsKnown":\([0-9]*\).*/\1/p'; }
 while [ $SECONDS -lt 40 ]; do
-  a=$(known 127.0.6.1 || true); b=$(known 127.0.6.2 || true)
+  a=$(known $network.1 || true); b=$(known $network.2 || true)
   if [ "${a:-0}" -ge 64 ] && [ "${b:-0}" -ge 64 ]; then break; fi
 done
 [ "${a:-0}" -ge 64 ] && [ "${b:-0}" -ge 64 ] || { echo "the sites know nothing of each other: ${a:-} ${b:-}"; cat "$dir"/*.log; exit 1; }
-answer=$(exec 3<>/dev/tcp/127.0.6.1/8437; printf 'POST /v1/Hints.Exchange HTTP/1.1\r\nHost: x\r\nX-Hint-Seal: 00\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc' >&3; head -1 <&3)
+answer=$(exec 3<>/dev/tcp/$network.1/8437; printf 'POST /v1/Hints.Exchange HTTP/1.1\r\nHost: x\r\nX-Hint-Seal: 00\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc' >&3; head -1 <&3)
 case "$answer" in *403*) ;; *) echo "a stranger was answered: $answer"; exit 1 ;; esac
 echo "both sites know of each other; a stranger is declined"
