Split proxy.cpp: one function reads a request from top to bottom, the decision to send again is pure

Cause: proxy.cpp held 760 lines: reading clients, admission, attempts, relaying, and the decision what is sent again spread over the loop and the ends of each attempt.

Change: request_handler.cpp reads a request from its head to its answer. Modules with one job each: client_connection (reading, limits), admission_check (lease, route, key, overload, quota), runner_attempt, partner_attempt, stream_relay, client_watch, exchange (one request's state and its client's end), and retry, whose decide() and conclude() map a typed input to a typed decision without clock or socket. Terms of the field: attempt, outcome, exchange, refusal, tenant. Behaviour unchanged.

--- /dev/null
+++ b/libs/proxy/src/admission_check.cpp
@@ -0,0 +1,124 @@
+#include "admission_check.hpp"
+
+#include "heads.hpp"
+
+namespace zc {
+namespace {
+std::string_view bearerKey(const http::fields& f) {
+  auto v = field(f, "Authorization");
+  constexpr std::string_view scheme = "bearer ";
+  if (v.size() <= scheme.size() || !sameText(v.substr(0, scheme.size()), scheme))
+    return {};
+  v.remove_prefix(scheme.size());
+  while (!v.empty() && v.front() == ' ')
+    v.remove_prefix(1);
+  while (!v.empty() && v.back() == ' ')
+    v.remove_suffix(1);
+  return v;
+}
+
+// A token of the quota: from the stash, or drawn in one short round trip. A request that finds the purse empty is
+// turned away as soon as that is known, unless a token will be there in time.
+bool takeQuotaToken(Exchange& x, const std::string& tenant) {
+  auto& context = x.context;
+  auto& quota = context.quota;
+  if (quota.take(tenant, Exchange::now())) {
+    if (quota.low(tenant, Exchange::now()))
+      context.draw();
+    return true;
+  }
+  // Why not long: a refusal must come well inside the aim, so that the client's next try still can. While draws are
+  // answered one that is merely late is awaited longer: the answer leaves time for the work, another try would not.
+  const auto aim = x.route->aim;
+  const auto end = x.arrived + (quota.answering(x.arrived) ? std::clamp(aim * 9 / 20, Span(15), Span(250))
+                                                           : std::clamp(aim / 5, Span(15), Span(150)));
+  Waiter waiter;
+  context.tokenWaiters.push_back({&tenant, &waiter});
+  bool has = false;
+  while (!has && Exchange::now() < end) {
+    quota.wait(tenant);
+    context.ask();
+    const auto left = toSpan(end - Exchange::now()) + Span(1);
+    const bool told = EventLoop::get().waitFor(waiter, std::max(Span(1), std::min(Span(100), left)));
+    has = quota.retake(tenant, Exchange::now());
+    if (has || !told)
+      continue;
+    const auto again = quota.until(tenant);
+    if (Exchange::now() + again >= end)
+      break;
+    (void)EventLoop::get().waitFor(waiter, again);
+    has = quota.retake(tenant, Exchange::now());
+  }
+  if (!has)
+    quota.unwait(tenant);
+  std::erase_if(context.tokenWaiters, [&](auto& t) { return t.waiter == &waiter; });
+  return has;
+}
+// One of the route's services, drawn by their shares.
+const Service& drawService(Exchange& x) {
+  const auto& route = *x.route;
+  std::uint64_t draw = route.shareSum > 1 ? x.context.rng() % route.shareSum : 0;
+  std::size_t i = 0;
+  while (i + 1 < route.targets.size() && draw >= route.targets[i].share)
+    draw -= route.targets[i++].share;
+  return x.configuration->services[static_cast<std::size_t>(route.targets[i].service)];
+}
+void describe(Exchange& x, const Service& service) {
+  auto& query = x.query;
+  query.service = service.label;
+  query.zone = x.context.zone;
+  query.engine = service.engine;
+  query.repeatable = x.route->repeatable();
+  if (!service.engine)
+    return;
+  const auto parts = promptOf(field(x.request, "X-Prompt-Prefix"));
+  if (x.route->affinity) {
+    query.affinity = parts.affinity;
+    query.sharedTokens = parts.shared;
+  }
+  const auto tokens = field(x.request, "X-Token-Count");
+  query.promptTokens = std::max(parts.all, wholeNumber(tokens.substr(0, tokens.find(',')), 0));
+}
+}  // namespace
+
+std::optional<Refusal> admit(Exchange& x) {
+  auto& context = x.context;
+  x.attemptId = std::string(field(x.request, "X-Attempt-Id"));
+
+  // Why first of all: without a fresh lease this copy may be older than a key that was taken away.
+  if (!context.leased(x.arrived))
+    return Refusal{503, context.untilLease(x.arrived), "no fresh lease"};
+
+  const std::string_view target(x.request.target().data(), x.request.target().size());
+  const int routeIndex = x.configuration->find(field(x.request, "Host"), target);
+  if (routeIndex < 0)
+    return Refusal{404, Span(0), "no route"};
+  x.route = &x.configuration->routes[static_cast<std::size_t>(routeIndex)];
+  x.precedence = x.route->precedence;
+
+  const Subscriber* subscriber = nullptr;
+  if (!x.configuration->subscribers.empty() && !x.route->keyless) {
+    const int index = x.configuration->subscriberOf(bearerKey(x.request));
+    if (index < 0)
+      return Refusal{401, Span(0), "key not known"};
+    subscriber = &x.configuration->subscribers[static_cast<std::size_t>(index)];
+    x.tenant = subscriber->label;
+    if (subscriber->precedence >= 0)
+      x.precedence = subscriber->precedence;
+  }
+  const auto& service = drawService(x);
+  x.service = &service.label;
+  // Why before the quota: what is turned away here must not cost a token.
+  const double draw = static_cast<double>(context.rng() % 1000) / 1000;
+  if (!context.allowance.allows(service.label, x.precedence, draw, x.arrived))
+    return Refusal{503, Span(400 + static_cast<std::int64_t>(context.rng() % 900)), "overloaded"};
+  if (subscriber && subscriber->ratePerS > 0 && !takeQuotaToken(x, subscriber->label))
+    return Refusal{429, context.quota.hint(subscriber->label, Exchange::now()), "over quota"};
+
+  const auto asked = wholeNumber(field(x.request, "X-Deadline-Ms"), x.route->expiry.count());
+  x.deadline = x.arrived + std::min(Span(asked), x.route->expiry);
+  context.budget.earn(service.label, x.arrived);
+  describe(x, service);
+  return std::nullopt;
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/proxy/src/client_connection.cpp
@@ -0,0 +1,76 @@
+#include <sys/socket.h>
+
+#include "proxy/proxy.hpp"
+#include "request_handler.hpp"
+
+namespace zc {
+namespace {
+constexpr Span kLeastBodyTime{5000};
+constexpr Span kIdleWhileLeaving{300};
+constexpr auto kHeldPause = 20ms;
+constexpr auto kDrainTime = 500ms;
+
+ReadLimits limitsOf(const ProxyContext& context) {
+  ReadLimits l;
+  if (context.cfg) {
+    const auto& limits = context.cfg->limits;
+    l.header = limits.maxHeaderBytes;
+    l.body = limits.maxBodyBytes;
+    l.idle = limits.idleTimer;
+    l.headerTime = limits.headerTimer;
+    l.bodyTime = std::max(limits.idleTimer, kLeastBodyTime);
+  }
+  if (context.leaving)
+    l.idle = std::min(l.idle, kIdleWhileLeaving);
+  return l;
+}
+// A request that can't be read in full: answered, and its connection ends.
+void turnAway(Connection& client, int status) {
+  Ec ec;
+  client.write(asio::buffer(plainAnswer(status, "", "application/json", jsonError(reasonOf(status)), false)), ec);
+  // What is left unread would reset the connection and take the answer with it.
+  client.sock().shutdown(tcp::socket::shutdown_send, ec);
+  char sink[2048];
+  client.due(Clock::now() + kDrainTime);
+  while (!ec && client.read(asio::buffer(sink), ec) > 0) {
+  }
+}
+}  // namespace
+
+void takeClient(ProxyContext& context, tcp::socket socket) {
+  // Closed before anything was read: its client may try elsewhere, whatever it wanted.
+  if (context.clients >= context.clientsMost)
+    return;
+  ++context.clients;
+  auto held = std::make_shared<tcp::socket>(std::move(socket));
+  EventLoop::get().launch([&context, held] {
+    serveClient(context, std::move(*held));
+    --context.clients;
+  });
+}
+void serveClient(ProxyContext& context, tcp::socket socket) {
+  Connection client(std::move(socket));
+  tune(client.sock());
+  Buffer buffer;
+  for (;;) {
+    const auto limits = limitsOf(context);
+    // Why wait here: what is not read yet stands in the client's own window and costs us nothing.
+    while (context.held > context.heldMost)
+      EventLoop::get().pause(kHeldPause);
+    RequestParser parser;
+    const auto read = readRequest(client, buffer, parser, limits);
+    if (read.end == ReadEnd::closed)
+      return;
+    if (read.end == ReadEnd::errorResponse)
+      return turnAway(client, read.status);
+    ++context.aboard;
+    const auto bytes = parser.get().body().size();
+    context.held += bytes;
+    const bool more = handleRequest(context, client, parser);
+    context.held -= bytes;
+    --context.aboard;
+    if (!more)
+      return;
+  }
+}
+}  // namespace zc
--- /dev/null
+++ b/libs/proxy/src/exchange.cpp
@@ -0,0 +1,75 @@
+#include "exchange.hpp"
+
+#include <cstdio>
+
+namespace zc {
+namespace {
+constexpr auto kWriteStall = 10s;  // a client that takes nothing for so long is given up
+
+std::string retryAfterHead(Span d) {
+  char b[48];
+  std::snprintf(b, sizeof b, "Retry-After: %.3f\r\n", static_cast<double>(d.count()) / 1000.0);
+  return b;
+}
+// Whether the end of an attempt speaks against its runner.
+bool speaksAgainstRunner(AttemptOutcome outcome, bool staleConnection) {
+  if (outcome == AttemptOutcome::notSent || outcome == AttemptOutcome::interrupted)
+    return !staleConnection;
+  return outcome == AttemptOutcome::failed || outcome == AttemptOutcome::deadlineExceeded;
+}
+}  // namespace
+
+bool Exchange::writeToClient(std::string_view bytes) {
+  Ec ec;
+  client.due(now() + kWriteStall);
+  client.write(asio::buffer(bytes), ec);
+  client.undue();
+  return !ec;
+}
+bool Exchange::writeChunk(std::string_view bytes) {
+  char size[24];
+  const int n = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  std::string s;
+  s.reserve(bytes.size() + 32);
+  s.append(size, static_cast<std::size_t>(n));
+  s += bytes;
+  s += "\r\n";
+  return writeToClient(s);
+}
+bool Exchange::answer(int status, Span retryAfter, std::string_view why) {
+  std::string heads;
+  if (!attemptId.empty())
+    heads += "X-Attempt-Id: " + attemptId + "\r\n";
+  if (retryAfter > Span(0))
+    heads += retryAfterHead(retryAfter);
+  ++context.errorResponse;
+  const auto body = jsonError(why.empty() ? reasonOf(status) : why);
+  return writeToClient(plainAnswer(status, heads, "application/json", body, staysOpen())) && keepAlive;
+}
+void Exchange::attemptBegins(int runnerIndex) {
+  ++context.attempts;
+  context.runnerPool.went(runnerIndex, query.promptTokens);
+  runner = runnerIndex;
+  unreadTokens = query.promptTokens;
+  silent = {runnerIndex, service, unreadTokens, now(), false};
+  context.silent.insert(&silent);
+}
+void Exchange::promptRead(bool began) {
+  if (unreadTokens < 0)
+    return;
+  context.runnerPool.read(runner, unreadTokens);
+  context.silent.erase(&silent);
+  if (began)
+    (void)context.observer.began(context.runnerPool.at(runner).id, *service, unreadTokens, toSpan(now() - silent.since),
+                                 silent.blamed);
+  unreadTokens = -1;
+  if (route->aim > Span(0))
+    context.allowance.first(*service, now() - arrived > route->aim, now());
+}
+void Exchange::attemptEnds(AttemptOutcome outcome) {
+  promptRead(false);
+  if (speaksAgainstRunner(outcome, staleConnection))
+    context.observer.failed(context.runnerPool.at(runner).id);
+  context.runnerPool.came(runner);
+}
+}  // namespace zc
--- a/libs/proxy/src/heads.cpp
+++ b/libs/proxy/src/heads.cpp
@@ -5,6 +5,7 @@
 char low(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
 }
+constexpr std::size_t kMostDigits = 12;
 constexpr std::string_view kOneWire[] = {"connection",
                                          "keep-alive",
                                          "proxy-connection",
@@ -54,6 +55,17 @@
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return low(x) == low(y); });
 }
+std::int64_t wholeNumber(std::string_view s, std::int64_t otherwise) {
+  if (s.empty() || s.size() > kMostDigits)
+    return otherwise;
+  std::int64_t n = 0;
+  for (char c : s) {
+    if (c < '0' || c > '9')
+      return otherwise;
+    n = n * 10 + (c - '0');
+  }
+  return n;
+}
 std::string_view field(const http::fields& f, std::string_view name) {
   const auto it = f.find({name.data(), name.size()});
   if (it == f.end())
--- a/libs/proxy/src/heads.hpp
+++ b/libs/proxy/src/heads.hpp
@@ -16,5 +16,8 @@
 std::string outboundHead(const http::request_header<>& h, const Outbound& o, std::size_t bodySize);
 // The answer's head as the client gets it, without framing.
 std::string inboundHead(const http::response_header<>& h);
+// The first header of this name; empty if there is none.
 std::string_view field(const http::fields& f, std::string_view name);
+// A header's value as a number of at most twelve digits; otherwise, if it is none.
+std::int64_t wholeNumber(std::string_view value, std::int64_t otherwise);
 }  // namespace zc
--- a/tests/resend_test.cpp
+++ b/tests/resend_test.cpp
@@ -400,8 +400,9 @@
   out.whole = a.wholeBody;
   if (a.status == 200)
     out.body = a.body;
-  if (row.position != Position::beforeConnect)
+  if (row.position != Position::beforeConnect) {
     EXPECT_TRUE(rig->played) << text(row);
+  }
 
   // Nothing of it reaches the next caller, on this connection or a new one, though runners' connections are used again.
   for (int i = 0; i < 6; ++i) {
@@ -454,10 +455,12 @@
     EXPECT_EQ(got.ran, want.ran) << text(rows[i]);
     EXPECT_EQ(got.status, want.status) << text(rows[i]);
     EXPECT_EQ(got.whole, want.whole) << text(rows[i]);
-    if (want.status == 200)
+    if (want.status == 200) {
       EXPECT_EQ(got.body, want.body) << text(rows[i]);
-    if (!repeatable(rows[i].kind))
+    }
+    if (!repeatable(rows[i].kind)) {
       EXPECT_LE(got.ran, 1) << text(rows[i]);
+    }
   }
   if (std::getenv("ZINCCLEAT_PRINT_TABLE")) {
     std::puts(
