--- a/libs/consensus/src/raft_core.cpp
+++ b/libs/consensus/src/raft_core.cpp
@@ -42,7 +42,7 @@
 PersistTicket RaftNode::Core::handToDisk(DiskRecord record) {
   const auto& pending = persistence.add(std::move(record), log.lastNumber(), log.lastTerm());
   if (pending.inFlight)
-    actions.push_back(PersistRecord{pending.ticket, pending.record});
+    actions.emplace_back(std::in_place_type<PersistRecord>, pending.ticket, pending.record);
   return pending.ticket;
 }
 // Term and vote, and the entries from `fromNumber` on (0: none).
@@ -128,7 +128,7 @@
   const bool alone = persistence.pending().size() == 1 || log.holdsNothing();
   const auto& retried =
       alone ? persistence.retryOldest() : persistence.replaceAll(fullRecord(), log.lastNumber(), log.lastTerm());
-  actions.push_back(PersistRecord{retried.ticket, retried.record});
+  actions.emplace_back(std::in_place_type<PersistRecord>, retried.ticket, retried.record);
 }
 void RaftNode::Core::onPersisted(Instant now, PersistTicket ticket) {
   const auto done = persistence.completed(ticket);
--- a/libs/controller/src/core.cpp
+++ b/libs/controller/src/core.cpp
@@ -94,9 +94,9 @@
   else
     self = s_.ip + "#" + std::to_string(boot_ | 1);
   // Why before anything is taken over: a disk whose state this program can't read must not be led or voted with.
-  for (auto& page : *pages)
-    if (page.full && !page.state.empty() && !snapshotIsValid(page.state))
-      return fault(0, s_.dataDir + ": page " + std::to_string(page.seq) + " holds a state that can't be restored");
+  for (const auto& record : records)
+    if (record.full && !record.state.empty() && !snapshotIsValid(record.state))
+      return fault(0, s_.dataDir + ": record " + std::to_string(record.seq) + " holds a state that can't be restored");
   operationIds_.emplace(self, boot_);
   RaftOptions options;
   options.largeBody = kBulkyBody;
