--- a/libs/agent/src/agent.cpp
+++ b/libs/agent/src/agent.cpp
@@ -8,6 +8,7 @@
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
 #include "state_machine/replicated_state.hpp"
+#include "transport/access_messages.hpp"
 #include "transport/partial_view.hpp"
 #include "transport/peer_link.hpp"
 
@@ -16,7 +17,7 @@
 constexpr auto kState = 1000ms;  // a state message when nothing else was response
 constexpr auto kRefetch = 150ms;
 constexpr int kStateAfter = 32;  // ... or after so many receipts
-constexpr auto kMoor = 250ms;
+constexpr auto kLinksEvery = 250ms;
 constexpr auto kNoLease = 1000ms;
 constexpr int kViewEvery = 8;  // state messages: a part of the view goes with each so many-th
 constexpr std::size_t kView = 12, kTail = 256;
@@ -37,47 +38,46 @@
       return tl::unexpected(ep.error());
     auto ok = listen(*ep, [this](tcp::socket sock) {
       auto l = std::make_shared<PeerLink>(
-          std::move(sock), [this](const PeerLinkPtr& x, Msg m) { onPilot(x, std::move(m)); },
+          std::move(sock), [this](const PeerLinkPtr& link, const Envelope& envelope) { onProxy(link, envelope); },
           [](const PeerLinkPtr&) {});
       l->start();
     });
     if (!ok)
       return ok;
-    moor();
-    EventLoop::get().every(kMoor, [this] { moor(); });
+    chooseLinks();
+    EventLoop::get().every(kLinksEvery, [this] { chooseLinks(); });
     EventLoop::get().every(kState, [this] {
       for (auto& [ip, m] : dialers_)
-        m->send(stateMsg());
+        m->send(stateMessage());
       receipts_ = 0;
     });
     EventLoop::get().every(kRefetch, [this] { refetch(false); });
     return {};
   }
-  bool feedsPilot() const { return pilot_ && pilot_->open(); }
+  bool feedsProxy() const { return proxy_ && proxy_->open(); }
   void reread(const Settings& s) {
     s_.seeds = s.seeds;
     for (auto& x : s_.seeds)
       view_.add(hostOf(x) + "/core");
-    moor();
+    chooseLinks();
   }
 
  private:
-  Msg stateMsg() {
-    Msg m = msgOf(Kind::state);
-    m.from = self_;
-    m.num = queue_.applied();
+  Envelope stateMessage() {
+    AgentState state;
+    state.appliedNumber = queue_.applied();
     if (++states_ % kViewEvery == 1)
-      m.view = view_.sample();
-    return m;
+      state.view = view_.sample();
+    return pack(state, self_);
   }
   // Links go to the leader and to a few other members, each node's own choice, so that their number does not grow
   // with the core; while none is up, to every member and every core machine ever heard of.
-  void moor() {
+  void chooseLinks() {
     std::set<std::string> want;
-    auto others = members_;
+    auto others = voters_;
     std::sort(others.begin(), others.end(), [this](auto& a, auto& b) { return hash64(a, rank_) > hash64(b, rank_); });
-    if (!sequencer_.empty())
-      want.insert(addressOf(sequencer_));
+    if (!leader_.empty())
+      want.insert(addressOf(leader_));
     for (auto& x : others)
       if (want.size() < kOthers + 1)
         want.insert(addressOf(x));
@@ -86,7 +86,7 @@
       up = up || (m->up() && want.count(ip));
     // Why also without a lease: those we know may all be on the smaller side of a cut.
     if (want.empty() || !up || Clock::now() - lastLease_ > kNoLease) {
-      for (auto& x : members_)
+      for (auto& x : voters_)
         want.insert(addressOf(x));
       for (auto& x : s_.seeds)
         want.insert(hostOf(x));
@@ -101,10 +101,10 @@
       if (!ep)
         continue;
       dialers_[ip] = std::make_unique<Dialer>(
-          *ep, [this](const PeerLinkPtr& l, Msg m) { onCore(l, std::move(m)); },
+          *ep, [this](const PeerLinkPtr& link, const Envelope& envelope) { onCore(link, envelope); },
           [this, ip](const PeerLinkPtr& l) {
-            l->send(stateMsg());
-            if (ip == addressOf(sequencer_))
+            l->send(stateMessage());
+            if (ip == addressOf(leader_))
               follow(l, false);
           });
     }
@@ -114,20 +114,19 @@
       else
         ++it;
   }
-  Dialer* toSequencer() {
-    if (sequencer_.empty())
+  Dialer* toLeader() {
+    if (leader_.empty())
       return nullptr;
-    const auto it = dialers_.find(addressOf(sequencer_));
+    const auto it = dialers_.find(addressOf(leader_));
     return it == dialers_.end() ? nullptr : it->second.get();
   }
-  void follow(const PeerLinkPtr& l, bool whole) {
-    Msg m = msgOf(Kind::follow);
-    m.from = self_;
+  void follow(const PeerLinkPtr& link, bool refetch) {
+    FollowLog message;
     // A copy that a difference did not fit asks for all of it.
-    m.num = copy_.damaged() ? 0 : queue_.applied();
-    m.names = {copy_.state().digest};
-    m.flag = whole;
-    l->send(m);
+    message.appliedNumber = copy_.damaged() ? 0 : queue_.applied();
+    message.heldDigest = copy_.state().digest;
+    message.refetch = refetch;
+    link->send(pack(message, self_));
     lastFollow_ = Clock::now();
     following_ = true;
   }
@@ -138,79 +137,89 @@
       return;
     if (Clock::now() - lastFollow_ < kRefetch)
       return;
-    if (auto* m = toSequencer(); m && m->up())
+    if (auto* m = toLeader(); m && m->up())
       follow(m->link(), true);
   }
-  void onCore(const PeerLinkPtr& l, Msg m) {
-    if (!m.from.empty())
-      view_.add(addressOf(m.from) + "/core");
-    switch (m.what()) {
-      case Kind::stateAck: {
-        view_.merge(m.view);
-        if (m.term < term_)
-          return;
-        const bool newer = m.term > term_ || (!m.who.empty() && m.who != sequencer_);
-        term_ = m.term;
-        if (!m.names.empty() && m.names != members_) {
-          members_ = m.names;
-          moor();
-        }
-        if (newer && !m.who.empty()) {
-          sequencer_ = m.who;
-          ring::note("follows " + sequencer_ + " in term " + std::to_string(term_));
-          following_ = false;
-          moor();
-        }
-        if (!sequencer_.empty() && !following_)
-          if (auto* s = toSequencer(); s && s->up())
-            follow(s->link(), false);
-        return;
-      }
-      case Kind::feed: {
-        if (m.term < term_)
-          return;  // fenced: a leader of an older term
-        if (m.ok) {
-          if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged()))
-            return;  // never back in number
-          if (auto r = copy_.restore(m.blob); !r) {
-            ring::alarm("snapshot errorResponse: " + r.error().text);
-            copy_.damage();
-            return refetch(true);
-          }
-          queue_.restart(m.num);
-          tail_.clear();
-          newest_ = std::max(newest_, m.num);
-          if (pilot_ && pilot_->open())
-            sendSnapshot();
-        } else {
-          for (auto& e : m.entries)
-            queue_.offer(std::move(e));
-          newest_ = std::max(newest_, m.num);
-        }
-        drain();
-        if (++receipts_ >= kStateAfter)
-          l->send(stateMsg()), receipts_ = 0;
-        return;
-      }
-      case Kind::body:
-        queue_.body(m.who, std::move(m.blob));
-        return drain();
-      case Kind::held:
-      case Kind::drawn:
-        if (pilot_ && pilot_->open())
-          pilot_->send(m);
-        return;
-      case Kind::lease:
-        if (m.ok)
-          newest_ = std::max(newest_, m.num), lastLease_ = Clock::now();
-        if (m.ok && queue_.applied() < m.num)
-          refetch(true);
-        if (pilot_ && pilot_->open())
-          pilot_->send(m);
-        return;
-      default:
-        return;
+  void onCore(const PeerLinkPtr& link, const Envelope& envelope) {
+    if (!envelope.sender.empty())
+      view_.add(addressOf(envelope.sender) + "/core");
+    receive<ClusterStanding>(link, envelope, [this](const ClusterStanding& standing) { onStanding(standing); });
+    receive<FeedEntries>(link, envelope, [&](FeedEntries feed) {
+      if (feed.term >= term_)  // else fenced: a leader of an older term
+        onEntries(link, std::move(feed));
+    });
+    receive<FeedSnapshot>(link, envelope, [&](const FeedSnapshot& feed) {
+      if (feed.term >= term_)
+        onSnapshot(link, feed);
+    });
+    receive<BodyAhead>(link, envelope, [this](BodyAhead ahead) {
+      queue_.body(ahead.digest, std::move(ahead.body));
+      drain();
+    });
+    receive<LeaseAnswer>(link, envelope, [this](const LeaseAnswer& answer) { onLease(answer); });
+    const bool forProxy = envelope.type == MessageType::leaseAnswer || envelope.type == MessageType::quotaDrawn ||
+                          envelope.type == MessageType::openingAnswer;
+    if (forProxy && feedsProxy())
+      proxy_->send(envelope);
+  }
+  void onStanding(const ClusterStanding& standing) {
+    view_.merge(standing.view);
+    if (standing.term < term_)
+      return;
+    const bool newLeader = !standing.leader.empty() && (standing.term > term_ || standing.leader != leader_);
+    term_ = standing.term;
+    if (!standing.voters.empty() && standing.voters != voters_) {
+      voters_ = standing.voters;
+      chooseLinks();
+    }
+    if (newLeader) {
+      leader_ = standing.leader;
+      ring::note("follows " + leader_ + " in term " + std::to_string(term_));
+      following_ = false;
+      chooseLinks();
+    }
+    if (following_)
+      return;
+    if (auto* dialer = toLeader(); dialer && dialer->up())
+      follow(dialer->link(), false);
+  }
+  void onEntries(const PeerLinkPtr& link, FeedEntries feed) {
+    for (auto& entry : feed.entries)
+      queue_.offer(std::move(entry));
+    newest_ = std::max(newest_, feed.newestNumber);
+    drain();
+    countReceipt(link);
+  }
+  void onSnapshot(const PeerLinkPtr& link, const FeedSnapshot& feed) {
+    // Never back in number.
+    if (feed.number < queue_.applied() || (feed.number == queue_.applied() && !copy_.damaged()))
+      return;
+    if (auto restored = copy_.restore(feed.state); !restored) {
+      ring::alarm("snapshot declined: " + restored.error().text);
+      copy_.damage();
+      return refetch(true);
     }
+    queue_.restart(feed.number);
+    tail_.clear();
+    newest_ = std::max(newest_, feed.number);
+    if (feedsProxy())
+      sendSnapshot();
+    drain();
+    countReceipt(link);
+  }
+  void countReceipt(const PeerLinkPtr& link) {
+    if (++receipts_ < kStateAfter)
+      return;
+    link->send(stateMessage());
+    receipts_ = 0;
+  }
+  void onLease(const LeaseAnswer& answer) {
+    if (!answer.granted)
+      return;
+    newest_ = std::max(newest_, answer.commitNumber);
+    lastLease_ = Clock::now();
+    if (queue_.applied() < answer.commitNumber)
+      refetch(true);
   }
   void drain() {
     std::vector<Entry> fresh;
@@ -222,63 +231,60 @@
         tail_.pop_front();
       fresh.push_back(std::move(*e));
     }
-    if (fresh.empty() || !pilot_ || !pilot_->open())
+    if (fresh.empty() || !feedsProxy())
       return;
-    Msg m = msgOf(Kind::feed);
-    m.num = queue_.applied();
-    m.entries = std::move(fresh);
-    pilot_->send(m);
-    pilotHolds_ = copy_.state().digest;
+    FeedEntries feed;
+    feed.newestNumber = queue_.applied();
+    feed.entries = std::move(fresh);
+    proxy_->send(pack(feed));
+    proxyHolds_ = copy_.state().digest;
   }
   void sendSnapshot() {
-    Msg m = msgOf(Kind::feed);
-    m.ok = true;
-    m.num = copy_.state().num;
-    m.blob = copy_.snapshotFor(pilotHolds_);
-    pilot_->send(m);
-    pilotHolds_ = copy_.state().digest;
+    FeedSnapshot feed;
+    feed.number = copy_.state().num;
+    feed.state = copy_.snapshotFor(proxyHolds_);
+    proxy_->send(pack(feed));
+    proxyHolds_ = copy_.state().digest;
   }
-  void onPilot(const PeerLinkPtr& l, Msg m) {
-    switch (m.what()) {
-      case Kind::follow: {
-        if (pilot_ && pilot_ != l)
-          pilot_->end();
-        pilot_ = l;
-        pilotHolds_ = m.names.empty() ? std::string{} : m.names.front();
-        if (m.flag)
-          return copy_.damaged() ? void() : sendSnapshot();  // it asks for all of it
-        Msg r = msgOf(Kind::feed);
-        for (auto& e : tail_)
-          if (e.num > m.num)
-            r.entries.push_back(e);
-        if (m.num < queue_.applied() && (r.entries.empty() || r.entries.front().num != m.num + 1))
-          return sendSnapshot();
-        r.num = queue_.applied();
-        pilotHolds_ = copy_.state().digest;
-        return l->send(r);
-      }
-      case Kind::draw:
-      case Kind::whereHeld:
-      case Kind::challenge: {
-        if (m.what() == Kind::challenge)
-          m.from = self_;
-        if (auto* s = toSequencer(); s && s->up())
-          s->send(m);
-        else
-          l->send(msgOf(Kind::stateAck));
-        return;
-      }
-      default:
-        return;
-    }
+  void onProxy(const PeerLinkPtr& link, const Envelope& envelope) {
+    receive<FollowLog>(link, envelope, [&](const FollowLog& message) { onFollow(link, message); });
+    const bool forLeader = envelope.type == MessageType::leaseQuestion || envelope.type == MessageType::quotaDraw ||
+                           envelope.type == MessageType::openingQuestion;
+    if (!forLeader)
+      return;
+    auto* leader = toLeader();
+    if (!leader || !leader->up())
+      return link->send(pack(ClusterStanding{}));  // a sign of life: there is nobody to ask
+    auto passedOn = envelope;
+    passedOn.sender = self_;
+    leader->send(passedOn);
+  }
+  void onFollow(const PeerLinkPtr& link, const FollowLog& message) {
+    if (proxy_ && proxy_ != link)
+      proxy_->end();
+    proxy_ = link;
+    proxyHolds_ = message.heldDigest;
+    if (message.refetch)  // it asks for all of it
+      return copy_.damaged() ? void() : sendSnapshot();
+    FeedEntries feed;
+    for (auto& entry : tail_)
+      if (entry.num > message.appliedNumber)
+        feed.entries.push_back(entry);
+    const bool behind = message.appliedNumber < queue_.applied();
+    const bool tailReaches = !feed.entries.empty() && feed.entries.front().num == message.appliedNumber + 1;
+    if (behind && !tailReaches)
+      return sendSnapshot();
+    feed.newestNumber = queue_.applied();
+    proxyHolds_ = copy_.state().digest;
+    link->send(pack(feed));
   }
 
   Settings s_;
   std::string self_;
   PartialView view_;
   std::map<std::string, std::unique_ptr<Dialer>> dialers_;
-  std::vector<std::string> members_;
-  std::string sequencer_;
+  std::vector<std::string> voters_;
+  std::string leader_;
   std::int64_t term_ = 0, newest_ = 0;
   Instant lastFollow_{}, lastLease_{};
   const std::uint64_t rank_ = drawSeed();
@@ -287,8 +293,8 @@
   Queue queue_;
   ReplicatedState copy_;
   std::deque<Entry> tail_;
-  PeerLinkPtr pilot_;
-  std::string pilotHolds_;  // digest of the configuration that the proxy has, once it has read what was sent
+  PeerLinkPtr proxy_;
+  std::string proxyHolds_;  // digest of the configuration that the proxy has, once it has read what was sent
 };
 }  // namespace
 
@@ -303,7 +309,7 @@
                                     // The proxy ends its work inside the grace; the agent outlasts it.
                                     const auto end = Clock::now() + s.timers.grace * 9 / 10;
                                     loop.every(100ms, [&, end] {
-                                      if (Clock::now() >= end || !t.feedsPilot())
+                                      if (Clock::now() >= end || !t.feedsProxy())
                                         loop.stop();
                                     });
                                   },
--- a/libs/controller/src/core.hpp
+++ b/libs/controller/src/core.hpp
@@ -1,124 +1,104 @@
-// One core machine's part in the fleet: the order, the copy, the links, and who waits for what.
+/// One core machine. It wires its parts: the member of the replicated log, the disk, the applied copy, the links to the
+/// other members, the access machines' agents, and who waits for a write or a read. Events of all of them meet here, on
+/// the one thread.
 #pragma once
+#include "access_desk.hpp"
+#include "agent_sessions.hpp"
 #include "calls.hpp"
-#include "config/configuration.hpp"
-#include "config/settings.hpp"
-#include "consensus/raft_node.hpp"
+#include "core_context.hpp"
 #include "heartbeats.hpp"
-#include "hints/hints.hpp"
+#include "lease_reads.hpp"
 #include "operation_ids.hpp"
-#include "outliers.hpp"
-#include "quota.hpp"
-#include "state_machine/replicated_state.hpp"
+#include "partner_hints.hpp"
+#include "peer_links.hpp"
+#include "pending_writes.hpp"
 #include "storage_thread.hpp"
-#include "transport/partial_view.hpp"
-#include "transport/peer_link.hpp"
 namespace zc {
-constexpr std::size_t kBulkyBody = 16384;  // above this a write's body goes ahead from its sender
-constexpr HintBounds kHintBounds{};
 /// Whether a replicated state, as the consensus hands it on, can be restored by this program.
 bool snapshotIsValid(const std::string& state);
 /// Settings that no core machine can start with, as one line; none: it can.
-std::optional<std::string> unusableSettings(const Settings& s);
+std::optional<std::string> unusableSettings(const Settings& settings);
 
 class Core : public CoreServices {
  public:
-  explicit Core(Settings s);
+  explicit Core(Settings settings);
   ~Core() override;
   Outcome<void> start();
-  Outcome<std::int32_t> write(Entry e, Span within) override;
-  Outcome<void> fresh(Span within) override;
-  std::string operationId() override { return operationIds_->next(); }
-  const ReplicatedState& copy() const override { return copy_; }
+  /// The settings file has changed.
+  void reread(const Settings& settings);
+  /// Ends this machine's part in good order; `done` is called once the others can do without it, or in time to end
+  /// before being killed.
+  void leave(std::function<void()> done);
+
+  const Settings& settings() const override { return shared_.settings; }
+  const ReplicatedState& copy() const override { return shared_.copy; }
   bool inContact() const override;
   bool awaitContact(Span within) override;
   bool heartbeatsReachLeader() const override;
   void noteHeartbeat(const std::string& runnerId) override;
-  void reread(Settings s);
-  Outcome<std::string> hintsFrom(std::string_view body, std::string_view seal) override;
-  std::string hintSeal(std::string_view body) const { return hintKey_ ? hintKey_->seal(body) : std::string{}; }
-  void leave(std::function<void()> done);
+  Outcome<std::int32_t> write(Entry entry, Span within) override { return writes_.write(std::move(entry), within); }
+  Outcome<void> fresh(Span within) override { return reads_.fresh(within); }
+  std::string operationId() override { return operationIds_->next(); }
+  std::string leaderControl() const override;
+  double requestsPerS() const override { return desk_.requestsPerS(Clock::now()); }
   std::string statusJson() const override;
   std::string closuresJson() const override;
-  double requestsPerS() const override;  // over all proxies heard from
-  std::string leaderControl() const override;
-  const Settings& settings() const override { return s_; }
+  Outcome<std::string> hintsFrom(std::string_view body, std::string_view seal) override {
+    return hints_.take(body, seal);
+  }
 
  private:
-  struct AgentSession {
-    PeerLinkPtr link;
-    std::int64_t fed = -1;     // -1: asks for nothing here
-    std::int64_t applied = 0;  // by its state messages
-    int told = 0;              // state messages answered on this link
-    std::size_t members = 0;   // hash of the members last told
-    std::string held;          // digest of the configuration that it response it holds
-  };
-  struct Write {
-    Waiter w;
-    std::optional<std::int32_t> verdict;
-  };
-  struct Read {
-    Waiter w;
-    std::int64_t num = -1;
+  /// The disk as it was found, with the storage that goes on from there.
+  struct LoadedDisk {
+    Storage storage;
+    Recovery recovery;
   };
-  void run();  // carries out what the order asks for
-  void onMsg(const PeerLinkPtr& l, Msg m);
+  Outcome<LoadedDisk> loadDisk();
+  void startMember(LoadedDisk disk);
+  Outcome<void> startLinks();
+  void startTimers();
+
+  /// Carries out what the consensus asks for, and what follows from it.
+  void run();
   void carryOut(SendMessage& action);
   void carryOut(PersistRecord& action);
   void carryOut(ApplyEntry& action);
   void carryOut(RestoreSnapshot& action);
-  void release(const Entry& e);
-  void install(const std::string& state);
+  void followRole();
+  void compactIfDue();
   void adoptConfiguration();
-  void feed(AgentSession& t);
-  void feedAll();
-  // What brings a copy from a number to the newest, encoded once for all agents that stand there.
-  std::shared_ptr<const std::string> feedFrame(std::int64_t from, const std::string& held);
-  void dropSilent(Instant now);
-  std::int64_t hintEpoch() const;
-  void tellPartner();
   void tick();
-  void tellAgents();
-  void sendTo(const std::string& member, const Msg& m);
-  Dialer* dialer(const std::string& ip);
-  Msg stateAck();
-  void watchRunners(Instant now);
+  void eachSecond();
+
+  void onMessage(const PeerLinkPtr& link, const Envelope& envelope);
+  void onPeerMessage(const PeerLinkPtr& link, const Envelope& envelope);
+  void onAccessMessage(const PeerLinkPtr& link, const Envelope& envelope);
+  void onConsensus(const PeerLinkPtr& link, const Envelope& envelope);
+  void onSubmit(const MemberId& from, Entry entry);
+  void onHeartbeats(const PeerLinkPtr& link, const HeartbeatBatch& batch);
+  template <class T>
+  void answer(const PeerLinkPtr& link, const T& message) {
+    link->send(pack(message, shared_.raft->self()));
+  }
+  void sendBodyAhead(const Entry& entry);
   void forwardHeartbeats(Instant now);
-  void shareBody(const Entry& e);
+  void dropMissedRunners(Instant now);
 
-  Settings s_;
-  std::unique_ptr<RaftNode> raft_;
+  CoreContext shared_;
   std::unique_ptr<StorageThread> disk_;
-  ReplicatedState copy_;
-  std::shared_ptr<const Configuration> cfg_;
-  QuotaAllocator quota_;
-  OutlierDetector outliers_;
-  std::optional<HintKey> hintKey_;
-  std::optional<HintTable> hints_;  // none: no partner site
-  bool tellingHints_ = false;
-  PartialView view_;
-  std::map<std::string, std::unique_ptr<Dialer>> dialers_;
-  std::map<std::string, std::weak_ptr<PeerLink>> lastLink_;
-  std::map<std::string, AgentSession> agents_;
-  std::map<std::pair<std::int64_t, std::string>, std::shared_ptr<const std::string>>
-      frames_;  // of `feedFrame`, until the newest number changes
-  std::int64_t framesOf_ = -1;
-  std::map<std::string, std::vector<Write*>> writes_;
-  std::map<std::int64_t, Read*> reads_;
-  struct Load {
-    std::vector<Grant> places;
-    Instant at;
-  };
-  std::map<std::string, Load> loads_;  // by agent
+  PeerLinks peers_;
+  AgentSessions agents_;
+  PendingWrites writes_;
+  LeaseReads reads_;
+  AccessDesk desk_;
+  PartnerHints hints_;
   HeartbeatForwarder heartbeats_;
   RunnerMonitor runnerMonitor_;
   std::optional<OperationIds> operationIds_;
-  std::int64_t nonce_ = 0, sinceCompact_ = 0;
-  std::uint64_t messagesDeclined_ = 0;  // from members, not readable
-  std::uint64_t turns_ = 0;
-  std::int64_t nodesHeard_ = 0;  // access nodes that asked for a lease in the last half minute
-  std::uint64_t boot_ = 0;
-  std::string lastLeader_;
+  std::int64_t sinceCompact_ = 0;  // entries applied since the log was last compacted
+  std::uint64_t ticks_ = 0;
+  const std::uint64_t boot_ = drawSeed();
+  MemberId lastLeader_;
   bool wasLeader_ = false, running_ = false, leaving_ = false;
 };
 }  // namespace zc
--- /dev/null
+++ b/libs/controller/src/core_context.hpp
@@ -0,0 +1,23 @@
+/// What the parts of one core machine share: its settings, its member of the replicated log, the applied copy.
+#pragma once
+#include "config/configuration.hpp"
+#include "config/settings.hpp"
+#include "consensus/raft_node.hpp"
+#include "state_machine/replicated_state.hpp"
+#include "transport/partial_view.hpp"
+namespace zc {
+constexpr std::size_t kLargeBody = 16384;  // bytes; above this a write's body goes ahead from the node that took it
+
+struct CoreContext {
+  explicit CoreContext(Settings given);
+  Settings settings;
+  std::unique_ptr<RaftNode> raft;  // from `Core::start` on
+  ReplicatedState copy;
+  std::shared_ptr<const Configuration> configuration;  // of the copy, parsed; none yet: null
+  PartialView view;                                    // of the other machines
+
+  bool isLeader() const { return raft->role() == Role::leader; }
+  /// Another machine leads, as far as is known here.
+  bool knowsOtherLeader() const { return !raft->leader().empty() && raft->leader() != raft->self(); }
+};
+}  // namespace zc
--- a/libs/controller/src/core_report.cpp
+++ b/libs/controller/src/core_report.cpp
@@ -1,70 +1,83 @@
-// What a core node tells operators.
+// What a core machine tells operators, as JSON.
 #include "core.hpp"
 
 namespace zc {
-double Core::requestsPerS() const {
-  double n = 0;
-  for (auto& [t, l] : loads_)
-    if (Clock::now() - l.at < 5s)
-      for (auto& g : l.places)
-        if (g.label.empty())
-          n += g.rate;
-  return n;
+namespace {
+/// The fields of one JSON object, in the order in which they are added.
+class JsonFields {
+ public:
+  JsonFields& raw(const char* name, const std::string& value) {
+    text_ += (text_.empty() ? "\"" : ",\"") + std::string(name) + "\":" + value;
+    return *this;
+  }
+  JsonFields& text(const char* name, const std::string& value) { return raw(name, quoteJson(value)); }
+  JsonFields& flag(const char* name, bool value) { return raw(name, value ? "true" : "false"); }
+  template <class Number>
+  JsonFields& number(const char* name, Number value) {
+    return raw(name, std::to_string(value));
+  }
+  std::string object() const { return "{" + text_ + "}"; }
+
+ private:
+  std::string text_;
+};
+std::string arrayOf(const std::vector<std::string>& elements) {
+  std::string text;
+  for (auto& element : elements)
+    text += (text.empty() ? "" : ",") + element;
+  return "[" + text + "]";
 }
+const char* nameOf(Role role) {
+  static const char* names[] = {"learner", "follower", "candidate", "leader"};
+  return names[static_cast<int>(role)];
+}
+}  // namespace
+
 std::string Core::closuresJson() const {
-  std::string s = "{\"requestsPerS\":" + std::to_string(requestsPerS()) + ",\"closures\":[";
-  bool first = true;
-  for (auto& c : copy_.state().closures) {
-    double runners = 0, proxies = 0;
-    int heard = 0;
-    for (auto& [t, l] : loads_)
-      if (Clock::now() - l.at < 5s) {
-        ++heard;
-        for (auto& g : l.places)
-          if (g.label == c.place)
-            runners += g.rate, proxies += g.burst;
-      }
-    s += (std::exchange(first, false) ? "" : ",") + ("{\"place\":" + quoteJson(c.place)) +
-         ",\"note\":" + quoteJson(c.note) + ",\"share\":" + std::to_string(c.share) +
-         ",\"doorsShut\":" + (c.doorsShut ? "true" : "false") +
-         ",\"atItsRunners\":" + std::to_string(static_cast<int>(runners)) +
-         ",\"atItsProxies\":" + std::to_string(static_cast<int>(proxies)) + ",\"nodesHeard\":" + std::to_string(heard) +
-         "}";
+  const auto now = Clock::now();
+  std::vector<std::string> closures;
+  for (auto& closure : shared_.copy.state().closures) {
+    const auto progress = desk_.progressOf(closure.place, now);
+    closures.push_back(JsonFields()
+                           .text("place", closure.place)
+                           .text("note", closure.note)
+                           .number("share", closure.share)
+                           .flag("doorsShut", closure.doorsShut)
+                           .number("atItsRunners", static_cast<int>(progress.atItsRunners))
+                           .number("atItsProxies", static_cast<int>(progress.atItsProxies))
+                           .number("nodesHeard", progress.nodesHeard)
+                           .object());
   }
-  return s + "]}";
+  return JsonFields().number("requestsPerS", requestsPerS()).raw("closures", arrayOf(closures)).object();
 }
 std::string Core::statusJson() const {
   const auto now = Clock::now();
-  std::size_t waiting = 0;  // bytes that agents have not read yet
-  for (auto& [n, t] : agents_)
-    waiting += t.link->backlog();
-  static const char* duties[] = {"learner", "follower", "candidate", "leader"};
-  std::string s =
-      "{\"node\":" + quoteJson(s_.node) + ",\"member\":" + quoteJson(raft_->self()) + ",\"role\":\"" +
-      duties[static_cast<int>(raft_->role())] + "\",\"term\":" + std::to_string(raft_->term()) +
-      ",\"leader\":" + quoteJson(raft_->leader()) + ",\"leased\":" + (raft_->hasLease(now) ? "true" : "false") +
-      ",\"released\":" + std::to_string(raft_->commitNumber()) + ",\"applied\":" + std::to_string(copy_.state().num) +
-      ",\"inContact\":" + (raft_->inContactWithMajority(now) ? "true" : "false") +
-      ",\"snapshotsDeclined\":" + std::to_string(raft_->snapshotsRefused()) +
-      ",\"framesDeclined\":" + std::to_string(trafficSoFar().framesDeclined) +
-      ",\"messagesDeclined\":" + std::to_string(messagesDeclined_) +
-      ",\"framesOfOtherFormats\":" + std::to_string(trafficSoFar().framesOfOtherFormats) +
-      ",\"diskSick\":" + (raft_->diskStalled() ? "true" : "false") +
-      ",\"version\":" + std::to_string(copy_.state().version) + ",\"agents\":" + std::to_string(agents_.size()) +
-      ",\"waitingBytes\":" + std::to_string(waiting) + ",\"hintsTold\":" + std::to_string(hints_ ? hints_->told() : 0) +
-      ",\"hintsKnown\":" + std::to_string(hints_ ? hints_->known() : 0) +
-      ",\"hintsDeclined\":" + std::to_string(hints_ ? hints_->errorResponse() : 0) +
-      ",\"runnersAside\":" + std::to_string(outliers_.list().size()) +
-      ",\"wordsDeclined\":" + std::to_string(outliers_.errorResponse()) + ",\"members\":[";
-  bool first = true;
-  for (auto& m : raft_->voters())
-    s += (std::exchange(first, false) ? "" : ",") + quoteJson(m);
-  s += "],\"runners\":[";
-  first = true;
-  for (auto& r : copy_.state().runners)
-    s += (std::exchange(first, false) ? "" : ",") + ("{\"id\":" + quoteJson(r.id)) +
-         ",\"service\":" + quoteJson(r.service) + ",\"address\":" + quoteJson(r.address) + ",\"state\":\"" +
-         (r.state == 0 ? "in_service" : "draining") + "\"}";
-  return s + "]}";
+  const auto& raft = *shared_.raft;
+  const auto& state = shared_.copy.state();
+  const auto* hints = hints_.table();
+  std::vector<std::string> members, runners;
+  for (auto& voter : raft.voters())
+    members.push_back(quoteJson(voter));
+  for (auto& runner : state.runners)
+    runners.push_back(JsonFields()
+                          .text("id", runner.id)
+                          .text("service", runner.service)
+                          .text("address", runner.address)
+                          .text("state", runner.at() == RunnerState::inService ? "in_service" : "draining")
+                          .object());
+  JsonFields fields;
+  fields.text("node", shared_.settings.node).text("member", raft.self()).text("role", nameOf(raft.role()));
+  fields.number("term", raft.term()).text("leader", raft.leader()).flag("leased", raft.hasLease(now));
+  fields.flag("inContact", raft.inContactWithMajority(now)).flag("diskSick", raft.diskStalled());
+  fields.number("released", raft.commitNumber()).number("applied", state.num).number("version", state.version);
+  fields.number("agents", agents_.count()).number("waitingBytes", agents_.waitingBytes());
+  fields.number("snapshotsDeclined", raft.snapshotsRefused());
+  fields.number("framesDeclined", trafficSoFar().framesDeclined);
+  fields.number("framesOfOtherFormats", trafficSoFar().framesOfOtherFormats);
+  fields.number("hintsTold", hints ? hints->told() : 0).number("hintsKnown", hints ? hints->known() : 0);
+  fields.number("hintsDeclined", hints ? hints->errorResponse() : 0);
+  fields.number("runnersAside", desk_.outliers().list().size());
+  fields.number("wordsDeclined", desk_.outliers().errorResponse());
+  return fields.raw("members", arrayOf(members)).raw("runners", arrayOf(runners)).object();
 }
 }  // namespace zc
--- /dev/null
+++ b/libs/controller/src/peer_links.cpp
@@ -0,0 +1,53 @@
+#include "peer_links.hpp"
+
+namespace zc {
+namespace {
+constexpr std::size_t kMostBacklog = 4u << 20;  // bytes that wait for a member before it is told again later
+constexpr auto kSpokeLately = 1s;
+}  // namespace
+
+void PeerLinks::dial(const std::string& address) {
+  (void)dialerTo(address);
+}
+Dialer* PeerLinks::dialerTo(const std::string& address) {
+  if (address == core_.settings.ip)
+    return nullptr;
+  auto& dialer = dialers_[address];
+  if (dialer)
+    return dialer.get();
+  const auto endpoint = parseEndpoint(address + ":" + std::to_string(core_.settings.portFirst));
+  if (!endpoint) {
+    dialers_.erase(address);
+    return nullptr;
+  }
+  dialer = std::make_unique<Dialer>(*endpoint, onMessage_, [](const PeerLinkPtr&) {});
+  return dialer.get();
+}
+Envelope PeerLinks::envelopeOf(const ConsensusMessage& message) const {
+  return {MessageType::consensus, core_.raft->self(), encodeMessage(message)};
+}
+void PeerLinks::send(const MemberId& to, const ConsensusMessage& message) {
+  post(to, envelopeOf(message));
+}
+void PeerLinks::post(const MemberId& to, const Envelope& envelope) {
+  // The replicated log bears losses: one that reads slowly is told again later.
+  auto write = [&](PeerLink& link) {
+    if (link.backlog() <= kMostBacklog)
+      link.send(envelope);
+  };
+  // An answer goes back on the connection the other spoke on; only what has none goes on a dialled one.
+  if (const auto it = spokeOn_.find(to); it != spokeOn_.end()) {
+    const auto link = it->second.lock();
+    if (link && link->open() && Clock::now() - link->heard() < kSpokeLately)
+      return write(*link);
+  }
+  if (auto* dialer = dialerTo(addressOf(to)); dialer && dialer->up())
+    write(*dialer->link());
+}
+void PeerLinks::sendToVoters(const ConsensusMessage& message) {
+  const auto envelope = envelopeOf(message);
+  for (auto& voter : core_.raft->voters())
+    if (voter != core_.raft->self())
+      post(voter, envelope);
+}
+}  // namespace zc
--- a/libs/proxy_daemon/src/proxy_daemon.cpp
+++ b/libs/proxy_daemon/src/proxy_daemon.cpp
@@ -8,16 +8,23 @@
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
 #include "state_machine/replicated_state.hpp"
+#include "transport/access_messages.hpp"
 #include "transport/peer_link.hpp"
 
 namespace zc {
 namespace {
 constexpr auto kChallenge = 400ms;
 constexpr std::size_t kSeenMost = 24;  // runners told of in one question, the worst first
-constexpr auto kHeldHere = 20s;        // an opening sent so lately is not asked about again
+constexpr std::size_t kQuestionsRemembered = 16;
+constexpr auto kHeldHere = 20s;  // an opening sent so lately is not asked about again
 constexpr auto kHeldWait = 10ms;
 constexpr auto kLinger = 2600ms;  // after SIGTERM: until the platform has surely noticed
 
+std::int64_t firstQuestion() {
+  constexpr int kBits = 40;  // so that a number stays short on the wire
+  return static_cast<std::int64_t>(drawSeed() >> (64 - kBits));
+}
+
 class ProxyDaemon {
  public:
   explicit ProxyDaemon(const Settings& s) : s_(s) {
@@ -51,14 +58,14 @@
       return tl::unexpected(ready.error());
     if (!agent)
       return tl::unexpected(agent.error());
-    mooring_ = std::make_unique<Dialer>(
-        *agent, [this](const PeerLinkPtr&, Msg m) { onTender(std::move(m)); },
-        [this](const PeerLinkPtr& l) {
-          Msg m = msgOf(Kind::follow);
-          m.num = queue_.applied();
-          m.names = {copy_.state().digest};
-          m.flag = copy_.damaged();
-          l->send(m);
+    agentLink_ = std::make_unique<Dialer>(
+        *agent, [this](const PeerLinkPtr& link, const Envelope& envelope) { onAgent(link, envelope); },
+        [this](const PeerLinkPtr& link) {
+          FollowLog message;
+          message.appliedNumber = queue_.applied();
+          message.heldDigest = copy_.state().digest;
+          message.refetch = copy_.damaged();
+          link->send(pack(message));
           challenge();
         });
     auto ok = listen(*access, [this](tcp::socket sock) { takeClient(wa_, std::move(sock)); });
@@ -95,22 +102,21 @@
 
  private:
   void challenge() {
-    if (!mooring_->up())
+    if (!agentLink_->up())
       return;
     const auto now = Clock::now();
-    Msg m = msgOf(Kind::challenge);
-    m.nonce = ++nonce_;
-    m.flag = true;
-    m.grants = wa_.quota.demand(now);
-    m.holds = wa_.quota.holds(now);
-    m.load = load(now);
+    LeaseQuestion question;
+    question.question = ++leaseQuestion_;
+    question.demand = wa_.quota.demand(now);
+    question.holds = wa_.quota.holds(now);
+    question.load = load(now);
     wa_.blameSilent(now);
-    m.seen = wa_.observer.report(kSeenMost);
-    m.prevTerm = outliersKnown_;
-    asked_[m.nonce] = now;
-    while (asked_.size() > 16)
+    question.attempts = wa_.observer.report(kSeenMost);
+    question.outliersVersion = outliersKnown_;
+    asked_[question.question] = now;
+    while (asked_.size() > kQuestionsRemembered)
       asked_.erase(asked_.begin());
-    mooring_->send(m);
+    agentLink_->send(pack(question));
   }
   // What requests wait for goes out once a turn of the loop, at once, and names nobody else.
   void ask() {
@@ -118,12 +124,17 @@
       return;
     asio::post(EventLoop::get().io(), [this] {
       asking_ = false;
-      if (!mooring_->up())
+      if (!agentLink_->up())
+        return;
+      QuotaDraw draw;
+      draw.waiting = wa_.quota.unasked();
+      if (draw.waiting.empty())
         return;
-      Msg m = msgOf(Kind::draw);
-      m.grants = wa_.quota.unasked();
-      if (!m.grants.empty())
-        mooring_->send(m);
+      draw.question = ++drawQuestion_;
+      draws_.insert(draw.question);
+      if (draws_.size() > kQuestionsRemembered)
+        draws_.erase(draws_.begin());
+      agentLink_->send(pack(draw));
     });
   }
   // Asks the leader, which hears all nodes. What was sent from here not long ago is held here; no answer in ms is a no.
@@ -133,87 +144,104 @@
       sent_.clear();
     if (const auto it = sent_.find(opening); it != sent_.end() && now - it->second < kHeldHere)
       return {};
-    if (!mooring_->up())
+    if (!agentLink_->up())
       return {};
-    Msg m = msgOf(Kind::whereHeld);
-    m.nonce = ++heldNonce_;
-    m.num = static_cast<std::int64_t>(opening);
-    // A mark, the same at all nodes of the site, so that one tenant is counted once; it stays inside the site.
-    m.prevTerm = static_cast<std::int64_t>(hash64(tenant, hash64(s_.partner->secret)));
+    OpeningQuestion question;
+    question.question = ++openingQuestion_;
+    question.opening = static_cast<std::int64_t>(opening);
+    // Alike at all nodes of the site, so that one tenant is counted once.
+    question.tenantMark = static_cast<std::int64_t>(hash64(tenant, hash64(s_.partner->secret)));
     Held h;
-    held_[m.nonce] = &h;
-    mooring_->send(m);
+    held_[question.question] = &h;
+    agentLink_->send(pack(question));
     (void)EventLoop::get().waitFor(h.waiter, kHeldWait);
-    held_.erase(m.nonce);
+    held_.erase(question.question);
     if (h.access.empty()) {
       sent_[opening] = now;
       return {};
     }
     return h.access[wa_.rng() % h.access.size()];
   }
-  void onTender(Msg m) {
-    const auto now = Clock::now();
-    if (m.what() == Kind::feed) {
-      if (m.ok) {
-        if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged()))
-          return;  // never back in number
-        if (auto r = copy_.restore(m.blob); !r)
-          return mend("snapshot errorResponse: " + r.error().text);
-        queue_.restart(m.num);
-        adopt({true, true, true});
-      } else {
-        for (auto& e : m.entries)
-          queue_.offer(std::move(e));
-      }
-      // A fiber applies without yielding: nothing reads a copy half applied.
-      ReplicatedState::Change all;
-      while (auto e = queue_.next()) {
-        const auto c = copy_.apply(*e);
-        all.configuration |= c.configuration;
-        all.runners |= c.runners;
-        all.closures |= c.closures;
-      }
-      if (copy_.damaged())
-        return mend("a difference did not fit");
-      adopt(all);
-      settleLease(now);
-    } else if (m.what() == Kind::lease) {
-      const auto it = asked_.find(m.nonce);
-      if (it == asked_.end() || !m.ok)
-        return;
-      // The lease counts from our own question, never from the answer.
-      if (it->second + leaseSpan_ > pendingEnd_) {
-        pendingEnd_ = it->second + leaseSpan_;
-        pendingNum_ = std::max(pendingNum_, m.num);
-      }
-      // Why only the newest: what a later question told of the stash did not know of these tokens yet.
-      if (m.nonce == nonce_)
-        wa_.quota.drawn(m.grants, it->second);
-      if (m.commit > 0)
-        wa_.budget.share(s_.timers.retrySlack * 0.5 / static_cast<double>(m.commit), slackDraw_);
-      if (m.prevTerm != 0 && m.prevTerm != outliersKnown_) {
-        outliersKnown_ = m.prevTerm;
-        outliers_ = m.seen;
-        wa_.runnerPool.setAside(outliers_);
-      }
-      asked_.erase(it);
-      settleLease(now);
-    } else if (m.what() == Kind::held) {
-      if (const auto it = held_.find(m.nonce); it != held_.end())
-        it->second->access = std::move(m.names), it->second->waiter.wake();
-    } else if (m.what() == Kind::drawn && m.ok) {
-      wa_.quota.loose(m.grants, now);
-      wa_.quench(m.grants);
+  void onAgent(const PeerLinkPtr& link, const Envelope& envelope) {
+    receive<FeedSnapshot>(link, envelope, [this](const FeedSnapshot& feed) { onSnapshot(feed); });
+    receive<FeedEntries>(link, envelope, [this](FeedEntries feed) { onEntries(std::move(feed)); });
+    receive<LeaseAnswer>(link, envelope, [this](const LeaseAnswer& answer) { onLease(answer); });
+    receive<QuotaDrawn>(link, envelope, [this](const QuotaDrawn& drawn) { onDrawn(drawn); });
+    receive<OpeningAnswer>(link, envelope, [this](OpeningAnswer answer) { onOpening(std::move(answer)); });
+  }
+  void onSnapshot(const FeedSnapshot& feed) {
+    // Never back in number.
+    if (feed.number < queue_.applied() || (feed.number == queue_.applied() && !copy_.damaged()))
+      return;
+    if (auto restored = copy_.restore(feed.state); !restored)
+      return mend("snapshot declined: " + restored.error().text);
+    queue_.restart(feed.number);
+    adopt({true, true, true});
+    applyQueued();
+  }
+  void onEntries(FeedEntries feed) {
+    for (auto& entry : feed.entries)
+      queue_.offer(std::move(entry));
+    applyQueued();
+  }
+  // A fiber applies without yielding: nothing reads a copy half applied.
+  void applyQueued() {
+    ReplicatedState::Change all;
+    while (auto entry = queue_.next()) {
+      const auto change = copy_.apply(*entry);
+      all.configuration |= change.configuration;
+      all.runners |= change.runners;
+      all.closures |= change.closures;
+    }
+    if (copy_.damaged())
+      return mend("a difference did not fit");
+    adopt(all);
+    settleLease(Clock::now());
+  }
+  void onLease(const LeaseAnswer& answer) {
+    const auto it = asked_.find(answer.question);
+    if (it == asked_.end() || !answer.granted)
+      return;
+    // The lease counts from our own question, never from the answer.
+    if (it->second + leaseSpan_ > pendingEnd_) {
+      pendingEnd_ = it->second + leaseSpan_;
+      pendingNum_ = std::max(pendingNum_, answer.commitNumber);
     }
+    // Why only the newest: what a later question told of the stash did not know of these tokens yet.
+    if (answer.question == leaseQuestion_)
+      wa_.quota.drawn(answer.grants, it->second);
+    if (answer.accessMachines > 0)
+      wa_.budget.share(s_.timers.retrySlack * 0.5 / static_cast<double>(answer.accessMachines), slackDraw_);
+    if (answer.outliersVersion != 0 && answer.outliersVersion != outliersKnown_) {
+      outliersKnown_ = answer.outliersVersion;
+      outliers_ = answer.outliers;
+      wa_.runnerPool.setAside(outliers_);
+    }
+    asked_.erase(it);
+    settleLease(Clock::now());
+  }
+  void onDrawn(const QuotaDrawn& drawn) {
+    // An answer that comes twice, or to an earlier life, is none.
+    if (!draws_.erase(drawn.question) || !drawn.granted)
+      return;
+    wa_.quota.loose(drawn.grants, Clock::now());
+    wa_.quench(drawn.grants);
+  }
+  void onOpening(OpeningAnswer answer) {
+    const auto it = held_.find(answer.question);
+    if (it == held_.end())
+      return;
+    it->second->access = std::move(answer.access);
+    it->second->waiter.wake();
   }
   // A copy that differs from what was numbered must not answer for it: nothing is served until all of it has come anew.
   void mend(const std::string& why) {
     ring::alarm(why + ": the whole is asked for");
     copy_.damage();
     wa_.leaseEnds = {};
-    Msg m = msgOf(Kind::follow);
-    m.flag = true;
-    mooring_->send(m);
+    FollowLog message;
+    message.refetch = true;
+    agentLink_->send(pack(message));
   }
   void settleLease(Instant) {
     // Only once applied as far as the leader was when it answered.
@@ -300,9 +328,12 @@
   ProxyContext wa_;
   Queue queue_;
   ReplicatedState copy_;
-  std::unique_ptr<Dialer> mooring_;
+  std::unique_ptr<Dialer> agentLink_;
   std::map<std::int64_t, Instant> asked_;
-  std::int64_t nonce_ = 0, pendingNum_ = 0;
+  // Questions are numbered from a point drawn for this life: an answer to an earlier one fits none.
+  std::int64_t leaseQuestion_ = firstQuestion(), drawQuestion_ = firstQuestion(), openingQuestion_ = firstQuestion();
+  std::set<std::int64_t> draws_;  // under way
+  std::int64_t pendingNum_ = 0;
   bool asking_ = false;
   struct Held {
     Waiter waiter;
@@ -310,7 +341,6 @@
   };
   std::map<std::int64_t, Held*> held_;  // questions under way
   std::unordered_map<std::uint64_t, Instant> sent_;
-  std::int64_t heldNonce_ = 0;
   std::int64_t outliersKnown_ = 0;
   std::vector<Grant> outliers_;  // runners set aside, as last told
   Instant pendingEnd_{};
--- a/libs/simulation/src/hollow_node.cpp
+++ b/libs/simulation/src/hollow_node.cpp
@@ -10,17 +10,16 @@
   // As an agent does: the leader and two others; here who they are is known.
   if (some.size() > 3)
     some.resize(3);
-  if (!sequencer_.empty() && std::find(some.begin(), some.end(), sequencer_) == some.end())
-    some.back() = sequencer_;
+  if (!leaderIp_.empty() && std::find(some.begin(), some.end(), leaderIp_) == some.end())
+    some.back() = leaderIp_;
   for (auto& ip : some)
     links_[ip] = std::make_unique<Dialer>(
         *parseEndpoint(ip + ":" + std::to_string(port_)),
-        [this](const PeerLinkPtr& l, Msg m) { onMsg(l, std::move(m)); },
-        [this](const PeerLinkPtr& l) {
-          Msg m = msgOf(Kind::state);
-          m.from = self_;
-          m.num = queue_.applied();
-          l->send(m);
+        [this](const PeerLinkPtr& link, const Envelope& envelope) { onMessage(link, envelope); },
+        [this](const PeerLinkPtr& link) {
+          AgentState state;
+          state.appliedNumber = queue_.applied();
+          link->send(pack(state, self_));
         });
 }
 void HollowNode::start() {
@@ -32,34 +31,31 @@
     t->async_wait([t, every, f](Ec) { EventLoop::get().every(every, f); });
   };
   soon(1000ms, [this] {
-    Msg m = msgOf(Kind::state);
-    m.from = self_;
-    m.num = queue_.applied();
+    AgentState state;
+    state.appliedNumber = queue_.applied();
     if (++states_ % 8 == 1)
-      m.view = {"127.0.2.1/core", "127.0.2.2/core", "127.4.0.9/access", "127.4.0.7/access", self_ + "/access"};
+      state.view = {"127.0.2.1/core", "127.0.2.2/core", "127.4.0.9/access", "127.4.0.7/access", self_ + "/access"};
     for (auto& [ip, l] : links_)
-      l->send(m);
+      l->send(pack(state, self_));
   });
   soon(400ms, [this] {
     auto* s = leader();
     if (!s)
       return;
     const auto now = Clock::now();
-    Msg m = msgOf(Kind::challenge);
-    m.from = self_;
-    m.nonce = ++nonce_;
-    m.flag = true;
-    m.grants = stash_.demand(now);
-    m.holds = stash_.holds(now);
-    m.load = {{"", 20, 0}};
-    m.prevTerm = outliersKnown_;
+    LeaseQuestion question;
+    question.question = ++question_;
+    question.demand = stash_.demand(now);
+    question.holds = stash_.holds(now);
+    question.load = {{"", 20, 0}};
+    question.outliersVersion = outliersKnown_;
     // What a node with its share of traffic has seen of runners since the last one.
     for (int i = 0; i < 8; ++i)
-      m.seen.push_back({"i-" + std::to_string(rng_() % 600), 2, 0});
-    asked_[m.nonce] = now;
+      question.attempts.push_back({"i-" + std::to_string(rng_() % 600), 2, 0});
+    asked_[question.question] = now;
     while (asked_.size() > 16)
       asked_.erase(asked_.begin());
-    s->send(m);
+    s->send(pack(question, self_));
   });
   soon(150ms, [this] {
     if ((queue_.gap() || queue_.applied() < newest_) && Clock::now() - followed_ > 150ms)
@@ -76,19 +72,18 @@
   dial();
 }
 Dialer* HollowNode::leader() {
-  const auto it = links_.find(sequencer_);
+  const auto it = links_.find(leaderIp_);
   return it == links_.end() || !it->second->up() ? nullptr : it->second.get();
 }
 void HollowNode::follow() {
   auto* s = leader();
   if (!s)
     return;
-  Msg m = msgOf(Kind::follow);
-  m.from = self_;
-  m.num = queue_.applied();
-  m.names = {copy_.state().digest};
-  m.flag = following_;
-  s->send(m);
+  FollowLog message;
+  message.appliedNumber = queue_.applied();
+  message.heldDigest = copy_.state().digest;
+  message.refetch = following_;
+  s->send(pack(message, self_));
   followed_ = Clock::now();
   following_ = true;
 }
@@ -107,11 +102,12 @@
     auto* s = leader();
     if (!s)
       return;
-    Msg m = msgOf(Kind::draw);
-    m.grants = stash_.unasked();
+    QuotaDraw draw;
+    draw.question = ++draw_;
+    draw.waiting = stash_.unasked();
     drawnAt_ = Clock::now();
-    if (!m.grants.empty())
-      s->send(m);
+    if (!draw.waiting.empty())
+      s->send(pack(draw, self_));
   });
 }
 void HollowNode::drain() {
@@ -121,62 +117,64 @@
   if (version() != before)
     onVersion(*this);
 }
-void HollowNode::onMsg(const PeerLinkPtr&, Msg m) {
-  const auto now = Clock::now();
-  switch (m.what()) {
-    case Kind::stateAck:
-      if (m.term < term_ || m.who.empty())
-        return;
-      term_ = m.term;
-      if (const auto ip = m.who.substr(0, m.who.find('#')); ip != sequencer_) {
-        sequencer_ = ip;
-        following_ = false;
-        if (!links_.count(ip)) {
-          asio::post(EventLoop::get().io(), [this] { dial(); });
-          return;
-        }
-      }
-      if (!following_)
-        follow();
+void HollowNode::onMessage(const PeerLinkPtr& link, const Envelope& envelope) {
+  receive<ClusterStanding>(link, envelope, [this](const ClusterStanding& standing) { onStanding(standing); });
+  receive<FeedEntries>(link, envelope, [this](FeedEntries feed) {
+    newest_ = std::max(newest_, feed.newestNumber);
+    for (auto& entry : feed.entries)
+      queue_.offer(std::move(entry));
+    drain();
+  });
+  receive<FeedSnapshot>(link, envelope, [this](const FeedSnapshot& feed) {
+    newest_ = std::max(newest_, feed.number);
+    if (feed.number <= queue_.applied() || !copy_.restore(feed.state))
       return;
-    case Kind::feed:
-      newest_ = std::max(newest_, m.num);
-      if (m.ok) {
-        if (m.num <= queue_.applied() || !copy_.restore(m.blob))
-          return;
-        queue_.restart(m.num);
-        onVersion(*this);
-      }
-      for (auto& e : m.entries)
-        queue_.offer(std::move(e));
-      return drain();
-    case Kind::body:
-      queue_.body(m.who, std::move(m.blob));
-      return drain();
-    case Kind::lease: {
-      const auto it = asked_.find(m.nonce);
-      if (!m.ok || it == asked_.end())
-        return;
-      newest_ = std::max(newest_, m.num);
-      if (queue_.applied() >= m.num)
-        leaseEnds_ = it->second + 3500ms;
-      if (m.nonce == nonce_)
-        stash_.drawn(m.grants, it->second);
-      outliersKnown_ = m.prevTerm;
-      asked_.erase(it);
+    queue_.restart(feed.number);
+    onVersion(*this);
+    drain();
+  });
+  receive<BodyAhead>(link, envelope, [this](BodyAhead ahead) {
+    queue_.body(ahead.digest, std::move(ahead.body));
+    drain();
+  });
+  receive<LeaseAnswer>(link, envelope, [this](const LeaseAnswer& answer) { onLease(answer); });
+  receive<QuotaDrawn>(link, envelope, [this](const QuotaDrawn& drawn) { onDrawn(drawn); });
+}
+void HollowNode::onStanding(const ClusterStanding& standing) {
+  if (standing.term < term_ || standing.leader.empty())
+    return;
+  term_ = standing.term;
+  if (const auto ip = standing.leader.substr(0, standing.leader.find('#')); ip != leaderIp_) {
+    leaderIp_ = ip;
+    following_ = false;
+    if (!links_.count(ip)) {
+      asio::post(EventLoop::get().io(), [this] { dial(); });
       return;
     }
-    case Kind::drawn:
-      drawMs.push_back(std::chrono::duration<double, std::milli>(now - drawnAt_).count());
-      stash_.loose(m.grants, now);
-      for (auto& g : m.grants) {
-        auto& w = waiting_[g.label];
-        for (; w > 0; --w)
-          ++(stash_.retake(g.label, now) ? granted : refused);
-      }
-      return;
-    default:
-      return;
+  }
+  if (!following_)
+    follow();
+}
+void HollowNode::onLease(const LeaseAnswer& answer) {
+  const auto it = asked_.find(answer.question);
+  if (!answer.granted || it == asked_.end())
+    return;
+  newest_ = std::max(newest_, answer.commitNumber);
+  if (queue_.applied() >= answer.commitNumber)
+    leaseEnds_ = it->second + 3500ms;
+  if (answer.question == question_)
+    stash_.drawn(answer.grants, it->second);
+  outliersKnown_ = answer.outliersVersion;
+  asked_.erase(it);
+}
+void HollowNode::onDrawn(const QuotaDrawn& drawn) {
+  const auto now = Clock::now();
+  drawMs.push_back(std::chrono::duration<double, std::milli>(now - drawnAt_).count());
+  stash_.loose(drawn.grants, now);
+  for (auto& grant : drawn.grants) {
+    auto& waiting = waiting_[grant.label];
+    for (; waiting > 0; --waiting)
+      ++(stash_.retake(grant.label, now) ? granted : refused);
   }
 }
 }  // namespace zc
--- a/libs/simulation/src/hollow_node.hpp
+++ b/libs/simulation/src/hollow_node.hpp
@@ -5,6 +5,7 @@
 #include "balancing/quota.hpp"
 #include "consensus/queue.hpp"
 #include "state_machine/replicated_state.hpp"
+#include "transport/access_messages.hpp"
 #include "transport/peer_link.hpp"
 namespace zc {
 class HollowNode {
@@ -22,11 +23,14 @@
 
  private:
   void dial();
-  void onMsg(const PeerLinkPtr& l, Msg m);
+  void onMessage(const PeerLinkPtr& link, const Envelope& envelope);
+  void onStanding(const ClusterStanding& standing);
+  void onLease(const LeaseAnswer& answer);
+  void onDrawn(const QuotaDrawn& drawn);
   void follow();
   void drain();
   Dialer* leader();
-  std::string self_, sequencer_;
+  std::string self_, leaderIp_;
   std::vector<std::string> core_;
   unsigned short port_;
   std::mt19937_64 rng_;
@@ -36,7 +40,7 @@
   QuotaGrants stash_;
   std::map<std::int64_t, Instant> asked_;
   Instant leaseEnds_{}, followed_{}, drawnAt_{};
-  std::int64_t nonce_ = 0, term_ = 0, newest_ = 0, outliersKnown_ = 0;
+  std::int64_t question_ = 0, draw_ = 0, term_ = 0, newest_ = 0, outliersKnown_ = 0;
   std::map<std::string, int> waiting_;
   int states_ = 0;
   bool following_ = false, asking_ = false;
--- a/libs/simulation/src/scale_run.cpp
+++ b/libs/simulation/src/scale_run.cpp
@@ -14,7 +14,14 @@
 
 namespace zc {
 namespace {
-const char* kKinds[] = {"state", "stateAck", "follow", "feed", "challenge", "lease", "beats", "draw", "drawn"};
+// The messages of access machines, by the names that earlier measurements have.
+const std::pair<MessageType, const char*> kMessages[] = {
+    {MessageType::agentState, "state"},      {MessageType::clusterStanding, "stateAck"},
+    {MessageType::followLog, "follow"},      {MessageType::feedEntries, "feed"},
+    {MessageType::feedSnapshot, "snapshot"}, {MessageType::leaseQuestion, "challenge"},
+    {MessageType::leaseAnswer, "lease"},     {MessageType::quotaDraw, "draw"},
+    {MessageType::quotaDrawn, "drawn"},
+};
 
 double cpuOf(pid_t pid) {  // seconds, over all threads
   double ns = 0;
@@ -266,14 +273,14 @@
   double in = 0, out = 0;
   std::string kinds;
   const double perNode = s * p_.nodes;
-  for (int k = 20; k <= 28; ++k) {
-    const auto i = static_cast<std::size_t>(k);
+  for (auto& [type, name] : kMessages) {
+    const auto i = static_cast<std::size_t>(type);
     const double o = static_cast<double>(now.sent[i].bytes - traffic.sent[i].bytes) / perNode;
     const double r = static_cast<double>(now.received[i].bytes - traffic.received[i].bytes) / perNode;
     out += o, in += r;
     char b[160];
     std::snprintf(b, sizeof b, json ? "%s\"%s\":{\"out\":%.1f,\"in\":%.1f}" : "%s%-10s %9.1f %9.1f\n",
-                  json && k > 20 ? "," : "", kKinds[k - 20], o, r);
+                  json && !kinds.empty() ? "," : "", name, o, r);
     if (o + r > 0 || json)
       kinds += b;
   }
--- /dev/null
+++ b/libs/transport/include/transport/access_messages.hpp
@@ -0,0 +1,213 @@
+/// The messages between core machines and access machines, and those between core machines that the consensus does not
+/// know of. Each question has a number that its answer brings back; the numbers of one asker never return in its life.
+#pragma once
+#include "transport/envelope.hpp"
+#include "transport/messages.hpp"
+namespace zc {
+// --- between core machines ---
+
+/// A write on its way to the leader. Sent again it is the same write, by its operation id.
+struct SubmitEntry {
+  static constexpr auto kType = MessageType::submitEntry;
+  Entry entry;
+  template <class V>
+  void fields(V& v) {
+    v("entry", entry);
+  }
+};
+/// The leader has it, or not (it does not lead, or lacks the body). The sender learns the verdict from its own copy.
+struct SubmitReceipt {
+  static constexpr auto kType = MessageType::submitReceipt;
+  bool accepted = false;
+  template <class V>
+  void fields(V& v) {
+    v("accepted", accepted);
+  }
+};
+/// How far is it committed? (Read index: who has applied that may answer a linearizable read.)
+struct ReadIndexQuestion {
+  static constexpr auto kType = MessageType::readIndexQuestion;
+  std::int64_t question = 0;
+  template <class V>
+  void fields(V& v) {
+    v("question", question);
+  }
+};
+struct ReadIndexAnswer {
+  static constexpr auto kType = MessageType::readIndexAnswer;
+  std::int64_t question = 0;
+  bool underLease = false;  // else the number says nothing
+  std::int64_t commitNumber = 0;
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("underLease", underLease), v("commitNumber", commitNumber);
+  }
+};
+struct RunnerAge {
+  std::string id;
+  std::int64_t ageMs = 0;  // since its newest beat
+  template <class V>
+  void fields(V& v) {
+    v("id", id), v("ageMs", ageMs);
+  }
+};
+/// Runners heard by a core machine that does not lead. Sent again until acknowledged.
+struct HeartbeatBatch {
+  static constexpr auto kType = MessageType::heartbeatBatch;
+  std::int64_t number = 0;
+  std::vector<RunnerAge> runners;
+  template <class V>
+  void fields(V& v) {
+    v("number", number), v("runners", runners);
+  }
+};
+/// From a leader with a valid lease only.
+struct HeartbeatReceipt {
+  static constexpr auto kType = MessageType::heartbeatReceipt;
+  std::int64_t number = 0;
+  template <class V>
+  void fields(V& v) {
+    v("number", number);
+  }
+};
+
+// --- who leads, and the log ---
+
+/// An agent says each second, and after so many receipts, how far it is.
+struct AgentState {
+  static constexpr auto kType = MessageType::agentState;
+  std::int64_t appliedNumber = 0;
+  std::vector<std::string> view;  // a shuffled part of the sender's partial view; now and then
+  template <class V>
+  void fields(V& v) {
+    v("appliedNumber", appliedNumber), v("view", view);
+  }
+};
+/// Who leads, as far as the sender knows. The answer to an agent's state, and told to all when it changes.
+struct ClusterStanding {
+  static constexpr auto kType = MessageType::clusterStanding;
+  std::int64_t term = 0;
+  std::string leader;               // empty: unknown
+  std::vector<std::string> voters;  // empty: as told before on this link
+  std::int64_t commitNumber = 0;
+  std::vector<std::string> view;
+  template <class V>
+  void fields(V& v) {
+    v("term", term), v("leader", leader), v("voters", voters), v("commitNumber", commitNumber), v("view", view);
+  }
+};
+/// From now on, send what comes after a number.
+struct FollowLog {
+  static constexpr auto kType = MessageType::followLog;
+  std::int64_t appliedNumber = 0;  // 0: all of it is wanted
+  std::string heldDigest;          // of the configuration held, which need not be sent again
+  bool refetch = false;            // something is missing: nothing may be left out
+  template <class V>
+  void fields(V& v) {
+    v("appliedNumber", appliedNumber), v("heldDigest", heldDigest), v("refetch", refetch);
+  }
+};
+struct FeedEntries {
+  static constexpr auto kType = MessageType::feedEntries;
+  std::int64_t term = 0;
+  std::int64_t newestNumber = 0;
+  std::vector<Entry> entries;  // committed
+  template <class V>
+  void fields(V& v) {
+    v("term", term), v("newestNumber", newestNumber), v("entries", entries);
+  }
+};
+struct FeedSnapshot {
+  static constexpr auto kType = MessageType::feedSnapshot;
+  std::int64_t term = 0;
+  std::int64_t number = 0;  // what it brings a copy to
+  std::string state;        // see `ReplicatedState::snapshotFor`
+  template <class V>
+  void fields(V& v) {
+    v("term", term), v("number", number), v("state", state);
+  }
+};
+/// The body of a large write, ahead of its entry, which then names the digest only.
+struct BodyAhead {
+  static constexpr auto kType = MessageType::bodyAhead;
+  std::string digest, body;
+  template <class V>
+  void fields(V& v) {
+    v("digest", digest), v("body", body);
+  }
+};
+
+// --- leases, quotas, hints ---
+
+/// A proxy asks for its lease, and tells what the leader is to know of its machine.
+struct LeaseQuestion {
+  static constexpr auto kType = MessageType::leaseQuestion;
+  std::int64_t question = 0;
+  std::vector<Grant> demand;    // tenant, requests a second
+  std::vector<Grant> holds;     // tenant, tokens still held
+  std::vector<Grant> load;      // place that closes (empty: all), requests at its runners, requests at its proxies
+  std::vector<Grant> attempts;  // runner, attempts gone well, gone ill, since the last question
+  std::int64_t outliersVersion = 0;
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("demand", demand), v("holds", holds), v("load", load), v("attempts", attempts);
+    v("outliersVersion", outliersVersion);
+  }
+};
+struct LeaseAnswer {
+  static constexpr auto kType = MessageType::leaseAnswer;
+  std::int64_t question = 0;
+  bool granted = false;  // else nothing below counts
+  std::int64_t commitNumber = 0;
+  std::int64_t accessMachines = 0;  // that were heard lately
+  std::vector<Grant> grants;        // tenant, tokens, seconds until more could be had
+  std::int64_t outliersVersion = 0;
+  std::vector<Grant> outliers;  // runner, how far set aside; empty where the asker has this version
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("granted", granted), v("commitNumber", commitNumber);
+    v("accessMachines", accessMachines), v("grants", grants), v("outliersVersion", outliersVersion);
+    v("outliers", outliers);
+  }
+};
+/// Tokens for requests that wait right now.
+struct QuotaDraw {
+  static constexpr auto kType = MessageType::quotaDraw;
+  std::int64_t question = 0;
+  std::vector<Grant> waiting;  // tenant, and in `burst` its requests
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("waiting", waiting);
+  }
+};
+struct QuotaDrawn {
+  static constexpr auto kType = MessageType::quotaDrawn;
+  std::int64_t question = 0;
+  bool granted = false;
+  std::vector<Grant> grants;
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("granted", granted), v("grants", grants);
+  }
+};
+/// Does the partner site hold a prompt's opening that is not held here?
+struct OpeningQuestion {
+  static constexpr auto kType = MessageType::openingQuestion;
+  std::int64_t question = 0;
+  std::int64_t opening = 0;     // its digest
+  std::int64_t tenantMark = 0;  // the same at all machines of the site; it stays inside the site
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("opening", opening), v("tenantMark", tenantMark);
+  }
+};
+struct OpeningAnswer {
+  static constexpr auto kType = MessageType::openingAnswer;
+  std::int64_t question = 0;
+  std::vector<std::string> access;  // the partner's addresses; empty: it does not, or has not told
+  template <class V>
+  void fields(V& v) {
+    v("question", question), v("access", access);
+  }
+};
+}  // namespace zc
--- /dev/null
+++ b/libs/transport/include/transport/envelope.hpp
@@ -0,0 +1,48 @@
+/// What one frame carries: a message's type, its sender and its encoded fields. Each message is a struct of its own
+/// with a `kType`; `pack` and `unpack` go between the two.
+#pragma once
+#include "transport/avro.hpp"
+namespace zc {
+enum class MessageType : std::uint8_t {
+  consensus = 1,  // the payload is `encodeMessage`'s, see consensus/messages.hpp
+  // Between core machines.
+  submitEntry,
+  submitReceipt,
+  readIndexQuestion,
+  readIndexAnswer,
+  heartbeatBatch,
+  heartbeatReceipt,
+  // Between core machines and access machines.
+  agentState,
+  clusterStanding,
+  followLog,
+  feedEntries,
+  feedSnapshot,
+  bodyAhead,
+  leaseQuestion,
+  leaseAnswer,
+  quotaDraw,
+  quotaDrawn,
+  openingQuestion,
+  openingAnswer,
+};
+constexpr MessageType kLastMessageType = MessageType::openingAnswer;
+
+struct Envelope {
+  MessageType type{};
+  std::string sender;  // a member's or an agent's identity; empty where nobody needs it
+  std::string payload;
+};
+template <class T>
+Envelope pack(const T& message, std::string sender = {}) {
+  return {T::kType, std::move(sender), avro::encode(message)};
+}
+/// Fails if the envelope holds another type of message, or fields that do not parse.
+template <class T>
+Outcome<T> unpack(const Envelope& envelope) {
+  if (envelope.type != T::kType)
+    return fault(0, "a message of type " + std::to_string(static_cast<int>(envelope.type)) + " instead of " +
+                        std::to_string(static_cast<int>(T::kType)));
+  return avro::decode<T>(envelope.payload);
+}
+}  // namespace zc
--- a/libs/transport/include/transport/peer_link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -1,14 +1,16 @@
 // A link carries frames both ways over one connection. A dialer keeps a dialled link up.
 #pragma once
 #include "runtime/event_loop.hpp"
-#include "transport/messages.hpp"
+#include "transport/envelope.hpp"
 namespace zc {
-std::string frameOf(const Msg& m);
+// A frame: its length (4 bytes), the format's version, the message's type, the sender's length, the sender, the
+// payload.
+std::string frameOf(const Envelope& envelope);
 // Takes whole frames off the front of buf. A fault means the connection can't be trusted further.
 // partial: where the pieces of a large frame are gathered; without it pieces are errorResponse.
-Outcome<std::vector<Msg>> unframe(std::string& buf, std::string* partial = nullptr);
+Outcome<std::vector<Envelope>> unframe(std::string& buf, std::string* partial = nullptr);
 
-// What this process has framed and taken apart so far, by kind of message; bytes with their frames.
+// What this process has framed and taken apart so far, by type of message; bytes with their frames.
 struct Traffic {
   struct Count {
     std::uint64_t messages = 0, bytes = 0;
@@ -21,12 +23,12 @@
 
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
-  using OnMsg = std::function<void(const std::shared_ptr<PeerLink>&, Msg)>;
+  using OnMessage = std::function<void(const std::shared_ptr<PeerLink>&, const Envelope&)>;
   using OnEnd = std::function<void(const std::shared_ptr<PeerLink>&)>;
-  PeerLink(tcp::socket s, OnMsg onMsg, OnEnd onEnd);
+  PeerLink(tcp::socket s, OnMessage onMessage, OnEnd onEnd);
   ~PeerLink();
   void start();
-  void send(const Msg& m);
+  void send(const Envelope& envelope);
   void sendFrame(std::string_view frame);  // of `frameOf`: for one message to many
   // In pieces that let everything sent meanwhile overtake: for what is large and not urgent.
   // Shared: one that goes to hundreds is kept once.
@@ -36,6 +38,8 @@
   // no more than its share.
   std::size_t backlog() const;
   void end();
+  // Ends the link over a message that can't be read; says why and counts it.
+  void decline(const std::string& why);
   bool open() const;
   Instant heard() const;
   // When the oldest message without any sign of life since was sent; max() if none waits.
@@ -50,11 +54,22 @@
 };
 using PeerLinkPtr = std::shared_ptr<PeerLink>;
 
+// Hands the message on if the envelope holds one of that type. One whose fields do not parse ends its link.
+template <class T, class Handler>
+void receive(const PeerLinkPtr& link, const Envelope& envelope, Handler&& handler) {
+  if (envelope.type != T::kType)
+    return;
+  auto message = unpack<T>(envelope);
+  if (!message)
+    return link->decline(message.error().text);
+  handler(std::move(*message));
+}
+
 class Dialer {
  public:
-  Dialer(tcp::endpoint ep, PeerLink::OnMsg onMsg, std::function<void(const PeerLinkPtr&)> onUp);
+  Dialer(tcp::endpoint ep, PeerLink::OnMessage onMessage, std::function<void(const PeerLinkPtr&)> onUp);
   ~Dialer();
-  bool send(const Msg& m);  // false: no link now
+  bool send(const Envelope& envelope);  // false: no link now
   bool up() const;
   PeerLinkPtr link() const;
   void release();  // stop redialling
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -3,13 +3,13 @@
 #include <boost/asio/write.hpp>
 
 #include "runtime/log_ring.hpp"
-#include "transport/avro.hpp"
 
 namespace zc {
 namespace {
-constexpr char kFormat = 2;       // frames of another format version are errorResponse
+constexpr char kFormat = 4;       // frames of another format version are refused
 constexpr char kPieceFormat = 3;  // a part of a large frame; the first byte of its body tells whether it is the last
 constexpr std::size_t kPiece = 16 * 1024;
+constexpr std::size_t kLongestSender = 255;
 constexpr std::size_t kMaxFrame = 32u << 20;
 constexpr std::size_t kMaxOut = 48u << 20;
 constexpr auto kSilence = 900ms;
@@ -21,8 +21,9 @@
 
 namespace {
 Traffic g_traffic;
-void count(Traffic::Count (&by)[64], std::int32_t kind, std::size_t bytes) {
-  auto& c = by[kind >= 0 && kind < 64 ? kind : 0];
+void count(Traffic::Count (&by)[64], MessageType type, std::size_t bytes) {
+  const auto index = static_cast<std::size_t>(type);
+  auto& c = by[index < 64 ? index : 0];
   ++c.messages;
   c.bytes += bytes;
 }
@@ -33,16 +34,37 @@
   out += format;
 }
 }  // namespace
-std::string frameOf(const Msg& m) {
-  const auto body = avro::encode(m);
+std::string frameOf(const Envelope& envelope) {
+  must(envelope.sender.size() <= kLongestSender, "a sender's identity is short");
+  const auto bodySize = 2 + envelope.sender.size() + envelope.payload.size();
   std::string out;
-  out.reserve(body.size() + 5);
-  putHead(out, body.size(), kFormat);
-  count(g_traffic.sent, m.kind, body.size() + 5);
-  return out += body;
+  out.reserve(bodySize + 5);
+  putHead(out, bodySize, kFormat);
+  out += static_cast<char>(envelope.type);
+  out += static_cast<char>(envelope.sender.size());
+  out += envelope.sender;
+  out += envelope.payload;
+  count(g_traffic.sent, envelope.type, out.size());
+  return out;
+}
+namespace {
+Outcome<Envelope> envelopeOf(std::string_view body) {
+  if (body.size() < 2)
+    return fault(0, "a frame without its head");
+  const std::size_t sender = static_cast<unsigned char>(body[1]);
+  if (body.size() < 2 + sender)
+    return fault(0, "a frame shorter than its sender");
+  Envelope envelope;
+  envelope.type = static_cast<MessageType>(body[0]);
+  if (envelope.type < MessageType::consensus || envelope.type > kLastMessageType)
+    return fault(0, "a message of the unknown type " + std::to_string(static_cast<int>(envelope.type)));
+  envelope.sender = body.substr(2, sender);
+  envelope.payload = body.substr(2 + sender);
+  return envelope;
 }
-Outcome<std::vector<Msg>> unframe(std::string& buf, std::string* partial) {
-  std::vector<Msg> out;
+}  // namespace
+Outcome<std::vector<Envelope>> unframe(std::string& buf, std::string* partial) {
+  std::vector<Envelope> out;
   std::size_t at = 0;
   while (buf.size() - at >= 5) {
     std::uint32_t n = 0;
@@ -76,11 +98,11 @@
       return fault(0, "frame of another format version: " + std::to_string(buf[at + 4]));
     if (buf.size() - at < 4u + n)
       break;
-    auto m = avro::decode<Msg>(std::string_view(buf).substr(at + 5, n - 1));
-    if (!m)
-      return fault(0, "frame: " + m.error().text);
-    count(g_traffic.received, m->kind, n + 4);
-    out.push_back(std::move(*m));
+    auto envelope = envelopeOf(std::string_view(buf).substr(at + 5, n - 1));
+    if (!envelope)
+      return tl::unexpected(envelope.error());
+    count(g_traffic.received, envelope->type, n + 4);
+    out.push_back(std::move(*envelope));
     at += 4u + n;
   }
   buf.erase(0, at);
@@ -93,7 +115,7 @@
 
 struct PeerLink::Impl {
   Connection connection;
-  OnMsg onMsg;
+  OnMessage onMessage;
   OnEnd onEnd;
   std::string out, flying;
   std::deque<std::shared_ptr<const std::string>> bulk;  // frames that go in pieces
@@ -101,7 +123,7 @@
   bool writing = false, open = true;
   Instant heard = Clock::now(), unanswered = Instant::max();
   std::string farIp;
-  Impl(tcp::socket s, OnMsg m, OnEnd e) : connection(std::move(s)), onMsg(std::move(m)), onEnd(std::move(e)) {
+  Impl(tcp::socket s, OnMessage m, OnEnd e) : connection(std::move(s)), onMessage(std::move(m)), onEnd(std::move(e)) {
     Ec ec;
     const auto ep = connection.sock().remote_endpoint(ec);
     if (!ec)
@@ -109,7 +131,7 @@
     tune(connection.sock());
   }
 };
-PeerLink::PeerLink(tcp::socket s, OnMsg m, OnEnd e)
+PeerLink::PeerLink(tcp::socket s, OnMessage m, OnEnd e)
     : impl_(std::make_unique<Impl>(std::move(s), std::move(m), std::move(e))) {}
 PeerLink::~PeerLink() = default;
 bool PeerLink::open() const {
@@ -144,31 +166,35 @@
       d.heard = Clock::now();
       d.unanswered = Instant::max();
       buf.append(chunk.data(), n);
-      auto msgs = unframe(buf, &partial);
-      if (!msgs) {
-        ++g_traffic.framesDeclined;
-        ring::alarm("link to " + d.farIp + " ended: " + msgs.error().text);
+      const auto envelopes = unframe(buf, &partial);
+      if (!envelopes) {
+        self->decline(envelopes.error().text);
         break;
       }
-      for (auto& m : *msgs) {
+      for (auto& envelope : *envelopes) {
         if (!d.open)
           break;
-        d.onMsg(self, std::move(m));
+        d.onMessage(self, envelope);
       }
     }
     self->end();
     d.onEnd(self);
     // Why cleared: the callbacks may hold the owner of this link.
-    d.onMsg = nullptr;
+    d.onMessage = nullptr;
     d.onEnd = nullptr;
   });
 }
 std::size_t PeerLink::backlog() const {
   return impl_->out.size() + impl_->flying.size() + impl_->bulkBytes;
 }
-void PeerLink::send(const Msg& m) {
+void PeerLink::decline(const std::string& why) {
+  ++g_traffic.framesDeclined;
+  ring::alarm("link to " + impl_->farIp + " ended: " + why);
+  end();
+}
+void PeerLink::send(const Envelope& envelope) {
   if (impl_->open)
-    sendFrame(frameOf(m));
+    sendFrame(frameOf(envelope));
 }
 void PeerLink::sendFrame(std::string_view frame) {
   if (!impl_->open)
@@ -242,7 +268,7 @@
 
 struct Dialer::Impl : std::enable_shared_from_this<Dialer::Impl> {
   tcp::endpoint ep;
-  PeerLink::OnMsg onMsg;
+  PeerLink::OnMessage onMessage;
   std::function<void(const PeerLinkPtr&)> onUp;
   PeerLinkPtr link;
   bool released = false;
@@ -264,7 +290,7 @@
                      "; tried again");
         if (!ec && !released) {
           failed = 0;
-          auto up = std::make_shared<PeerLink>(std::move(w.sock()), onMsg, [](const PeerLinkPtr&) {});
+          auto up = std::make_shared<PeerLink>(std::move(w.sock()), onMessage, [](const PeerLinkPtr&) {});
           link = up;
           up->start();
           onUp(up);
@@ -284,20 +310,20 @@
     }
   }
 };
-Dialer::Dialer(tcp::endpoint ep, PeerLink::OnMsg onMsg, std::function<void(const PeerLinkPtr&)> onUp)
+Dialer::Dialer(tcp::endpoint ep, PeerLink::OnMessage onMessage, std::function<void(const PeerLinkPtr&)> onUp)
     : impl_(std::make_shared<Impl>()) {
   impl_->ep = std::move(ep);
-  impl_->onMsg = std::move(onMsg);
+  impl_->onMessage = std::move(onMessage);
   impl_->onUp = std::move(onUp);
   impl_->run();
 }
 Dialer::~Dialer() {
   release();
 }
-bool Dialer::send(const Msg& m) {
+bool Dialer::send(const Envelope& envelope) {
   if (!up())
     return false;
-  impl_->link->send(m);
+  impl_->link->send(envelope);
   return true;
 }
 bool Dialer::up() const {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -78,18 +78,17 @@
     deaf.sock().set_option(asio::socket_base::receive_buffer_size(4096), ec);
     deaf.sock().connect(*parseEndpoint("127.0.5.1:7960"), ec);
     ASSERT_FALSE(ec);
-    auto say = [&](Msg m) {
-      m.from = "127.0.5.9#agent";
-      const auto f = frameOf(m);
-      deaf.write(asio::buffer(f), ec);
+    auto say = [&](const auto& message) {
+      const auto frame = frameOf(pack(message, "127.0.5.9#agent"));
+      deaf.write(asio::buffer(frame), ec);
     };
-    say(msgOf(Kind::state));
+    say(AgentState{});
     std::int64_t most = 0;
     for (int i = 0; i < 120; ++i) {
-      Msg m = msgOf(Kind::follow);
-      m.num = 1;
-      m.flag = true;
-      say(m);
+      FollowLog follow;
+      follow.appliedNumber = 1;
+      follow.refetch = true;
+      say(follow);
       EventLoop::get().pause(2ms);
       most = std::max(most, a.status("waitingBytes"));
     }
@@ -137,10 +136,8 @@
     snapshot.config = "127.0.5.5#0 127.0.5.6#0 127.0.5.7#0";
     snapshot.state = "no state at all \xff\xff\xff\xff\xff\xff\xff\xff\xff\xff";
     auto say = [&] {
-      Msg m = msgOf(Kind::consensus);
-      m.from = "127.0.5.6#0";
-      m.blob = encodeMessage(snapshot);
-      leader.write(asio::buffer(frameOf(m)), ec);
+      const auto frame = frameOf({MessageType::consensus, "127.0.5.6#0", encodeMessage(snapshot)});
+      leader.write(asio::buffer(frame), ec);
     };
     say();
     ASSERT_TRUE(a.until(5s, [&] { return a.status("snapshotsDeclined") == 1; }));
@@ -162,11 +159,16 @@
     auto& a = *kept().back();
     ASSERT_TRUE(a.core->start());
     const auto before = a.status("framesDeclined"), others = a.status("framesOfOtherFormats");
-    for (const char format : {2, 9}) {
-      auto frame = frameOf(msgOf(Kind::state));
-      frame[4] = format;
-      for (std::size_t i = 5; i < frame.size(); ++i)
-        frame[i] = '\xff';
+    const auto whole = frameOf(pack(AgentState{7, {"x"}}, "127.0.5.9#agent"));
+    auto otherFormat = whole;
+    otherFormat[4] = 9;
+    auto otherFields = whole;
+    for (std::size_t i = whole.size() - 4; i < whole.size(); ++i)
+      otherFields[i] = '\xff';
+    auto noSender = frameOf(pack(AgentState{}));
+    const auto noConsensus = frameOf({MessageType::consensus, "127.0.5.9#0", "\xff"});
+    const auto otherType = frameOf({MessageType{99}, "127.0.5.9#0", ""});
+    for (const auto& frame : {otherFormat, otherFields, noSender, noConsensus, otherType}) {
       Connection stranger;
       Ec ec;
       stranger.connect(*parseEndpoint("127.0.5.8:7960"), ec);
@@ -177,7 +179,7 @@
       EXPECT_TRUE(ec);
       EXPECT_FALSE(stranger.late()) << "the far end closes it";
     }
-    EXPECT_EQ(a.status("framesDeclined"), before + 2);
+    EXPECT_EQ(a.status("framesDeclined"), before + 5);
     EXPECT_EQ(a.status("framesOfOtherFormats"), others + 1);
   });
 }
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "state_machine/replicated_state.hpp"
+#include "transport/access_messages.hpp"
 #include "transport/peer_link.hpp"
 
 using namespace zc;
@@ -216,13 +217,13 @@
 }
 }  // namespace
 TEST(Frames, PiecesMakeAFrameAndOthersOvertakeThem) {
-  auto big = msgOf(Kind::feed);
-  big.num = 9;
-  big.blob = std::string(40000, 'q');
-  const auto frame = frameOf(big);
+  FeedSnapshot big;
+  big.number = 9;
+  big.state = std::string(40000, 'q');
+  const auto frame = frameOf(pack(big));
   std::string partial,
-      buf = piece(frame.substr(0, 20000), false) + frameOf(msgOf(Kind::lease)) + piece(frame.substr(20000), true);
-  std::vector<Msg> got;
+      buf = piece(frame.substr(0, 20000), false) + frameOf(pack(LeaseAnswer{})) + piece(frame.substr(20000), true);
+  std::vector<Envelope> got;
   // Byte by byte, as the network may bring it.
   std::string sofar;
   for (char c : buf) {
@@ -233,9 +234,11 @@
       got.push_back(m);
   }
   ASSERT_EQ(got.size(), 2u);
-  EXPECT_EQ(got[0].what(), Kind::lease);
-  EXPECT_EQ(got[1].num, 9);
-  EXPECT_EQ(got[1].blob.size(), 40000u);
+  EXPECT_EQ(got[0].type, MessageType::leaseAnswer);
+  const auto back = unpack<FeedSnapshot>(got[1]);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->number, 9);
+  EXPECT_EQ(back->state.size(), 40000u);
   EXPECT_TRUE(partial.empty());
   auto alone = piece("x", true);
   EXPECT_FALSE(unframe(alone)) << "where no pieces are expected";
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -3,6 +3,7 @@
 
 #include "consensus/queue.hpp"
 #include "state_machine/replicated_state.hpp"
+#include "transport/access_messages.hpp"
 #include "transport/avro.hpp"
 #include "transport/partial_view.hpp"
 #include "transport/peer_link.hpp"
@@ -142,31 +143,44 @@
   EXPECT_EQ(q.next()->num, 6);
 }
 TEST(Frames, GoAndComeBack) {
-  Msg m = msgOf(Kind::feed);
-  m.from = "x";
-  m.num = -7;
-  m.entries = {numbered(1, std::string(100000, 'z')), numbered(2)};
-  m.names = {"a", "b"};
-  m.grants = {{"t", 1.5, 2.5}};
-  auto buf = frameOf(m) + frameOf(msgOf(Kind::state)) + std::string(2, char(0));
+  FeedEntries feed;
+  feed.newestNumber = -7;
+  feed.entries = {numbered(1, std::string(100000, 'z')), numbered(2)};
+  LeaseAnswer lease;
+  lease.grants = {{"t", 1.5, 2.5}};
+  auto buf = frameOf(pack(feed, "x")) + frameOf(pack(lease)) + std::string(2, char(0));
   auto out = unframe(buf);
   ASSERT_TRUE(out);
   ASSERT_EQ(out->size(), 2u);
-  EXPECT_EQ((*out)[0].num, -7);
-  EXPECT_EQ((*out)[0].entries[0].blob.size(), 100000u);
-  EXPECT_DOUBLE_EQ((*out)[0].grants[0].burst, 2.5);
+  EXPECT_EQ((*out)[0].sender, "x");
+  EXPECT_TRUE((*out)[1].sender.empty());
+  const auto feedBack = unpack<FeedEntries>((*out)[0]);
+  ASSERT_TRUE(feedBack);
+  EXPECT_EQ(feedBack->newestNumber, -7);
+  EXPECT_EQ(feedBack->entries[0].blob.size(), 100000u);
+  const auto leaseBack = unpack<LeaseAnswer>((*out)[1]);
+  ASSERT_TRUE(leaseBack);
+  EXPECT_DOUBLE_EQ(leaseBack->grants[0].burst, 2.5);
+  EXPECT_FALSE(unpack<LeaseQuestion>((*out)[1])) << "a message of another type";
   EXPECT_EQ(buf.size(), 2u) << "a frame not whole yet stays";
 }
 TEST(Frames, WhatIsNotOursIsDeclined) {
-  auto other = frameOf(msgOf(Kind::state));
+  auto other = frameOf(pack(AgentState{}, "x"));
   other[4] = 9;
   EXPECT_FALSE(unframe(other)) << "another format version";
   std::string huge = "\xff\xff\xff\xff\x01";
   EXPECT_FALSE(unframe(huge));
-  auto broken = frameOf(msgOf(Kind::state));
+  auto broken = frameOf(pack(AgentState{}, "x"));
   for (std::size_t i = 5; i < broken.size(); ++i)
     broken[i] = static_cast<char>(0xff);
   EXPECT_FALSE(unframe(broken));
+  auto unknownType = frameOf(pack(AgentState{}, "x"));
+  unknownType[5] = static_cast<char>(99);
+  EXPECT_FALSE(unframe(unknownType));
+  EXPECT_FALSE(unpack<AgentState>(Envelope{MessageType::agentState, "x", "\xff"}));
+  auto noHead = frameOf(pack(AgentState{}, "x"));
+  noHead[6] = static_cast<char>(200);
+  EXPECT_FALSE(unframe(noHead)) << "a sender longer than the frame";
   std::string http = "GET / HTTP/1.1\r\n\r\n";
   EXPECT_FALSE(unframe(http));
 }
