Fuzzing of what comes from outside; an empty chunked body cut in its end no longer ends the process

Cause: Boost.Beast 1.74 asserts five bytes at hand when it takes up a last chunk again. A head and "0\r\n" in one read, the last line in a later one, and the process aborted (proxy and controller, requests and answers).

Inputs that broke something are kept under tests/fuzz/corpus.

--- /dev/null
+++ b/tests/chunked_test.cpp
@@ -0,0 +1,22 @@
+// Chunked bodies, cut where the network may cut them. The parser's own assertion once ended the process here.
+#include "standins.hpp"
+
+using namespace zc;
+using namespace zc::standin;
+
+TEST(Chunked, AnEmptyBodyWhoseLastLineComesLaterIsRead) {
+  const std::string head =
+      "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key1\r\nX-Attempt-Id: a1\r\n"
+      "X-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body = "0\r\n\r\n";
+  for (std::size_t cut = 1; cut < body.size(); ++cut)
+    inHarbour([&](Harbour& h) {
+      auto r = h.runner("i-1", answers);
+      auto w = h.dial();
+      Buffer buffer;
+      say(*w, head + body.substr(0, cut));
+      EventLoop::get().pause(5ms);
+      say(*w, body.substr(cut));
+      EXPECT_EQ(hear(*w, buffer).status, 200) << "cut at " << cut;
+    });
+}
--- /dev/null
+++ b/tests/fuzz/configurations_fuzzer.cpp
@@ -0,0 +1,43 @@
+// What operators and runners send as JSON: configurations, heartbeats, closures.
+#include "config/calls.hpp"
+#include "config/configuration.hpp"
+#include "fuzz_target.hpp"
+
+namespace {
+using namespace zc;
+void checkConfiguration(const Configuration& c) {
+  const auto services = static_cast<int>(c.services.size());
+  for (auto& route : c.routes) {
+    fuzz::require(!route.targets.empty() && route.shareSum > 0);
+    for (auto& target : route.targets)
+      fuzz::require(target.service >= 0 && target.service < services);
+    fuzz::require(c.find(route.authority, route.pathPrefix) >= 0);
+  }
+  for (auto& [key, subscriber] : c.keys)
+    fuzz::require(c.subscriberOf(key) == subscriber && subscriber < static_cast<int>(c.subscribers.size()));
+}
+void parseAnything(std::string_view input) {
+  if (const auto configuration = parseConfiguration(input))
+    checkConfiguration(**configuration);
+  (void)parseBeat("i-1", input);
+  (void)parseClosure(input);
+  const auto quoted = quoteJson(input);
+  fuzz::require(quoted.size() >= 2 && quoted.front() == '"' && quoted.back() == '"');
+}
+std::vector<std::string> configurationExamples() {
+  return {
+      R"({"configVersion":7,"routeTable":[{"label":"r","authority":"h.example","pathPrefix":"/p/","routeType":"stream",)"
+      R"("expiryMs":10000,"targetLatencyMs":600,"precedence":1,"targetService":"s","maxAttempts":1,"keyless":false,)"
+      R"("sessionAffinity":true,"streamResume":false,"gapTargetMs":300},{"label":"q","authority":"h.example",)"
+      R"("pathPrefix":"/q/","routeType":"safe","expiryMs":12000,"targetLatencyMs":600,"precedence":0,"weightedTargets":)"
+      R"([{"targetService":"s","share":90},{"targetService":"t","share":10}],"maxAttempts":2}],"serviceTable":[{"label")"
+      R"(:"s","healthPath":"/health","connLimit":370,"protocol":"h1","tlsMode":false,"engine":{"capacity":64,)"
+      R"("kvCapacity":591366,"kvTokenBytes":327680,"linkMbps":740000.0,"stride":7,"modelList":[{"label":"m"}]}},)"
+      R"({"label":"t"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimerMs":3000,"idleTimerMs":)"
+      R"(15000},"subscribers":[{"label":"u","accessKeys":["k1","k2"],"precedence":1,"ratePerS":38,"burstSize":38}]})",
+      R"({"targetService":"s","address":"10.128.0.9:8080","zone":"z","configVersion":"v1","capacity":64,"state":)"
+      R"("in_service","warmupLeftMs":0,"stage":"combined","modelList":[],"sequence":4})",
+      R"({"place":"z","note":"n","share":50,"doorsShut":false,"open":false,"force":true,"calmBelowPerS":1.5})"};
+}
+}  // namespace
+ZINCCLEAT_FUZZ_TARGET(configurations, parseAnything, configurationExamples)
--- /dev/null
+++ b/tests/fuzz/requests_fuzzer.cpp
@@ -0,0 +1,135 @@
+// HTTP as clients and runners may send it: heads and bodies parsed as the proxy parses them, in reads of any length,
+// heads copied to the other side, event streams scanned.
+#include "events.hpp"
+#include "fuzz_target.hpp"
+#include "heads.hpp"
+#include "proxy/http.hpp"
+
+namespace {
+using namespace zc;
+constexpr std::uint32_t kHeaderLimit = 2048;
+constexpr std::size_t kBodyLimit = 4096;
+
+// Feeds a parser as `pump` does. True: the whole message was read.
+template <class Parser>
+bool parseInReads(Parser& parser, std::string_view input, std::size_t readLength) {
+  parser.header_limit(kHeaderLimit);
+  parser.body_limit(kBodyLimit);
+  parser.eager(true);
+  Buffer buffer;
+  while (!parser.is_done()) {
+    if (buffer.size() > 0) {
+      boost::system::error_code error;
+      const auto used = parser.put(buffer.data(), error);
+      buffer.consume(used);
+      if (error && error != http::error::need_more)
+        return false;
+      if (used > 0)
+        continue;
+    }
+    if (input.empty())
+      return false;
+    const auto read = input.substr(0, readLength);
+    input.remove_prefix(read.size());
+    const auto room = buffer.prepare(read.size());
+    std::copy(read.begin(), read.end(), static_cast<char*>(room.data()));
+    buffer.commit(read.size());
+  }
+  return true;
+}
+std::size_t count(std::string_view text, std::string_view part) {
+  std::size_t found = 0;
+  for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + part.size()))
+    ++found;
+  return found;
+}
+// A head as it goes on: it must end once, hold no bare line ends, and parse as what it was, with its own framing.
+void checkOutboundHead(const RequestParser::value_type& request) {
+  Outbound outbound;
+  outbound.expectedInstance = "i-1";
+  outbound.left = Span(500);
+  const auto head = outboundHead(request, outbound, request.body().size());
+  fuzz::require(head.size() >= 4 && head.substr(head.size() - 4) == "\r\n\r\n");
+  fuzz::require(count(head, "\r\n\r\n") == 1);
+  fuzz::require(count(head, "\n") == count(head, "\r\n"));
+  RequestParser again;
+  again.header_limit(64 * 1024);
+  again.body_limit(kBodyLimit);
+  const auto whole = head + request.body();
+  boost::system::error_code error;
+  again.eager(true);
+  std::string_view rest = whole;
+  while (!rest.empty() && !again.is_done() && !error) {
+    const auto used = again.put(asio::buffer(rest), error);
+    rest.remove_prefix(used);
+    if (used == 0)
+      break;
+  }
+  fuzz::require(!error && again.is_done() && rest.empty());
+  fuzz::require(again.get().method_string() == request.method_string());
+  fuzz::require(again.get().target() == request.target());
+  fuzz::require(again.get().body() == request.body());
+  fuzz::require(!again.get().chunked());
+}
+void readAnyRequest(std::string_view input, std::size_t readLength) {
+  RequestParser parser;
+  if (!parseInReads(parser, input, readLength))
+    return;
+  fuzz::require(parser.get().body().size() <= kBodyLimit);
+  checkOutboundHead(parser.get());
+}
+void readAnyAnswer(std::string_view input, std::size_t readLength) {
+  http::response_parser<http::string_body> parser;
+  if (!parseInReads(parser, input, readLength))
+    return;
+  const auto head = inboundHead(parser.get());
+  fuzz::require(count(head, "\r\n\r\n") <= 1);
+  fuzz::require(count(head, "\n") == count(head, "\r\n"));
+}
+// What comes out and what is held make what went in; closed by an empty line all of it comes out, and the last id is
+// the same however the stream was cut. (An empty line more than needed may come with the event before it or the one
+// after.)
+void scanEvents(std::string_view input, std::size_t readLength) {
+  constexpr std::string_view kEmptyLine = "\n\n";
+  EventScan scan;
+  std::string out;
+  for (auto rest = input; !rest.empty();) {
+    const auto read = rest.substr(0, readLength);
+    rest.remove_prefix(read.size());
+    out += scan.feed(read);
+  }
+  fuzz::require(out + scan.rest() == input);
+  out += scan.feed(kEmptyLine);
+  fuzz::require(out == std::string(input) + std::string(kEmptyLine) && scan.rest().empty());
+  EventScan atOnce;
+  fuzz::require(atOnce.feed(std::string(input) + std::string(kEmptyLine)) == out);
+  fuzz::require(atOnce.lastId() == scan.lastId());
+}
+// The first byte says how long each read is.
+void readAnything(std::string_view input) {
+  if (input.empty())
+    return;
+  const auto readLength = 1 + static_cast<std::size_t>(static_cast<unsigned char>(input.front()));
+  input.remove_prefix(1);
+  readAnyRequest(input, readLength);
+  readAnyAnswer(input, readLength);
+  scanEvents(input, readLength);
+}
+std::vector<std::string> requestExamples() {
+  const std::string fast(1, '\xff'), slow(1, '\0');
+  return {fast +
+              "POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Attempt-Id: a-1\r\n"
+              "X-Deadline-Ms: 900\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\nContent-Length: 4\r\n\r\nbody",
+          slow +
+              "POST /p/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n"
+              "4\r\nbody\r\n3;x=y\r\nabc\r\n0\r\nTrailer: t\r\n\r\n",
+          fast + "GET / HTTP/1.0\r\n\r\n",
+          fast + "GET http://h/p HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
+          fast + "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+          slow +
+              "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "10\r\nid: 1\ndata: x\n\n\n\r\n0\r\n\r\n",
+          slow + "id: 1\ndata: x\n\nid: 22\r\ndata: y\r\n\r\n: comment\n\nid: 3\rdata"};
+}
+}  // namespace
+ZINCCLEAT_FUZZ_TARGET(requests, readAnything, requestExamples)
--- /dev/null
+++ b/tests/fuzz/snapshots_fuzzer.cpp
@@ -0,0 +1,44 @@
+// Snapshots of the fleet's state, of this and the older format, for a copy that holds something already.
+#include "fuzz_target.hpp"
+#include "state_machine/replicated_state.hpp"
+
+namespace {
+using namespace zc;
+ReplicatedState copyWith(int changes) {
+  ReplicatedState copy;
+  std::int64_t number = 0;
+  auto put = [&](Entry e) {
+    e.num = ++number;
+    copy.apply(e);
+  };
+  for (int i = 1; i <= changes; ++i) {
+    const auto version = std::to_string(i);
+    const auto body = R"({"configVersion":)" + version + R"(,"routeTable":[{"label":"route"},{"label":"another"}]})";
+    put(changeOp(i - 1, i, body, "operator/" + version, copy.state()));
+    put(runnerOp(Runner{"i" + version, "s", "a:" + version, "z", 4, 1, i % 3}, "runner/" + version));
+  }
+  put(closureOp(Closure{"z", "note", 10, false}, false, "closure"));
+  return copy;
+}
+void restoreFrom(std::string_view input) {
+  static const auto kHeld = copyWith(2);
+  auto copy = kHeld;
+  if (!copy.restore(input)) {
+    fuzz::require(copy.snapshot() == kHeld.snapshot());
+    return;
+  }
+  ReplicatedState again;
+  fuzz::require(again.restore(copy.snapshot()).has_value());
+  fuzz::require(again.snapshot() == copy.snapshot());
+  // It goes on from there.
+  auto e = configurationOp(copy.state().version, copy.state().version + 1, "{}", "the next");
+  e.num = copy.state().num + 1;
+  (void)copy.apply(e);
+}
+std::vector<std::string> snapshotExamples() {
+  const auto copy = copyWith(4), held = copyWith(2);
+  return {copy.snapshot(), copy.snapshotFor({}), copy.snapshotFor(held.state().digest),
+          copy.snapshotFor(copy.state().digest), ReplicatedState{}.snapshot()};
+}
+}  // namespace
+ZINCCLEAT_FUZZ_TARGET(snapshots, restoreFrom, snapshotExamples)
--- /dev/null
+++ b/tests/fuzz_test.cpp
@@ -0,0 +1,91 @@
+// The fuzz targets without clang: every input kept under tests/fuzz/corpus is replayed, then a seeded mutation of these
+// and of the targets' own examples is tried, as many as take a second or so. tools/fuzz.sh goes further, by coverage.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "fuzz/fuzz_target.hpp"
+
+namespace {
+using zc::fuzz::Target;
+constexpr std::uint64_t kSeed = 14;
+constexpr int kMutationsOfEachTarget = 4000;
+constexpr std::size_t kLongestInput = 8192;
+
+std::vector<std::string> keptInputs(const Target& target) {
+  std::vector<std::filesystem::path> files;
+  const auto folder = std::filesystem::path("tests/fuzz/corpus") / target.name;
+  if (std::filesystem::exists(folder))
+    for (auto& file : std::filesystem::directory_iterator(folder))
+      files.push_back(file.path());
+  std::sort(files.begin(), files.end());
+  std::vector<std::string> inputs;
+  for (auto& path : files) {
+    std::ifstream file(path, std::ios::binary);
+    inputs.emplace_back(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+  }
+  return inputs;
+}
+// One change of the kinds that find most: a bit, a byte, a boundary number, a run of bytes left out, doubled or taken
+// from another input.
+void mutate(std::string& input, const std::string& other, std::mt19937_64& random) {
+  static constexpr unsigned char kBoundaries[] = {0x00, 0x01, 0x7f, 0x80, 0xfe, 0xff, '\r', '\n', '"', '}'};
+  const auto position = input.empty() ? 0 : random() % input.size();
+  const auto length = 1 + random() % 16;
+  switch (input.empty() ? 5 : random() % 6) {
+    case 0:
+      input[position] = static_cast<char>(input[position] ^ (1 << random() % 8));
+      break;
+    case 1:
+      input[position] = static_cast<char>(random());
+      break;
+    case 2:
+      input[position] = static_cast<char>(kBoundaries[random() % std::size(kBoundaries)]);
+      break;
+    case 3:
+      input.erase(position, length);
+      break;
+    case 4:
+      input.insert(position, input.substr(random() % input.size(), length));
+      break;
+    default:
+      input.insert(position, other.empty() ? "x" : other.substr(random() % other.size(), 4 * length));
+      break;
+  }
+  if (input.size() > kLongestInput)
+    input.resize(kLongestInput);
+}
+class FuzzTargets : public testing::TestWithParam<std::size_t> {
+ protected:
+  const Target& target() const { return zc::fuzz::targets()[GetParam()]; }
+};
+std::string nameOfTarget(const testing::TestParamInfo<std::size_t>& info) {
+  return zc::fuzz::targets()[info.param].name;
+}
+}  // namespace
+
+TEST_P(FuzzTargets, BearsKeptInputs) {
+  for (auto& input : keptInputs(target()))
+    target().run(input);
+  for (auto& input : target().examples())
+    target().run(input);
+}
+TEST_P(FuzzTargets, BearsMutatedInputs) {
+  auto pool = keptInputs(target());
+  for (auto& example : target().examples())
+    pool.push_back(example);
+  std::mt19937_64 random(kSeed);
+  for (int i = 0; i < kMutationsOfEachTarget; ++i) {
+    auto input = pool[random() % pool.size()];
+    for (auto changes = 1 + random() % 4; changes > 0; --changes)
+      mutate(input, pool[random() % pool.size()], random);
+    target().run(input);
+  }
+}
+// Why by number: the targets enter their table while the program starts, in no certain order.
+INSTANTIATE_TEST_SUITE_P(All, FuzzTargets, testing::Range<std::size_t>(0, 6), nameOfTarget);
+TEST(FuzzTargetTable, HoldsAllTargets) {
+  EXPECT_EQ(zc::fuzz::targets().size(), 6u);
+}
