--- a/tests/fuzz/records_fuzzer.cpp
+++ b/tests/fuzz/records_fuzzer.cpp
@@ -31,10 +31,10 @@
 }
 std::vector<std::string> recordExamples() {
   DiskRecord whole;
-  whole.seq = 1, whole.term = 3, whole.self = "10.0.0.1#0", whole.vote = "10.0.0.2#0", whole.full = true;
-  whole.snapMembers = {"10.0.0.1#0", "10.0.0.2#0"}, whole.state = "state";
+  whole.seq = 1, whole.term = 3, whole.self = "10.0.0.1#0", whole.votedFor = "10.0.0.2#0", whole.full = true;
+  whole.snapshotConfig = "config", whole.state = "state";
   DiskRecord part;
-  part.seq = 2, part.term = 3, part.self = whole.self, part.from = 5;
+  part.seq = 2, part.term = 3, part.self = whole.self, part.fromNumber = 5;
   Entry entry;
   entry.num = 5, entry.opId = "operation", entry.blob = "blob";
   part.entries = {entry};
--- a/tests/linearizability_test.cpp
+++ b/tests/linearizability_test.cpp
@@ -264,17 +264,17 @@
   void askForRead(const std::string& ip, int life, Instant until, std::function<void(bool)> answer) {
     if (!runs(ip, life) || machine(ip).frozen || world_.now >= until)
       return answer(false);
-    if (planted_ == Planted::staleRead || machine(ip).order->leased(world_.now))
+    if (planted_ == Planted::staleRead || machine(ip).raft->hasLease(world_.now))
       return answer(true);
-    const auto leader = ipOf(machine(ip).order->leader());
+    const auto leader = addressOf(machine(ip).raft->leader());
     const auto again = [=, this] { askForRead(ip, life, until, answer); };
     if (leader.empty() || world_.cut.contains({ip, leader}))
       return later(Span(50), again);
     later(Span(2), [=, this] {
       auto& l = machine(leader);
-      if (!l.up || l.frozen || !l.order->leased(world_.now) || world_.cut.contains({leader, ip}))
+      if (!l.up || l.frozen || !l.raft->hasLease(world_.now) || world_.cut.contains({leader, ip}))
         return later(Span(50), again);
-      const auto number = l.order->released();
+      const auto number = l.raft->commitNumber();
       later(Span(2), [=, this] { awaitNumber(ip, life, number, until, answer); });
     });
   }
