--- a/libs/balancing/include/balancing/partner.hpp
+++ b/libs/balancing/include/balancing/partner.hpp
@@ -4,7 +4,7 @@
 namespace zc {
 class PartnerTrust {
  public:
-  static constexpr std::int64_t longTokens = 2000;  // shared tokens from which going elsewhere may pay
+  static constexpr std::int64_t kLongTokens = 2000;  // shared tokens from which going elsewhere may pay
   // A long request that could go: whether it may. Never more than one in four of them.
   bool allows(Instant now);
   void answered() { faults_ = 0; }
--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -6,62 +6,75 @@
 #include "config/configuration.hpp"
 #include "state_machine/replicated_state.hpp"
 namespace zc {
+
+// One runner, as this node knows it.
 struct RunnerSlot {
   std::string id, service, address, zone;
-  int capacity = 0;
+  int capacity = 0;  // requests at once
   bool draining = false, present = true;
-  int closedShare = 0;     // percent of new work that keeps away: its place is being closed
-  bool carryOver = false;  // live sessions that may be resumed go on elsewhere
-  int inFlight = 0;        // our own goes
-  int unread = 0;          // of those, the ones whose prompt is still being read
-  std::int64_t unreadTokens = 0;
-  int saidRunning = 0, saidWaiting = 0, saidSlots = 0;  // as last told
-  int ownThen = 0;                                      // our own in flight when it was told
-  int unreadThen = 0;
-  Instant saidAt{};
-  int faults = 0;
-  Instant shunnedUntil{};
-  double aside = 0;  // as all nodes together see it: 1 left alone, less tried by few
+  int closedShare = 0;       // percent of new work that keeps away: its place is being closed
+  bool moveStreams = false;  // live streams that may be resumed go on elsewhere
+  // This node's own attempts there.
+  int inFlight = 0;
+  int unread = 0;                 // of those, the ones whose prompt is still being read
+  std::int64_t unreadTokens = 0;  // of those prompts
+  // The runner's load as it last reported it, and what of it were this node's own attempts then.
+  int reportedRunning = 0, reportedWaiting = 0, reportedSlots = 0;
+  int inFlightAtReport = 0, unreadAtReport = 0;
+  Instant reportedAt{};
+  // After a failure it is left alone for a while, longer each time.
+  int failures = 0;
+  Instant backoffUntil{};
+  double ejected = 0;  // as all nodes together see it: 1 left alone, less: tried by few
 };
-struct RunnerQuery {  // what is asked of a choice
+// What is asked of a choice.
+struct RunnerQuery {
   std::string_view service;
-  std::string_view zone;
-  std::uint64_t affinity = 0;  // 0: none
-  bool engine = false;
-  bool repeatable = false;  // only such requests try a runner that was set aside
+  std::string_view zone;       // this node's own
+  std::uint64_t affinity = 0;  // of the prompt's shared parts; 0: none
+  bool engine = false;         // the service's runners keep parts of prompts
+  bool repeatable = false;     // only such requests try a runner that was ejected
   std::int64_t promptTokens = 0, sharedTokens = 0;
-  std::vector<int> not_;  // runnerPool already tried
+  std::vector<int> excluded;  // runners that have had the request
 };
 class RunnerPool {
  public:
   explicit RunnerPool(std::uint64_t seed) : rng_(seed) {}
+  // The whole list of runners, as the core numbers it. A place in the pool is used again only once nothing of this
+  // node's is in flight there.
   void follow(const std::vector<Runner>& runners);
-  // Which zones are being closed, and how far.
+  // How far a zone is being closed.
   struct Closing {
-    int share = 0;
-    bool carryOver = false;
+    int share = 0;  // percent of new work that keeps away
+    bool moveStreams = false;
   };
-  void close(std::map<std::string, Closing> zones);
+  void setClosing(std::map<std::string, Closing> zones);
   void regions(std::map<std::string, std::string> zoneToRegion) { regions_ = std::move(zoneToRegion); }
-  int inFlightIn(const std::set<std::string>& zones) const;
-  int choose(const RunnerQuery& w, Instant now);  // -1: none
-  RunnerSlot& at(int i) { return runners_[static_cast<std::size_t>(i)]; }
-  void went(int i, std::int64_t promptTokens);
-  void read(int i, std::int64_t promptTokens);  // its first event came, or it never will
-  void came(int i) { --at(i).inFlight; }
-  void told(int i, std::string_view load, Instant now);
-  void fine(int i) { at(i).faults = 0, at(i).shunnedUntil = {}; }
-  void fault(int i, Instant now);
   // What the leader tells of ill runners (label, how far); those not named are well.
-  void setAside(const std::vector<Grant>& runners);
+  void setEjected(const std::vector<Grant>& runners);
+
+  // The place of the runner that a request should go to; -1: none. Never a draining one or one it has been to.
+  int choose(const RunnerQuery& query, Instant now);
+  RunnerSlot& at(int i) { return runners_[static_cast<std::size_t>(i)]; }
   std::size_t size() const { return runners_.size(); }
+  int inFlightIn(const std::set<std::string>& zones) const;
+  // Requests there by its slots, from its report while that is fresh and from this node's own attempts.
   double load(int i, Instant now) const;
 
+  // An attempt's course: each begin is followed by one promptRead and one end.
+  void attemptBegan(int i, std::int64_t promptTokens);
+  void promptRead(int i, std::int64_t promptTokens);  // its first event came, or it never will
+  void attemptEnded(int i) { --at(i).inFlight; }
+  // A report of its load: "running,waiting,slots". One that can't be read is left out.
+  void loadReported(int i, std::string_view load, Instant now);
+  void recordSuccess(int i) { at(i).failures = 0, at(i).backoffUntil = {}; }
+  void recordFailure(int i, Instant now);
+
  private:
   std::vector<RunnerSlot> runners_;
   std::unordered_map<std::string, int> byId_;
-  int chooseEngine(const RunnerQuery& w, const std::vector<int>& good, Instant now);
-  int choosePlain(const RunnerQuery& w, const std::vector<int>& good, Instant now);
+  int chooseEngine(const RunnerQuery& query, const std::vector<int>& good, Instant now);
+  int choosePlain(const RunnerQuery& query, const std::vector<int>& good, Instant now);
   bool sameRegion(std::string_view a, std::string_view b) const;
   std::map<std::string, Closing> closing_;
   std::map<std::string, std::string> regions_;
--- a/libs/balancing/src/admission.cpp
+++ b/libs/balancing/src/admission.cpp
@@ -4,14 +4,14 @@
 namespace {
 constexpr auto kTurn = 150ms;
 constexpr int kFew = 6;          // fewer answers than this say nothing
-constexpr double kStormy = 0.5;  // this share late: more are errorResponse
+constexpr double kStormy = 0.5;  // this share late: more are turned away
 constexpr double kCalm = 0.25;   // this share late: fewer
 constexpr double kUp = 0.12, kDown = 0.03, kMost = 0.75;
 }  // namespace
-void Allowance::turn(ServiceLoad& s, Instant now) {
+void AdmissionControl::turn(ServiceLoad& s, Instant now) {
   if (now - s.at < kTurn)
     return;
-  // Why slowly down: whoever was errorResponse comes back.
+  // Why slowly down: whoever was turned away comes back.
   if (s.all >= kFew) {
     const double share = static_cast<double>(s.late) / s.all;
     if (share > kStormy)
@@ -26,13 +26,13 @@
     s.at = now;
   }
 }
-void Allowance::first(const std::string& service, bool late, Instant now) {
+void AdmissionControl::first(const std::string& service, bool late, Instant now) {
   auto& s = loads_[service];
   ++s.all;
   s.late += late;
   turn(s, now);
 }
-bool Allowance::allows(const std::string& service, int precedence, double draw, Instant now) {
+bool AdmissionControl::allows(const std::string& service, int precedence, double draw, Instant now) {
   auto& s = loads_[service];
   turn(s, now);
   if (s.level <= 0)
@@ -40,7 +40,7 @@
   const double p = std::min(kMost, s.level * (0.6 + 0.2 * std::clamp(precedence, 0, 4)));
   return draw >= p;
 }
-double Allowance::level(const std::string& service) const {
+double AdmissionControl::level(const std::string& service) const {
   const auto it = loads_.find(service);
   return it == loads_.end() ? 0 : it->second.level;
 }
--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -4,7 +4,7 @@
 
 namespace zc {
 namespace {
-constexpr auto kSaidFor = 1500ms;       // older news of a load counts for nothing
+constexpr auto kReportLife = 1500ms;    // older news of a load counts for nothing
 constexpr double kReadAgain = 4;        // how much dearer a part read again is than the same prompt waiting
 constexpr int kTryOneIn = 12;           // requests that may go to a runner that was ill not long ago
 constexpr double kOtherZone = 700;      // in tokens
@@ -37,19 +37,19 @@
     d.draining = r.at() == RunnerState::draining;
     d.present = true;
   }
-  close(std::move(closing_));
+  setClosing(std::move(closing_));
   for (auto it = byId_.begin(); it != byId_.end();)
     if (!runners_[it->second].present)
       it = byId_.erase(it);
     else
       ++it;
 }
-void RunnerPool::close(std::map<std::string, Closing> zones) {
+void RunnerPool::setClosing(std::map<std::string, Closing> zones) {
   closing_ = std::move(zones);
   for (auto& d : runners_) {
     const auto it = closing_.find(d.zone);
     d.closedShare = it == closing_.end() ? 0 : it->second.share;
-    d.carryOver = it != closing_.end() && it->second.carryOver;
+    d.moveStreams = it != closing_.end() && it->second.moveStreams;
   }
 }
 int RunnerPool::inFlightIn(const std::set<std::string>& zones) const {
@@ -59,7 +59,7 @@
       n += d.inFlight;
   return n;
 }
-void RunnerPool::told(int i, std::string_view load, Instant now) {
+void RunnerPool::loadReported(int i, std::string_view load, Instant now) {
   int v[3] = {0, 0, 0};
   const char* p = load.data();
   const char* e = p + load.size();
@@ -74,27 +74,27 @@
       ++p;
   }
   auto& d = at(i);
-  d.saidRunning = v[0];
-  d.saidWaiting = v[1];
-  d.saidSlots = v[2];
-  d.ownThen = d.inFlight;
-  d.unreadThen = d.unread;
-  d.saidAt = now;
+  d.reportedRunning = v[0];
+  d.reportedWaiting = v[1];
+  d.reportedSlots = v[2];
+  d.inFlightAtReport = d.inFlight;
+  d.unreadAtReport = d.unread;
+  d.reportedAt = now;
 }
 double RunnerPool::load(int i, Instant now) const {
   const auto& d = runners_[static_cast<std::size_t>(i)];
-  const double slots = std::max(1, d.saidSlots > 0 ? d.saidSlots : d.capacity);
+  const double slots = std::max(1, d.reportedSlots > 0 ? d.reportedSlots : d.capacity);
   double n = d.inFlight;
-  if (now - d.saidAt < kSaidFor)
-    n = std::max<double>(d.inFlight, d.saidRunning + d.saidWaiting + (d.inFlight - d.ownThen));
+  if (now - d.reportedAt < kReportLife)
+    n = std::max<double>(d.inFlight, d.reportedRunning + d.reportedWaiting + (d.inFlight - d.inFlightAtReport));
   return n / slots;
 }
-void RunnerPool::fault(int i, Instant now) {
+void RunnerPool::recordFailure(int i, Instant now) {
   auto& d = at(i);
-  d.faults = std::min(d.faults + 1, 4);
-  d.shunnedUntil = now + 300ms * (1 << d.faults);
+  d.failures = std::min(d.failures + 1, 4);
+  d.backoffUntil = now + 300ms * (1 << d.failures);
 }
-void RunnerPool::went(int i, std::int64_t tokens) {
+void RunnerPool::attemptBegan(int i, std::int64_t tokens) {
   auto& d = at(i);
   ++d.inFlight;
   ++d.unread;
@@ -102,33 +102,33 @@
   if (tokens > 0)
     meanPrompt_ = meanPrompt_ * 0.98 + static_cast<double>(tokens) * 0.02;
 }
-void RunnerPool::read(int i, std::int64_t tokens) {
+void RunnerPool::promptRead(int i, std::int64_t tokens) {
   auto& d = at(i);
   --d.unread;
   d.unreadTokens -= tokens;
 }
-void RunnerPool::setAside(const std::vector<Grant>& runners) {
+void RunnerPool::setEjected(const std::vector<Grant>& runners) {
   for (auto& d : runners_)
-    d.aside = 0;
+    d.ejected = 0;
   for (auto& g : runners)
     if (const auto it = byId_.find(g.label); it != byId_.end())
-      runners_[static_cast<std::size_t>(it->second)].aside = g.rate;
+      runners_[static_cast<std::size_t>(it->second)].ejected = g.rate;
 }
-int RunnerPool::choose(const RunnerQuery& w, Instant now) {
+int RunnerPool::choose(const RunnerQuery& query, Instant now) {
   std::vector<int> good, shunned, closing;
   // Why by part: all nodes move the same parts at the same step, so each is read anew once, at one place.
-  const auto turn = static_cast<int>((w.affinity ? w.affinity >> 8 : rng_()) % 100);
+  const auto turn = static_cast<int>((query.affinity ? query.affinity >> 8 : rng_()) % 100);
   for (int i = 0; i < static_cast<int>(runners_.size()); ++i) {
     auto& d = runners_[i];
-    if (!d.present || d.draining || d.service != w.service)
+    if (!d.present || d.draining || d.service != query.service)
       continue;
-    if (std::find(w.not_.begin(), w.not_.end(), i) != w.not_.end())
+    if (std::find(query.excluded.begin(), query.excluded.end(), i) != query.excluded.end())
       continue;
     // Why one at a time after a fault: a runner that is still ill should cost one request, not many.
-    if (d.shunnedUntil > now || (d.faults > 0 && d.inFlight > 0))
+    if (d.backoffUntil > now || (d.failures > 0 && d.inFlight > 0))
       shunned.push_back(i);
     // Why so few, and only what may be repeated: whoever returns from an illness is not proven well yet.
-    else if (d.aside >= 1 || (d.aside > 0 && (!w.repeatable || d.inFlight > 0 || rng_() % kTryOneIn)))
+    else if (d.ejected >= 1 || (d.ejected > 0 && (!query.repeatable || d.inFlight > 0 || rng_() % kTryOneIn)))
       shunned.push_back(i);
     else if (turn < d.closedShare)
       closing.push_back(i);
@@ -144,21 +144,22 @@
       return -1;
     return shunned[rng_() % shunned.size()];
   }
-  return w.engine ? chooseEngine(w, good, now) : choosePlain(w, good, now);
+  return query.engine ? chooseEngine(query, good, now) : choosePlain(query, good, now);
 }
 // Every node ranks the runners of a shared part alike, so the part is read at one place without a word between
 // them. Leaving that place is charged what reading the part again costs, so it happens only when the place has
 // clearly more prompts to read first.
-int RunnerPool::chooseEngine(const RunnerQuery& w, const std::vector<int>& good, Instant now) {
+int RunnerPool::chooseEngine(const RunnerQuery& query, const std::vector<int>& good, Instant now) {
   int home = -1;
   std::uint64_t top = 0;
   // A part's home is sought in the client's own region while that has a runner.
-  const bool near = std::any_of(good.begin(), good.end(), [&](int i) { return sameRegion(runners_[i].zone, w.zone); });
-  if (w.affinity)
+  const bool near =
+      std::any_of(good.begin(), good.end(), [&](int i) { return sameRegion(runners_[i].zone, query.zone); });
+  if (query.affinity)
     for (int i : good) {
-      if (near && !sameRegion(runners_[i].zone, w.zone))
+      if (near && !sameRegion(runners_[i].zone, query.zone))
         continue;
-      const auto r = hash64(runners_[i].id, w.affinity);
+      const auto r = hash64(runners_[i].id, query.affinity);
       if (home < 0 || r > top)
         home = i, top = r;
     }
@@ -167,18 +168,18 @@
   for (int i : good) {
     const auto& d = runners_[i];
     double cost = static_cast<double>(d.unreadTokens);
-    if (now - d.saidAt < kSaidFor)
-      cost += std::max(0, d.saidWaiting - d.unreadThen) * meanPrompt_;
+    if (now - d.reportedAt < kReportLife)
+      cost += std::max(0, d.reportedWaiting - d.unreadAtReport) * meanPrompt_;
     const double full = load(i, now);
     // A batch that fills up slows all its streams; one that is full makes them wait for a place.
     cost += full * 2000;
     if (full > 0.9)
       cost += 50000 * (full - 0.9) + 5000;
     if (i != home)
-      cost += static_cast<double>(w.sharedTokens) * kReadAgain;
+      cost += static_cast<double>(query.sharedTokens) * kReadAgain;
     // Bytes between zones count for little beside a part read again, but for something.
-    if (d.zone != w.zone)
-      cost += sameRegion(d.zone, w.zone) ? kOtherZone : kOtherRegion;
+    if (d.zone != query.zone)
+      cost += sameRegion(d.zone, query.zone) ? kOtherZone : kOtherRegion;
     cost += static_cast<double>(rng_() % 100);
     if (best < 0 || cost < least)
       best = i, least = cost;
@@ -190,14 +191,14 @@
   // Zones that nobody has named are taken as near: a guess must not shut a runner out.
   return x == regions_.end() || y == regions_.end() || x->second == y->second;
 }
-int RunnerPool::choosePlain(const RunnerQuery& w, const std::vector<int>& good, Instant now) {
+int RunnerPool::choosePlain(const RunnerQuery& query, const std::vector<int>& good, Instant now) {
   int best = -1;
   double least = 0;
   for (int i : good) {
     double cost = load(i, now) + static_cast<double>(rng_() % 100) * 1e-4;
     // Why stay at home while it has room: the other zone is no faster then.
-    if (runners_[i].zone != w.zone)
-      cost += sameRegion(runners_[i].zone, w.zone) ? 0.3 : 1.0;
+    if (runners_[i].zone != query.zone)
+      cost += sameRegion(runners_[i].zone, query.zone) ? 0.3 : 1.0;
     if (best < 0 || cost < least)
       best = i, least = cost;
   }
--- a/libs/proxy/include/proxy/connection_pool.hpp
+++ b/libs/proxy/include/proxy/connection_pool.hpp
@@ -2,18 +2,23 @@
 #pragma once
 #include "runtime/event_loop.hpp"
 namespace zc {
-class Pool {
+class ConnectionPool {
  public:
+  // An idle connection to this runner (its instance id) that is open and quiet; nullptr: there is none.
   // repeatable: what goes out on it may be sent again. What may not goes only on one used a moment ago: a runner may
   // forget a connection that sits idle, sooner than it says and without a word, and resets what comes next.
   std::unique_ptr<Connection> take(const std::string& id, Instant now, bool repeatable);
-  void give(const std::string& id, std::unique_ptr<Connection> w, Instant until, Instant now);
-  // A connection taken from here was reset before any answer.
-  void forgotten() { safeIdle_ = std::max(Span(200), safeIdle_ / 2); }
+  // Keeps a connection whose last answer was read whole, with nothing after it, until then.
+  void give(const std::string& id, std::unique_ptr<Connection> connection, Instant until, Instant now);
+  // A connection taken from here turned out to be forgotten: what can't be repeated trusts idle ones less from now on.
+  void forgotten() { safeIdle_ = std::max(kLeastSafeIdle, safeIdle_ / 2); }
+  // The runner can't be reached: its connections are closed.
   void drop(const std::string& id);
+  // Closes what has been idle for too long; called now and then.
   void sweep(Instant now);
 
  private:
+  static constexpr Span kLeastSafeIdle{200};
   struct Idle {
     std::unique_ptr<Connection> connection;
     Instant until, since;
--- a/libs/proxy/src/admission_check.cpp
+++ b/libs/proxy/src/admission_check.cpp
@@ -24,7 +24,7 @@
   auto& quota = context.quota;
   if (quota.take(tenant, Exchange::now())) {
     if (quota.low(tenant, Exchange::now()))
-      context.draw();
+      context.drawGrants();
     return true;
   }
   // Why not long: a refusal must come well inside the aim, so that the client's next try still can. While draws are
@@ -33,11 +33,11 @@
   const auto end = x.arrived + (quota.answering(x.arrived) ? std::clamp(aim * 9 / 20, Span(15), Span(250))
                                                            : std::clamp(aim / 5, Span(15), Span(150)));
   Waiter waiter;
-  context.tokenWaiters.push_back({&tenant, &waiter});
+  context.quotaWaits.push_back({&tenant, &waiter});
   bool has = false;
   while (!has && Exchange::now() < end) {
     quota.wait(tenant);
-    context.ask();
+    context.askTokens();
     const auto left = toSpan(end - Exchange::now()) + Span(1);
     const bool told = EventLoop::get().waitFor(waiter, std::max(Span(1), std::min(Span(100), left)));
     has = quota.retake(tenant, Exchange::now());
@@ -51,7 +51,7 @@
   }
   if (!has)
     quota.unwait(tenant);
-  std::erase_if(context.tokenWaiters, [&](auto& t) { return t.waiter == &waiter; });
+  std::erase_if(context.quotaWaits, [&](auto& t) { return t.waiter == &waiter; });
   return has;
 }
 // One of the route's services, drawn by their shares.
@@ -86,8 +86,8 @@
   x.attemptId = std::string(field(x.request, "X-Attempt-Id"));
 
   // Why first of all: without a fresh lease this copy may be older than a key that was taken away.
-  if (!context.leased(x.arrived))
-    return Refusal{503, context.untilLease(x.arrived), "no fresh lease"};
+  if (!context.hasLease(x.arrived))
+    return Refusal{503, context.retryAfterLease(x.arrived), "no fresh lease"};
 
   const std::string_view target(x.request.target().data(), x.request.target().size());
   const int routeIndex = x.configuration->find(field(x.request, "Host"), target);
@@ -110,7 +110,7 @@
   x.service = &service.label;
   // Why before the quota: what is turned away here must not cost a token.
   const double draw = static_cast<double>(context.rng() % 1000) / 1000;
-  if (!context.allowance.allows(service.label, x.precedence, draw, x.arrived))
+  if (!context.admission.allows(service.label, x.precedence, draw, x.arrived))
     return Refusal{503, Span(400 + static_cast<std::int64_t>(context.rng() % 900)), "overloaded"};
   if (subscriber && subscriber->ratePerS > 0 && !takeQuotaToken(x, subscriber->label))
     return Refusal{429, context.quota.hint(subscriber->label, Exchange::now()), "over quota"};
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -12,15 +12,15 @@
 
 ReadLimits limitsOf(const ProxyContext& context) {
   ReadLimits l;
-  if (context.cfg) {
-    const auto& limits = context.cfg->limits;
+  if (context.configuration) {
+    const auto& limits = context.configuration->limits;
     l.header = limits.maxHeaderBytes;
     l.body = limits.maxBodyBytes;
     l.idle = limits.idleTimer;
     l.headerTime = limits.headerTimer;
     l.bodyTime = std::max(limits.idleTimer, kLeastBodyTime);
   }
-  if (context.leaving)
+  if (context.draining)
     l.idle = std::min(l.idle, kIdleWhileLeaving);
   return l;
 }
@@ -39,7 +39,7 @@
 
 void takeClient(ProxyContext& context, tcp::socket socket) {
   // Closed before anything was read: its client may try elsewhere, whatever it wanted.
-  if (context.clients >= context.clientsMost)
+  if (context.clients >= context.maxClients)
     return;
   ++context.clients;
   auto held = std::make_shared<tcp::socket>(std::move(socket));
@@ -55,7 +55,7 @@
   for (;;) {
     const auto limits = limitsOf(context);
     // Why wait here: what is not read yet stands in the client's own window and costs us nothing.
-    while (context.held > context.heldMost)
+    while (context.bodyBytes > context.maxBodyBytes)
       EventLoop::get().pause(kHeldPause);
     RequestParser parser;
     const auto read = readRequest(client, buffer, parser, limits);
@@ -63,12 +63,12 @@
       return;
     if (read.end == ReadEnd::errorResponse)
       return turnAway(client, read.status);
-    ++context.aboard;
+    ++context.inFlight;
     const auto bytes = parser.get().body().size();
-    context.held += bytes;
+    context.bodyBytes += bytes;
     const bool more = handleRequest(context, client, parser);
-    context.held -= bytes;
-    --context.aboard;
+    context.bodyBytes -= bytes;
+    --context.inFlight;
     if (!more)
       return;
   }
--- a/libs/proxy/src/connection_pool.cpp
+++ b/libs/proxy/src/connection_pool.cpp
@@ -5,36 +5,37 @@
 namespace zc {
 namespace {
 // Quiet and open: neither closed by the far end nor holding bytes that nobody asked for.
-bool clean(Connection& w) {
-  char c;
-  const auto n = ::recv(w.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+bool isClean(Connection& connection) {
+  char c = 0;
+  const auto n = ::recv(connection.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 }  // namespace
-std::unique_ptr<Connection> Pool::take(const std::string& id, Instant now, bool repeatable) {
+
+std::unique_ptr<Connection> ConnectionPool::take(const std::string& id, Instant now, bool repeatable) {
   const auto it = idle_.find(id);
   if (it == idle_.end())
     return nullptr;
-  auto& v = it->second;
-  while (!v.empty()) {
-    if (!repeatable && now - v.back().since > safeIdle_)
-      return nullptr;              // all others sat longer
-    auto x = std::move(v.back());  // the one used last: the others may age and go
-    v.pop_back();
-    if (x.until > now && clean(*x.connection))
-      return std::move(x.connection);
+  auto& idle = it->second;
+  while (!idle.empty()) {
+    if (!repeatable && now - idle.back().since > safeIdle_)
+      return nullptr;                      // all others sat longer
+    auto newest = std::move(idle.back());  // the one used last: the others may age and go
+    idle.pop_back();
+    if (newest.until > now && isClean(*newest.connection))
+      return std::move(newest.connection);
   }
   return nullptr;
 }
-void Pool::give(const std::string& id, std::unique_ptr<Connection> w, Instant until, Instant now) {
-  idle_[id].push_back({std::move(w), until, now});
+void ConnectionPool::give(const std::string& id, std::unique_ptr<Connection> connection, Instant until, Instant now) {
+  idle_[id].push_back({std::move(connection), until, now});
 }
-void Pool::drop(const std::string& id) {
+void ConnectionPool::drop(const std::string& id) {
   idle_.erase(id);
 }
-void Pool::sweep(Instant now) {
+void ConnectionPool::sweep(Instant now) {
   for (auto it = idle_.begin(); it != idle_.end();) {
-    std::erase_if(it->second, [&](Idle& x) { return x.until <= now; });
+    std::erase_if(it->second, [&](const Idle& x) { return x.until <= now; });
     if (it->second.empty())
       it = idle_.erase(it);
     else
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -42,34 +42,34 @@
     heads += "X-Attempt-Id: " + attemptId + "\r\n";
   if (retryAfter > Span(0))
     heads += retryAfterHead(retryAfter);
-  ++context.errorResponse;
+  ++context.refused;
   const auto body = jsonError(why.empty() ? reasonOf(status) : why);
   return writeToClient(plainAnswer(status, heads, "application/json", body, staysOpen())) && keepAlive;
 }
 void Exchange::attemptBegins(int runnerIndex) {
   ++context.attempts;
-  context.runnerPool.went(runnerIndex, query.promptTokens);
+  context.runners.attemptBegan(runnerIndex, query.promptTokens);
   runner = runnerIndex;
   unreadTokens = query.promptTokens;
-  silent = {runnerIndex, service, unreadTokens, now(), false};
-  context.silent.insert(&silent);
+  unanswered = {runnerIndex, service, unreadTokens, now(), false};
+  context.unanswered.insert(&unanswered);
 }
 void Exchange::promptRead(bool began) {
   if (unreadTokens < 0)
     return;
-  context.runnerPool.read(runner, unreadTokens);
-  context.silent.erase(&silent);
+  context.runners.promptRead(runner, unreadTokens);
+  context.unanswered.erase(&unanswered);
   if (began)
-    (void)context.observer.began(context.runnerPool.at(runner).id, *service, unreadTokens, toSpan(now() - silent.since),
-                                 silent.blamed);
+    (void)context.observer.began(context.runners.at(runner).id, *service, unreadTokens,
+                                 toSpan(now() - unanswered.since), unanswered.countedSlow);
   unreadTokens = -1;
   if (route->aim > Span(0))
-    context.allowance.first(*service, now() - arrived > route->aim, now());
+    context.admission.first(*service, now() - arrived > route->aim, now());
 }
 void Exchange::attemptEnds(AttemptOutcome outcome) {
   promptRead(false);
   if (speaksAgainstRunner(outcome, staleConnection))
-    context.observer.failed(context.runnerPool.at(runner).id);
-  context.runnerPool.came(runner);
+    context.observer.failed(context.runners.at(runner).id);
+  context.runners.attemptEnded(runner);
 }
 }  // namespace zc
--- a/libs/proxy/src/exchange.hpp
+++ b/libs/proxy/src/exchange.hpp
@@ -19,7 +19,7 @@
   RequestParser::value_type& request;
   const Instant arrived = Clock::now();
   // Requests under way keep the configuration that they began with.
-  const std::shared_ptr<const Configuration> configuration = context.cfg;
+  const std::shared_ptr<const Configuration> configuration = context.configuration;
 
   // Set on admission.
   std::string attemptId;
@@ -40,7 +40,7 @@
   // The attempt under way.
   int runner = -1;                 // its place in the runner pool; -1: none, or a partner site's node
   std::int64_t unreadTokens = -1;  // of the prompt, while the runner has not begun to answer; -1: it has
-  ProxyContext::Attempt silent{};
+  UnansweredAttempt unanswered{};
   bool staleConnection = false;  // it ended on a connection that the runner had forgotten: not the runner's fault
   bool lastRunner = false;       // no further runner is allowed after this one
   bool movePaid = false;         // the budget has paid for the next runner already
@@ -48,7 +48,7 @@
 
   static Instant now() { return Clock::now(); }
   // Whether the client's connection stays open after this answer, as things stand when its head is written.
-  bool staysOpen() { return keepAlive = keepAlive && !context.leaving && !context.doorsShut; }
+  bool staysOpen() { return keepAlive = keepAlive && !context.draining && !context.zoneClosing; }
   std::string_view connectionHead() { return staysOpen() ? "" : "Connection: close\r\n"; }
 
   // Writes to the client. False: it is gone, or has taken nothing for too long.
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -37,7 +37,7 @@
     ec = http::error::bad_transfer_encoding;
   if (!ec && !p.is_done()) {
     w.due(Clock::now() + l.bodyTime);
-    // Why response at once: a caller that asks first would wait for ever.
+    // Why answered at once: a caller that asks first would wait for ever.
     if (p.get().count(http::field::expect))
       w.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec);
     if (!ec)
--- a/libs/proxy/src/request_handler.cpp
+++ b/libs/proxy/src/request_handler.cpp
@@ -15,10 +15,10 @@
 // request then goes on here. A runner there counts among those of the try, so one must be left for this site.
 std::string partnerFor(Exchange& x, const RetryInput& state) {
   auto& context = x.context;
-  if (!context.heldElsewhere || state.runnersAllowed < 2 || state.kind != RequestKind::resumableStream ||
-      x.query.sharedTokens < PartnerTrust::longTokens)
+  if (!context.findAtPartner || state.runnersAllowed < 2 || state.kind != RequestKind::resumableStream ||
+      x.query.sharedTokens < PartnerTrust::kLongTokens)
     return {};
-  auto address = context.heldElsewhere(x.query.affinity, x.tenant);
+  auto address = context.findAtPartner(x.query.affinity, x.tenant);
   if (address.empty() || !context.partner.allows(Exchange::now()))
     return {};
   return address;
@@ -43,9 +43,9 @@
 // A runner for the next attempt that is paid for; -1: there is none, or no lease, or no budget.
 int nextRunner(Exchange& x, const RetryInput& state) {
   // Why asked before every attempt: the lease may have ended while an earlier one failed.
-  if (!x.context.leased(Exchange::now()))
+  if (!x.context.hasLease(Exchange::now()))
     return -1;
-  const int runner = x.context.runnerPool.choose(x.query, Exchange::now());
+  const int runner = x.context.runners.choose(x.query, Exchange::now());
   if (runner < 0)
     return -1;
   const bool further = state.runnersUsed > 0;
@@ -55,7 +55,7 @@
 }
 void tryRunner(Exchange& x, int runner, RetryInput& state) {
   x.lastRunner = state.runnersUsed + 1 >= state.runnersAllowed;
-  x.query.not_.push_back(runner);
+  x.query.excluded.push_back(runner);
   x.attemptBegins(runner);
   state.outcome = attemptOnRunner(x);
   x.attemptEnds(state.outcome);
@@ -116,7 +116,7 @@
     case RetryDecision::tryAnother:  // the loop does not end with it
     case RetryDecision::close:
       // An answer begun and not ended must not look whole.
-      context.cut += x.answerStarted && state.outcome != AttemptOutcome::clientGone;
+      context.cutAnswers += x.answerStarted && state.outcome != AttemptOutcome::clientGone;
       return false;
     case RetryDecision::relayFailure:
       return relayFailure(x);
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -18,8 +18,8 @@
   explicit RunnerAttempt(Exchange& exchange)
       : x_(exchange),
         index_(exchange.runner),
-        id_(exchange.context.runnerPool.at(index_).id),
-        address_(exchange.context.runnerPool.at(index_).address) {}
+        id_(exchange.context.runners.at(index_).id),
+        address_(exchange.context.runners.at(index_).address) {}
   AttemptOutcome run();
 
  private:
@@ -30,7 +30,7 @@
   AttemptOutcome relay();
   AttemptOutcome relayWhole(bool notExecuted);
   void keepConnection();
-  void fault() { x_.context.runnerPool.fault(index_, Exchange::now()); }
+  void fault() { x_.context.runners.recordFailure(index_, Exchange::now()); }
 
   Exchange& x_;
   const int index_;
@@ -50,7 +50,7 @@
   if (x_.watch->gone())
     return AttemptOutcome::clientGone;
   // Why asked again: the lease may have ended while the connection came up.
-  if (!x_.context.leased(Exchange::now())) {
+  if (!x_.context.hasLease(Exchange::now())) {
     x_.staleConnection = true;
     return AttemptOutcome::notSent;
   }
@@ -65,7 +65,7 @@
 }
 // A pooled connection, or a new one. False: the runner can't be reached, and has been sent nothing.
 bool RunnerAttempt::connect() {
-  connection_ = x_.context.pool.take(id_, Exchange::now(), x_.query.repeatable);
+  connection_ = x_.context.connections.take(id_, Exchange::now(), x_.query.repeatable);
   reused_ = connection_ != nullptr;
   if (reused_)
     return true;
@@ -77,7 +77,7 @@
   connection_->connect(*endpoint, ec_);
   if (ec_) {
     fault();
-    x_.context.pool.drop(id_);
+    x_.context.connections.drop(id_);
     return false;
   }
   connection_->undue();
@@ -108,7 +108,7 @@
     // The one case in which a connection that was open has certainly carried nothing.
     x_.staleConnection = reused_;
     if (reused_)
-      x_.context.pool.forgotten();
+      x_.context.connections.forgotten();
     else
       fault();
     return AttemptOutcome::notSent;
@@ -152,14 +152,14 @@
   // Why not its fault: a runner may forget a connection that sat idle, and resets what comes on it.
   x_.staleConnection = reused_ && ec_ == asio::error::connection_reset && !answer_->got_some();
   if (x_.staleConnection)
-    x_.context.pool.forgotten();
+    x_.context.connections.forgotten();
   else
     fault();
   return AttemptOutcome::interrupted;
 }
 AttemptOutcome RunnerAttempt::relay() {
   const auto& head = answer_->get();
-  x_.context.runnerPool.told(index_, field(head, "X-Instance-Load"), Exchange::now());
+  x_.context.runners.loadReported(index_, field(head, "X-Instance-Load"), Exchange::now());
   const int status = static_cast<int>(head.result_int());
   const bool success = status / 100 == 2;
   const bool notExecuted = head.count("X-Not-Executed") > 0 || status == 421;
@@ -174,10 +174,10 @@
   if (outcome == AttemptOutcome::interrupted)
     return lost();
   if (outcome == AttemptOutcome::movedAway)
-    ++x_.context.carried;
+    ++x_.context.movedStreams;
   if (outcome != AttemptOutcome::completed)
     return outcome;
-  x_.context.runnerPool.fine(index_);
+  x_.context.runners.recordSuccess(index_);
   x_.promptRead(true);
   keepConnection();
   return AttemptOutcome::completed;
@@ -194,7 +194,7 @@
   if (status / 100 == 5 && !notExecuted)
     fault();
   else
-    x_.context.runnerPool.fine(index_);
+    x_.context.runners.recordSuccess(index_);
   if (status / 100 != 5 && !notExecuted)
     x_.promptRead(true);
   auto head = inboundHead(answer_->get());
@@ -238,7 +238,7 @@
   connection_->undue();
   // Why detached: the client may still leave while its answer is written, and then this connection is another's.
   x_.watch->attach(nullptr);
-  x_.context.pool.give(id_, std::move(connection_), until, Exchange::now());
+  x_.context.connections.give(id_, std::move(connection_), until, Exchange::now());
 }
 }  // namespace
 
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -9,12 +9,12 @@
 
 // Whether a live stream would find a runner elsewhere: one that nobody can take up stays where it is.
 bool canMove(Exchange& x) {
-  const int there = x.context.runnerPool.choose(x.query, Exchange::now());
-  return there >= 0 && !x.context.runnerPool.at(there).carryOver && x.context.runnerPool.at(there).faults == 0;
+  const int there = x.context.runners.choose(x.query, Exchange::now());
+  return there >= 0 && !x.context.runners.at(there).moveStreams && x.context.runners.at(there).failures == 0;
 }
 // A live session leaves a place that closes between two whole events, if the budget has a further attempt for it.
 bool movesAway(Exchange& x) {
-  if (x.runner < 0 || !x.context.runnerPool.at(x.runner).carryOver || x.lastRunner)
+  if (x.runner < 0 || !x.context.runners.at(x.runner).moveStreams || x.lastRunner)
     return false;
   return !x.events.lastId().empty() && x.events.resumable() && canMove(x) &&
          x.context.budget.spend(*x.service, Exchange::now());
--- a/libs/proxy_daemon/src/proxy_daemon.cpp
+++ b/libs/proxy_daemon/src/proxy_daemon.cpp
@@ -12,56 +12,56 @@
 
 namespace zc {
 namespace {
-constexpr auto kChallenge = 400ms;
-constexpr std::size_t kSeenMost = 24;  // runners told of in one question, the worst first
-constexpr auto kHeldHere = 20s;        // an opening sent so lately is not asked about again
-constexpr auto kHeldWait = 10ms;
+constexpr auto kLeaseRenewal = 400ms;
+constexpr std::size_t kMostReported = 24;  // runners told of in one question, the worst first
+constexpr auto kOpeningHeldHere = 20s;     // an opening sent so lately is not asked about again
+constexpr auto kPartnerQueryWait = 10ms;
 constexpr auto kLinger = 2600ms;  // after SIGTERM: until the platform has surely noticed
 
 class ProxyDaemon {
  public:
-  explicit ProxyDaemon(const Settings& s) : s_(s) {
-    wa_.zone = s.zone;
-    wa_.rng.seed(drawSeed());
-    wa_.runnerPool = RunnerPool(drawSeed());
-    wa_.runnerPool.regions(s.zones);
+  explicit ProxyDaemon(const Settings& s) : settings_(s) {
+    context_.zone = s.zone;
+    context_.rng.seed(drawSeed());
+    context_.runners = RunnerPool(drawSeed());
+    context_.runners.regions(s.zones);
     // Why a margin: an answer is under way while the lease ends, and the far clocks are not ours.
     leaseSpan_ = s.timers.revokedFail ? std::max(Span(500), s.timers.revoke - Span(1500)) : Span(60000);
     // Of the descriptors 200 are not ours; a request may need one on either side.
     if (s.fdLimit > 0)
-      wa_.clientsMost = std::max(64, (s.fdLimit - 260) / 2);
+      context_.maxClients = std::max(64, (s.fdLimit - 260) / 2);
     if (s.memoryMb > 0)
-      wa_.heldMost = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
-    wa_.draw = [this] { challenge(); };
-    wa_.ask = [this] { ask(); };
+      context_.maxBodyBytes = static_cast<std::size_t>(s.memoryMb) * 1024 * 1024 / 4;
+    context_.drawGrants = [this] { renewLease(); };
+    context_.askTokens = [this] { ask(); };
     if (s.partner && !s.partner->access.empty())
-      wa_.heldElsewhere = [this](std::uint64_t opening, const std::string& tenant) {
-        return heldElsewhere(opening, tenant);
+      context_.findAtPartner = [this](std::uint64_t opening, const std::string& tenant) {
+        return findAtPartner(opening, tenant);
       };
-    wa_.budget = Budget(s.timers.retryRatio * 0.75, s.timers.retryWindow / 4);
-    slackDraw_ = static_cast<double>(drawSeed() % 10007) / 10007;
+    context_.budget = Budget(s.timers.retryRatio * 0.75, s.timers.retryWindow / 4);
+    slackShare_ = static_cast<double>(drawSeed() % 10007) / 10007;
   }
   Outcome<void> start() {
-    auto access = parseEndpoint(s_.accessAddr);
-    auto ready = parseEndpoint(s_.readinessAddr);
-    auto agent = parseEndpoint("127.0.0.1:" + std::to_string(s_.portFirst + kTenderPort));
+    auto access = parseEndpoint(settings_.accessAddr);
+    auto ready = parseEndpoint(settings_.readinessAddr);
+    auto agent = parseEndpoint("127.0.0.1:" + std::to_string(settings_.portFirst + kTenderPort));
     if (!access)
       return tl::unexpected(access.error());
     if (!ready)
       return tl::unexpected(ready.error());
     if (!agent)
       return tl::unexpected(agent.error());
-    mooring_ = std::make_unique<Dialer>(
-        *agent, [this](const PeerLinkPtr&, Msg m) { onTender(std::move(m)); },
+    agentLink_ = std::make_unique<Dialer>(
+        *agent, [this](const PeerLinkPtr&, Msg m) { onAgentMessage(std::move(m)); },
         [this](const PeerLinkPtr& l) {
           Msg m = msgOf(Kind::follow);
-          m.num = queue_.applied();
-          m.names = {copy_.state().digest};
-          m.flag = copy_.damaged();
+          m.num = updates_.applied();
+          m.names = {state_.state().digest};
+          m.flag = state_.damaged();
           l->send(m);
-          challenge();
+          renewLease();
         });
-    auto ok = listen(*access, [this](tcp::socket sock) { takeClient(wa_, std::move(sock)); });
+    auto ok = listen(*access, [this](tcp::socket sock) { takeClient(context_, std::move(sock)); });
     if (!ok)
       return ok;
     ok = listen(*ready, [this](tcp::socket sock) {
@@ -70,47 +70,47 @@
     });
     if (!ok)
       return ok;
-    EventLoop::get().every(kChallenge, [this] { challenge(); });
+    EventLoop::get().every(kLeaseRenewal, [this] { renewLease(); });
     // Why oftener without one: each of these goes no further than the agent while there is no leader.
-    EventLoop::get().every(kChallenge / 4, [this] {
-      if (!wa_.leased(Clock::now()))
-        challenge();
+    EventLoop::get().every(kLeaseRenewal / 4, [this] {
+      if (!context_.hasLease(Clock::now()))
+        renewLease();
     });
-    EventLoop::get().every(1000ms, [this] { wa_.pool.sweep(Clock::now()); });
+    EventLoop::get().every(1000ms, [this] { context_.connections.sweep(Clock::now()); });
     return {};
   }
   void leave() {
-    if (wa_.leaving)
+    if (context_.draining)
       return;
-    wa_.leaving = true;
-    const auto end = Clock::now() + s_.timers.grace * 9 / 10;
-    const auto from = Clock::now() + std::min(Span(kLinger), s_.timers.grace / 2);
+    context_.draining = true;
+    const auto end = Clock::now() + settings_.timers.grace * 9 / 10;
+    const auto from = Clock::now() + std::min(Span(kLinger), settings_.timers.grace / 2);
     EventLoop::get().every(100ms, [this, end, from] {
       const auto now = Clock::now();
-      if (now >= end || (now >= from && wa_.aboard == 0))
+      if (now >= end || (now >= from && context_.inFlight == 0))
         EventLoop::get().stop();
     });
   }
-  void reread(const Settings& s) { s_.timers = s.timers; }
+  void reread(const Settings& s) { settings_.timers = s.timers; }
 
  private:
-  void challenge() {
-    if (!mooring_->up())
+  void renewLease() {
+    if (!agentLink_->up())
       return;
     const auto now = Clock::now();
     Msg m = msgOf(Kind::challenge);
     m.nonce = ++nonce_;
     m.flag = true;
-    m.grants = wa_.quota.demand(now);
-    m.holds = wa_.quota.holds(now);
+    m.grants = context_.quota.demand(now);
+    m.holds = context_.quota.holds(now);
     m.load = load(now);
-    wa_.blameSilent(now);
-    m.seen = wa_.observer.report(kSeenMost);
-    m.prevTerm = outliersKnown_;
-    asked_[m.nonce] = now;
-    while (asked_.size() > 16)
-      asked_.erase(asked_.begin());
-    mooring_->send(m);
+    context_.countSlow(now);
+    m.seen = context_.observer.report(kMostReported);
+    m.prevTerm = ejectionsVersion_;
+    renewals_[m.nonce] = now;
+    while (renewals_.size() > 16)
+      renewals_.erase(renewals_.begin());
+    agentLink_->send(m);
   }
   // What requests wait for goes out once a turn of the loop, at once, and names nobody else.
   void ask() {
@@ -118,68 +118,68 @@
       return;
     asio::post(EventLoop::get().io(), [this] {
       asking_ = false;
-      if (!mooring_->up())
+      if (!agentLink_->up())
         return;
       Msg m = msgOf(Kind::draw);
-      m.grants = wa_.quota.unasked();
+      m.grants = context_.quota.unasked();
       if (!m.grants.empty())
-        mooring_->send(m);
+        agentLink_->send(m);
     });
   }
   // Asks the leader, which hears all nodes. What was sent from here not long ago is held here; no answer in ms is a no.
-  std::string heldElsewhere(std::uint64_t opening, const std::string& tenant) {
+  std::string findAtPartner(std::uint64_t opening, const std::string& tenant) {
     const auto now = Clock::now();
-    if (sent_.size() > 8192)
-      sent_.clear();
-    if (const auto it = sent_.find(opening); it != sent_.end() && now - it->second < kHeldHere)
+    if (sentOpenings_.size() > 8192)
+      sentOpenings_.clear();
+    if (const auto it = sentOpenings_.find(opening); it != sentOpenings_.end() && now - it->second < kOpeningHeldHere)
       return {};
-    if (!mooring_->up())
+    if (!agentLink_->up())
       return {};
     Msg m = msgOf(Kind::whereHeld);
-    m.nonce = ++heldNonce_;
+    m.nonce = ++partnerNonce_;
     m.num = static_cast<std::int64_t>(opening);
     // A mark, the same at all nodes of the site, so that one tenant is counted once; it stays inside the site.
-    m.prevTerm = static_cast<std::int64_t>(hash64(tenant, hash64(s_.partner->secret)));
-    Held h;
-    held_[m.nonce] = &h;
-    mooring_->send(m);
-    (void)EventLoop::get().waitFor(h.waiter, kHeldWait);
-    held_.erase(m.nonce);
-    if (h.access.empty()) {
-      sent_[opening] = now;
+    m.prevTerm = static_cast<std::int64_t>(hash64(tenant, hash64(settings_.partner->secret)));
+    PartnerQuery query;
+    partnerQueries_[m.nonce] = &query;
+    agentLink_->send(m);
+    (void)EventLoop::get().waitFor(query.waiter, kPartnerQueryWait);
+    partnerQueries_.erase(m.nonce);
+    if (query.access.empty()) {
+      sentOpenings_[opening] = now;
       return {};
     }
-    return h.access[wa_.rng() % h.access.size()];
+    return query.access[context_.rng() % query.access.size()];
   }
-  void onTender(Msg m) {
+  void onAgentMessage(Msg m) {
     const auto now = Clock::now();
     if (m.what() == Kind::feed) {
       if (m.ok) {
-        if (m.num < queue_.applied() || (m.num == queue_.applied() && !copy_.damaged()))
+        if (m.num < updates_.applied() || (m.num == updates_.applied() && !state_.damaged()))
           return;  // never back in number
-        if (auto r = copy_.restore(m.blob); !r)
-          return mend("snapshot errorResponse: " + r.error().text);
-        queue_.restart(m.num);
+        if (auto r = state_.restore(m.blob); !r)
+          return requestSnapshot("snapshot refused: " + r.error().text);
+        updates_.restart(m.num);
         adopt({true, true, true});
       } else {
         for (auto& e : m.entries)
-          queue_.offer(std::move(e));
+          updates_.offer(std::move(e));
       }
       // A fiber applies without yielding: nothing reads a copy half applied.
       ReplicatedState::Change all;
-      while (auto e = queue_.next()) {
-        const auto c = copy_.apply(*e);
+      while (auto e = updates_.next()) {
+        const auto c = state_.apply(*e);
         all.configuration |= c.configuration;
         all.runners |= c.runners;
         all.closures |= c.closures;
       }
-      if (copy_.damaged())
-        return mend("a difference did not fit");
+      if (state_.damaged())
+        return requestSnapshot("a difference did not fit");
       adopt(all);
       settleLease(now);
     } else if (m.what() == Kind::lease) {
-      const auto it = asked_.find(m.nonce);
-      if (it == asked_.end() || !m.ok)
+      const auto it = renewals_.find(m.nonce);
+      if (it == renewals_.end() || !m.ok)
         return;
       // The lease counts from our own question, never from the answer.
       if (it->second + leaseSpan_ > pendingEnd_) {
@@ -188,89 +188,89 @@
       }
       // Why only the newest: what a later question told of the stash did not know of these tokens yet.
       if (m.nonce == nonce_)
-        wa_.quota.drawn(m.grants, it->second);
+        context_.quota.drawn(m.grants, it->second);
       if (m.commit > 0)
-        wa_.budget.share(s_.timers.retrySlack * 0.5 / static_cast<double>(m.commit), slackDraw_);
-      if (m.prevTerm != 0 && m.prevTerm != outliersKnown_) {
-        outliersKnown_ = m.prevTerm;
-        outliers_ = m.seen;
-        wa_.runnerPool.setAside(outliers_);
+        context_.budget.share(settings_.timers.retrySlack * 0.5 / static_cast<double>(m.commit), slackShare_);
+      if (m.prevTerm != 0 && m.prevTerm != ejectionsVersion_) {
+        ejectionsVersion_ = m.prevTerm;
+        ejections_ = m.seen;
+        context_.runners.setEjected(ejections_);
       }
-      asked_.erase(it);
+      renewals_.erase(it);
       settleLease(now);
     } else if (m.what() == Kind::held) {
-      if (const auto it = held_.find(m.nonce); it != held_.end())
+      if (const auto it = partnerQueries_.find(m.nonce); it != partnerQueries_.end())
         it->second->access = std::move(m.names), it->second->waiter.wake();
     } else if (m.what() == Kind::drawn && m.ok) {
-      wa_.quota.loose(m.grants, now);
-      wa_.quench(m.grants);
+      context_.quota.loose(m.grants, now);
+      context_.wakeQuotaWaits(m.grants);
     }
   }
   // A copy that differs from what was numbered must not answer for it: nothing is served until all of it has come anew.
-  void mend(const std::string& why) {
+  void requestSnapshot(const std::string& why) {
     ring::alarm(why + ": the whole is asked for");
-    copy_.damage();
-    wa_.leaseEnds = {};
+    state_.damage();
+    context_.leaseEnds = {};
     Msg m = msgOf(Kind::follow);
     m.flag = true;
-    mooring_->send(m);
+    agentLink_->send(m);
   }
   void settleLease(Instant) {
     // Only once applied as far as the leader was when it answered.
-    if (pendingEnd_ == Instant{} || copy_.damaged() || queue_.applied() < pendingNum_)
+    if (pendingEnd_ == Instant{} || state_.damaged() || updates_.applied() < pendingNum_)
       return;
-    if (wa_.leaseEnds == Instant{})
-      ring::note("first lease, at number " + std::to_string(queue_.applied()));
-    wa_.leaseEnds = std::max(wa_.leaseEnds, pendingEnd_);
+    if (context_.leaseEnds == Instant{})
+      ring::note("first lease, at number " + std::to_string(updates_.applied()));
+    context_.leaseEnds = std::max(context_.leaseEnds, pendingEnd_);
   }
   void adopt(ReplicatedState::Change c) {
     if (c.runners)
-      wa_.runnerPool.follow(copy_.state().runners), wa_.runnerPool.setAside(outliers_);
+      context_.runners.follow(state_.state().runners), context_.runners.setEjected(ejections_);
     if (c.closures)
       adoptClosures();
-    if (!c.configuration || copy_.state().configuration.empty())
+    if (!c.configuration || state_.state().configuration.empty())
       return;
     // Built aside and swapped: requests under way keep the table they began with.
-    auto cfg = parseConfiguration(copy_.state().configuration);
+    auto cfg = parseConfiguration(state_.state().configuration);
     if (!cfg)
       return ring::alarm("a taken configuration can't be read: " + cfg.error().text);
-    wa_.cfg = *cfg;
-    challenge();
+    context_.configuration = *cfg;
+    renewLease();
   }
   std::set<std::string> zonesOf(const std::string& place) const {
     std::set<std::string> out;
-    for (auto& [zone, region] : s_.zones)
+    for (auto& [zone, region] : settings_.zones)
       if (zone == place || region == place)
         out.insert(zone);
     return out;
   }
   void adoptClosures() {
     std::map<std::string, RunnerPool::Closing> zones;
-    for (auto& c : copy_.state().closures)
+    for (auto& c : state_.state().closures)
       for (auto& z : zonesOf(c.place)) {
         auto& x = zones[z];
         x.share = std::max(x.share, static_cast<int>(c.share));
-        x.carryOver = x.carryOver || c.doorsShut;
+        x.moveStreams = x.moveStreams || c.doorsShut;
       }
-    const auto mine = zones.find(s_.zone);
-    wa_.doorsShut = mine != zones.end() && mine->second.carryOver;
-    wa_.runnerPool.close(std::move(zones));
+    const auto mine = zones.find(settings_.zone);
+    context_.zoneClosing = mine != zones.end() && mine->second.moveStreams;
+    context_.runners.setClosing(std::move(zones));
   }
   // What the core tells operators of a closing place's progress, and how busy the fleet is.
   std::vector<Grant> load(Instant now) {
     std::vector<Grant> out;
     const double s = std::max(0.05, std::chrono::duration<double>(now - loadAt_).count());
-    const auto all = wa_.served + wa_.errorResponse;
+    const auto all = context_.served + context_.refused;
     if (now - loadAt_ > 900ms) {
       perS_ = static_cast<double>(all - loadCount_) / s;
       loadAt_ = now;
       loadCount_ = all;
     }
     out.push_back({"", perS_, 0});
-    for (auto& c : copy_.state().closures) {
+    for (auto& c : state_.state().closures) {
       const auto zones = zonesOf(c.place);
-      out.push_back({c.place, static_cast<double>(wa_.runnerPool.inFlightIn(zones)),
-                     zones.count(s_.zone) ? wa_.aboard * 1.0 : 0.0});
+      out.push_back({c.place, static_cast<double>(context_.runners.inFlightIn(zones)),
+                     zones.count(settings_.zone) ? context_.inFlight * 1.0 : 0.0});
     }
     return out;
   }
@@ -283,7 +283,7 @@
       if (r.end != ReadEnd::whole)
         return;
       const bool known = p.get().target() == "/v1/readiness";
-      const bool ready = wa_.leased(Clock::now()) && !wa_.leaving && !wa_.doorsShut;
+      const bool ready = context_.hasLease(Clock::now()) && !context_.draining && !context_.zoneClosing;
       const bool keep = p.get().keep_alive();
       Ec ec;
       w.write(asio::buffer(plainAnswer(!known  ? 404
@@ -296,27 +296,27 @@
     }
   }
 
-  Settings s_;
-  ProxyContext wa_;
-  Queue queue_;
-  ReplicatedState copy_;
-  std::unique_ptr<Dialer> mooring_;
-  std::map<std::int64_t, Instant> asked_;
+  Settings settings_;
+  ProxyContext context_;
+  Queue updates_;
+  ReplicatedState state_;
+  std::unique_ptr<Dialer> agentLink_;
+  std::map<std::int64_t, Instant> renewals_;
   std::int64_t nonce_ = 0, pendingNum_ = 0;
   bool asking_ = false;
-  struct Held {
+  struct PartnerQuery {
     Waiter waiter;
     std::vector<std::string> access;
   };
-  std::map<std::int64_t, Held*> held_;  // questions under way
-  std::unordered_map<std::uint64_t, Instant> sent_;
-  std::int64_t heldNonce_ = 0;
-  std::int64_t outliersKnown_ = 0;
-  std::vector<Grant> outliers_;  // runners set aside, as last told
+  std::map<std::int64_t, PartnerQuery*> partnerQueries_;  // questions under way
+  std::unordered_map<std::uint64_t, Instant> sentOpenings_;
+  std::int64_t partnerNonce_ = 0;
+  std::int64_t ejectionsVersion_ = 0;
+  std::vector<Grant> ejections_;  // runners set aside, as last told
   Instant pendingEnd_{};
   Instant loadAt_ = Clock::now();
   std::uint64_t loadCount_ = 0;
-  double perS_ = 0, slackDraw_ = 0;
+  double perS_ = 0, slackShare_ = 0;
   Span leaseSpan_;
 };
 }  // namespace
--- a/tests/balancing_test.cpp
+++ b/tests/balancing_test.cpp
@@ -263,11 +263,11 @@
   RunnerQuery w;
   w.service = "s", w.zone = "z", w.engine = true, w.affinity = 77, w.sharedTokens = 1000, w.promptTokens = 3000;
   const int home = d.choose(w, Instant{100s});
-  d.went(home, 3000);
+  d.attemptBegan(home, 3000);
   EXPECT_EQ(d.choose(w, Instant{100s}), home) << "one waiting prompt is no reason";
-  d.went(home, 30000);
+  d.attemptBegan(home, 30000);
   EXPECT_NE(d.choose(w, Instant{100s}), home);
-  d.read(home, 30000);
+  d.promptRead(home, 30000);
   EXPECT_EQ(d.choose(w, Instant{100s}), home) << "and it comes back";
 }
 TEST(RunnerPool, DrainingOnesAreNeverChosenShunnedOnesOnlyAtNeed) {
@@ -280,7 +280,7 @@
   int r2 = 0;
   while (d.at(r2).id != "r2")
     ++r2;
-  d.fault(r2, Instant{100s});
+  d.recordFailure(r2, Instant{100s});
   for (int i = 0; i < 20; ++i)
     EXPECT_EQ(d.at(d.choose(w, Instant{100s})).id, "r3");
   d.follow({dock("r2", "z")});
@@ -315,8 +315,8 @@
   EXPECT_EQ(promptOf("nonsense,,:x").shared, 0);
 }
 
-TEST(Allowance, CalmSeasDeclineNobodyStormyOnesTheLessUrgentFirst) {
-  Allowance a;
+TEST(AdmissionControl, CalmSeasDeclineNobodyStormyOnesTheLessUrgentFirst) {
+  AdmissionControl a;
   Instant now{100s};
   for (int i = 0; i < 400; ++i, now += 10ms) {
     a.first("s", i % 3 == 0, now);
@@ -337,8 +337,8 @@
     a.first("s", false, now);
   EXPECT_DOUBLE_EQ(a.level("s"), 0);
 }
-TEST(Allowance, SilenceEndsAStorm) {
-  Allowance a;
+TEST(AdmissionControl, SilenceEndsAStorm) {
+  AdmissionControl a;
   Instant now{100s};
   for (int i = 0; i < 300; ++i, now += 10ms)
     a.first("s", true, now);
--- a/tests/hints_test.cpp
+++ b/tests/hints_test.cpp
@@ -135,13 +135,13 @@
 namespace {
 // A runner as both sites have them: a shared opening that it has not read takes time before the first event.
 struct Site {
-  std::shared_ptr<Harbour> h;
+  std::shared_ptr<TestProxy> h;
   HintTable hints;
   std::set<std::string> held;
   int streams = 0, pushes = 0, fromPartner = 0;
   Span reading{25};
-  explicit Site(std::shared_ptr<Harbour> x, std::uint64_t seed) : h(std::move(x)), hints(desk(seed)) {
-    h->wa.cfg = *parseConfiguration(R"({"configVersion":7,"routeTable":[
+  explicit Site(std::shared_ptr<TestProxy> x, std::uint64_t seed) : h(std::move(x)), hints(desk(seed)) {
+    h->context.configuration = *parseConfiguration(R"({"configVersion":7,"routeTable":[
       {"label":"recap","authority":"h.example","pathPrefix":"/recap/","routeType":"stream","streamResume":true,"sessionAffinity":true,"expiryMs":20000,"targetLatencyMs":500,"targetService":"s","maxAttempts":2},
       {"label":"push","authority":"h.example","pathPrefix":"/push/","routeType":"unsafe","expiryMs":20000,"targetLatencyMs":150,"targetService":"s"}],
       "serviceTable":[{"label":"s","engine":{"capacity":8,"kvCapacity":100000,"stride":1}}],"subscribers":[{"label":"tina","accessKeys":["key1"]}]})");
@@ -169,9 +169,9 @@
 struct Two {
   std::shared_ptr<Site> here, there;
   std::string partnerDoor;
-  explicit Two(Harbour&) {
-    here = std::make_shared<Site>(std::make_shared<Harbour>(), 1);
-    there = std::make_shared<Site>(std::make_shared<Harbour>(), 2);
+  explicit Two(TestProxy&) {
+    here = std::make_shared<Site>(std::make_shared<TestProxy>(), 1);
+    there = std::make_shared<Site>(std::make_shared<TestProxy>(), 2);
     partnerDoor = there->door();
     static std::vector<std::shared_ptr<Site>> kept;  // their fibers may still refer to them
     kept.push_back(here), kept.push_back(there);
@@ -191,11 +191,11 @@
     }
     exchange(here->hints, there->hints, kStart, 7, 3);
     if (hints)
-      here->h->wa.heldElsewhere = [this](std::uint64_t opening, const std::string&) {
+      here->h->context.findAtPartner = [this](std::uint64_t opening, const std::string&) {
         return here->hints.elsewhere(kStart, 7, opening, 99) ? partnerDoor : std::string{};
       };
     else
-      here->h->wa.heldElsewhere = nullptr;
+      here->h->context.findAtPartner = nullptr;
     Played p;
     for (int i = 0; i < count; ++i) {
       const auto began = Clock::now();
@@ -218,7 +218,7 @@
 }  // namespace
 
 TEST(PartnerSites, LongOpeningsBeginSoonerWhereTheyAreHeld) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     Two two(h);
     // Long beside what a busy machine adds to a request.
     two.here->reading = two.there->reading = 60ms;
@@ -238,15 +238,15 @@
   });
 }
 TEST(PartnerSites, OneThatLiesCostsOneOrdinaryReading) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     Two two(h);
-    two.here->h->wa.partner = {};
+    two.here->h->context.partner = {};
     const auto p = two.play(true, 16, "l");
     two.there->held.clear();  // all that it told of is gone
     const auto q = two.play(false, 4, "m");
     EXPECT_EQ(p.whole, 16);
     EXPECT_EQ(p.pushes + q.pushes, 20);
-    two.here->h->wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
+    two.here->h->context.findAtPartner = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
     int whole = 0;
     for (int i = 0; i < 8; ++i)
       whole +=
@@ -258,14 +258,14 @@
 }
 TEST(PartnerSites, OneThatIsCutOffSlowOrRefusesCostsAMomentAndNoAnswer) {
   for (const int how : {0, 1, 2, 3})
-    inHarbour([how](Harbour& h) {
+    withProxy([how](TestProxy& h) {
       Two two(h);
       if (how == 0)
         two.partnerDoor = "127.0.0.1:1";  // nobody there
       if (how == 1)
         two.there->reading = 3000ms;  // holds nothing, and reads slowly
       if (how == 2)
-        two.there->h->wa.leaseEnds = Clock::now() - 1s;  // refuses
+        two.there->h->context.leaseEnds = Clock::now() - 1s;  // refuses
       if (how == 3)
         two.there->h->runners[0]->act = [](StandIn&, Connection& w, const std::string& id, const std::string&) {
           say(w, streamHead(id) + chunk(event(0) + event(1)));  // begins, and is cut
@@ -273,7 +273,7 @@
         };
       const auto p = [&] {
         auto r = two.play(true, 0, "s");
-        two.here->h->wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
+        two.here->h->context.findAtPartner = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
         return r;
       }();
       (void)p;
@@ -293,13 +293,13 @@
         EXPECT_EQ(once(*two.here->h, ask("/push/x", "q" + std::to_string(i))).body, "pushed q" + std::to_string(i));
       }
       EXPECT_EQ(two.there->pushes, 0);
-      EXPECT_LE(two.here->h->wa.toPartner, 4u) << "it is left alone after that";
+      EXPECT_LE(two.here->h->context.toPartner, 4u) << "it is left alone after that";
     });
 }
 TEST(PartnerSites, WhatCameFromAPartnerGoesNoFurther) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     Two two(h);
-    two.here->h->wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
+    two.here->h->context.findAtPartner = [&](std::uint64_t, const std::string&) { return two.partnerDoor; };
     const auto a =
         once(*two.here->h,
              ask("/recap/x", "z1", "X-Partner-Site: 1\r\nX-Prompt-Prefix: z:5000,o:1\r\nX-Token-Count: 5001,5\r\n"));
--- a/tests/illness_test.cpp
+++ b/tests/illness_test.cpp
@@ -9,14 +9,14 @@
 using namespace zc::standin;
 namespace {
 // What the leader would make of this node's words, had another node seen the same.
-void exchange(Harbour& h, OutlierDetector& desk, const std::vector<Runner>& runners, Instant now) {
-  const auto seen = h.wa.observer.report(24);
+void exchange(TestProxy& h, OutlierDetector& desk, const std::vector<Runner>& runners, Instant now) {
+  const auto seen = h.context.observer.report(24);
   desk.told(now, "node-a", seen);
   desk.told(now, "node-b", seen);
   desk.weigh(now, runners);
-  h.wa.runnerPool.setAside(desk.list());
+  h.context.runners.setEjected(desk.list());
 }
-std::vector<Runner> known(const Harbour& h) {
+std::vector<Runner> known(const TestProxy& h) {
   std::vector<Runner> v;
   for (auto& r : h.runners)
     v.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
@@ -31,7 +31,7 @@
 }  // namespace
 
 TEST(Illness, ARunnerThatFailsAPartOfItsRequestsIsSetAsideAndItsHealthIsNotAsked) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     int n = 0;
     auto ill = h.runner("i-0", [&n](StandIn& r, Connection& w, const std::string& id, const std::string& text) {
       if (++n % 2)
@@ -47,7 +47,7 @@
     desk.weigh(now, rs);
     int served = 0;
     for (int i = 0; i < 120; ++i) {
-      h.wa.runnerPool.fine(0);  // as seen by nodes that have not met it yet
+      h.context.runners.recordSuccess(0);  // as seen by nodes that have not met it yet
       const auto a = once(h, ask("/open/" + std::to_string(i), "a" + std::to_string(i)));
       served += a.status == 200;
       if (i % 10 == 9)
@@ -66,49 +66,49 @@
   });
 }
 TEST(Illness, ARunnerThatHangsIsToldOfWhileItIsWaitedFor) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     auto hangs = h.runner("i-0", answers);
     auto well = h.runner("i-1", answers);
     for (int i = 0; i < 30; ++i)
       EXPECT_EQ(once(h, ask("/open/x", "a" + std::to_string(i))).status, 200);
-    (void)h.wa.observer.report(24);
+    (void)h.context.observer.report(24);
     for (auto& r : {hangs, well})
       r->act = [](StandIn&, Connection&, const std::string&, const std::string&) { EventLoop::get().pause(300ms); };
     auto w = h.dial();
     say(*w, ask("/open/x", "waits"));
-    for (int i = 0; i < 200 && h.wa.silent.empty(); ++i)
+    for (int i = 0; i < 200 && h.context.unanswered.empty(); ++i)
       EventLoop::get().pause(1ms);
-    ASSERT_EQ(h.wa.silent.size(), 1u);
-    h.wa.blameSilent(Clock::now());
-    EXPECT_TRUE(h.wa.observer.report(24).empty()) << "not at once";
-    h.wa.blameSilent(Clock::now() + 2s);
-    h.wa.blameSilent(Clock::now() + 4s);
-    const auto response = h.wa.observer.report(24);
-    ASSERT_EQ(response.size(), 1u);
-    EXPECT_EQ(response[0].burst, RunnerObserver::slowWeight) << "once a request";
+    ASSERT_EQ(h.context.unanswered.size(), 1u);
+    h.context.countSlow(Clock::now());
+    EXPECT_TRUE(h.context.observer.report(24).empty()) << "not at once";
+    h.context.countSlow(Clock::now() + 2s);
+    h.context.countSlow(Clock::now() + 4s);
+    const auto report = h.context.observer.report(24);
+    ASSERT_EQ(report.size(), 1u);
+    EXPECT_EQ(report[0].burst, RunnerObserver::slowWeight) << "once a request";
   });
 }
 TEST(Illness, ARunnerThatFlapsCostsNobodyAnAnswer) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     auto flaps = h.runner("i-0", answers);
     h.runner("i-1", answers);
     const auto rs = known(h);
     for (int i = 0; i < 60; ++i) {
       if (i == 10)
         flaps->acc->close();  // down: connections are refused
-      h.wa.pool.drop("i-0");
-      h.wa.runnerPool.fine(0);
+      h.context.connections.drop("i-0");
+      h.context.runners.recordSuccess(0);
       EXPECT_EQ(once(h, ask(i % 2 ? "/open/x" : "/once/x", "a" + std::to_string(i))).status, 200) << i;
     }
-    const auto response = h.wa.observer.report(24);
-    const auto it = std::find_if(response.begin(), response.end(), [](auto& g) { return g.label == "i-0"; });
-    ASSERT_NE(it, response.end());
+    const auto report = h.context.observer.report(24);
+    const auto it = std::find_if(report.begin(), report.end(), [](auto& g) { return g.label == "i-0"; });
+    ASSERT_NE(it, report.end());
     EXPECT_GT(it->burst, 3);
   });
 }
 // A new one takes its share, not the crowd: what it is given follows from what it has in work.
 TEST(Illness, AnEmptyRunnerThatJoinsIsNotRushed) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     for (int i = 0; i < 4; ++i)
       h.runner("i-" + std::to_string(i), answers);
     std::map<std::string, int> by;
@@ -116,16 +116,16 @@
     for (int i = 0; i < 8; ++i) {
       RunnerQuery w;
       w.service = "s", w.zone = "z";
-      const int d = h.wa.runnerPool.choose(w, Clock::now());
-      h.wa.runnerPool.went(d, 0);
+      const int d = h.context.runners.choose(w, Clock::now());
+      h.context.runners.attemptBegan(d, 0);
     }
     h.runner("i-new", answers);
     for (int i = 0; i < 12; ++i) {
       RunnerQuery w;
       w.service = "s", w.zone = "z";
-      const int d = h.wa.runnerPool.choose(w, Clock::now());
-      h.wa.runnerPool.went(d, 0);
-      ++by[h.wa.runnerPool.at(d).id];
+      const int d = h.context.runners.choose(w, Clock::now());
+      h.context.runners.attemptBegan(d, 0);
+      ++by[h.context.runners.at(d).id];
     }
     EXPECT_GE(by["i-new"], 2);
     EXPECT_LE(by["i-new"], 5);
@@ -134,21 +134,21 @@
 // A runner forgets an idle connection without a word: the next request on it is reset. What may not be repeated must
 // not meet that; what may goes on elsewhere.
 TEST(Illness, AForgottenConnectionCostsNothingThatCantBeRepeated) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     h.runner("i-0", answers);
     EXPECT_EQ(once(h, ask("/once/x", "a1")).status, 200);
     const auto now = Clock::now();
-    EXPECT_EQ(h.wa.pool.take("i-0", now + 3s, false), nullptr) << "idle for long: only a new one will do";
-    auto kept = h.wa.pool.take("i-0", now, false);
+    EXPECT_EQ(h.context.connections.take("i-0", now + 3s, false), nullptr) << "idle for long: only a new one will do";
+    auto kept = h.context.connections.take("i-0", now, false);
     ASSERT_NE(kept, nullptr) << "used a moment ago";
-    h.wa.pool.give("i-0", std::move(kept), now + 20s, now);
-    h.wa.pool.forgotten();
-    EXPECT_EQ(h.wa.pool.take("i-0", now + 1s, false), nullptr) << "and sooner once one was found forgotten";
-    EXPECT_NE(h.wa.pool.take("i-0", now + 3s, true), nullptr);
+    h.context.connections.give("i-0", std::move(kept), now + 20s, now);
+    h.context.connections.forgotten();
+    EXPECT_EQ(h.context.connections.take("i-0", now + 1s, false), nullptr) << "and sooner once one was found forgotten";
+    EXPECT_NE(h.context.connections.take("i-0", now + 3s, true), nullptr);
   });
 }
 TEST(Illness, AResetOnAReusedConnectionIsNotTheRunnersFault) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     int n = 0;
     auto act = [&n](StandIn& r, Connection& w, const std::string& id, const std::string& text) {
       if (++n == 2) {
@@ -161,9 +161,9 @@
     auto r = h.runner("i-0", act);
     EXPECT_EQ(once(h, ask("/open/x", "a1")).status, 200);
     (void)once(h, ask("/open/x", "a2"));
-    for (auto& g : h.wa.observer.report(24))
+    for (auto& g : h.context.observer.report(24))
       EXPECT_EQ(g.burst, 0) << g.label;
-    EXPECT_EQ(h.wa.runnerPool.at(0).faults, 0);
+    EXPECT_EQ(h.context.runners.at(0).failures, 0);
   });
 }
 // One tenant sends many times its usual: it is held at its limit, and the others are served as ever.
--- a/tests/outlier_test.cpp
+++ b/tests/outlier_test.cpp
@@ -175,7 +175,7 @@
 TEST(RunnerPool, OneSetAsideIsLeftAloneAndTriedByFewThatMayBeRepeated) {
   RunnerPool d(1);
   d.follow(fleet(4));
-  d.setAside({{"r1", 1, 0}, {"r2", 0.5, 0}, {"unknown", 1, 0}});
+  d.setEjected({{"r1", 1, 0}, {"r2", 0.5, 0}, {"unknown", 1, 0}});
   std::map<std::string, int> safe, once;
   for (int i = 0; i < 2000; ++i) {
     RunnerQuery w;
@@ -189,7 +189,7 @@
   EXPECT_EQ(safe["r1"], 0);
   EXPECT_GT(safe["r2"], 5);
   EXPECT_LT(safe["r2"], 200);
-  d.setAside({});
+  d.setEjected({});
   once.clear();
   for (int i = 0; i < 400; ++i) {
     RunnerQuery w;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -4,8 +4,8 @@
 using namespace zc;
 using namespace zc::standin;
 
-TEST(Passage, CarriesARequestAndItsAnswerUnchanged) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, CarriesARequestAndItsAnswerUnchanged) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", answers);
     const auto a =
         once(h, ask("/safe/x?y=1", "a9",
@@ -23,8 +23,8 @@
       EXPECT_EQ(g.find(hasNot), std::string::npos) << hasNot;
   });
 }
-TEST(Passage, DeclinesWhatIsNotAllowed) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, DeclinesWhatIsNotAllowed) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", answers);
     EXPECT_EQ(once(h, ask("/nowhere/")).status, 404);
     EXPECT_EQ(once(h, ask("/safe/", "a", "", "", "wrong")).status, 401);
@@ -42,18 +42,18 @@
     EXPECT_EQ(once(h, ask("/open/", "a", "", "", "")).status, 200);
   });
 }
-TEST(Passage, WithoutAFreshLeaseNothingIsServed) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, WithoutAFreshLeaseNothingIsServed) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", answers);
-    h.wa.leaseEnds = Clock::now() - 1ms;
+    h.context.leaseEnds = Clock::now() - 1ms;
     const auto a = once(h, ask("/safe/x"));
     EXPECT_EQ(a.status, 503);
     EXPECT_TRUE(a.heads.count("Retry-After"));
     EXPECT_TRUE(r->got.empty());
   });
 }
-TEST(Passage, OneWireManyRequestsPipelinedAndChunked) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, OneWireManyRequestsPipelinedAndChunked) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", answers);
     auto w = h.dial();
     Buffer b;
@@ -69,8 +69,8 @@
     EXPECT_EQ(r->connections, 1) << "the runner's connection is used again";
   });
 }
-TEST(Passage, AtMostOnceNothingGoesToASecondRunnerAfterASend) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AtMostOnceNothingGoesToASecondRunnerAfterASend) {
+  withProxy([](TestProxy& h) {
     const auto cut = [](StandIn&, Connection& w, const std::string&, const std::string&) { w.shut(); };
     auto r1 = h.runner("i-1", cut);
     auto r2 = h.runner("i-2", cut);
@@ -83,8 +83,8 @@
     }
   });
 }
-TEST(Passage, ASafeOneGoesAgainWithinItsAttempts) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, ASafeOneGoesAgainWithinItsAttempts) {
+  withProxy([](TestProxy& h) {
     int n = 0;
     const auto act = [&n](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (n++ == 0)
@@ -98,8 +98,8 @@
     EXPECT_EQ(n, 2);
   });
 }
-TEST(Passage, NotExecutedMovesOnEvenForThoseThatRunOnce) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, NotExecutedMovesOnEvenForThoseThatRunOnce) {
+  withProxy([](TestProxy& h) {
     int n = 0;
     const auto act = [&n](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (n++ == 0)
@@ -112,8 +112,8 @@
     EXPECT_EQ(once(h, ask("/once/x")).body, "ran");
   });
 }
-TEST(Passage, AllFullIsARefusalWithATimeToComeBack) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AllFullIsARefusalWithATimeToComeBack) {
+  withProxy([](TestProxy& h) {
     const auto full = [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n"));
     };
@@ -124,15 +124,15 @@
     EXPECT_TRUE(a.heads.count("Retry-After"));
   });
 }
-TEST(Passage, A503ThatMayHaveRunIsNotPassedOnAsAPromise) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, A503ThatMayHaveRunIsNotPassedOnAsAPromise) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1",
              [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "?", 503)); });
     EXPECT_EQ(once(h, ask("/once/x")).status, 502);
   });
 }
-TEST(Passage, AFailureOfTheRunnersOwnIsPassedOnUnchanged) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AFailureOfTheRunnersOwnIsPassedOnUnchanged) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, whole(id, "broke", 500));
     });
@@ -141,8 +141,8 @@
     EXPECT_EQ(a.body, "broke");
   });
 }
-TEST(Passage, ASurplusAnswerBelongsToNobody) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, ASurplusAnswerBelongsToNobody) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn& me, Connection& w, const std::string& id, const std::string&) {
       if (me.got.size() == 1)
         say(w, whole(id, "first"));
@@ -157,8 +157,8 @@
     EXPECT_EQ(hear(*w, b).body, "mine");
   });
 }
-TEST(Passage, AWireWithUnaskedBytesIsNotUsedAgain) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AWireWithUnaskedBytesIsNotUsedAgain) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, whole(id, "ok") + "stray");
     });
@@ -167,7 +167,7 @@
     EXPECT_EQ(r->connections, 2);
   });
 }
-TEST(Passage, WhatIsNoAnswerOrHasNoSealOrEndsEarlyIsNoSuccess) {
+TEST(Proxy, WhatIsNoAnswerOrHasNoSealOrEndsEarlyIsNoSuccess) {
   const std::function<std::string(const std::string&)> table[] = {
       [](const std::string&) { return std::string("garbage garbage\r\n\r\n"); },
       [](const std::string& id) {
@@ -177,7 +177,7 @@
       [](const std::string& id) { return whole(id, "0123456789").substr(0, whole(id, "0123456789").size() - 4); },
       [](const std::string&) { return whole("another", "x"); }};
   for (auto& t : table)
-    inHarbour([&](Harbour& h) {
+    withProxy([&](TestProxy& h) {
       h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
         say(w, t(id));
         w.shut();
@@ -187,8 +187,8 @@
       EXPECT_NE(a.status, 503);
     });
 }
-TEST(Passage, AStreamPassesAsItComesAndEndsWhenTheRunnerEnds) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AStreamPassesAsItComesAndEndsWhenTheRunnerEnds) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
       EventLoop::get().pause(5ms);
@@ -202,8 +202,8 @@
     }
   });
 }
-TEST(Passage, AStreamCutShortNeverLooksComplete) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AStreamCutShortNeverLooksComplete) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
       w.shut();
@@ -213,8 +213,8 @@
     EXPECT_FALSE(a.wholeBody);
   });
 }
-TEST(Passage, ACutStreamIsTakenUpAfterItsLastWholeEvent) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, ACutStreamIsTakenUpAfterItsLastWholeEvent) {
+  withProxy([](TestProxy& h) {
     int n = 0;
     std::string second;
     const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string& text) {
@@ -235,8 +235,8 @@
     EXPECT_NE(second.find("Last-Event-Id: 2\n"), std::string::npos) << second;
   });
 }
-TEST(Passage, AClientThatLeavesEndsTheRun) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, AClientThatLeavesEndsTheRun) {
+  withProxy([](TestProxy& h) {
     bool ended = false;
     Waiter done;
     h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
@@ -258,19 +258,19 @@
     EXPECT_TRUE(ended);
   });
 }
-TEST(Passage, ARunnerThatCannotBeReachedCostsNoAttempt) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, ARunnerThatCannotBeReachedCostsNoAttempt) {
+  withProxy([](TestProxy& h) {
     auto dead = h.runner("i-0", answers);
     auto r = h.runner("i-1", answers);
     dead->acc->close();
-    h.wa.runnerPool.follow(
+    h.context.runners.follow(
         {Runner{"i-0", "s", "127.0.0.1:1", "z", 4, 1, 0}, Runner{"i-1", "s", r->address(), "z", 4, 1, 0}});
     for (int i = 0; i < 6; ++i)
       EXPECT_EQ(once(h, ask("/once/x", "a" + std::to_string(i))).status, 200);
   });
 }
-TEST(Passage, ASilentRunnerIsWaitedForUntilTheTimeIsUp) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, ASilentRunnerIsWaitedForUntilTheTimeIsUp) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string&, const std::string&) {
       char c;
       Ec ec;
@@ -280,10 +280,10 @@
     EXPECT_EQ(once(h, ask("/once/x", "a1", "X-Deadline-Ms: 150\r\n")).status, 504);
   });
 }
-TEST(Passage, BeyondTheMostANewWireIsClosedUnread) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, BeyondTheMostANewWireIsClosedUnread) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", answers);
-    h.wa.clientsMost = 2;
+    h.context.maxClients = 2;
     auto a = h.dial(), b = h.dial();
     Buffer ba, bc;
     say(*a, ask("/safe/x", "a1"));
@@ -294,20 +294,20 @@
     a->shut();
     b->shut();
     EventLoop::get().pause(20ms);
-    EXPECT_EQ(h.wa.clients, 0);
+    EXPECT_EQ(h.context.clients, 0);
     EXPECT_EQ(once(h, ask("/safe/x", "a2")).status, 200);
   });
 }
-TEST(Passage, WithMuchInWorkNothingNewIsRead) {
-  inHarbour([](Harbour& h) {
+TEST(Proxy, WithMuchInWorkNothingNewIsRead) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", answers);
-    h.wa.held = 2, h.wa.heldMost = 1;
+    h.context.bodyBytes = 2, h.context.maxBodyBytes = 1;
     auto w = h.dial();
     Buffer b;
     say(*w, ask("/safe/x", "a1"));
     EventLoop::get().pause(60ms);
     EXPECT_TRUE(r->got.empty());
-    h.wa.held = 0;
+    h.context.bodyBytes = 0;
     EXPECT_EQ(hear(*w, b).status, 200);
   });
 }
--- a/tests/resend_test.cpp
+++ b/tests/resend_test.cpp
@@ -105,7 +105,7 @@
     std::string runner, bytes;
     bool notExecuted = false;
   };
-  Harbour h;
+  TestProxy h;
   CallKind kind = CallKind::safe;
   Trouble trouble = Trouble::reset;
   Position position = Position::wholeRequest;
@@ -139,7 +139,7 @@
         address = firstAddress;
       rs.push_back(Runner{d->id, "s", address, "z", 4, 1, 0});
     }
-    h.wa.runnerPool.follow(rs);
+    h.context.runners.follow(rs);
   }
   void accept(const std::shared_ptr<Door>& d) {
     d->acceptor->async_accept([this, d](Ec ec, tcp::socket s) {
@@ -268,11 +268,11 @@
     for (auto& d : doors)
       d->acceptor->close(ec);
     fillers.clear();
-    h.wa.pool = Pool();
-    for (int i = 0; i < 4000 && (fibers > 0 || h.wa.clients > 0); ++i)
+    h.context.connections = ConnectionPool();
+    for (int i = 0; i < 4000 && (fibers > 0 || h.context.clients > 0); ++i)
       EventLoop::get().pause(1ms);
     EXPECT_EQ(fibers, 0);
-    EXPECT_EQ(h.wa.clients, 0);
+    EXPECT_EQ(h.context.clients, 0);
     EventLoop::get().pause(1ms);  // handlers of closed acceptors
   }
   int begun() const { return static_cast<int>(seen.size()); }
@@ -359,7 +359,7 @@
       auto c = std::make_unique<Connection>();
       c->connect(d->acceptor->local_endpoint(), ec);
       EXPECT_FALSE(ec);
-      h.wa.pool.give(d->id, std::move(c), Clock::now() + 20s, Clock::now());
+      h.context.connections.give(d->id, std::move(c), Clock::now() + 20s, Clock::now());
     }
   }
   std::optional<tcp::acceptor> deaf;
@@ -385,7 +385,7 @@
     // The trouble must be met: the others are busy.
     for (int i = 1; i < 3; ++i)
       for (int k = 0; k < 3; ++k)
-        h.wa.runnerPool.went(i, 0);
+        h.context.runners.attemptBegan(i, 0);
   }
   auto client = h.dial();
   Buffer buf;
@@ -478,7 +478,7 @@
 TEST(Resend, AClientThatLeavesInTheMiddleEndsItEverywhere) {
   for (const char* where : {"/safe/x", "/once/x", "/stream/x", "/resume/x"})
     for (bool begun : {false, true})
-      inHarbour([&](Harbour& h) {
+      withProxy([&](TestProxy& h) {
         int requests = 0, closed = 0;
         Waiter arrived, over;
         const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
@@ -504,12 +504,12 @@
         EventLoop::get().pause(5ms);
         EXPECT_EQ(closed, 1) << where;
         EXPECT_EQ(requests, 1) << where << ": nobody waits for a second one";
-        EXPECT_EQ(h.wa.aboard, 0);
+        EXPECT_EQ(h.context.inFlight, 0);
       });
 }
 TEST(Resend, PastTheDeadlineNothingIsSentAgain) {
   for (const char* where : {"/safe/x", "/resume/x", "/once/x"})
-    inHarbour([&](Harbour& h) {
+    withProxy([&](TestProxy& h) {
       int requests = 0;
       const auto act = [&](StandIn&, Connection& w, const std::string&, const std::string&) {
         ++requests;
@@ -525,11 +525,11 @@
 TEST(Resend, ALeaseThatEndsInTheMiddleStopsFurtherAttempts) {
   for (const char* where : {"/safe/x", "/once/x"})
     for (bool sent : {false, true})
-      inHarbour([&](Harbour& h) {
+      withProxy([&](TestProxy& h) {
         int requests = 0;
         const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
           ++requests;
-          h.wa.leaseEnds = Clock::now() - 1ms;
+          h.context.leaseEnds = Clock::now() - 1ms;
           if (sent)
             return w.shut();
           say(w, whole(id, "full", 503, "X-Not-Executed: 1\r\n"));
@@ -541,13 +541,14 @@
       });
 }
 TEST(Resend, AConfigurationThatChangesInTheMiddleLeavesARequestWithItsOwn) {
-  inHarbour([](Harbour& h) {
-    const auto before = h.wa.cfg;
+  withProxy([](TestProxy& h) {
+    const auto before = h.context.configuration;
     int requests = 0;
     const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (++requests == 1) {
         // All routes go, and the service with them.
-        h.wa.cfg = *parseConfiguration(R"({"configVersion":8,"routeTable":[],"serviceTable":[{"label":"other"}]})");
+        h.context.configuration =
+            *parseConfiguration(R"({"configVersion":8,"routeTable":[],"serviceTable":[{"label":"other"}]})");
         w.shut();
       } else {
         say(w, whole(id, "second"));
@@ -558,7 +559,7 @@
     EXPECT_EQ(once(h, ask("/safe/x")).body, "second");
     EXPECT_EQ(requests, 2);
     EXPECT_EQ(once(h, ask("/safe/x")).status, 404);
-    h.wa.cfg = before;
+    h.context.configuration = before;
     requests = 0;
     EXPECT_EQ(once(h, ask("/once/x")).status, 502);
     EXPECT_EQ(requests, 1);
@@ -568,11 +569,11 @@
 // order, so that no client sends its next request into a connection that is about to go.
 TEST(Resend, AnOrderlyStopInTheMiddleServesToTheEndAndClosesInOrder) {
   for (const char* where : {"/safe/x", "/resume/x", "/once/x"})
-    inHarbour([&](Harbour& h) {
+    withProxy([&](TestProxy& h) {
       const bool stream = std::string_view(where) == "/resume/x";
       int requests = 0;
       const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
-        h.wa.leaving = true;
+        h.context.draining = true;
         if (++requests == 1 && std::string_view(where) != "/once/x")
           return w.shut();
         say(w, rightAnswer(stream ? CallKind::resumable : CallKind::safe, id));
@@ -591,7 +592,7 @@
 
 TEST(Resend, ASuccessThatSaysNotExecutedIsNoAnswerAndIsNotRepeated) {
   for (const char* where : {"/stream/x", "/once/x", "/resume/x", "/safe/x"})
-    inHarbour([&](Harbour& h) {
+    withProxy([&](TestProxy& h) {
       int requests = 0;
       const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
         ++requests;
@@ -608,7 +609,7 @@
     });
 }
 TEST(Resend, AnswersWithoutABodyBringNoBytesAfterTheirHead) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string& id, const std::string& text) {
       if (text.rfind("HEAD", 0) == 0)
         say(w, streamHead(id));
@@ -637,7 +638,7 @@
   });
 }
 TEST(Resend, AnInterimAnswerIsNotTheAnswer) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     int requests = 0;
     h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       ++requests;
@@ -652,7 +653,7 @@
 }
 // The runner says that it did not run it, and breaks off after saying so.
 TEST(Resend, NotExecutedCountsFromItsHead) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     int requests = 0;
     const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (++requests > 1)
@@ -670,7 +671,7 @@
 // An event without an id can't be named to another runner: whoever went on after the last id would bring it twice.
 TEST(Resend, AStreamIsNotTakenUpPastAnEventWithoutAnId) {
   for (bool firstHasId : {true, false})
-    inHarbour([&](Harbour& h) {
+    withProxy([&](TestProxy& h) {
       int requests = 0;
       const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
         ++requests;
@@ -687,7 +688,7 @@
 }
 // Comments are no events: a stream that is kept alive by them is taken up as ever.
 TEST(Resend, AStreamIsTakenUpPastAComment) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     int requests = 0;
     const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       if (++requests > 1)
@@ -704,11 +705,11 @@
 }
 // A place that closes asks for live streams to be moved: one that nobody can take stays where it is.
 TEST(Resend, AStreamThatNobodyCanTakeIsNotMoved) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     h.saveUp(8, 12);
     h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
-      h.wa.runnerPool.close({{"z", {100, true}}});
+      h.context.runners.setClosing({{"z", {100, true}}});
       EventLoop::get().pause(3ms);
       say(w, chunk(event(2)));
       EventLoop::get().pause(3ms);
@@ -720,7 +721,7 @@
   });
 }
 TEST(Resend, ARequestInACodingThatHasNoEndIsTurnedAway) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     auto r = h.runner("i-1", answers);
     EXPECT_EQ(once(h,
                    "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nAuthorization: Bearer key1\r\n"
@@ -735,11 +736,11 @@
 // Bodies larger than the sockets' buffers: only a part of the request has left when the runner breaks off.
 
 namespace {
-void takeLargeBodies(Harbour& h) {
-  auto cfg = std::make_shared<Configuration>(*h.wa.cfg);
+void takeLargeBodies(TestProxy& h) {
+  auto cfg = std::make_shared<Configuration>(*h.context.configuration);
   cfg->limits.maxBodyBytes = 64u << 20;
   cfg->limits.idleTimer = 5s;
-  h.wa.cfg = cfg;
+  h.context.configuration = cfg;
 }
 // A runner that reads the beginning of each request and then does what the test says.
 struct PartReader {
@@ -784,7 +785,7 @@
   const std::string body(24u << 20, 'b');
   for (const char* where : {"/safe/x", "/once/x"})
     for (int how = 0; how < 3; ++how)
-      inHarbour([&](Harbour& h) {
+      withProxy([&](TestProxy& h) {
         takeLargeBodies(h);
         // Static, like the harbour: its fibers may outlive the test.
         auto& r = *new PartReader([how, &body](Connection& w, int n, const std::string& got) {
@@ -799,7 +800,7 @@
           readAll(w, got, body.size());
           say(w, whole("a1", "ran"));
         });
-        h.wa.runnerPool.follow(
+        h.context.runners.follow(
             {Runner{"i-1", "s", r.address(), "z", 4, 1, 0}, Runner{"i-2", "s", r.address(), "z", 4, 1, 0}});
         const auto a = once(h, ask(where, "a1", "", body));
         const bool safe = std::string_view(where) == "/safe/x";
@@ -817,7 +818,7 @@
 }
 // Only a write that took no byte at all is certain not to have arrived.
 TEST(Resend, AWriteTellsHowManyBytesLeft) {
-  inHarbour([](Harbour&) {
+  withProxy([](TestProxy&) {
     tcp::acceptor acceptor(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     Connection w;
     Ec ec;
@@ -849,11 +850,11 @@
 const std::string kLongPrompt = "X-Model: m\r\nX-Token-Count: 9000,80\r\nX-Prompt-Prefix: aa:6000,bb:3000\r\n";
 }  // namespace
 TEST(Resend, WhatAPartnerSiteMayHaveRunIsNotPromisedAway) {
-  inHarbour([](Harbour& h) {
-    h.wa.cfg = partnerRoutes(2);
+  withProxy([](TestProxy& h) {
+    h.context.configuration = partnerRoutes(2);
     int there = 0;
     auto& partner = *new PartReader([&there](Connection& w, int n, const std::string&) { there = n, w.shut(); });
-    h.wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return partner.address(); };
+    h.context.findAtPartner = [&](std::uint64_t, const std::string&) { return partner.address(); };
     const auto a = once(h, ask("/recap/x", "a1", kLongPrompt, "", ""));
     EXPECT_EQ(there, 1);
     EXPECT_EQ(a.status, 502) << "503 would promise that it has not run and never will";
@@ -861,12 +862,12 @@
 }
 TEST(Resend, APartnerSiteCountsAmongTheRunnersOfATry) {
   for (int most : {1, 2, 3})
-    inHarbour([most](Harbour& h) {
-      h.wa.cfg = partnerRoutes(most);
+    withProxy([most](TestProxy& h) {
+      h.context.configuration = partnerRoutes(most);
       h.saveUp(8, 12);
       int all = 0;
       auto& partner = *new PartReader([&all](Connection& w, int, const std::string&) { ++all, w.shut(); });
-      h.wa.heldElsewhere = [&](std::uint64_t, const std::string&) { return partner.address(); };
+      h.context.findAtPartner = [&](std::uint64_t, const std::string&) { return partner.address(); };
       for (int i = 0; i < 4; ++i)
         h.runner("i-" + std::to_string(i), [&all](StandIn&, Connection& w, const std::string&, const std::string&) {
           ++all;
@@ -878,7 +879,7 @@
 }
 // There one of its runners has it at most: this site's own come on top.
 TEST(Resend, ARequestFromAPartnerSiteGoesToOneRunner) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     h.saveUp(8, 12);
     int all = 0;
     for (int i = 0; i < 3; ++i)
@@ -890,3 +891,38 @@
     EXPECT_EQ(all, 1);
   });
 }
+
+// A connection that rests in the pool when its runner closes it, or sends what nobody asked for, is not used again.
+TEST(Resend, ARestingConnectionThatIsNoLongerCleanIsNotUsed) {
+  for (const char* where : {"/safe/x", "/once/x", "/stream/x", "/resume/x"}) {
+    for (int how = 0; how < 3; ++how) {
+      withProxy([&](TestProxy& h) {
+        const auto kind = std::string_view(where) == "/safe/x" || std::string_view(where) == "/once/x"
+                              ? CallKind::safe
+                              : CallKind::stream;
+        Waiter troubled;
+        auto r = h.runner("i-1", [&](StandIn& me, Connection& w, const std::string& id, const std::string&) {
+          say(w, rightAnswer(kind, id));
+          if (me.got.size() > 1)
+            return;
+          EventLoop::get().pause(3ms);
+          if (how == 0)
+            Rig::resetIt(w);
+          else if (how == 1)
+            w.shut();
+          else
+            say(w, rightAnswer(kind, "late"));
+          troubled.wake();
+        });
+        EXPECT_EQ(once(h, ask(where, "a1")).body, rightBody(kind, "a1"));
+        EXPECT_TRUE(EventLoop::get().waitFor(troubled, 3000ms));
+        EventLoop::get().pause(2ms);
+        const auto a = once(h, ask(where, "a2"));
+        EXPECT_EQ(a.status, 200) << where << " " << how;
+        EXPECT_EQ(a.body, rightBody(kind, "a2")) << where << " " << how;
+        EXPECT_EQ(r->got.size(), 2u) << "each was sent once";
+        EXPECT_EQ(r->connections, 2);
+      });
+    }
+  }
+}
--- a/tests/scale_run_test.cpp
+++ b/tests/scale_run_test.cpp
@@ -18,17 +18,17 @@
   const auto from = at + name.size() + 3;
   return request.substr(from, request.find('\n', from) - from);
 }
-void closeZone(Harbour& h, int share, bool doors) {
-  h.wa.runnerPool.close({{"za", {share, doors}}});
-  h.wa.doorsShut = doors && h.wa.zone == "za";
+void closeZone(TestProxy& h, int share, bool doors) {
+  h.context.runners.setClosing({{"za", {share, doors}}});
+  h.context.zoneClosing = doors && h.context.zone == "za";
 }
 }  // namespace
 
 TEST(ScaleRun, AZoneClosesMidMatchAndEveryPushAndStreamArrivesOnce) {
-  inHarbour([](Harbour& a) {
-    auto b = std::make_shared<Harbour>();
-    a.wa.zone = "za";
-    b->wa.zone = "zb";
+  withProxy([](TestProxy& a) {
+    auto b = std::make_shared<TestProxy>();
+    a.context.zone = "za";
+    b->context.zone = "zb";
     for (auto* h : {&a, b.get()})
       h->saveUp(10, 40);
     Match match;
@@ -62,7 +62,7 @@
       all.push_back(Runner{r->id, "s", r->address(), zone, 64, 1, 0});
     }
     for (auto* h : {&a, b.get()})
-      h->wa.runnerPool.follow(all);
+      h->context.runners.follow(all);
 
     int open = 0, pushes = 0, streams = 0, pushesFine = 0, streamsFine = 0, latestMs = 0;
     std::string wanted;
@@ -111,17 +111,18 @@
     EXPECT_LT(latestMs, 300) << "and on time";
     EXPECT_EQ(streamsFine, streams) << "every stream whole, nothing missing, nothing twice";
     EXPECT_EQ(match.atClosedAfter, 0) << "no new work at the place's runners once all keeps away";
-    EXPECT_GT(a.wa.carried + b->wa.carried, 0u) << "live sessions were carried over";
-    EXPECT_EQ(a.wa.runnerPool.inFlightIn({"za"}) + b->wa.runnerPool.inFlightIn({"za"}), 0) << "nothing is left there";
-    static std::vector<std::shared_ptr<Harbour>> kept;
+    EXPECT_GT(a.context.movedStreams + b->context.movedStreams, 0u) << "live sessions were carried over";
+    EXPECT_EQ(a.context.runners.inFlightIn({"za"}) + b->context.runners.inFlightIn({"za"}), 0)
+        << "nothing is left there";
+    static std::vector<std::shared_ptr<TestProxy>> kept;
     kept.push_back(b);
   });
 }
 TEST(ScaleRun, WhenOnlyTheClosingPlaceIsLeftItServes) {
-  inHarbour([](Harbour& h) {
+  withProxy([](TestProxy& h) {
     h.runner("i-1",
              [](StandIn&, Connection& w, const std::string& id, const std::string&) { say(w, whole(id, "ok")); });
-    h.wa.runnerPool.close({{"z", {100, true}}});
+    h.context.runners.setClosing({{"z", {100, true}}});
     EXPECT_EQ(once(h, ask("/once/x")).status, 200);
   });
 }
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -41,9 +41,9 @@
 inline void runStandIn(const std::shared_ptr<StandIn>& r) {
   r->acc =
       std::make_shared<tcp::acceptor>(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  auto go = std::make_shared<std::function<void()>>();
-  *go = [r, go] {
-    r->acc->async_accept([r, go](Ec ec, tcp::socket s) {
+  auto acceptNext = std::make_shared<std::function<void()>>();
+  *acceptNext = [r, acceptNext] {
+    r->acc->async_accept([r, acceptNext](Ec ec, tcp::socket s) {
       if (ec)
         return;
       ++r->connections;
@@ -67,24 +67,24 @@
             return;
         }
       });
-      (*go)();
+      (*acceptNext)();
     });
   };
-  (*go)();
+  (*acceptNext)();
 }
-struct Harbour {
-  ProxyContext wa;
+struct TestProxy {
+  ProxyContext context;
   // A budget with so much saved already, and room for no more than most.
   void saveUp(double saved, double most) {
-    wa.budget = Budget(0.15, Span(2500));
-    wa.budget.share(most, 0.5);
+    context.budget = Budget(0.15, Span(2500));
+    context.budget.share(most, 0.5);
     for (double x = 0; x < saved; x += 0.15)
-      wa.budget.earn("s", Clock::now() - 10s);
+      context.budget.earn("s", Clock::now() - 10s);
   }
   std::vector<std::shared_ptr<StandIn>> runners;
   std::shared_ptr<tcp::acceptor> door;
-  Harbour() {
-    wa.cfg = *parseConfiguration(R"({"configVersion":7,"routeTable":[
+  TestProxy() {
+    context.configuration = *parseConfiguration(R"({"configVersion":7,"routeTable":[
       {"label":"safe","authority":"h.example","pathPrefix":"/safe/","routeType":"safe","expiryMs":20000,"targetLatencyMs":300,"targetService":"s","maxAttempts":2},
       {"label":"once","authority":"h.example","pathPrefix":"/once/","routeType":"unsafe","expiryMs":20000,"targetLatencyMs":300,"targetService":"s","maxAttempts":3},
       {"label":"stream","authority":"h.example","pathPrefix":"/stream/","routeType":"stream","expiryMs":20000,"targetLatencyMs":300,"targetService":"s","maxAttempts":2},
@@ -92,8 +92,8 @@
       {"label":"open","authority":"h.example","pathPrefix":"/open/","routeType":"safe","expiryMs":20000,"targetService":"s","keyless":true}],
       "serviceTable":[{"label":"s"}],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":3000,"headerTimerMs":200,"idleTimerMs":2000},
       "subscribers":[{"label":"tina","accessKeys":["key1"]}]})");
-    wa.leaseEnds = Clock::now() + 60s;
-    wa.zone = "z";
+    context.leaseEnds = Clock::now() + 60s;
+    context.zone = "z";
     saveUp(2, 12);
     door =
         std::make_shared<tcp::acceptor>(EventLoop::get().io(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
@@ -103,7 +103,7 @@
     door->async_accept([this](Ec ec, tcp::socket s) {
       if (ec)
         return;
-      takeClient(wa, std::move(s));
+      takeClient(context, std::move(s));
       take();
     });
   }
@@ -120,7 +120,7 @@
     std::vector<Runner> rs;
     for (auto& r : runners)
       rs.push_back(Runner{r->id, r->service, r->address(), "z", 4, 1, 0});
-    wa.runnerPool.follow(rs);
+    context.runners.follow(rs);
   }
   std::unique_ptr<Connection> dial() {
     auto w = std::make_unique<Connection>();
@@ -160,19 +160,19 @@
          (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") + more +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
-inline Answer once(Harbour& h, const std::string& request) {
+inline Answer once(TestProxy& h, const std::string& request) {
   auto w = h.dial();
   Buffer b;
   say(*w, request);
   return hear(*w, b);
 }
 template <class F>
-void inHarbour(F f) {
+void withProxy(F f) {
   bool ended = false;
   EventLoop::get().launch([&] {
-    auto h = std::make_shared<Harbour>();
+    auto h = std::make_shared<TestProxy>();
     f(*h);
-    static std::vector<std::shared_ptr<Harbour>> kept;  // its fibers may still refer to it
+    static std::vector<std::shared_ptr<TestProxy>> kept;  // its fibers may still refer to it
     kept.push_back(h);
     ended = true;
     EventLoop::get().stop();
