--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -95,11 +95,20 @@
   return !(request.endedLeaseTerm > 0 && request.endedLeaseTerm == currentTerm);
 }
 void RaftNode::Core::onPreVoteRequest(Instant now, const MemberId& from, const VoteRequest& request) {
-  if (request.term <= currentTerm || boundByLease(now, request))
+  if (request.term <= currentTerm)
+    return tellTerm(from);
+  if (boundByLease(now, request))
     return;
   if (log.isUpToDate(request.lastTerm, request.lastNumber))
     send(from, VoteResponse{request.term, true});
 }
+// A candidate behind in terms learns of it. Why: of two voters that are left, one with the newer term and one with the
+// longer log, only the second can win, and it asks in vain until it stands for a term above the first one's.
+void RaftNode::Core::tellTerm(const MemberId& to) {
+  AppendEntriesResponse newerTerm;
+  newerTerm.term = currentTerm;
+  send(to, newerTerm, termTicket);
+}
 // Votes are given whatever this member's configuration says of the candidate or of itself: its configuration may be
 // the older one, and only the candidate's decides whose votes count.
 void RaftNode::Core::onVoteRequest(Instant now, const MemberId& from, const VoteRequest& request) {
@@ -107,7 +116,9 @@
     trackPeer(now, from);  // it was removed and does not know
   if (request.preVote)
     return onPreVoteRequest(now, from, request);
-  if (request.term < currentTerm || boundByLease(now, request))
+  if (request.term < currentTerm)
+    return tellTerm(from);
+  if (boundByLease(now, request))
     return;
   const bool upToDate = log.isUpToDate(request.lastTerm, request.lastNumber);
   if (request.term > currentTerm)
--- a/libs/consensus/src/fingerprint.cpp
+++ b/libs/consensus/src/fingerprint.cpp
@@ -49,6 +49,7 @@
   for (const auto& [peer, progress] : core.peers) {
     writer(peer)(progress.nextNumber)(progress.matchedNumber)(progress.sendWholeUpTo)(progress.heardAt);
     writer(progress.sentAt)(progress.progressAt)(progress.leasePromisedFrom)(progress.leaveAskedAt);
+    writer(progress.leaveFirstAskedAt);
     writer(progress.snapshotUnderWay);
   }
   for (const auto& [id, at] : core.heartbeatSentAt)
--- a/libs/consensus/src/follower.cpp
+++ b/libs/consensus/src/follower.cpp
@@ -30,11 +30,8 @@
 void RaftNode::Core::onAppendEntries(Instant now, const MemberId& from, AppendEntries message) {
   AppendEntriesResponse mismatch;
   mismatch.mismatch = true;
-  if (message.term < currentTerm) {
-    AppendEntriesResponse newerTerm;
-    newerTerm.term = currentTerm;
-    return send(from, newerTerm);
-  }
+  if (message.term < currentTerm)
+    return tellTerm(from);
   if (!followLeader(now, from, message.term, message.leaderHasLease))
     return;
   mismatch.term = currentTerm;
--- a/libs/consensus/src/membership.cpp
+++ b/libs/consensus/src/membership.cpp
@@ -142,7 +142,13 @@
   if (role != Role::leader)
     return;
   trackPeer(now, from);
-  peers[from].leaveAskedAt = now;
+  auto& progress = peers[from];
+  const bool first = !isLeaving(now, progress);
+  progress.leaveAskedAt = now;
+  if (first) {
+    progress.leaveFirstAskedAt = now;
+    heartbeat(now);
+  }
   tickMembership(now);
   if (canDoWithout(now, from))
     send(from, LeaveResponse{currentTerm});
@@ -155,19 +161,27 @@
     return false;
   if (!log.config().isVoter(member))
     return true;
-  return !learnerCatchingUp(now) && holdsCommitted(member);
+  return !learnerCatchingUp(now) && othersHoldCommitted(member);
 }
-bool RaftNode::Core::holdsCommitted(const MemberId& without) const {
+// Counted are voters that have answered a heartbeat sent since the member asked: one whose disk was lost a moment ago,
+// unknown here, answers under that name no more.
+bool RaftNode::Core::othersHoldCommitted(const MemberId& without) const {
   const auto& voters = log.config().voters;
+  const auto leaver = peers.find(without);
   std::size_t holding = 0, others = 0;
   for (const auto& voter : voters) {
     if (voter == without)
       continue;
     ++others;
+    if (voter == self) {
+      holding += persistedNumber >= commitNumber;
+      continue;
+    }
     const auto peer = peers.find(voter);
-    const auto onDisk = voter == self ? persistedNumber : peer == peers.end() ? 0 : peer->second.matchedNumber;
-    if (onDisk >= commitNumber)
-      ++holding;
+    if (peer == peers.end() || leaver == peers.end())
+      continue;
+    const bool answered = peer->second.leasePromisedFrom >= leaver->second.leaveFirstAskedAt;
+    holding += answered && peer->second.matchedNumber >= commitNumber;
   }
   return holding >= std::min(majorityOf(voters.size()), others);
 }
--- a/libs/consensus/src/peer_progress.hpp
+++ b/libs/consensus/src/peer_progress.hpp
@@ -10,7 +10,8 @@
   Instant sentAt{};
   Instant progressAt{};
   Instant leasePromisedFrom{};  // when the newest heartbeat was sent that it has answered
-  Instant leaveAskedAt{};
+  Instant leaveAskedAt{};       // the newest request to leave
+  Instant leaveFirstAskedAt{};  // the first one of an unbroken row
   bool snapshotUnderWay = false;
 };
 }  // namespace zc
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -96,6 +96,7 @@
   bool boundByLease(Instant now, const VoteRequest& request) const;
   void onVoteRequest(Instant now, const MemberId& from, const VoteRequest& request);
   void onPreVoteRequest(Instant now, const MemberId& from, const VoteRequest& request);
+  void tellTerm(const MemberId& to);
   void onVoteResponse(Instant now, const MemberId& from, const VoteResponse& response);
   void onTransferLeadership(Instant now, const TransferLeadership& message);
 
@@ -142,6 +143,6 @@
   void onJoinRequest(Instant now, const MemberId& from, const JoinRequest& request);
   void onLeaveRequest(Instant now, const MemberId& from);
   bool canDoWithout(Instant now, const MemberId& member) const;
-  bool holdsCommitted(const MemberId& member) const;
+  bool othersHoldCommitted(const MemberId& without) const;
 };
 }  // namespace zc
--- a/libs/controller/src/core_context.hpp
+++ b/libs/controller/src/core_context.hpp
@@ -15,7 +15,7 @@
   ReplicatedState copy;
   std::shared_ptr<const Configuration> configuration;  // of the copy, parsed; none yet: null
   PartialView view;                                    // of the other machines
-  std::int64_t seedsDeclined = 0;  // starts with settings whose seeds name nobody to join
+  std::int64_t seedsDeclined = 0;                      // starts with settings whose seeds name nobody to join
 
   bool isLeader() const { return raft->role() == Role::leader; }
   /// Another machine leads, as far as is known here.
--- a/tests/chunked_test.cpp
+++ b/tests/chunked_test.cpp
@@ -10,7 +10,7 @@
       "X-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::string body = "0\r\n\r\n";
   for (std::size_t cut = 1; cut < body.size(); ++cut)
-    inHarbour([&](Harbour& h) {
+    withProxy([&](TestProxy& h) {
       auto r = h.runner("i-1", answers);
       auto w = h.dial();
       Buffer buffer;
--- a/tests/fuzz/frames_fuzzer.cpp
+++ b/tests/fuzz/frames_fuzzer.cpp
@@ -1,5 +1,6 @@
 // Frames of the fleet's own connections, as the network may bring them: whole, in parts, in pieces, or none of ours.
 #include "fuzz_target.hpp"
+#include "transport/access_messages.hpp"
 #include "transport/peer_link.hpp"
 
 namespace {
@@ -29,11 +30,19 @@
 }
 std::vector<std::string> frameExamples() {
   Entry entry;
-  entry.num = 7, entry.term = 3, entry.kind = 2, entry.opId = "runner/i1/in/4", entry.blob = "blob";
-  Msg feed = msgOf(Kind::feed);
-  feed.from = "10.0.0.1#0", feed.num = 7, feed.entries = {entry, entry}, feed.names = {"a", "b"};
-  Msg lease = msgOf(Kind::lease);
-  lease.ok = true, lease.nonce = 9, lease.grants = {{"tenant", 1.5, 2}};
+  entry.num = 7;
+  entry.term = 3;
+  entry.kind = 2;
+  entry.opId = "runner/i1/in/4";
+  entry.blob = "blob";
+  FeedEntries entries;
+  entries.entries = {entry, entry};
+  const auto feed = pack(entries, "10.0.0.1#0");
+  LeaseAnswer answer;
+  answer.granted = true;
+  answer.question = 9;
+  answer.grants = {{"tenant", 1.5, 2}};
+  const auto lease = pack(answer);
   const auto whole = frameOf(feed);
   const std::string readAll(1, '\xff'), readByByte(1, '\0');
   std::string pieces;
