A model checker for the consensus code: worlds as values, a search and seeded walks

Change: tests/model_*: every delivery, sync, tick, crash and cut is an action; breadth-first search with hashed states, and walks; named invariants.

--- a/libs/consensus/include/consensus/raft_node.hpp
+++ b/libs/consensus/include/consensus/raft_node.hpp
@@ -15,6 +15,8 @@
   bool voteBeforeSync = false;
   bool leaseOutlivesStepDown = false;
   bool separateMajorities = false;  // a change of voters skips the joint configuration
+  // A newcomer only takes a silent voter's place or is added; a voter that fell silent before is never removed.
+  bool newcomerIsAddedOnly = false;
 };
 struct RaftOptions {
   Span heartbeatInterval{120};
--- a/libs/consensus/src/membership.cpp
+++ b/libs/consensus/src/membership.cpp
@@ -10,6 +10,20 @@
 constexpr int kSupersededAfterHeartbeats = 3;
 constexpr int kLostAfterElections = 3;  // a voter without a leader for so many election timeouts asks anybody
 constexpr int kLeavingForIntervals = 10;
+// For `PlantedFaults::newcomerIsAddedOnly`.
+std::vector<MemberId> addNewcomersOnly(const std::vector<VoterStatus>& voters, const std::vector<MemberId>& learners) {
+  std::vector<MemberId> chosen, silent;
+  for (const auto& voter : voters) {
+    const bool lost = voter.health == VoterHealth::silent || voter.health == VoterHealth::superseded;
+    (lost ? silent : chosen).push_back(voter.id);
+  }
+  chosen.insert(chosen.end(), learners.begin(), learners.end());
+  while (chosen.size() < voters.size()) {
+    chosen.push_back(silent.back());
+    silent.pop_back();
+  }
+  return chosen;
+}
 }  // namespace
 
 void RaftNode::Core::tickMembership(Instant now) {
@@ -18,7 +32,10 @@
     return;
   if (log.config().joint())
     return leaveJointConfig(now);
-  auto chosen = chooseVoters(voterStatus(now), readyLearners(now), options.mostVoters);
+  const auto status = voterStatus(now);
+  const auto learners = readyLearners(now);
+  auto chosen = options.faults.newcomerIsAddedOnly ? addNewcomersOnly(status, learners)
+                                                   : chooseVoters(status, learners, options.mostVoters);
   auto present = log.config().voters;
   std::sort(chosen.begin(), chosen.end());
   std::sort(present.begin(), present.end());
--- /dev/null
+++ b/tests/model_checker.cpp
@@ -0,0 +1,158 @@
+#include "model_checker.hpp"
+
+#include <random>
+#include <unordered_set>
+
+namespace zc::model {
+namespace {
+struct Visited {
+  std::size_t parent = 0;
+  Action action;
+  std::size_t depth = 0;
+};
+struct Waiting {
+  std::size_t index = 0;
+  World world;
+};
+// Leaders of each term are remembered when they are first seen.
+void rememberLeaders(World& world) {
+  for (const auto& machine : world.machines) {
+    if (!machine->raft || machine->raft->role() != Role::leader)
+      continue;
+    const auto term = machine->raft->term();
+    if (world.history->leaders.count(term))
+      continue;
+    auto longer = std::make_shared<History>(*world.history);
+    longer->leaders[term] = machine->id;
+    world.history = std::move(longer);
+  }
+}
+bool beyondTerms(const World& world) {
+  return std::any_of(world.machines.begin(), world.machines.end(), [&](const auto& machine) {
+    return machine->raft && machine->raft->term() > world.left.mostTerms;
+  });
+}
+std::vector<std::string> describeActions(World world, const std::vector<Action>& actions) {
+  std::vector<std::string> trace;
+  for (const auto& action : actions) {
+    trace.push_back(world.describe(action));
+    world.apply(action);
+    rememberLeaders(world);
+  }
+  return trace;
+}
+std::vector<Action> pathTo(const std::vector<Visited>& visited, std::size_t index) {
+  std::vector<Action> path;
+  for (; index != 0; index = visited[index].parent)
+    path.push_back(visited[index].action);
+  std::reverse(path.begin(), path.end());
+  return path;
+}
+// How likely a walk takes an action, against others: rare ones would else be drowned by the deliveries.
+std::uint64_t weightOf(ActionKind kind) {
+  switch (kind) {
+    case ActionKind::deliver:
+    case ActionKind::sync:
+      return 24;
+    case ActionKind::tick:
+    case ActionKind::advanceTime:
+      return 16;
+    case ActionKind::exitAllowed:
+      return 8;
+    default:
+      return 2;
+  }
+}
+Action drawAction(const std::vector<Action>& actions, std::mt19937_64& random) {
+  std::uint64_t sum = 0;
+  for (const auto& action : actions)
+    sum += weightOf(action.kind);
+  auto draw = random() % sum;
+  for (const auto& action : actions) {
+    if (draw < weightOf(action.kind))
+      return action;
+    draw -= weightOf(action.kind);
+  }
+  return actions.back();
+}
+}  // namespace
+
+std::string SearchResult::summary() const {
+  return std::to_string(distinct) + " distinct states, " + std::to_string(transitions) + " transitions, depth " +
+         std::to_string(depth) + (exhausted ? ", exhausted" : ", not exhausted");
+}
+SearchResult search(const World& start, const SearchLimits& limits) {
+  SearchResult result;
+  std::vector<Visited> visited(1);
+  std::unordered_set<std::uint64_t> seen{start.hash()};
+  std::deque<Waiting> waiting;
+  waiting.push_back({0, start});
+  rememberLeaders(waiting.front().world);
+  bool cutShort = false;
+  while (!waiting.empty()) {
+    const auto current = std::move(waiting.front());
+    waiting.pop_front();
+    for (const auto& action : current.world.possibleActions()) {
+      if (visited.size() >= limits.states) {
+        cutShort = true;
+        break;
+      }
+      auto next = current.world;
+      next.apply(action);
+      ++result.transitions;
+      const auto broken = brokenInvariant(next);
+      rememberLeaders(next);
+      if (broken.empty() && !seen.insert(next.hash()).second)
+        continue;
+      visited.push_back({current.index, action, visited[current.index].depth + 1});
+      result.depth = visited.back().depth;
+      result.violation = broken;
+      const bool look = limits.afterTroubleEvery > 0 && visited.size() % limits.afterTroubleEvery == 0;
+      if (broken.empty() && look)
+        result.violation = brokenAfterTrouble(next);
+      if (!result.violation.empty()) {
+        result.distinct = visited.size();
+        result.trace = describeActions(start, pathTo(visited, visited.size() - 1));
+        return result;
+      }
+      if (!beyondTerms(next))
+        waiting.push_back({visited.size() - 1, std::move(next)});
+    }
+    if (cutShort)
+      break;
+  }
+  result.distinct = visited.size();
+  result.exhausted = !cutShort;
+  return result;
+}
+SearchResult walk(const World& start, const WalkLimits& limits) {
+  SearchResult result;
+  std::unordered_set<std::uint64_t> seen;
+  for (std::size_t number = 0; number < limits.walks; ++number) {
+    std::mt19937_64 random(limits.seed + number);
+    auto world = start;
+    rememberLeaders(world);
+    std::vector<Action> path;
+    while (path.size() < limits.steps && result.violation.empty() && !beyondTerms(world)) {
+      const auto actions = world.possibleActions();
+      if (actions.empty())
+        break;
+      path.push_back(drawAction(actions, random));
+      world.apply(path.back());
+      ++result.transitions;
+      result.violation = brokenInvariant(world);
+      rememberLeaders(world);
+      seen.insert(world.hash());
+    }
+    result.depth = std::max(result.depth, path.size());
+    if (result.violation.empty())
+      result.violation = brokenAfterTrouble(world);
+    if (!result.violation.empty()) {
+      result.trace = describeActions(start, path);
+      break;
+    }
+  }
+  result.distinct = seen.size();
+  return result;
+}
+}  // namespace zc::model
--- /dev/null
+++ b/tests/model_checker.hpp
@@ -0,0 +1,31 @@
+// A model checker for the consensus code: a breadth-first search over all orders of events from a starting world,
+// and seeded walks that go deep. Deterministic: limits are numbers of states, never time.
+#pragma once
+#include "model_world.hpp"
+
+namespace zc::model {
+// The name of an invariant that the world breaks; empty: none.
+std::string brokenInvariant(const World& world);
+// Trouble ends here: a leader with a lease must come, a write must commit, and the losses owed must be borne.
+std::string brokenAfterTrouble(World world);
+
+struct SearchLimits {
+  std::size_t states = 10000;        // distinct ones
+  std::size_t afterTroubleEvery = 0;  // how many states pass between two looks at how trouble ends; 0: none
+};
+struct WalkLimits {
+  std::size_t walks = 100, steps = 200;
+  std::uint64_t seed = 1;
+};
+struct SearchResult {
+  std::string violation;            // empty: none found
+  std::vector<std::string> trace;   // the actions that lead to it
+  std::size_t distinct = 0;         // states
+  std::size_t transitions = 0;
+  std::size_t depth = 0;
+  bool exhausted = false;  // no state within the budgets was left out
+  std::string summary() const;
+};
+SearchResult search(const World& start, const SearchLimits& limits);
+SearchResult walk(const World& start, const WalkLimits& limits);
+}  // namespace zc::model
--- /dev/null
+++ b/tests/model_checker_test.cpp
@@ -0,0 +1,111 @@
+// The model checker on the consensus code, and on planted faults, which it must find.
+// A longer search: tools/model_check.sh [STATES].
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "model_checker.hpp"
+
+using namespace zc;
+using namespace zc::model;
+namespace {
+constexpr std::size_t kStatesInCi = 12000;
+constexpr std::size_t kWalksInCi = 60;
+constexpr std::size_t kStatesPerWalk = 200;
+constexpr Span kElected{1500};
+
+std::size_t statesToVisit() {
+  const char* text = std::getenv("ZINCCLEAT_MODEL_STATES");
+  return text ? static_cast<std::size_t>(std::strtoull(text, nullptr, 10)) : kStatesInCi;
+}
+std::size_t walksToTake() {
+  return statesToVisit() * kWalksInCi / kStatesInCi;
+}
+// Machine a leads, an entry is committed everywhere.
+World led(const PlantedFaults& faults = {}) {
+  auto options = modelOptions();
+  options.faults = faults;
+  World world(options);
+  world.left.mostInFlight = 1000;
+  world.runFairly(kElected);
+  must(world.leaderWithLease() < kMachines, "the fair run elects a leader");
+  return world;
+}
+void print(const char* what, const SearchResult& result) {
+  std::printf("%s: %s\n", what, result.summary().c_str());
+  if (result.violation.empty())
+    return;
+  std::printf("  broken: %s\n", result.violation.c_str());
+  for (const auto& action : result.trace)
+    std::printf("    %s\n", action.c_str());
+}
+void expectSound(const char* what, const SearchResult& result) {
+  print(what, result);
+  EXPECT_EQ(result.violation, "") << what;
+}
+void expectFound(const char* what, const SearchResult& result, const std::string& violation) {
+  print(what, result);
+  EXPECT_EQ(result.violation, violation) << what;
+}
+Budgets allTrouble() {
+  Budgets budgets;
+  budgets.crashes = 2;
+  budgets.wipes = 1;
+  budgets.leaves = 1;
+  budgets.cuts = 1;
+  budgets.freezes = 1;
+  budgets.duplicates = 1;
+  budgets.losses = 2;
+  budgets.writes = 2;
+  budgets.spares = 1;
+  budgets.timeSteps = 40;
+  budgets.mostTerms = 6;
+  budgets.mostInFlight = 16;
+  return budgets;
+}
+}  // namespace
+
+TEST(ModelChecker, FirstElection) {
+  World world(modelOptions());
+  world.left.crashes = 1;
+  world.left.timeSteps = 6;
+  world.left.mostTerms = 2;
+  world.left.mostInFlight = 6;
+  expectSound("first election", search(world, {statesToVisit(), 500}));
+}
+TEST(ModelChecker, CrashesUnderALeader) {
+  auto world = led();
+  world.left = Budgets{};
+  world.left.crashes = 2;
+  world.left.writes = 1;
+  world.left.timeSteps = 6;
+  world.left.mostInFlight = 6;
+  expectSound("crashes under a leader", search(world, {statesToVisit(), 500}));
+}
+TEST(ModelChecker, PlannedLeaveAndSpare) {
+  auto world = led();
+  world.left = Budgets{};
+  world.left.leaves = 1;
+  world.left.spares = 1;
+  world.left.crashes = 1;
+  world.left.timeSteps = 8;
+  world.left.mostInFlight = 6;
+  expectSound("planned leave and spare", search(world, {statesToVisit(), 200}));
+}
+TEST(ModelChecker, WalksThroughAllTrouble) {
+  auto world = led();
+  world.left = allTrouble();
+  expectSound("walks through all trouble", walk(world, {walksToTake(), kStatesPerWalk, 1}));
+}
+TEST(ModelChecker, FindsACommitWithoutMajority) {
+  PlantedFaults faults;
+  faults.commitWithoutMajority = true;
+  World world([&] {
+    auto options = modelOptions();
+    options.faults = faults;
+    return options;
+  }());
+  world.left.timeSteps = 8;
+  expectFound("commit without majority", walk(world, {walksToTake(), kStatesPerWalk, 1}),
+              "committed without a quorum's disks");
+}
--- /dev/null
+++ b/tests/model_invariants.cpp
@@ -0,0 +1,135 @@
+// What must hold in each state of a model world.
+#include "model_checker.hpp"
+
+namespace zc::model {
+namespace {
+constexpr Span kTroubleForgotten{6000};  // of the model's time, in which all must be well again
+constexpr Span kWriteTakes{1000};
+
+// Whether any quorum of one overlaps with any quorum of the other.
+bool quorumsOverlap(const ClusterConfig& one, const ClusterConfig& other) {
+  auto members = one.allVoters();
+  for (const auto& member : other.allVoters())
+    if (!one.isVoter(member))
+      members.push_back(member);
+  for (std::uint32_t subset = 0; subset < (1u << members.size()); ++subset) {
+    const auto inSubset = [&](const MemberId& member) {
+      const auto at = static_cast<std::size_t>(std::find(members.begin(), members.end(), member) - members.begin());
+      return (subset & (1u << at)) != 0;
+    };
+    if (one.hasQuorum(inSubset) && other.hasQuorum([&](const MemberId& member) { return !inSubset(member); }))
+      return false;
+  }
+  return true;
+}
+std::string checkLeases(const World& world) {
+  std::size_t leases = 0;
+  for (const auto& machine : world.machines) {
+    if (!machine->raft || !machine->raft->hasLease(world.now))
+      continue;
+    ++leases;
+    const auto& committed = world.history->committed;
+    if (!committed.empty() && machine->raft->commitNumber() < committed.rbegin()->first)
+      return "a lease whose owner lacks what is committed";
+  }
+  return leases > 1 ? "two leases at a moment" : "";
+}
+std::string checkLeaders(const World& world) {
+  for (const auto& machine : world.machines) {
+    if (!machine->raft || machine->raft->role() != Role::leader)
+      continue;
+    const auto& node = *machine->raft;
+    const auto known = world.history->leaders.find(node.term());
+    if (known != world.history->leaders.end() && known->second != node.self())
+      return "two leaders in a term";
+    for (const auto& [number, entry] : world.history->committed) {
+      const auto* held = node.entryAt(number);
+      const bool missing = number >= node.firstNumber() && (!held || contentOf(*held) != entry.content);
+      if (missing && node.term() > entry.committedInTerm)
+        return "a leader lacks what is committed";
+    }
+  }
+  return {};
+}
+std::string checkLogs(const World& world) {
+  for (std::size_t one = 0; one < kMachines; ++one)
+    for (std::size_t other = one + 1; other < kMachines; ++other) {
+      if (!world.machines[one]->raft || !world.machines[other]->raft)
+        continue;
+      const auto& left = *world.machines[one]->raft;
+      const auto& right = *world.machines[other]->raft;
+      for (auto number = left.firstNumber(); left.entryAt(number); ++number) {
+        const auto* entry = right.entryAt(number);
+        if (entry && entry->term == left.entryAt(number)->term && contentOf(*entry) != contentOf(*left.entryAt(number)))
+          return "two entries of one term under one number";
+      }
+    }
+  return {};
+}
+std::string checkConfigs(const World& world) {
+  for (const auto& machine : world.machines) {
+    if (!machine->raft)
+      continue;
+    std::optional<ClusterConfig> before;
+    for (auto number = machine->raft->firstNumber(); const auto* entry = machine->raft->entryAt(number); ++number) {
+      if (entry->op() != OpKind::members)
+        continue;
+      auto config = decodeConfig(entry->blob);
+      if (!before)  // the founders': the model compacts no log
+        before = ClusterConfig{{"a#0", "b#0", "c#0"}, {}};
+      if (!quorumsOverlap(*before, config))
+        return "two configurations without overlapping majorities";
+      before = std::move(config);
+    }
+  }
+  return {};
+}
+// Once nothing is in flight: with three or more machines that live, the loss of any one of them must be borne.
+std::string checkTolerance(const World& world, std::size_t leader) {
+  std::size_t living = 0;
+  for (const auto& machine : world.machines)
+    living += machine->raft != nullptr;
+  const auto& config = world.machines[leader]->raft->config();
+  if (living < kFounders)
+    return {};
+  for (const auto& lost : world.machines) {
+    const bool borne = config.hasQuorum([&](const MemberId& voter) {
+      return std::any_of(world.machines.begin(), world.machines.end(),
+                         [&](const auto& machine) { return machine->raft && machine != lost && machine->id == voter; });
+    });
+    if (!borne)
+      return "the loss of " + lost->id + " would stop " + encodeConfig(config);
+  }
+  return {};
+}
+}  // namespace
+
+std::string brokenInvariant(const World& world) {
+  if (!world.violation.empty())
+    return world.violation;
+  for (const auto check : {checkLeases, checkLeaders, checkLogs, checkConfigs}) {
+    auto broken = check(world);
+    if (!broken.empty())
+      return broken;
+  }
+  return {};
+}
+std::string brokenAfterTrouble(World world) {
+  world.healAll();
+  world.runFairly(kTroubleForgotten);
+  auto broken = brokenInvariant(world);
+  if (!broken.empty())
+    return broken;
+  const auto leader = world.leaderWithLease();
+  if (leader == kMachines)
+    return "no leader after the trouble";
+  const auto before = world.machines[leader]->raft->commitNumber();
+  world.left.writes = 1;
+  world.apply({ActionKind::write});
+  world.runFairly(kWriteTakes);
+  if (world.machines[leader]->raft && world.machines[leader]->raft->commitNumber() <= before)
+    return "no write commits after the trouble";
+  const auto tolerance = checkTolerance(world, leader);
+  return tolerance.empty() ? brokenInvariant(world) : tolerance;
+}
+}  // namespace zc::model
--- /dev/null
+++ b/tests/model_world.cpp
@@ -0,0 +1,505 @@
+#include "model_world.hpp"
+
+#include "transport/avro.hpp"
+
+namespace zc::model {
+namespace {
+constexpr std::array<const char*, kMachines> kAddresses = {"a", "b", "c", "d"};
+constexpr std::uint64_t kJitterSeed = 1;
+constexpr int kRoundsPerStep = 60;  // more events than one step of a fair run ever needs
+
+std::size_t machineAt(const std::string& address) {
+  return static_cast<std::size_t>(address.at(0) - 'a');
+}
+MemberId identityOf(const std::string& address, int number) {
+  return address + "#" + std::to_string(number);
+}
+std::vector<MemberId> founders() {
+  std::vector<MemberId> ids;
+  for (std::size_t machine = 0; machine < kFounders; ++machine)
+    ids.push_back(identityOf(kAddresses[machine], 0));
+  return ids;
+}
+std::uint64_t mix(std::uint64_t hash, const std::string& text) {
+  return hash64(text, hash);
+}
+// What a restart would make of a disk.
+RaftNode recovered(const Machine& machine, Instant now) {
+  RaftNode node(machine.id, modelOptions(), kJitterSeed, now);
+  node.recover(machine.disk, now);
+  return node;
+}
+std::string nameOf(const ConsensusMessage& message) {
+  constexpr std::array<const char*, std::variant_size_v<ConsensusMessage>> names = {
+      "VoteRequest",        "VoteResponse", "AppendEntries", "AppendEntriesResponse", "InstallSnapshot",
+      "TransferLeadership", "JoinRequest",  "LeaveRequest",  "LeaveResponse",         "EntryBody"};
+  return names[message.index()];
+}
+std::string detailOf(const ConsensusMessage& message) {
+  if (const auto* request = std::get_if<VoteRequest>(&message))
+    return " term " + std::to_string(request->term) + (request->preVote ? " (pre-vote)" : "");
+  if (const auto* response = std::get_if<VoteResponse>(&message))
+    return " term " + std::to_string(response->term) + (response->preVote ? " (pre-vote)" : "");
+  if (const auto* append = std::get_if<AppendEntries>(&message))
+    return " term " + std::to_string(append->term) + ", " + std::to_string(append->entries.size()) + " after " +
+           std::to_string(append->previousNumber) + ", committed " + std::to_string(append->commitNumber);
+  if (const auto* response = std::get_if<AppendEntriesResponse>(&message))
+    return " term " + std::to_string(response->term) + ", matched " + std::to_string(response->matchedNumber) +
+           (response->mismatch ? " (mismatch)" : "");
+  return {};
+}
+}  // namespace
+
+RaftOptions modelOptions() {
+  RaftOptions options;
+  options.tickInterval = kTimeStep;
+  options.heartbeatInterval = kTimeStep;
+  options.lease = kTimeStep * 3;
+  options.leaseMargin = kTimeStep / 2;
+  options.electionTimeout = kTimeStep * 4;
+  options.electionTimeoutSpread = Span(1);
+  options.voteRetry = kTimeStep * 2;
+  options.resendAfter = kTimeStep * 2;
+  options.joinInterval = kTimeStep * 2;
+  options.leaveInterval = kTimeStep;
+  options.silentAfter = kTimeStep * 8;
+  options.syncStalledAfter = kTimeStep * 4;
+  return options;
+}
+std::string contentOf(const Entry& entry) {
+  return std::to_string(entry.term) + "|" + std::to_string(entry.kind) + "|" + entry.opId + "|" + entry.blob;
+}
+bool diskHolds(const Machine& machine, const Entry& entry) {
+  if (machine.disk.empty())
+    return false;
+  const auto node = recovered(machine, Instant(std::chrono::seconds(1)));
+  if (entry.num < node.firstNumber())
+    return true;
+  const auto* held = node.entryAt(entry.num);
+  return held && held->term == entry.term;
+}
+std::uint64_t Machine::hash(Instant now) const {
+  if (hashedAt_ == now)
+    return hash_;
+  auto text = id + "," + std::to_string(frozen) + std::to_string(leaving) + std::to_string(gone);
+  text += "," + std::to_string(identities) + "," + std::to_string(diskHash) + ",";
+  for (const auto& record : pending) {
+    auto unnumbered = record.record;
+    unnumbered.seq = 0;
+    text += avro::encode(unnumbered);
+  }
+  if (raft)
+    text += raft->fingerprint(now);
+  hashedAt_ = now;
+  return hash_ = hash64(text);
+}
+
+World::World(const RaftOptions& raftOptions) : options(raftOptions) {
+  for (std::size_t machine = 0; machine < kMachines; ++machine) {
+    auto fresh = std::make_shared<Machine>();
+    fresh->address = kAddresses[machine];
+    machines[machine] = std::move(fresh);
+  }
+  for (std::size_t machine = 0; machine < kFounders; ++machine)
+    start(machine);
+}
+Machine& World::change(std::size_t machine) {
+  auto copy = std::make_shared<Machine>(*machines[machine]);
+  copy->hashedAt_ = {};
+  auto& changed = *copy;
+  machines[machine] = std::move(copy);
+  return changed;
+}
+template <class Event>
+void World::feed(std::size_t machine, Event event) {
+  auto& changed = change(machine);
+  auto node = std::make_shared<RaftNode>(*changed.raft);
+  const bool couldExit = node->mayExit();
+  event(*node);
+  auto actions = node->takeActions();
+  const bool exitGranted = !couldExit && node->mayExit();
+  changed.raft = std::move(node);
+  carryOut(machine, std::move(actions));
+  if (exitGranted)
+    noteExit(machine);
+}
+void World::carryOut(std::size_t machine, std::vector<RaftAction> actions) {
+  for (auto& action : actions) {
+    if (const auto* message = std::get_if<SendMessage>(&action))
+      post(machine, *message);
+    else if (const auto* record = std::get_if<PersistRecord>(&action))
+      change(machine).pending.push_back(*record);
+    else if (const auto* applied = std::get_if<ApplyEntry>(&action))
+      noteCommitted(machine, applied->entry);
+  }
+}
+void World::post(std::size_t machine, const SendMessage& action) {
+  noteVote(machine, action);
+  const auto receiver = machineAt(addressOf(action.to));
+  if (cut.count({machine, receiver}) || inFlight.size() >= left.mostInFlight)
+    return;
+  auto message = std::make_shared<Message>();
+  message->from = machines[machine]->id;
+  message->sender = machine;
+  message->receiver = receiver;
+  message->content = action.message;
+  message->bytes = message->from + ">" + addressOf(action.to) + ":" + encodeMessage(action.message);
+  const auto at = std::lower_bound(inFlight.begin(), inFlight.end(), message,
+                                   [](const auto& one, const auto& other) { return one->bytes < other->bytes; });
+  inFlight.insert(at, std::move(message));
+}
+// A vote counts as given once it is told: a response, or a candidate's own with its requests.
+void World::noteVote(std::size_t machine, const SendMessage& action) {
+  std::string candidate;
+  std::int64_t term = 0;
+  if (const auto* response = std::get_if<VoteResponse>(&action.message); response && !response->preVote) {
+    candidate = addressOf(action.to);
+    term = response->term;
+  }
+  if (const auto* request = std::get_if<VoteRequest>(&action.message); request && !request->preVote) {
+    candidate = machines[machine]->address;
+    term = request->term;
+  }
+  if (candidate.empty())
+    return;
+  const auto key = std::make_pair(machines[machine]->id, term);
+  const auto given = history->votes.find(key);
+  if (given != history->votes.end()) {
+    if (given->second != candidate)
+      blame("two votes of one member in a term");
+    return;
+  }
+  auto longer = std::make_shared<History>(*history);
+  longer->votes[key] = candidate;
+  history = std::move(longer);
+}
+void World::noteCommitted(std::size_t machine, const Entry& entry) {
+  const auto& node = *machines[machine]->raft;
+  const auto known = history->committed.find(entry.num);
+  if (known != history->committed.end()) {
+    if (known->second.content != contentOf(entry))
+      blame("two values under one number");
+    return;
+  }
+  const bool onQuorum = node.config().hasQuorum([&](const MemberId& voter) {
+    const auto& holder = *machines[machineAt(addressOf(voter))];
+    return history->lostIdentities.count(voter) || (holder.id == voter && diskHolds(holder, entry));
+  });
+  if (!onQuorum)
+    blame("committed without a quorum's disks");
+  auto longer = std::make_shared<History>(*history);
+  longer->committed[entry.num] = {contentOf(entry), node.term()};
+  history = std::move(longer);
+}
+// A member that may end must leave a majority whose disks still exist and hold all that is committed.
+void World::noteExit(std::size_t machine) {
+  const auto leader = leaderWithLease();
+  const auto& config = machines[leader < kMachines ? leader : machine]->raft->config();
+  const auto& leaving = machines[machine]->id;
+  const bool last = config.voters == std::vector<MemberId>{leaving};
+  const bool majorityRemains = config.hasQuorum([&](const MemberId& voter) {
+    return voter != leaving && !history->lostIdentities.count(voter);
+  });
+  if (!last && !majorityRemains)
+    blame("a member may end though no majority is left without it");
+}
+void World::blame(const std::string& invariant) {
+  if (violation.empty())
+    violation = invariant;
+}
+void World::deliver(std::size_t index, bool keep) {
+  const auto message = inFlight[index];
+  if (!keep)
+    inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(index));
+  if (!machines[message->receiver]->raft || cut.count({message->sender, message->receiver}))
+    return;
+  feed(message->receiver, [&](RaftNode& node) { node.receive(now, message->from, message->content); });
+}
+void World::sync(std::size_t machine) {
+  auto& changed = change(machine);
+  const auto record = changed.pending.front();
+  changed.pending.pop_front();
+  changed.disk.push_back(record.record);
+  changed.diskHash = hash64(recovered(changed, now).fingerprint(now));
+  feed(machine, [&](RaftNode& node) { node.persisted(now, record.ticket, true); });
+}
+void World::start(std::size_t machine) {
+  auto& changed = change(machine);
+  const bool founder = machine < kFounders && changed.identities <= 1;
+  if (changed.disk.empty()) {
+    if (!founder || changed.identities == 0)
+      changed.id = identityOf(changed.address, changed.identities++);
+  }
+  auto node = std::make_shared<RaftNode>(changed.id, options, kJitterSeed, now);
+  node->setSeeds({kAddresses.begin(), kAddresses.begin() + kFounders});
+  if (!changed.disk.empty())
+    node->recover(changed.disk, now);
+  else if (founder)
+    node->found(founders(), now);
+  auto actions = node->takeActions();
+  changed.raft = std::move(node);
+  carryOut(machine, std::move(actions));
+}
+void World::stop(std::size_t machine) {
+  auto& changed = change(machine);
+  changed.raft.reset();
+  changed.pending.clear();
+  changed.frozen = false;
+  changed.leaving = false;
+  ticked &= ~(1u << machine);
+}
+void World::loseDisk(std::size_t machine) {
+  auto& changed = change(machine);
+  changed.disk.clear();
+  changed.diskHash = 0;
+  changed.identities = std::max(changed.identities, 2);  // never founds again
+  auto longer = std::make_shared<History>(*history);
+  longer->lostIdentities.insert(changed.id);
+  history = std::move(longer);
+}
+void World::advanceTime() {
+  now += kTimeStep;
+  ticked = 0;
+}
+void World::write() {
+  const auto leader = leaderWithLease();
+  Entry entry;
+  entry.opId = "w" + std::to_string(left.writes);
+  feed(leader, [&](RaftNode& node) { node.submit(now, entry); });
+}
+void World::cutOff(std::size_t machine, bool incoming, bool outgoing) {
+  cutMachine = machine;
+  for (std::size_t other = 0; other < kMachines; ++other) {
+    if (other == machine)
+      continue;
+    if (incoming)
+      cut.insert({other, machine});
+    if (outgoing)
+      cut.insert({machine, other});
+  }
+}
+std::size_t World::leaderWithLease() const {
+  for (std::size_t machine = 0; machine < kMachines; ++machine)
+    if (running(machine) && machines[machine]->raft->hasLease(now))
+      return machine;
+  return kMachines;
+}
+bool World::bearsLossOf(std::size_t machine) const {
+  const auto leader = leaderWithLease();
+  if (leader == kMachines)
+    return false;
+  const auto& config = machines[leader]->raft->config();
+  const auto& committed = history->committed;
+  return config.hasQuorum([&](const MemberId& voter) {
+    const auto at = machineAt(addressOf(voter));
+    const auto& holder = *machines[at];
+    const bool lives = at != machine && holder.id == voter && running(at) && !holder.leaving && at != cutMachine;
+    return lives && holder.raft->commitNumber() >= (committed.empty() ? 0 : committed.rbegin()->first);
+  });
+}
+
+std::vector<Action> World::possibleActions() const {
+  std::vector<Action> actions;
+  for (std::size_t message = 0; message < inFlight.size(); ++message) {
+    if (message > 0 && inFlight[message]->bytes == inFlight[message - 1]->bytes)
+      continue;  // two equal messages: one choice
+    if (!machines[inFlight[message]->receiver]->frozen)
+      actions.push_back({ActionKind::deliver, message});
+    if (left.losses > 0)
+      actions.push_back({ActionKind::lose, message});
+    if (left.duplicates > 0)
+      actions.push_back({ActionKind::duplicate, message});
+  }
+  bool allTicked = true;
+  for (std::size_t machine = 0; machine < kMachines; ++machine) {
+    addMachineActions(actions, machine);
+    allTicked = allTicked && (!running(machine) || (ticked & (1u << machine)));
+  }
+  if (allTicked && left.timeSteps > 0)
+    actions.push_back({ActionKind::advanceTime});
+  if (left.writes > 0 && leaderWithLease() < kMachines)
+    actions.push_back({ActionKind::write});
+  if (cutMachine < kMachines)
+    actions.push_back({ActionKind::heal});
+  return actions;
+}
+void World::addMachineActions(std::vector<Action>& actions, std::size_t machine) const {
+  const auto& state = *machines[machine];
+  const bool spare = machine >= kFounders;
+  if (state.gone)
+    return;
+  if (!state.raft) {
+    if (!spare || state.identities > 0)
+      actions.push_back({ActionKind::restart, machine});
+    else if (left.spares > 0)
+      actions.push_back({ActionKind::startSpare, machine});
+    return;
+  }
+  if (state.frozen)
+    return actions.push_back({ActionKind::thaw, machine});
+  if (!state.pending.empty())
+    actions.push_back({ActionKind::sync, machine});
+  if (!(ticked & (1u << machine)))
+    actions.push_back({ActionKind::tick, machine});
+  if (state.leaving && state.raft->mayExit())
+    actions.push_back({ActionKind::exitAllowed, machine});
+  else if (state.leaving && bearsLossOf(machine))
+    actions.push_back({ActionKind::killLeaving, machine});
+  addFaults(actions, machine);
+}
+void World::addFaults(std::vector<Action>& actions, std::size_t machine) const {
+  const auto& state = *machines[machine];
+  if (left.crashes > 0)
+    actions.push_back({ActionKind::crash, machine});
+  if (left.wipes > 0 && bearsLossOf(machine))
+    actions.push_back({ActionKind::wipe, machine});
+  if (left.leaves > 0 && !state.leaving)
+    actions.push_back({ActionKind::leave, machine});
+  if (left.freezes > 0)
+    actions.push_back({ActionKind::freeze, machine});
+  if (left.cuts > 0 && cutMachine == kMachines)
+    for (const auto kind : {ActionKind::cutIncoming, ActionKind::cutOutgoing, ActionKind::cutBoth})
+      actions.push_back({kind, machine});
+}
+void World::apply(const Action& action) {
+  const auto index = action.index;
+  switch (action.kind) {
+    case ActionKind::deliver:
+      return deliver(index, false);
+    case ActionKind::lose:
+      --left.losses;
+      inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(index));
+      return;
+    case ActionKind::duplicate:
+      --left.duplicates;
+      return deliver(index, true);
+    case ActionKind::sync:
+      return sync(index);
+    case ActionKind::tick:
+      ticked |= 1u << index;
+      return feed(index, [&](RaftNode& node) { node.tick(now); });
+    case ActionKind::advanceTime:
+      --left.timeSteps;
+      return advanceTime();
+    case ActionKind::write:
+      write();
+      --left.writes;
+      return;
+    case ActionKind::crash:
+      --left.crashes;
+      return stop(index);
+    case ActionKind::wipe:
+      --left.wipes;
+      stop(index);
+      return loseDisk(index);
+    case ActionKind::startSpare:
+      --left.spares;
+      return start(index);
+    case ActionKind::restart:
+      return start(index);
+    case ActionKind::leave:
+      --left.leaves;
+      change(index).leaving = true;
+      return feed(index, [&](RaftNode& node) { node.leave(now); });
+    case ActionKind::exitAllowed:
+    case ActionKind::killLeaving:
+      stop(index);
+      loseDisk(index);
+      change(index).gone = true;
+      return;
+    case ActionKind::cutIncoming:
+    case ActionKind::cutOutgoing:
+    case ActionKind::cutBoth:
+      --left.cuts;
+      return cutOff(index, action.kind != ActionKind::cutOutgoing, action.kind != ActionKind::cutIncoming);
+    case ActionKind::heal:
+      cut.clear();
+      cutMachine = kMachines;
+      return;
+    case ActionKind::freeze:
+      --left.freezes;
+      change(index).frozen = true;
+      return;
+    case ActionKind::thaw:
+      change(index).frozen = false;
+      return;
+  }
+}
+std::string World::describe(const Action& action) const {
+  constexpr std::array<const char*, 20> names = {
+      "deliver",          "lose",          "deliver and keep", "sync",         "tick",
+      "time goes on",     "write",         "crash",            "restart",      "lose the disk of",
+      "start the spare",  "leave",         "leaves for good",  "killed while leaving", "cut off what comes to",
+      "cut off what goes from", "cut off", "heal",             "freeze",       "thaw"};
+  std::string text = names[static_cast<std::size_t>(action.kind)];
+  const bool ofMessage = action.kind <= ActionKind::duplicate;
+  if (ofMessage) {
+    const auto& message = *inFlight[action.index];
+    return text + " " + message.from + " -> " + kAddresses[message.receiver] + " " + nameOf(message.content) +
+           detailOf(message.content);
+  }
+  const bool ofNobody = action.kind == ActionKind::advanceTime || action.kind == ActionKind::write ||
+                        action.kind == ActionKind::heal;
+  return ofNobody ? text : text + " " + kAddresses[action.index];
+}
+std::uint64_t World::hash() const {
+  std::uint64_t hash = 0;
+  for (const auto& machine : machines)
+    hash = hash * 0x9E3779B97F4A7C15ull + machine->hash(now);
+  for (const auto& message : inFlight)
+    hash = mix(hash, message->bytes);
+  std::string rest = std::to_string(ticked) + "," + std::to_string(cutMachine) + "," + std::to_string(cut.size());
+  for (const auto& [sender, receiver] : cut)
+    rest += std::to_string(sender) + std::to_string(receiver);
+  for (const auto budget : {left.crashes, left.wipes, left.leaves, left.cuts, left.freezes, left.duplicates,
+                            left.losses, left.writes, left.spares, left.timeSteps})
+    rest += "," + std::to_string(budget);
+  for (const auto& [number, entry] : history->committed)
+    rest += entry.content + std::to_string(entry.committedInTerm) + ";";
+  for (const auto& [term, leader] : history->leaders)
+    rest += std::to_string(term) + leader;
+  for (const auto& [key, candidate] : history->votes)
+    rest += key.first + std::to_string(key.second) + candidate;
+  for (const auto& lost : history->lostIdentities)
+    rest += lost;
+  return mix(hash, rest);
+}
+void World::healAll() {
+  left = Budgets{};
+  left.mostInFlight = 1000;
+  cut.clear();
+  cutMachine = kMachines;
+  const bool anyGone = std::any_of(machines.begin(), machines.end(), [](const auto& machine) { return machine->gone; });
+  for (std::size_t machine = 0; machine < kMachines; ++machine) {
+    change(machine).frozen = false;
+    const bool wanted = machine < kFounders || anyGone || machines[machine]->identities > 0;
+    if (wanted && !machines[machine]->raft && !machines[machine]->gone)
+      start(machine);
+  }
+}
+void World::runFairly(Span duration) {
+  const auto end = now + duration;
+  const auto settle = [&] {
+    for (int round = 0; round < kRoundsPerStep; ++round) {
+      for (std::size_t machine = 0; machine < kMachines; ++machine)
+        while (running(machine) && !machines[machine]->pending.empty())
+          sync(machine);
+      if (inFlight.empty())
+        return;
+      deliver(0, false);
+    }
+  };
+  while (now < end && violation.empty()) {
+    for (std::size_t machine = 0; machine < kMachines; ++machine) {
+      if (!running(machine))
+        continue;
+      feed(machine, [&](RaftNode& node) { node.tick(now); });
+      settle();
+      const bool ends = machines[machine]->leaving && machines[machine]->raft->mayExit();
+      if (ends)
+        apply({ActionKind::exitAllowed, machine});
+    }
+    advanceTime();
+  }
+}
+}  // namespace zc::model
