--- a/tests/model_checker.hpp
+++ b/tests/model_checker.hpp
@@ -10,7 +10,7 @@
 std::string brokenAfterTrouble(World world);
 
 struct SearchLimits {
-  std::size_t states = 10000;        // distinct ones
+  std::size_t states = 10000;         // distinct ones
   std::size_t afterTroubleEvery = 0;  // how many states pass between two looks at how trouble ends; 0: none
 };
 struct WalkLimits {
@@ -18,14 +18,20 @@
   std::uint64_t seed = 1;
 };
 struct SearchResult {
-  std::string violation;            // empty: none found
-  std::vector<std::string> trace;   // the actions that lead to it
-  std::size_t distinct = 0;         // states
+  std::string violation;           // empty: none found
+  std::vector<std::string> trace;  // the actions that lead to it
+  std::size_t distinct = 0;        // states
   std::size_t transitions = 0;
   std::size_t depth = 0;
   bool exhausted = false;  // no state within the budgets was left out
   std::string summary() const;
 };
 SearchResult search(const World& start, const SearchLimits& limits);
+// Walks drawn from seeds; a trace that is found is shortened.
 SearchResult walk(const World& start, const WalkLimits& limits);
+// The world after a trace.
+World played(World world, const std::vector<std::string>& trace);
+// Plays a trace as `SearchResult` gives it, without the actions that are not possible (any more: code that was mended
+// no longer sends such a message); returns the invariant broken on the way or after the trouble.
+std::string playTrace(const World& start, const std::vector<std::string>& trace);
 }  // namespace zc::model
--- a/tests/model_world.hpp
+++ b/tests/model_world.hpp
@@ -30,12 +30,12 @@
 
 struct Machine {
   std::string address;
-  MemberId id;                          // of the disk
-  int identities = 0;                   // disks that this machine has had
+  MemberId id;                           // of the disk
+  int identities = 0;                    // disks that this machine has had
   std::shared_ptr<const RaftNode> raft;  // null: the process does not run
-  std::vector<DiskRecord> disk;         // what a sync has covered
-  std::uint64_t diskHash = 0;           // of what a restart would read from it
-  std::deque<PersistRecord> pending;    // handed to the disk, not synced
+  std::vector<DiskRecord> disk;          // what a sync has covered
+  std::uint64_t diskHash = 0;            // of what a restart would read from it
+  std::deque<PersistRecord> pending;     // handed to the disk, not synced
   bool frozen = false, leaving = false;
   bool gone = false;  // has left for good
   std::uint64_t hash(Instant now) const;
@@ -60,9 +60,9 @@
 };
 struct History {
   std::map<std::int64_t, CommittedEntry> committed;
-  std::map<std::int64_t, MemberId> leaders;                           // by term
-  std::map<std::pair<MemberId, std::int64_t>, std::string> votes;     // of a member in a term: an address
-  std::set<MemberId> lostIdentities;                                  // whose disk is gone
+  std::map<std::int64_t, MemberId> leaders;                        // by term
+  std::map<std::pair<MemberId, std::int64_t>, std::string> votes;  // of a member in a term: an address
+  std::set<MemberId> lostIdentities;                               // whose disk is gone
 };
 
 enum class ActionKind {
