Model checker: one world searched to its end

Cause: the other bounded worlds are cut short by their number of states. Change: a write with three messages in flight at most, in one step of time, without faults.

--- a/tests/model_checker_test.cpp
+++ b/tests/model_checker_test.cpp
@@ -100,6 +100,16 @@
   world.left.mostInFlight = 6;
   expectSound("crashes under a leader", search(world, {statesToVisit(), 500}));
 }
+// Small enough for every order of everything.
+TEST(ModelChecker, ExhaustsAWrite) {
+  auto world = led();
+  world.left = Budgets{};
+  world.left.writes = 1;
+  world.left.mostInFlight = 3;
+  const auto result = search(world, {kStatesToFind / 4, 500});
+  expectSound("a write", result);
+  EXPECT_TRUE(result.exhausted);
+}
 TEST(ModelChecker, PlannedLeaveAndSpare) {
   auto world = led();
   world.left = Budgets{};
