--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -28,8 +28,8 @@
 constexpr const char* kUsage =
     "zinccleat SUBCOMMAND [--settings FILE] [--verbose]\n"
     "  proxy          the proxy on access machines\n"
-    "  agent         the agent beside each proxy\n"
-    "  controller  control, on core machines\n"
+    "  agent          the agent beside each proxy\n"
+    "  controller     control, on core machines\n"
     "  check KIND FILE  checks a file; KIND is settings, configuration or runbook\n"
     "  status ADDRESS:PORT... [--json]  what the core's nodes know\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
@@ -107,10 +107,14 @@
 int main(int argc, char** argv) {
   for (int i = 1; i < argc; ++i) {
     const std::string_view a = argv[i];
-    if (a == "--help" || a == "-h")
-      return std::printf("%s\n", kUsage), 0;
-    if (a == "--version")
-      return std::printf("zinccleat %s\n", kVersion), 0;
+    if (a == "--help" || a == "-h") {
+      std::printf("%s\n", kUsage);
+      return 0;
+    }
+    if (a == "--version") {
+      std::printf("zinccleat %s\n", kVersion);
+      return 0;
+    }
   }
   if (const auto wrong = wrongFlag(argc, argv); !wrong.empty()) {
     std::fprintf(stderr, "zinccleat: %s\n", wrong.c_str());
--- a/libs/config/include/config/calls.hpp
+++ b/libs/config/include/config/calls.hpp
@@ -7,13 +7,13 @@
   std::int64_t capacity = 0, sequence = 0, warmupLeftMs = 0;
   bool draining = false;
 };
-Outcome<Beat> parseBeat(std::string_view id, std::string_view json);
+Outcome<Beat> parseBeat(std::string_view id, std::string_view text);
 struct ClosureCall {
   std::string place, note;
   std::int32_t share = 0;
   bool doorsShut = false, open = false, force = false;
   double calmBelowPerS = 0;  // 0: no bound
 };
-Outcome<ClosureCall> parseClosure(std::string_view json);
+Outcome<ClosureCall> parseClosure(std::string_view text);
 std::string quoteJson(std::string_view s);
 }  // namespace zc
--- a/libs/config/include/config/configuration.hpp
+++ b/libs/config/include/config/configuration.hpp
@@ -1,4 +1,4 @@
-// The operator's configuration: read in full, checked in full, or errorResponse.
+// The operator's configuration: read in full, checked in full, or refused.
 #pragma once
 #include "runtime/common.hpp"
 namespace zc {
@@ -7,7 +7,7 @@
   int service = 0;  // index into Configuration::services
   std::uint32_t share = 1;
 };
-struct Route {  // a route
+struct Route {
   std::string label, authority, pathPrefix;
   RouteType type = RouteType::unsafe;
   Span expiry{0}, aim{0}, gapTarget{0};
@@ -45,5 +45,5 @@
   int find(std::string_view host, std::string_view path) const;  // -1: none fits
   int subscriberOf(std::string_view key) const;                  // -1: unknown
 };
-Outcome<std::shared_ptr<const Configuration>> parseConfiguration(std::string_view json);
+Outcome<std::shared_ptr<const Configuration>> parseConfiguration(std::string_view text);
 }  // namespace zc
--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -26,7 +26,7 @@
   std::optional<PartnerSite> partner;  // none: no hints, in or out
   Timers timers;
 };
-Outcome<Settings> parseSettings(std::string_view json);
+Outcome<Settings> parseSettings(std::string_view text);
 Outcome<Settings> loadSettings(const std::string& path);
 std::string settingsPath();
 Outcome<std::string> readFile(const std::string& path);
--- a/libs/hints/src/hints.cpp
+++ b/libs/hints/src/hints.cpp
@@ -21,7 +21,9 @@
 }
 std::int64_t HintKey::digest(std::uint64_t opening, std::int64_t epoch) const {
   const auto* secret = reinterpret_cast<const unsigned char*>(secret_.data());
-  unsigned char key[crypto_shorthash_KEYBYTES], in[8], out[crypto_shorthash_BYTES];
+  unsigned char key[crypto_shorthash_KEYBYTES];
+  unsigned char in[sizeof opening];
+  unsigned char out[crypto_shorthash_BYTES];
   crypto_kdf_derive_from_key(key, sizeof key, static_cast<std::uint64_t>(epoch), kContext, secret);
   std::memcpy(in, &opening, sizeof in);
   crypto_shorthash(out, in, sizeof in, key);
@@ -57,7 +59,7 @@
   auto it = mine_.find(opening);
   const bool held = it != mine_.end() && now - it->second.at <= b_.lives;
   const bool fresh = now - theirsAt_ <= b_.stale && (theirEpoch_ == epoch || theirEpoch_ + 1 == epoch);
-  if (!held && fresh && theirs_.count(key_.digest(opening, theirEpoch_)))
+  if (!held && fresh && theirs_.contains(key_.digest(opening, theirEpoch_)))
     return true;
   if (!held)
     it = mine_.insert_or_assign(opening, Opening{}).first;
@@ -77,32 +79,32 @@
                      std::greater<>());
     newest.resize(b_.most);
   }
-  std::set<std::int64_t> now_;
+  std::set<std::int64_t> current;
   for (auto& [at, o] : newest)
-    now_.insert(key_.digest(o, epoch));
+    current.insert(key_.digest(o, epoch));
   // Filled up with what nobody holds, the same from one time to the next: how few there are is not told either.
   if (toldEpoch_ != epoch)
     fill_.clear();
-  const auto want = (now_.size() + b_.fill - 1) / b_.fill * b_.fill;
-  while (now_.size() + fill_.size() < std::max(want, b_.fill)) {
+  const auto want = (current.size() + b_.fill - 1) / b_.fill * b_.fill;
+  while (current.size() + fill_.size() < std::max(want, b_.fill)) {
     rng_ = hash64("fill", rng_);
     fill_.insert(static_cast<std::int64_t>(rng_));
   }
-  while (!fill_.empty() && now_.size() + fill_.size() > std::max(want, b_.fill))
+  while (!fill_.empty() && current.size() + fill_.size() > std::max(want, b_.fill))
     fill_.erase(fill_.begin());
-  now_.insert(fill_.begin(), fill_.end());
+  current.insert(fill_.begin(), fill_.end());
   HintNews n;
   n.epoch = epoch;
   n.known = theirVersion_;
   const bool whole = acked_ == 0 || acked_ != version_ || toldEpoch_ != epoch;
   const std::set<std::int64_t> before = whole ? std::set<std::int64_t>{} : told_;
-  std::set_difference(now_.begin(), now_.end(), before.begin(), before.end(), std::back_inserter(n.added));
-  std::set_difference(before.begin(), before.end(), now_.begin(), now_.end(), std::back_inserter(n.gone));
+  std::set_difference(current.begin(), current.end(), before.begin(), before.end(), std::back_inserter(n.added));
+  std::set_difference(before.begin(), before.end(), current.begin(), current.end(), std::back_inserter(n.gone));
   n.base = whole ? 0 : version_;
   if (whole || !n.added.empty() || !n.gone.empty())
     ++version_;
   n.version = version_;
-  told_ = std::move(now_);
+  told_ = std::move(current);
   toldEpoch_ = epoch;
   return n;
 }
--- a/libs/operations/include/operations/call.hpp
+++ b/libs/operations/include/operations/call.hpp
@@ -15,6 +15,6 @@
 // Tries the addresses in turn until one gives an answer that is not 5xx.
 Outcome<Called> callAny(const std::vector<std::string>& addresses, const Call& c, Span within);
 std::vector<std::string> splitList(std::string_view s);
-// Runs f on a fiber of a loop of its own until it ends.
-int onQuay(const std::function<int()>& f);
+// Runs f on a fiber of an event loop of its own until it ends.
+int runOnEventLoop(const std::function<int()>& f);
 }  // namespace zc
--- a/libs/operations/include/operations/observe.hpp
+++ b/libs/operations/include/operations/observe.hpp
@@ -8,7 +8,7 @@
   enum class HowMany { any, all, one } howMany = HowMany::any;
   std::string field, op, value;
 };
-Outcome<Observation> parseObservation(std::string_view s);
+Outcome<Observation> parseObservation(std::string_view text);
 // What stands at a field, as text; nothing if the field is not there.
 std::optional<std::string> fieldOf(std::string_view json, std::string_view field);
 bool meets(const Observation& o, const std::vector<std::string>& answers);
--- a/libs/operations/src/call.cpp
+++ b/libs/operations/src/call.cpp
@@ -71,7 +71,7 @@
   }
   return out;
 }
-int onQuay(const std::function<int()>& f) {
+int runOnEventLoop(const std::function<int()>& f) {
   EventLoop loop;
   int rc = 0;
   loop.launch([&] {
--- a/libs/operations/src/commands.cpp
+++ b/libs/operations/src/commands.cpp
@@ -8,7 +8,8 @@
 namespace {
 constexpr auto kCallWait = 3000ms;
 void line(const std::string& s) {
-  std::printf("%s\n", s.c_str()), std::fflush(stdout);
+  std::printf("%s\n", s.c_str());
+  std::fflush(stdout);
 }
 }  // namespace
 
@@ -37,11 +38,12 @@
     std::fprintf(stderr, "zinccleat runbook: say --set core=ADDRESS:PORT,... (the nodes that serve control)\n");
     return 2;
   }
-  return onQuay([&] {
+  return runOnEventLoop([&] {
     RunbookPorts io;
     io.any = [&](const Call& c) { return callAny(core, c, kCallWait); };
     io.all = [&](const Call& c) {
       std::vector<Outcome<Called>> out;
+      out.reserve(core.size());
       for (auto& a : core)
         out.push_back(callOne(a, c, kCallWait));
       return out;
@@ -58,7 +60,7 @@
     std::fprintf(stderr, "zinccleat status: say which nodes: ADDRESS:PORT...\n");
     return 2;
   }
-  return onQuay([&] {
+  return runOnEventLoop([&] {
     int silent = 0;
     std::string all = "[";
     if (!json)
--- a/libs/operations/src/observe.cpp
+++ b/libs/operations/src/observe.cpp
@@ -50,15 +50,21 @@
     return std::nullopt;
   while (!field.empty()) {
     // A dot inside brackets belongs to the value looked for.
-    std::size_t dot = 0, depth = 0;
-    for (; dot < field.size() && (field[dot] != '.' || depth > 0); ++dot)
-      depth += field[dot] == '[', depth -= field[dot] == ']';
+    std::size_t dot = 0;
+    int depth = 0;
+    for (; dot < field.size() && (field[dot] != '.' || depth > 0); ++dot) {
+      if (field[dot] == '[')
+        ++depth;
+      else if (field[dot] == ']')
+        --depth;
+    }
     auto seg = field.substr(0, dot);
     field.remove_prefix(std::min(field.size(), dot + 1));
     const bool count = !seg.empty() && seg.back() == '#';
     if (count)
       seg.remove_suffix(1);
-    std::string_view key, value;
+    std::string_view key;
+    std::string_view value;
     if (const auto b = seg.find('['); b != seg.npos && seg.back() == ']') {
       const auto inner = seg.substr(b + 1, seg.size() - b - 2);
       const auto eq = inner.find('=');
@@ -101,7 +107,8 @@
   for (auto& a : answers) {
     const auto got = fieldOf(a, o.field);
     bool ok = false;
-    double x = 0, y = 0;
+    double x = 0;
+    double y = 0;
     if (!got)
       ok = o.op == "!=";
     else if (o.op == "==")
@@ -112,7 +119,8 @@
       ok = got->find(o.value) != std::string::npos;
     else if (number(*got, x) && number(o.value, y))
       ok = o.op == "<" ? x < y : o.op == "<=" ? x <= y : o.op == ">" ? x > y : x >= y;
-    n += ok;
+    if (ok)
+      ++n;
   }
   if (o.howMany == Observation::HowMany::any)
     return n > 0;
--- a/libs/operations/src/runbook.cpp
+++ b/libs/operations/src/runbook.cpp
@@ -115,7 +115,8 @@
 std::map<std::string, std::string> sampleValues(const std::string& text) {
   std::map<std::string, std::string> out;
   std::istringstream in(text);
-  std::string word, name;
+  std::string word;
+  std::string name;
   for (std::string line; std::getline(in, line);) {
     std::istringstream l(line);
     if (l >> word >> name && word == "param" && name.find('=') == std::string::npos)
@@ -126,7 +127,8 @@
 
 int runRunbook(const Runbook& b, const RunbookPorts& io, bool dry) {
   io.print(b.title + (dry ? " (dry run: nothing is called)" : ""));
-  std::vector<std::string> answers, statuses;
+  std::vector<std::string> answers;
+  std::vector<std::string> statuses;
   std::vector<std::pair<std::string, std::string>> heads;
   Call last;
   bool lastAll = false;
--- a/libs/runtime/include/runtime/common.hpp
+++ b/libs/runtime/include/runtime/common.hpp
@@ -1,4 +1,4 @@
-// The project's one common header: the words every package shares.
+// Types and functions that every module shares: time, errors as values, invariants, hashes.
 #pragma once
 #include <algorithm>
 #include <chrono>
@@ -21,10 +21,12 @@
 using Instant = Clock::time_point;
 using Span = std::chrono::milliseconds;
 
+// An error as a value.
 struct Fault {
   int code = 0;  // an HTTP status where one fits, else 0
   std::string text;
 };
+// A result or an error.
 template <class T>
 using Outcome = tl::expected<T, Fault>;
 inline tl::unexpected<Fault> fault(int code, std::string text) {
@@ -34,13 +36,17 @@
   return std::chrono::duration_cast<Span>(d);
 }
 
-// Only a broken invariant of our own may stop the process; everything else is a value.
-[[noreturn]] void scuttle(const char* what);
+// Logs what was broken, writes the log ring out and aborts.
+[[noreturn]] void abortBrokenInvariant(const char* what);
+// Checks an invariant of our own code. Only a broken one may stop the process; every other error is a value.
 inline void must(bool ok, const char* what) {
   if (!ok)
-    scuttle(what);
+    abortBrokenInvariant(what);
 }
+// A fast hash, not for secrets; the same on every node.
 std::uint64_t hash64(std::string_view s, std::uint64_t seed = 0);
-std::string digestOf(std::string_view s);  // 128 bits, hex
-std::uint64_t drawSeed();                  // from the system's entropy, once per process
+// A digest of 128 bits in hex, the same on every node.
+std::string digestOf(std::string_view s);
+// A seed from the system's entropy.
+std::uint64_t drawSeed();
 }  // namespace zc
--- a/libs/runtime/src/common.cpp
+++ b/libs/runtime/src/common.cpp
@@ -9,7 +9,7 @@
 #include "runtime/log_ring.hpp"
 
 namespace zc {
-void scuttle(const char* what) {
+void abortBrokenInvariant(const char* what) {
   ring::say(std::string("broken invariant: ") + what);
   ring::dump();
   std::abort();
--- a/libs/runtime/src/event_loop.cpp
+++ b/libs/runtime/src/event_loop.cpp
@@ -11,15 +11,16 @@
 
 namespace zc {
 namespace {
-constexpr auto kSweep = 20ms;
-constexpr std::size_t kStack = 64 * 1024;
-EventLoop* g_quay = nullptr;
+constexpr auto kDeadlineCheckInterval = 20ms;
+constexpr std::size_t kFiberStackBytes = 64 * 1024;
+constexpr unsigned kUserTimeoutMs = 4000;  // unacknowledged data gives a connection up
+EventLoop* g_loop = nullptr;
 
-// Why an order of our own: the io loop must know whether any fiber but itself and the library's
-// dispatcher can run, or it would spin or sleep wrongly.
-class Deck final : public boost::fibers::algo::algorithm {
+// A first-in, first-out scheduler. Why one of our own: the io loop must know whether any fiber but itself and the
+// library's dispatcher can run, or it would spin or sleep wrongly.
+class FifoScheduler final : public boost::fibers::algo::algorithm {
  public:
-  explicit Deck(int* ready) : ready_(ready) {}
+  explicit FifoScheduler(int* ready) : ready_(ready) {}
   void awakened(boost::fibers::context* c) noexcept override {
     if (!c->is_context(boost::fibers::type::dispatcher_context))
       ++*ready_;
@@ -65,13 +66,13 @@
   asio::io_context io{1};
   int ready = 0;
   bool stopped = false;
-  boost::fibers::fixedsize_stack stacks{kStack};
+  boost::fibers::fixedsize_stack stacks{kFiberStackBytes};
   boost::intrusive::list<Connection, boost::intrusive::constant_time_size<false>> watched;
   asio::steady_timer sweep{io};
   bool sweeping = false;
   void arm() {
     sweeping = true;
-    sweep.expires_after(kSweep);
+    sweep.expires_after(kDeadlineCheckInterval);
     sweep.async_wait([this](Ec ec) {
       sweeping = false;
       if (ec || stopped)
@@ -89,13 +90,13 @@
 };
 
 EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {
-  g_quay = this;
+  g_loop = this;
   std::signal(SIGPIPE, SIG_IGN);
-  boost::fibers::use_scheduling_algorithm<Deck>(&impl_->ready);
+  boost::fibers::use_scheduling_algorithm<FifoScheduler>(&impl_->ready);
 }
 EventLoop::~EventLoop() = default;
 EventLoop& EventLoop::get() {
-  return *g_quay;
+  return *g_loop;
 }
 asio::io_context& EventLoop::io() {
   return impl_->io;
@@ -125,7 +126,8 @@
   w.wait();
 }
 bool EventLoop::waitFor(Waiter& w, Span d) {
-  bool timedOut = false, fired = false;
+  bool timedOut = false;
+  bool fired = false;
   asio::steady_timer t(impl_->io, d);
   t.async_wait([&](Ec ec) {
     fired = true;
@@ -197,8 +199,10 @@
 }
 void Connection::write(asio::const_buffer b, Ec& ec) {
   // Why straight first: most writes fit the socket's window, and a parked fiber costs a wake-up.
-  if (!unblocked_)
-    sock_.non_blocking(true, ec), unblocked_ = true;
+  if (!unblocked_) {
+    sock_.non_blocking(true, ec);
+    unblocked_ = true;
+  }
   const auto n = sock_.send(asio::buffer(b), MSG_NOSIGNAL, ec);
   if (ec == asio::error::would_block)
     ec = {};
@@ -249,8 +253,7 @@
 void tune(tcp::socket& s) {
   Ec ec;
   s.set_option(tcp::no_delay(true), ec);
-  const unsigned ms = 4000;
-  ::setsockopt(s.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+  ::setsockopt(s.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
 }
 Outcome<tcp::endpoint> parseEndpoint(std::string_view s) {
   const auto c = s.rfind(':');
--- a/libs/runtime/src/log_ring.cpp
+++ b/libs/runtime/src/log_ring.cpp
@@ -37,7 +37,7 @@
   }
   LOG4CXX_INFO(r.sink, s);
 }
-std::string version(const std::string& line) {
+std::string stamped(const std::string& line) {
   const auto ms = std::chrono::duration_cast<Span>(Clock::now().time_since_epoch()).count();
   char buf[40];
   std::snprintf(buf, sizeof buf, "%lld.%03lld ", static_cast<long long>(ms / 1000), static_cast<long long>(ms % 1000));
@@ -51,17 +51,17 @@
 void verbose(bool on) {
   self().verbose = on;
 }
-void note(std::string line) {
+void note(const std::string& line) {
   auto& r = self();
-  r.kept.push_back(version(line));
+  r.kept.push_back(stamped(line));
   if (r.kept.size() > kKept)
     r.kept.pop_front();
   r.fresh = std::min(r.fresh + 1, kKept);
   if (r.verbose)
     dump();
 }
-void alarm(std::string line) {
-  note("ALARM " + std::move(line));
+void alarm(const std::string& line) {
+  note("ALARM " + line);
   auto& r = self();
   const auto now = Clock::now();
   if (r.lastDump != Instant{} && now - r.lastDump < kBetweenDumps)
@@ -69,8 +69,8 @@
   r.lastDump = now;
   dump();
 }
-void say(std::string line) {
-  write(version(line));
+void say(const std::string& line) {
+  write(stamped(line));
 }
 void dump() {
   auto& r = self();
--- a/libs/simulation/src/plan.cpp
+++ b/libs/simulation/src/plan.cpp
@@ -32,11 +32,19 @@
       if (std::find(known.begin(), known.end(), f.key) == known.end())
         r.blame("unknown field", f.key);
     }
-    r.whole(o, "core", p.core), r.whole(o, "nodes", p.nodes), r.whole(o, "pair", p.pair);
-    r.whole(o, "runners", p.runners), r.whole(o, "tenants", p.tenants), r.whole(o, "routes", p.routes);
-    r.num(o, "requestsPerS", p.requestsPerS), r.num(o, "changesPerMinute", p.changesPerMinute);
-    r.whole(o, "restarts", p.restarts), r.whole(o, "runnerEnds", p.runnerEnds), r.whole(o, "coreKills", p.coreKills),
-        r.whole(o, "seconds", p.seconds), r.whole(o, "seed", p.seed);
+    r.whole(o, "core", p.core);
+    r.whole(o, "nodes", p.nodes);
+    r.whole(o, "pair", p.pair);
+    r.whole(o, "runners", p.runners);
+    r.whole(o, "tenants", p.tenants);
+    r.whole(o, "routes", p.routes);
+    r.num(o, "requestsPerS", p.requestsPerS);
+    r.num(o, "changesPerMinute", p.changesPerMinute);
+    r.whole(o, "restarts", p.restarts);
+    r.whole(o, "runnerEnds", p.runnerEnds);
+    r.whole(o, "coreKills", p.coreKills);
+    r.whole(o, "seconds", p.seconds);
+    r.whole(o, "seed", p.seed);
     if (wrong.empty())
       wrong = r.wrong;
   };
@@ -47,11 +55,18 @@
     if (wrong.empty() && (v < least || v > most))
       wrong = std::string("out of bounds '") + name + "'";
   };
-  within("core", p.core, 1, 9), within("nodes", p.nodes, 1, 1000), within("pair", p.pair, 0, 1);
-  within("runners", p.runners, 0, 2000), within("tenants", p.tenants, 1, 20000), within("routes", p.routes, 1, 5000);
-  within("requestsPerS", p.requestsPerS, 0, 20000), within("changesPerMinute", p.changesPerMinute, 0, 600);
-  within("runnerEnds", p.runnerEnds, 0, 10000), within("coreKills", p.coreKills, 0, 10);
-  within("restarts", p.restarts, 0, 10000), within("seconds", p.seconds, 1, 600);
+  within("core", p.core, 1, 9);
+  within("nodes", p.nodes, 1, 1000);
+  within("pair", p.pair, 0, 1);
+  within("runners", p.runners, 0, 2000);
+  within("tenants", p.tenants, 1, 20000);
+  within("routes", p.routes, 1, 5000);
+  within("requestsPerS", p.requestsPerS, 0, 20000);
+  within("changesPerMinute", p.changesPerMinute, 0, 600);
+  within("runnerEnds", p.runnerEnds, 0, 10000);
+  within("coreKills", p.coreKills, 0, 10);
+  within("restarts", p.restarts, 0, 10000);
+  within("seconds", p.seconds, 1, 600);
   if (!wrong.empty())
     return fault(0, wrong);
   return p;
--- a/libs/simulation/src/scale_run.cpp
+++ b/libs/simulation/src/scale_run.cpp
@@ -40,6 +40,10 @@
   std::sort(v.begin(), v.end());
   return v[std::min(v.size() - 1, static_cast<std::size_t>(q * static_cast<double>(v.size())))];
 }
+int fail(const std::string& why) {
+  std::fprintf(stderr, "zinccleat scale-run: %s\n", why.c_str());
+  return 1;
+}
 class ScaleRun {
  public:
   ScaleRun(const ScaleRunPlan& p, std::string binary)
@@ -152,10 +156,10 @@
 int ScaleRun::run(bool json) {
   auto& loop = EventLoop::get();
   if (!fleet_.startCore())
-    return std::fprintf(stderr, "zinccleat scale-run: cannot start %s\n", fleet_.binary().c_str()), 1;
+    return fail("cannot start " + fleet_.binary());
   version_ = 1;
   if (!replace(version_, 15s))
-    return std::fprintf(stderr, "zinccleat scale-run: the core took no configuration in 15 s\n"), 1;
+    return fail("the core took no configuration in 15 s");
   if (p_.pair && !fleet_.startPair())
     return 1;
   for (int i = 0; i < p_.runners; ++i)
@@ -170,13 +174,16 @@
     return std::all_of(nodes_.begin(), nodes_.end(), [&](auto& n) { return n->leased() && n->version() == version_; });
   };
   if (!until(30s, all))
-    return std::fprintf(stderr, "zinccleat scale-run: not all nodes have a lease after 30 s\n"), 1;
+    return fail("not all nodes have a lease after 30 s");
   loop.pause(2000ms);  // runners have joined, views are shuffled
   for (auto& x : fleet_.processes())
     cpuS_[x.pid] = cpuOf(x.pid);
   const auto traffic = trafficSoFar();
-  for (auto& n : nodes_)
-    n->granted = n->refused = 0, n->drawMs.clear();
+  for (auto& n : nodes_) {
+    n->granted = 0;
+    n->refused = 0;
+    n->drawMs.clear();
+  }
   const auto begin = Clock::now();
   const auto end = begin + std::chrono::seconds(p_.seconds);
   loop.launch([&] {
@@ -221,7 +228,8 @@
       cpuS_[fleet_.processes()[i].pid] = 0;
       fleet_.kill(i);
       // Until a draw is answered again at some node: what a request without a token meets.
-      std::uint64_t before = 0, after = 0;
+      std::uint64_t before = 0;
+      std::uint64_t after = 0;
       for (auto& n : nodes_)
         before += n->drawMs.size();
       do {
@@ -260,17 +268,20 @@
   std::uint64_t granted = 0, refused = 0;
   std::vector<double> draws;
   for (auto& n : nodes_) {
-    granted += n->granted, refused += n->refused;
+    granted += n->granted;
+    refused += n->refused;
     draws.insert(draws.end(), n->drawMs.begin(), n->drawMs.end());
   }
-  double in = 0, out = 0;
+  double in = 0;
+  double out = 0;
   std::string kinds;
   const double perNode = s * p_.nodes;
   for (int k = 20; k <= 28; ++k) {
     const auto i = static_cast<std::size_t>(k);
     const double o = static_cast<double>(now.sent[i].bytes - traffic.sent[i].bytes) / perNode;
     const double r = static_cast<double>(now.received[i].bytes - traffic.received[i].bytes) / perNode;
-    out += o, in += r;
+    out += o;
+    in += r;
     char b[160];
     std::snprintf(b, sizeof b, json ? "%s\"%s\":{\"out\":%.1f,\"in\":%.1f}" : "%s%-10s %9.1f %9.1f\n",
                   json && k > 20 ? "," : "", kKinds[k - 20], o, r);
@@ -354,8 +365,10 @@
 }  // namespace
 int runAtScale(const ScaleRunPlan& p, const std::string& binary, bool json) {
   rlimit r{};
-  if (::getrlimit(RLIMIT_NOFILE, &r) == 0)
-    r.rlim_cur = r.rlim_max, ::setrlimit(RLIMIT_NOFILE, &r);
+  if (::getrlimit(RLIMIT_NOFILE, &r) == 0) {
+    r.rlim_cur = r.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &r);
+  }
   // Why the loop outlives everything on it: sockets end on the loop that they were made on.
   static EventLoop loop;
   ScaleRun show(p, binary);
--- a/libs/simulation/src/trial.cpp
+++ b/libs/simulation/src/trial.cpp
@@ -22,6 +22,11 @@
 struct Seen {
   int pushes = 0, streams = 0, late = 0, refusals = 0, failures = 0, lost = 0, wrong = 0;
 };
+// Counts a try that brought no right answer.
+bool miss(int& counter) {
+  ++counter;
+  return false;
+}
 class Trial {
  public:
   Trial(std::string binary, int seconds) : fleet_(std::move(binary), 3), seconds_(seconds) {}
@@ -106,7 +111,7 @@
   c.due(Clock::now() + 3s);
   c.connect(*parseEndpoint(fleet_.access()), ec);
   if (ec)
-    return ++seen_.failures, false;
+    return miss(seen_.failures);
   tune(c.sock());
   c.write(asio::buffer("POST " + path +
                        " HTTP/1.1\r\nHost: trial.example\r\nAuthorization: Bearer trial-key\r\nX-Attempt-Id: " + id +
@@ -118,7 +123,7 @@
   if (!ec)
     pump(c, buf, p, false, ec);
   if (ec || !p.is_done())
-    return ++seen_.failures, false;
+    return miss(seen_.failures);
   const auto status = p.get().result_int();
   if (status == 503 || status == 429) {
     ++seen_.refusals;
@@ -126,13 +131,13 @@
     return false;
   }
   if (status != 200)
-    return ++seen_.failures, false;
+    return miss(seen_.failures);
   const bool push = path.find("/push/") != std::string::npos;
   std::string whole;
   for (int i = 1; i <= kEvents; ++i)
     whole += "id: " + std::to_string(i) + "\ndata: recap\n\n";
   if (p.get().body() != (push ? "pushed " + id : whole))
-    return ++seen_.wrong, false;
+    return miss(seen_.wrong);
   return true;
 }
 void Trial::client(int no) {
