--- a/libs/consensus/src/fingerprint.cpp
+++ b/libs/consensus/src/fingerprint.cpp
@@ -50,7 +50,7 @@
     writer(peer)(progress.nextNumber)(progress.matchedNumber)(progress.sendWholeUpTo)(progress.heardAt);
     writer(progress.sentAt)(progress.progressAt)(progress.leasePromisedFrom)(progress.leaveAskedAt);
     writer(progress.leaveFirstAskedAt);
-    writer(progress.snapshotUnderWay);
+    writer(progress.snapshotUnderWay)(progress.leaveGrantedAt);
   }
   // Absolute: answers on their way name a heartbeat by its number.
   writer(core.heartbeatId);
--- a/libs/consensus/src/peer_progress.hpp
+++ b/libs/consensus/src/peer_progress.hpp
@@ -12,6 +12,7 @@
   Instant leasePromisedFrom{};  // when the newest heartbeat was sent that it has answered
   Instant leaveAskedAt{};       // the newest request to leave
   Instant leaveFirstAskedAt{};  // the first one of an unbroken row
+  Instant leaveGrantedAt{};     // it may end at any moment from then on
   bool snapshotUnderWay = false;
 };
 }  // namespace zc
--- a/libs/consensus/src/raft_core.cpp
+++ b/libs/consensus/src/raft_core.cpp
@@ -192,8 +192,8 @@
     void operator()(InstallSnapshot& m) { core.onInstallSnapshot(now, from, std::move(m)); }
     void operator()(TransferLeadership& m) { core.onTransferLeadership(now, m); }
     void operator()(JoinRequest& m) { core.onJoinRequest(now, from, m); }
-    void operator()(LeaveRequest&) { core.onLeaveRequest(now, from); }
-    void operator()(LeaveResponse&) { core.exitAllowed = core.leaving; }
+    void operator()(LeaveRequest& m) { core.onLeaveRequest(now, from, m); }
+    void operator()(LeaveResponse& m) { core.onLeaveResponse(m); }
     void operator()(EntryBody& m) { core.rememberBody(std::move(m)); }
   };
   std::visit(Dispatch{core, now, from}, message);
@@ -215,8 +215,7 @@
     core_->transferLeadership(now);
 }
 void RaftNode::leave(Instant now) {
-  core_->leaving = true;
-  core_->tickLeave(now);
+  core_->beginLeave(now);
 }
 std::vector<RaftAction> RaftNode::takeActions() {
   return std::exchange(core_->actions, {});
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -289,6 +289,32 @@
     EXPECT_TRUE(found) << "seed " << seed;
   }
 }
+// Of three members two are told to end at the same moment: one is let go at once, the other one stays as long as it
+// can.
+TEST(Membership, TwoThatLeaveAtOnceAreLetGoOneAfterTheOther) {
+  for (std::uint64_t seed = 7500; seed < 7520; ++seed) {
+    World world(seed);
+    bootMachines(world, 3);
+    const auto leader = world.leader();
+    std::vector<std::string> others;
+    for (const auto& ip : kSeeds)
+      if (ip != leader)
+        others.push_back(ip);
+    for (const auto& ip : others)
+      world.leave(ip);
+    world.runFor(3000ms);
+    EXPECT_EQ(world.nodes[others[0]].up + world.nodes[others[1]].up, 1) << "seed " << seed;
+    ASSERT_TRUE(serves(world));
+  }
+}
+TEST(Membership, AnAnswerToAnEarlierLeaveLetsNobodyGo) {
+  const Instant now{100s};
+  RaftNode node("10.1.0.1#0", RaftOptions{}, 1, now);
+  node.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
+  node.leave(now);
+  node.receive(now, "10.2.0.1#0", LeaveResponse{0, -1});
+  EXPECT_FALSE(node.mayExit());
+}
 // A voter that was removed while it was away, and whose known members are all gone, finds its way back by the seeds.
 TEST(Membership, ARemovedVoterWithAnOldConfigurationComesBack) {
   World world(8000);
