--- a/libs/agent/src/agent.cpp
+++ b/libs/agent/src/agent.cpp
@@ -83,7 +83,7 @@
         want.insert(addressOf(x));
     bool up = false;
     for (auto& [ip, m] : dialers_)
-      up = up || (m->up() && want.count(ip));
+      up = up || (m->up() && want.contains(ip));
     // Why also without a lease: those we know may all be on the smaller side of a cut.
     if (want.empty() || !up || Clock::now() - lastLease_ > kNoLease) {
       for (auto& x : voters_)
@@ -95,7 +95,7 @@
           want.insert(n.substr(0, n.size() - 5));
     }
     for (auto& ip : want) {
-      if (dialers_.count(ip))
+      if (dialers_.contains(ip))
         continue;
       auto ep = parseEndpoint(ip + ":" + std::to_string(s_.portFirst));
       if (!ep)
@@ -109,7 +109,7 @@
           });
     }
     for (auto it = dialers_.begin(); it != dialers_.end();)
-      if (!want.count(it->first))
+      if (!want.contains(it->first))
         it = dialers_.erase(it);
       else
         ++it;
--- a/libs/balancing/src/runner_observer.cpp
+++ b/libs/balancing/src/runner_observer.cpp
@@ -27,12 +27,13 @@
   const bool slow = took > patience(service, tokens);
   auto& u = usual_[service];
   const int b = bucketOf(tokens);
-  const double ms = static_cast<double>(took.count());
+  const auto ms = static_cast<double>(took.count());
   // Why bounded: one runner that hangs must not make hanging usual.
   if (u.count[b]++ == 0) {
     u.ms[b] = ms;
   } else {
-    const double off = std::min(ms, u.ms[b] * kFarSlower + kGrain) - u.ms[b], w = u.count[b] < kFew ? 0.3 : kWeight;
+    const double off = std::min(ms, u.ms[b] * kFarSlower + kGrain) - u.ms[b];
+    const double w = u.count[b] < kFew ? 0.3 : kWeight;
     u.ms[b] += off * w;
     u.spread[b] += (std::abs(off) - u.spread[b]) * w;
   }
--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -19,7 +19,7 @@
     if (it == byId_.end()) {
       // A place nobody uses any more serves again.
       for (; i < static_cast<int>(runners_.size()); ++i)
-        if (!runners_[i].present && runners_[i].inFlight == 0 && !byId_.count(runners_[i].id))
+        if (!runners_[i].present && runners_[i].inFlight == 0 && !byId_.contains(runners_[i].id))
           break;
       if (i == static_cast<int>(runners_.size()))
         runners_.emplace_back();
@@ -55,7 +55,7 @@
 int RunnerPool::inFlightIn(const std::set<std::string>& zones) const {
   int n = 0;
   for (auto& d : runners_)
-    if (zones.count(d.zone))
+    if (zones.contains(d.zone))
       n += d.inFlight;
   return n;
 }
@@ -63,10 +63,10 @@
   int v[3] = {0, 0, 0};
   const char* p = load.data();
   const char* e = p + load.size();
-  for (int k = 0; k < 3; ++k) {
+  for (int& k : v) {
     while (p < e && *p == ' ')
       ++p;
-    const auto r = std::from_chars(p, e, v[k]);
+    const auto r = std::from_chars(p, e, k);
     if (r.ec != std::errc{})
       return;
     p = r.ptr;
@@ -115,7 +115,9 @@
       runners_[static_cast<std::size_t>(it->second)].ejected = g.rate;
 }
 int RunnerPool::choose(const RunnerQuery& query, Instant now) {
-  std::vector<int> good, shunned, closing;
+  std::vector<int> good;
+  std::vector<int> shunned;
+  std::vector<int> closing;
   // Why by part: all nodes move the same parts at the same step, so each is read anew once, at one place.
   const auto turn = static_cast<int>((query.affinity ? query.affinity >> 8 : rng_()) % 100);
   for (int i = 0; i < static_cast<int>(runners_.size()); ++i) {
@@ -167,7 +169,7 @@
   double least = 0;
   for (int i : good) {
     const auto& d = runners_[i];
-    double cost = static_cast<double>(d.unreadTokens);
+    auto cost = static_cast<double>(d.unreadTokens);
     if (now - d.reportedAt < kReportLife)
       cost += std::max(0, d.reportedWaiting - d.unreadAtReport) * meanPrompt_;
     const double full = load(i, now);
@@ -187,7 +189,8 @@
   return best;
 }
 bool RunnerPool::sameRegion(std::string_view a, std::string_view b) const {
-  const auto x = regions_.find(std::string(a)), y = regions_.find(std::string(b));
+  const auto x = regions_.find(std::string(a));
+  const auto y = regions_.find(std::string(b));
   // Zones that nobody has named are taken as near: a guess must not shut a runner out.
   return x == regions_.end() || y == regions_.end() || x->second == y->second;
 }
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -56,7 +56,7 @@
 void RaftNode::Core::winIfElected(Instant now) {
   if (role != Role::candidate)
     return;
-  if (!log.config().hasQuorum([&](const MemberId& voter) { return votes.count(voter) > 0; }))
+  if (!log.config().hasQuorum([&](const MemberId& voter) { return votes.contains(voter); }))
     return;
   if (preVoting)
     return startElection(now);
--- a/libs/consensus/src/leader.cpp
+++ b/libs/consensus/src/leader.cpp
@@ -4,7 +4,7 @@
 
 namespace zc {
 namespace {
-constexpr std::size_t kMostBytesPerMessage = 1u << 20;
+constexpr std::size_t kMostBytesPerMessage = 1U << 20;
 constexpr std::size_t kEntryOverhead = 100;  // bytes of an entry besides its body, roughly
 constexpr std::size_t kHeartbeatsRemembered = 64;
 constexpr int kHeardWithinHeartbeats = 4;
@@ -45,7 +45,7 @@
   log.append(entry);
   if (changesConfig)
     for (const auto& voter : log.config().allVoters())
-      if (voter != self && !peers.count(voter))
+      if (voter != self && !peers.contains(voter))
         trackPeer(now, voter);
   const auto number = entry.num;
   persist(number, {std::move(entry)});
--- a/libs/consensus/src/membership.cpp
+++ b/libs/consensus/src/membership.cpp
@@ -12,7 +12,8 @@
 constexpr int kLeavingForIntervals = 10;
 // For `PlantedFaults::newcomerIsAddedOnly`.
 std::vector<MemberId> addNewcomersOnly(const std::vector<VoterStatus>& voters, const std::vector<MemberId>& learners) {
-  std::vector<MemberId> chosen, silent;
+  std::vector<MemberId> chosen;
+  std::vector<MemberId> silent;
   for (const auto& voter : voters) {
     const bool lost = voter.health == VoterHealth::silent || voter.health == VoterHealth::superseded;
     (lost ? silent : chosen).push_back(voter.id);
@@ -98,7 +99,8 @@
 }
 // Those that came back empty at a voter's address first: that voter is lost for good.
 std::vector<MemberId> RaftNode::Core::readyLearners(Instant now) const {
-  std::vector<MemberId> returned, others;
+  std::vector<MemberId> returned;
+  std::vector<MemberId> others;
   const auto voters = log.config().allVoters();
   for (const auto& [peer, progress] : peers) {
     const bool ready = caughtUp(progress) && recentlyHeard(now, progress) && !isLeaving(now, progress);
@@ -199,7 +201,8 @@
 bool RaftNode::Core::othersHoldCommitted(const MemberId& without) const {
   const auto& voters = log.config().voters;
   const auto leaver = peers.find(without);
-  std::size_t holding = 0, others = 0;
+  std::size_t holding = 0;
+  std::size_t others = 0;
   for (const auto& voter : voters) {
     if (voter == without)
       continue;
--- a/libs/consensus/src/raft_core.cpp
+++ b/libs/consensus/src/raft_core.cpp
@@ -28,7 +28,7 @@
   HeldMessage held{to, std::move(message), currentTerm};
   if (persistence.hold(after, held))
     return;
-  actions.push_back(SendMessage{std::move(held.to), std::move(held.message)});
+  actions.emplace_back(SendMessage{std::move(held.to), std::move(held.message)});
 }
 DiskRecord RaftNode::Core::emptyRecord() {
   DiskRecord record;
@@ -42,7 +42,7 @@
 PersistTicket RaftNode::Core::handToDisk(DiskRecord record) {
   const auto& pending = persistence.add(std::move(record), log.lastNumber(), log.lastTerm());
   if (pending.inFlight)
-    actions.emplace_back(std::in_place_type<PersistRecord>, pending.ticket, pending.record);
+    actions.emplace_back(PersistRecord{pending.ticket, pending.record});
   return pending.ticket;
 }
 // Term and vote, and the entries from `fromNumber` on (0: none).
@@ -86,7 +86,7 @@
   number = std::min(number, log.lastNumber());
   while (commitNumber < number) {
     ++commitNumber;
-    actions.push_back(ApplyEntry{*log.at(commitNumber)});
+    actions.emplace_back(ApplyEntry{*log.at(commitNumber)});
   }
 }
 void RaftNode::Core::rememberBody(EntryBody body) {
@@ -128,7 +128,7 @@
   const bool alone = persistence.pending().size() == 1 || log.holdsNothing();
   const auto& retried =
       alone ? persistence.retryOldest() : persistence.replaceAll(fullRecord(), log.lastNumber(), log.lastTerm());
-  actions.emplace_back(std::in_place_type<PersistRecord>, retried.ticket, retried.record);
+  actions.emplace_back(PersistRecord{retried.ticket, retried.record});
 }
 void RaftNode::Core::onPersisted(Instant now, PersistTicket ticket) {
   const auto done = persistence.completed(ticket);
@@ -141,7 +141,7 @@
     votes.insert(self);
   for (auto& held : persistence.releasedMessages())
     if (held.term == currentTerm)  // a vote or a question of a term already left behind is void
-      actions.push_back(SendMessage{std::move(held.to), std::move(held.message)});
+      actions.emplace_back(SendMessage{std::move(held.to), std::move(held.message)});
   winIfElected(now);
   if (role == Role::leader)
     return advanceCommit(now);
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -58,7 +58,7 @@
   std::int64_t snapshotsRefused = 0;
   std::vector<RaftAction> actions;
 
-  Core(MemberId self, RaftOptions options, std::uint64_t seed);
+  Core(MemberId member, RaftOptions raftOptions, std::uint64_t seed);
 
   // raft_core.cpp: what all roles share.
   bool isVoter() const { return log.config().isVoter(self); }
--- a/libs/consensus/src/recovery.cpp
+++ b/libs/consensus/src/recovery.cpp
@@ -48,7 +48,7 @@
 void RaftNode::Core::emitRestore() {
   const auto& snapshot = log.snapshot();
   if (snapshot.number > 0)
-    actions.push_back(RestoreSnapshot{snapshot.number, snapshot.term, snapshot.state});
+    actions.emplace_back(RestoreSnapshot{snapshot.number, snapshot.term, snapshot.state});
 }
 void RaftNode::Core::compact(std::int64_t number, std::string state) {
   if (number <= log.snapshot().number || number > commitNumber)
--- a/libs/controller/src/agent_sessions.cpp
+++ b/libs/controller/src/agent_sessions.cpp
@@ -1,9 +1,12 @@
 #include "agent_sessions.hpp"
 
+#include <cstddef>
+
 namespace zc {
 namespace {
-constexpr std::size_t kMostBacklog = 64 * 1024;  // bytes that wait for one agent before the rest is sent later
-constexpr std::size_t kLinksOfAgent = 3;         // with more voters an agent is not linked to each, and misses bodies
+constexpr std::size_t kMostBacklog =
+    std::size_t{64} * 1024;               // bytes that wait for one agent before the rest is sent later
+constexpr std::size_t kLinksOfAgent = 3;  // with more voters an agent is not linked to each, and misses bodies
 constexpr auto kSilentAfter = 6s;
 constexpr int kFullAnswerEvery = 8;  // state messages: voters and view go with each so many-th, changed or not
 
--- a/libs/controller/src/calls.cpp
+++ b/libs/controller/src/calls.cpp
@@ -202,9 +202,11 @@
 
 // One function a call, read top to bottom.
 ApiResponse answerCall(CoreServices& core, const ApiRequest& request, const std::string& heartbeatUri) {
-  constexpr std::string_view beat = "/v1/Instances.Heartbeat/", detach = "/v1/Instances.Detach/";
+  constexpr std::string_view beat = "/v1/Instances.Heartbeat/";
+  constexpr std::string_view detach = "/v1/Instances.Detach/";
   const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
-  const bool post = request.method == "POST", get = request.method == "GET";
+  const bool post = request.method == "POST";
+  const bool get = request.method == "GET";
   if (path.substr(0, beat.size()) == beat)
     return post ? onHeartbeat(core, std::string(path.substr(beat.size())), request.body, heartbeatUri)
                 : errorResponse(405, "POST only");
--- a/libs/controller/src/controller.cpp
+++ b/libs/controller/src/controller.cpp
@@ -8,7 +8,7 @@
 
 namespace zc {
 namespace {
-constexpr std::size_t kMaxBody = 16u << 20;
+constexpr std::size_t kMaxBody = 16U << 20;
 constexpr std::string_view kJson = "application/json";
 
 ApiRequest requestOf(const RequestParser::value_type& r) {
--- a/libs/controller/src/core.cpp
+++ b/libs/controller/src/core.cpp
@@ -32,6 +32,7 @@
 }
 std::vector<std::string> hostsOf(const std::vector<std::string>& addresses) {
   std::vector<std::string> hosts;
+  hosts.reserve(addresses.size());
   for (auto& address : addresses)
     hosts.push_back(hostOf(address));
   return hosts;
@@ -92,7 +93,7 @@
   run();
   return {};
 }
-Outcome<Core::LoadedDisk> Core::loadDisk() {
+Outcome<Core::LoadedDisk> Core::loadDisk() const {
   const auto& folder = shared_.settings.dataDir;
   Storage storage(folder);
   auto recovery = recoverStorage(storage, waitForDisk);
@@ -134,6 +135,7 @@
     shared_.raft->recover(records, now);
   } else if (founder) {
     std::vector<MemberId> founders;
+    founders.reserve(seeds.size());
     for (auto& seed : seeds)
       founders.push_back(seed + "#0");
     shared_.raft->found(founders, now);
@@ -182,7 +184,7 @@
   shared_.settings.timers = settings.timers;
   ring::note("settings read again");
 }
-void Core::leave(std::function<void()> done) {
+void Core::leave(const std::function<void()>& done) {
   if (std::exchange(leaving_, true))
     return;
   shared_.raft->leave(Clock::now());
--- a/libs/controller/src/core.hpp
+++ b/libs/controller/src/core.hpp
@@ -30,7 +30,7 @@
   void reread(const Settings& settings);
   /// Ends this machine's part in good order; `done` is called once the others can do without it, or in time to end
   /// before being killed.
-  void leave(std::function<void()> done);
+  void leave(const std::function<void()>& done);
 
   const Settings& settings() const override { return shared_.settings; }
   const ReplicatedState& copy() const override { return shared_.copy; }
@@ -55,7 +55,7 @@
     Storage storage;
     Recovery recovery;
   };
-  Outcome<LoadedDisk> loadDisk();
+  Outcome<LoadedDisk> loadDisk() const;
   void startMember(LoadedDisk disk);
   Outcome<void> startLinks();
   void startTimers();
--- a/libs/controller/src/core_report.cpp
+++ b/libs/controller/src/core_report.cpp
@@ -55,7 +55,8 @@
   const auto& raft = *shared_.raft;
   const auto& state = shared_.copy.state();
   const auto* hints = hints_.table();
-  std::vector<std::string> members, runners;
+  std::vector<std::string> members;
+  std::vector<std::string> runners;
   for (auto& voter : raft.voters())
     members.push_back(quoteJson(voter));
   for (auto& runner : state.runners)
--- a/libs/controller/src/heartbeats.cpp
+++ b/libs/controller/src/heartbeats.cpp
@@ -69,7 +69,7 @@
     if (now - *watchingSince_ >= patience_ && now - last > patience_)
       out.push_back(runner);
   }
-  std::erase_if(heard_, [&](auto& h) { return !present.count(h.first) && now - h.second > kUselessAfter; });
+  std::erase_if(heard_, [&](auto& h) { return !present.contains(h.first) && now - h.second > kUselessAfter; });
   return out;
 }
 }  // namespace zc
--- a/libs/controller/src/outliers.cpp
+++ b/libs/controller/src/outliers.cpp
@@ -44,8 +44,9 @@
 void OutlierDetector::told(Instant now, const std::string& node, const std::vector<Grant>& seen) {
   for (auto& g : seen) {
     // Why nothing beyond some: one node's word counts, its shouting does not.
-    const double good = std::clamp(g.rate, 0.0, 50.0), bad = std::clamp(g.burst, 0.0, 4.0);
-    if (!known_.count(g.label)) {
+    const double good = std::clamp(g.rate, 0.0, 50.0);
+    const double bad = std::clamp(g.burst, 0.0, 4.0);
+    if (!known_.contains(g.label)) {
       ++declined_;
       continue;
     }
@@ -102,7 +103,8 @@
       continue;
     auto& f = fleets[r.service];
     const double share = m.bad / (m.bad + m.good);
-    const double others = f.bad - m.bad, all = others + f.good - m.good;
+    const double others = f.bad - m.bad;
+    const double all = others + f.good - m.good;
     const double peers = all > 0 ? others / all : 0;
     if (share >= kShare && share >= std::min(kPeers * peers, peers + kFarWorse))
       suspects.push_back({share, &m, &f});
@@ -124,7 +126,7 @@
     list.push_back({r.id, it->second.standing == Standing::aside ? 1.0 : kTrialLevel, 0});
   }
   std::erase_if(marks_, [&](auto& x) {
-    if (!known_.count(x.first))
+    if (!known_.contains(x.first))
       return true;
     return x.second.standing == Standing::fine && x.second.good + x.second.bad < 0.01 && now - x.second.since > kForget;
   });
--- a/libs/controller/src/peer_links.cpp
+++ b/libs/controller/src/peer_links.cpp
@@ -2,7 +2,7 @@
 
 namespace zc {
 namespace {
-constexpr std::size_t kMostBacklog = 4u << 20;  // bytes that wait for a member before it is told again later
+constexpr std::size_t kMostBacklog = 4U << 20;  // bytes that wait for a member before it is told again later
 constexpr auto kSpokeLately = 1s;
 }  // namespace
 
--- a/libs/controller/src/pending_writes.cpp
+++ b/libs/controller/src/pending_writes.cpp
@@ -5,7 +5,7 @@
 constexpr Span kSentAgainAfter{250};
 }
 
-Outcome<std::int32_t> PendingWrites::write(Entry entry, Span within) {
+Outcome<std::int32_t> PendingWrites::write(const Entry& entry, Span within) {
   const auto end = Clock::now() + within;
   const auto id = entry.opId;
   Pending own;
--- a/libs/controller/src/pending_writes.hpp
+++ b/libs/controller/src/pending_writes.hpp
@@ -13,7 +13,7 @@
   };
   PendingWrites(const CoreContext& core, Ways ways) : core_(core), ways_(std::move(ways)) {}
   /// Parks the calling fiber until its own write is applied here; the verdict is the copy's.
-  Outcome<std::int32_t> write(Entry entry, Span within);
+  Outcome<std::int32_t> write(const Entry& entry, Span within);
   void applied(const std::string& operationId);
   /// Any of them may be applied by now.
   void snapshotRestored();
--- a/libs/operations/include/operations/call.hpp
+++ b/libs/operations/include/operations/call.hpp
@@ -11,7 +11,7 @@
   std::vector<std::pair<std::string, std::string>> heads;
 };
 // On a fiber. Follows 307 twice.
-Outcome<Called> callOne(const std::string& address, const Call& c, Span within);
+Outcome<Called> callOne(const std::string& first, const Call& c, Span within);
 // Tries the addresses in turn until one gives an answer that is not 5xx.
 Outcome<Called> callAny(const std::vector<std::string>& addresses, const Call& c, Span within);
 std::vector<std::string> splitList(std::string_view s);
--- a/libs/operations/src/call.cpp
+++ b/libs/operations/src/call.cpp
@@ -25,7 +25,7 @@
   Buffer buf;
   http::response_parser<http::string_body> p;
   p.eager(true);
-  p.body_limit(64u << 20);
+  p.body_limit(64U << 20);
   if (!ec)
     pump(w, buf, p, false, ec);
   if (ec)
--- a/libs/proxy/include/proxy/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 
 #include "runtime/event_loop.hpp"
 namespace zc {
@@ -45,7 +46,7 @@
         continue;
     }
     ec = {};
-    const auto room = buf.prepare(8 * 1024);
+    const auto room = buf.prepare(std::size_t{8} * 1024);
     const auto n = w.read(room, ec);
     if (ec) {
       if (ec == asio::error::eof && p.is_header_done() && !p.chunked() && !p.content_length()) {
--- a/libs/proxy/src/events.cpp
+++ b/libs/proxy/src/events.cpp
@@ -7,7 +7,8 @@
 }
 // The end of the event that holds this position.
 std::size_t endOfEvent(std::string_view s, std::size_t at) {
-  const auto lf = s.find("\n\n", at), crlf = s.find("\n\r\n", at);
+  const auto lf = s.find("\n\n", at);
+  const auto crlf = s.find("\n\r\n", at);
   return std::min({lf == s.npos ? s.size() : lf + 2, crlf == s.npos ? s.size() : crlf + 3, s.size()});
 }
 }  // namespace
--- a/libs/proxy/src/heads.hpp
+++ b/libs/proxy/src/heads.hpp
@@ -19,5 +19,5 @@
 // The first header of this name; empty if there is none.
 std::string_view field(const http::fields& f, std::string_view name);
 // A header's value as a number of at most twelve digits; otherwise, if it is none.
-std::int64_t wholeNumber(std::string_view value, std::int64_t otherwise);
+std::int64_t wholeNumber(std::string_view s, std::int64_t otherwise);
 }  // namespace zc
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -1,5 +1,7 @@
 #include "proxy/http.hpp"
 
+#include <cstddef>
+
 #include "config/calls.hpp"
 
 namespace zc {
@@ -23,7 +25,7 @@
   p.eager(true);
   if (buf.size() == 0) {
     w.due(Clock::now() + l.idle);
-    const auto n = w.read(buf.prepare(8 * 1024), ec);
+    const auto n = w.read(buf.prepare(std::size_t{8} * 1024), ec);
     w.undue();
     if (ec || n == 0)
       return {ReadEnd::closed, 0};
--- a/libs/proxy/src/partner_attempt.cpp
+++ b/libs/proxy/src/partner_attempt.cpp
@@ -1,12 +1,14 @@
 #include "partner_attempt.hpp"
 
+#include <cstddef>
+
 #include "heads.hpp"
 #include "stream_relay.hpp"
 
 namespace zc {
 namespace {
-constexpr std::size_t kReadBytes = 4 * 1024;
-constexpr std::uint64_t kMostAnswerBytes = 64u << 20;
+constexpr std::size_t kReadBytes = std::size_t{4} * 1024;
+constexpr std::uint64_t kMostAnswerBytes = 64U << 20;
 constexpr Span kLeastPatience{20}, kMostPatience{400};
 }  // namespace
 
--- a/libs/proxy/src/partner_attempt.hpp
+++ b/libs/proxy/src/partner_attempt.hpp
@@ -4,5 +4,5 @@
 namespace zc {
 // The node has a fifth of the route's aim to begin its answer; whatever is no whole success is left there.
 // address: as IP:port. Outcomes as for a runner, without failed and movedAway.
-AttemptOutcome attemptOnPartner(Exchange& exchange, const std::string& address);
+AttemptOutcome attemptOnPartner(Exchange& x, const std::string& address);
 }  // namespace zc
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -11,7 +11,7 @@
 constexpr auto kDeadlineMargin = 50ms;  // for a runner's own answer that the time is up
 constexpr int kMostSurplus = 2;         // answers to others' requests read past before ours
 constexpr int kMostInterim = 16;        // interim answers (1xx) read past before the final one
-constexpr std::uint64_t kMostAnswerBytes = 64u << 20;
+constexpr std::uint64_t kMostAnswerBytes = 64U << 20;
 
 class RunnerAttempt {
  public:
@@ -119,7 +119,8 @@
 }
 // The head of the final answer to this very request, or an error in ec_, or another's answer.
 void RunnerAttempt::readHead() {
-  int surplus = 0, interim = 0;
+  int surplus = 0;
+  int interim = 0;
   for (;;) {
     answer_.emplace();
     answer_->eager(true);
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -1,10 +1,12 @@
 #include "stream_relay.hpp"
 
+#include <cstddef>
+
 #include "heads.hpp"
 
 namespace zc {
 namespace {
-constexpr std::size_t kReadBytes = 4 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{4} * 1024;
 constexpr auto kDeadlineMargin = 50ms;
 
 // Whether a live stream would find a runner elsewhere: one that nobody can take up stays where it is.
--- a/libs/proxy/src/stream_relay.hpp
+++ b/libs/proxy/src/stream_relay.hpp
@@ -6,5 +6,5 @@
 // upstream: the connection that the answer comes on; buffer: bytes of it that the parser has not seen yet.
 // Begins the client's answer with this one's head if none has begun; else its events go on in the answer under way.
 // Outcomes: completed, interrupted, movedAway, clientGone.
-AttemptOutcome relayStream(Exchange& exchange, Connection& upstream, Buffer& buffer, AnswerParser& answer);
+AttemptOutcome relayStream(Exchange& x, Connection& upstream, Buffer& buffer, AnswerParser& answer);
 }  // namespace zc
--- a/libs/proxy_daemon/src/proxy_daemon.cpp
+++ b/libs/proxy_daemon/src/proxy_daemon.cpp
@@ -299,7 +299,7 @@
     for (auto& c : state_.state().closures) {
       const auto zones = zonesOf(c.place);
       out.push_back({c.place, static_cast<double>(context_.runners.inFlightIn(zones)),
-                     zones.count(settings_.zone) ? context_.inFlight * 1.0 : 0.0});
+                     zones.contains(settings_.zone) ? context_.inFlight * 1.0 : 0.0});
     }
     return out;
   }
@@ -348,7 +348,7 @@
   Instant loadAt_ = Clock::now();
   std::uint64_t loadCount_ = 0;
   double perS_ = 0, slackShare_ = 0;
-  Span leaseSpan_;
+  Span leaseSpan_{};
 };
 }  // namespace
 
--- a/libs/runtime/src/event_loop.cpp
+++ b/libs/runtime/src/event_loop.cpp
@@ -8,11 +8,12 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/type.hpp>
 #include <csignal>
+#include <cstddef>
 
 namespace zc {
 namespace {
 constexpr auto kDeadlineCheckInterval = 20ms;
-constexpr std::size_t kFiberStackBytes = 64 * 1024;
+constexpr std::size_t kFiberStackBytes = std::size_t{64} * 1024;
 constexpr unsigned kUserTimeoutMs = 4000;  // unacknowledged data gives a connection up
 EventLoop* g_loop = nullptr;
 
--- a/libs/simulation/src/fleet.cpp
+++ b/libs/simulation/src/fleet.cpp
@@ -9,8 +9,6 @@
 #include <filesystem>
 #include <fstream>
 
-extern char** environ;
-
 namespace zc {
 LocalFleet::LocalFleet(std::string binary, int core) : binary_(std::move(binary)) {
   std::string t = std::filesystem::temp_directory_path() / "zinccleat-fleet-XXXXXX";
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -22,8 +22,8 @@
   // Starts an agent and a proxy beside the core.
   bool startPair();
   // Ends a process at once (SIGKILL) and waits until it is gone. False: it was not running.
-  bool kill(std::size_t process);
-  bool startAgain(std::size_t process);
+  bool kill(std::size_t i);
+  bool startAgain(std::size_t i);
   // Address and port of the control interface of core machine i, counted round.
   std::string control(std::size_t i) const;
   // Address and port where the proxy serves clients.
--- a/libs/simulation/src/hollow_node.cpp
+++ b/libs/simulation/src/hollow_node.cpp
@@ -25,7 +25,7 @@
 void HollowNode::start() {
   dial();
   // Why spread: real nodes do not beat in step.
-  auto soon = [this](Span every, std::function<void()> f) {
+  auto soon = [this](Span every, const std::function<void()>& f) {
     auto t = std::make_shared<asio::steady_timer>(EventLoop::get().io(),
                                                   Span(rng_() % static_cast<std::uint64_t>(every.count())));
     t->async_wait([t, every, f](Ec) { EventLoop::get().every(every, f); });
@@ -147,7 +147,7 @@
   if (const auto ip = standing.leader.substr(0, standing.leader.find('#')); ip != leaderIp_) {
     leaderIp_ = ip;
     following_ = false;
-    if (!links_.count(ip)) {
+    if (!links_.contains(ip)) {
       asio::post(EventLoop::get().io(), [this] { dial(); });
       return;
     }
--- a/libs/simulation/src/linearizability.cpp
+++ b/libs/simulation/src/linearizability.cpp
@@ -39,9 +39,10 @@
 
 class Search {
  public:
-  explicit Search(std::vector<OperatorCall> history) : calls_(std::move(history)), placed_(calls_.size(), false) {
-    open_ = std::count_if(calls_.begin(), calls_.end(), isAnswered);
-  }
+  explicit Search(std::vector<OperatorCall> history)
+      : calls_(std::move(history)),
+        placed_(calls_.size(), false),
+        open_(std::count_if(calls_.begin(), calls_.end(), isAnswered)) {}
   LinearizabilityResult run() {
     LinearizabilityResult result;
     result.linearizable = explainRest(Register{});
@@ -190,7 +191,9 @@
   return calls_.size() - 1;
 }
 void OperatorRecorder::replaceAnswered(std::size_t call, std::int64_t at, int status) {
-  constexpr int kTaken = 200, kInvalid = 400, kOtherVersion = 412;
+  constexpr int kTaken = 200;
+  constexpr int kInvalid = 400;
+  constexpr int kOtherVersion = 412;
   auto& c = calls_[call];
   if (status == kTaken)
     c.answer = Answer::acknowledged;
--- a/libs/simulation/src/scale_run.cpp
+++ b/libs/simulation/src/scale_run.cpp
@@ -67,7 +67,7 @@
     return f();
   }
   bool replace(std::int64_t version, Span within);
-  void beat(int runner);
+  void beat(int i);
   void change();
 
   ScaleRunPlan p_;
@@ -213,7 +213,7 @@
         change();
     }
   });
-  auto spread = [&](int times, std::function<void()> what) {
+  auto spread = [&](int times, const std::function<void()>& what) {
     if (times <= 0)
       return;
     loop.launch([&, times, what] {
@@ -272,7 +272,8 @@
   over_ = true;
   const bool same = until(5s, all) && std::all_of(nodes_.begin(), nodes_.end(),
                                                   [&](auto& n) { return n->digest() == nodes_[0]->digest(); });
-  std::uint64_t granted = 0, refused = 0;
+  std::uint64_t granted = 0;
+  std::uint64_t refused = 0;
   std::vector<double> draws;
   for (auto& n : nodes_) {
     granted += n->granted;
@@ -305,7 +306,8 @@
       f();
     return std::chrono::duration<double, std::milli>(Clock::now() - at).count() / 10;
   };
-  const auto wholeDigest = digestOf(whole), nextDigest = digestOf(next);
+  const auto wholeDigest = digestOf(whole);
+  const auto nextDigest = digestOf(next);
   std::string difference;
   const double parseMs = timed([&] { must(parseConfiguration(whole).has_value(), "the plan's own configuration"); });
   const double differMs = timed([&] { difference = deltaOf(whole, wholeDigest, next, nextDigest); });
--- a/libs/state_machine/include/state_machine/delta.hpp
+++ b/libs/state_machine/include/state_machine/delta.hpp
@@ -22,7 +22,7 @@
   }
 };
 // Where a text may be cut: the ends of its parts, rising, the last one its length.
-std::vector<std::size_t> partsOf(std::string_view text);
+std::vector<std::size_t> partsOf(std::string_view s);
 std::string deltaOf(std::string_view base, std::string_view baseDigest, std::string_view text, std::string_view digest);
 // Declined: no delta, another base, runs outside of it, or another result than its digest says.
 Outcome<std::string> applyDelta(std::string_view base, std::string_view baseDigest, std::string_view delta);
--- a/libs/state_machine/src/delta.cpp
+++ b/libs/state_machine/src/delta.cpp
@@ -4,7 +4,7 @@
 
 namespace zc {
 namespace {
-constexpr std::size_t kMostText = 64u << 20;  // a result beyond this is no configuration
+constexpr std::size_t kMostText = 64U << 20;  // a result beyond this is no configuration
 }
 std::vector<std::size_t> partsOf(std::string_view s) {
   std::vector<std::size_t> ends;
@@ -51,7 +51,8 @@
   d.base = baseDigest;
   d.result = digest;
   d.runs.emplace_back();
-  std::size_t from = 0, next = ends.size();  // next: the part after the run under way
+  std::size_t from = 0;
+  std::size_t next = ends.size();  // next: the part after the run under way
   for (const auto end : partsOf(text)) {
     const auto p = text.substr(from, end - from);
     from = end;
--- a/libs/state_machine/src/history.cpp
+++ b/libs/state_machine/src/history.cpp
@@ -1,5 +1,7 @@
 #include "state_machine/history.hpp"
 
+#include <ranges>
+
 namespace zc {
 namespace {
 constexpr std::size_t kNumberBytes = 8;
@@ -85,9 +87,9 @@
 }
 std::optional<std::int32_t> OperationHistory::verdictOf(std::string_view operationId) const {
   const auto hash = hash64(operationId);
-  for (auto it = operations_.rbegin(); it != operations_.rend(); ++it)
-    if (it->idHash == hash)
-      return it->verdict;
+  for (auto operation : std::ranges::reverse_view(operations_))
+    if (operation.idHash == hash)
+      return operation.verdict;
   return std::nullopt;
 }
 OperationHistory OperationHistory::withoutVerdicts() const {
--- a/libs/storage/src/posix_file_system.cpp
+++ b/libs/storage/src/posix_file_system.cpp
@@ -5,13 +5,14 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstddef>
 #include <cstring>
 
 #include "storage/file_system.hpp"
 
 namespace zc {
 namespace {
-constexpr std::size_t kReadBlock = 64 * 1024;
+constexpr std::size_t kReadBlock = std::size_t{64} * 1024;
 
 tl::unexpected<Fault> systemFault(const std::string& operation) {
   const int code = errno;
--- a/libs/storage/src/storage.cpp
+++ b/libs/storage/src/storage.cpp
@@ -23,6 +23,7 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstdlib>
+#include <ranges>
 
 namespace zc {
 namespace {
@@ -103,10 +104,10 @@
 
 Outcome<std::vector<DiskRecord>> Storage::readNewestRun(const std::vector<std::int64_t>& sequences) {
   std::vector<DiskRecord> run;  // newest first, until it is turned round
-  for (auto sequence = sequences.rbegin(); sequence != sequences.rend(); ++sequence) {
-    if (!run.empty() && *sequence + 1 != run.back().seq)
+  for (long sequence : std::ranges::reverse_view(sequences)) {
+    if (!run.empty() && sequence + 1 != run.back().seq)
       return fault(kDamaged, recordName(run.back().seq - 1) + " is missing");
-    auto record = readRecord(*sequence);
+    auto record = readRecord(sequence);
     if (!record)
       return tl::unexpected(record.error());
     const bool base = record->full || record->seq == 1;
--- a/libs/transport/include/transport/avro.hpp
+++ b/libs/transport/include/transport/avro.hpp
@@ -2,6 +2,8 @@
 #pragma once
 #include <avro.h>
 
+#include <atomic>
+
 #include "runtime/common.hpp"
 
 namespace zc::avro {
@@ -22,8 +24,8 @@
 };
 // Why a number a use: a schema may not spell the same record out twice under one name.
 inline std::string recordName() {
-  static int n = 0;
-  return "R" + std::to_string(++n);
+  static std::atomic<int> uses{0};  // the disk's thread and the loop's may use a type for the first time at once
+  return "R" + std::to_string(++uses);
 }
 template <class T>
 std::string schemaText() {
@@ -51,7 +53,7 @@
     return schemaText<T>();
 }
 struct Writer {
-  avro_value_t* rec;
+  avro_value_t* rec{};
   int i = 0;
   static void put(avro_value_t* f, bool x) { avro_value_set_boolean(f, x); }
   static void put(avro_value_t* f, std::int32_t x) { avro_value_set_int(f, x); }
@@ -81,7 +83,7 @@
   }
 };
 struct FieldReader {
-  avro_value_t* rec;
+  avro_value_t* rec{};
   int i = 0;
   static void get(avro_value_t* f, bool& x) {
     int b = 0;
--- a/libs/transport/include/transport/peer_link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -25,7 +25,7 @@
  public:
   using OnMessage = std::function<void(const std::shared_ptr<PeerLink>&, const Envelope&)>;
   using OnEnd = std::function<void(const std::shared_ptr<PeerLink>&)>;
-  PeerLink(tcp::socket s, OnMessage onMessage, OnEnd onEnd);
+  PeerLink(tcp::socket s, OnMessage m, OnEnd e);
   ~PeerLink();
   void start();
   void send(const Envelope& envelope);
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer_link.hpp"
 
 #include <boost/asio/write.hpp>
+#include <cstddef>
 
 #include "runtime/log_ring.hpp"
 
@@ -8,10 +9,10 @@
 namespace {
 constexpr char kFormat = 4;       // frames of another format version are refused
 constexpr char kPieceFormat = 3;  // a part of a large frame; the first byte of its body tells whether it is the last
-constexpr std::size_t kPiece = 16 * 1024;
+constexpr std::size_t kPiece = std::size_t{16} * 1024;
 constexpr std::size_t kLongestSender = 255;
-constexpr std::size_t kMaxFrame = 32u << 20;
-constexpr std::size_t kMaxOut = 48u << 20;
+constexpr std::size_t kMaxFrame = 32U << 20;
+constexpr std::size_t kMaxOut = 48U << 20;
 constexpr auto kSilence = 900ms;
 // Why short: an opening packet to a machine that is not up yet is lost, and the next one is seconds away.
 constexpr auto kDial = 300ms;
@@ -75,13 +76,13 @@
     if (buf[at + 4] == kPieceFormat && partial) {
       if (n < 2)
         return fault(0, "an empty piece");
-      if (buf.size() - at < 4u + n)
+      if (buf.size() - at < 4U + n)
         break;
       partial->append(buf, at + 6, n - 2);
       if (partial->size() > kMaxFrame)
         return fault(0, "pieces of an impossible length");
       const bool last = buf[at + 5] != 0;
-      at += 4u + n;
+      at += 4U + n;
       if (!last)
         continue;
       auto frame = std::exchange(*partial, {});
@@ -96,14 +97,14 @@
     }
     if (buf[at + 4] != kFormat && ++g_traffic.framesOfOtherFormats)
       return fault(0, "frame of another format version: " + std::to_string(buf[at + 4]));
-    if (buf.size() - at < 4u + n)
+    if (buf.size() - at < 4U + n)
       break;
     auto envelope = envelopeOf(std::string_view(buf).substr(at + 5, n - 1));
     if (!envelope)
       return tl::unexpected(envelope.error());
     count(g_traffic.received, envelope->type, n + 4);
     out.push_back(std::move(*envelope));
-    at += 4u + n;
+    at += 4U + n;
   }
   buf.erase(0, at);
   return out;
@@ -155,9 +156,10 @@
 void PeerLink::start() {
   EventLoop::get().launch([self = shared_from_this()] {
     auto& d = *self->impl_;
-    std::string buf, partial;
+    std::string buf;
+    std::string partial;
     // Why from the heap: fiber stacks are small.
-    std::vector<char> chunk(16 * 1024);
+    std::vector<char> chunk(std::size_t{16} * 1024);
     while (d.open) {
       Ec ec;
       const auto n = d.connection.read(asio::buffer(chunk), ec);
--- a/tests/balancing_test.cpp
+++ b/tests/balancing_test.cpp
@@ -29,8 +29,8 @@
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 rng(seed);
     const std::size_t count = seed % 3 == 0 ? 70 : 6;
-    const double rate = 2 + static_cast<double>(rng() % 60),
-                 burst = rate * (0.5 + static_cast<double>(rng() % 3) * 0.5);
+    const double rate = 2 + static_cast<double>(rng() % 60);
+    const double burst = rate * (0.5 + static_cast<double>(rng() % 3) * 0.5);
     auto cfg = tenants(rate, burst);
     Instant now{100s};
     auto desk = std::make_unique<QuotaAllocator>();
@@ -108,7 +108,7 @@
 // A tenant's requests spread over few nodes or many: a token waited for costs one draw, none is wasted where it
 // expires.
 TEST(Quota, WhatLiesBelowTheLimitIsAllowed) {
-  for (const std::size_t count : {9u, 70u, 330u}) {
+  for (const std::size_t count : {9U, 70U, 330U}) {
     std::mt19937_64 rng(3);
     auto cfg = tenants(32, 32);
     QuotaAllocator desk;
@@ -116,7 +116,8 @@
     Instant now{100s};
     desk.takeOver(now);
     std::vector<QuotaGrants> nodes(count);
-    int asked = 0, refused = 0;
+    int asked = 0;
+    int refused = 0;
     for (int ms = 0; ms < 40000; ms += 10, now += 10ms) {
       // 20 a second, in clumps of three at one node.
       if (ms > 4000 && rng() % 15 == 0) {
@@ -164,9 +165,9 @@
       s.take("rare" + std::to_string(ms / 50 % 200), now);
     if (ms % 400 == 0) {
       const auto d = s.demand(now);
-      EXPECT_LE(d.size(), 1u);
+      EXPECT_LE(d.size(), 1U);
       if (ms > 4000) {
-        ASSERT_EQ(d.size(), 1u);
+        ASSERT_EQ(d.size(), 1U);
       }
       for (auto& g : d)
         EXPECT_EQ(g.label, "steady");
@@ -174,7 +175,7 @@
   }
   for (int i = 0; i < 200; ++i, now += 400ms)
     (void)s.demand(now);
-  EXPECT_EQ(s.size(), 0u) << "and forgets who stays away";
+  EXPECT_EQ(s.size(), 0U) << "and forgets who stays away";
 }
 TEST(Budget, FurtherAttemptsStayInsideTheShare) {
   std::mt19937_64 rng(9);
@@ -189,7 +190,8 @@
       window.emplace_back(t, true);
     while (!window.empty() && window.front().first < t - 1000)
       window.pop_front();
-    double firsts = 0, again = 0;
+    double firsts = 0;
+    double again = 0;
     for (auto& [at, more] : window)
       (more ? again : firsts) += 1;
     ASSERT_LE(again, 0.2 * firsts + 12) << t;
@@ -209,7 +211,8 @@
       for (auto& x : b)
         x.earn("s", now);
     now += 20s;
-    int firsts = 0, again = 0;
+    int firsts = 0;
+    int again = 0;
     for (int i = 0; i < 40; ++i, now += 100ms)
       for (auto& x : b) {
         if (nodes > 20 && rng() % 10)
@@ -240,9 +243,11 @@
 }
 TEST(RunnerPool, NodesAgreeOnTheRunnerOfASharedPart) {
   std::vector<Runner> rs;
+  rs.reserve(18);
   for (int i = 0; i < 18; ++i)
     rs.push_back(dock("r" + std::to_string(i), "z" + std::to_string(i % 3)));
-  RunnerPool a(1), b(2);
+  RunnerPool a(1);
+  RunnerPool b(2);
   a.follow(rs);
   std::reverse(rs.begin(), rs.end());
   b.follow(rs);
@@ -255,7 +260,7 @@
     EXPECT_EQ(x, b.at(b.choose(w, Instant{100s})).id);
     used.insert(x);
   }
-  EXPECT_GT(used.size(), 12u) << "parts spread over the runners";
+  EXPECT_GT(used.size(), 12U) << "parts spread over the runners";
 }
 TEST(RunnerPool, APlaceWithMuchToReadIsLeft) {
   RunnerPool d(1);
@@ -310,7 +315,7 @@
   EXPECT_EQ(p.shared, 1210);
   EXPECT_EQ(p.affinity, promptOf("5c1e07a2:800,91bd3f06:410,ffff:9").affinity);
   EXPECT_NE(p.affinity, promptOf("5c1e07a2:800,e4402b7d:250").affinity);
-  EXPECT_EQ(promptOf("").affinity, 0u);
+  EXPECT_EQ(promptOf("").affinity, 0U);
   EXPECT_EQ(promptOf("aa:5").shared, 0);
   EXPECT_EQ(promptOf("nonsense,,:x").shared, 0);
 }
@@ -324,7 +329,8 @@
   }
   for (int i = 0; i < 400; ++i, now += 10ms)
     a.first("s", true, now);
-  int urgent = 0, other = 0;
+  int urgent = 0;
+  int other = 0;
   for (int i = 0; i < 1000; ++i) {
     urgent += a.allows("s", 0, i / 1000.0, now);
     other += a.allows("s", 4, i / 1000.0, now);
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -85,8 +85,8 @@
   const auto again = core.beat("i1", 2);
   EXPECT_EQ(again.status, 200);
   EXPECT_NE(again.body.find(kUri), std::string::npos);
-  EXPECT_EQ(core.written.size(), 1u) << "a beat without news is no write";
-  EXPECT_EQ(core.noted.size(), 2u);
+  EXPECT_EQ(core.written.size(), 1U) << "a beat without news is no write";
+  EXPECT_EQ(core.noted.size(), 2U);
 }
 TEST(Calls, AMachineCutOffSendsAKnownRunnerOnAtOnce) {
   StandInCore core;
@@ -103,7 +103,7 @@
   core.contact = false;
   expectSentOn(core, core.beat("i2", 1));
   expectSentOn(core, core.beat("i1", 2, "draining"));
-  EXPECT_EQ(core.written.size(), 1u);
+  EXPECT_EQ(core.written.size(), 1U);
 }
 TEST(Calls, AMachineWhoseBeatsDoNotReachTheLeaderSendsRunnersOn) {
   StandInCore core;
@@ -151,7 +151,7 @@
   core.contact = true;
   EXPECT_EQ(core.post("/v1/Configuration.Replace", configuration(4), "5").status, 400);
   EXPECT_EQ(core.post("/v1/Configuration.Replace", configuration(9), "7").status, 412);
-  EXPECT_EQ(core.written.size(), 3u) << "each refusal is the verdict of a committed write";
+  EXPECT_EQ(core.written.size(), 3U) << "each refusal is the verdict of a committed write";
 }
 TEST(Calls, NothingIsPassedOnToALeaderThatMayBeGone) {
   StandInCore core;
@@ -170,7 +170,7 @@
 
 // Found by reading: ids held the boot's last five digits and a counter that began anew.
 TEST(OperationIds, TwoLivesOfOneMemberNeverGiveOneName) {
-  const std::uint64_t boots[] = {5, 100005, 1ull << 40 | 5, ~0ull};
+  const std::uint64_t boots[] = {5, 100005, 1ULL << 40 | 5, ~0ULL};
   std::map<std::string, std::uint64_t> seen;
   for (const auto boot : boots) {
     OperationIds ids("10.0.0.4#7", boot);
@@ -180,7 +180,8 @@
 }
 TEST(OperationIds, AnOlderLifesVerdictIsNotTakenForANewOrders) {
   ReplicatedState copy;
-  OperationIds older("10.0.0.4#7", 5), newer("10.0.0.4#7", 100005);
+  OperationIds older("10.0.0.4#7", 5);
+  OperationIds newer("10.0.0.4#7", 100005);
   auto first = configurationOp(0, 2, configuration(2), older.next());
   first.num = 1;
   copy.apply(first);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -26,8 +26,8 @@
   auto c = parseConfiguration(kGood);
   ASSERT_TRUE(c) << c.error().text;
   EXPECT_EQ((*c)->version, 7);
-  EXPECT_EQ((*c)->routes.size(), 3u);
-  EXPECT_EQ((*c)->routes[1].shareSum, 100u);
+  EXPECT_EQ((*c)->routes.size(), 3U);
+  EXPECT_EQ((*c)->routes[1].shareSum, 100U);
   EXPECT_TRUE((*c)->routes[0].repeatable());
   EXPECT_FALSE((*c)->routes[2].repeatable());
   EXPECT_EQ((*c)->subscriberOf("k2"), 0);
@@ -93,7 +93,7 @@
   EXPECT_EQ(s->timers.grace, Span(8000));
   EXPECT_EQ(s->portLast, 7675);
   EXPECT_TRUE(s->dataDir.empty());
-  for (std::string broken :
+  for (const std::string& broken :
        {std::string("{"), std::string("[]"), std::string("{}"),
         std::string(R"({"nodeName":1,"ip":"a","zone":"z","internalPorts":[1,2],"seedNodes":[]})"),
         std::string(R"({"nodeName":"n","ip":"a","zone":"z","internalPorts":[9],"seedNodes":[]})"),
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -230,7 +230,7 @@
   for (auto& s : kSeeds)
     w.write(s);
   w.runFor(1000ms);
-  EXPECT_EQ(w.acked.size(), 3u);
+  EXPECT_EQ(w.acked.size(), 3U);
   EXPECT_TRUE(w.broken.empty()) << joined(w.broken);
 }
 TEST(Order, TheNextTakesOverWhenTheSequencerLosesPower) {
@@ -278,7 +278,7 @@
   const auto now = w.leader();
   ASSERT_FALSE(now.empty());
   const auto& m = w.nodes[now].raft->voters();
-  EXPECT_EQ(m.size(), 3u);
+  EXPECT_EQ(m.size(), 3U);
   EXPECT_EQ(std::count(m.begin(), m.end(), oldId), 0);
   EXPECT_EQ(std::count(m.begin(), m.end(), w.nodes[lost].id), 1);
   checkEnd(w);
@@ -297,7 +297,7 @@
   ASSERT_FALSE(now.empty());
   const auto& m = w.nodes[now].raft->voters();
   EXPECT_EQ(std::count(m.begin(), m.end(), w.nodes["10.9.0.9"].id), 1) << joined(m);
-  EXPECT_EQ(m.size(), 3u);
+  EXPECT_EQ(m.size(), 3U);
   checkEnd(w);
 }
 TEST(Order, AWipedMemberAndAPowerLossOfAllTheOthersAtOnce) {
@@ -308,7 +308,7 @@
       w.write(kSeeds[w.draw(3)]), w.runFor(60ms);
     // First one is wiped and replaced, later another, and then all go at once.
     for (int round = 0; round < 2; ++round) {
-      const auto ip = kSeeds[w.draw(3)];
+      const auto& ip = kSeeds[w.draw(3)];
       w.kill(ip);
       w.nodes[ip].disk.clear();
       if (round == 1)
@@ -369,7 +369,8 @@
       const auto ips = bootMany(w, size);
       for (int i = 0; i < 10; ++i)
         w.write(ips[w.draw(ips.size())]), w.runFor(60ms);
-      const auto a = w.draw(ips.size()), b = (a + 1 + w.draw(ips.size() - 1)) % ips.size();
+      const auto a = w.draw(ips.size());
+      const auto b = (a + 1 + w.draw(ips.size() - 1)) % ips.size();
       for (std::size_t i = 0; i < ips.size(); ++i) {
         const bool wiped = i == a || i == b;
         if (!wiped && s % 2)
@@ -416,7 +417,8 @@
     Instant now{100s};
     RaftNode node("10.1.0.1#0", RaftOptions{}, 1, now);
     node.found({"10.1.0.1#0", "10.2.0.1#0", "10.3.0.1#0"}, now);
-    bool handedOver = false, diskSilent = false;
+    bool handedOver = false;
+    bool diskSilent = false;
     auto settle = [&] {
       for (auto actions = node.takeActions(); !actions.empty(); actions = node.takeActions())
         for (auto& action : actions) {
@@ -528,7 +530,8 @@
   // A longer sweep: ZINCCLEAT_WORLDS=5000 ZINCCLEAT_FROM=1000 target/tests/zinccleat_tests --gtest_filter=*Worlds
   const char* n = std::getenv("ZINCCLEAT_WORLDS");
   const char* f = std::getenv("ZINCCLEAT_FROM");
-  const std::uint64_t from = f ? std::strtoull(f, nullptr, 10) : 1000, count = n ? std::strtoull(n, nullptr, 10) : 300;
+  const std::uint64_t from = f ? std::strtoull(f, nullptr, 10) : 1000;
+  const std::uint64_t count = n ? std::strtoull(n, nullptr, 10) : 300;
   std::uint64_t timesWell = 0;
   for (auto s = from; s < from + count; ++s) {
     timesWell += static_cast<std::uint64_t>(play(s));
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -15,7 +15,7 @@
 struct Alone {
   std::unique_ptr<Core> core;
   Settings s;
-  explicit Alone(const std::string& ip, std::vector<std::string> others = {}) {
+  explicit Alone(const std::string& ip, const std::vector<std::string>& others = {}) {
     std::string t = std::filesystem::temp_directory_path() / "zinccleat-core-XXXXXX";
     s.node = "core", s.ip = ip, s.zone = "z", s.dataDir = ::mkdtemp(t.data());
     s.portFirst = 7960, s.portLast = 7975;
@@ -71,7 +71,7 @@
       const auto r = a.core->write(configurationOp(v - 1, v, b, a.core->operationId()), 5000ms);
       ASSERT_TRUE(r && *r == 200);
     }
-    ASSERT_GT(size, 150'000u);
+    ASSERT_GT(size, 150'000U);
     Connection deaf;
     Ec ec;
     deaf.sock().open(tcp::v4(), ec);
@@ -158,7 +158,8 @@
     kept().push_back(std::make_unique<Alone>("127.0.5.8"));
     auto& a = *kept().back();
     ASSERT_TRUE(a.core->start());
-    const auto before = a.status("framesDeclined"), others = a.status("framesOfOtherFormats");
+    const auto before = a.status("framesDeclined");
+    const auto others = a.status("framesOfOtherFormats");
     const auto whole = frameOf(pack(AgentState{7, {"x"}}, "127.0.5.9#agent"));
     auto otherFormat = whole;
     otherFormat[4] = 9;
@@ -173,7 +174,7 @@
       Ec ec;
       stranger.connect(*parseEndpoint("127.0.5.8:7960"), ec);
       stranger.write(asio::buffer(frame), ec);
-      char byte;
+      char byte = 0;
       stranger.due(Clock::now() + 5s);
       stranger.read(asio::buffer(&byte, 1), ec);
       EXPECT_TRUE(ec);
@@ -191,7 +192,7 @@
   EXPECT_FALSE(unusableSettings(s)) << "a core of one";
   s.tolerateMachines = 1;
   EXPECT_TRUE(unusableSettings(s)) << "a core of one bears no loss";
-  s.seeds.push_back("10.0.0.5:8080");
+  s.seeds.emplace_back("10.0.0.5:8080");
   EXPECT_FALSE(unusableSettings(s));
 }
 // A later start may meet a list from which all others are missing because they are down: it must not end in a loop, and
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -95,7 +95,7 @@
       base = t.version;
       t.change(rng);
     }
-    EXPECT_GT(differences, 10u) << "seed " << seed;
+    EXPECT_GT(differences, 10U) << "seed " << seed;
   }
 }
 TEST(Delta, OneKeyOfThousandsTravelsAsOneTenant) {
@@ -105,14 +105,15 @@
   t.tenants[3000] = t.tenant();
   const auto after = t.body();
   const auto d = deltaOf(before, digestOf(before), after, digestOf(after));
-  EXPECT_LT(d.size(), 500u) << "of " << after.size();
+  EXPECT_LT(d.size(), 500U) << "of " << after.size();
   EXPECT_EQ(applyDelta(before, digestOf(before), d).value(), after);
 }
 TEST(Delta, AnyTextIsMadeWholeAgain) {
   std::mt19937_64 rng(6);
   const std::string alphabet = "{}[],\"\\:ab ";
   for (int i = 0; i < 3000; ++i) {
-    std::string a, b;
+    std::string a;
+    std::string b;
     for (auto n = rng() % 60; n > 0; --n)
       a += alphabet[rng() % alphabet.size()];
     b = a;
@@ -148,7 +149,8 @@
   t.version = 2, t.tenants.pop_back();
   const auto second = t.body();
   t.version = 3, t.routes.pop_back();
-  auto x = changeOp(1, 2, second, "w2", on1), y = changeOp(1, 3, t.body(), "w3", on1);
+  auto x = changeOp(1, 2, second, "w2", on1);
+  auto y = changeOp(1, 3, t.body(), "w3", on1);
   ASSERT_EQ(x.op(), OpKind::difference);
   a.put(x);
   a.put(y);
@@ -159,7 +161,8 @@
 }
 TEST(Delta, ACopyThatDiffersKnowsItAndHealsByTheWhole) {
   Text t(5, 5);
-  Chain good, ill;
+  Chain good;
+  Chain ill;
   const auto first = changeOp(0, 1, t.body(), "w1", good.copy.state());
   good.put(first);
   auto other = first;
@@ -182,17 +185,18 @@
 }
 TEST(Delta, ASnapshotLeavesOutWhatIsHeld) {
   Text t(40, 500);
-  Chain a, away;
+  Chain a;
+  Chain away;
   auto e = changeOp(0, 1, t.body(), "w1", a.copy.state());
   a.put(e), away.put(e);
   const auto held = away.copy.state().digest;
-  EXPECT_LT(a.copy.snapshotFor(held).size(), 1000u) << "the very same";
+  EXPECT_LT(a.copy.snapshotFor(held).size(), 1000U) << "the very same";
   for (int i = 2; i < 4; ++i) {
     t.version = i, t.tenants[static_cast<std::size_t>(i)] = t.tenant();
     a.put(changeOp(i - 1, i, t.body(), "w" + std::to_string(i), a.copy.state()));
   }
   const auto s = a.copy.snapshotFor(held);
-  EXPECT_LT(s.size(), 2000u) << "of " << a.copy.snapshot().size();
+  EXPECT_LT(s.size(), 2000U) << "of " << a.copy.snapshot().size();
   ASSERT_TRUE(away.copy.restore(s));
   EXPECT_EQ(away.copy.snapshotFor({}), a.copy.snapshotFor({}));
   for (int i = 4; i < 12; ++i) {
@@ -221,8 +225,9 @@
   big.number = 9;
   big.state = std::string(40000, 'q');
   const auto frame = frameOf(pack(big));
-  std::string partial,
-      buf = piece(frame.substr(0, 20000), false) + frameOf(pack(LeaseAnswer{})) + piece(frame.substr(20000), true);
+  std::string partial;
+  std::string buf =
+      piece(frame.substr(0, 20000), false) + frameOf(pack(LeaseAnswer{})) + piece(frame.substr(20000), true);
   std::vector<Envelope> got;
   // Byte by byte, as the network may bring it.
   std::string sofar;
@@ -233,12 +238,12 @@
     for (auto& m : *out)
       got.push_back(m);
   }
-  ASSERT_EQ(got.size(), 2u);
+  ASSERT_EQ(got.size(), 2U);
   EXPECT_EQ(got[0].type, MessageType::leaseAnswer);
   const auto back = unpack<FeedSnapshot>(got[1]);
   ASSERT_TRUE(back);
   EXPECT_EQ(back->number, 9);
-  EXPECT_EQ(back->state.size(), 40000u);
+  EXPECT_EQ(back->state.size(), 40000U);
   EXPECT_TRUE(partial.empty());
   auto alone = piece("x", true);
   EXPECT_FALSE(unframe(alone)) << "where no pieces are expected";
--- a/tests/fuzz/frames_fuzzer.cpp
+++ b/tests/fuzz/frames_fuzzer.cpp
@@ -11,7 +11,8 @@
     return;
   const auto readLength = 1 + static_cast<std::size_t>(static_cast<unsigned char>(input.front())) * 16;
   input.remove_prefix(1);
-  std::string buffer, partial;
+  std::string buffer;
+  std::string partial;
   while (!input.empty()) {
     const auto read = input.substr(0, readLength);
     input.remove_prefix(read.size());
@@ -44,7 +45,8 @@
   answer.grants = {{"tenant", 1.5, 2}};
   const auto lease = pack(answer);
   const auto whole = frameOf(feed);
-  const std::string readAll(1, '\xff'), readByByte(1, '\0');
+  const std::string readAll(1, '\xff');
+  const std::string readByByte(1, '\0');
   std::string pieces;
   for (std::size_t at = 0; at < whole.size(); at += 40) {
     const auto part = whole.substr(at, 40);
--- a/tests/fuzz/requests_fuzzer.cpp
+++ b/tests/fuzz/requests_fuzzer.cpp
@@ -116,7 +116,8 @@
   scanEvents(input, readLength);
 }
 std::vector<std::string> requestExamples() {
-  const std::string fast(1, '\xff'), slow(1, '\0');
+  const std::string fast(1, '\xff');
+  const std::string slow(1, '\0');
   return {fast +
               "POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Attempt-Id: a-1\r\n"
               "X-Deadline-Ms: 900\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\nContent-Length: 4\r\n\r\nbody",
--- a/tests/fuzz/snapshots_fuzzer.cpp
+++ b/tests/fuzz/snapshots_fuzzer.cpp
@@ -36,7 +36,8 @@
   (void)copy.apply(e);
 }
 std::vector<std::string> snapshotExamples() {
-  const auto copy = copyWith(4), held = copyWith(2);
+  const auto copy = copyWith(4);
+  const auto held = copyWith(2);
   return {copy.snapshot(), copy.snapshotFor({}), copy.snapshotFor(held.state().digest),
           copy.snapshotFor(copy.state().digest), ReplicatedState{}.snapshot()};
 }
--- a/tests/heartbeats_test.cpp
+++ b/tests/heartbeats_test.cpp
@@ -24,12 +24,12 @@
   forwarder.heard("i2", kStart + 200ms);
   const auto second = forwarder.nextBatch(kStart + 600ms);
   ASSERT_TRUE(second);
-  EXPECT_EQ(second->runners.size(), 2u) << "the lost one goes again";
+  EXPECT_EQ(second->runners.size(), 2U) << "the lost one goes again";
   forwarder.heard("i1", kStart + 700ms);
   forwarder.acknowledged(second->number);
   const auto third = forwarder.nextBatch(kStart + 1100ms);
   ASSERT_TRUE(third);
-  ASSERT_EQ(third->runners.size(), 1u) << "only what came after the acknowledged batch";
+  ASSERT_EQ(third->runners.size(), 1U) << "only what came after the acknowledged batch";
   EXPECT_EQ(third->runners[0].at, kStart + 700ms);
   forwarder.acknowledged(third->number);
   EXPECT_FALSE(forwarder.nextBatch(kStart + 1600ms));
@@ -81,7 +81,7 @@
   now += 1s;
   now += 1s;
   monitor.missed(now, true, {runner("i1")});
-  EXPECT_EQ(monitor.missed(now += 1s, true, {runner("i1")}).size(), 1u) << "silent for good";
+  EXPECT_EQ(monitor.missed(now += 1s, true, {runner("i1")}).size(), 1U) << "silent for good";
 }
 TEST(RunnerMonitor, ALeaderThatHadNoLeaseListensFirst) {
   RunnerMonitor monitor(kHeartbeat);
@@ -119,6 +119,6 @@
     monitor.heard("i2", now);
     missed = monitor.missed(now += 1s, true, {runner("i1"), runner("i2")});
   }
-  ASSERT_EQ(missed.size(), 1u);
+  ASSERT_EQ(missed.size(), 1U);
   EXPECT_EQ(missed[0].id, "i1");
 }
--- a/tests/hints_test.cpp
+++ b/tests/hints_test.cpp
@@ -25,7 +25,8 @@
 }  // namespace
 
 TEST(Hints, AnOpeningThatSeveralTenantsSentIsFoundAtThePartner) {
-  auto a = desk(1), b = desk(2);
+  auto a = desk(1);
+  auto b = desk(2);
   EXPECT_FALSE(b.elsewhere(kStart, 7, 42, 1));
   EXPECT_FALSE(b.elsewhere(kStart, 7, 42, 2));
   exchange(a, b, kStart, 7);
@@ -34,7 +35,8 @@
   EXPECT_FALSE(b.elsewhere(kStart, 7, 42, 9)) << "held there itself";
 }
 TEST(Hints, WhatOneTenantSentIsNeverToldHoweverOften) {
-  auto a = desk(1), b = desk(2);
+  auto a = desk(1);
+  auto b = desk(2);
   for (int i = 0; i < 100; ++i)
     (void)b.elsewhere(kStart, 7, 42, 1);
   const auto n = b.news(kStart, 7);
@@ -44,17 +46,20 @@
 }
 // An observer of the lists: as long for nothing, one tenant's or forty openings; nothing alike from key to key.
 TEST(Hints, ListsShowNeitherHowManyNorTheSameTwice) {
-  auto none = desk(1), one = desk(2), many = desk(3);
+  auto none = desk(1);
+  auto one = desk(2);
+  auto many = desk(3);
   for (int i = 0; i < 50; ++i)
     (void)one.elsewhere(kStart, 7, static_cast<std::uint64_t>(i), 1);
   for (int i = 0; i < 40; ++i)
     for (std::uint64_t t = 1; t < 4; ++t)
       (void)many.elsewhere(kStart, 7, static_cast<std::uint64_t>(i), t);
-  EXPECT_EQ(none.news(kStart, 7).added.size(), 64u);
-  EXPECT_EQ(one.news(kStart, 7).added.size(), 64u);
-  const auto first = many.news(kStart, 7), second = many.news(kStart + 1s, 8);
-  EXPECT_EQ(first.added.size(), 64u);
-  ASSERT_EQ(second.added.size(), 64u) << "whole under the new key";
+  EXPECT_EQ(none.news(kStart, 7).added.size(), 64U);
+  EXPECT_EQ(one.news(kStart, 7).added.size(), 64U);
+  const auto first = many.news(kStart, 7);
+  const auto second = many.news(kStart + 1s, 8);
+  EXPECT_EQ(first.added.size(), 64U);
+  ASSERT_EQ(second.added.size(), 64U) << "whole under the new key";
   std::vector<std::int64_t> both;
   std::set_intersection(first.added.begin(), first.added.end(), second.added.begin(), second.added.end(),
                         std::back_inserter(both));
@@ -64,14 +69,15 @@
     EXPECT_EQ(std::count(first.added.begin(), first.added.end(), key('b').digest(static_cast<std::uint64_t>(i), 7)), 0);
 }
 TEST(Hints, OnlyChangesAreToldAndALossHealsByTheWhole) {
-  auto a = desk(1), b = desk(2);
+  auto a = desk(1);
+  auto b = desk(2);
   for (std::uint64_t o = 0; o < 60; ++o)
     (void)b.elsewhere(kStart, 7, o, 1), (void)b.elsewhere(kStart, 7, o, 2);
   exchange(a, b, kStart, 7, 3);
   (void)b.elsewhere(kStart, 7, 100, 1), (void)b.elsewhere(kStart, 7, 100, 2);
   const auto change = b.news(kStart, 7);
   EXPECT_NE(change.base, 0);
-  EXPECT_LE(change.added.size() + change.gone.size(), 4u);
+  EXPECT_LE(change.added.size() + change.gone.size(), 4U);
   // Lost on its way; the next one does not fit, and what follows is whole again.
   (void)b.elsewhere(kStart, 7, 101, 1), (void)b.elsewhere(kStart, 7, 101, 2);
   exchange(a, b, kStart, 7, 3);
@@ -79,7 +85,8 @@
   EXPECT_TRUE(a.elsewhere(kStart, 7, 101, 9));
 }
 TEST(Hints, TheyAgeOut) {
-  auto a = desk(1), b = desk(2);
+  auto a = desk(1);
+  auto b = desk(2);
   (void)b.elsewhere(kStart, 7, 42, 1), (void)b.elsewhere(kStart, 7, 42, 2);
   exchange(a, b, kStart, 7);
   EXPECT_FALSE(a.elsewhere(kStart + 11s, 7, 42, 9)) << "a partner that is silent";
@@ -92,7 +99,8 @@
   EXPECT_FALSE(d.elsewhere(later, 9, 42, 9)) << "a key two times old";
 }
 TEST(Hints, TooMuchIsDeclinedAndNothingChanges) {
-  auto a = desk(1), b = desk(2);
+  auto a = desk(1);
+  auto b = desk(2);
   (void)b.elsewhere(kStart, 7, 42, 1), (void)b.elsewhere(kStart, 7, 42, 2);
   exchange(a, b, kStart, 7);
   HintNews flood;
@@ -103,11 +111,11 @@
   HintNews old;
   old.epoch = 3;
   EXPECT_FALSE(a.heard(kStart, 7, old));
-  EXPECT_EQ(a.errorResponse(), 2u);
+  EXPECT_EQ(a.errorResponse(), 2U);
   EXPECT_TRUE(a.elsewhere(kStart, 7, 42, 9)) << "what was known stands";
   for (std::uint64_t o = 0; o < 70000; ++o)
     (void)a.elsewhere(kStart, 7, o << 8, 1);
-  EXPECT_LE(a.news(kStart, 7).added.size(), 2048u + 64u);
+  EXPECT_LE(a.news(kStart, 7).added.size(), 2048U + 64U);
 }
 TEST(Hints, TheSealIsTheSecretsOwn) {
   EXPECT_TRUE(key().fits("text", key().seal("text")));
@@ -293,7 +301,7 @@
         EXPECT_EQ(once(*two.here->h, ask("/push/x", "q" + std::to_string(i))).body, "pushed q" + std::to_string(i));
       }
       EXPECT_EQ(two.there->pushes, 0);
-      EXPECT_LE(two.here->h->context.toPartner, 4u) << "it is left alone after that";
+      EXPECT_LE(two.here->h->context.toPartner, 4U) << "it is left alone after that";
     });
 }
 TEST(PartnerSites, WhatCameFromAPartnerGoesNoFurther) {
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -95,7 +95,8 @@
 TEST(History, OfManyOrdersUnderWayOneWinsAndItsRepeatsAreNeverRefused) {
   std::mt19937_64 random(14);
   Log log;
-  std::vector<std::pair<std::int64_t, Entry>> taken, lost;
+  std::vector<std::pair<std::int64_t, Entry>> taken;
+  std::vector<std::pair<std::int64_t, Entry>> lost;
   for (int round = 0; round < 400; ++round) {
     const auto base = log.copy.state().version;
     const auto next = base + 1 + static_cast<std::int64_t>(random() % 3);
@@ -132,7 +133,8 @@
 TEST(History, ARunnerThatEndedLongAgoDoesNotComeBack) {
   Log log;
   for (int i = 0; i < 2000; ++i) {
-    const auto id = "i" + std::to_string(i), address = "a:" + std::to_string(i);
+    const auto id = "i" + std::to_string(i);
+    const auto address = "a:" + std::to_string(i);
     log.runner(id, address, RunnerState::inService, 1);
     log.runner(id, address, RunnerState::draining, 40);
     log.runner(id, address, RunnerState::gone, 40);
--- a/tests/illness_test.cpp
+++ b/tests/illness_test.cpp
@@ -57,7 +57,7 @@
     EXPECT_GT(before, 4);
     ASSERT_FALSE(desk.list().empty());
     EXPECT_EQ(desk.list()[0].label, "i-0");
-    EXPECT_EQ(desk.list().size(), 1u);
+    EXPECT_EQ(desk.list().size(), 1U);
     for (int i = 0; i < 40; ++i)
       EXPECT_EQ(once(h, ask("/open/x", "b" + std::to_string(i))).status, 200);
     EXPECT_EQ(asked(*ill), before) << "left alone";
@@ -78,13 +78,13 @@
     say(*w, ask("/open/x", "waits"));
     for (int i = 0; i < 200 && h.context.unanswered.empty(); ++i)
       EventLoop::get().pause(1ms);
-    ASSERT_EQ(h.context.unanswered.size(), 1u);
+    ASSERT_EQ(h.context.unanswered.size(), 1U);
     h.context.countSlow(Clock::now());
     EXPECT_TRUE(h.context.observer.report(24).empty()) << "not at once";
     h.context.countSlow(Clock::now() + 2s);
     h.context.countSlow(Clock::now() + 4s);
     const auto report = h.context.observer.report(24);
-    ASSERT_EQ(report.size(), 1u);
+    ASSERT_EQ(report.size(), 1U);
     EXPECT_EQ(report[0].burst, RunnerObserver::slowWeight) << "once a request";
   });
 }
@@ -176,7 +176,8 @@
   Instant now{100s};
   desk.takeOver(now);
   std::vector<QuotaGrants> nodes(70);
-  std::map<std::string, int> got, sent;
+  std::map<std::string, int> got;
+  std::map<std::string, int> sent;
   for (int ms = 0; ms < 30000; ms += 5, now += 5ms)
     for (int k = 0; k < 2; ++k) {
       const std::string who = rng() % 12 == 0 && k == 0 ? "other" : "flood";
--- a/tests/linearizability_test.cpp
+++ b/tests/linearizability_test.cpp
@@ -253,7 +253,7 @@
     awaitVerdict(ip, m.life, e.opId, world_.now + kWriteWait, std::move(answer));
   }
   void awaitVerdict(const std::string& ip, int life, const std::string& operation, Instant until,
-                    std::function<void(int)> answer) {
+                    const std::function<void(int)>& answer) {
     if (!runs(ip, life) || world_.now >= until)
       return answer(0);
     if (const auto verdict = machine(ip).copy.verdictOf(operation); verdict && !machine(ip).frozen)
@@ -261,7 +261,7 @@
     later(kPoll, [=, this] { awaitVerdict(ip, life, operation, until, answer); });
   }
   // What a machine does before it answers a Retrieve: it leads under a lease, or asks the leader how far it must be.
-  void askForRead(const std::string& ip, int life, Instant until, std::function<void(bool)> answer) {
+  void askForRead(const std::string& ip, int life, Instant until, const std::function<void(bool)>& answer) {
     if (!runs(ip, life) || machine(ip).frozen || world_.now >= until)
       return answer(false);
     if (planted_ == Planted::staleRead || machine(ip).raft->hasLease(world_.now))
@@ -279,7 +279,7 @@
     });
   }
   void awaitNumber(const std::string& ip, int life, std::int64_t number, Instant until,
-                   std::function<void(bool)> answer) {
+                   const std::function<void(bool)>& answer) {
     if (!runs(ip, life) || world_.now >= until)
       return answer(false);
     if (!machine(ip).frozen && machine(ip).copy.state().num >= number)
@@ -296,7 +296,7 @@
 };
 // One machine in trouble at a time: killed and back, cut off, frozen, or with a slow disk.
 void makeTrouble(World& w) {
-  const auto ip = kFounders[w.draw(kFounders.size())];
+  const auto& ip = kFounders[w.draw(kFounders.size())];
   const Span lasting(500 + w.draw(4000));
   switch (w.draw(4)) {
     case 0:
@@ -346,7 +346,8 @@
 }  // namespace
 
 TEST(Linearizability, WhatOperatorsAreToldInSeededWorldsIs) {
-  std::ptrdiff_t calls = 0, changes = 0;
+  std::ptrdiff_t calls = 0;
+  std::ptrdiff_t changes = 0;
   for (std::uint64_t seed = 1; seed <= kWorlds; ++seed) {
     const auto history = recordedHistory(seed, Planted::nothing);
     const auto result = checkLinearizable(history);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -177,7 +177,7 @@
   for (std::uint64_t seed = 3000; seed < 3060; ++seed) {
     World world(seed);
     bootMachines(world, 3);
-    const auto old = kSeeds[world.draw(3)];
+    const auto& old = kSeeds[world.draw(3)];
     world.boot("10.9.0.9", kSeeds, false);
     world.runFor(1000ms);
     world.leave(old);
@@ -193,7 +193,7 @@
   }
 }
 TEST(Membership, ReplacementsOneAfterTheOtherAndThenAWipeOrACut) {
-  for (const std::size_t machines : {3u, 5u, 6u, 8u})
+  for (const std::size_t machines : {3U, 5U, 6U, 8U})
     for (std::uint64_t seed = 0; seed < 12; ++seed) {
       World world(4000 + seed);
       auto ips = bootMachines(world, machines);
@@ -214,7 +214,7 @@
       }
       world.runFor(4000ms);
       ASSERT_TRUE(serves(world)) << machines << " machines, at the end";
-      EXPECT_EQ(votersAt(world) % 2, 1u);
+      EXPECT_EQ(votersAt(world) % 2, 1U);
     }
 }
 // A kill at any moment of leaving is as safe as the leave.
@@ -226,7 +226,7 @@
       world.write(kSeeds[world.draw(3)]);
       world.runFor(60ms);
     }
-    const auto old = kSeeds[world.draw(3)];
+    const auto& old = kSeeds[world.draw(3)];
     world.boot("10.9.0.9", kSeeds, false);
     world.runFor(Span(world.draw(1200)));
     world.leave(old);
@@ -244,7 +244,7 @@
 }
 // A rolling restart: each member ends in order and comes back with its disk, and is a voter or stands by again.
 TEST(Membership, ARollingRestartLosesNothing) {
-  for (const std::size_t machines : {3u, 4u, 6u}) {
+  for (const std::size_t machines : {3U, 4U, 6U}) {
     World world(6000 + machines);
     const auto ips = bootMachines(world, machines);
     for (const auto& ip : ips) {
@@ -277,15 +277,18 @@
     world.leave(others[1]);
     while (world.nodes[others[1]].up)
       world.runFor(20ms);
-    ASSERT_EQ(world.acked.size(), 1u) << "seed " << seed;
+    ASSERT_EQ(world.acked.size(), 1U) << "seed " << seed;
     // The one that left never comes back, and the leader's disk is lost: the write must still be there.
     world.nodes.erase(others[1]);
     world.kill(leader);
     const auto& survivor = world.nodes[others[0]];
     bool found = false;
-    for (const auto& bytes : survivor.disk)
-      for (const auto& entry : decodeRecord(bytes)->entries)
+    for (const auto& bytes : survivor.disk) {
+      const auto record = decodeRecord(bytes);
+      ASSERT_TRUE(record);
+      for (const auto& entry : record->entries)
         found = found || entry.opId == world.acked.begin()->first;
+    }
     EXPECT_TRUE(found) << "seed " << seed;
   }
 }
--- a/tests/model_checker.cpp
+++ b/tests/model_checker.cpp
@@ -20,7 +20,7 @@
     if (!machine->raft || machine->raft->role() != Role::leader)
       continue;
     const auto term = machine->raft->term();
-    if (world.history->leaders.count(term))
+    if (world.history->leaders.contains(term))
       continue;
     auto longer = std::make_shared<History>(*world.history);
     longer->leaders[term] = machine->id;
--- a/tests/model_checker_test.cpp
+++ b/tests/model_checker_test.cpp
@@ -181,7 +181,7 @@
   world.left.mostInFlight = 16;
   const auto result = search(world, {kStatesToFind, 1});
   print("a dead member that is never removed", result);
-  EXPECT_EQ(result.violation.rfind("the loss of ", 0), 0u) << result.violation;
+  EXPECT_EQ(result.violation.rfind("the loss of ", 0), 0U) << result.violation;
 }
 TEST(ModelChecker, FindsALeaseThatOutlivesTheLeadership) {
   PlantedFaults faults;
--- a/tests/model_invariants.cpp
+++ b/tests/model_invariants.cpp
@@ -12,10 +12,10 @@
   for (const auto& member : other.allVoters())
     if (!one.isVoter(member))
       members.push_back(member);
-  for (std::uint32_t subset = 0; subset < (1u << members.size()); ++subset) {
+  for (std::uint32_t subset = 0; subset < (1U << members.size()); ++subset) {
     const auto inSubset = [&](const MemberId& member) {
       const auto at = static_cast<std::size_t>(std::find(members.begin(), members.end(), member) - members.begin());
-      return (subset & (1u << at)) != 0;
+      return (subset & (1U << at)) != 0;
     };
     if (one.hasQuorum(inSubset) && other.hasQuorum([&](const MemberId& member) { return !inSubset(member); }))
       return false;
@@ -24,7 +24,8 @@
 }
 std::string checkLeases(const World& world) {
   const auto& committed = world.history->committed;
-  std::size_t leases = 0, behind = 0;
+  std::size_t leases = 0;
+  std::size_t behind = 0;
   for (const auto& machine : world.machines) {
     if (!machine->raft || !machine->raft->hasLease(world.now))
       continue;
--- a/tests/model_world.cpp
+++ b/tests/model_world.cpp
@@ -136,7 +136,7 @@
 void World::post(std::size_t machine, const SendMessage& action) {
   noteVote(machine, action);
   const auto receiver = machineAt(addressOf(action.to));
-  if (cut.count({machine, receiver}) || inFlight.size() >= left.mostInFlight)
+  if (cut.contains({machine, receiver}) || inFlight.size() >= left.mostInFlight)
     return;
   auto message = std::make_shared<Message>();
   message->from = machines[machine]->id;
@@ -183,7 +183,7 @@
   }
   const bool onQuorum = node.config().hasQuorum([&](const MemberId& voter) {
     const auto& holder = *machines[machineAt(addressOf(voter))];
-    return history->lostIdentities.count(voter) || (holder.id == voter && diskHolds(holder, entry));
+    return history->lostIdentities.contains(voter) || (holder.id == voter && diskHolds(holder, entry));
   });
   if (!onQuorum)
     blame("committed without a quorum's disks");
@@ -203,7 +203,7 @@
   if (!config.isVoter(leaving) || config.voters.size() == 1)
     return;
   const bool majorityRemains = config.hasQuorum(
-      [&](const MemberId& voter) { return voter != leaving && !history->lostIdentities.count(voter); });
+      [&](const MemberId& voter) { return voter != leaving && !history->lostIdentities.contains(voter); });
   if (!majorityRemains)
     blame("a member may end though no majority is left without it");
 }
@@ -215,7 +215,7 @@
   const auto message = inFlight[index];
   if (!keep)
     inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(index));
-  if (!machines[message->receiver]->raft || cut.count({message->sender, message->receiver}))
+  if (!machines[message->receiver]->raft || cut.contains({message->sender, message->receiver}))
     return;
   feed(message->receiver, [&](RaftNode& node) { node.receive(now, message->from, message->content); });
 }
@@ -250,7 +250,7 @@
   changed.pending.clear();
   changed.frozen = false;
   changed.leaving = false;
-  ticked &= ~(1u << machine);
+  ticked &= ~(1U << machine);
 }
 void World::loseDisk(std::size_t machine) {
   auto& changed = change(machine);
@@ -317,7 +317,7 @@
   bool allTicked = true;
   for (std::size_t machine = 0; machine < kMachines; ++machine) {
     addMachineActions(actions, machine);
-    allTicked = allTicked && (!running(machine) || (ticked & (1u << machine)));
+    allTicked = allTicked && (!running(machine) || (ticked & (1U << machine)));
   }
   if (allTicked && left.timeSteps > 0)
     actions.push_back({ActionKind::advanceTime});
@@ -345,7 +345,7 @@
   }
   if (!state.pending.empty())
     actions.push_back({ActionKind::sync, machine});
-  if (!(ticked & (1u << machine)))
+  if (!(ticked & (1U << machine)))
     actions.push_back({ActionKind::tick, machine});
   if (state.leaving && state.raft->mayExit())
     actions.push_back({ActionKind::exitAllowed, machine});
@@ -384,7 +384,7 @@
     case ActionKind::sync:
       return sync(index);
     case ActionKind::tick:
-      ticked |= 1u << index;
+      ticked |= 1U << index;
       return feed(index, [&](RaftNode& node) { node.tick(now); });
     case ActionKind::advanceTime:
       --left.timeSteps;
@@ -472,7 +472,7 @@
 std::uint64_t World::hash() const {
   std::uint64_t hash = 0;
   for (const auto& machine : machines)
-    hash = hash * 0x9E3779B97F4A7C15ull + machine->hash(now);
+    hash = hash * 0x9E3779B97F4A7C15ULL + machine->hash(now);
   for (const auto& message : inFlight)
     hash = mix(hash, message->bytes);
   std::string rest = std::to_string(ticked) + "," + std::to_string(cutMachine) + "," + std::to_string(cut.size());
--- a/tests/model_world.hpp
+++ b/tests/model_world.hpp
@@ -132,7 +132,7 @@
   void noteVote(std::size_t machine, const SendMessage& action);
   void noteCommitted(std::size_t machine, const Entry& entry);
   void noteExit(std::size_t machine);
-  void deliver(std::size_t message, bool keep);
+  void deliver(std::size_t index, bool keep);
   void sync(std::size_t machine);
   void start(std::size_t machine);
   void stop(std::size_t machine);
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -37,7 +37,7 @@
   ASSERT_TRUE(b) << b.error().text;
   Stage s;
   EXPECT_EQ(runRunbook(*b, s.ports(), false), 0);
-  ASSERT_EQ(s.called.size(), 2u);
+  ASSERT_EQ(s.called.size(), 2U);
   EXPECT_EQ(s.called[1], "POST /v1/Set {\"a\":\"n1\"}");
 }
 TEST(Runbook, StopsAtWhatWasNotSeenAndSaysSo) {
@@ -45,7 +45,7 @@
   ASSERT_TRUE(b);
   Stage s;
   EXPECT_EQ(runRunbook(*b, s.ports(), false), 1);
-  EXPECT_EQ(s.called.size(), 1u) << "nothing after it was done";
+  EXPECT_EQ(s.called.size(), 1U) << "nothing after it was done";
   std::string all;
   for (auto& p : s.printed)
     all += p + "\n";
@@ -62,7 +62,7 @@
   ASSERT_TRUE(b) << b.error().text;
   Stage s;
   EXPECT_EQ(runRunbook(*b, s.ports(), false), 1) << "one node never answers";
-  EXPECT_GT(s.called.size(), 8u);
+  EXPECT_GT(s.called.size(), 8U);
   EXPECT_GE(s.clock, Instant{103s});
 }
 TEST(Runbook, WhatIsNotUnderstoodIsNamedBeforeAnythingRuns) {
@@ -99,7 +99,7 @@
   };
   EXPECT_TRUE(put(closureOp({"za", "sunday", 25, false}, false, "1")).closures);
   put(closureOp({"za", "sunday", 100, true}, false, "2"));
-  ASSERT_EQ(c.state().closures.size(), 1u);
+  ASSERT_EQ(c.state().closures.size(), 1U);
   EXPECT_EQ(c.state().closures[0].share, 100);
   ReplicatedState d;
   ASSERT_TRUE(d.restore(c.snapshot()));
--- a/tests/outlier_test.cpp
+++ b/tests/outlier_test.cpp
@@ -14,6 +14,7 @@
 }
 std::vector<Runner> fleet(int n) {
   std::vector<Runner> v;
+  v.reserve(n);
   for (int i = 0; i < n; ++i)
     v.push_back(runner("r" + std::to_string(i)));
   return v;
@@ -47,6 +48,7 @@
           atIll += ill(r.id) > 0.1;
         }
         std::vector<Grant> v;
+        v.reserve(seen.size());
         for (auto& [id, g] : seen)
           v.push_back(g);
         desk.told(now, "n" + std::to_string(node), v);
@@ -83,9 +85,9 @@
   p.ill = [](const std::string& id) { return id.size() == 2 && id[1] < '8' ? 0.9 : 0.0; };
   for (int i = 0; i < 50; ++i) {
     p.run(200ms);
-    EXPECT_LE(p.desk.list().size(), 4u);
+    EXPECT_LE(p.desk.list().size(), 4U);
   }
-  EXPECT_GE(p.desk.list().size(), 1u);
+  EXPECT_GE(p.desk.list().size(), 1U);
 }
 TEST(Outliers, OneNodesWordAloneSetsNobodyAside) {
   OutlierDetector d;
@@ -113,7 +115,7 @@
   d.weigh(now, fleet(3));
   d.told(now, "a", {{"nobody", 0, 4}});
   d.told(now, "b", {{"nobody", 0, 4}, {"r1", 1, 0}});
-  EXPECT_EQ(d.errorResponse(), 2u);
+  EXPECT_EQ(d.errorResponse(), 2U);
   d.weigh(now, fleet(3));
   EXPECT_TRUE(d.list().empty());
 }
@@ -144,7 +146,7 @@
   EXPECT_FALSE(w.began("r1", "s", 600, 400ms));
   EXPECT_TRUE(w.began("r2", "s", 9000, 500ms));
   const auto response = w.report(100);
-  ASSERT_EQ(response.size(), 2u);
+  ASSERT_EQ(response.size(), 2U);
   EXPECT_EQ(response[0].label, "r1") << "the worst first";
   EXPECT_EQ(response[0].burst, RunnerObserver::slowWeight);
   EXPECT_EQ(response[1].rate, 1);
@@ -176,7 +178,8 @@
   RunnerPool d(1);
   d.follow(fleet(4));
   d.setEjected({{"r1", 1, 0}, {"r2", 0.5, 0}, {"unknown", 1, 0}});
-  std::map<std::string, int> safe, once;
+  std::map<std::string, int> safe;
+  std::map<std::string, int> once;
   for (int i = 0; i < 2000; ++i) {
     RunnerQuery w;
     w.service = "s", w.zone = "z";
@@ -196,5 +199,5 @@
     w.service = "s", w.zone = "z";
     ++once[d.at(d.choose(w, Instant{100s})).id];
   }
-  EXPECT_EQ(once.size(), 4u);
+  EXPECT_EQ(once.size(), 4U);
 }
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -13,9 +13,9 @@
     EXPECT_EQ(a.status, 200);
     EXPECT_EQ(a.body, "body of a9");
     EXPECT_EQ(a.heads.at("X-Server-Seal"), "seal-1");
-    ASSERT_EQ(r->got.size(), 1u);
+    ASSERT_EQ(r->got.size(), 1U);
     const auto& g = r->got[0];
-    EXPECT_EQ(g.rfind("POST /safe/x?y=1\n", 0), 0u);
+    EXPECT_EQ(g.rfind("POST /safe/x?y=1\n", 0), 0U);
     for (auto has : {"X-Attempt-Id: a9\n", "X-Subscriber: tina\n", "X-Expected-Instance: i-1\n", "X-Unknown: stays\n",
                      "\nhello", "X-Deadline-Ms: "})
       EXPECT_NE(g.find(has), std::string::npos) << has << g;
@@ -77,7 +77,7 @@
     for (auto path : {"/once/x", "/stream/x"}) {
       r1->got.clear(), r2->got.clear();
       const auto a = once(h, ask(path));
-      EXPECT_EQ(r1->got.size() + r2->got.size(), 1u) << path;
+      EXPECT_EQ(r1->got.size() + r2->got.size(), 1U) << path;
       EXPECT_TRUE(a.status == 502 || a.status == 0)
           << a.status << ": 408, 421, 429 and 503 would promise that it never ran";
     }
@@ -241,7 +241,7 @@
     Waiter done;
     h.runner("i-1", [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
       say(w, streamHead(id) + chunk(event(1)));
-      char c;
+      char c = 0;
       Ec ec;
       w.read(asio::buffer(&c, 1), ec);
       ended = static_cast<bool>(ec);
@@ -252,7 +252,7 @@
     say(*w, ask("/stream/x"));
     Ec ec;
     char buf[400];
-    EXPECT_GT(w->read(asio::buffer(buf), ec), 0u);
+    EXPECT_GT(w->read(asio::buffer(buf), ec), 0U);
     w->shut();
     EXPECT_TRUE(EventLoop::get().waitFor(done, 3000ms));
     EXPECT_TRUE(ended);
@@ -272,7 +272,7 @@
 TEST(Proxy, ASilentRunnerIsWaitedForUntilTheTimeIsUp) {
   withProxy([](TestProxy& h) {
     h.runner("i-1", [](StandIn&, Connection& w, const std::string&, const std::string&) {
-      char c;
+      char c = 0;
       Ec ec;
       w.read(asio::buffer(&c, 1), ec);
       w.shut();
@@ -284,8 +284,10 @@
   withProxy([](TestProxy& h) {
     h.runner("i-1", answers);
     h.context.maxClients = 2;
-    auto a = h.dial(), b = h.dial();
-    Buffer ba, bc;
+    auto a = h.dial();
+    auto b = h.dial();
+    Buffer ba;
+    Buffer bc;
     say(*a, ask("/safe/x", "a1"));
     EXPECT_EQ(hear(*a, ba).status, 200);
     auto c = h.dial();
--- a/tests/resend_test.cpp
+++ b/tests/resend_test.cpp
@@ -182,7 +182,7 @@
   bool serve(Door& d, Connection& w) {
     Ec ec;
     w.awaitReadable(ec);
-    char c;
+    char c = 0;
     if (ec || ::recv(w.sock().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
       return false;
     auto s = std::make_shared<Seen>();
@@ -433,10 +433,11 @@
         for (auto position : kPositions)
           if (const Row r{kind, reused, trouble, position}; exists(r))
             rows.push_back(r);
-  ASSERT_EQ(rows.size(), 360u);
+  ASSERT_EQ(rows.size(), 360U);
   std::vector<Result> results(rows.size());
   // Side by side, so that those that wait for a deadline wait together.
-  std::size_t next = 0, ended = 0;
+  std::size_t next = 0;
+  std::size_t ended = 0;
   for (int worker = 0; worker < 24; ++worker)
     EventLoop::get().launch([&] {
       while (next < rows.size()) {
@@ -479,14 +480,16 @@
   for (const char* where : {"/safe/x", "/once/x", "/stream/x", "/resume/x"})
     for (bool begun : {false, true})
       withProxy([&](TestProxy& h) {
-        int requests = 0, closed = 0;
-        Waiter arrived, over;
+        int requests = 0;
+        int closed = 0;
+        Waiter arrived;
+        Waiter over;
         const auto act = [&](StandIn&, Connection& w, const std::string& id, const std::string&) {
           ++requests;
           if (begun)
             say(w, streamHead(id) + chunk(event(1)));
           arrived.wake();
-          char c;
+          char c = 0;
           Ec ec;
           w.read(asio::buffer(&c, 1), ec);
           closed += static_cast<bool>(ec);
@@ -738,7 +741,7 @@
 namespace {
 void takeLargeBodies(TestProxy& h) {
   auto cfg = std::make_shared<Configuration>(*h.context.configuration);
-  cfg->limits.maxBodyBytes = 64u << 20;
+  cfg->limits.maxBodyBytes = 64U << 20;
   cfg->limits.idleTimer = 5s;
   h.context.configuration = cfg;
 }
@@ -782,7 +785,7 @@
 }
 }  // namespace
 TEST(Resend, APartOfALargeBodyThatLeftMayHaveRun) {
-  const std::string body(24u << 20, 'b');
+  const std::string body(24U << 20, 'b');
   for (const char* where : {"/safe/x", "/once/x"})
     for (int how = 0; how < 3; ++how)
       withProxy([&](TestProxy& h) {
@@ -826,14 +829,14 @@
     ASSERT_FALSE(ec);
     {
       Connection far(acceptor.accept());
-      EXPECT_EQ(w.write(asio::buffer("abc", 3), ec), 3u);
+      EXPECT_EQ(w.write(asio::buffer("abc", 3), ec), 3U);
       EXPECT_FALSE(ec);
       char got[3];
-      EXPECT_EQ(far.read(asio::buffer(got), ec), 3u);
+      EXPECT_EQ(far.read(asio::buffer(got), ec), 3U);
       Rig::resetIt(far);
     }
     w.awaitReadable(ec);
-    EXPECT_EQ(w.write(asio::buffer("abc", 3), ec), 0u);
+    EXPECT_EQ(w.write(asio::buffer("abc", 3), ec), 0U);
     EXPECT_TRUE(ec);
   });
 }
@@ -920,7 +923,7 @@
         const auto a = once(h, ask(where, "a2"));
         EXPECT_EQ(a.status, 200) << where << " " << how;
         EXPECT_EQ(a.body, rightBody(kind, "a2")) << where << " " << how;
-        EXPECT_EQ(r->got.size(), 2u) << "each was sent once";
+        EXPECT_EQ(r->got.size(), 2U) << "each was sent once";
         EXPECT_EQ(r->connections, 2);
       });
     }
--- a/tests/scale_run_test.cpp
+++ b/tests/scale_run_test.cpp
@@ -64,7 +64,12 @@
     for (auto* h : {&a, b.get()})
       h->context.runners.follow(all);
 
-    int open = 0, pushes = 0, streams = 0, pushesFine = 0, streamsFine = 0, latestMs = 0;
+    int open = 0;
+    int pushes = 0;
+    int streams = 0;
+    int pushesFine = 0;
+    int streamsFine = 0;
+    int latestMs = 0;
     std::string wanted;
     for (int e = 1; e <= kEvents; ++e)
       wanted += event(e);
@@ -111,7 +116,7 @@
     EXPECT_LT(latestMs, 300) << "and on time";
     EXPECT_EQ(streamsFine, streams) << "every stream whole, nothing missing, nothing twice";
     EXPECT_EQ(match.atClosedAfter, 0) << "no new work at the place's runners once all keeps away";
-    EXPECT_GT(a.context.movedStreams + b->context.movedStreams, 0u) << "live sessions were carried over";
+    EXPECT_GT(a.context.movedStreams + b->context.movedStreams, 0U) << "live sessions were carried over";
     EXPECT_EQ(a.context.runners.inFlightIn({"za"}) + b->context.runners.inFlightIn({"za"}), 0)
         << "nothing is left there";
     static std::vector<std::shared_ptr<TestProxy>> kept;
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -79,6 +79,7 @@
       n.raft->recover(pages, now);
     else if (founder) {
       std::vector<std::string> f;
+      f.reserve(seeds.size());
       for (auto& s : seeds)
         f.push_back(s + "#0");
       n.raft->found(f, now);
@@ -122,7 +123,7 @@
   void carryOut(Node& n, const RestoreSnapshot& action) { install(n, action); }
   // Whether a message from one address to the other is lost on its way.
   bool lost(const std::string& from, const std::string& to) {
-    return cut.count({from, to}) || std::uniform_real_distribution<>(0, 1)(rng) < loss;
+    return cut.contains({from, to}) || std::uniform_real_distribution<>(0, 1)(rng) < loss;
   }
   Span delay() { return Span(1 + draw(static_cast<std::uint64_t>(delayMost))); }
   // Messages pass through their encoding: what the connection can't carry must not pass here either.
@@ -135,7 +136,7 @@
   // The node at an address, if it is up and a packet from `src` reaches it.
   Node* reach(const std::string& src, const std::string& ip) {
     const auto it = nodes.find(ip);
-    if (it == nodes.end() || !it->second.up || cut.count({src, ip}))
+    if (it == nodes.end() || !it->second.up || cut.contains({src, ip}))
       return nullptr;
     return &it->second;
   }
--- a/tests/simulated_disk.hpp
+++ b/tests/simulated_disk.hpp
@@ -55,12 +55,11 @@
 
   SimulatedDisk() = default;
   // As found after a loss of power: all that is there is durable.
-  explicit SimulatedDisk(const Content& found) {
+  explicit SimulatedDisk(const Content& found) : durableNames(names) {
     for (auto& [name, content] : found) {
       names[name] = static_cast<int>(files.size());
       files.push_back({content, content, {}, false});
     }
-    durableNames = names;
   }
   Content content() const {
     Content all;
@@ -112,7 +111,7 @@
     if (changes.size() > kMostUnsynced)
       throw std::length_error(std::to_string(changes.size()) + " changes of names are not synced");
     std::set<std::map<std::string, int>> folders;
-    for (std::uint64_t kept = 0; kept < (1ull << changes.size()); ++kept) {
+    for (std::uint64_t kept = 0; kept < (1ULL << changes.size()); ++kept) {
       auto folder = durableNames;
       for (std::size_t i = 0; i < changes.size(); ++i)
         if (kept >> i & 1)
@@ -187,7 +186,7 @@
   Outcome<std::string> read(const std::string& name) override {
     if (failed(disk_.begin(Operation::read)))
       return error("read");
-    if (!disk_.names.count(name))
+    if (!disk_.names.contains(name))
       return fault(ENOENT, "no such file");
     return disk_.files[static_cast<std::size_t>(disk_.names[name])].content;
   }
@@ -195,7 +194,7 @@
     const auto fate = disk_.begin(Operation::create);
     if (fate == Fate::failsBefore)
       return error("create");
-    if (disk_.names.count(name))
+    if (disk_.names.contains(name))
       return fault(EEXIST, "exists");
     disk_.files.emplace_back();
     const int number = static_cast<int>(disk_.files.size()) - 1;
@@ -208,7 +207,7 @@
     const auto fate = disk_.begin(Operation::rename);
     if (fate == Fate::failsBefore)
       return error("rename");
-    if (!disk_.names.count(from))
+    if (!disk_.names.contains(from))
       return fault(ENOENT, "no such file");
     const int number = disk_.names[from];
     disk_.change(from, -1);
@@ -221,7 +220,7 @@
     const auto fate = disk_.begin(Operation::remove);
     if (fate == Fate::failsBefore)
       return error("remove");
-    if (disk_.names.count(name))
+    if (disk_.names.contains(name))
       disk_.change(name, -1);
     if (failed(fate))
       return error("remove");
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -91,7 +91,8 @@
 TEST(Snapshot, ACopyWithoutTheTableOfTakenConfigurationsDecidesAsTheCoreDoes) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     std::mt19937_64 random(seed);
-    ReplicatedState core, access;
+    ReplicatedState core;
+    ReplicatedState access;
     std::int64_t applied = 0;
     for (int i = 0; i < 600; ++i) {
       auto e = randomWrite(random, i, core.state());
@@ -130,8 +131,8 @@
   EXPECT_EQ(copy.state().taken.size(), TakenConfigurations::kMost);
   EXPECT_EQ(copy.state().operations.size(), OperationHistory::kMost);
   EXPECT_EQ(copy.state().endedRunners.size(), EndedRunners::kMost);
-  EXPECT_LT(copy.snapshot().size(), 145'000u) << "a core's: 64 + 41 + 33 KB";
-  EXPECT_LT(copy.snapshotFor({}).size(), 76'000u) << "an access node's: 41 + 33 KB";
+  EXPECT_LT(copy.snapshot().size(), 145'000U) << "a core's: 64 + 41 + 33 KB";
+  EXPECT_LT(copy.snapshotFor({}).size(), 76'000U) << "an access node's: 41 + 33 KB";
   ReplicatedState other;
   ASSERT_TRUE(other.restore(copy.snapshot()));
   EXPECT_EQ(other.snapshot(), copy.snapshot());
@@ -158,7 +159,7 @@
   EXPECT_EQ(copy.verdictOf("operator/2@70"), 412);
   ASSERT_TRUE(copy.runner("i1"));
   EXPECT_EQ(copy.runner("i1")->at(), RunnerState::draining);
-  ASSERT_EQ(copy.state().closures.size(), 1u);
+  ASSERT_EQ(copy.state().closures.size(), 1U);
   EXPECT_EQ(copy.state().closures[0].share, 50);
   ReplicatedState again;
   ASSERT_TRUE(again.restore(copy.snapshot()));
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -151,18 +151,18 @@
   auto buf = frameOf(pack(feed, "x")) + frameOf(pack(lease)) + std::string(2, char(0));
   auto out = unframe(buf);
   ASSERT_TRUE(out);
-  ASSERT_EQ(out->size(), 2u);
+  ASSERT_EQ(out->size(), 2U);
   EXPECT_EQ((*out)[0].sender, "x");
   EXPECT_TRUE((*out)[1].sender.empty());
   const auto feedBack = unpack<FeedEntries>((*out)[0]);
   ASSERT_TRUE(feedBack);
   EXPECT_EQ(feedBack->newestNumber, -7);
-  EXPECT_EQ(feedBack->entries[0].blob.size(), 100000u);
+  EXPECT_EQ(feedBack->entries[0].blob.size(), 100000U);
   const auto leaseBack = unpack<LeaseAnswer>((*out)[1]);
   ASSERT_TRUE(leaseBack);
   EXPECT_DOUBLE_EQ(leaseBack->grants[0].burst, 2.5);
   EXPECT_FALSE(unpack<LeaseQuestion>((*out)[1])) << "a message of another type";
-  EXPECT_EQ(buf.size(), 2u) << "a frame not whole yet stays";
+  EXPECT_EQ(buf.size(), 2U) << "a frame not whole yet stays";
 }
 TEST(Frames, WhatIsNotOursIsDeclined) {
   auto other = frameOf(pack(AgentState{}, "x"));
@@ -186,6 +186,7 @@
 }
 TEST(PartialView, StaysSmallAndSpreads) {
   std::vector<PartialView> v;
+  v.reserve(40);
   for (int i = 0; i < 40; ++i)
     v.emplace_back("n" + std::to_string(i), 8, 77 + i);
   for (int i = 0; i < 40; ++i)
@@ -194,9 +195,10 @@
   for (int round = 0; round < 60; ++round)
     for (auto& x : v) {
       const auto all = x.all();
-      ASSERT_LE(all.size(), 8u);
+      ASSERT_LE(all.size(), 8U);
       auto& y = v[std::stoul(all[rng() % all.size()].substr(1))];
-      const auto mine = x.sample(), theirs = y.sample();
+      const auto mine = x.sample();
+      const auto theirs = y.sample();
       y.merge(mine);
       x.merge(theirs);
     }
@@ -204,5 +206,5 @@
   for (auto& x : v)
     for (auto& n : x.all())
       known.insert(n);
-  EXPECT_GT(known.size(), 30u);
+  EXPECT_GT(known.size(), 30U);
 }
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -3,10 +3,10 @@
 #include "storage/storage.hpp"
 
 #include <gtest/gtest.h>
-#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -37,6 +37,7 @@
 }
 std::vector<std::int64_t> sequencesOf(const std::vector<DiskRecord>& records) {
   std::vector<std::int64_t> all;
+  all.reserve(records.size());
   for (auto& record : records)
     all.push_back(record.seq);
   return all;
@@ -208,7 +209,7 @@
   const auto records = storage.load();
   ASSERT_TRUE(records) << records.error().text;
   EXPECT_EQ(sequencesOf(*records), (Sequences{5}));
-  EXPECT_EQ(disk.names.size(), 1u) << "the rubbish is removed";
+  EXPECT_EQ(disk.names.size(), 1U) << "the rubbish is removed";
   EXPECT_TRUE(storage.append(recordOf(6, false)));
 }
 TEST(Storage, EverySubsetOfWhatLiesBelowInEveryStateIsRubbish) {
@@ -232,7 +233,7 @@
     const auto records = loadFrom(disk);
     ASSERT_TRUE(records) << state << ": " << records.error().text;
     ASSERT_EQ(sequencesOf(*records), (Sequences{5, 6, 7}));
-    ASSERT_EQ(disk.names.size(), 3u);
+    ASSERT_EQ(disk.names.size(), 3U);
   }
 }
 TEST(Storage, ARunFromNumberOneNeedsNoFullRecord) {
@@ -295,7 +296,8 @@
 }
 TEST(Storage, EveryFlippedBitIsFoundOrHarmless) {
   const auto folder = folderOf("fiifii");  // 1 to 3 lie below the newest full record
-  int found = 0, harmless = 0;
+  int found = 0;
+  int harmless = 0;
   for (auto& [name, content] : folder)
     for (std::size_t i = 0; i < content.size(); ++i)
       for (int bit = 0; bit < 8; ++bit) {
@@ -341,7 +343,7 @@
   RecordProperty("cuts", cuts);
   RecordProperty("outcomes", static_cast<int>(checker.outcomes()));
   RecordProperty("distinct", static_cast<int>(checker.distinct()));
-  EXPECT_GT(checker.distinct(), 100u);
+  EXPECT_GT(checker.distinct(), 100U);
 }
 TEST(StorageFaults, PowerLostAtEachOperationOfTheNextLifeToo) {
   Checker checker;
@@ -520,7 +522,7 @@
   const auto recovery = recoverStorage(storage, [](const Fault&) { return false; });
   ASSERT_TRUE(recovery) << recovery.error().text;
   EXPECT_EQ(sequencesOf(recovery->records), (Sequences{5, 6}));
-  EXPECT_EQ(recovery->warnings.size(), 1u) << "no lock could be made";
+  EXPECT_EQ(recovery->warnings.size(), 1U) << "no lock could be made";
   EXPECT_FALSE(storage.append(recordOf(7, false)));
   disk.fate = {};
   EXPECT_TRUE(storage.append(recordOf(7, false)));
@@ -543,10 +545,10 @@
   disk.fate = [](Operation, int) { return Fate::failsBefore; };
   while (storage.removeObsolete(1)) {
   }
-  EXPECT_EQ(disk.names.size(), 4u);
+  EXPECT_EQ(disk.names.size(), 4U);
   disk.fate = {};
   ASSERT_TRUE(appendAll(storage, "if", history, 1));
-  EXPECT_EQ(disk.names.size(), 1u) << "the next full record takes them along";
+  EXPECT_EQ(disk.names.size(), 1U) << "the next full record takes them along";
 }
 
 // --- reading fails ---
@@ -614,7 +616,7 @@
     ASSERT_TRUE(recovery) << shape << ": " << recovery.error().text;
     EXPECT_TRUE(recovery->records.empty());
     EXPECT_TRUE(recovery->identityLost);
-    ASSERT_EQ(recovery->warnings.size(), 1u) << "said once, in a line";
+    ASSERT_EQ(recovery->warnings.size(), 1U) << "said once, in a line";
     EXPECT_NE(recovery->warnings[0].find("damaged-000001-"), std::string::npos);
     for (auto& [name, content] : folder)
       EXPECT_EQ(disk.content()["damaged-000001-" + name], content) << shape << ": " << name;
@@ -667,11 +669,12 @@
       ASSERT_TRUE(recovery) << failing;
       ASSERT_TRUE(recovery->records.empty());
       ASSERT_TRUE(recovery->identityLost);
-      std::set<std::string> contents, expected;
+      std::set<std::string> contents;
+      std::set<std::string> expected;
       for (auto& [name, content] : folderOf("fixi"))
         expected.insert(content);
       for (auto& [name, content] : disk.content()) {
-        ASSERT_EQ(name.rfind("damaged-", 0), 0u) << name;
+        ASSERT_EQ(name.rfind("damaged-", 0), 0U) << name;
         contents.insert(content);
       }
       ASSERT_EQ(contents, expected) << "nothing deleted";
@@ -687,20 +690,20 @@
     if (set < 3)
       disk.files[static_cast<std::size_t>(disk.names[recordName(2)])].content.back() ^= 1;
   }
-  EXPECT_EQ(disk.names.size(), 8u) << "three sets of two, and two records";
+  EXPECT_EQ(disk.names.size(), 8U) << "three sets of two, and two records";
   auto storage = storageOn(disk);
   ASSERT_TRUE(storage.load());
   disk.capacity = disk.used();
   EXPECT_FALSE(storage.append(recordOf(3, false)));
-  EXPECT_EQ(disk.names.count("damaged-000001-" + recordName(1)), 0u);
-  EXPECT_EQ(disk.names.count("damaged-000002-" + recordName(1)), 1u);
+  EXPECT_EQ(disk.names.count("damaged-000001-" + recordName(1)), 0U);
+  EXPECT_EQ(disk.names.count("damaged-000002-" + recordName(1)), 1U);
   EXPECT_TRUE(storage.append(recordOf(3, false)));
   for (int i = 0; i < 5; ++i) {
     disk.capacity = disk.used();
     (void)storage.append(recordOf(4, false));
   }
-  EXPECT_EQ(disk.names.count("damaged-000003-" + recordName(1)), 1u);
-  EXPECT_EQ(disk.names.count("damaged-000003-" + recordName(2)), 1u);
+  EXPECT_EQ(disk.names.count("damaged-000003-" + recordName(1)), 1U);
+  EXPECT_EQ(disk.names.count("damaged-000003-" + recordName(2)), 1U);
 }
 
 // --- one process a folder ---
