--- a/tests/simulated_disk.hpp
+++ b/tests/simulated_disk.hpp
@@ -55,11 +55,13 @@
 
   SimulatedDisk() = default;
   // As found after a loss of power: all that is there is durable.
-  explicit SimulatedDisk(const Content& found) : durableNames(names) {
+  explicit SimulatedDisk(const Content& found) {
     for (auto& [name, content] : found) {
       names[name] = static_cast<int>(files.size());
       files.push_back({content, content, {}, false});
     }
+    // NOLINTNEXTLINE(cppcoreguidelines-prefer-member-initializer): the names are complete only here
+    durableNames = names;
   }
   Content content() const {
     Content all;
