--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -24,6 +24,13 @@
   world.kill(machine);
   world.nodes.erase(machine);
 }
+std::vector<std::string> machinesOf(const World& world) {
+  std::vector<std::string> machines;
+  machines.reserve(world.nodes.size());
+  for (const auto& [ip, node] : world.nodes)
+    machines.push_back(ip);
+  return machines;
+}
 // A write passes at the leader that there is.
 ::testing::AssertionResult serves(World& world) {
   const auto leader = world.leader();
@@ -184,9 +191,7 @@
     world.runFor(Span(4000 + world.draw(16000)));
     ASSERT_FALSE(world.nodes[old].up) << "seed " << seed;
     world.nodes.erase(old);
-    std::vector<std::string> left;
-    for (const auto& [ip, node] : world.nodes)
-      left.push_back(ip);
+    const auto left = machinesOf(world);
     world.kill(left[world.draw(left.size())]);
     world.runFor(3000ms);
     ASSERT_TRUE(serves(world));
@@ -234,9 +239,7 @@
     loseForGood(world, old);
     world.runFor(kDiskBackAfter);
     ASSERT_TRUE(serves(world));
-    std::vector<std::string> left;
-    for (const auto& [ip, node] : world.nodes)
-      left.push_back(ip);
+    const auto left = machinesOf(world);
     world.kill(left[world.draw(left.size())]);
     world.runFor(3000ms);
     ASSERT_TRUE(serves(world));
