--- a/libs/consensus/include/consensus/messages.hpp
+++ b/libs/consensus/include/consensus/messages.hpp
@@ -89,18 +89,20 @@
 // A member is about to end and asks whether the others can do without it.
 struct LeaveRequest {
   std::int64_t term = 0;
+  std::int64_t requestId = 0;  // drawn for each leave, so that an answer to an earlier life's is none
   template <class V>
   void fields(V& v) {
-    v("term", term);
+    v("term", term), v("requestId", requestId);
   }
 };
 // The member may end: it is out of the committed configuration or the change would help nobody, and a majority
 // without it holds on disk all that is committed.
 struct LeaveResponse {
   std::int64_t term = 0;
+  std::int64_t requestId = 0;
   template <class V>
   void fields(V& v) {
-    v("term", term);
+    v("term", term), v("requestId", requestId);
   }
 };
 // The body of a large write, sent ahead by the node that took it; entries then name its digest only.
--- a/libs/consensus/src/membership.cpp
+++ b/libs/consensus/src/membership.cpp
@@ -12,7 +12,8 @@
 constexpr int kLeavingForIntervals = 10;
 // For `PlantedFaults::newcomerIsAddedOnly`.
 std::vector<MemberId> addNewcomersOnly(const std::vector<VoterStatus>& voters, const std::vector<MemberId>& learners) {
-  std::vector<MemberId> chosen, silent;
+  std::vector<MemberId> chosen;
+  std::vector<MemberId> silent;
   for (const auto& voter : voters) {
     const bool lost = voter.health == VoterHealth::silent || voter.health == VoterHealth::superseded;
     (lost ? silent : chosen).push_back(voter.id);
@@ -60,8 +61,11 @@
   replicate(now);
 }
 bool RaftNode::Core::isLeaving(Instant now, const PeerProgress& progress) const {
-  return progress.leaveAskedAt != Instant{} &&
-         now - progress.leaveAskedAt < options.leaveInterval * kLeavingForIntervals;
+  return progress.leaveAskedAt != Instant{} && now - progress.leaveAskedAt < leavingFor();
+}
+// For so long after a request a member counts as leaving.
+Span RaftNode::Core::leavingFor() const {
+  return options.leaveInterval * kLeavingForIntervals;
 }
 std::vector<VoterStatus> RaftNode::Core::voterStatus(Instant now) const {
   const auto supersededBy = [&](const MemberId& voter) {
@@ -95,7 +99,8 @@
 }
 // Those that came back empty at a voter's address first: that voter is lost for good.
 std::vector<MemberId> RaftNode::Core::readyLearners(Instant now) const {
-  std::vector<MemberId> returned, others;
+  std::vector<MemberId> returned;
+  std::vector<MemberId> others;
   const auto voters = log.config().allVoters();
   for (const auto& [peer, progress] : peers) {
     const bool ready = caughtUp(progress) && recentlyHeard(now, progress) && !isLeaving(now, progress);
@@ -153,9 +158,18 @@
   if (role == Role::leader)
     return transferLeadership(now);
   if (!leader.empty())
-    send(leader, LeaveRequest{currentTerm});
+    send(leader, LeaveRequest{currentTerm, leaveRequestId});
+}
+void RaftNode::Core::beginLeave(Instant now) {
+  leaving = true;
+  leaveRequestId = static_cast<std::int64_t>(random());
+  tickLeave(now);
 }
-void RaftNode::Core::onLeaveRequest(Instant now, const MemberId& from) {
+void RaftNode::Core::onLeaveResponse(const LeaveResponse& response) {
+  if (leaving && response.requestId == leaveRequestId)
+    exitAllowed = true;
+}
+void RaftNode::Core::onLeaveRequest(Instant now, const MemberId& from, const LeaveRequest& request) {
   if (role != Role::leader)
     return;
   trackPeer(now, from);
@@ -167,8 +181,10 @@
     heartbeat(now);
   }
   tickMembership(now);
-  if (canDoWithout(now, from))
-    send(from, LeaveResponse{currentTerm});
+  if (!canDoWithout(now, from))
+    return;
+  progress.leaveGrantedAt = now;
+  send(from, LeaveResponse{currentTerm, request.requestId});
 }
 // Whether a member that wants to end may do so: it is out of the committed configuration, or removing it would bear
 // no more losses than keeping it; and a majority without it has on disk all that is committed.
@@ -185,7 +201,8 @@
 bool RaftNode::Core::othersHoldCommitted(const MemberId& without) const {
   const auto& voters = log.config().voters;
   const auto leaver = peers.find(without);
-  std::size_t holding = 0, others = 0;
+  std::size_t holding = 0;
+  std::size_t others = 0;
   for (const auto& voter : voters) {
     if (voter == without)
       continue;
@@ -197,8 +214,11 @@
     const auto peer = peers.find(voter);
     if (peer == peers.end() || leaver == peers.end())
       continue;
-    const bool answered = peer->second.leasePromisedFrom >= leaver->second.leaveFirstAskedAt;
-    holding += answered && peer->second.matchedNumber >= commitNumber;
+    // One that was let go counts again only once it answers when it should be gone: it was restarted.
+    const auto& other = peer->second;
+    const auto gone = other.leaveGrantedAt == Instant{} ? Instant{} : other.leaveGrantedAt + leavingFor();
+    const bool answered = other.leasePromisedFrom >= std::max(leaver->second.leaveFirstAskedAt, gone);
+    holding += answered && other.matchedNumber >= commitNumber;
   }
   return holding >= std::min(majorityOf(voters.size()), others);
 }
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -51,13 +51,14 @@
   // Joining and leaving.
   Instant lastJoinAt{}, lastLeaveAt{};
   bool leaving = false, exitAllowed = false;
+  std::int64_t leaveRequestId = 0;
 
   std::map<std::string, std::string> bodies;  // by digest, sent ahead of their entries
   std::deque<std::string> bodyOrder;
   std::int64_t snapshotsRefused = 0;
   std::vector<RaftAction> actions;
 
-  Core(MemberId self, RaftOptions options, std::uint64_t seed);
+  Core(MemberId member, RaftOptions raftOptions, std::uint64_t seed);
 
   // raft_core.cpp: what all roles share.
   bool isVoter() const { return log.config().isVoter(self); }
@@ -137,11 +138,14 @@
   std::vector<VoterStatus> voterStatus(Instant now) const;
   std::vector<MemberId> readyLearners(Instant now) const;
   bool learnerCatchingUp(Instant now) const;
+  Span leavingFor() const;
   bool isLeaving(Instant now, const PeerProgress& progress) const;
   bool caughtUp(const PeerProgress& progress) const;
   void dropSilentLearners(Instant now);
   void onJoinRequest(Instant now, const MemberId& from, const JoinRequest& request);
-  void onLeaveRequest(Instant now, const MemberId& from);
+  void beginLeave(Instant now);
+  void onLeaveRequest(Instant now, const MemberId& from, const LeaveRequest& request);
+  void onLeaveResponse(const LeaveResponse& response);
   bool canDoWithout(Instant now, const MemberId& member) const;
   bool othersHoldCommitted(const MemberId& without) const;
 };
--- a/libs/operations/src/call.cpp
+++ b/libs/operations/src/call.cpp
@@ -25,7 +25,7 @@
   Buffer buf;
   http::response_parser<http::string_body> p;
   p.eager(true);
-  p.body_limit(64u << 20);
+  p.body_limit(64U << 20);
   if (!ec)
     pump(w, buf, p, false, ec);
   if (ec)
@@ -71,7 +71,7 @@
   }
   return out;
 }
-int onQuay(const std::function<int()>& f) {
+int runOnEventLoop(const std::function<int()>& f) {
   EventLoop loop;
   int rc = 0;
   loop.launch([&] {
--- a/tests/simulated_disk.hpp
+++ b/tests/simulated_disk.hpp
@@ -60,6 +60,7 @@
       names[name] = static_cast<int>(files.size());
       files.push_back({content, content, {}, false});
     }
+    // NOLINTNEXTLINE(cppcoreguidelines-prefer-member-initializer): the names are complete only here
     durableNames = names;
   }
   Content content() const {
@@ -112,7 +113,7 @@
     if (changes.size() > kMostUnsynced)
       throw std::length_error(std::to_string(changes.size()) + " changes of names are not synced");
     std::set<std::map<std::string, int>> folders;
-    for (std::uint64_t kept = 0; kept < (1ull << changes.size()); ++kept) {
+    for (std::uint64_t kept = 0; kept < (1ULL << changes.size()); ++kept) {
       auto folder = durableNames;
       for (std::size_t i = 0; i < changes.size(); ++i)
         if (kept >> i & 1)
@@ -187,7 +188,7 @@
   Outcome<std::string> read(const std::string& name) override {
     if (failed(disk_.begin(Operation::read)))
       return error("read");
-    if (!disk_.names.count(name))
+    if (!disk_.names.contains(name))
       return fault(ENOENT, "no such file");
     return disk_.files[static_cast<std::size_t>(disk_.names[name])].content;
   }
@@ -195,7 +196,7 @@
     const auto fate = disk_.begin(Operation::create);
     if (fate == Fate::failsBefore)
       return error("create");
-    if (disk_.names.count(name))
+    if (disk_.names.contains(name))
       return fault(EEXIST, "exists");
     disk_.files.emplace_back();
     const int number = static_cast<int>(disk_.files.size()) - 1;
@@ -208,7 +209,7 @@
     const auto fate = disk_.begin(Operation::rename);
     if (fate == Fate::failsBefore)
       return error("rename");
-    if (!disk_.names.count(from))
+    if (!disk_.names.contains(from))
       return fault(ENOENT, "no such file");
     const int number = disk_.names[from];
     disk_.change(from, -1);
@@ -221,7 +222,7 @@
     const auto fate = disk_.begin(Operation::remove);
     if (fate == Fate::failsBefore)
       return error("remove");
-    if (disk_.names.count(name))
+    if (disk_.names.contains(name))
       disk_.change(name, -1);
     if (failed(fate))
       return error("remove");
