--- a/libs/consensus/src/persistence.hpp
+++ b/libs/consensus/src/persistence.hpp
@@ -47,7 +47,6 @@
   bool oldestFailed() const { return !pending_.empty() && pending_.front().failed; }
   Span oldestWait() const { return pending_.empty() ? Span(0) : pending_.front().waited; }
   const std::deque<Pending>& pending() const { return pending_; }
-  std::size_t heldCount() const { return held_.size(); }
   const std::vector<std::pair<PersistTicket, HeldMessage>>& held() const { return held_; }
 
  private:
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -31,6 +31,11 @@
     machines.push_back(ip);
   return machines;
 }
+std::vector<std::string> seedsBut(const std::string& machine) {
+  auto seeds = kSeeds;
+  std::erase(seeds, machine);
+  return seeds;
+}
 // A write passes at the leader that there is.
 ::testing::AssertionResult serves(World& world) {
   const auto leader = world.leader();
@@ -270,10 +275,7 @@
     World world(seed);
     bootMachines(world, 3);
     const auto leader = world.leader();
-    std::vector<std::string> others;
-    for (const auto& ip : kSeeds)
-      if (ip != leader)
-        others.push_back(ip);
+    const auto others = seedsBut(leader);
     world.nodes[others[0]].syncTime = Span(1500);  // the slow one lags
     world.write(leader);
     world.runFor(100ms);
@@ -302,10 +304,7 @@
     World world(seed);
     bootMachines(world, 3);
     const auto leader = world.leader();
-    std::vector<std::string> others;
-    for (const auto& ip : kSeeds)
-      if (ip != leader)
-        others.push_back(ip);
+    const auto others = seedsBut(leader);
     for (const auto& ip : others)
       world.leave(ip);
     world.runFor(3000ms);
