Agents follow the controller of their zone; runners send heartbeats there

Change: every controller feeds the agents of its zone from its own replica, the leader those of zones without one. What is committed is the same everywhere; leases and their indexes still come from the leader, so no staleness bound moves. An agent that lacks entries for 300 ms leaves its source for the leader. Zones travel behind the fields of existing messages, which earlier versions ignore. heartbeatUri names the controller of the runner's zone. Bytes sent are counted by zone and type of message (GET /v1/Counters).

--- a/libs/agent/include/agent/agent_daemon.hpp
+++ b/libs/agent/include/agent/agent_daemon.hpp
@@ -1,6 +1,7 @@
 /// The agent: wires the parts of this library to sockets, timers and the settings. It decides nothing by itself.
 #pragma once
 #include "agent/core_links.hpp"
+#include "agent/feed_source.hpp"
 #include "agent/leader_discovery.hpp"
 #include "agent/log_follower.hpp"
 #include "agent/proxy_feed.hpp"
@@ -31,14 +32,18 @@
   void sendStateToAll();
   void sendStateIfDue(const transport::PeerLinkPtr& link);
 
+  /// Follows another member if the feed is to come from there now.
+  void chooseSource();
+  transport::PeerLinkPtr sourceLink() const { return links_.connectedLink(sourceAddress_); }
   void follow(const transport::PeerLinkPtr& link, bool refetch);
+  void unsubscribe(const std::string& address);
   void refetch();
   void refetchIfBehind();
   void applyEntries();
 
   void onCoreConnected(const std::string& address, const transport::PeerLinkPtr& link);
   void onCoreMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope);
-  void onClusterStatus(const transport::ClusterStatus& status);
+  void onClusterStatus(const std::string& sender, const transport::ClusterStatus& status);
   void onEntries(const transport::PeerLinkPtr& link, transport::FeedEntries feed);
   void onSnapshot(const transport::PeerLinkPtr& link, const transport::FeedSnapshot& snapshot);
   void onLeaseResponse(const transport::LeaseResponse& response);
@@ -48,6 +53,8 @@
   config::Settings settings_;
   std::string identity_;  // "IP#agent"
   LeaderDiscovery discovery_;
+  FeedSource feedSource_;
+  std::string sourceAddress_;  // of the member that feeds this agent; empty: none
   LogFollower follower_;
   ProxyFeed proxyFeed_;
   CoreLinks links_;
--- a/libs/agent/include/agent/leader_discovery.hpp
+++ b/libs/agent/include/agent/leader_discovery.hpp
@@ -44,11 +44,12 @@
   const std::string& leader() const { return leader_; }
   /// IP address of the leader; empty: unknown.
   std::string leaderAddress() const;
-  /// The IP addresses to be connected to: the leader and a few voters; or all that are known if none of those is
-  /// connected, or if there has been no lease for `kLeaseTimeout`.
+  /// The IP addresses to be connected to: the leader, the preferred member and a few voters; or all that are known if
+  /// none of those is connected, or if there has been no lease for `kLeaseTimeout`.
   /// @param isConnected whether there is a connection to an address now.
-  std::set<std::string> desiredAddresses(TimePoint now,
-                                         const std::function<bool(const std::string&)>& isConnected) const;
+  /// @param preferred the address of a member that is wanted besides the leader; empty: none.
+  std::set<std::string> desiredAddresses(TimePoint now, const std::function<bool(const std::string&)>& isConnected,
+                                         const std::string& preferred = {}) const;
   /// A sample of the partial view, for gossip.
   std::vector<std::string> sampleView() { return view_.sample(); }
 
--- a/libs/agent/include/agent/log_follower.hpp
+++ b/libs/agent/include/agent/log_follower.hpp
@@ -20,6 +20,9 @@
   void stopFollowing() { following_ = false; }
   /// Whether something is missing that is known to exist.
   bool isBehind() const;
+  /// How long something has been missing without any entry coming in; 0: nothing is missing. To be asked often: it
+  /// counts from the first time that it was found so.
+  Duration stalledFor(TimePoint now);
   /// Whether `kRefetchInterval` has passed since the last request.
   bool mayRefetch(TimePoint now) const { return now - lastFollow_ >= kRefetchInterval; }
 
@@ -46,6 +49,7 @@
   std::deque<transport::LogEntry> tail_;  // the last entries applied, oldest first
   std::int64_t newestIndex_ = 0;          // the newest index known to be committed
   TimePoint lastFollow_{};
+  std::optional<TimePoint> stalledSince_;  // none: nothing was missing, or something has come since
   bool following_ = false;
 };
 }  // namespace zinccleat::agent
--- a/libs/agent/src/agent_daemon.cpp
+++ b/libs/agent/src/agent_daemon.cpp
@@ -18,6 +18,7 @@
     : settings_(settings),
       identity_(settings.ip + "#agent"),
       discovery_(settings.ip, randomSeed()),
+      feedSource_(settings.zone, randomSeed()),
       proxyFeed_(follower_),
       links_(
           settings.firstPort,
@@ -69,8 +70,20 @@
 }
 
 void AgentDaemon::chooseLinks() {
+  const auto now = Clock::now();
   links_.connectTo(discovery_.desiredAddresses(
-      Clock::now(), [this](const std::string& address) { return links_.isConnected(address); }));
+      now, [this](const std::string& address) { return links_.isConnected(address); }, feedSource_.memberInZone(now)));
+  chooseSource();
+}
+void AgentDaemon::chooseSource() {
+  const auto chosen = feedSource_.choose(Clock::now(), discovery_.leaderAddress(),
+                                         [this](const std::string& address) { return links_.isConnected(address); });
+  if (chosen.empty() || (chosen == sourceAddress_ && follower_.following()))
+    return;
+  const auto previous = std::exchange(sourceAddress_, chosen);
+  if (previous != chosen)
+    unsubscribe(previous);
+  follow(sourceLink(), false);
 }
 transport::PeerLinkPtr AgentDaemon::leaderLink() const {
   return links_.connectedLink(discovery_.leaderAddress());
@@ -94,16 +107,35 @@
 }
 
 void AgentDaemon::follow(const transport::PeerLinkPtr& link, bool refetch) {
-  link->send(transport::pack(follower_.follow(Clock::now(), refetch), identity_));
+  auto request = follower_.follow(Clock::now(), refetch);
+  request.extension.zone = settings_.zone;
+  link->send(transport::pack(request, identity_));
+}
+void AgentDaemon::unsubscribe(const std::string& address) {
+  const auto link = links_.connectedLink(address);
+  if (!link)
+    return;
+  transport::FollowLog request;
+  request.extension.unsubscribe = true;
+  link->send(transport::pack(request, identity_));
 }
 void AgentDaemon::refetch() {
   if (!follower_.mayRefetch(Clock::now()))
     return;
-  if (const auto link = leaderLink())
+  if (const auto link = sourceLink())
     follow(link, true);
 }
+// A member that does not lead commits a moment after the leader, and so feeds a moment after the leader grants a lease
+// that requires the entry: being behind is only worth a message once it lasts.
 void AgentDaemon::refetchIfBehind() {
-  if (follower_.isBehind())
+  const auto now = Clock::now();
+  const auto stalledFor = follower_.stalledFor(now);
+  if (stalledFor >= FeedSource::kStallTimeout && sourceAddress_ != discovery_.leaderAddress()) {
+    log::debug("feed_source_stalled", {{"member", sourceAddress_}, {"stalled_ms", stalledFor}});
+    feedSource_.avoid(sourceAddress_, now);
+    return chooseSource();
+  }
+  if (stalledFor >= LogFollower::kRefetchInterval)
     refetch();
 }
 void AgentDaemon::applyEntries() {
@@ -120,14 +152,16 @@
 
 void AgentDaemon::onCoreConnected(const std::string& address, const transport::PeerLinkPtr& link) {
   link->send(stateMessage());
-  if (address == discovery_.leaderAddress())
-    follow(link, false);
+  // A subscription ended with the connection that it was made on.
+  if (address == sourceAddress_)
+    follower_.stopFollowing();
+  chooseSource();
 }
 void AgentDaemon::onCoreMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
   if (!envelope.sender.empty())
     discovery_.recordContact(envelope.sender);
   transport::receive<transport::ClusterStatus>(
-      link, envelope, [this](const transport::ClusterStatus& status) { onClusterStatus(status); });
+      link, envelope, [&](const transport::ClusterStatus& status) { onClusterStatus(envelope.sender, status); });
   transport::receive<transport::FeedEntries>(link, envelope,
                                              [&](transport::FeedEntries feed) { onEntries(link, std::move(feed)); });
   transport::receive<transport::FeedSnapshot>(
@@ -141,7 +175,7 @@
   if (isResponseForProxy(envelope.type))
     proxyFeed_.forward(envelope);
 }
-void AgentDaemon::onClusterStatus(const transport::ClusterStatus& status) {
+void AgentDaemon::onClusterStatus(const std::string& sender, const transport::ClusterStatus& status) {
   const auto change = discovery_.observe(status);
   if (change.stale)
     return;
@@ -150,13 +184,13 @@
   if (change.leader) {
     discovery_.setLeader(status.leader);
     log::debug("leader_followed", {{"member", status.leader}, {"term", status.term}});
+    // A leader of an earlier term has stopped feeding the agents of other zones.
     follower_.stopFollowing();
     chooseLinks();
   }
-  if (follower_.following())
-    return;
-  if (const auto link = leaderLink())
-    follow(link, false);
+  if (sender == discovery_.leader())
+    feedSource_.setMembers(status.extension.members);
+  chooseSource();
 }
 void AgentDaemon::onEntries(const transport::PeerLinkPtr& link, transport::FeedEntries feed) {
   if (!discovery_.acceptsTerm(feed.term))
@@ -179,10 +213,9 @@
 void AgentDaemon::onLeaseResponse(const transport::LeaseResponse& response) {
   if (!response.granted)
     return;
-  const bool behind = follower_.recordCommitIndex(response.commitIndex);
+  follower_.recordCommitIndex(response.commitIndex);
   discovery_.recordLease(Clock::now());
-  if (behind)
-    refetch();
+  refetchIfBehind();
 }
 void AgentDaemon::onProxyMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
   transport::receive<transport::FollowLog>(
--- a/libs/agent/src/leader_discovery.cpp
+++ b/libs/agent/src/leader_discovery.cpp
@@ -51,11 +51,14 @@
             [this](const auto& a, const auto& b) { return hash64(a, rankSeed_) > hash64(b, rankSeed_); });
   return ranked;
 }
-std::set<std::string> LeaderDiscovery::desiredAddresses(
-    TimePoint now, const std::function<bool(const std::string&)>& isConnected) const {
+std::set<std::string> LeaderDiscovery::desiredAddresses(TimePoint now,
+                                                        const std::function<bool(const std::string&)>& isConnected,
+                                                        const std::string& preferred) const {
   std::set<std::string> desired;
   if (!leader_.empty())
     desired.insert(consensus::addressOf(leader_));
+  if (!preferred.empty())
+    desired.insert(preferred);
   for (const auto& voter : votersByRank())
     if (desired.size() < kExtraVoterLinks + 1)
       desired.insert(consensus::addressOf(voter));
--- a/libs/agent/src/log_follower.cpp
+++ b/libs/agent/src/log_follower.cpp
@@ -12,6 +12,13 @@
 bool LogFollower::isBehind() const {
   return replica_.hasGap() || replica_.lastApplied() < newestIndex_ || replica_.corrupted();
 }
+Duration LogFollower::stalledFor(TimePoint now) {
+  if (!isBehind())
+    stalledSince_.reset();
+  else if (!stalledSince_)
+    stalledSince_ = now;
+  return stalledSince_ ? toDuration(now - *stalledSince_) : Duration(0);
+}
 void LogFollower::offer(transport::FeedEntries feed) {
   for (auto& entry : feed.entries)
     replica_.offer(std::move(entry));
@@ -21,6 +28,7 @@
   auto applied = replica_.applyNext();
   if (!applied)
     return std::nullopt;
+  stalledSince_.reset();
   tail_.push_back(applied->entry);
   if (tail_.size() > kTailCapacity)
     tail_.pop_front();
@@ -31,6 +39,7 @@
     replica_.markCorrupted();
     return restored;
   }
+  stalledSince_.reset();
   tail_.clear();
   newestIndex_ = std::max(newestIndex_, snapshot.lastIncludedIndex);
   return {};
--- a/libs/controller/src/agent_sessions.cpp
+++ b/libs/controller/src/agent_sessions.cpp
@@ -11,13 +11,16 @@
 // An agent links to so many controllers. With more voters it misses bodies that were sent ahead.
 constexpr std::size_t kLinksPerAgent = 3;
 constexpr auto kSessionTimeout = 6s;
-// Every so many answers to an agent's state hold voters and view, changed or not.
+// Every so many answers to an agent's state hold voters, zones and view, changed or not.
 constexpr int kFullStatusInterval = 8;
 
-std::size_t hashOf(const std::vector<std::string>& names) {
+/// Of what a status says of the core's members.
+std::size_t membersHashOf(const transport::ClusterStatus& status) {
   std::size_t hash = 0;
-  for (const auto& name : names)
-    hash = hash64(name, hash);
+  for (const auto& voter : status.voters)
+    hash = hash64(voter, hash);
+  for (const auto& member : status.extension.members)
+    hash = hash64(member.zone, hash64(member.address, hash));
   return hash;
 }
 }  // namespace
@@ -30,6 +33,7 @@
   status.voters = raft.voters();
   status.commitIndex = raft.commitIndex();
   status.view = context_.view.sample();
+  status.extension.members = context_.zones.present(Clock::now());
   return status;
 }
 template <class Message>
@@ -49,28 +53,38 @@
   context_.view.merge(state.view);
   session.lastApplied = state.lastApplied;
   auto status = clusterStatus();
-  // Voters and view are left out where this link has carried them already.
-  const auto votersHash = hashOf(status.voters);
-  const bool votersKnown = std::exchange(session.sentVotersHash, votersHash) == votersHash;
-  if (votersKnown && session.statesAnswered % kFullStatusInterval != 0) {
+  // Voters, zones and view are left out where this link has carried them already.
+  const auto membersHash = membersHashOf(status);
+  const bool membersKnown = std::exchange(session.sentMembersHash, membersHash) == membersHash;
+  if (membersKnown && session.statesAnswered % kFullStatusInterval != 0) {
     status.voters.clear();
     status.view.clear();
+    status.extension.members.clear();
   }
   ++session.statesAnswered;
   link->send(pack(status));
 }
 void AgentSessions::onFollowLog(const transport::PeerLinkPtr& link, const std::string& agent,
                                 const transport::FollowLog& request) {
+  if (request.extension.unsubscribe) {
+    if (const auto subscribed = sessions_.find(agent); subscribed != sessions_.end())
+      subscribed->second.sentIndex.reset();
+    return;
+  }
   auto& session = sessions_[agent];
   // While an answer is under way a refetch is ignored: a slow reader would be sent the same again and again.
   if (request.refetch && session.link == link && session.sentIndex && link->backlog() > 0)
     return;
   const auto from = std::max<std::int64_t>(0, request.lastApplied);
   session.link = link;
-  session.sentIndex = from;
+  link->setPeerZone(request.extension.zone);
+  session.inOwnZone = !request.extension.zone.empty() && request.extension.zone == context_.zones.ownZone();
   session.cachedDigest = request.cachedDigest;
-  if (!context_.isLeader())
+  if (!context_.isLeader() && !session.inOwnZone) {
+    session.sentIndex.reset();
     return link->send(pack(clusterStatus()));
+  }
+  session.sentIndex = from;
   // An agent that has nothing, or nothing that it trusts, gets a snapshot instead of entries.
   if (request.refetch && from > 0 && from + 1 >= context_.raft->firstIndex())
     return feedWithBodies(session);
@@ -138,9 +152,10 @@
     feed(session);
   frames_.clear();
 }
-void AgentSessions::stopFeeding() {
+void AgentSessions::stopFeedingOtherZones() {
   for (auto& [agent, session] : sessions_)
-    session.sentIndex.reset();
+    if (!session.inOwnZone)
+      session.sentIndex.reset();
 }
 void AgentSessions::broadcastStatus() {
   std::erase_if(sessions_, [](const auto& session) { return !session.second.link->open(); });
@@ -161,6 +176,9 @@
   });
 }
 void AgentSessions::sendBodyAhead(const transport::LogEntry& entry) {
+  // With more voters most agents are not linked to this one, and entries go to all with their bodies.
+  if (context_.raft->voters().size() > kLinksPerAgent)
+    return;
   const auto frame =
       std::make_shared<const std::string>(transport::encodeFrame(pack(transport::BodyAhead{entry.digest, entry.body})));
   for (auto& [agent, session] : sessions_)
--- a/libs/controller/src/agent_sessions.hpp
+++ b/libs/controller/src/agent_sessions.hpp
@@ -1,6 +1,9 @@
 /// @file
 /// The leader's and followers' sessions with the agents of access machines. Every controller tells the agents linked
-/// to it who leads; the leader also feeds those that follow its log with committed entries, snapshots and bodies ahead.
+/// to it who leads, and feeds those of its own zone that follow its log with committed entries and snapshots; the
+/// leader feeds those of all zones. What is committed is the same on every member, so an agent may change from one to
+/// another at any index. Leases come from the leader alone, with the index that an agent must have applied before it
+/// uses one: a controller that lags can delay its agents, never make them serve what is old.
 ///
 /// A session is soft state: an agent that loses its link opens another one and says where it stands. All sessions are
 /// changed here only, on the event-loop thread.
@@ -18,15 +21,16 @@
   explicit AgentSessions(ControllerContext& context) : context_(context) {}
   /// Answers with the cluster's status. A new link replaces the agent's earlier one.
   void onAgentState(const transport::PeerLinkPtr& link, const std::string& agent, const transport::AgentState& state);
-  /// The agent wants every entry after those that it has applied, or all of them anew. Only a leader sends them; every
-  /// controller answers with the status of the cluster.
+  /// The agent wants every entry after those that it has applied, or all of them anew, or no more of them. Every
+  /// controller answers with the status of the cluster; one that neither leads nor stands in the agent's zone sends no
+  /// entries.
   void onFollowLog(const transport::PeerLinkPtr& link, const std::string& agent, const transport::FollowLog& request);
   /// Sends all agents who leads, who votes and how far the log is committed.
   void broadcastStatus();
-  /// Sends each agent that follows what it lacks. For the leader, after each commit.
+  /// Sends each agent that follows this controller what it lacks. After each commit.
   void feedAll();
-  /// This controller no longer leads: agents ask the new leader.
-  void stopFeeding();
+  /// This controller no longer leads: agents of other zones ask the new leader.
+  void stopFeedingOtherZones();
   /// Ends the sessions of agents that have said nothing for long: they have another link by now, or have ended.
   void closeSilentSessions(TimePoint now);
   /// Sends all agents the body of a large write, ahead of its entry.
@@ -46,7 +50,8 @@
     std::optional<std::int64_t> sentIndex;  ///< newest entry sent; none: the agent does not follow this controller
     std::int64_t lastApplied = 0;           ///< by its state messages
     int statesAnswered = 0;                 ///< on this link
-    std::size_t sentVotersHash = 0;         ///< of the voters last sent on this link
+    std::size_t sentMembersHash = 0;        ///< of the voters and zones last sent on this link
+    bool inOwnZone = false;                 ///< fed by this controller whether or not it leads
     std::string cachedDigest;               ///< of the configuration that the agent has
   };
   /// What a frame for followers depends on: where they stand, and for a snapshot what they have cached.
--- a/libs/controller/src/api_handlers.hpp
+++ b/libs/controller/src/api_handlers.hpp
@@ -31,4 +31,6 @@
 ApiResponse handleExchangeHints(const ApiCall& call);
 /// This controller's own view; answered without contact too.
 ApiResponse handleStatus(const ApiCall& call);
+/// What this controller has sent, by zone and type of message, and how its disk does; answered without contact too.
+ApiResponse handleCounters(const ApiCall& call);
 }  // namespace zinccleat::controller
--- a/libs/controller/src/control_api.cpp
+++ b/libs/controller/src/control_api.cpp
@@ -26,6 +26,7 @@
     Route{"GET", "/v1/Closures.List", handleListZoneDrains},
     Route{"POST", "/v1/Hints.Exchange", handleExchangeHints},
     Route{"GET", "/v1/Status", handleStatus},
+    Route{"GET", "/v1/Counters", handleCounters},
 };
 }  // namespace
 
--- a/libs/controller/src/controller_context.cpp
+++ b/libs/controller/src/controller_context.cpp
@@ -9,5 +9,7 @@
   return address + "/core";
 }
 ControllerContext::ControllerContext(config::Settings given)
-    : settings(std::move(given)), view(viewNameOfController(settings.ip), kViewSize, randomSeed()) {}
+    : settings(std::move(given)),
+      zones(settings.ip, settings.zone),
+      view(viewNameOfController(settings.ip), kViewSize, randomSeed()) {}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/controller_context.hpp
+++ b/libs/controller/src/controller_context.hpp
@@ -4,6 +4,7 @@
 #include "config/configuration.hpp"
 #include "config/settings.hpp"
 #include "consensus/raft_node.hpp"
+#include "member_zones.hpp"
 #include "state_machine/replicated_state.hpp"
 #include "transport/partial_view.hpp"
 namespace zinccleat::controller {
@@ -18,6 +19,7 @@
   std::unique_ptr<consensus::RaftNode> raft;                   ///< set once, by `ControllerNode::start`
   state_machine::ReplicatedState replica;                      ///< written by `RaftDriver`
   std::shared_ptr<const config::Configuration> configuration;  ///< the replica's, parsed; null: none. By `RaftDriver`
+  MemberZones zones;               ///< of the controllers that are up; written by `RunnerLiveness`
   transport::PartialView view;     ///< of the other machines; written by whoever receives a message
   std::int64_t seedsDeclined = 0;  ///< starts that found nobody to join in the settings; written at startup
 
--- a/libs/controller/src/controller_node.cpp
+++ b/libs/controller/src/controller_node.cpp
@@ -128,8 +128,15 @@
 std::optional<std::string> ControllerNode::leaderControlAddress() const {
   if (!context_.knowsOtherLeader())
     return std::nullopt;
+  return controlAddressAt(consensus::addressOf(context_.raft->leader()));
+}
+std::optional<std::string> ControllerNode::controlAddressIn(const std::string& zone) const {
+  const auto address = context_.zones.addressIn(zone, Clock::now());
+  return address ? std::optional(controlAddressAt(*address)) : std::nullopt;
+}
+std::string ControllerNode::controlAddressAt(const std::string& ip) const {
   // All controllers use the same port for their control API.
   const auto& own = context_.settings.controlAddress;
-  return consensus::addressOf(context_.raft->leader()) + own.substr(own.rfind(':'));
+  return ip + own.substr(own.rfind(':'));
 }
 }  // namespace zinccleat::controller
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -49,8 +49,10 @@
   Result<void> awaitReadIndex(Duration timeout) override { return reads_.awaitReadIndex(timeout); }
   std::string nextOperationId() override { return operationIds_->next(); }
   std::optional<std::string> leaderControlAddress() const override;
+  std::optional<std::string> controlAddressIn(const std::string& zone) const override;
   double requestsPerS() const override { return requests_.requestsPerS(Clock::now()); }
   std::string statusJson() const override { return controller::statusJson(statusSources(), Clock::now()); }
+  std::string countersJson() const override { return controller::countersJson(*context_.raft); }
   std::string zoneDrainsJson() const override { return controller::zoneDrainsJson(statusSources(), Clock::now()); }
   Result<std::string> exchangeHints(std::string_view body, std::string_view seal) override {
     return hints_.exchange(body, seal);
@@ -62,6 +64,7 @@
   void startTimers();
   void onTick();
   void onSecond();
+  std::string controlAddressAt(const std::string& ip) const;
   StatusSources statusSources() const { return {context_, agents_, requests_, hints_}; }
 
   const std::uint64_t incarnation_ = randomSeed();  // of this process
--- a/libs/controller/src/controller_services.hpp
+++ b/libs/controller/src/controller_services.hpp
@@ -30,10 +30,14 @@
   virtual std::string nextOperationId() = 0;
   /// Where the leader's control API listens; none: the leader is unknown, or it is this controller.
   virtual std::optional<std::string> leaderControlAddress() const = 0;
+  /// Where the control API of a controller in a zone listens; none: no controller there is known to be up.
+  virtual std::optional<std::string> controlAddressIn(const std::string& zone) const = 0;
   /// Requests a second of the whole fleet; known to the leader only.
   virtual double requestsPerS() const = 0;
   /// The body of the Status call.
   virtual std::string statusJson() const = 0;
+  /// The body of the Counters call.
+  virtual std::string countersJson() const = 0;
   /// The body of the Closures.List call; complete on the leader only.
   virtual std::string zoneDrainsJson() const = 0;
   /// Takes in the partner site's prefix hints. @return our own hints, sealed.
--- /dev/null
+++ b/libs/controller/src/member_zones.cpp
@@ -0,0 +1,26 @@
+#include "member_zones.hpp"
+
+namespace zinccleat::controller {
+void MemberZones::record(const std::string& address, const std::string& zone, TimePoint now) {
+  if (!zone.empty() && address != address_)
+    others_[address] = {zone, now};
+}
+std::vector<transport::MemberZone> MemberZones::present(TimePoint now) const {
+  std::map<std::string, std::string> zones{{address_, zone_}};
+  for (const auto& [address, other] : others_)
+    if (now - other.heardAt <= kLifetime)
+      zones[address] = other.zone;
+  std::vector<transport::MemberZone> members;
+  for (const auto& [address, zone] : zones)
+    members.push_back({address, zone});
+  return members;
+}
+std::optional<std::string> MemberZones::addressIn(const std::string& zone, TimePoint now) const {
+  if (zone == zone_)
+    return address_;
+  for (const auto& [address, other] : others_)
+    if (other.zone == zone && now - other.heardAt <= kLifetime)
+      return address;
+  return std::nullopt;
+}
+}  // namespace zinccleat::controller
--- a/libs/controller/src/message_dispatcher.cpp
+++ b/libs/controller/src/message_dispatcher.cpp
@@ -45,11 +45,11 @@
 }
 void MessageDispatcher::onHeartbeatMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
   transport::receive<transport::HeartbeatBatch>(link, envelope, [&](const transport::HeartbeatBatch& message) {
-    components_.runners.onHeartbeatBatch(link, message, Clock::now());
+    components_.runners.onHeartbeatBatch(link, envelope.sender, message, Clock::now());
   });
   transport::receive<transport::HeartbeatBatchResponse>(
       link, envelope, [&](const transport::HeartbeatBatchResponse& message) {
-        components_.runners.onHeartbeatBatchResponse(envelope.sender, message);
+        components_.runners.onHeartbeatBatchResponse(envelope.sender, message, Clock::now());
       });
 }
 void MessageDispatcher::onLogMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
--- a/libs/controller/src/raft_driver.cpp
+++ b/libs/controller/src/raft_driver.cpp
@@ -23,8 +23,7 @@
       std::visit([this](auto& alternative) { carryOut(alternative); }, action);
   running_ = false;
   components_.roles.update();
-  if (components_.roles.isLeader())
-    components_.agents.feedAll();
+  components_.agents.feedAll();
 }
 void RaftDriver::carryOut(consensus::SendMessage& action) {
   components_.peers.send(action.to, action.message);
--- a/libs/controller/src/report_handlers.cpp
+++ b/libs/controller/src/report_handlers.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// The calls that exchange prefix hints with the partner site and that report this controller's status.
+/// The calls that exchange prefix hints with the partner site and that report this controller's status
+/// and counters.
 #include "api_handlers.hpp"
 #include "api_responses.hpp"
 
@@ -18,4 +19,7 @@
 ApiResponse handleStatus(const ApiCall& call) {
   return {HttpStatus::ok, call.services.statusJson(), ""};
 }
+ApiResponse handleCounters(const ApiCall& call) {
+  return {HttpStatus::ok, call.services.countersJson(), ""};
+}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/role_changes.cpp
+++ b/libs/controller/src/role_changes.cpp
@@ -17,7 +17,7 @@
     observers_.requests.startTerm(Clock::now());
   } else {
     log::debug("leadership_lost", {{"term", term}});
-    observers_.agents.stopFeeding();
+    observers_.agents.stopFeedingOtherZones();
   }
 }
 void RoleChanges::updateLeader() {
--- a/libs/controller/src/runner_handlers.cpp
+++ b/libs/controller/src/runner_handlers.cpp
@@ -50,6 +50,11 @@
   runner.sequence = std::max<std::int64_t>(1, runner.sequence);
   return runner;
 }
+/// A controller in the runner's own zone, so that heartbeats do not cross zones; else this one.
+std::string heartbeatUriFor(const std::string& zone, const ApiCall& call) {
+  const auto nearby = call.services.controlAddressIn(zone);
+  return nearby ? "http://" + *nearby : call.heartbeatUri;
+}
 }  // namespace
 
 ApiResponse handleHeartbeat(const ApiCall& call) {
@@ -69,7 +74,7 @@
     if (auto written = services.write(std::move(entry), deadline.left()); !written)
       return errorResponse(written.error());
   }
-  return {HttpStatus::ok, "{\"heartbeatUri\":" + config::quoteJson(call.heartbeatUri) + "}", ""};
+  return {HttpStatus::ok, "{\"heartbeatUri\":" + config::quoteJson(heartbeatUriFor(reported.zone, call)) + "}", ""};
 }
 ApiResponse handleDetach(const ApiCall& call) {
   const ResponseDeadline deadline;
--- a/libs/controller/src/runner_liveness.cpp
+++ b/libs/controller/src/runner_liveness.cpp
@@ -4,6 +4,9 @@
 
 namespace zinccleat::controller {
 namespace {
+// A follower that has no heartbeats to forward still says where it stands; below a half of `MemberZones::kLifetime`.
+constexpr auto kAnnouncementInterval = 1s;
+
 /// The write that removes a runner whose heartbeats have stopped. It may come back: sequence 0 says that it did not
 /// detach itself.
 transport::LogEntry expiryOf(const state_machine::Runner& runner) {
@@ -27,26 +30,38 @@
   if (!context_.knowsOtherLeader())
     return;
   const auto batch = forwarder_.nextBatch(now);
-  if (!batch)
+  if (!batch && now - announcedAt_ < kAnnouncementInterval)
     return;
+  announcedAt_ = now;
   transport::HeartbeatBatch message;
+  message.extension.zone = context_.zones.ownZone();
+  if (!batch)
+    return peers_.send(context_.raft->leader(), message);
   message.number = batch->number;
   for (const auto& heartbeat : batch->heartbeats)
     message.runners.push_back({heartbeat.runner, toDuration(now - heartbeat.receivedAt).count()});
   peers_.send(context_.raft->leader(), message);
 }
-void RunnerLiveness::onHeartbeatBatch(const transport::PeerLinkPtr& link, const transport::HeartbeatBatch& batch,
-                                      TimePoint now) {
+void RunnerLiveness::onHeartbeatBatch(const transport::PeerLinkPtr& link, const consensus::MemberId& from,
+                                      const transport::HeartbeatBatch& batch, TimePoint now) {
   if (!context_.raft->hasLease(now))
     return;
+  context_.zones.record(consensus::addressOf(from), batch.extension.zone, now);
+  link->setPeerZone(batch.extension.zone);
   for (const auto& runner : batch.runners)
     monitor_.recordHeartbeat(runner.id, now - Duration(runner.ageMs));
-  link->send(transport::pack(transport::HeartbeatBatchResponse{batch.number}, context_.raft->self()));
+  transport::HeartbeatBatchResponse response;
+  response.number = batch.number;
+  response.extension.members = context_.zones.present(now);
+  link->send(transport::pack(response, context_.raft->self()));
 }
 void RunnerLiveness::onHeartbeatBatchResponse(const consensus::MemberId& from,
-                                              const transport::HeartbeatBatchResponse& response) {
-  if (from == context_.raft->leader())
-    forwarder_.onAcknowledged(response.number);
+                                              const transport::HeartbeatBatchResponse& response, TimePoint now) {
+  if (from != context_.raft->leader())
+    return;
+  forwarder_.onAcknowledged(response.number);
+  for (const auto& member : response.extension.members)
+    context_.zones.record(member.address, member.zone, now);
 }
 bool RunnerLiveness::submitExpired(TimePoint now) {
   const auto expired = monitor_.findExpired(now, context_.raft->hasLease(now), context_.replica.state().runners);
--- a/libs/controller/src/runner_liveness.hpp
+++ b/libs/controller/src/runner_liveness.hpp
@@ -18,12 +18,15 @@
   /// A runner's heartbeat has come to this controller.
   void recordHeartbeat(const std::string& runner, TimePoint now);
   /// A follower has forwarded heartbeats. They are acknowledged by a leader with a valid lease only.
-  void onHeartbeatBatch(const transport::PeerLinkPtr& link, const transport::HeartbeatBatch& batch, TimePoint now);
-  /// The leader has acknowledged a batch; the response of anyone else is dropped.
-  void onHeartbeatBatchResponse(const consensus::MemberId& from, const transport::HeartbeatBatchResponse& response);
+  void onHeartbeatBatch(const transport::PeerLinkPtr& link, const consensus::MemberId& from,
+                        const transport::HeartbeatBatch& batch, TimePoint now);
+  /// The leader has acknowledged a batch and says which controllers are up; the response of anyone else is dropped.
+  void onHeartbeatBatchResponse(const consensus::MemberId& from, const transport::HeartbeatBatchResponse& response,
+                                TimePoint now);
   /// Batches go to the new leader from now on.
   void onLeaderChanged() { forwarder_.onLeaderChanged(); }
-  /// Sends the leader what it has not acknowledged yet. To be called every half second.
+  /// Sends the leader what it has not acknowledged yet, and where this controller stands. To be called every half
+  /// second.
   void forwardHeartbeats(TimePoint now);
   /// Submits a write for each runner that has expired. To be called each second.
   /// @return whether anything was submitted: the raft node then has actions to carry out.
@@ -35,6 +38,7 @@
   ControllerContext& context_;
   PeerLinks& peers_;
   HeartbeatForwarder forwarder_;
+  TimePoint announcedAt_{};  // when this controller last sent the leader its zone
   RunnerMonitor monitor_;
 };
 }  // namespace zinccleat::controller
--- a/libs/controller/src/status_report.cpp
+++ b/libs/controller/src/status_report.cpp
@@ -2,6 +2,7 @@
 
 #include "json_object.hpp"
 #include "transport/peer_link.hpp"
+#include "transport/zone_traffic.hpp"
 
 namespace zinccleat::controller {
 namespace {
@@ -51,11 +52,20 @@
       .number("nodesHeard", progress.reportingProxies)
       .json();
 }
+std::string trafficJson(const transport::TrafficByType& traffic) {
+  JsonObject types;
+  for (std::size_t type = 0; type < traffic.size(); ++type) {
+    const auto& [messages, bytes] = traffic[type];
+    if (messages > 0)
+      types.raw(transport::nameOf(static_cast<transport::MessageType>(type)),
+                JsonObject().number("messages", messages).number("bytes", bytes).json());
+  }
+  return types.json();
+}
 void addRaft(JsonObject& report, const consensus::RaftNode& raft, TimePoint now) {
   report.text("member", raft.self()).text("role", nameOf(raft.role()));
   report.number("term", raft.term()).text("leader", raft.leader()).flag("leased", raft.hasLease(now));
   report.flag("inContact", raft.inContactWithMajority(now)).flag("diskSick", raft.diskStalled());
-  report.number("lastSyncMs", raft.lastSyncTime().count());
   report.number("released", raft.commitIndex());
 }
 void addCounters(JsonObject& report, const StatusSources& sources) {
@@ -92,4 +102,10 @@
   const double requestsPerS = sources.requests.requestsPerS(now);
   return JsonObject().number("requestsPerS", requestsPerS).raw("closures", jsonArray(drains)).json();
 }
+std::string countersJson(const consensus::RaftNode& raft) {
+  std::vector<std::string> zones;
+  for (const auto& [zone, traffic] : transport::trafficByZone())
+    zones.push_back(JsonObject().text("zone", zone).raw("byType", trafficJson(traffic)).json());
+  return JsonObject().number("lastSyncMs", raft.lastSyncTime().count()).raw("sentTo", jsonArray(zones)).json();
+}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/status_report.hpp
+++ b/libs/controller/src/status_report.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// What a controller reports to operators, as JSON (api/control.yaml: Status and Closures.List). Reads only.
+/// What a controller reports to operators, as JSON (api/control.yaml: Status, Counters and Closures.List). Reads only.
 #pragma once
 #include "agent_request_handler.hpp"
 #include "agent_sessions.hpp"
@@ -17,4 +17,6 @@
 std::string statusJson(const StatusSources& sources, TimePoint now);
 /// The zones and regions that are being drained, and how far each has come.
 std::string zoneDrainsJson(const StatusSources& sources, TimePoint now);
+/// What this controller has sent, by zone and type of message, and how long its newest sync took.
+std::string countersJson(const consensus::RaftNode& raft);
 }  // namespace zinccleat::controller
--- a/libs/transport/include/transport/access_messages.hpp
+++ b/libs/transport/include/transport/access_messages.hpp
@@ -69,6 +69,17 @@
 };
 static_assert(RequestResponse<ReadIndexRequest, ReadIndexResponse>);
 
+/// The zone in which a core machine stands.
+struct MemberZone {
+  std::string address;  ///< the machine's IP address
+  std::string zone;
+  template <class V>
+  void fields(V& v) {
+    v("address", address);
+    v("zone", zone);
+  }
+  bool operator==(const MemberZone&) const = default;
+};
 /// When a runner was last heard from.
 struct RunnerAge {
   std::string id;
@@ -79,11 +90,21 @@
     v("ageMs", ageMs);
   }
 };
-/// Heartbeats of runners that a core machine which does not lead has received. Sent again until acknowledged.
+/// Heartbeats of runners that a core machine which does not lead has received. Sent again until acknowledged; sent
+/// without any now and then, so that the leader knows the sender's zone.
 struct HeartbeatBatch {
   static constexpr auto kType = MessageType::heartbeatBatch;
+  struct Extension {
+    std::string zone;  ///< of the sender
+    bool empty() const { return zone.empty(); }
+    template <class V>
+    void fields(V& v) {
+      v("zone", zone);
+    }
+  };
   std::int64_t number = 0;  ///< of the sender's batch
   std::vector<RunnerAge> runners;
+  Extension extension{};
   template <class V>
   void fields(V& v) {
     v("number", number);
@@ -93,7 +114,16 @@
 /// Acknowledges a batch. Only a leader with a valid lease sends it.
 struct HeartbeatBatchResponse {
   static constexpr auto kType = MessageType::heartbeatBatchResponse;
+  struct Extension {
+    std::vector<MemberZone> members;  ///< the core machines that the leader has heard lately
+    bool empty() const { return members.empty(); }
+    template <class V>
+    void fields(V& v) {
+      v("members", members);
+    }
+  };
   std::int64_t number = 0;  ///< of the batch acknowledged
+  Extension extension{};
   template <class V>
   void fields(V& v) {
     v("number", number);
@@ -116,11 +146,22 @@
 /// Who leads, as far as the sender knows: answers an `AgentState`, and goes to all agents when it changes.
 struct ClusterStatus {
   static constexpr auto kType = MessageType::clusterStatus;
+  struct Extension {
+    /// The core machines that the sender knows to be up, each of which feeds the agents of its zone. Sent with the
+    /// voters.
+    std::vector<MemberZone> members;
+    bool empty() const { return members.empty(); }
+    template <class V>
+    void fields(V& v) {
+      v("members", members);
+    }
+  };
   std::int64_t term = 0;
   std::string leader;               ///< empty: unknown
   std::vector<std::string> voters;  ///< empty: as sent before on this link
   std::int64_t commitIndex = 0;
   std::vector<std::string> view;  ///< a sample of the sender's `PartialView`
+  Extension extension{};
   template <class V>
   void fields(V& v) {
     v("term", term);
@@ -133,9 +174,20 @@
 /// Subscribes to the committed log entries behind an index.
 struct FollowLog {
   static constexpr auto kType = MessageType::followLog;
+  struct Extension {
+    std::string zone;          ///< of the sender; a core machine of the same zone feeds it, whether or not it leads
+    bool unsubscribe = false;  ///< ends the subscription instead
+    bool empty() const { return zone.empty() && !unsubscribe; }
+    template <class V>
+    void fields(V& v) {
+      v("zone", zone);
+      v("unsubscribe", unsubscribe);
+    }
+  };
   std::int64_t lastApplied = 0;  ///< 0: the sender has no state and needs all of it
   std::string cachedDigest;      ///< of the configuration that the sender has, which need not be sent again
   bool refetch = false;          ///< the sender lacks something it should have: nothing may be left out
+  Extension extension{};
   template <class V>
   void fields(V& v) {
     v("lastApplied", lastApplied);
--- a/libs/transport/include/transport/avro.hpp
+++ b/libs/transport/include/transport/avro.hpp
@@ -188,8 +188,9 @@
   return bytes;
 }
 /// Decodes a struct; `ErrorCode::corruption` if the bytes are not one.
+/// @param consumed if given, receives the number of bytes that the record takes at the front of `bytes`.
 template <class T>
-Result<T> decode(std::string_view bytes) {
+Result<T> decode(std::string_view bytes, std::size_t* consumed = nullptr) {
   auto& cached = CachedValue<T>::instance();
   auto* value = cached.reset();
   auto* reader = avro_reader_memory(bytes.data(), static_cast<std::int64_t>(bytes.size()));
@@ -199,6 +200,8 @@
     cached.reset();
     return makeError(ErrorCode::corruption, "no valid Avro record");
   }
+  if (consumed)
+    avro_value_sizeof(value, consumed);
   T message{};
   FieldReader fields{value};
   message.fields(fields);
--- a/libs/transport/include/transport/frame_codec.hpp
+++ b/libs/transport/include/transport/frame_codec.hpp
@@ -26,6 +26,8 @@
 
 /// Encodes a message as one complete frame and counts it as sent.
 std::string encodeFrame(const Envelope& envelope);
+/// The type of the message in a complete frame that `encodeFrame` made.
+MessageType typeOf(std::string_view frame);
 /// Appends the next fragment of a frame.
 /// @param out where the fragment is appended.
 /// @param frame the complete frame.
--- a/libs/transport/include/transport/peer_link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -27,6 +27,8 @@
   void sendBulk(std::shared_ptr<const std::string> frame);
   /// The same for a frame for one link.
   void sendBulk(std::string frame) { sendBulk(std::make_shared<const std::string>(std::move(frame))); }
+  /// Says in which zone the other end stands: what is sent from now on is counted for it (`trafficByZone`).
+  void setPeerZone(const std::string& zone);
   /// Bytes queued that the operating system has not accepted yet. A sender of much data looks at it first, so that a
   /// peer that does not read costs a bounded amount of memory. A link whose backlog exceeds 48 MiB is closed.
   std::size_t backlog() const;
--- a/libs/transport/src/frame_codec.cpp
+++ b/libs/transport/src/frame_codec.cpp
@@ -85,6 +85,9 @@
   count(processTraffic.sent, envelope.type, frame.size());
   return frame;
 }
+MessageType typeOf(std::string_view frame) {
+  return frame.size() > kHeadBytes ? static_cast<MessageType>(frame[kHeadBytes]) : MessageType{};
+}
 std::size_t appendFragment(std::string& out, std::string_view frame, std::size_t offset) {
   const auto part = frame.substr(offset, kFragmentBytes);
   const bool last = offset + part.size() == frame.size();
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "runtime/log_ring.hpp"
+#include "transport/zone_traffic.hpp"
 
 namespace zinccleat::transport {
 namespace {
@@ -25,7 +26,14 @@
   TimePoint lastReceivedAt = Clock::now();
   TimePoint unansweredSince = TimePoint::max();
   std::string remoteIp;
+  TrafficByType* traffic = &trafficTo({});  // to the peer's zone
 
+  void count(std::string_view frame) {
+    const auto type = static_cast<std::size_t>(typeOf(frame));
+    auto& counted = (*traffic)[type < traffic->size() ? type : 0];
+    ++counted.messages;
+    counted.bytes += frame.size();
+  }
   Impl(tcp::socket socket, OnMessage messageHandler, OnClosed closedHandler)
       : connection(std::move(socket)), onMessage(std::move(messageHandler)), onClosed(std::move(closedHandler)) {
     runtime::SocketError ec;
@@ -66,6 +74,10 @@
   close();
 }
 
+void PeerLink::setPeerZone(const std::string& zone) {
+  impl_->traffic = &trafficTo(zone);
+}
+
 // --- receiving ---
 
 void PeerLink::start() {
@@ -113,6 +125,7 @@
 void PeerLink::sendFrame(std::string_view frame) {
   if (!impl_->open)
     return;
+  impl_->count(frame);
   impl_->queued += frame;
   scheduleWrite();
 }
@@ -122,6 +135,7 @@
     return;
   if (frame->size() <= kFragmentBytes)
     return sendFrame(*frame);
+  link.count(*frame);
   link.bulkBytes += frame->size();
   link.bulk.push_back(std::move(frame));
   scheduleWrite();
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -612,8 +612,8 @@
   EXPECT_FALSE(cluster.leader().empty());
   EXPECT_NE(cluster.leader(), first);
 }
-// Found at hundreds of machines: each entry had a sync of its own, so that a burst of 600 runners that join took 2.4 s of
-// the disk's time; the leader took its own disk for stalled and handed over, again and again.
+// Found at hundreds of machines: each entry had a sync of its own, so that a burst of 600 runners that join took 2.4 s
+// of the disk's time; the leader took its own disk for stalled and handed over, again and again.
 TEST(Consensus, ABurstOfWritesSharesItsSyncs) {
   constexpr int kBurst = 600;
   SimulatedCluster cluster(8);
--- a/tests/control_api_test.cpp
+++ b/tests/control_api_test.cpp
@@ -38,6 +38,12 @@
   EXPECT_EQ(controller.written.size(), 1U) << "a heartbeat without an update is no write";
   EXPECT_EQ(controller.heartbeats.size(), 2U);
 }
+TEST(ControlApi, ARunnerIsSentToTheControllerOfItsZone) {
+  FakeController controller;
+  EXPECT_NE(controller.heartbeat("i1", 1).body.find(kUri), std::string::npos) << "no controller is known there";
+  controller.controlAddresses["z"] = "10.0.0.9:8080";
+  EXPECT_NE(controller.heartbeat("i1", 2).body.find("http://10.0.0.9:8080"), std::string::npos);
+}
 TEST(ControlApi, APartitionedControllerSendsAKnownRunnerElsewhereAtOnce) {
   FakeController controller;
   controller.heartbeat("i1", 1);
--- a/tests/fake_controller.hpp
+++ b/tests/fake_controller.hpp
@@ -19,6 +19,7 @@
   ReplicatedState ownReplica;
   bool hasContact = true, reachesLeader = true, commits = true;
   std::optional<std::string> leader;
+  std::map<std::string, std::string> controlAddresses;  ///< by zone
   std::int64_t lastIndex = 0;
   std::vector<std::string> heartbeats, written;
   Duration waited{0};
@@ -51,9 +52,14 @@
     return makeError(ErrorCode::unavailable, "no fresh lease");
   }
   std::string nextOperationId() override { return ids.next(); }
+  std::optional<std::string> controlAddressIn(const std::string& zone) const override {
+    const auto found = controlAddresses.find(zone);
+    return found == controlAddresses.end() ? std::nullopt : std::optional(found->second);
+  }
   std::optional<std::string> leaderControlAddress() const override { return leader; }
   double requestsPerS() const override { return 0; }
   std::string statusJson() const override { return "{}"; }
+  std::string countersJson() const override { return "{}"; }
   std::string zoneDrainsJson() const override { return "{}"; }
   Result<std::string> exchangeHints(std::string_view, std::string_view) override {
     return makeError(ErrorCode::notFound, "no partner site");
--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -53,9 +53,11 @@
     return {};
   }
   std::string nextOperationId() override { return "operator/" + std::to_string(writes); }
+  std::optional<std::string> controlAddressIn(const std::string&) const override { return std::nullopt; }
   std::optional<std::string> leaderControlAddress() const override { return leader; }
   double requestsPerS() const override { return requestRate; }
   std::string statusJson() const override { return R"({"status":"of the core"})"; }
+  std::string countersJson() const override { return "{}"; }
   std::string zoneDrainsJson() const override { return R"({"closures":"of the core"})"; }
   Result<std::string> exchangeHints(std::string_view /*body*/, std::string_view /*seal*/) override { return hints; }
 };
--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -163,6 +163,7 @@
   };
   return {"frame_consensus.hex", frame, again, ""};
 }
+const std::vector<MemberZone> kMemberZones{{"10.0.0.5", "zone-a"}, {"10.0.0.6", "zone-b"}};
 std::vector<Case> frameCases() {
   return {
       consensusFrameCase(),
@@ -183,6 +184,23 @@
                                                             .view = {"10.0.0.9/core"}}),
       frameCase("frame_follow_log.hex",
                 FollowLog{.lastApplied = 5000000007, .cachedDigest = "digest-held", .refetch = true}),
+      // The same with the fields that were added later, behind those of the first version.
+      frameCase("frame_heartbeat_batch_zone.hex",
+                HeartbeatBatch{.number = 43,
+                               .runners = {{.id = "i-3", .ageMs = 350}, {.id = "i-4", .ageMs = 45}},
+                               .extension = {.zone = "zone-b"}}),
+      frameCase("frame_heartbeat_receipt_zones.hex",
+                HeartbeatBatchResponse{.number = 44, .extension = {.members = kMemberZones}}),
+      frameCase("frame_cluster_standing_zones.hex", ClusterStatus{.term = 302,
+                                                                  .leader = "10.0.0.6#0",
+                                                                  .voters = {"10.0.0.5#78", "10.0.0.6#0"},
+                                                                  .commitIndex = 5000000012,
+                                                                  .view = {"10.0.0.8/core"},
+                                                                  .extension = {.members = kMemberZones}}),
+      frameCase("frame_follow_log_zone.hex", FollowLog{.lastApplied = 5000000011,
+                                                       .cachedDigest = "digest-kept",
+                                                       .refetch = true,
+                                                       .extension = {.zone = "zone-c", .unsubscribe = true}}),
       frameCase("frame_feed_entries.hex",
                 FeedEntries{.term = 301, .newestIndex = 5000000008, .entries = {entryNumbered(4), entryNumbered(5)}}),
       frameCase("frame_feed_snapshot.hex",
@@ -551,6 +569,24 @@
       framed.insert(envelope->type);
   EXPECT_EQ(framed.size(), static_cast<std::size_t>(kLastMessageType));
 }
+// During an update the two versions talk to each other: the first knows nothing of what stands behind its fields.
+TEST(GoldenFiles, AnExtensionIsIgnoredByTheVersionBefore) {
+  const FollowLog extended{.lastApplied = 7, .cachedDigest = "d", .refetch = true, .extension = {.zone = "z"}};
+  const auto withExtension = pack(extended);
+  const auto asBefore = avro::decode<FollowLog>(withExtension.payload);
+  ASSERT_TRUE(asBefore);
+  EXPECT_EQ(asBefore->lastApplied, 7);
+  EXPECT_EQ(asBefore->extension.zone, "");
+  EXPECT_EQ(unpack<FollowLog>(withExtension)->extension.zone, "z");
+
+  const FollowLog plain{.lastApplied = 7, .cachedDigest = "d", .refetch = true};
+  EXPECT_EQ(pack(plain).payload, avro::encode(plain)) << "an empty extension takes no bytes";
+}
+TEST(GoldenFiles, ABrokenExtensionIsRefused) {
+  auto envelope = pack(FollowLog{.lastApplied = 7, .extension = {.zone = "a longer zone"}});
+  envelope.payload.resize(envelope.payload.size() - 4);
+  EXPECT_FALSE(unpack<FollowLog>(envelope));
+}
 TEST(GoldenFiles, EveryConsensusMessageIsStored) {
   std::set<std::size_t> stored;
   for (const auto& each : consensusCases())
