--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -531,6 +531,48 @@
   }
 }
 namespace {
+// Cuts the machines into two halves while clients reach both.
+void playTwoHalves(std::uint64_t seed) {
+  SimulatedCluster cluster(seed);
+  const auto machines = startMany(cluster, seed % 2 ? 6 : 5);
+  for (std::size_t from = 0; from < machines.size(); ++from)
+    for (std::size_t receiver = 0; receiver < machines.size(); ++receiver)
+      if (from % 2 != receiver % 2)
+        cluster.cutLinks.insert({machines[from], machines[receiver]});
+  for (int round = 0; round < 30; ++round) {
+    cluster.write(machines[0]);
+    cluster.write(machines[1]);
+    cluster.runFor(150ms);
+  }
+  expectRecoveryAfterFaults(cluster);
+}
+// Losses of power that overlap beyond what is tolerated, with all disks kept.
+void playOverlappingLosses(std::uint64_t seed) {
+  SimulatedCluster cluster(seed);
+  const auto machines = startMany(cluster, 5);
+  for (const auto& ip : machines) {
+    writeAtAnyOf(cluster, machines, 2);
+    cluster.crash(ip);
+    if (cluster.draw(3) == 0)
+      restartIfDown(cluster, machines[cluster.draw(machines.size())]);
+    cluster.runFor(Duration(cluster.draw(700)));
+  }
+  restartAllThatAreDown(cluster, machines);
+  cluster.runFor(4000ms);
+  EXPECT_FALSE(cluster.leader().empty()) << "seed " << seed;
+  expectRecoveryAfterFaults(cluster);
+}
+}  // namespace
+// At most one half may go on; neither takes two changes on the same base, and nothing acknowledged is lost.
+TEST(Consensus, TwoHalvesThatCannotReachEachOther) {
+  for (std::uint64_t seed = 1000; seed < 1040 && !HasFailure(); ++seed)
+    playTwoHalves(seed);
+}
+TEST(Consensus, LossesThatOverlapBeyondWhatIsToleratedLoseNothing) {
+  for (std::uint64_t seed = 1100; seed < 1140 && !HasFailure(); ++seed)
+    playOverlappingLosses(seed);
+}
+namespace {
 // A leader's disk does not answer for a second of ticks, regular ones or a few late ones.
 void playSilentDisk(bool loopIsLate) {
   NodeAmongAgreeingPeers self;
