--- a/libs/controller/src/agent_sessions.cpp
+++ b/libs/controller/src/agent_sessions.cpp
@@ -10,8 +10,9 @@
 constexpr std::size_t kMaxBacklogBytes = std::size_t{64} * 1024;
 // An agent links to so many controllers. With more voters it misses bodies that were sent ahead.
 constexpr std::size_t kLinksPerAgent = 3;
-// A cached snapshot is sent on with the entries behind it, up to so many; then a new one is made.
-constexpr std::int64_t kMaxEntriesBehindSnapshot = 256;
+// A cached snapshot is sent on with the entries behind it, up to so many, or half as many as there are runners; then a
+// new one is made.
+constexpr std::int64_t kMinEntriesBehindSnapshot = 256;
 // By the configurations that agents have cached: those of the last few versions.
 constexpr std::size_t kMaxCachedSnapshots = 8;
 constexpr auto kSessionTimeout = 6s;
@@ -142,8 +143,10 @@
   if (!snapshots_.contains(digest) && snapshots_.size() >= kMaxCachedSnapshots)
     snapshots_.clear();
   auto& cached = snapshots_[digest];
+  const auto runners = static_cast<std::int64_t>(context_.replica.state().runners.size());
+  const auto maxEntriesBehind = std::max(kMinEntriesBehindSnapshot, runners / 2);
   const bool usable = cached.frame && !needsSnapshot(cached.index) && cached.index > index &&
-                      context_.raft->commitIndex() - cached.index <= kMaxEntriesBehindSnapshot;
+                      context_.raft->commitIndex() - cached.index <= maxEntriesBehind;
   if (usable)
     return cached;
   const auto snapshot = snapshotFor(index, cachedDigest);
--- a/libs/controller/src/member_zones.cpp
+++ b/libs/controller/src/member_zones.cpp
@@ -1,9 +1,13 @@
 #include "member_zones.hpp"
 
 namespace zinccleat::controller {
-void MemberZones::record(const std::string& address, const std::string& zone, TimePoint now) {
-  if (!zone.empty() && address != address_)
-    others_[address] = {zone, now};
+bool MemberZones::record(const std::string& address, const std::string& zone, TimePoint now) {
+  if (zone.empty() || address == address_)
+    return false;
+  const auto known = others_.find(address);
+  const bool wasUp = known != others_.end() && known->second.zone == zone && now - known->second.heardAt <= kLifetime;
+  others_[address] = {zone, now};
+  return !wasUp;
 }
 std::vector<transport::MemberZone> MemberZones::present(TimePoint now) const {
   std::map<std::string, std::string> zones{{address_, zone_}};
--- a/libs/controller/src/member_zones.hpp
+++ b/libs/controller/src/member_zones.hpp
@@ -18,7 +18,8 @@
   MemberZones(std::string address, std::string zone) : address_(std::move(address)), zone_(std::move(zone)) {}
   const std::string& ownZone() const { return zone_; }
   /// A controller has said in which zone it stands. Nothing is recorded of one that names none.
-  void record(const std::string& address, const std::string& zone, TimePoint now);
+  /// @return whether it was not known before, or not as up.
+  bool record(const std::string& address, const std::string& zone, TimePoint now);
   /// This controller and the others heard lately, by address.
   std::vector<transport::MemberZone> present(TimePoint now) const;
   /// The address of a controller in a zone, this one if it stands there; none: no controller there is known to be up.
--- a/libs/controller/src/message_dispatcher.cpp
+++ b/libs/controller/src/message_dispatcher.cpp
@@ -45,7 +45,8 @@
 }
 void MessageDispatcher::onHeartbeatMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
   transport::receive<transport::HeartbeatBatch>(link, envelope, [&](const transport::HeartbeatBatch& message) {
-    components_.runners.onHeartbeatBatch(link, envelope.sender, message, Clock::now());
+    if (components_.runners.onHeartbeatBatch(link, envelope.sender, message, Clock::now()))
+      components_.agents.broadcastStatus();  // the agents of its zone may follow it
   });
   transport::receive<transport::HeartbeatBatchResponse>(
       link, envelope, [&](const transport::HeartbeatBatchResponse& message) {
--- a/libs/controller/src/raft_driver.cpp
+++ b/libs/controller/src/raft_driver.cpp
@@ -4,9 +4,8 @@
 
 namespace zinccleat::controller {
 namespace {
-constexpr std::int64_t kCompactionInterval = 96;                          // applied entries
-constexpr std::int64_t kMaxCompactionInterval = 4 * kCompactionInterval;  // whether or not agents lag behind
-constexpr std::int64_t kAgentLag = kCompactionInterval / 2;               // entries that an agent may lag behind
+constexpr std::int64_t kMinCompactionInterval = 96;  // applied entries
+constexpr std::int64_t kMaxIntervals = 4;            // whether or not agents lag behind
 }  // namespace
 
 void RaftDriver::startStorage(storage::Storage storage) {
@@ -56,11 +55,18 @@
   components_.writes.onSnapshotRestored();
   components_.reads.onApplied();
 }
+// A snapshot grows with the runners: one for each so many entries as there are runners costs about as many bytes as the
+// entries. A shorter log would leave agents behind whenever many runners join at once, each then in need of a snapshot.
+std::int64_t RaftDriver::compactionInterval() const {
+  const auto runners = static_cast<std::int64_t>(context_.replica.state().runners.size());
+  return std::max(kMinCompactionInterval, runners);
+}
 void RaftDriver::compactIfDue() {
   const auto newest = context_.replica.state().index;
+  const auto interval = compactionInterval();
   // Entries that a linked agent still lacks are kept for a while; an agent far behind gets a snapshot in the end.
-  const bool agentsAreClose = components_.agents.lowestApplied(newest) + kAgentLag >= newest;
-  if (++appliedSinceCompaction_ < (agentsAreClose ? kCompactionInterval : kMaxCompactionInterval))
+  const bool agentsAreClose = components_.agents.lowestApplied(newest) + interval / 2 >= newest;
+  if (++appliedSinceCompaction_ < (agentsAreClose ? interval : kMaxIntervals * interval))
     return;
   appliedSinceCompaction_ = 0;
   context_.raft->compact(newest, context_.replica.snapshot(), Clock::now());
--- a/libs/controller/src/raft_driver.hpp
+++ b/libs/controller/src/raft_driver.hpp
@@ -37,6 +37,7 @@
   void carryOut(consensus::PersistRecord& action);
   void carryOut(consensus::ApplyEntry& action);
   void carryOut(consensus::RestoreSnapshot& action);
+  std::int64_t compactionInterval() const;
   void compactIfDue();
   void adoptConfiguration();
 
--- a/libs/controller/src/role_changes.cpp
+++ b/libs/controller/src/role_changes.cpp
@@ -26,7 +26,7 @@
     return;
   leader_ = leader;
   log::debug("leader_changed", {{"term", context_.raft->term()}, {"leader", leader}});
-  observers_.runners.onLeaderChanged();
+  observers_.runners.onLeaderChanged(Clock::now());
   observers_.agents.broadcastStatus();
   observers_.writes.onLeaderChanged();
 }
--- a/libs/controller/src/runner_liveness.cpp
+++ b/libs/controller/src/runner_liveness.cpp
@@ -23,6 +23,11 @@
   forwarder_.record(runner, now);
   monitor_.recordHeartbeat(runner, now);
 }
+void RunnerLiveness::onLeaderChanged(TimePoint now) {
+  forwarder_.onLeaderChanged();
+  announcedAt_ = {};
+  forwardHeartbeats(now);
+}
 void RunnerLiveness::forwardHeartbeats(TimePoint now) {
   // A leader's own monitor has recorded each heartbeat when it came.
   if (context_.isLeader())
@@ -42,12 +47,16 @@
     message.runners.push_back({heartbeat.runner, toDuration(now - heartbeat.receivedAt).count()});
   peers_.send(context_.raft->leader(), message);
 }
-void RunnerLiveness::onHeartbeatBatch(const transport::PeerLinkPtr& link, const consensus::MemberId& from,
+bool RunnerLiveness::onHeartbeatBatch(const transport::PeerLinkPtr& link, const consensus::MemberId& from,
                                       const transport::HeartbeatBatch& batch, TimePoint now) {
-  if (!context_.raft->hasLease(now))
-    return;
-  context_.zones.record(consensus::addressOf(from), batch.extension.zone, now);
+  const bool isNew = context_.zones.record(consensus::addressOf(from), batch.extension.zone, now);
   link->setPeerZone(batch.extension.zone);
+  if (context_.raft->hasLease(now))
+    acceptHeartbeatBatch(link, batch, now);
+  return isNew && context_.isLeader();
+}
+void RunnerLiveness::acceptHeartbeatBatch(const transport::PeerLinkPtr& link, const transport::HeartbeatBatch& batch,
+                                          TimePoint now) {
   for (const auto& runner : batch.runners)
     monitor_.recordHeartbeat(runner.id, now - Duration(runner.ageMs));
   transport::HeartbeatBatchResponse response;
--- a/libs/controller/src/runner_liveness.hpp
+++ b/libs/controller/src/runner_liveness.hpp
@@ -18,13 +18,14 @@
   /// A runner's heartbeat has come to this controller.
   void recordHeartbeat(const std::string& runner, TimePoint now);
   /// A follower has forwarded heartbeats. They are acknowledged by a leader with a valid lease only.
-  void onHeartbeatBatch(const transport::PeerLinkPtr& link, const consensus::MemberId& from,
+  /// @return whether this controller leads and has not heard that follower lately.
+  bool onHeartbeatBatch(const transport::PeerLinkPtr& link, const consensus::MemberId& from,
                         const transport::HeartbeatBatch& batch, TimePoint now);
   /// The leader has acknowledged a batch and says which controllers are up; the response of anyone else is dropped.
   void onHeartbeatBatchResponse(const consensus::MemberId& from, const transport::HeartbeatBatchResponse& response,
                                 TimePoint now);
-  /// Batches go to the new leader from now on.
-  void onLeaderChanged() { forwarder_.onLeaderChanged(); }
+  /// Batches go to the new leader from now on, and the zone of this controller at once.
+  void onLeaderChanged(TimePoint now);
   /// Sends the leader what it has not acknowledged yet, and where this controller stands. To be called every half
   /// second.
   void forwardHeartbeats(TimePoint now);
@@ -35,6 +36,8 @@
   bool heartbeatsReachLeader(TimePoint now) const { return forwarder_.leaderAcknowledges(now); }
 
  private:
+  void acceptHeartbeatBatch(const transport::PeerLinkPtr& link, const transport::HeartbeatBatch& batch, TimePoint now);
+
   ControllerContext& context_;
   PeerLinks& peers_;
   HeartbeatForwarder forwarder_;
