Status escapes what it reports; the verdict on a write is a type of its own

Test in tests/command_line.sh, seen to fail before. Verdict is a scoped enum, and a write returns it instead of its integer; tests compare with its names, the same values as before.

--- a/libs/controller/src/configuration_handlers.cpp
+++ b/libs/controller/src/configuration_handlers.cpp
@@ -37,13 +37,13 @@
 ApiResponse acceptedResponse(std::int64_t version) {
   return {HttpStatus::ok, "{\"configVersion\":" + std::to_string(version) + "}", ""};
 }
-ApiResponse responseTo(const Replacement& replacement, std::int32_t outcome) {
+ApiResponse responseTo(const Replacement& replacement, ReplicatedState::Verdict outcome) {
   switch (outcome) {
-    case ReplicatedState::acknowledged:
+    case ReplicatedState::Verdict::acknowledged:
       return acceptedResponse(replacement.version);
-    case ReplicatedState::outcomeUnknown:
+    case ReplicatedState::Verdict::outcomeUnknown:
       return errorResponse(HttpStatus::service_unavailable, "too old to tell whether it was taken");
-    case ReplicatedState::versionMismatch:
+    case ReplicatedState::Verdict::versionMismatch:
       return errorResponse(HttpStatus::precondition_failed, "another configuration is in place");
     default:
       return errorResponse(static_cast<HttpStatus>(outcome), "configVersion is not above the current one");
@@ -60,7 +60,7 @@
     return errorResponse(replacement.error());
   const auto [base, version] = *replacement;
   // This replica may be old, but what was accepted once stays accepted. It may confirm that and nothing else.
-  if (services.replica().evaluateReplace(base, version, digestOf(body)) == ReplicatedState::acknowledged)
+  if (services.replica().evaluateReplace(base, version, digestOf(body)) == ReplicatedState::Verdict::acknowledged)
     return acceptedResponse(version);
   if (!services.awaitContact(kContactTimeout))
     return noContactResponse();
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -43,7 +43,7 @@
   bool awaitContact(Duration timeout) override { return contact_.await(timeout); }
   bool heartbeatsReachLeader() const override;
   void recordHeartbeat(const std::string& runner) override { runners_.recordHeartbeat(runner, Clock::now()); }
-  Result<std::int32_t> write(transport::LogEntry entry, Duration timeout) override {
+  Result<state_machine::ReplicatedState::Verdict> write(transport::LogEntry entry, Duration timeout) override {
     return writes_.write(entry, timeout);
   }
   Result<void> awaitReadIndex(Duration timeout) override { return reads_.awaitReadIndex(timeout); }
--- a/libs/controller/src/controller_services.hpp
+++ b/libs/controller/src/controller_services.hpp
@@ -22,7 +22,7 @@
   virtual void recordHeartbeat(const std::string& runner) = 0;
   /// Parks the calling fiber until its own write is committed and applied here (`PendingWrites` submits it).
   /// @return the write's outcome by the replica, or `ErrorCode::unavailable`.
-  virtual Result<std::int32_t> write(transport::LogEntry entry, Duration timeout) = 0;
+  virtual Result<state_machine::ReplicatedState::Verdict> write(transport::LogEntry entry, Duration timeout) = 0;
   /// Parks the calling fiber until the replica is as new as the leader's log was at the call: what is read from it then
   /// is linearizable. @return `ErrorCode::unavailable` if that took longer than `timeout`.
   virtual Result<void> awaitReadIndex(Duration timeout) = 0;
--- a/libs/controller/src/pending_writes.cpp
+++ b/libs/controller/src/pending_writes.cpp
@@ -5,7 +5,8 @@
 constexpr Duration kResubmitInterval{250};
 }
 
-Result<std::int32_t> PendingWrites::write(const transport::LogEntry& entry, Duration timeout) {
+Result<state_machine::ReplicatedState::Verdict> PendingWrites::write(const transport::LogEntry& entry,
+                                                                     Duration timeout) {
   const auto deadline = Clock::now() + timeout;
   const auto operationId = entry.operationId;
   PendingWrite own;
--- a/libs/controller/src/pending_writes.hpp
+++ b/libs/controller/src/pending_writes.hpp
@@ -22,7 +22,7 @@
   /// Parks the calling fiber until its own write is applied here.
   /// @return the write's outcome by the replica (see `ReplicatedState::outcomeOf`), or `ErrorCode::unavailable` if it
   /// was not applied within `timeout`; it may still be applied later.
-  Result<std::int32_t> write(const transport::LogEntry& entry, Duration timeout);
+  Result<state_machine::ReplicatedState::Verdict> write(const transport::LogEntry& entry, Duration timeout);
   /// The replica has applied the write with this id.
   void onApplied(const std::string& operationId);
   /// The replica was restored from a snapshot, which may hold the outcome of any of them.
@@ -33,7 +33,7 @@
  private:
   struct PendingWrite {
     runtime::Waiter waiter;
-    std::optional<std::int32_t> outcome;
+    std::optional<state_machine::ReplicatedState::Verdict> outcome;
   };
   void submit(const transport::LogEntry& entry, bool& bodySentAhead);
   /// The body goes to all controllers at once, and the entry without it to the leader.
--- a/libs/operations/src/status_command.cpp
+++ b/libs/operations/src/status_command.cpp
@@ -1,5 +1,6 @@
 #include <cstdio>
 
+#include "config/quote_json.hpp"
 #include "fiber_run.hpp"
 #include "operations/call.hpp"
 #include "operations/commands.hpp"
@@ -42,7 +43,7 @@
 std::string toJson(const NodeStatus& node) {
   if (node.problem.empty())
     return node.json;
-  return "{\"node\":\"" + node.address + "\",\"error\":\"" + node.problem + "\"}";
+  return "{\"node\":" + config::quoteJson(node.address) + ",\"error\":" + config::quoteJson(node.problem) + "}";
 }
 
 // Each row is printed as soon as its node has answered. Returns how many did.
--- a/libs/state_machine/include/state_machine/replicated_state.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -17,7 +17,7 @@
  public:
   /// The outcome of a log entry. The values are those of the API's HTTP status codes; they are stored and sent as
   /// integers, and compare with them.
-  enum Verdict : std::int32_t {
+  enum class Verdict : std::int32_t {
     acceptable = 0,         ///< only of `evaluateReplace`: it would be accepted
     acknowledged = 200,     ///< accepted, now or earlier
     invalidVersion = 400,   ///< a version that is not above the current one
--- a/libs/state_machine/src/replicated_state.cpp
+++ b/libs/state_machine/src/replicated_state.cpp
@@ -20,7 +20,7 @@
     return change;
   const auto verdict = applyOperation(entry, change);
   if (identified)
-    contents_.operations.record(entry.operationId, verdict);
+    contents_.operations.record(entry.operationId, static_cast<std::int32_t>(verdict));
   return change;
 }
 ReplicatedState::Verdict ReplicatedState::applyOperation(const transport::LogEntry& entry, Change& change) {
@@ -30,30 +30,30 @@
       return applyConfiguration(entry, change);
     case transport::OperationKind::zoneDrain:
       applyZoneDrain(entry, change);
-      return acknowledged;
+      return Verdict::acknowledged;
     case transport::OperationKind::runner:
       applyRunner(entry, change);
-      return acknowledged;
+      return Verdict::acknowledged;
     default:  // entries of the consensus module, which change nothing here
-      return acknowledged;
+      return Verdict::acknowledged;
   }
 }
 
 ReplicatedState::Verdict ReplicatedState::evaluateReplace(std::int64_t base, std::int64_t version,
                                                           const std::string& digest) const {
   if (contents_.acceptedConfigurations.contains(version, digest))
-    return acknowledged;
+    return Verdict::acknowledged;
   if (base == contents_.version)
-    return version <= contents_.version ? invalidVersion : acceptable;
+    return version <= contents_.version ? Verdict::invalidVersion : Verdict::acceptable;
   // A version at or below its base was never accepted, so its outcome is known.
   if (version > base && contents_.acceptedConfigurations.mayBeForgotten(version))
-    return outcomeUnknown;
-  return versionMismatch;
+    return Verdict::outcomeUnknown;
+  return Verdict::versionMismatch;
 }
 ReplicatedState::Verdict ReplicatedState::applyConfiguration(const transport::LogEntry& entry, Change& change) {
   const auto version = configurationVersion(entry);
   const auto verdict = evaluateReplace(entry.base, version, entry.digest);
-  if (verdict != acceptable)
+  if (verdict != Verdict::acceptable)
     return verdict;
   change.configuration = true;
   if (entry.op() == transport::OperationKind::configuration) {
@@ -66,7 +66,7 @@
     markCorrupted();
     change.corrupted = true;
   }
-  return acknowledged;
+  return Verdict::acknowledged;
 }
 void ReplicatedState::acceptConfiguration(std::int64_t version, std::string digest, std::string text) {
   keepEarlierConfiguration();
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -42,4 +42,10 @@
 expect 1 "settings" check settings /dev/null
 expect 1 "configuration" check configuration /dev/null
 expect 1 "no step in it" check runbook /dev/null
+# An address that nobody can call is reported as valid JSON, whatever stands in it.
+report=$("$program" status --json 'a"b:1')
+if [[ "$report" != *'"node":"a\"b:1"'* ]]; then
+  echo "status --json: a quote is not escaped: $report"
+  failed=1
+fi
 exit $failed
--- a/tests/control_api_test.cpp
+++ b/tests/control_api_test.cpp
@@ -143,11 +143,11 @@
   auto first = configurationEntry(0, 2, configuration(2), older.next());
   first.index = 1;
   replica.apply(first);
-  ASSERT_EQ(replica.outcomeOf(first.operationId), 200);
+  ASSERT_EQ(replica.outcomeOf(first.operationId), ReplicatedState::Verdict::acknowledged);
   const auto second = configurationEntry(0, 2, configuration(2, "b"), newer.next());
   EXPECT_FALSE(replica.outcomeOf(second.operationId)) << "two operators confirmed under one id";
   auto applied = second;
   applied.index = 2;
   replica.apply(applied);
-  EXPECT_EQ(replica.outcomeOf(second.operationId), 412);
+  EXPECT_EQ(replica.outcomeOf(second.operationId), ReplicatedState::Verdict::versionMismatch);
 }
--- a/tests/control_server_test.cpp
+++ b/tests/control_server_test.cpp
@@ -20,7 +20,7 @@
 struct SlowController final : FakeController {
   Waiter writing;  // woken when a write has come
   Waiter mayWrite;
-  Result<std::int32_t> write(LogEntry entry, Duration within) override {
+  Result<ReplicatedState::Verdict> write(LogEntry entry, Duration within) override {
     writing.wake();
     mayWrite.wait();
     return FakeController::write(std::move(entry), within);
--- a/tests/controller_node_test.cpp
+++ b/tests/controller_node_test.cpp
@@ -87,7 +87,7 @@
       size = configuration.size();
       const auto entry = configurationEntry(version - 1, version, configuration, node.nextOperationId());
       const auto outcome = node.write(entry, 5000ms);
-      ASSERT_TRUE(outcome && *outcome == ReplicatedState::acknowledged);
+      ASSERT_TRUE(outcome && *outcome == ReplicatedState::Verdict::acknowledged);
     }
     ASSERT_GT(size, 150'000U);
     Connection slowReader;
--- a/tests/deduplication_test.cpp
+++ b/tests/deduplication_test.cpp
@@ -12,10 +12,10 @@
 using namespace zinccleat::state_machine;
 using namespace zinccleat::transport;
 namespace {
-constexpr auto kAcknowledged = ReplicatedState::acknowledged;
-constexpr auto kInvalid = ReplicatedState::invalidVersion;
-constexpr auto kOtherVersion = ReplicatedState::versionMismatch;
-constexpr auto kOutcomeUnknown = ReplicatedState::outcomeUnknown;
+constexpr auto kAcknowledged = ReplicatedState::Verdict::acknowledged;
+constexpr auto kInvalid = ReplicatedState::Verdict::invalidVersion;
+constexpr auto kOtherVersion = ReplicatedState::Verdict::versionMismatch;
+constexpr auto kOutcomeUnknown = ReplicatedState::Verdict::outcomeUnknown;
 
 std::string bodyOf(int version) {
   return "body " + std::to_string(version);
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -183,8 +183,8 @@
   replica.apply(loser);
   replica.apply(winner);
 
-  EXPECT_EQ(replica.state.outcomeOf(winner.operationId), 200);
-  EXPECT_EQ(replica.state.outcomeOf(loser.operationId), 412);
+  EXPECT_EQ(replica.state.outcomeOf(winner.operationId), ReplicatedState::Verdict::acknowledged);
+  EXPECT_EQ(replica.state.outcomeOf(loser.operationId), ReplicatedState::Verdict::versionMismatch);
   EXPECT_EQ(replica.state.state().configuration, second);
 }
 TEST(Delta, CorruptedReplicaDetectsItAndIsRepairedByAFullSnapshot) {
--- a/tests/fake_controller.hpp
+++ b/tests/fake_controller.hpp
@@ -35,7 +35,7 @@
   }
   bool heartbeatsReachLeader() const override { return reachesLeader; }
   void recordHeartbeat(const std::string& runner) override { heartbeats.push_back(runner); }
-  Result<std::int32_t> write(LogEntry entry, Duration timeout) override {
+  Result<ReplicatedState::Verdict> write(LogEntry entry, Duration timeout) override {
     written.push_back(entry.operationId);
     if (!commits) {
       waited += timeout;
--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -38,7 +38,7 @@
   bool awaitContact(Duration /*timeout*/) override { return hasContact; }
   bool heartbeatsReachLeader() const override { return reachesLeader; }
   void recordHeartbeat(const std::string& /*runner*/) override {}
-  Result<std::int32_t> write(LogEntry entry, Duration /*timeout*/) override {
+  Result<ReplicatedState::Verdict> write(LogEntry entry, Duration /*timeout*/) override {
     if (!commits)
       return makeError(ErrorCode::unavailable, "no outcome yet");
     const auto id = entry.operationId;
--- a/tests/linearizability_test.cpp
+++ b/tests/linearizability_test.cpp
@@ -164,7 +164,10 @@
     const auto outcome = *replica.outcomeOf(entry.operationId);
     if (random() % 4 == 0)
       return history.push_back(lostReplace(moment - drawHalfDuration(), base, version, body));
-    const auto answer = outcome == 200 ? kAcknowledged : outcome == 400 ? kInvalid : kOtherVersion;
+    using Verdict = ReplicatedState::Verdict;
+    const auto answer = outcome == Verdict::acknowledged     ? kAcknowledged
+                        : outcome == Verdict::invalidVersion ? kInvalid
+                                                             : kOtherVersion;
     history.push_back(::replace(moment - drawHalfDuration(), moment + drawHalfDuration(), base, version, body, answer));
   }
   void retrieve(std::int64_t moment) {
@@ -297,20 +300,22 @@
     });
   }
 
+  // A verdict is the status of its answer.
+  static int statusOf(ReplicatedState::Verdict verdict) { return static_cast<int>(verdict); }
   // What a machine does with a Replace; the status is 0 without a clear answer.
   void sendReplace(const std::string& ip, const ReplaceRequest& request, const std::function<void(int)>& answer) {
     auto& node = machine(ip);
     if (!node.up || node.paused)
       return schedule(Duration(1000), [answer] { answer(0); });
     if (node.replica.evaluateReplace(request.base, request.version, digestOf(request.body)) ==
-        ReplicatedState::acknowledged)
-      return answer(ReplicatedState::acknowledged);
+        ReplicatedState::Verdict::acknowledged)
+      return answer(statusOf(ReplicatedState::Verdict::acknowledged));
     const auto entry =
         configurationEntry(request.base, request.version, request.body, "write/" + std::to_string(++writes_));
     cluster_.attemptWrite(ip, node.incarnation, entry,
                           static_cast<int>(kWriteTimeout / SimulatedCluster::kWriteRetryInterval));
     if (fault_ == InjectedFault::earlyAcknowledgement && node.replica.state().version == request.base)
-      return schedule(Duration(5), [answer] { answer(ReplicatedState::acknowledged); });
+      return schedule(Duration(5), [answer] { answer(statusOf(ReplicatedState::Verdict::acknowledged)); });
     awaitOutcome(ip, node.incarnation, entry.operationId, cluster_.now + kWriteTimeout, answer);
   }
   void awaitOutcome(const std::string& ip, int incarnation, const std::string& operation, TimePoint until,
@@ -318,7 +323,7 @@
     if (!isRunning(ip, incarnation) || cluster_.now >= until)
       return answer(0);
     if (const auto outcome = machine(ip).replica.outcomeOf(operation); outcome && !machine(ip).paused)
-      return answer(*outcome);
+      return answer(statusOf(*outcome));
     schedule(kPoll, [=, this] { awaitOutcome(ip, incarnation, operation, until, answer); });
   }
   // What a machine does before it answers a Retrieve: it leads under a lease, or asks the leader for its read index.
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -143,13 +143,13 @@
   ReplicatedState controller;
   ASSERT_TRUE(controller.restore(sender.snapshot()));
   EXPECT_EQ(controller.snapshot(), sender.snapshot());
-  EXPECT_EQ(controller.evaluateReplace(0, 1, digestOf("body 1")), ReplicatedState::acknowledged);
+  EXPECT_EQ(controller.evaluateReplace(0, 1, digestOf("body 1")), ReplicatedState::Verdict::acknowledged);
 
   ReplicatedState proxy;
   ASSERT_TRUE(proxy.restore(sender.snapshotFor({})));
-  EXPECT_EQ(proxy.evaluateReplace(0, 1, digestOf("body 1")), ReplicatedState::outcomeUnknown)
+  EXPECT_EQ(proxy.evaluateReplace(0, 1, digestOf("body 1")), ReplicatedState::Verdict::outcomeUnknown)
       << "it can't tell, and does not reject";
-  EXPECT_EQ(proxy.evaluateReplace(999, 1000, digestOf("body 1000")), ReplicatedState::acknowledged);
+  EXPECT_EQ(proxy.evaluateReplace(999, 1000, digestOf("body 1000")), ReplicatedState::Verdict::acknowledged);
 }
 TEST(Snapshot, SizeIsBounded) {
   const auto replica = replicaWithFullTables();
@@ -171,11 +171,12 @@
   EXPECT_EQ(replica.state().index, 90);
   EXPECT_EQ(replica.state().term, 4);
   EXPECT_EQ(replica.state().configuration, "body 70");
-  EXPECT_EQ(replica.evaluateReplace(6, 7, digestOf("body 7")), 200);
-  EXPECT_EQ(replica.evaluateReplace(5, 6, digestOf("body 6")), 503) << "dropped by format 1: the outcome is unknown";
-  EXPECT_EQ(replica.evaluateReplace(6, 7, digestOf("another")), 412);
+  EXPECT_EQ(replica.evaluateReplace(6, 7, digestOf("body 7")), ReplicatedState::Verdict::acknowledged);
+  EXPECT_EQ(replica.evaluateReplace(5, 6, digestOf("body 6")), ReplicatedState::Verdict::outcomeUnknown)
+      << "dropped by format 1: the outcome is unknown";
+  EXPECT_EQ(replica.evaluateReplace(6, 7, digestOf("another")), ReplicatedState::Verdict::versionMismatch);
   EXPECT_TRUE(replica.isDetached("i0"));
-  EXPECT_EQ(replica.outcomeOf("operator/2@70"), 412);
+  EXPECT_EQ(replica.outcomeOf("operator/2@70"), ReplicatedState::Verdict::versionMismatch);
   ASSERT_TRUE(replica.runner("i1"));
   EXPECT_EQ(replica.runner("i1")->runnerState(), RunnerState::draining);
   ASSERT_EQ(replica.state().zoneDrains.size(), 1U);
@@ -218,5 +219,5 @@
   ASSERT_TRUE(replica.restore({}));
 
   EXPECT_EQ(replica.snapshot(), ReplicatedState{}.snapshot());
-  EXPECT_EQ(replica.evaluateReplace(0, 1, "x"), ReplicatedState::acceptable);
+  EXPECT_EQ(replica.evaluateReplace(0, 1, "x"), ReplicatedState::Verdict::acceptable);
 }
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -34,27 +34,28 @@
 }  // namespace
 
 TEST_F(ReplicatedStateTest, OneOfTwoReplacesOnTheSameBaseWins) {
-  EXPECT_EQ(replace(0, 2, "A", "x"), 200);
+  EXPECT_EQ(replace(0, 2, "A", "x"), ReplicatedState::Verdict::acknowledged);
 
-  EXPECT_EQ(replace(2, 5, "B", "y"), 200);
-  EXPECT_EQ(replace(2, 6, "C", "z"), 412);
+  EXPECT_EQ(replace(2, 5, "B", "y"), ReplicatedState::Verdict::acknowledged);
+  EXPECT_EQ(replace(2, 6, "C", "z"), ReplicatedState::Verdict::versionMismatch);
 
   EXPECT_EQ(state_.state().configuration, "B");
 }
 TEST_F(ReplicatedStateTest, RepeatedReplaceIsAcknowledgedAgain) {
-  EXPECT_EQ(replace(0, 2, "A", "x"), 200);
-  EXPECT_EQ(replace(0, 2, "A", "y"), 200);
-  EXPECT_EQ(replace(2, 4, "B", "z"), 200);
+  EXPECT_EQ(replace(0, 2, "A", "x"), ReplicatedState::Verdict::acknowledged);
+  EXPECT_EQ(replace(0, 2, "A", "y"), ReplicatedState::Verdict::acknowledged);
+  EXPECT_EQ(replace(2, 4, "B", "z"), ReplicatedState::Verdict::acknowledged);
 
-  EXPECT_EQ(replace(0, 2, "A", "w"), 200) << "accepted before, though another one is current now";
+  EXPECT_EQ(replace(0, 2, "A", "w"), ReplicatedState::Verdict::acknowledged)
+      << "accepted before, though another one is current now";
   EXPECT_EQ(state_.state().version, 4) << "and nothing is rolled back";
-  EXPECT_EQ(replace(0, 2, "A2", "v"), 412);
+  EXPECT_EQ(replace(0, 2, "A2", "v"), ReplicatedState::Verdict::versionMismatch);
 }
 TEST_F(ReplicatedStateTest, VersionNotAboveTheCurrentOneIsInvalid) {
-  EXPECT_EQ(replace(0, 4, "A", "x"), 200);
+  EXPECT_EQ(replace(0, 4, "A", "x"), ReplicatedState::Verdict::acknowledged);
 
-  EXPECT_EQ(replace(4, 4, "B", "y"), 400);
-  EXPECT_EQ(replace(4, 3, "B", "z"), 400);
+  EXPECT_EQ(replace(4, 4, "B", "y"), ReplicatedState::Verdict::invalidVersion);
+  EXPECT_EQ(replace(4, 3, "B", "z"), ReplicatedState::Verdict::invalidVersion);
 }
 TEST_F(ReplicatedStateTest, RunnerJoinsDrainsAndDetaches) {
   apply(runnerEntry(runner("i1", "a:1", RunnerState::inService, 1), "1"));
@@ -86,13 +87,13 @@
   EXPECT_TRUE(state_.runner("i2"));
 }
 TEST_F(ReplicatedStateTest, DuplicateEntryIsAppliedOnce) {
-  EXPECT_EQ(replace(0, 2, "A", "x"), 200);
+  EXPECT_EQ(replace(0, 2, "A", "x"), ReplicatedState::Verdict::acknowledged);
   apply(runnerEntry(runner("i1", "a:1", RunnerState::detached, 0), "missed"));
   apply(runnerEntry(runner("i1", "a:1", RunnerState::inService, 3), "join"));
 
   apply(runnerEntry(runner("i1", "a:1", RunnerState::detached, 0), "missed"));
   EXPECT_TRUE(state_.runner("i1")) << "a late duplicate of an older entry undoes nothing";
-  EXPECT_EQ(replace(0, 2, "A", "x"), 200);
+  EXPECT_EQ(replace(0, 2, "A", "x"), ReplicatedState::Verdict::acknowledged);
   EXPECT_EQ(state_.state().index, 5) << "but its index counts as applied";
 }
 TEST_F(ReplicatedStateTest, SnapshotRestoresEverything) {
