--- a/libs/agent/src/feed_source.cpp
+++ b/libs/agent/src/feed_source.cpp
@@ -29,7 +29,7 @@
   const auto isUsable = [&](const std::string& address) { return !address.empty() && isConnected(address); };
   if (inZone_.contains(leader) && isConnected(leader))
     return leader;
-  const auto nearby = memberInZone(now);
+  auto nearby = memberInZone(now);
   if (isUsable(nearby))
     return nearby;
   // All that the agent lacks, the complete state at its start, would else come from the leader first.
--- a/libs/consensus/src/persistence.cpp
+++ b/libs/consensus/src/persistence.cpp
@@ -7,7 +7,7 @@
 constexpr Duration kSlowSync{200};  // elections and commits take noticeably longer from here on
 }
 
-DiskRecord RaftCore::emptyRecord() {
+DiskRecord RaftCore::emptyRecord() const {
   DiskRecord record;
   record.term = term.current;
   record.lastLedTerm = term.lastLed;
@@ -15,7 +15,7 @@
   record.votedFor = term.votedFor;
   return record;
 }
-DiskRecord RaftCore::fullRecord() {
+DiskRecord RaftCore::fullRecord() const {
   const auto& snapshot = log.snapshot();
   auto record = emptyRecord();
   record.full = true;
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -69,8 +69,8 @@
   PersistTicket enqueueRecord(DiskRecord record);
   /// Gives the disk the next record, if it has none.
   void handOverRecord();
-  DiskRecord emptyRecord();
-  DiskRecord fullRecord();
+  DiskRecord emptyRecord() const;
+  DiskRecord fullRecord() const;
   void agePendingRecords(TimePoint now);
   /// Whether the disk has refused a record or has not answered for `RaftOptions::syncStallTimeout`.
   bool diskStalled() const;
--- a/libs/controller/src/member_zones.cpp
+++ b/libs/controller/src/member_zones.cpp
@@ -15,6 +15,7 @@
     if (now - other.heardAt <= kLifetime)
       zones[address] = other.zone;
   std::vector<transport::MemberZone> members;
+  members.reserve(zones.size());
   for (const auto& [address, zone] : zones)
     members.push_back({address, zone});
   return members;
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -28,7 +28,7 @@
   std::string remoteIp;
   TrafficByType* traffic = &trafficTo({});  // to the peer's zone
 
-  void count(std::string_view frame) {
+  void count(std::string_view frame) const {
     const auto type = static_cast<std::size_t>(typeOf(frame));
     auto& counted = (*traffic)[type < traffic->size() ? type : 0];
     ++counted.messages;
