--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -20,7 +20,7 @@
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
 ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, scale-run: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
-ABSL_FLAG(bool, json, false, "status: as JSON");
+ABSL_FLAG(bool, json, false, "status, rollout: as JSON");
 ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
 ABSL_FLAG(bool, verbose, false, "write log notes at once, not only when something goes wrong");
 
@@ -33,8 +33,10 @@
     "  proxy          the proxy on access machines\n"
     "  agent          the agent beside each proxy\n"
     "  controller     control, on core machines\n"
-    "  check KIND FILE  checks a file; KIND is settings, configuration or runbook\n"
+    "  check KIND FILE  checks a file; KIND is settings, configuration, rollout or runbook\n"
     "  status ADDRESS:PORT... [--json]  what the core's nodes know\n"
+    "  rollout begin SERVICE REVISION SECONDS ADDRESS:PORT...  moves a service to another revision of its runners\n"
+    "  rollout status|watch|revert SERVICE ADDRESS:PORT... [--json]  shows it, follows it to its end, takes it back\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
     "  scale-run [FILE] [--set name=value,...] [--json]  a scale run on loopback: real controllers, hollow nodes\n"
     "  trial [--seconds N]  a small fleet on loopback that serves while a leader and a runner are lost\n"
@@ -62,7 +64,7 @@
                                             {"verbose", "proxy agent controller"},
                                             {"set", "runbook scale-run"},
                                             {"dry", "runbook"},
-                                            {"json", "status scale-run"},
+                                            {"json", "status rollout scale-run"},
                                             {"seconds", "trial"}}};
 
 // The flag's name in an argument "--name" or "--name=value"; nothing if it is no flag.
@@ -115,6 +117,24 @@
 int status(const Arguments& arguments) {
   return operations::statusCommand(arguments, absl::GetFlag(FLAGS_json));
 }
+int rollout(const Arguments& arguments) {
+  constexpr std::size_t kVerbAndService = 2;
+  constexpr std::size_t kBeginArguments = 4;
+  const bool begins = !arguments.empty() && arguments.front() == "begin";
+  const auto needed = begins ? kBeginArguments : kVerbAndService;
+  if (arguments.size() < needed)
+    return usageError("rollout", "wants begin SERVICE REVISION SECONDS, or status, watch or revert SERVICE");
+  operations::RolloutCommand command;
+  command.verb = arguments[0];
+  command.service = arguments[1];
+  if (begins) {
+    command.revision = arguments[2];
+    command.seconds = arguments[3];
+  }
+  command.addresses.assign(arguments.begin() + static_cast<std::ptrdiff_t>(needed), arguments.end());
+  command.asJson = absl::GetFlag(FLAGS_json);
+  return operations::rolloutCommand(command);
+}
 // A bare name means one of the runbooks that come with the program.
 std::string runbookPath(const std::string& file) {
   return file.find_first_of("./") == std::string::npos ? "runbooks/" + file + ".run" : file;
@@ -168,11 +188,12 @@
   std::string_view name;
   int (*run)(const Arguments& arguments);
 };
-constexpr std::array<Subcommand, 8> kSubcommands{{{"proxy", proxyDaemon},
+constexpr std::array<Subcommand, 9> kSubcommands{{{"proxy", proxyDaemon},
                                                   {"agent", agentDaemon},
                                                   {"controller", controllerDaemon},
                                                   {"check", check},
                                                   {"status", status},
+                                                  {"rollout", rollout},
                                                   {"runbook", runbook},
                                                   {"scale-run", scaleRun},
                                                   {"trial", trial}}};
--- a/libs/balancing/include/balancing/runner_observer.hpp
+++ b/libs/balancing/include/balancing/runner_observer.hpp
@@ -8,6 +8,7 @@
 #pragma once
 #include <array>
 
+#include "balancing/latency_baseline.hpp"
 #include "transport/lease_records.hpp"
 namespace zinccleat::balancing {
 
@@ -37,18 +38,9 @@
     double succeeded = 0;
     double failed = 0;
   };
-  /// Usual latency of prompts of similar length: exponentially weighted mean and mean deviation.
-  struct LatencyBucket {
-    double meanMs = 0;
-    double deviationMs = 0;
-    int samples = 0;
-
-    Duration slowThreshold() const;
-    void add(double latencyMs);
-  };
   /// Buckets by prompt length in powers of two.
   static constexpr std::size_t kBuckets = 24;
-  using LatencyHistogram = std::array<LatencyBucket, kBuckets>;
+  using LatencyHistogram = std::array<LatencyBaseline, kBuckets>;
   static std::size_t bucketIndex(std::int64_t promptTokens);
 
   std::unordered_map<std::string, AttemptCounts> attempts_;      ///< by runner
--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "config/configuration.hpp"
+#include "rollout/revision_gate.hpp"
 #include "state_machine/replicated_state.hpp"
 #include "transport/lease_records.hpp"
 namespace zinccleat::balancing {
@@ -20,7 +21,9 @@
   std::string service;
   std::string address;  ///< IP:port
   std::string zone;
-  int capacity = 0;  ///< Requests that it can work on at once, as registered.
+  std::string revision;  ///< of its software; empty: not known
+  TimePoint warmAt{};    ///< before this it is slow, as it announced when it joined
+  int capacity = 0;      ///< Requests that it can work on at once, as registered.
   bool draining = false;
   bool present = true;          ///< In the endpoint list. Others only await the end of their attempts.
   int drainPercent = 0;         ///< Percent of new requests to keep away: its zone is being drained.
@@ -54,7 +57,8 @@
   bool idempotent = false;      ///< only such requests probe an ejected runner
   std::int64_t promptTokens = 0;
   std::int64_t sharedTokens = 0;
-  std::vector<int> excluded;  ///< runners that have been tried
+  std::vector<int> excluded;            ///< runners that have been tried
+  rollout::RevisionFilter revisions{};  ///< while the service is being rolled out
 };
 
 class RunnerPool {
@@ -69,7 +73,8 @@
 
   /// Sets the complete endpoint list. A runner keeps its index; the index of one that has left is reused once no
   /// attempt of this proxy is in flight there.
-  void setRunners(const std::vector<state_machine::Runner>& runners);
+  /// @param now from here on the warm-up counts that a runner announced when it joined.
+  void setRunners(const std::vector<state_machine::Runner>& runners, TimePoint now = {});
   void setZoneDrains(std::map<std::string, ZoneDrainLevel> zones);
   void setRegions(std::map<std::string, std::string> zoneToRegion) { regions_ = std::move(zoneToRegion); }
   /// Sets the complete list of ejected runners; all others are healthy.
@@ -83,6 +88,8 @@
   std::size_t size() const { return endpoints_.size(); }
   /// This proxy's attempts in flight at runners of these zones.
   int inFlightInZones(const std::set<std::string>& zones) const;
+  /// This proxy's attempts in flight at runners of a service that have any revision but this.
+  int inFlightAtOtherRevisions(std::string_view service, std::string_view revision) const;
   /// Requests at the runner as a fraction of its slots: from its report while that is fresh, and from this proxy's own
   /// attempts.
   double load(int index, TimePoint now) const;
@@ -107,6 +114,13 @@
   int indexFor(const std::string& runnerId);
   void applyZoneDrains();
   Candidates candidatesFor(const RunnerQuery& query, TimePoint now);
+  /// Whether a runner may get such a request at all.
+  bool isEligible(int index, const RunnerQuery& query) const;
+  std::vector<int> eligibleRunners(const RunnerQuery& query) const;
+  /// The runners that a filter's `runnerShare` leaves, the same at all proxies.
+  std::vector<int> runnersWithinShare(const RunnerQuery& query) const;
+  /// Whether the runner that a request's prefix prefers among all eligible ones is one of these.
+  bool startsWhereItStays(const RunnerQuery& query, const std::vector<int>& withinShare) const;
   bool isUnhealthy(const RunnerEndpoint& endpoint, const RunnerQuery& query, TimePoint now);
   int preferredRunner(const RunnerQuery& query, const std::vector<int>& candidates) const;
   int chooseByPrefixAffinity(const RunnerQuery& query, const std::vector<int>& candidates, TimePoint now);
--- /dev/null
+++ b/libs/balancing/include/balancing/stream_pace.hpp
@@ -0,0 +1,31 @@
+/// @file
+/// How fast the events of streams follow each other, by service. Pure: the time is passed in.
+#pragma once
+#include "balancing/latency_baseline.hpp"
+namespace zinccleat::balancing {
+/// The pace of one stream.
+class StreamPace {
+ public:
+  /// Bytes of the stream have arrived; complete events are counted.
+  void recordBytes(std::string_view bytes, TimePoint now);
+  /// Milliseconds for ten events; none if fewer than three have arrived.
+  std::optional<double> msPerTenEvents() const;
+
+ private:
+  int eventEnds_ = 0;  ///< after the first arrival
+  bool endsInLineFeed_ = false;
+  std::optional<TimePoint> firstArrival_;
+  TimePoint newestArrival_{};
+};
+
+/// The usual paces.
+class StreamPaces {
+ public:
+  /// A stream has ended.
+  /// @return whether it was far slower than usual.
+  bool recordStream(const std::string& service, const StreamPace& pace);
+
+ private:
+  std::unordered_map<std::string, LatencyBaseline> usual_;  ///< by service
+};
+}  // namespace zinccleat::balancing
--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace zinccleat::balancing {
 namespace {
@@ -11,7 +12,9 @@
 constexpr int kProbeOneIn = 12;  // idempotent requests that may probe a runner that was ejected not long ago
 constexpr double kPromptSmoothing = 0.02;
 constexpr std::uint64_t kPercent = 100;
-constexpr int kAffinityShift = 8;  // the bits of the affinity that decide on zone drains
+constexpr std::size_t kMinRunnersWithinShare = 3;  // one could crash
+constexpr std::uint64_t kShareSeed = 0x726f6c6c;   // ranks the runners of a candidate otherwise than prefixes do
+constexpr int kAffinityShift = 8;                  // the bits of the affinity that decide on zone drains
 
 // Costs of the choice by prefix affinity, in prompt tokens that wait to be computed.
 constexpr double kRecomputedTokenCost = 4;  // of a prefix token that has to be computed again
@@ -54,11 +57,15 @@
 }
 }  // namespace
 
-void RunnerPool::setRunners(const std::vector<state_machine::Runner>& runners) {
+void RunnerPool::setRunners(const std::vector<state_machine::Runner>& runners, TimePoint now) {
   for (auto& endpoint : endpoints_)
     endpoint.present = false;
   for (const auto& runner : runners) {
+    const bool isNew = !indexById_.contains(runner.id);
     auto& endpoint = at(indexFor(runner.id));
+    if (isNew)
+      endpoint.warmAt = now + Duration(runner.software.warmupMs);
+    endpoint.revision = runner.software.revision;
     endpoint.service = runner.service;
     endpoint.address = runner.address;
     endpoint.zone = runner.zone;
@@ -115,6 +122,14 @@
   return count;
 }
 
+int RunnerPool::inFlightAtOtherRevisions(std::string_view service, std::string_view revision) const {
+  int count = 0;
+  for (const auto& endpoint : endpoints_)
+    if (endpoint.service == service && endpoint.revision != revision)
+      count += endpoint.inFlight;
+  return count;
+}
+
 void RunnerPool::updateLoad(int index, std::string_view report, TimePoint now) {
   const auto reported = parseLoadReport(report);
   if (!reported)
@@ -180,14 +195,18 @@
 
 RunnerPool::Candidates RunnerPool::candidatesFor(const RunnerQuery& query, TimePoint now) {
   Candidates candidates;
+  const bool isLimited = query.revisions.runnerShare < 1;
+  const auto withinShare = isLimited ? runnersWithinShare(query) : std::vector<int>{};
+  if (isLimited && !startsWhereItStays(query, withinShare))
+    return candidates;
   // By affinity, so that all proxies move the same prefixes at the same step of a zone drain, and each prefix is
   // computed anew once and at one runner.
   const auto percentile = static_cast<int>((query.affinity ? query.affinity >> kAffinityShift : rng_()) % kPercent);
   for (int index = 0; index < static_cast<int>(endpoints_.size()); ++index) {
     const auto& endpoint = at(index);
-    if (!endpoint.present || endpoint.draining || endpoint.service != query.service)
+    if (!isEligible(index, query) || contains(query.excluded, index))
       continue;
-    if (contains(query.excluded, index))
+    if (isLimited && !contains(withinShare, index))
       continue;
     if (isUnhealthy(endpoint, query, now))
       candidates.unhealthy.push_back(index);
@@ -199,6 +218,36 @@
   return candidates;
 }
 
+bool RunnerPool::isEligible(int index, const RunnerQuery& query) const {
+  const auto& endpoint = at(index);
+  return endpoint.present && !endpoint.draining && endpoint.service == query.service &&
+         query.revisions.matches(endpoint.revision);
+}
+
+std::vector<int> RunnerPool::eligibleRunners(const RunnerQuery& query) const {
+  std::vector<int> eligible;
+  for (int index = 0; index < static_cast<int>(endpoints_.size()); ++index)
+    if (isEligible(index, query))
+      eligible.push_back(index);
+  return eligible;
+}
+
+std::vector<int> RunnerPool::runnersWithinShare(const RunnerQuery& query) const {
+  auto eligible = eligibleRunners(query);
+  const auto rank = [&](int index) { return hash64(at(index).id, kShareSeed); };
+  std::sort(eligible.begin(), eligible.end(), [&](int one, int other) { return rank(one) < rank(other); });
+  const double wanted = std::ceil(static_cast<double>(eligible.size()) * query.revisions.runnerShare);
+  eligible.resize(std::min(eligible.size(), std::max(kMinRunnersWithinShare, static_cast<std::size_t>(wanted))));
+  return eligible;
+}
+
+// A canary's request warms the runner that its prefix is going to prefer once all of the revision's runners are used.
+bool RunnerPool::startsWhereItStays(const RunnerQuery& query, const std::vector<int>& withinShare) const {
+  if (!query.hasPrefixCache || !query.affinity)
+    return true;
+  return contains(withinShare, preferredRunner(query, eligibleRunners(query)));
+}
+
 // Draws a random number for each runner that may be probed.
 bool RunnerPool::isUnhealthy(const RunnerEndpoint& endpoint, const RunnerQuery& query, TimePoint now) {
   // After a failure one request at a time: a runner that still fails should cost one of them, not many.
--- /dev/null
+++ b/libs/balancing/src/stream_pace.cpp
@@ -0,0 +1,38 @@
+#include "balancing/stream_pace.hpp"
+
+namespace zinccleat::balancing {
+namespace {
+constexpr int kMinEvents = 2;  // after the first arrival
+constexpr double kNominalEvents = 10;
+}  // namespace
+
+void StreamPace::recordBytes(std::string_view bytes, TimePoint now) {
+  if (!firstArrival_) {
+    firstArrival_ = newestArrival_ = now;
+    endsInLineFeed_ = bytes.ends_with('\n');
+    return;
+  }
+  // An event ends with an empty line.
+  for (const char letter : bytes) {
+    const bool isLineFeed = letter == '\n';
+    eventEnds_ += isLineFeed && endsInLineFeed_ ? 1 : 0;
+    endsInLineFeed_ = isLineFeed && !endsInLineFeed_;
+  }
+  newestArrival_ = now;
+}
+std::optional<double> StreamPace::msPerTenEvents() const {
+  if (!firstArrival_ || eventEnds_ < kMinEvents)
+    return std::nullopt;
+  const auto duration = std::chrono::duration<double, std::milli>(newestArrival_ - *firstArrival_).count();
+  return duration * kNominalEvents / eventEnds_;
+}
+bool StreamPaces::recordStream(const std::string& service, const StreamPace& pace) {
+  const auto sample = pace.msPerTenEvents();
+  if (!sample)
+    return false;
+  auto& usual = usual_[service];
+  const bool slow = *sample > static_cast<double>(usual.slowThreshold().count());
+  usual.add(*sample);
+  return slow;
+}
+}  // namespace zinccleat::balancing
--- a/libs/config/include/config/control_requests.hpp
+++ b/libs/config/include/config/control_requests.hpp
@@ -14,7 +14,8 @@
   std::string zone;           ///< failure domain; empty if not known
   std::int64_t capacity = 0;  ///< requests at once
   std::int64_t sequence = 0;  ///< rises with each heartbeat of one process
-  Duration warmupLeft{0};     ///< checked only: nothing uses it
+  std::string revision;       ///< of its software (`configVersion`); empty if not known
+  Duration warmupLeft{0};     ///< how much longer it stays slow after its start
   bool draining = false;      ///< it takes no new requests and will detach
 };
 /// Parses the body of a heartbeat.
@@ -32,4 +33,14 @@
   double calmBelowPerS = 0;       ///< requests a second above which the drain must not advance; 0: no bound
 };
 Result<ZoneDrainRequest> parseZoneDrainRequest(std::string_view body);
+
+/// Moves the traffic of a service to runners of another revision.
+struct RolloutRequest {
+  std::string service;   ///< label (`targetService`)
+  std::string revision;  ///< of the runners' software (`targetRevision`), 128 bytes at most
+  Duration duration{0};  ///< by then it is to be over (`durationS`, fractions allowed); 1 s to 1 day
+};
+Result<RolloutRequest> parseRolloutRequest(std::string_view body);
+/// The service (`targetService`) whose rollout an operator takes back.
+Result<std::string> parseRolloutRevertRequest(std::string_view body);
 }  // namespace zinccleat::config
--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -25,6 +25,9 @@
   double retrySlack = 50;       ///< retries allowed beyond that in a window, over all nodes
   double quotaExcess = 0.1;     ///< part of its quota that a subscriber may exceed it by
   double quotaSlack = 20;       ///< requests that a subscriber may exceed its quota by
+  double exposureShare = 0.1;   ///< part of a service's requests that an unproven revision may get during its rollout
+  double exposureSlack = 50;    ///< checked only: nothing uses it
+  Duration rollback{5000};      ///< checked only: nothing uses it
 };
 /// Another operator's site whose prefix caches may be used from here, and the other way round. Clients' access keys
 /// must be known at both sites.
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -145,6 +145,9 @@
   reader.number(object, "retrySlack", timers.retrySlack);
   reader.number(object, "quotaExcess", timers.quotaExcess);
   reader.number(object, "quotaSlack", timers.quotaSlack);
+  reader.number(object, "exposureShare", timers.exposureShare);
+  reader.number(object, "exposureSlack", timers.exposureSlack);
+  reader.milliseconds(object, "rollbackMs", timers.rollback);
 }
 }  // namespace
 
--- a/libs/controller/src/agent_request_handler.cpp
+++ b/libs/controller/src/agent_request_handler.cpp
@@ -6,7 +6,8 @@
 constexpr auto kLoadLifetime = 5s;      // a load report counts for so long
 }  // namespace
 
-AgentRequestHandler::AgentRequestHandler(const ControllerContext& context) : context_(context) {
+AgentRequestHandler::AgentRequestHandler(const ControllerContext& context)
+    : context_(context), rollouts_(context.settings.timers.exposureShare) {
   const auto& timers = context.settings.timers;
   const double windowS = std::chrono::duration<double>(timers.quotaWindow).count();
   quota_.setBounds({.excess = timers.quotaExcess, .slack = timers.quotaSlack, .windowS = windowS});
@@ -14,6 +15,8 @@
 void AgentRequestHandler::startTerm(TimePoint now) {
   quota_.startTerm(now);
   outliers_.startTerm(context_.raft->term());
+  rollouts_.follow(now, context_.replica.state());
+  rollouts_.startTerm();
 }
 void AgentRequestHandler::evaluateRunners(TimePoint now) {
   outliers_.evaluate(now, context_.replica.state().runners);
@@ -35,6 +38,9 @@
     return response;
   response.grants = quota_.allocate(now, agent, request.demand, request.holds, context_.configuration.get());
   outliers_.report(now, agent, request.attempts);
+  for (const auto& report : request.extension.rollouts)
+    if (auto grant = rollouts_.report(now, agent, report))
+      response.extension.exposures.push_back(std::move(*grant));
   // The list goes only to those that have an older version of it.
   response.outliersVersion = outliers_.version();
   if (request.outliersVersion != response.outliersVersion)
--- a/libs/controller/src/agent_request_handler.hpp
+++ b/libs/controller/src/agent_request_handler.hpp
@@ -8,6 +8,7 @@
 #include "controller_context.hpp"
 #include "outlier_detector.hpp"
 #include "quota_allocator.hpp"
+#include "rollout/rollout_tracker.hpp"
 #include "transport/access_messages.hpp"
 namespace zinccleat::controller {
 /// What still runs in a zone or region that is being drained.
@@ -26,6 +27,12 @@
   void startTerm(TimePoint now);
   /// Has outlier detection judge the runners again. For the leader, several times a second.
   void evaluateRunners(TimePoint now);
+  /// Keeps track of the rollouts of the replica; for every controller, several times a second.
+  void followRollouts(TimePoint now) { rollouts_.follow(now, context_.replica.state()); }
+  /// The records of rollouts that the leader is to write to the log now.
+  std::vector<state_machine::Rollout> decideRollouts(TimePoint now) {
+    return rollouts_.decide(now, context_.replica.state());
+  }
   /// Forgets access machines that have not asked for long. To be called each second.
   void expireSilentMachines(TimePoint now);
   /// A lease is granted by a leader with a valid lease of its own; every answer tells how far the log is committed.
@@ -49,6 +56,7 @@
   const ControllerContext& context_;
   QuotaAllocator quota_;
   OutlierDetector outliers_;
+  rollout::RolloutTracker rollouts_;
   std::map<std::string, ReportedLoad> loads_;  // by agent
   std::int64_t accessMachines_ = 0;            // that asked for a lease lately
 };
--- a/libs/controller/src/api_handlers.hpp
+++ b/libs/controller/src/api_handlers.hpp
@@ -7,8 +7,8 @@
 struct ApiCall {
   ControllerServices& services;
   const ApiRequest& request;
-  std::string_view path;    ///< without the query
-  std::string_view runner;  ///< the runner's id in the path, in the calls that have one
+  std::string_view path;     ///< without the query
+  std::string_view subject;  ///< what stands last in the path, in calls with one: a runner's id or a service's label
   const std::string& heartbeatUri;
 };
 
@@ -27,6 +27,13 @@
 ApiResponse handleSetZoneDrain(const ApiCall& call);
 /// The drains in force and how far they have come. Answered by the leader; the others redirect to it.
 ApiResponse handleListZoneDrains(const ApiCall& call);
+/// Has the traffic of a service moved to another revision of its runners. Acknowledged once committed, and again
+/// whenever the same order is repeated.
+ApiResponse handleBeginRollout(const ApiCall& call);
+/// How far the newest rollout of a service has come; a linearizable read.
+ApiResponse handleRetrieveRollout(const ApiCall& call);
+/// Takes a rollout that is in progress back.
+ApiResponse handleRevertRollout(const ApiCall& call);
 /// Prefix hints of the partner site. Answered by the leader; the others redirect to it.
 ApiResponse handleExchangeHints(const ApiCall& call);
 /// This controller's own view; answered without contact too.
--- a/libs/controller/src/control_api.cpp
+++ b/libs/controller/src/control_api.cpp
@@ -9,12 +9,12 @@
 namespace {
 struct Route {
   std::string_view method;
-  std::string_view path;  ///< one that ends in a slash is followed by a runner's id
+  std::string_view path;  ///< one that ends in a slash is followed by an id or a label
   ApiResponse (*handler)(const ApiCall& call);
 
-  bool namesRunner() const { return path.ends_with('/'); }
+  bool namesSubject() const { return path.ends_with('/'); }
   bool matches(std::string_view requested) const {
-    return namesRunner() ? requested.starts_with(path) : requested == path;
+    return namesSubject() ? requested.starts_with(path) : requested == path;
   }
 };
 constexpr std::array kRoutes{
@@ -22,6 +22,9 @@
     Route{"POST", "/v1/Instances.Detach/", handleDetach},
     Route{"POST", "/v1/Configuration.Replace", handleReplaceConfiguration},
     Route{"GET", "/v1/Configuration.Retrieve", handleRetrieveConfiguration},
+    Route{"POST", "/v1/Rollouts.Begin", handleBeginRollout},
+    Route{"GET", "/v1/Rollouts.Retrieve/", handleRetrieveRollout},
+    Route{"POST", "/v1/Rollouts.Revert", handleRevertRollout},
     Route{"POST", "/v1/Closures.Set", handleSetZoneDrain},
     Route{"GET", "/v1/Closures.List", handleListZoneDrains},
     Route{"POST", "/v1/Hints.Exchange", handleExchangeHints},
@@ -38,7 +41,7 @@
     return errorResponse(HttpStatus::not_found, "no such call");
   if (request.method != route->method)
     return errorResponse(HttpStatus::method_not_allowed, std::string(route->method) + " only");
-  const auto runner = route->namesRunner() ? path.substr(route->path.size()) : std::string_view{};
-  return route->handler({services, request, path, runner, heartbeatUri});
+  const auto subject = route->namesSubject() ? path.substr(route->path.size()) : std::string_view{};
+  return route->handler({services, request, path, subject, heartbeatUri});
 }
 }  // namespace zinccleat::controller
--- a/libs/controller/src/controller_node.cpp
+++ b/libs/controller/src/controller_node.cpp
@@ -96,11 +96,28 @@
   loop.callEvery(kForwardInterval, [this] { runners_.forwardHeartbeats(Clock::now()); });
 }
 void ControllerNode::onTick() {
-  context_.raft->tick(Clock::now());
-  if (roles_.isLeader() && ++ticksAsLeader_ % kTicksPerEvaluation == 0)
-    requests_.evaluateRunners(Clock::now());
+  const auto now = Clock::now();
+  context_.raft->tick(now);
+  requests_.followRollouts(now);
+  if (roles_.isLeader() && ++ticksAsLeader_ % kTicksPerEvaluation == 0) {
+    requests_.evaluateRunners(now);
+    writeRollouts(now);
+  }
   driver_.run();
 }
+void ControllerNode::writeRollouts(TimePoint now) {
+  if (!context_.raft->hasLease(now))
+    return;
+  for (const auto& rollout : requests_.decideRollouts(now)) {
+    log::info("rollout_written", {{"service", rollout.service},
+                                  {"revision", rollout.revision},
+                                  {"phase", rollout.phaseNumber},
+                                  {"percent", rollout.percent},
+                                  {"elapsedMs", rollout.elapsedMs},
+                                  {"reason", rollout.reason}});
+    context_.raft->submit(now, state_machine::rolloutProgressEntry(rollout, operationIds_->next()));
+  }
+}
 void ControllerNode::onSecond() {
   const auto now = Clock::now();
   requests_.expireSilentMachines(now);
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -64,6 +64,7 @@
   void startTimers();
   void onTick();
   void onSecond();
+  void writeRollouts(TimePoint now);
   std::string controlAddressAt(const std::string& ip) const;
   StatusSources statusSources() const { return {context_, agents_, requests_, hints_}; }
 
--- /dev/null
+++ b/libs/controller/src/rollout_handlers.cpp
@@ -0,0 +1,130 @@
+/// @file
+/// The calls of operators that begin, retrieve and revert rollouts.
+#include "api_handlers.hpp"
+#include "api_responses.hpp"
+#include "config/configuration.hpp"
+#include "config/control_requests.hpp"
+#include "json_object.hpp"
+
+namespace zinccleat::controller {
+namespace {
+using state_machine::ReplicatedState;
+using state_machine::Rollout;
+using state_machine::RolloutPhase;
+
+const char* nameOf(RolloutPhase phase) {
+  switch (phase) {
+    case RolloutPhase::canary:
+      return "canary";
+    case RolloutPhase::shifting:
+      return "shifting";
+    case RolloutPhase::completed:
+      return "completed";
+    case RolloutPhase::reverted:
+      return "reverted";
+  }
+  return "";
+}
+std::string evidenceJson(const state_machine::RouteEvidence& evidence) {
+  return JsonObject()
+      .text("route", evidence.route)
+      .number("baselineAnswered", evidence.baselineAnswered)
+      .number("baselineFailed", evidence.baselineFailed)
+      .number("baselineSlow", evidence.baselineSlow)
+      .number("candidateAnswered", evidence.candidateAnswered)
+      .number("candidateFailed", evidence.candidateFailed)
+      .number("candidateSlow", evidence.candidateSlow)
+      .json();
+}
+std::string rolloutJson(const Rollout& rollout) {
+  std::vector<std::string> evidence;
+  for (const auto& each : rollout.evidence)
+    evidence.push_back(evidenceJson(each));
+  const bool inProgress = rollout.inProgress();
+  return JsonObject()
+      .text("state", inProgress ? "in_progress" : nameOf(rollout.phase()))
+      .text("targetRevision", rollout.revision)
+      .text("targetService", rollout.service)
+      .text("phase", nameOf(rollout.phase()))
+      .number("percent", rollout.percent)
+      .number("elapsedMs", rollout.elapsedMs)
+      .number("durationMs", rollout.durationMs)
+      .text("reason", rollout.reason)
+      .raw("evidence", jsonArray(evidence))
+      .json();
+}
+bool isConfigured(const ControllerServices& services, const std::string& service) {
+  const auto configuration = config::parseConfiguration(services.replica().state().configuration);
+  if (!configuration)
+    return false;
+  const auto& known = (*configuration)->services;
+  return std::any_of(known.begin(), known.end(), [&](const auto& each) { return each.label == service; });
+}
+ApiResponse responseTo(const Result<ReplicatedState::Verdict>& outcome) {
+  if (!outcome)
+    return errorResponse(outcome.error());
+  if (*outcome == ReplicatedState::Verdict::acknowledged)
+    return {HttpStatus::ok, "{}", ""};
+  return errorResponse(HttpStatus::conflict, "another rollout of this service is in progress, or it is over");
+}
+/// Waits until the replica is fresh. @return the response if that failed.
+std::optional<ApiResponse> unlessFresh(const ApiCall& call, const ResponseDeadline& deadline) {
+  if (!call.services.awaitContact(kContactTimeout))
+    return noContactResponse();
+  if (auto fresh = call.services.awaitReadIndex(deadline.left()); !fresh)
+    return errorResponse(fresh.error());
+  return std::nullopt;
+}
+}  // namespace
+
+ApiResponse handleBeginRollout(const ApiCall& call) {
+  const ResponseDeadline deadline;
+  auto& services = call.services;
+  const auto request = config::parseRolloutRequest(call.request.body);
+  if (!request)
+    return errorResponse(request.error());
+  Rollout ordered;
+  ordered.service = request->service;
+  ordered.revision = request->revision;
+  ordered.durationMs = request->duration.count();
+  // This replica may be old, but an order that was taken once stays taken.
+  const auto* known = services.replica().rollout(ordered.service);
+  if (known && known->sameOrder(ordered))
+    return {HttpStatus::ok, "{}", ""};
+  if (!isConfigured(services, ordered.service)) {
+    if (auto response = unlessFresh(call, deadline))
+      return *response;
+    if (!isConfigured(services, ordered.service))
+      return errorResponse(HttpStatus::not_found, "no service '" + ordered.service + "'");
+  }
+  if (!services.awaitContact(kContactTimeout))
+    return noContactResponse();
+  return responseTo(
+      services.write(state_machine::rolloutBeginEntry(ordered, services.nextOperationId()), deadline.left()));
+}
+ApiResponse handleRetrieveRollout(const ApiCall& call) {
+  const ResponseDeadline deadline;
+  if (auto response = unlessFresh(call, deadline))
+    return *response;
+  const auto* rollout = call.services.replica().rollout(call.subject);
+  if (!rollout)
+    return errorResponse(HttpStatus::not_found, "no rollout of this service");
+  return {HttpStatus::ok, rolloutJson(*rollout), ""};
+}
+ApiResponse handleRevertRollout(const ApiCall& call) {
+  const ResponseDeadline deadline;
+  const auto service = config::parseRolloutRevertRequest(call.request.body);
+  if (!service)
+    return errorResponse(service.error());
+  if (auto response = unlessFresh(call, deadline))
+    return *response;
+  const auto* known = call.services.replica().rollout(*service);
+  if (!known)
+    return errorResponse(HttpStatus::not_found, "no rollout of this service");
+  Rollout reverted = *known;
+  reverted.setPhase(RolloutPhase::reverted);
+  reverted.reason = "an operator took it back";
+  auto entry = state_machine::rolloutProgressEntry(reverted, call.services.nextOperationId());
+  return responseTo(call.services.write(std::move(entry), deadline.left()));
+}
+}  // namespace zinccleat::controller
--- a/libs/controller/src/runner_handlers.cpp
+++ b/libs/controller/src/runner_handlers.cpp
@@ -11,7 +11,7 @@
 
 bool describesSame(const Runner& one, const Runner& other) {
   return one.address == other.address && one.service == other.service && one.capacity == other.capacity &&
-         one.zone == other.zone;
+         one.zone == other.zone && one.software.revision == other.software.revision;
 }
 Runner runnerOf(const config::RunnerHeartbeat& heartbeat) {
   Runner runner;
@@ -21,6 +21,7 @@
   runner.zone = heartbeat.zone;
   runner.capacity = heartbeat.capacity;
   runner.sequence = heartbeat.sequence;
+  runner.software = {heartbeat.revision, std::max<std::int64_t>(0, heartbeat.warmupLeft.count())};
   runner.state = static_cast<std::int32_t>(heartbeat.draining ? RunnerState::draining : RunnerState::inService);
   return runner;
 }
@@ -60,7 +61,7 @@
 ApiResponse handleHeartbeat(const ApiCall& call) {
   const ResponseDeadline deadline;
   auto& services = call.services;
-  const auto heartbeat = config::parseRunnerHeartbeat(call.runner, call.request.body);
+  const auto heartbeat = config::parseRunnerHeartbeat(call.subject, call.request.body);
   if (!heartbeat)
     return errorResponse(heartbeat.error());
   if (!services.inContact())
@@ -79,7 +80,7 @@
 ApiResponse handleDetach(const ApiCall& call) {
   const ResponseDeadline deadline;
   auto& services = call.services;
-  const std::string id(call.runner);
+  const std::string id(call.subject);
   if (services.replica().isDetached(id))
     return {};
   if (!services.awaitContact(kContactTimeout))
--- a/libs/operations/include/operations/commands.hpp
+++ b/libs/operations/include/operations/commands.hpp
@@ -5,12 +5,24 @@
 #include <vector>
 namespace zinccleat::operations {
 /// `zinccleat check KIND FILE`: parses a file and says whether it is valid.
-/// @param kind `settings`, `configuration` or `runbook`
+/// @param kind `settings`, `configuration`, `rollout` or `runbook`
 int checkCommand(const std::string& kind, const std::string& file);
 /// `zinccleat runbook FILE`: runs a runbook against the controllers that the parameter `core` names.
 /// @param assignments the parameters' values as NAME=VALUE
 /// @param dryRun prints the steps, calls nothing
 int runbookCommand(const std::string& file, const std::vector<std::string>& assignments, bool dryRun);
+/// What `zinccleat rollout` is to do.
+struct RolloutCommand {
+  std::string verb;      ///< `begin`, `status`, `watch` or `revert`
+  std::string service;   ///< label
+  std::string revision;  ///< `begin`: of the new runners
+  std::string seconds;   ///< `begin`: the term
+  std::vector<std::string> addresses;
+  bool asJson = false;
+};
+/// `zinccleat rollout VERB SERVICE ...`: orders, shows, follows or takes back the rollout of a service.
+/// @return of `watch`: 0 once it is completed, 1 once it is reverted, 2 if no controller answers
+int rolloutCommand(const RolloutCommand& command);
 /// `zinccleat status ADDRESS...`: prints what controllers report about themselves, as a table or as a JSON list.
 /// @return 1 if none of them answered
 int statusCommand(const std::vector<std::string>& addresses, bool asJson);
--- a/libs/operations/src/check_command.cpp
+++ b/libs/operations/src/check_command.cpp
@@ -2,6 +2,7 @@
 #include <cstdio>
 
 #include "config/configuration.hpp"
+#include "config/control_requests.hpp"
 #include "config/settings.hpp"
 #include "operations/commands.hpp"
 #include "operations/runbook.hpp"
@@ -19,6 +20,9 @@
 std::string checkConfiguration(const std::string& text) {
   return errorOf(config::parseConfiguration(text));
 }
+std::string checkRollout(const std::string& text) {
+  return errorOf(config::parseRolloutRequest(text));
+}
 std::string checkRunbook(const std::string& text) {
   return errorOf(parseRunbook(text, sampleValues(text)));
 }
@@ -27,8 +31,10 @@
   std::string_view name;
   std::string (*check)(const std::string& text);
 };
-constexpr std::array<FileKind, 3> kFileKinds{
-    {{"settings", checkSettings}, {"configuration", checkConfiguration}, {"runbook", checkRunbook}}};
+constexpr std::array<FileKind, 4> kFileKinds{{{"settings", checkSettings},
+                                              {"configuration", checkConfiguration},
+                                              {"rollout", checkRollout},
+                                              {"runbook", checkRunbook}}};
 
 int invalid(const std::string& file, const std::string& problem) {
   std::fprintf(stderr, "zinccleat check: %s: %s\n", file.c_str(), problem.c_str());
--- a/libs/proxy/include/proxy/proxy_context.hpp
+++ b/libs/proxy/include/proxy/proxy_context.hpp
@@ -13,10 +13,12 @@
 #include "balancing/retry_budget.hpp"
 #include "balancing/runner_observer.hpp"
 #include "balancing/runner_pool.hpp"
+#include "balancing/stream_pace.hpp"
 #include "config/configuration.hpp"
 #include "proxy/connection_pool.hpp"
 #include "proxy/graceful_shutdown.hpp"
 #include "proxy/idle_connections.hpp"
+#include "rollout/revision_gate.hpp"
 #include "runtime/event_loop.hpp"
 namespace zinccleat::proxy {
 
@@ -39,7 +41,8 @@
   std::shared_ptr<const config::Configuration> configuration;
   std::string zone;
   balancing::RunnerPool runners{1};
-  ConnectionPool connections;  ///< to runners
+  ConnectionPool connections;       ///< to runners
+  rollout::RevisionGate revisions;  ///< which revision of a service a request goes to
 
   // Limits.
   balancing::RetryBudget retryBudget{0.15, Duration(2500)};
@@ -49,6 +52,7 @@
 
   // Outlier detection.
   balancing::RunnerObserver observer;
+  balancing::StreamPaces paces;  ///< of services that are being rolled out
   std::unordered_set<PendingAttempt*> pendingAttempts;
   /// Records attempts that have had no response for far longer than usual as slow; to be called periodically.
   void recordSlowAttempts(TimePoint now);
--- a/libs/proxy/src/admission_check.cpp
+++ b/libs/proxy/src/admission_check.cpp
@@ -198,6 +198,7 @@
     return rejection;
   setDeadline(exchange);
   exchange.context.retryBudget.recordRequest(service.label, exchange.arrivedAt);
+  exchange.context.revisions.recordRequest(service.label);
   prepareRunnerQuery(exchange, service);
   return std::nullopt;
 }
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -62,6 +62,9 @@
   prefillTokens = query.promptTokens;
   pendingAttempt = {runnerIndex, service, prefillTokens, now(), false};
   context.pendingAttempts.insert(&pendingAttempt);
+  observed = context.revisions.isObserved(*service);
+  slowResponse = false;
+  pace = {};
 }
 
 void Exchange::endPrefill(bool responded) {
@@ -70,8 +73,9 @@
   context.runners.prefillEnded(runner, prefillTokens);
   context.pendingAttempts.erase(&pendingAttempt);
   if (responded)
-    (void)context.observer.recordResponse(context.runners.at(runner).id, *service, prefillTokens,
-                                          toDuration(now() - pendingAttempt.startedAt), pendingAttempt.countedSlow);
+    slowResponse =
+        !context.observer.recordResponse(context.runners.at(runner).id, *service, prefillTokens,
+                                         toDuration(now() - pendingAttempt.startedAt), pendingAttempt.countedSlow);
   prefillTokens = -1;
   if (route->latencyTarget > Duration(0))
     context.admission.recordResponse(*service, now() - arrivedAt > route->latencyTarget, now());
@@ -81,6 +85,28 @@
   endPrefill(false);
   if (isRunnerFailure(outcome, staleConnection))
     context.observer.recordFailure(context.runners.at(runner).id);
+  if (observed)
+    observeRevision(outcome);
   context.runners.attemptEnded(runner);
 }
+
+void Exchange::observeRevision(AttemptOutcome outcome) {
+  // Nothing was sent, or nothing follows about the runner from how it ended.
+  const bool saysNothing = outcome == AttemptOutcome::notSent || outcome == AttemptOutcome::notExecuted ||
+                           outcome == AttemptOutcome::clientDisconnected || outcome == AttemptOutcome::migrated ||
+                           staleConnection;
+  if (saysNothing)
+    return;
+  const auto& endpoint = context.runners.at(runner);
+  const bool timedOut = outcome == AttemptOutcome::deadlineExceeded;
+  const bool slowStream = context.paces.recordStream(*service, pace);
+  rollout::ObservedAttempt attempt;
+  attempt.route = route->label;
+  attempt.runner = endpoint.id;
+  attempt.revision = endpoint.revision;
+  attempt.answered = outcome != AttemptOutcome::interrupted && !timedOut;
+  attempt.failed = outcome == AttemptOutcome::failed;
+  attempt.slow = (slowResponse || slowStream) && now() >= endpoint.warmAt;
+  context.revisions.recordAttempt(*service, attempt);
+}
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/exchange.hpp
+++ b/libs/proxy/src/exchange.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// One request and its response: the state that the steps of handling it share, and the client's side of it.
 #pragma once
+#include "balancing/stream_pace.hpp"
 #include "client_watch.hpp"
 #include "event_scanner.hpp"
 #include "proxy/proxy.hpp"
@@ -44,6 +45,9 @@
   int runner = -1;                  ///< index in the runner pool; -1: none, or a node of the partner site
   std::int64_t prefillTokens = -1;  ///< of the prompt, until the runner begins to respond; then -1
   PendingAttempt pendingAttempt{};
+  bool observed = false;           ///< the service is being rolled out: the answer is compared with others
+  bool slowResponse = false;       ///< it began far later than usual
+  balancing::StreamPace pace;      ///< of the events, if observed
   bool staleConnection = false;    ///< it failed on a connection that the runner had dropped: not the runner's fault
   bool isLastAttempt = false;      ///< no other runner is allowed after this one
   bool nextAttemptIsPaid = false;  ///< the retry budget has been charged for the next runner already
@@ -71,5 +75,9 @@
   void endPrefill(bool responded);
   /// The attempt has ended; what that says about the runner is recorded.
   void endAttempt(AttemptOutcome outcome);
+
+ private:
+  /// Records what the attempt says about the runner's revision.
+  void observeRevision(AttemptOutcome outcome);
 };
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/request_handler.cpp
+++ b/libs/proxy/src/request_handler.cpp
@@ -62,18 +62,42 @@
   return decide(state);
 }
 
-// The runner for the next attempt, paid for; -1 if there is no runner, no lease or no retry budget.
-int selectRunner(Exchange& exchange, const RetryState& state) {
+/// Why there is no runner for an attempt.
+enum class NoRunner : std::uint8_t { leaseEnded, noneFits, budgetSpent };
+
+// A runner of the revision that the request is to go to; of another one if that has none and may be replaced.
+int chooseRunner(Exchange& exchange, bool isFirst) {
+  auto& context = exchange.context;
+  auto& query = exchange.query;
+  if (!context.revisions.hasRollouts()) {
+    query.revisions = {};
+    return context.runners.choose(query, Exchange::now());
+  }
+  query.revisions = context.revisions.choose(*exchange.service, query.affinity, !isFirst, Exchange::now());
+  const int runner = context.runners.choose(query, Exchange::now());
+  if (runner >= 0)
+    return runner;
+  auto fallback = context.revisions.fallback(*exchange.service, query.revisions);
+  if (!fallback)
+    return -1;
+  query.revisions = std::move(*fallback);
+  return context.runners.choose(query, Exchange::now());
+}
+
+// The runner for the next attempt, paid for.
+tl::expected<int, NoRunner> selectRunner(Exchange& exchange, const RetryState& state, int earlierAttempts) {
   auto& context = exchange.context;
   // Checked before each attempt: the lease may have ended during the last one.
   if (!context.hasLease(Exchange::now()))
-    return -1;
-  const int runner = context.runners.choose(exchange.query, Exchange::now());
+    return tl::unexpected(NoRunner::leaseEnded);
+  const int runner = chooseRunner(exchange, earlierAttempts == 0);
   if (runner < 0)
-    return -1;
+    return tl::unexpected(NoRunner::noneFits);
   const bool isRetry = state.runnersUsed > 0;
   const bool isFree = !isRetry || std::exchange(exchange.nextAttemptIsPaid, false);
-  return isFree || context.retryBudget.tryWithdraw(*exchange.service, Exchange::now()) ? runner : -1;
+  if (isFree || context.retryBudget.tryWithdraw(*exchange.service, Exchange::now()))
+    return runner;
+  return tl::unexpected(NoRunner::budgetSpent);
 }
 
 void attemptRunner(Exchange& exchange, int runner, RetryState& state) {
@@ -94,10 +118,12 @@
     state.outcome = AttemptOutcome::deadlineExceeded;
   const bool mayAttempt = state.outcome != AttemptOutcome::deadlineExceeded &&
                           earlierAttempts < state.runnersAllowed + kExtraConnectAttempts;
-  const int runner = mayAttempt ? selectRunner(exchange, state) : -1;
-  if (runner < 0)
+  if (!mayAttempt)
+    return conclude(state);
+  const auto runner = selectRunner(exchange, state, earlierAttempts);
+  if (!runner)
     return conclude(state);
-  attemptRunner(exchange, runner, state);
+  attemptRunner(exchange, *runner, state);
   return decide(state);
 }
 
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -69,6 +69,8 @@
     if (body.empty())
       return true;
     exchange_.endPrefill(true);
+    if (exchange_.observed)
+      exchange_.pace.recordBytes(body, Exchange::now());
     if (exchange_.pendingPartner)
       std::exchange(exchange_.pendingPartner, nullptr)->setDeadline(exchange_.deadline + kDeadlineMargin);
     const auto bytes = completeEventsOnly_ ? exchange_.events.feed(body) : std::string_view(body);
--- a/libs/proxy_daemon/include/proxy_daemon/node_report.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/node_report.hpp
@@ -26,7 +26,7 @@
   /// @param context must outlive this object.
   NodeReport(proxy::ProxyContext& context, ZoneToRegion zones, TimePoint start)
       : context_(context), zones_(std::move(zones)), rate_(start) {}
-  /// Fills in quotas, load, and the outcome of attempts since the last report.
+  /// Fills in quotas, load, the outcome of attempts since the last report, and what was seen of rollouts.
   void fill(transport::LeaseRequest& request, TimePoint now, const std::vector<state_machine::ZoneDrain>& drains);
 
  private:
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -142,7 +142,7 @@
     log::error("snapshot_declined", {{"index", snapshot.lastIncludedIndex}, {"reason", restored.error().message}});
     return requestSnapshot();
   }
-  adopt({.configuration = true, .runners = true, .zoneDrains = true});
+  adopt({.configuration = true, .runners = true, .zoneDrains = true, .rollouts = true});
   applyEntries();
 }
 void ProxyDaemon::onEntries(transport::FeedEntries feed) {
@@ -157,6 +157,7 @@
     changes.configuration |= applied->change.configuration;
     changes.runners |= applied->change.runners;
     changes.zoneDrains |= applied->change.zoneDrains;
+    changes.rollouts |= applied->change.rollouts;
   }
   if (replica_.corrupted()) {
     log::error("replica_corrupted", {{"index", replica_.lastApplied()}, {"reason", "a delta did not fit"}});
@@ -195,6 +196,7 @@
   // Only from the newest: what a later request reported of the local reserve did not include these tokens yet.
   if (granted->newestRequest)
     context_.quota.refillReserve(response.grants, granted->requestedAt);
+  context_.revisions.addGrants(response.extension.exposures, granted->requestedAt);
   if (response.accessMachines > 0)
     context_.retryBudget.setReserve(
         settings_.timers.retrySlack * kRetrySlackPart / static_cast<double>(response.accessMachines), retrySlackDraw_);
--- a/libs/proxy_daemon/src/node_report.cpp
+++ b/libs/proxy_daemon/src/node_report.cpp
@@ -23,6 +23,9 @@
   request.load = load(now, drains);
   context_.recordSlowAttempts(now);
   request.attempts = context_.observer.takeReport(kMaxReportedRunners);
+  request.extension.rollouts = context_.revisions.takeReports();
+  for (auto& report : request.extension.rollouts)
+    report.baselineInFlight = context_.runners.inFlightAtOtherRevisions(report.service, report.revision);
 }
 /// The load of the machine, and the progress of each drain.
 std::vector<transport::ZoneLoad> NodeReport::load(TimePoint now, const std::vector<state_machine::ZoneDrain>& drains) {
--- a/libs/proxy_daemon/src/state_adoption.cpp
+++ b/libs/proxy_daemon/src/state_adoption.cpp
@@ -8,6 +8,8 @@
     adoptRunners(state);
   if (change.zoneDrains)
     adoptZoneDrains(state);
+  if (change.rollouts)
+    context_.revisions.setRollouts(state.rollouts);
   return change.configuration && !state.configuration.empty() && adoptConfiguration(state);
 }
 void StateAdoption::adoptEjections(const transport::LeaseResponse& response) {
@@ -18,7 +20,7 @@
   context_.runners.setEjected(ejections_);
 }
 void StateAdoption::adoptRunners(const state_machine::StateContents& state) {
-  context_.runners.setRunners(state.runners);
+  context_.runners.setRunners(state.runners, Clock::now());
   context_.runners.setEjected(ejections_);  // a runner that joins may be on the list already
 }
 void StateAdoption::adoptZoneDrains(const state_machine::StateContents& state) {
--- /dev/null
+++ b/libs/rollout/include/rollout/rollout_plan.hpp
@@ -0,0 +1,30 @@
+/// @file
+/// When a rollout takes its next step. Pure: the time is passed in.
+///
+/// The term of the order is split in parts: the canary lasts for a good half of it, so that a fault that comes late is
+/// seen while few requests meet it; then the traffic is shifted in steps, each of which is observed; the rest is for
+/// attempts in flight at the old runners, which are stopped without notice on completion, and for a change of the
+/// leader. A candidate whose fault is proven is reverted at any time before that.
+#pragma once
+#include "rollout/evidence_ledger.hpp"
+namespace zinccleat::rollout {
+/// What the leader knows of the fleet when it decides.
+struct FleetView {
+  double baselineCapacity = 0;  ///< requests at once, of the runners in service
+  double candidateCapacity = 0;
+  bool baselineIsIdle = false;  ///< all proxies send everything to the candidate and have nothing in flight elsewhere
+};
+/// A step of a rollout.
+struct Step {
+  state_machine::RolloutPhase phase{};
+  std::int32_t percent = 0;
+  std::string reason;
+};
+
+/// The next step of a rollout in progress; none: it is to go on as it is.
+/// @param rollout as the log has it.
+/// @param elapsed since the order.
+/// @param sincePhase since the newest step.
+std::optional<Step> nextStep(const state_machine::Rollout& rollout, const EvidenceLedger& evidence,
+                             const FleetView& fleet, Duration elapsed, Duration sincePhase);
+}  // namespace zinccleat::rollout
--- /dev/null
+++ b/libs/rollout/src/rollout_plan.cpp
@@ -0,0 +1,91 @@
+#include "rollout/rollout_plan.hpp"
+
+#include <array>
+
+namespace zinccleat::rollout {
+namespace {
+using state_machine::Rollout;
+using state_machine::RolloutPhase;
+
+// Parts of the term.
+constexpr double kCanaryPart = 0.55;      // at the earliest, the canary ends here
+constexpr double kLastShiftPart = 0.72;   // a candidate that few requests have met is shifted to from here on
+constexpr double kStepPart = 0.03;        // each step of the shift is observed for so long
+constexpr double kCompletionPart = 0.88;  // the old runners are waited for until here
+constexpr double kLastDoubtPart = 0.8;    // a suspicion alone holds the shift up until here
+constexpr double kGiveUpPart = 0.94;      // a candidate that could not be tested is reverted
+constexpr Duration kMinStep{400};         // a report and a round through the log
+constexpr Duration kMinObservation{800};  // of the full traffic, before completion
+constexpr std::array<std::int32_t, 3> kPercents{25, 50, 100};
+constexpr std::int32_t kAll = 100;
+// Where few requests come, late in the term: so many answers of the candidate, and fewer bad ones than this.
+constexpr double kMinAnswersLate = 8;
+constexpr double kMinBadAnswersLate = 2;
+constexpr double kMinCapacityPart = 0.5;  // of the baseline's; with less the candidate can't carry the traffic
+
+Duration partOf(const Rollout& rollout, double part) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(rollout.durationMs) * part));
+}
+Step revert(std::string reason) {
+  return {RolloutPhase::reverted, 0, std::move(reason)};
+}
+std::string describe(const Fault& fault) {
+  const auto number = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
+  return number(fault.candidate.bad) + " of " + number(fault.candidate.total) + " answers " +
+         (fault.slow ? "slow" : "failed") + (fault.route.empty() ? "" : " on route " + fault.route);
+}
+std::optional<Step> nextOfCanary(const Rollout& rollout, const EvidenceLedger& evidence, const FleetView& fleet,
+                                 Duration elapsed) {
+  if (elapsed < partOf(rollout, kCanaryPart))
+    return std::nullopt;
+  const bool canCarry =
+      fleet.candidateCapacity > 0 && fleet.candidateCapacity >= fleet.baselineCapacity * kMinCapacityPart;
+  const bool late = elapsed >= partOf(rollout, kLastShiftPart);
+  const bool tested = evidence.isCleared() || (late && evidence.candidateAnswers() >= kMinAnswersLate &&
+                                               evidence.candidateBadAnswers() < kMinBadAnswersLate);
+  if (canCarry && tested && !evidence.isSuspicious())
+    return Step{RolloutPhase::shifting, kPercents.front(), "the canary showed no fault"};
+  if (elapsed < partOf(rollout, kGiveUpPart))
+    return std::nullopt;
+  return revert(!canCarry ? "too few runners of this revision" : "too few answers to decide");
+}
+std::int32_t nextPercent(std::int32_t percent) {
+  const auto next = std::find_if(kPercents.begin(), kPercents.end(), [&](auto each) { return each > percent; });
+  return next == kPercents.end() ? kAll : *next;
+}
+// A suspicion that many good answers outweigh holds a rollout up no longer once the term is nearly over.
+bool mayGoOn(const Rollout& rollout, const EvidenceLedger& evidence, Duration elapsed) {
+  return !evidence.isSuspicious() || (elapsed >= partOf(rollout, kLastDoubtPart) && evidence.isCleared());
+}
+Step complete() {
+  return {RolloutPhase::completed, kAll, "all traffic goes to the candidate without a fault"};
+}
+std::optional<Step> nextOfShift(const Rollout& rollout, const EvidenceLedger& evidence, const FleetView& fleet,
+                                Duration elapsed, Duration sincePhase) {
+  if (elapsed >= partOf(rollout, kGiveUpPart))
+    return mayGoOn(rollout, evidence, elapsed) ? complete()
+                                               : revert("the term is nearly over, and there is a suspicion");
+  if (!mayGoOn(rollout, evidence, elapsed))
+    return std::nullopt;
+  if (rollout.percent < kAll) {
+    const bool observed = sincePhase >= std::max(kMinStep, partOf(rollout, kStepPart));
+    return observed ? std::optional(Step{RolloutPhase::shifting, nextPercent(rollout.percent), rollout.reason})
+                    : std::nullopt;
+  }
+  const bool observed = sincePhase >= kMinObservation;
+  const bool idle = fleet.baselineIsIdle || elapsed >= partOf(rollout, kCompletionPart);
+  return observed && idle ? std::optional(complete()) : std::nullopt;
+}
+}  // namespace
+
+std::optional<Step> nextStep(const Rollout& rollout, const EvidenceLedger& evidence, const FleetView& fleet,
+                             Duration elapsed, Duration sincePhase) {
+  if (!rollout.inProgress())
+    return std::nullopt;
+  if (const auto fault = evidence.findFault())
+    return revert(describe(*fault));
+  if (rollout.phase() == RolloutPhase::canary)
+    return nextOfCanary(rollout, evidence, fleet, elapsed);
+  return nextOfShift(rollout, evidence, fleet, elapsed, sincePhase);
+}
+}  // namespace zinccleat::rollout
--- /dev/null
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -0,0 +1,108 @@
+#include "rollout/rollout_tracker.hpp"
+
+namespace zinccleat::rollout {
+namespace {
+using state_machine::Rollout;
+using state_machine::RolloutPhase;
+
+constexpr double kExposurePart = 0.7;         // of the share that is allowed: reports are late, and requests go astray
+constexpr auto kProxyLifetime = 1500ms;       // a proxy that has not reported for so long is not waited for
+constexpr auto kCheckpointInterval = 2000ms;  // between two records of the same step
+constexpr std::int32_t kAll = 100;
+constexpr double kMaxRequestsPerReport = 1e5;
+
+Rollout recordOf(const Rollout& rollout, const EvidenceLedger& evidence, Duration elapsed) {
+  auto record = rollout;
+  record.elapsedMs = std::max<std::int64_t>(record.elapsedMs, elapsed.count());
+  record.evidence = evidence.summary();
+  return record;
+}
+}  // namespace
+
+void RolloutTracker::follow(TimePoint now, const state_machine::StateContents& state) {
+  std::vector<Tracked> tracked;
+  for (const auto& rollout : state.rollouts) {
+    if (!rollout.inProgress())
+      continue;
+    auto* known = find(rollout.service);
+    if (known && known->rollout.sameOrder(rollout)) {
+      const bool stepped = known->rollout.phase() != rollout.phase() || known->rollout.percent != rollout.percent;
+      known->steppedAt = stepped ? now : known->steppedAt;
+      known->startedAt = std::min(known->startedAt, now - Duration(rollout.elapsedMs));
+      known->rollout = rollout;
+      tracked.push_back(std::move(*known));
+      continue;
+    }
+    tracked.push_back({rollout, now - Duration(rollout.elapsedMs), now, now, EvidenceLedger(rollout.evidence), {}});
+  }
+  tracked_ = std::move(tracked);
+}
+void RolloutTracker::startTerm() {
+  for (auto& each : tracked_) {
+    each.evidence = EvidenceLedger(each.rollout.evidence);
+    each.proxies.clear();
+  }
+}
+std::optional<transport::ExposureGrant> RolloutTracker::report(TimePoint now, const std::string& proxy,
+                                                               const transport::RolloutReport& report) {
+  auto* tracked = find(report.service);
+  if (!tracked || tracked->rollout.revision != report.revision)
+    return std::nullopt;
+  tracked->evidence.report(now, report.answers);
+  tracked->proxies[proxy] = {report.percent, report.baselineInFlight, now};
+  // Each request is reported once and pays for a part of one: all grants together stay below the share of all requests,
+  // whoever leads.
+  const double requests = std::clamp(report.requests, 0.0, kMaxRequestsPerReport);
+  const double part = tracked->evidence.isSuspicious() ? kExposurePart / 2 : kExposurePart;
+  const bool isCanary = tracked->rollout.phase() == RolloutPhase::canary;
+  return transport::ExposureGrant{report.service, report.revision, isCanary ? requests * exposureShare_ * part : 0};
+}
+std::vector<Rollout> RolloutTracker::decide(TimePoint now, const state_machine::StateContents& state) {
+  std::vector<Rollout> records;
+  for (auto& each : tracked_) {
+    const auto elapsed = toDuration(now - each.startedAt);
+    const auto step =
+        nextStep(each.rollout, each.evidence, fleetView(now, each, state), elapsed, toDuration(now - each.steppedAt));
+    const bool checkpointDue = now - each.writtenAt >= kCheckpointInterval;
+    if (!step && !checkpointDue)
+      continue;
+    auto record = recordOf(each.rollout, each.evidence, elapsed);
+    if (step) {
+      record.setPhase(step->phase);
+      record.percent = step->percent;
+      record.reason = step->reason;
+    }
+    each.writtenAt = now;
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+RolloutTracker::Tracked* RolloutTracker::find(const std::string& service) {
+  const auto found = std::find_if(tracked_.begin(), tracked_.end(),
+                                  [&](const Tracked& each) { return each.rollout.service == service; });
+  return found == tracked_.end() ? nullptr : &*found;
+}
+FleetView RolloutTracker::fleetView(TimePoint now, const Tracked& tracked, const state_machine::StateContents& state) {
+  FleetView view;
+  for (const auto& runner : state.runners) {
+    if (runner.service != tracked.rollout.service || runner.runnerState() != state_machine::RunnerState::inService)
+      continue;
+    auto& capacity =
+        runner.software.revision == tracked.rollout.revision ? view.candidateCapacity : view.baselineCapacity;
+    capacity += static_cast<double>(std::max<std::int64_t>(1, runner.capacity));
+  }
+  view.baselineIsIdle = baselineIsIdle(now, tracked);
+  return view;
+}
+bool RolloutTracker::baselineIsIdle(TimePoint now, const Tracked& tracked) {
+  bool anyHeard = false;
+  for (const auto& [proxy, state] : tracked.proxies) {
+    if (now - state.reportedAt > kProxyLifetime)
+      continue;
+    anyHeard = true;
+    if (state.percent < kAll || state.baselineInFlight > 0)
+      return false;
+  }
+  return anyHeard;
+}
+}  // namespace zinccleat::rollout
--- a/libs/state_machine/include/state_machine/fleet_state.hpp
+++ b/libs/state_machine/include/state_machine/fleet_state.hpp
@@ -3,6 +3,7 @@
 /// values without behaviour; `ReplicatedState` changes them, `snapshot_codec.hpp` stores them.
 #pragma once
 #include "state_machine/deduplication.hpp"
+#include "state_machine/rollout.hpp"
 
 namespace zinccleat::state_machine {
 /// The lifecycle of a runner. The values are stored and sent.
@@ -12,6 +13,17 @@
   detached = 2,   ///< not part of the fleet; only in log entries, never in the state
 };
 
+/// What runs on a runner, as it said when it joined. Earlier versions of this program do not know these fields.
+struct RunnerSoftware {
+  std::string revision;       ///< of the software (`configVersion`); empty: not known
+  std::int64_t warmupMs = 0;  ///< how long it stays slow, from when it joined
+  /// Lists the fields in wire order.
+  template <class V>
+  void fields(V& v) {
+    v("revision", revision), v("warmupMs", warmupMs);
+  }
+  bool operator==(const RunnerSoftware&) const = default;
+};
 /// A runner that serves requests of one service, as its heartbeats describe it.
 struct Runner {
   std::string id;       ///< drawn anew for each start of a runner process
@@ -21,7 +33,8 @@
   std::int64_t capacity = 0;  ///< requests at once
   std::int64_t sequence = 0;  ///< number of the heartbeat; a lower one is late and ignored
   std::int32_t state = 0;     ///< a `RunnerState`, as an integer for the encoding
-  /// Lists the fields in wire order.
+  RunnerSoftware software;    ///< encoded behind the other fields, see `encodeRunner`
+  /// Lists the fields in wire order, without `software`.
   template <class V>
   void fields(V& v) {
     v("id", id), v("service", service), v("address", address), v("zone", zone), v("capacity", capacity);
@@ -54,6 +67,7 @@
   std::string digest;
   std::vector<Runner> runners;
   std::vector<ZoneDrain> zoneDrains;
+  std::vector<Rollout> rollouts;  ///< the newest of each service, the longest known first
   AcceptedConfigurations acceptedConfigurations;
   OperationDeduplication operations;
   DetachedRunners detachedRunners;
--- a/libs/state_machine/include/state_machine/log_entries.hpp
+++ b/libs/state_machine/include/state_machine/log_entries.hpp
@@ -23,6 +23,17 @@
 /// A runner joins, drains or detaches. Detached with sequence 0: its heartbeats were missed, so it may join again.
 transport::LogEntry runnerEntry(const Runner& runner, std::string operationId);
 
+/// An operator orders a rollout.
+/// @param rollout its service, revision and duration; the rest is at its default.
+transport::LogEntry rolloutBeginEntry(const Rollout& rollout, std::string operationId);
+/// A rollout has come further. Entries that would take it back change nothing.
+transport::LogEntry rolloutProgressEntry(const Rollout& rollout, std::string operationId);
+
+/// A runner with its software behind it. Without a revision the bytes are those of earlier versions.
+std::string encodeRunner(const Runner& runner);
+/// @return ErrorCode::corruption for bytes that are no runner.
+Result<Runner> decodeRunner(std::string_view bytes);
+
 /// The version that a configuration entry sets; 0 if its operation id bears none.
 std::int64_t configurationVersion(const transport::LogEntry& entry);
 }  // namespace zinccleat::state_machine
--- a/libs/state_machine/include/state_machine/replicated_state.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -21,6 +21,7 @@
     acceptable = 0,         ///< only of `evaluateReplace`: it would be accepted
     acknowledged = 200,     ///< accepted, now or earlier
     invalidVersion = 400,   ///< a version that is not above the current one
+    conflict = 409,         ///< another rollout of the service is in progress, or is over
     versionMismatch = 412,  ///< the base is not the current version
     outcomeUnknown = 503,   ///< too old to tell whether it was accepted
   };
@@ -29,6 +30,7 @@
     bool configuration = false;
     bool runners = false;
     bool zoneDrains = false;
+    bool rollouts = false;
     /// The entry's delta did not fit this replica's configuration: the replica is corrupted, see `corrupted`.
     bool corrupted = false;
   };
@@ -63,6 +65,8 @@
   Verdict evaluateReplace(std::int64_t base, std::int64_t version, const std::string& digest) const;
   /// A runner in service or draining; null if there is none with this id.
   const Runner* runner(const std::string& id) const;
+  /// The newest rollout of a service; null if there was none.
+  const Rollout* rollout(std::string_view service) const;
   /// Whether a runner is detached for good: its id is never reused.
   bool isDetached(const std::string& id) const;
 
@@ -77,6 +81,11 @@
   Verdict applyConfiguration(const transport::LogEntry& entry, Change& change);
   void applyZoneDrain(const transport::LogEntry& entry, Change& change);
   void applyRunner(const transport::LogEntry& entry, Change& change);
+  Verdict applyRolloutBegin(const transport::LogEntry& entry, Change& change);
+  Verdict applyRolloutProgress(const transport::LogEntry& entry, Change& change);
+  void addRollout(Rollout rollout);
+  void removeBaselineRunners(const Rollout& completed);
+  std::vector<Rollout>::iterator findRollout(std::string_view service);
   void detachRunner(const Runner& update);
   void removeRunner(const Runner& removed);
   void joinRunner(Runner joining);
--- a/libs/state_machine/src/log_entries.cpp
+++ b/libs/state_machine/src/log_entries.cpp
@@ -45,7 +45,31 @@
   return entry;
 }
 transport::LogEntry runnerEntry(const Runner& runner, std::string operationId) {
-  return entryOf(transport::OperationKind::runner, std::move(operationId), avro::encode(runner));
+  return entryOf(transport::OperationKind::runner, std::move(operationId), encodeRunner(runner));
+}
+transport::LogEntry rolloutBeginEntry(const Rollout& rollout, std::string operationId) {
+  return entryOf(transport::OperationKind::rolloutBegin, std::move(operationId), avro::encode(rollout));
+}
+transport::LogEntry rolloutProgressEntry(const Rollout& rollout, std::string operationId) {
+  return entryOf(transport::OperationKind::rolloutProgress, std::move(operationId), avro::encode(rollout));
+}
+
+std::string encodeRunner(const Runner& runner) {
+  auto bytes = avro::encode(runner);
+  if (runner.software != RunnerSoftware{})
+    bytes += avro::encode(runner.software);
+  return bytes;
+}
+Result<Runner> decodeRunner(std::string_view bytes) {
+  std::size_t consumed = 0;
+  auto runner = avro::decode<Runner>(bytes, &consumed);
+  if (!runner || consumed >= bytes.size())
+    return runner;
+  auto software = avro::decode<RunnerSoftware>(bytes.substr(consumed));
+  if (!software)
+    return tl::unexpected(std::move(software.error()));
+  runner->software = std::move(*software);
+  return runner;
 }
 
 std::int64_t configurationVersion(const transport::LogEntry& entry) {
--- a/libs/state_machine/src/replicated_state.cpp
+++ b/libs/state_machine/src/replicated_state.cpp
@@ -7,6 +7,8 @@
 namespace {
 /// Earlier configurations that are kept as bases of deltas, for nodes that missed some changes.
 constexpr std::size_t kEarlierConfigurations = 3;
+/// Services whose newest rollout is kept; of more, the oldest ones that are over are forgotten.
+constexpr std::size_t kRolloutCapacity = 256;
 }  // namespace
 
 // --- Applying entries ---
@@ -34,6 +36,10 @@
     case transport::OperationKind::runner:
       applyRunner(entry, change);
       return Verdict::acknowledged;
+    case transport::OperationKind::rolloutBegin:
+      return applyRolloutBegin(entry, change);
+    case transport::OperationKind::rolloutProgress:
+      return applyRolloutProgress(entry, change);
     default:  // entries of the consensus module, which change nothing here
       return Verdict::acknowledged;
   }
@@ -96,7 +102,7 @@
 // --- Runners ---
 
 void ReplicatedState::applyRunner(const transport::LogEntry& entry, Change& change) {
-  auto update = avro::decode<Runner>(entry.body);
+  auto update = decodeRunner(entry.body);
   if (!update)
     return;
   if (update->runnerState() == RunnerState::detached) {
@@ -151,6 +157,69 @@
                       [&](const Runner& runner) { return runner.id == id; });
 }
 
+// --- Rollouts ---
+
+ReplicatedState::Verdict ReplicatedState::applyRolloutBegin(const transport::LogEntry& entry, Change& change) {
+  auto ordered = avro::decode<Rollout>(entry.body);
+  if (!ordered)
+    return Verdict::invalidVersion;
+  const auto known = findRollout(ordered->service);
+  if (known != contents_.rollouts.end()) {
+    if (known->sameOrder(*ordered))
+      return Verdict::acknowledged;
+    if (known->inProgress())
+      return Verdict::conflict;
+    contents_.rollouts.erase(known);
+  }
+  addRollout(std::move(*ordered));
+  change.rollouts = true;
+  return Verdict::acknowledged;
+}
+void ReplicatedState::addRollout(Rollout rollout) {
+  if (contents_.rollouts.size() >= kRolloutCapacity) {
+    const auto over = std::find_if(contents_.rollouts.begin(), contents_.rollouts.end(),
+                                   [](const Rollout& other) { return !other.inProgress(); });
+    if (over != contents_.rollouts.end())
+      contents_.rollouts.erase(over);
+  }
+  contents_.rollouts.push_back(std::move(rollout));
+}
+ReplicatedState::Verdict ReplicatedState::applyRolloutProgress(const transport::LogEntry& entry, Change& change) {
+  auto progress = avro::decode<Rollout>(entry.body);
+  if (!progress)
+    return Verdict::invalidVersion;
+  const auto known = findRollout(progress->service);
+  if (known == contents_.rollouts.end() || !known->sameOrder(*progress))
+    return Verdict::conflict;
+  if (!known->inProgress())
+    return known->phase() == progress->phase() ? Verdict::acknowledged : Verdict::conflict;
+  const bool goesBack = progress->phase() < known->phase() || progress->phase() > RolloutPhase::reverted ||
+                        (progress->phase() == known->phase() && progress->percent < known->percent);
+  if (goesBack)
+    return Verdict::conflict;
+  progress->elapsedMs = std::max(progress->elapsedMs, known->elapsedMs);
+  *known = std::move(*progress);
+  change.rollouts = true;
+  if (known->phase() == RolloutPhase::completed) {
+    removeBaselineRunners(*known);
+    change.runners = true;
+  }
+  return Verdict::acknowledged;
+}
+/// The operator stops them without notice. Their ids are recorded, so that none of them joins again by a heartbeat.
+void ReplicatedState::removeBaselineRunners(const Rollout& completed) {
+  std::erase_if(contents_.runners, [&](const Runner& runner) {
+    const bool isBaseline = runner.service == completed.service && runner.software.revision != completed.revision;
+    if (isBaseline)
+      contents_.detachedRunners.record(runner.id);
+    return isBaseline;
+  });
+}
+std::vector<Rollout>::iterator ReplicatedState::findRollout(std::string_view service) {
+  return std::find_if(contents_.rollouts.begin(), contents_.rollouts.end(),
+                      [&](const Rollout& rollout) { return rollout.service == service; });
+}
+
 // --- Snapshots ---
 
 std::string ReplicatedState::snapshot() const {
@@ -208,6 +277,11 @@
                                   [&](const Runner& runner) { return runner.id == id; });
   return found == contents_.runners.end() ? nullptr : &*found;
 }
+const Rollout* ReplicatedState::rollout(std::string_view service) const {
+  const auto found = std::find_if(contents_.rollouts.begin(), contents_.rollouts.end(),
+                                  [&](const Rollout& rollout) { return rollout.service == service; });
+  return found == contents_.rollouts.end() ? nullptr : &*found;
+}
 bool ReplicatedState::isDetached(const std::string& id) const {
   return contents_.detachedRunners.contains(id);
 }
--- a/libs/state_machine/src/snapshot_codec.cpp
+++ b/libs/state_machine/src/snapshot_codec.cpp
@@ -31,8 +31,20 @@
   }
   return record;
 }
-std::string encodeRecord(format::Snapshot2 record) {
-  return std::string(format::kPrefix2) + avro::encode(std::move(record));
+std::string encodeExtension(const StateContents& contents) {
+  const bool hasSoftware = std::any_of(contents.runners.begin(), contents.runners.end(),
+                                       [](const Runner& runner) { return runner.software != RunnerSoftware{}; });
+  if (!hasSoftware && contents.rollouts.empty())
+    return {};
+  format::Snapshot2Extension extension;
+  extension.software.reserve(contents.runners.size());
+  for (const auto& runner : contents.runners)
+    extension.software.push_back(runner.software);
+  extension.rollouts = contents.rollouts;
+  return avro::encode(std::move(extension));
+}
+std::string encodeRecord(format::Snapshot2 record, const StateContents& contents) {
+  return std::string(format::kPrefix2) + avro::encode(std::move(record)) + encodeExtension(contents);
 }
 
 /// Integers outside the range that any replica can have.
@@ -80,6 +92,34 @@
   return snapshot;
 }
 
+/// Takes over what stands behind the record of format 2.
+Result<void> addExtension(std::string_view bytes, StateContents& contents) {
+  auto extension = avro::decode<format::Snapshot2Extension>(bytes);
+  if (!extension)
+    return tl::unexpected(extension.error());
+  if (extension->software.size() != contents.runners.size())
+    return makeError(ErrorCode::corruption, "a snapshot whose runners do not match their software");
+  for (std::size_t i = 0; i < contents.runners.size(); ++i)
+    contents.runners[i].software = std::move(extension->software[i]);
+  for (const auto& rollout : extension->rollouts)
+    if (rollout.phase() < RolloutPhase::canary || rollout.phase() > RolloutPhase::reverted)
+      return makeError(ErrorCode::corruption, "a snapshot with a rollout in no known phase");
+  contents.rollouts = std::move(extension->rollouts);
+  return {};
+}
+Result<Snapshot> decodeFormat2(std::string_view bytes) {
+  std::size_t consumed = 0;
+  auto record = avro::decode<format::Snapshot2>(bytes, &consumed);
+  if (!record)
+    return tl::unexpected(record.error());
+  auto snapshot = snapshotOf(std::move(*record));
+  if (!snapshot || consumed >= bytes.size())
+    return snapshot;
+  if (auto added = addExtension(bytes.substr(consumed), snapshot->contents); !added)
+    return tl::unexpected(added.error());
+  return snapshot;
+}
+
 /// Format 1 in the fields of format 2.
 format::Snapshot2 upgrade(format::Snapshot1 old) {
   AcceptedConfigurations accepted;
@@ -115,22 +155,18 @@
 std::string encodeSnapshot(const StateContents& contents, SnapshotScope scope) {
   auto record = recordOf(contents, scope);
   record.configuration = contents.configuration;
-  return encodeRecord(std::move(record));
+  return encodeRecord(std::move(record), contents);
 }
 std::string encodePartialSnapshot(const StateContents& contents, std::string delta) {
   auto record = recordOf(contents, SnapshotScope::dataPlane);
   record.partial = true;
   record.delta = std::move(delta);
-  return encodeRecord(std::move(record));
+  return encodeRecord(std::move(record), contents);
 }
 
 Result<Snapshot> decodeSnapshot(std::string_view bytes) {
-  if (bytes.starts_with(format::kPrefix2)) {
-    auto record = avro::decode<format::Snapshot2>(bytes.substr(format::kPrefix2.size()));
-    if (!record)
-      return tl::unexpected(record.error());
-    return snapshotOf(std::move(*record));
-  }
+  if (bytes.starts_with(format::kPrefix2))
+    return decodeFormat2(bytes.substr(format::kPrefix2.size()));
   if (bytes.starts_with(format::kPrefix))
     return makeError(ErrorCode::incompatibleFormat, "a snapshot of another format version");
   auto old = avro::decode<format::Snapshot1>(bytes);
--- a/libs/state_machine/src/snapshot_formats.hpp
+++ b/libs/state_machine/src/snapshot_formats.hpp
@@ -34,6 +34,16 @@
   }
 };
 
+/// A second record behind that of format 2, left out while it is empty. Versions without rollouts ignore it.
+struct Snapshot2Extension {
+  std::vector<RunnerSoftware> software;  // one for each runner of the snapshot, in their order
+  std::vector<Rollout> rollouts;
+  template <class V>
+  void fields(V& v) {
+    v("software", software), v("rollouts", rollouts);
+  }
+};
+
 /// An accepted configuration in format 1.
 struct AcceptedConfiguration1 {
   std::int64_t version = 0;
--- a/libs/transport/include/transport/access_messages.hpp
+++ b/libs/transport/include/transport/access_messages.hpp
@@ -13,6 +13,7 @@
 #include "transport/envelope.hpp"
 #include "transport/lease_records.hpp"
 #include "transport/messages.hpp"
+#include "transport/rollout_records.hpp"
 namespace zinccleat::transport {
 /// A message with a `requestId`.
 template <class T>
@@ -238,12 +239,21 @@
 /// A proxy asks for its lease, and tells what the leader is to know of its machine.
 struct LeaseRequest {
   static constexpr auto kType = MessageType::leaseRequest;
+  struct Extension {
+    std::vector<RolloutReport> rollouts;  ///< of the services that are being rolled out
+    bool empty() const { return rollouts.empty(); }
+    template <class V>
+    void fields(V& v) {
+      v("rollouts", rollouts);
+    }
+  };
   std::int64_t requestId = 0;
   std::vector<QuotaDemand> demand;
   std::vector<QuotaHolding> holds;
   std::vector<ZoneLoad> load;
   std::vector<RunnerAttempts> attempts;  // since the last request
   std::int64_t outliersVersion = 0;
+  Extension extension{};
   template <class V>
   void fields(V& v) {
     v("requestId", requestId), v("demand", demand), v("holds", holds), v("load", load), v("attempts", attempts);
@@ -252,6 +262,14 @@
 };
 struct LeaseResponse {
   static constexpr auto kType = MessageType::leaseResponse;
+  struct Extension {
+    std::vector<ExposureGrant> exposures;  ///< for the rollouts that the request reported on
+    bool empty() const { return exposures.empty(); }
+    template <class V>
+    void fields(V& v) {
+      v("exposures", exposures);
+    }
+  };
   std::int64_t requestId = 0;
   bool granted = false;  // else nothing below counts
   std::int64_t commitIndex = 0;
@@ -259,6 +277,7 @@
   std::vector<QuotaGrant> grants;
   std::int64_t outliersVersion = 0;
   std::vector<RunnerEjection> outliers;  // empty where the sender of the request has this version
+  Extension extension{};
   template <class V>
   void fields(V& v) {
     v("requestId", requestId), v("granted", granted), v("commitIndex", commitIndex);
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -10,6 +10,8 @@
   membership = 3,          ///< the consensus group's membership
   zoneDrain = 4,           ///< begins, changes or ends the drain of a zone
   configurationDelta = 5,  ///< replaces the configuration by a delta to an earlier version
+  rolloutBegin = 6,        ///< an operator has a service's traffic moved to another revision
+  rolloutProgress = 7,     ///< how far a rollout has come
 };
 
 /// One entry of the replicated log.
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -32,6 +32,14 @@
 expect 2 "cannot read" scale-run /nowhere.json
 expect 2 "cannot read" proxy --settings=/nowhere.json
 expect 2 "say which nodes" status
+expect 2 "wants begin SERVICE" rollout
+expect 2 "wants begin SERVICE" rollout begin s v2
+expect 2 "say which nodes" rollout status s
+expect 2 "unknown verb" rollout pause s 127.0.0.1:1
+expect 2 "1 to 86400" rollout begin s v2 0 127.0.0.1:1
+expect 2 "no JSON" rollout begin s v2 soon 127.0.0.1:1
+expect 1 "zinccleat rollout:" rollout status s 127.0.0.1:1
+expect 1 "rollout is no JSON" check rollout /dev/null
 expect 2 "wants one FILE" runbook
 expect 2 "cannot read 'runbooks/nowhere.run'" runbook nowhere
 expect 2 "no name=value" runbook /dev/null --set core
--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -114,6 +114,33 @@
 void runnerHasDetached(FakeController& controller) {
   (void)answerApiRequest(controller, {"POST", "/v1/Instances.Detach/i-1", "", "", ""}, "");
 }
+constexpr const char* kRollout = R"({"targetService":"a","targetRevision":"v2","durationS":12})";
+ApiResponse beginRollout(FakeController& controller, const std::string& body) {
+  return answerApiRequest(controller, {"POST", "/v1/Rollouts.Begin", body, "", ""}, "");
+}
+void rollsOut(FakeController& controller) {
+  hasVersion3(controller);
+  (void)beginRollout(controller, kRollout);
+}
+void progressTo(FakeController& controller, RolloutPhase phase) {
+  rollsOut(controller);
+  auto rollout = *controller.ownReplica.rollout("a");
+  rollout.setPhase(phase);
+  rollout.percent = 25;
+  rollout.elapsedMs = 7000;
+  rollout.reason = "because";
+  rollout.evidence = {{"r", 1, 2, 3, 4, 5, 6}};
+  (void)controller.write(rolloutProgressEntry(rollout, "leader/1"), Duration(0));
+}
+void shiftsTraffic(FakeController& controller) {
+  progressTo(controller, RolloutPhase::shifting);
+}
+void hasCompleted(FakeController& controller) {
+  progressTo(controller, RolloutPhase::completed);
+}
+void hasReverted(FakeController& controller) {
+  progressTo(controller, RolloutPhase::reverted);
+}
 
 struct Call {
   const char* situation;
@@ -178,6 +205,70 @@
         {"cut off", partitioned, "GET", "", ""},
         {"no fresh read", readsNothing, "GET", "", ""},
         {"other method", usual, "POST", "", ""}}},
+      {"rollouts_begin",
+       "/v1/Rollouts.Begin",
+       {{"begins", hasVersion3, "POST", kRollout, ""},
+        {"the same again", rollsOut, "POST", kRollout, ""},
+        {"the same again, cut off",
+         [](FakeController& controller) {
+           rollsOut(controller);
+           partitioned(controller);
+         },
+         "POST", kRollout, ""},
+        {"the same again after it was reverted", hasReverted, "POST", kRollout, ""},
+        {"another revision meanwhile", rollsOut, "POST",
+         R"({"targetService":"a","targetRevision":"v3","durationS":12})", ""},
+        {"another revision afterwards", hasCompleted, "POST",
+         R"({"targetService":"a","targetRevision":"v3","durationS":12.5})", ""},
+        {"no such service", hasVersion3, "POST", R"({"targetService":"b","targetRevision":"v2","durationS":12})", ""},
+        {"no such service, no fresh read",
+         [](FakeController& controller) {
+           hasVersion3(controller);
+           readsNothing(controller);
+         },
+         "POST", R"({"targetService":"b","targetRevision":"v2","durationS":12})", ""},
+        {"no revision", hasVersion3, "POST", R"({"targetService":"a","durationS":12})", ""},
+        {"empty revision", hasVersion3, "POST", R"({"targetService":"a","targetRevision":"","durationS":12})", ""},
+        {"no duration", hasVersion3, "POST", R"({"targetService":"a","targetRevision":"v2"})", ""},
+        {"duration below a second", hasVersion3, "POST",
+         R"({"targetService":"a","targetRevision":"v2","durationS":0.5})", ""},
+        {"duration above a day", hasVersion3, "POST",
+         R"({"targetService":"a","targetRevision":"v2","durationS":86401})", ""},
+        {"cut short", hasVersion3, "POST", R"({"targetService":"a","targetRev)", ""},
+        {"cut off",
+         [](FakeController& controller) {
+           hasVersion3(controller);
+           partitioned(controller);
+         },
+         "POST", kRollout, ""},
+        {"no outcome of the write",
+         [](FakeController& controller) {
+           hasVersion3(controller);
+           commitsNothing(controller);
+         },
+         "POST", kRollout, ""},
+        {"other method", usual, "GET", "", ""}}},
+      {"rollouts_retrieve",
+       "/v1/Rollouts.Retrieve/a",
+       {{"in progress", rollsOut, "GET", "", ""},
+        {"shifting", shiftsTraffic, "GET", "", ""},
+        {"completed", hasCompleted, "GET", "", ""},
+        {"reverted", hasReverted, "GET", "", ""},
+        {"none", usual, "GET", "", ""},
+        {"cut off", partitioned, "GET", "", ""},
+        {"no fresh read", readsNothing, "GET", "", ""},
+        {"other method", usual, "POST", "", ""}}},
+      {"rollouts_revert",
+       "/v1/Rollouts.Revert",
+       {{"in progress", shiftsTraffic, "POST", R"({"targetService":"a"})", ""},
+        {"reverted", hasReverted, "POST", R"({"targetService":"a"})", ""},
+        {"completed", hasCompleted, "POST", R"({"targetService":"a"})", ""},
+        {"none", usual, "POST", R"({"targetService":"a"})", ""},
+        {"no service", usual, "POST", "{}", ""},
+        {"no JSON", usual, "POST", "rollout", ""},
+        {"cut off", partitioned, "POST", R"({"targetService":"a"})", ""},
+        {"no fresh read", readsNothing, "POST", R"({"targetService":"a"})", ""},
+        {"other method", usual, "GET", "", ""}}},
       {"closures_set",
        "/v1/Closures.Set",
        {{"closes", usual, "POST", R"({"place":"zone-1","note":"n","share":50})", ""},
--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -219,6 +219,29 @@
                                                         .grants = recordsOf<QuotaGrant>("grants", 50),
                                                         .outliersVersion = 52,
                                                         .outliers = recordsOf<RunnerEjection>("outliers", 60)}),
+      frameCase(
+          "frame_lease_question_rollouts.hex",
+          LeaseRequest{.requestId = 4009,
+                       .demand = recordsOf<QuotaDemand>("demand", 110),
+                       .holds = recordsOf<QuotaHolding>("holds", 120),
+                       .load = recordsOf<ZoneLoad>("load", 130),
+                       .attempts = recordsOf<RunnerAttempts>("attempts", 140),
+                       .outliersVersion = 53,
+                       .extension = {.rollouts = {{"service-1",
+                                                   "revision-2",
+                                                   25,
+                                                   31.5,
+                                                   7,
+                                                   {{"route-1", "", 21, 2, 3, 4}, {"route-2", "i-2", 25, 6, 8, 9}}}}}}),
+      frameCase("frame_lease_answer_rollouts.hex",
+                LeaseResponse{.requestId = 4010,
+                              .granted = true,
+                              .commitIndex = 5000000011,
+                              .accessMachines = 13,
+                              .grants = recordsOf<QuotaGrant>("grants", 150),
+                              .outliersVersion = 54,
+                              .outliers = recordsOf<RunnerEjection>("outliers", 160),
+                              .extension = {.exposures = {{"service-1", "revision-2", 1.25}}}}),
       frameCase("frame_quota_draw.hex",
                 QuotaTokenRequest{.requestId = 4005, .waiting = recordsOf<QuotaDemand>("waiting", 70)}),
       frameCase("frame_quota_drawn.hex",
@@ -291,6 +314,27 @@
           .sequence = 200 + serial,
           .state = static_cast<std::int32_t>(state)};
 }
+Runner runnerWithSoftware(int serial) {
+  auto copy = runner(serial, RunnerState::draining);
+  copy.software = {.revision = "revision-" + std::to_string(serial), .warmupMs = 2500};
+  return copy;
+}
+Rollout rolloutOrder() {
+  Rollout order;
+  order.service = "service-1";
+  order.revision = "revision-2";
+  order.durationMs = 14000;
+  return order;
+}
+Rollout rolloutInProgress() {
+  auto rollout = rolloutOrder();
+  rollout.setPhase(RolloutPhase::shifting);
+  rollout.percent = 25;
+  rollout.elapsedMs = 7700;
+  rollout.reason = "the canary showed no fault";
+  rollout.evidence = {{"route-1", 1001, 12, 23, 104, 5, 6}, {"route-2", 2001, 32, 43, 204, 7, 8}};
+  return rollout;
+}
 ZoneDrain zoneDrain(int serial, bool notAccepting) {
   const auto text = std::to_string(serial);
   return {.zone = "place-" + text, .note = "note-" + text, .drainPercent = 10 * serial, .notAccepting = notAccepting};
@@ -321,6 +365,11 @@
                      zoneDrainEntry(zoneDrain(4, true), false, "closure/4"),
                      zoneDrainEntry(zoneDrain(5, false), false, "closure/5")});
 }
+ReplicatedState stateWithRollout() {
+  return stateAfter({firstWrite(), runnerEntry(runner(1, RunnerState::inService), "runner/i-1"),
+                     runnerEntry(runnerWithSoftware(2), "runner/i-2"), rolloutBeginEntry(rolloutOrder(), "operator/9"),
+                     rolloutProgressEntry(rolloutInProgress(), "leader/9")});
+}
 std::string snapshotFor(const ReplicatedState& copy, const std::string& content) {
   return copy.snapshotFor(content.empty() ? content : digestOf(content));
 }
@@ -334,6 +383,10 @@
           "snapshot_of_nothing.hex", [] { return ReplicatedState{}.snapshot(); }, {}, completeOf),
       snapshotCase(
           "snapshot_whole.hex", [] { return laterState().snapshot(); }, {}, completeOf),
+      snapshotCase(
+          "snapshot_with_rollout.hex", [] { return stateWithRollout().snapshot(); }, {}, completeOf),
+      snapshotCase(
+          "snapshot_access_with_rollout.hex", [] { return snapshotFor(stateWithRollout(), ""); }, {}, forNobody),
       snapshotCase(
           "snapshot_access_whole.hex", [] { return snapshotFor(laterState(), ""); }, {}, forNobody),
       snapshotCase(
@@ -444,6 +497,20 @@
       recordCase("entry.hex", entryNumbered(1)),
       recordCase("runner.hex", runner(2, RunnerState::draining)),
       recordCase("closure.hex", zoneDrain(4, true)),
+      {"runner_with_software.hex", [] { return encodeRunner(runnerWithSoftware(2)); },
+       [](const std::string& bytes) -> Result<std::string> {
+         const auto decoded = decodeRunner(bytes);
+         if (!decoded)
+           return tl::unexpected(decoded.error());
+         return encodeRunner(*decoded);
+       },
+       golden::weaknessOf(runnerWithSoftware(2).software)},
+      recordCase("rollout.hex", rolloutInProgress()),
+      {"write_rollout_begin.hex", [] { return avro::encode(rolloutBeginEntry(rolloutOrder(), "operator/9")); }, {}, ""},
+      {"write_rollout_progress.hex",
+       [] { return avro::encode(rolloutProgressEntry(rolloutInProgress(), "leader/9")); },
+       {},
+       ""},
       // Entries as the calls make them: `weakValue` does not apply, most of their fields are filled in later.
       {"write_configuration.hex", [] { return avro::encode(firstWrite()); }, {}, ""},
       {"write_difference.hex",
--- /dev/null
+++ b/tests/rollout_state_test.cpp
@@ -0,0 +1,176 @@
+// Rollouts in the replicated state: what orders and progress entries change, and what a snapshot keeps of them.
+#include <gtest/gtest.h>
+
+#include "state_machine/replicated_state.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::state_machine;
+using namespace zinccleat::transport;
+namespace {
+using Verdict = ReplicatedState::Verdict;
+constexpr std::int64_t kDurationMs = 12000;
+
+Rollout rolloutTo(const std::string& revision, std::int64_t durationMs = kDurationMs) {
+  Rollout rollout;
+  rollout.service = "s";
+  rollout.revision = revision;
+  rollout.durationMs = durationMs;
+  return rollout;
+}
+Rollout stepTo(RolloutPhase phase, std::int32_t percent = 0, const std::string& revision = "v2") {
+  auto rollout = rolloutTo(revision);
+  rollout.setPhase(phase);
+  rollout.percent = percent;
+  return rollout;
+}
+Runner runnerOf(const std::string& id, const std::string& revision, const std::string& service = "s") {
+  Runner runner{id, service, id + ":1", "z", 4, 1, 0};
+  runner.software = {revision, 700};
+  return runner;
+}
+
+class RolloutState : public testing::Test {
+ protected:
+  Verdict apply(LogEntry entry) {
+    entry.index = ++lastIndex_;
+    const auto operationId = entry.operationId;
+    change_ = state_.apply(entry);
+    return *state_.outcomeOf(operationId);
+  }
+  Verdict begin(const Rollout& rollout) { return apply(rolloutBeginEntry(rollout, nextId())); }
+  Verdict progress(const Rollout& rollout) { return apply(rolloutProgressEntry(rollout, nextId())); }
+  void join(const Runner& runner) { apply(runnerEntry(runner, nextId())); }
+  std::string nextId() { return "operation/" + std::to_string(++operations_); }
+
+  ReplicatedState state_;
+  ReplicatedState::Change change_;
+
+ private:
+  std::int64_t lastIndex_ = 0;
+  int operations_ = 0;
+};
+}  // namespace
+
+TEST_F(RolloutState, AnOrderThatIsRepeatedIsAcknowledgedAgainAndChangesNothing) {
+  EXPECT_EQ(begin(rolloutTo("v2")), Verdict::acknowledged);
+  EXPECT_TRUE(change_.rollouts);
+  EXPECT_EQ(progress(stepTo(RolloutPhase::shifting, 25)), Verdict::acknowledged);
+
+  EXPECT_EQ(begin(rolloutTo("v2")), Verdict::acknowledged);
+  EXPECT_FALSE(change_.rollouts);
+  EXPECT_EQ(state_.rollout("s")->percent, 25) << "it does not begin anew";
+
+  EXPECT_EQ(progress(stepTo(RolloutPhase::reverted)), Verdict::acknowledged);
+  EXPECT_EQ(begin(rolloutTo("v2")), Verdict::acknowledged) << "the acknowledgement may have been lost until now";
+  EXPECT_EQ(state_.rollout("s")->phase(), RolloutPhase::reverted);
+}
+TEST_F(RolloutState, ASecondRolloutOfAServiceWaitsForTheFirst) {
+  begin(rolloutTo("v2"));
+  EXPECT_EQ(begin(rolloutTo("v3")), Verdict::conflict);
+  EXPECT_EQ(begin(rolloutTo("v2", kDurationMs + 1)), Verdict::conflict);
+  EXPECT_EQ(state_.rollout("s")->revision, "v2");
+
+  progress(stepTo(RolloutPhase::reverted));
+  EXPECT_EQ(begin(rolloutTo("v3")), Verdict::acknowledged);
+  EXPECT_EQ(state_.rollout("s")->revision, "v3");
+  EXPECT_EQ(state_.state().rollouts.size(), 1U);
+}
+TEST_F(RolloutState, ProgressNeverGoesBack) {
+  begin(rolloutTo("v2"));
+  EXPECT_EQ(progress(stepTo(RolloutPhase::shifting, 50)), Verdict::acknowledged);
+  EXPECT_EQ(progress(stepTo(RolloutPhase::shifting, 25)), Verdict::conflict);
+  EXPECT_EQ(progress(stepTo(RolloutPhase::canary)), Verdict::conflict);
+  EXPECT_EQ(state_.rollout("s")->percent, 50);
+}
+TEST_F(RolloutState, CompletedAndRevertedAreFinal) {
+  begin(rolloutTo("v2"));
+  progress(stepTo(RolloutPhase::reverted));
+  EXPECT_EQ(progress(stepTo(RolloutPhase::completed, 100)), Verdict::conflict);
+  EXPECT_EQ(progress(stepTo(RolloutPhase::reverted)), Verdict::acknowledged);
+  EXPECT_EQ(state_.rollout("s")->phase(), RolloutPhase::reverted);
+}
+TEST_F(RolloutState, ProgressOfAnotherRolloutChangesNothing) {
+  EXPECT_EQ(progress(stepTo(RolloutPhase::completed, 100)), Verdict::conflict);
+  begin(rolloutTo("v3"));
+  EXPECT_EQ(progress(stepTo(RolloutPhase::completed, 100)), Verdict::conflict) << "an entry of a rollout before it";
+  EXPECT_TRUE(state_.rollout("s")->inProgress());
+}
+TEST_F(RolloutState, TheElapsedTimeNeverFalls) {
+  begin(rolloutTo("v2"));
+  auto later = stepTo(RolloutPhase::canary);
+  later.elapsedMs = 3000;
+  progress(later);
+  auto earlier = stepTo(RolloutPhase::shifting, 25);
+  earlier.elapsedMs = 2000;
+  progress(earlier);
+  EXPECT_EQ(state_.rollout("s")->elapsedMs, 3000);
+}
+TEST_F(RolloutState, CompletionTakesTheOldRunnersOutForGood) {
+  join(runnerOf("old-1", "v1"));
+  join(runnerOf("old-2", ""));
+  join(runnerOf("new-1", "v2"));
+  join(runnerOf("other", "v1", "another service"));
+  begin(rolloutTo("v2"));
+  progress(stepTo(RolloutPhase::completed, 100));
+  EXPECT_TRUE(change_.runners);
+  EXPECT_FALSE(state_.runner("old-1"));
+  EXPECT_FALSE(state_.runner("old-2"));
+  EXPECT_TRUE(state_.runner("new-1"));
+  EXPECT_TRUE(state_.runner("other"));
+
+  auto late = runnerOf("old-1", "v1");
+  late.sequence = 9;
+  join(late);
+  EXPECT_FALSE(state_.runner("old-1")) << "its heartbeat was under way when the operator stopped it";
+}
+TEST_F(RolloutState, ASnapshotKeepsRolloutsAndRevisions) {
+  join(runnerOf("old-1", "v1"));
+  join(runnerOf("new-1", "v2"));
+  begin(rolloutTo("v2"));
+  auto step = stepTo(RolloutPhase::shifting, 25);
+  step.evidence = {{"r", 1, 2, 3, 4, 5, 6}};
+  step.reason = "why";
+  progress(step);
+  for (const auto& bytes : {state_.snapshot(), state_.snapshotFor("")}) {
+    ReplicatedState copy;
+    ASSERT_TRUE(copy.restore(bytes));
+    ASSERT_TRUE(copy.rollout("s"));
+    EXPECT_EQ(copy.rollout("s")->percent, 25);
+    EXPECT_EQ(copy.rollout("s")->reason, "why");
+    EXPECT_EQ(copy.rollout("s")->evidence.at(0).candidateSlow, 6);
+    EXPECT_EQ(copy.runner("new-1")->software, (RunnerSoftware{"v2", 700}));
+  }
+}
+TEST_F(RolloutState, ATornExtensionOfASnapshotIsRefused) {
+  join(runnerOf("old-1", "v1"));
+  begin(rolloutTo("v2"));
+  const auto bytes = state_.snapshot();
+  ReplicatedState plain;
+  for (std::size_t cut = 1; cut <= 8; ++cut) {
+    ReplicatedState copy;
+    EXPECT_FALSE(copy.restore(bytes.substr(0, bytes.size() - cut))) << cut;
+    EXPECT_EQ(copy.state().index, 0);
+  }
+}
+TEST_F(RolloutState, AStateWithoutRevisionsHasTheSnapshotOfEarlierVersions) {
+  Runner plain{"i", "s", "i:1", "z", 4, 1, 0};
+  const auto entry = runnerEntry(plain, "x");
+  auto withRevision = plain;
+  withRevision.software.revision = "v1";
+  EXPECT_TRUE(encodeRunner(withRevision).starts_with(entry.body)) << "earlier versions ignore what follows";
+  EXPECT_EQ(decodeRunner(entry.body)->software, RunnerSoftware{});
+}
+TEST_F(RolloutState, ManyServicesAreBoundedAndThoseInProgressStay) {
+  for (int serial = 0; serial < 600; ++serial) {
+    auto rollout = rolloutTo("v2");
+    rollout.service = "s" + std::to_string(serial);
+    begin(rollout);
+    if (serial == 0)
+      continue;
+    rollout.setPhase(RolloutPhase::reverted);
+    progress(rollout);
+  }
+  EXPECT_LE(state_.state().rollouts.size(), 256U);
+  EXPECT_TRUE(state_.rollout("s0"));
+  EXPECT_TRUE(state_.rollout("s599"));
+}
--- /dev/null
+++ b/tests/rollout_test.cpp
@@ -0,0 +1,422 @@
+// The rollout engine: the sequential test, the ledger of evidence, the plan of a rollout, and the gate of a proxy.
+#include <gtest/gtest.h>
+
+#include "rollout/evidence_ledger.hpp"
+#include "rollout/revision_gate.hpp"
+#include "rollout/rollout_plan.hpp"
+#include "rollout/rollout_tracker.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::rollout;
+using namespace zinccleat::state_machine;
+using namespace zinccleat::transport;
+namespace {
+using Rule = RevisionFilter::Rule;
+const TimePoint kStart = TimePoint{} + 1h;
+constexpr std::int64_t kDurationMs = 10000;
+
+RevisionAnswers answersOf(const std::string& runner, double answered, double failed, double slow = 0,
+                          double interrupted = 0, const std::string& route = "r") {
+  return {route, runner, answered, failed, interrupted, slow};
+}
+Rollout rolloutIn(RolloutPhase phase, std::int32_t percent = 0) {
+  Rollout rollout;
+  rollout.service = "s";
+  rollout.revision = "v2";
+  rollout.durationMs = kDurationMs;
+  rollout.setPhase(phase);
+  rollout.percent = percent;
+  return rollout;
+}
+EvidenceLedger soundEvidence() {
+  EvidenceLedger ledger;
+  ledger.report(kStart, {answersOf("", 2000, 4), answersOf("n1", 60, 0), answersOf("n2", 60, 0)});
+  return ledger;
+}
+EvidenceLedger faultyEvidence() {
+  EvidenceLedger ledger;
+  ledger.report(kStart, {answersOf("", 2000, 4), answersOf("n1", 20, 10), answersOf("n2", 20, 9)});
+  return ledger;
+}
+constexpr FleetView kReady{.baselineCapacity = 100, .candidateCapacity = 100, .baselineIsIdle = false};
+Duration partOf(double part) {
+  return Duration(static_cast<Duration::rep>(kDurationMs * part));
+}
+RevisionGate gateIn(RolloutPhase phase, std::int32_t percent = 0) {
+  RevisionGate gate(7);
+  gate.setRollouts({rolloutIn(phase, percent)});
+  return gate;
+}
+ObservedAttempt attemptAt(const std::string& revision, bool failed, bool answered = true) {
+  return {.route = "r", .runner = "i", .revision = revision, .answered = answered, .failed = failed};
+}
+}  // namespace
+
+// --- The sequential test ---
+
+TEST(SequentialTest, TheSoundRateLiesAboveTheBaselinesAndFallsWithItsAnswers) {
+  const double few = soundRate({1, 10}, kFailureTest);
+  const double many = soundRate({100, 1000}, kFailureTest);
+  EXPECT_GT(few, many);
+  EXPECT_GT(many, 0.1 + kFailureTest.tolerance);
+  EXPECT_LT(many, 0.16);
+  EXPECT_EQ(soundRate({0, 0}, kFailureTest), kFailureTest.unknownSoundRate);
+  EXPECT_LE(soundRate({50, 50}, kFailureTest), 0.9);
+}
+TEST(SequentialTest, EvidenceRisesWithBadAnswersAndFallsWithGoodOnes) {
+  const double rate = 0.03;
+  EXPECT_EQ(logEvidence({0, 0}, rate), 0);
+  EXPECT_LT(logEvidence({0, 100}, rate), 0);
+  EXPECT_GT(logEvidence({10, 20}, rate), logEvidence({5, 20}, rate));
+  EXPECT_GT(logEvidence({10, 20}, rate), logEvidence({10, 80}, rate));
+  EXPECT_EQ(logEvidence({10, 20}, 0.99), 0) << "no alternative is left above it";
+}
+// Ville's inequality: at the sound rate itself evidence of 1/alpha is ever reached with a probability of alpha at most.
+TEST(SequentialTest, LookingAfterEachAnswerKeepsTheErrorRate) {
+  std::mt19937_64 rng(11);
+  constexpr double kRate = 0.05;
+  constexpr double kAlpha = 0.02;
+  constexpr int kRuns = 3000;
+  int crossed = 0;
+  for (int run = 0; run < kRuns; ++run) {
+    BadCount count;
+    for (int answer = 0; answer < 400; ++answer) {
+      count += {std::bernoulli_distribution(kRate)(rng) ? 1.0 : 0.0, 1};
+      if (logEvidence(count, kRate) < std::log(1 / kAlpha))
+        continue;
+      ++crossed;
+      break;
+    }
+  }
+  EXPECT_LE(crossed, kRuns * kAlpha);
+}
+
+// --- The ledger ---
+
+TEST(EvidenceLedgerTest, ManyFailuresOfSeveralRunnersAreAFault) {
+  const auto fault = faultyEvidence().findFault();
+  ASSERT_TRUE(fault);
+  EXPECT_EQ(fault->route, "r");
+  EXPECT_FALSE(fault->slow);
+  EXPECT_FALSE(soundEvidence().findFault());
+  EXPECT_FALSE(soundEvidence().isSuspicious());
+}
+TEST(EvidenceLedgerTest, FailuresThatTheBaselineHasTooAreNone) {
+  EvidenceLedger ledger;
+  ledger.report(kStart, {answersOf("", 1000, 300), answersOf("n1", 60, 19), answersOf("n2", 60, 17)});
+  EXPECT_FALSE(ledger.findFault());
+}
+TEST(EvidenceLedgerTest, SlowAnswersAreAFaultOfTheirOwn) {
+  EvidenceLedger ledger;
+  ledger.report(kStart, {answersOf("", 1000, 0, 30), answersOf("n1", 15, 0, 14), answersOf("n2", 15, 0, 13)});
+  const auto fault = ledger.findFault();
+  ASSERT_TRUE(fault);
+  EXPECT_TRUE(fault->slow);
+}
+TEST(EvidenceLedgerTest, OneRouteIsEnough) {
+  EvidenceLedger ledger;
+  for (const auto* route : {"a", "b", "c"})
+    ledger.report(kStart,
+                  {answersOf("", 1000, 2, 0, 0, route), answersOf("n1", 30, route[0] == 'b' ? 14 : 0, 0, 0, route),
+                   answersOf("n2", 30, route[0] == 'b' ? 15 : 0, 0, 0, route)});
+  const auto fault = ledger.findFault();
+  ASSERT_TRUE(fault);
+  EXPECT_EQ(fault->route, "b");
+}
+TEST(EvidenceLedgerTest, ARunnerThatCrashedSaysNothingOfItsVersion) {
+  EvidenceLedger ledger;
+  ledger.report(kStart,
+                {answersOf("", 1000, 2), answersOf("n1", 40, 0), answersOf("n2", 40, 0), answersOf("n3", 40, 0)});
+  ledger.report(kStart + 1s, {answersOf("n1", 0, 0, 0, 30)});
+  ledger.report(kStart + 2s, {answersOf("n2", 10, 0)});
+  EXPECT_FALSE(ledger.findFault());
+  EXPECT_EQ(ledger.candidateBadAnswers(), 30) << "but they count among the bad ones";
+}
+TEST(EvidenceLedgerTest, AnswersThatBreakOffAtRunnersThatGoOnAreFailures) {
+  EvidenceLedger ledger;
+  ledger.report(kStart, {answersOf("", 1000, 2)});
+  for (int second = 1; second <= 4; ++second)
+    ledger.report(kStart + std::chrono::seconds(second),
+                  {answersOf("n1", 4, 0, 0, 5), answersOf("n2", 4, 0, 0, 5), answersOf("n3", 4, 0, 0, 5)});
+  EXPECT_TRUE(ledger.findFault());
+}
+TEST(EvidenceLedgerTest, OneBadRunnerOfThreeIsNotTheVersion) {
+  EvidenceLedger ledger;
+  ledger.report(kStart,
+                {answersOf("", 1000, 2), answersOf("n1", 50, 30), answersOf("n2", 50, 0), answersOf("n3", 50, 1)});
+  EXPECT_FALSE(ledger.findFault());
+}
+TEST(EvidenceLedgerTest, ANewLeaderContinuesWithWhatTheLogHolds) {
+  const EvidenceLedger next(faultyEvidence().summary());
+  EXPECT_TRUE(next.findFault());
+  EXPECT_EQ(next.candidateAnswers(), 40);
+}
+TEST(EvidenceLedgerTest, NumbersThatNoProxyCanCountAreIgnored) {
+  EvidenceLedger ledger;
+  ledger.report(kStart, {answersOf("n1", std::nan(""), -5, 1e300, -1), answersOf("n2", 5, 50)});
+  EXPECT_EQ(ledger.candidateAnswers(), 5);
+  EXPECT_EQ(ledger.candidateBadAnswers(), 5);
+}
+
+// --- The plan ---
+
+TEST(RolloutPlan, TheCanaryLastsForHalfOfTheTerm) {
+  const auto canary = rolloutIn(RolloutPhase::canary);
+  EXPECT_FALSE(nextStep(canary, soundEvidence(), kReady, partOf(0.5), partOf(0.5)));
+  const auto step = nextStep(canary, soundEvidence(), kReady, partOf(0.56), partOf(0.56));
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->phase, RolloutPhase::shifting);
+  EXPECT_LT(step->percent, 100);
+}
+TEST(RolloutPlan, AFaultRevertsInEachPhase) {
+  for (const auto& rollout : {rolloutIn(RolloutPhase::canary), rolloutIn(RolloutPhase::shifting, 25),
+                              rolloutIn(RolloutPhase::shifting, 100)}) {
+    const auto step = nextStep(rollout, faultyEvidence(), kReady, partOf(0.1), Duration(0));
+    ASSERT_TRUE(step);
+    EXPECT_EQ(step->phase, RolloutPhase::reverted);
+    EXPECT_NE(step->reason.find("19 of 40"), std::string::npos) << step->reason;
+  }
+}
+TEST(RolloutPlan, EachStepOfTheShiftIsObserved) {
+  const auto shifting = rolloutIn(RolloutPhase::shifting, 25);
+  EXPECT_FALSE(nextStep(shifting, soundEvidence(), kReady, partOf(0.6), Duration(100)));
+  const auto step = nextStep(shifting, soundEvidence(), kReady, partOf(0.6), Duration(500));
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->percent, 50);
+}
+TEST(RolloutPlan, CompletionWaitsForAttemptsAtTheOldRunnersWithinBounds) {
+  const auto full = rolloutIn(RolloutPhase::shifting, 100);
+  EXPECT_FALSE(nextStep(full, soundEvidence(), kReady, partOf(0.7), partOf(0.1)));
+  auto idle = kReady;
+  idle.baselineIsIdle = true;
+  EXPECT_FALSE(nextStep(full, soundEvidence(), idle, partOf(0.7), Duration(300))) << "the full traffic is observed too";
+  EXPECT_EQ(nextStep(full, soundEvidence(), idle, partOf(0.7), partOf(0.1))->phase, RolloutPhase::completed);
+  EXPECT_EQ(nextStep(full, soundEvidence(), kReady, partOf(0.89), partOf(0.1))->phase, RolloutPhase::completed);
+}
+TEST(RolloutPlan, WhatCantBeTestedOrCantCarryTheTrafficIsRevertedBeforeTheTerm) {
+  const auto canary = rolloutIn(RolloutPhase::canary);
+  const EvidenceLedger nothing;
+  EXPECT_FALSE(nextStep(canary, nothing, kReady, partOf(0.9), partOf(0.9)));
+  EXPECT_EQ(nextStep(canary, nothing, kReady, partOf(0.95), partOf(0.95))->phase, RolloutPhase::reverted);
+  auto few = kReady;
+  few.candidateCapacity = 40;
+  EXPECT_FALSE(nextStep(canary, soundEvidence(), few, partOf(0.9), partOf(0.9)));
+  EXPECT_EQ(nextStep(canary, soundEvidence(), few, partOf(0.95), partOf(0.95))->phase, RolloutPhase::reverted);
+}
+TEST(RolloutPlan, ARolloutThatIsOverTakesNoStep) {
+  for (const auto phase : {RolloutPhase::completed, RolloutPhase::reverted})
+    EXPECT_FALSE(nextStep(rolloutIn(phase, 100), faultyEvidence(), kReady, partOf(2), partOf(1)));
+}
+
+// --- The tracker ---
+
+namespace {
+StateContents stateWith(const Rollout& rollout) {
+  StateContents state;
+  state.rollouts = {rollout};
+  for (const auto* id : {"o1", "o2", "n1", "n2"}) {
+    Runner runner{id, "s", std::string(id) + ":1", "z", 4, 1, 0};
+    runner.software.revision = id[0] == 'n' ? "v2" : "v1";
+    state.runners.push_back(runner);
+  }
+  return state;
+}
+RolloutReport reportOf(double requests, std::vector<RevisionAnswers> answers = {}, std::int32_t percent = 0,
+                       std::int64_t inFlight = 0) {
+  return {"s", "v2", percent, requests, inFlight, std::move(answers)};
+}
+}  // namespace
+TEST(RolloutTrackerTest, AllGrantsTogetherStayBelowTheShareOfAllRequestsWhoeverLeads) {
+  const auto state = stateWith(rolloutIn(RolloutPhase::canary));
+  double granted = 0;
+  double requests = 0;
+  for (int leader = 0; leader < 5; ++leader) {
+    RolloutTracker tracker(0.1);
+    tracker.follow(kStart, state);
+    tracker.startTerm();
+    for (int proxy = 0; proxy < 300; ++proxy) {
+      requests += 3;
+      granted += tracker.report(kStart, "p" + std::to_string(proxy), reportOf(3))->tokens;
+    }
+  }
+  EXPECT_LE(granted, 0.1 * requests);
+  EXPECT_GT(granted, 0.05 * requests);
+}
+TEST(RolloutTrackerTest, NothingIsGrantedOutsideTheCanary) {
+  for (const auto& rollout : {rolloutIn(RolloutPhase::shifting, 50), rolloutIn(RolloutPhase::reverted)}) {
+    RolloutTracker tracker(0.1);
+    tracker.follow(kStart, stateWith(rollout));
+    const auto grant = tracker.report(kStart, "p", reportOf(100));
+    EXPECT_TRUE(!grant || grant->tokens == 0);
+  }
+  RolloutTracker tracker(0.1);
+  tracker.follow(kStart, stateWith(rolloutIn(RolloutPhase::canary)));
+  auto other = reportOf(100);
+  other.revision = "v3";
+  EXPECT_FALSE(tracker.report(kStart, "p", other));
+}
+TEST(RolloutTrackerTest, AFollowerThatBecomesLeaderKnowsHowLongTheRolloutHasLasted) {
+  const auto state = stateWith(rolloutIn(RolloutPhase::canary));
+  RolloutTracker tracker(0.1);
+  tracker.follow(kStart, state);
+  tracker.follow(kStart + partOf(0.6), state);
+  tracker.startTerm();
+  const std::vector<RevisionAnswers> sound{answersOf("", 1000, 1), answersOf("n1", 30, 0), answersOf("n2", 30, 0)};
+  tracker.report(kStart + partOf(0.6), "p", reportOf(100, sound));
+  const auto records = tracker.decide(kStart + partOf(0.6), state);
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(records[0].phase(), RolloutPhase::shifting);
+  EXPECT_GE(records[0].elapsedMs, kDurationMs * 6 / 10);
+  EXPECT_FALSE(records[0].evidence.empty());
+}
+TEST(RolloutTrackerTest, AControllerThatStartsLateTakesTheElapsedTimeFromTheLog) {
+  auto rollout = rolloutIn(RolloutPhase::canary);
+  rollout.elapsedMs = kDurationMs * 95 / 100;
+  RolloutTracker tracker(0.1);
+  tracker.follow(kStart, stateWith(rollout));
+  tracker.startTerm();
+  const auto records = tracker.decide(kStart, stateWith(rollout));
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(records[0].phase(), RolloutPhase::reverted) << "untested, and the term is nearly over";
+}
+TEST(RolloutTrackerTest, EvidenceIsWrittenNowAndThen) {
+  const auto state = stateWith(rolloutIn(RolloutPhase::canary));
+  RolloutTracker tracker(0.1);
+  tracker.follow(kStart, state);
+  tracker.startTerm();
+  EXPECT_TRUE(tracker.decide(kStart + 500ms, state).empty());
+  const auto records = tracker.decide(kStart + 2100ms, state);
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(records[0].phase(), RolloutPhase::canary);
+  EXPECT_EQ(records[0].elapsedMs, 2100);
+  EXPECT_TRUE(tracker.decide(kStart + 2200ms, state).empty());
+}
+TEST(RolloutTrackerTest, CompletionWaitsForAllProxiesThatReport) {
+  const auto state = stateWith(rolloutIn(RolloutPhase::shifting, 100));
+  RolloutTracker tracker(0.1);
+  tracker.follow(kStart, state);
+  tracker.startTerm();
+  const auto decidesAt = [&](TimePoint now) {
+    const auto records = tracker.decide(now, state);
+    return !records.empty() && records[0].phase() == RolloutPhase::completed;
+  };
+  const auto later = kStart + 1500ms;
+  tracker.report(later, "p1", reportOf(5, {}, 100, 0));
+  tracker.report(later, "p2", reportOf(5, {}, 100, 2));
+  EXPECT_FALSE(decidesAt(later)) << "two attempts are in flight";
+  tracker.report(later + 100ms, "p2", reportOf(5, {}, 50, 0));
+  EXPECT_FALSE(decidesAt(later + 100ms)) << "it has not heard of the last step";
+  tracker.report(later + 200ms, "p2", reportOf(5, {}, 100, 0));
+  EXPECT_TRUE(decidesAt(later + 200ms));
+}
+
+// --- The gate ---
+
+TEST(RevisionGateTest, WithoutARolloutNothingIsFiltered) {
+  RevisionGate gate;
+  EXPECT_FALSE(gate.hasRollouts());
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::any);
+  EXPECT_TRUE(gate.takeReports().empty());
+}
+TEST(RevisionGateTest, TheCanaryGetsOneRequestForEachToken) {
+  auto gate = gateIn(RolloutPhase::canary);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::except);
+  gate.addGrants({{"s", "v2", 0.7}}, kStart);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::except) << "fractions add up";
+  gate.addGrants({{"s", "v2", 0.7}}, kStart);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::only);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::except);
+  EXPECT_EQ(gate.choose("another", 1, false, kStart).rule, Rule::any);
+}
+TEST(RevisionGateTest, AProxyThatHearsNothingStopsByItself) {
+  auto gate = gateIn(RolloutPhase::canary);
+  gate.addGrants({{"s", "v2", 3}}, kStart);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart + 1s).rule, Rule::only);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart + RevisionGate::kGrantLifetime).rule, Rule::except);
+  gate.addGrants({{"s", "v2", 0.5}}, kStart + 5s);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart + 5s).rule, Rule::except) << "expired tokens do not come back";
+}
+TEST(RevisionGateTest, RetriesGoToTheBaselineAndNobodyElseGetsTheCanarysPart) {
+  auto gate = gateIn(RolloutPhase::canary);
+  gate.addGrants({{"s", "v2", 3}}, kStart);
+  const auto retry = gate.choose("s", 1, true, kStart);
+  EXPECT_EQ(retry.rule, Rule::except);
+  EXPECT_FALSE(gate.fallback("s", retry)) << "no runner is left, yet the candidate gets nothing beyond its tokens";
+  const auto canary = gate.choose("s", 1, false, kStart);
+  EXPECT_EQ(gate.fallback("s", canary)->rule, Rule::except);
+}
+TEST(RevisionGateTest, WhatIsRevertedGetsNothing) {
+  auto gate = gateIn(RolloutPhase::reverted);
+  gate.addGrants({{"s", "v2", 3}}, kStart);
+  const auto filter = gate.choose("s", 1, false, kStart);
+  EXPECT_EQ(filter.rule, Rule::except);
+  EXPECT_FALSE(filter.matches("v2"));
+  EXPECT_TRUE(filter.matches("v1"));
+  EXPECT_FALSE(gate.fallback("s", filter));
+}
+TEST(RevisionGateTest, TheShiftUsesAsManyRunnersAsItMovesTraffic) {
+  for (const std::int32_t percent : {25, 50, 100}) {
+    auto gate = gateIn(RolloutPhase::shifting, percent);
+    EXPECT_EQ(gate.choose("s", 77, false, kStart).runnerShare, percent / 100.0) << "the prefix decides, in the pool";
+    int moved = 0;
+    for (int i = 0; i < 2000; ++i)
+      moved += gate.choose("s", 0, false, kStart).rule == Rule::only ? 1 : 0;
+    EXPECT_NEAR(moved, 20.0 * percent, 100);
+    EXPECT_EQ(gate.fallback("s", {Rule::except, "v2", 1})->rule, Rule::only) << "rather than nobody";
+  }
+}
+TEST(RevisionGateTest, ATokenThatNoRunnerFitsIsGivenBack) {
+  auto gate = gateIn(RolloutPhase::canary);
+  gate.addGrants({{"s", "v2", 1}}, kStart);
+  const auto canary = gate.choose("s", 1, false, kStart);
+  EXPECT_EQ(gate.fallback("s", canary)->rule, Rule::except);
+  EXPECT_EQ(gate.choose("s", 2, false, kStart).rule, Rule::only);
+}
+TEST(RevisionGateTest, AProxyThatSeesTheCandidateFailStopsAtOnce) {
+  auto gate = gateIn(RolloutPhase::shifting, 100);
+  for (int i = 0; i < 20; ++i)
+    gate.recordAttempt("s", attemptAt("v1", false));
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::only);
+  for (int i = 0; i < 5; ++i)
+    gate.recordAttempt("s", attemptAt("v2", i % 2 == 0));
+  const auto filter = gate.choose("s", 1, false, kStart);
+  EXPECT_EQ(filter.rule, Rule::except);
+  EXPECT_FALSE(gate.fallback("s", filter));
+  EXPECT_EQ(gate.takeReports().at(0).percent, 0) << "the leader learns that it does not follow";
+}
+TEST(RevisionGateTest, FailuresOfBothRevisionsStopNothing) {
+  auto gate = gateIn(RolloutPhase::shifting, 100);
+  for (int i = 0; i < 40; ++i) {
+    gate.recordAttempt("s", attemptAt("v1", i % 2 == 0));
+    gate.recordAttempt("s", attemptAt("v2", i % 2 == 0));
+  }
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::only);
+}
+TEST(RevisionGateTest, ReportsCountEachAttemptOnce) {
+  auto gate = gateIn(RolloutPhase::canary);
+  gate.recordRequest("s");
+  gate.recordRequest("another");
+  gate.recordAttempt("s", attemptAt("v1", true));
+  gate.recordAttempt("s", attemptAt("v2", false));
+  gate.recordAttempt("s", attemptAt("v2", false, false));
+  const auto reports = gate.takeReports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].requests, 1);
+  ASSERT_EQ(reports[0].answers.size(), 2U);
+  EXPECT_EQ(reports[0].answers[0].runner, "") << "the baseline's runners are counted together";
+  EXPECT_EQ(reports[0].answers[0].failed, 1);
+  EXPECT_EQ(reports[0].answers[1].answered, 1);
+  EXPECT_EQ(reports[0].answers[1].interrupted, 1);
+  EXPECT_EQ(gate.takeReports().at(0).requests, 0);
+  EXPECT_TRUE(gate.takeReports().at(0).answers.empty());
+}
+TEST(RevisionGateTest, ARepeatedStateKeepsTokensAndCounts) {
+  auto gate = gateIn(RolloutPhase::canary);
+  gate.addGrants({{"s", "v2", 1}}, kStart);
+  gate.recordRequest("s");
+  gate.setRollouts({rolloutIn(RolloutPhase::canary)});
+  EXPECT_EQ(gate.takeReports().at(0).requests, 1);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::only);
+  gate.setRollouts({});
+  EXPECT_FALSE(gate.hasRollouts());
+}
--- /dev/null
+++ b/tests/rollout_worlds_test.cpp
@@ -0,0 +1,123 @@
+// Rollouts in seeded worlds: good and bad versions, while leaders die, runners crash and proxies hear nothing.
+//
+// ZINCCLEAT_WORLDS=2000 target/zinccleat_tests --gtest_filter='RolloutWorlds.*' plays more seeds of each kind and
+// prints the table of docs/notes-rollouts.md.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "rollout_world.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::rollout_world;
+using namespace zinccleat::state_machine;
+namespace {
+constexpr int kUsualWorlds = 12;
+constexpr double kExposureShare = 0.1;
+constexpr double kExposureSlack = 50;
+constexpr std::uint64_t kFirstSeed = 4000;
+
+int worldCount() {
+  const char* wanted = std::getenv("ZINCCLEAT_WORLDS");
+  return wanted ? std::max(1, std::atoi(wanted)) : kUsualWorlds;
+}
+struct Kind {
+  const char* name;
+  Plan plan;
+};
+std::ostream& operator<<(std::ostream& out, const Kind& kind) {
+  return out << kind.name;
+}
+Plan withTrouble(Version version) {
+  Plan plan{.version = version};
+  plan.leaderChanges = 2;
+  plan.crashedRunners = 0.15;
+  plan.baselineFailures = 0.03;
+  plan.silentProxies = 0.2;
+  return plan;
+}
+Plan smallService(Version version) {
+  Plan plan{.version = version};
+  plan.runners = 4;
+  plan.requestsPerS = 3;
+  return plan;
+}
+struct Counts {
+  int completed = 0, reverted = 0, undecided = 0, overExposed = 0, lateBad = 0, afterReversal = 0;
+  double worstExposure = 0;  // of what is allowed
+};
+Counts playAll(const Kind& kind) {
+  Counts counts;
+  std::string reasons;
+  for (int world = 0; world < worldCount(); ++world) {
+    auto plan = kind.plan;
+    plan.seed = kFirstSeed + static_cast<std::uint64_t>(world);
+    const auto outcome = play(plan);
+    counts.completed += outcome.phase == RolloutPhase::completed ? 1 : 0;
+    counts.reverted += outcome.phase == RolloutPhase::reverted ? 1 : 0;
+    const auto wanted = plan.version == Version::good ? RolloutPhase::completed : RolloutPhase::reverted;
+    if (outcome.phase != wanted)
+      reasons += "seed " + std::to_string(plan.seed) + ": " + outcome.reason + "\n";
+    counts.undecided += outcome.inProgress() ? 1 : 0;
+    const double allowed = kExposureShare * outcome.requests + kExposureSlack;
+    if (plan.version != Version::good && outcome.phase == RolloutPhase::reverted)
+      counts.worstExposure = std::max(counts.worstExposure, outcome.candidateRequests / allowed);
+    counts.overExposed += plan.version != Version::good && outcome.candidateRequests > allowed ? 1 : 0;
+    counts.afterReversal += outcome.afterReversal > 0 ? 1 : 0;
+  }
+  if (!reasons.empty())
+    std::printf("%s", reasons.c_str());
+  std::printf("| %s | %d | %d | %d | %d | %d | %.2f |\n", kind.name, worldCount(), counts.completed, counts.reverted,
+              counts.undecided, counts.overExposed, counts.worstExposure);
+  return counts;
+}
+std::string nameOf(const testing::TestParamInfo<Kind>& info) {
+  std::string name;
+  for (const char letter : std::string(info.param.name))
+    if (std::isalnum(static_cast<unsigned char>(letter)))
+      name += letter;
+  return name;
+}
+}  // namespace
+
+class RolloutWorlds : public testing::TestWithParam<Kind> {};
+TEST_P(RolloutWorlds, EndAsTheVersionDeserves) {
+  const auto counts = playAll(GetParam());
+  const bool isGood = GetParam().plan.version == Version::good;
+  EXPECT_EQ(isGood ? counts.completed : counts.reverted, worldCount());
+  EXPECT_EQ(counts.undecided, 0);
+  EXPECT_EQ(counts.overExposed, 0);
+  // A proxy that heard nothing may send a little longer, until its lease ends; here it hears nothing for 3 s.
+  if (GetParam().plan.silentProxies <= 0) {
+    EXPECT_EQ(counts.afterReversal, 0);
+  }
+}
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, RolloutWorlds,
+    testing::Values(Kind{"good", {.version = Version::good}}, Kind{"good, trouble", withTrouble(Version::good)},
+                    Kind{"good, small service", smallService(Version::good)}, Kind{"bad", {.version = Version::bad}},
+                    Kind{"bad, trouble", withTrouble(Version::bad)},
+                    Kind{"bad, small service", smallService(Version::bad)}, Kind{"late", {.version = Version::late}},
+                    Kind{"late, trouble", withTrouble(Version::late)}, Kind{"faint", {.version = Version::faint}},
+                    Kind{"one route", {.version = Version::oneRoute}},
+                    Kind{"one route, trouble", withTrouble(Version::oneRoute)},
+                    Kind{"slow", {.version = Version::slow}}, Kind{"slow, trouble", withTrouble(Version::slow)},
+                    Kind{"under load", {.version = Version::underLoad}}),
+    nameOf);
+
+// Runners that ail for reasons of their own, of both revisions: the version is not to blame.
+TEST(RolloutWorldsAiling, AGoodVersionIsHardlyEverReverted) {
+  for (const int runners : {30, 90}) {
+    Plan plan{.version = Version::good};
+    plan.ailingRunners = 0.15;
+    plan.runners = runners;
+    int reverted = 0;
+    for (int world = 0; world < worldCount(); ++world) {
+      plan.seed = kFirstSeed + static_cast<std::uint64_t>(world);
+      reverted += play(plan).phase == RolloutPhase::reverted ? 1 : 0;
+    }
+    std::printf("good, 15 in 100 runners ail, %d runners: %d of %d reverted\n", runners, reverted, worldCount());
+    EXPECT_LE(reverted, 1 + worldCount() / 10);
+  }
+}
