--- a/libs/rollout/include/rollout/evidence_ledger.hpp
+++ b/libs/rollout/include/rollout/evidence_ledger.hpp
@@ -21,7 +21,9 @@
   /// Begins with what an earlier leader had gathered.
   explicit EvidenceLedger(const std::vector<state_machine::RouteEvidence>& carriedOver = {});
   /// Adds one proxy's counts since its last report.
-  void report(TimePoint now, const std::vector<transport::RevisionAnswers>& answers);
+  /// @param previousReport when that was; none: this is its first, whose answers may be of any age
+  void report(TimePoint now, std::optional<TimePoint> previousReport,
+              const std::vector<transport::RevisionAnswers>& answers);
   /// The first fault of the candidate that the evidence proves; none: none is proven.
   std::optional<Fault> findFault() const;
   /// Whether there is a suspicion that is not proven: no more requests are to be risked than needed to decide.
@@ -58,7 +60,7 @@
   };
   using ByRoute = std::map<std::string, Answers>;
 
-  static void confirmInterruptions(CandidateRunner& runner, TimePoint now);
+  static void confirmInterruptions(CandidateRunner& runner, TimePoint answeredAfter);
   /// The runners that are left when those with most bad answers are left out.
   std::vector<const CandidateRunner*> withoutOutliers() const;
   ByRoute candidateByRoute(const std::vector<const CandidateRunner*>& runners) const;
--- a/libs/rollout/include/rollout/revision_gate.hpp
+++ b/libs/rollout/include/rollout/revision_gate.hpp
@@ -7,6 +7,7 @@
 /// without waiting for the leader.
 #pragma once
 #include <random>
+#include <tuple>
 
 #include "state_machine/rollout.hpp"
 #include "transport/rollout_records.hpp"
@@ -71,7 +72,9 @@
   struct AnswerKey {
     std::string route;
     std::string runner;
-    auto operator<=>(const AnswerKey&) const = default;
+    bool operator<(const AnswerKey& other) const {
+      return std::tie(route, runner) < std::tie(other.route, other.runner);
+    }
   };
   struct ServiceRollout {
     state_machine::Rollout rollout;
--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -11,7 +11,6 @@
 constexpr double kMinBadAnswers = 4;       // fewer prove nothing
 constexpr std::size_t kOutliersOneIn = 3;  // runners that are left out, rounded down
 constexpr double kMaxPerReport = 1e6;      // a report with larger numbers is wrong
-constexpr auto kConfirmationDelay = 50ms;  // an answer in the same report may be older than the interruption
 
 double sane(double count) {
   return count > 0 && count < kMaxPerReport ? count : 0;
@@ -37,7 +36,8 @@
     carriedOver_[each.route] = {each.candidateAnswered, each.candidateFailed, each.candidateSlow};
   }
 }
-void EvidenceLedger::report(TimePoint now, const std::vector<transport::RevisionAnswers>& answers) {
+void EvidenceLedger::report(TimePoint now, std::optional<TimePoint> previousReport,
+                            const std::vector<transport::RevisionAnswers>& answers) {
   for (const auto& each : answers) {
     const double interrupted = sane(each.interrupted);
     const Answers counted{sane(each.answered), std::min(sane(each.failed), sane(each.answered)),
@@ -47,16 +47,16 @@
       continue;
     }
     auto& runner = candidate_[each.runner];
-    if (counted.answered > 0)
-      confirmInterruptions(runner, now);
+    if (counted.answered > 0 && previousReport)
+      confirmInterruptions(runner, *previousReport);
     runner.byRoute[each.route] += counted;
     if (interrupted > 0)
       runner.interruptions.push_back({each.route, interrupted, now});
   }
 }
-void EvidenceLedger::confirmInterruptions(CandidateRunner& runner, TimePoint now) {
+void EvidenceLedger::confirmInterruptions(CandidateRunner& runner, TimePoint answeredAfter) {
   std::erase_if(runner.interruptions, [&](const Interruption& each) {
-    if (now - each.reportedAt < kConfirmationDelay)
+    if (each.reportedAt > answeredAfter)
       return false;
     runner.byRoute[each.route] += Answers{each.count, each.count, 0};
     return true;
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -48,7 +48,9 @@
   auto* tracked = find(report.service);
   if (!tracked || tracked->rollout.revision != report.revision)
     return std::nullopt;
-  tracked->evidence.report(now, report.answers);
+  const auto known = tracked->proxies.find(proxy);
+  const auto previousReport = known == tracked->proxies.end() ? std::nullopt : std::optional(known->second.reportedAt);
+  tracked->evidence.report(now, previousReport, report.answers);
   tracked->proxies[proxy] = {report.percent, report.baselineInFlight, now};
   // Each request is reported once and pays for a part of one: all grants together stay below the share of all requests,
   // whoever leads.
--- a/tests/fuzz/snapshots_fuzzer.cpp
+++ b/tests/fuzz/snapshots_fuzzer.cpp
@@ -6,6 +6,13 @@
 using namespace zinccleat;
 using namespace zinccleat::state_machine;
 using namespace zinccleat::transport;
+Rollout rolloutOrder() {
+  Rollout order;
+  order.service = "s";
+  order.revision = "v2";
+  order.durationMs = 12000;
+  return order;
+}
 ReplicatedState replicaWith(int changes) {
   ReplicatedState replica;
   std::int64_t lastIndex = 0;
@@ -20,6 +27,7 @@
     apply(runnerEntry(Runner{"i" + version, "s", "a:" + version, "z", 4, 1, i % 3}, "runner/" + version));
   }
   apply(zoneDrainEntry(ZoneDrain{"z", "note", 10, false}, false, "closure"));
+  apply(rolloutBeginEntry(rolloutOrder(), "rollout"));
   return replica;
 }
 void restoreFrom(std::string_view input) {
--- /dev/null
+++ b/tests/revision_choice_test.cpp
@@ -0,0 +1,141 @@
+// The choice of a runner while its service is rolled out, and the pace of streams by which revisions are compared.
+#include <gtest/gtest.h>
+
+#include "balancing/runner_pool.hpp"
+#include "balancing/stream_pace.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::balancing;
+using rollout::RevisionFilter;
+using Rule = RevisionFilter::Rule;
+namespace {
+constexpr int kRunners = 50;  // of each revision
+const TimePoint kNow = TimePoint{} + 1h;
+
+state_machine::Runner runnerOf(const std::string& revision, int serial, std::int64_t warmupMs = 0) {
+  const auto id = revision + "-" + std::to_string(serial);
+  state_machine::Runner runner{id, "s", id + ":1", "z", 16, 1, 0};
+  runner.software = {revision, warmupMs};
+  return runner;
+}
+class RevisionChoice : public testing::Test {
+ protected:
+  RevisionChoice() {
+    std::vector<state_machine::Runner> runners;
+    for (int serial = 0; serial < kRunners; ++serial) {
+      runners.push_back(runnerOf("v1", serial));
+      runners.push_back(runnerOf("v2", serial));
+    }
+    pool_.setRunners(runners, kNow);
+    query_.service = "s";
+    query_.zone = "z";
+  }
+  /// The id of the chosen runner; empty: none.
+  std::string choose(const RevisionFilter& filter, std::uint64_t affinity = 0) {
+    query_.revisions = filter;
+    query_.affinity = affinity;
+    query_.hasPrefixCache = affinity != 0;
+    query_.sharedTokens = affinity != 0 ? 5000 : 0;
+    const int index = pool_.choose(query_, kNow);
+    return index < 0 ? "" : pool_.at(index).id;
+  }
+  RunnerPool pool_{5};
+  RunnerQuery query_;
+  std::mt19937_64 rng_{9};
+};
+}  // namespace
+
+TEST_F(RevisionChoice, OnlyRunnersThatTheFilterAdmitsAreChosen) {
+  std::set<std::string> revisions;
+  for (int i = 0; i < 200; ++i) {
+    EXPECT_TRUE(choose({Rule::only, "v2", 1}, rng_()).starts_with("v2"));
+    EXPECT_TRUE(choose({Rule::except, "v2", 1}, rng_()).starts_with("v1"));
+    revisions.insert(choose({}, rng_()).substr(0, 2));
+  }
+  EXPECT_EQ(revisions.size(), 2U);
+}
+TEST_F(RevisionChoice, AnUnhealthyRunnerOfTheCandidateIsNoLastResortEither) {
+  std::vector<state_machine::Runner> onlyNew{runnerOf("v2", 0)};
+  pool_.setRunners(onlyNew, kNow);
+  EXPECT_EQ(choose({Rule::except, "v2", 1}), "");
+}
+TEST_F(RevisionChoice, AShareOfTheRunnersIsTheSameAtAllProxies) {
+  RunnerPool other(77);
+  std::vector<state_machine::Runner> reversed;
+  for (int serial = kRunners - 1; serial >= 0; --serial)
+    reversed.push_back(runnerOf("v2", serial));
+  other.setRunners(reversed, kNow);
+  std::set<std::string> here;
+  std::set<std::string> there;
+  for (int i = 0; i < 500; ++i) {
+    here.insert(choose({Rule::only, "v2", 0.1}));
+    there.insert(other.at(other.choose(query_, kNow)).id);
+  }
+  EXPECT_EQ(here.size(), 5U);
+  EXPECT_EQ(here, there);
+}
+TEST_F(RevisionChoice, AFewRunnersAreUsedHoweverSmallTheShare) {
+  std::set<std::string> used;
+  for (int i = 0; i < 300; ++i)
+    used.insert(choose({Rule::only, "v2", 0.001}));
+  EXPECT_EQ(used.size(), 3U);
+}
+// So the canary and each step of the shift warm the runner at which the prefix stays.
+TEST_F(RevisionChoice, APrefixGoesToTheCandidateOnlyWhereItWillStay) {
+  int moved = 0;
+  constexpr int kPrefixes = 1000;
+  for (int i = 0; i < kPrefixes; ++i) {
+    const auto affinity = rng_();
+    const auto home = choose({Rule::only, "v2", 1}, affinity);
+    std::string before;
+    for (const double share : {0.08, 0.25, 0.5}) {
+      const auto chosen = choose({Rule::only, "v2", share}, affinity);
+      EXPECT_TRUE(chosen.empty() || chosen == home);
+      EXPECT_FALSE(!before.empty() && chosen.empty()) << "once moved it does not move back";
+      before = chosen;
+    }
+    moved += before.empty() ? 0 : 1;
+  }
+  EXPECT_NEAR(moved, kPrefixes / 2, kPrefixes / 5);
+}
+TEST_F(RevisionChoice, AttemptsAtOtherRevisionsAreCounted) {
+  query_.revisions = {Rule::only, "v1", 1};
+  pool_.attemptStarted(pool_.choose(query_, kNow), 10);
+  query_.revisions = {Rule::only, "v2", 1};
+  pool_.attemptStarted(pool_.choose(query_, kNow), 10);
+  EXPECT_EQ(pool_.inFlightAtOtherRevisions("s", "v2"), 1);
+  EXPECT_EQ(pool_.inFlightAtOtherRevisions("another", "v2"), 0);
+}
+TEST_F(RevisionChoice, AWarmupCountsFromWhenTheRunnerBecameKnown) {
+  pool_.setRunners({runnerOf("v3", 0, 2000)}, kNow);
+  pool_.setRunners({runnerOf("v3", 0, 2000)}, kNow + 1s);
+  query_.revisions = {Rule::only, "v3", 1};
+  EXPECT_EQ(pool_.at(pool_.choose(query_, kNow)).warmAt, kNow + 2s);
+}
+
+TEST(StreamPaceTest, CountsEventsAcrossReads) {
+  StreamPace pace;
+  EXPECT_FALSE(pace.msPerTenEvents());
+  pace.recordBytes("id: 1\ndata: a\n\n", kNow);
+  EXPECT_FALSE(pace.msPerTenEvents()) << "nothing has followed the first";
+  pace.recordBytes("id: 2\nda", kNow + 20ms);
+  pace.recordBytes("ta: b\n", kNow + 30ms);
+  pace.recordBytes("\nid: 3\ndata: c\n\n", kNow + 80ms);
+  ASSERT_TRUE(pace.msPerTenEvents());
+  EXPECT_DOUBLE_EQ(*pace.msPerTenEvents(), 400);
+}
+TEST(StreamPaceTest, AStreamIsSlowByWhatIsUsualOfItsService) {
+  const auto streamOf = [](Duration gap) {
+    StreamPace pace;
+    for (int event = 0; event < 8; ++event)
+      pace.recordBytes("data: x\n\n", kNow + event * gap);
+    return pace;
+  };
+  StreamPaces paces;
+  EXPECT_FALSE(paces.recordStream("s", streamOf(800ms))) << "nothing is known yet";
+  for (int i = 0; i < 200; ++i)
+    EXPECT_FALSE(paces.recordStream("s", streamOf(40ms)));
+  EXPECT_FALSE(paces.recordStream("s", streamOf(60ms)));
+  EXPECT_TRUE(paces.recordStream("s", streamOf(320ms)));
+  EXPECT_FALSE(paces.recordStream("another", streamOf(320ms)));
+}
