--- a/libs/controller/src/message_dispatcher.cpp
+++ b/libs/controller/src/message_dispatcher.cpp
@@ -4,19 +4,32 @@
 void MessageDispatcher::onMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
   if (envelope.sender.empty())
     return link->decline("a message that names no sender");
-  // Each of these looks at the messages of its own types only.
-  onConsensusMessage(link, envelope);
-  transport::receive<transport::SubmitEntry>(link, envelope, [&](transport::SubmitEntry message) {
-    onSubmitEntry(link, envelope.sender, std::move(message.entry));
-  });
-  onReadIndexMessage(link, envelope);
-  onHeartbeatMessage(link, envelope);
-  onLogMessage(link, envelope);
-  onAgentRequest(link, envelope);
+  using transport::MessageType;
+  switch (envelope.type) {
+    case MessageType::consensus:
+      return onConsensusMessage(link, envelope);
+    case MessageType::submitEntry:
+      return transport::receive<transport::SubmitEntry>(link, envelope, [&](transport::SubmitEntry message) {
+        onSubmitEntry(link, envelope.sender, std::move(message.entry));
+      });
+    case MessageType::readIndexRequest:
+    case MessageType::readIndexResponse:
+      return onReadIndexMessage(link, envelope);
+    case MessageType::heartbeatBatch:
+    case MessageType::heartbeatBatchResponse:
+      return onHeartbeatMessage(link, envelope);
+    case MessageType::agentState:
+    case MessageType::followLog:
+      return onLogMessage(link, envelope);
+    case MessageType::leaseRequest:
+    case MessageType::quotaTokenRequest:
+    case MessageType::prefixLookupRequest:
+      return onAgentRequest(link, envelope);
+    default:  // for other roles, or a response that nobody awaits
+      return;
+  }
 }
 void MessageDispatcher::onConsensusMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
-  if (envelope.type != transport::MessageType::consensus)
-    return;
   auto message = consensus::decodeMessage(envelope.payload);
   if (!message)
     return link->decline(message.error().message);
--- a/libs/simulation/src/control_calls.cpp
+++ b/libs/simulation/src/control_calls.cpp
@@ -16,6 +16,16 @@
   return {
       "POST", "/v1/Configuration.Replace", std::move(configuration), {{"X-Base-Version", std::to_string(baseVersion)}}};
 }
+operations::Call beginRolloutCall(const std::string& service, const std::string& revision, Duration duration) {
+  constexpr double kMsPerS = 1000;
+  const auto seconds = std::to_string(static_cast<double>(duration.count()) / kMsPerS);
+  auto body =
+      R"({"targetService":")" + service + R"(","targetRevision":")" + revision + R"(","durationS":)" + seconds + "}";
+  return {"POST", "/v1/Rollouts.Begin", std::move(body), {}};
+}
+operations::Call retrieveRolloutCall(const std::string& service) {
+  return {"GET", "/v1/Rollouts.Retrieve/" + service, "", {}};
+}
 operations::Call retrieveCall() {
   return {"GET", "/v1/Configuration.Retrieve", "", {}};
 }
--- a/libs/simulation/src/control_calls.hpp
+++ b/libs/simulation/src/control_calls.hpp
@@ -19,6 +19,10 @@
 operations::Call detachCall(const std::string& runnerId);
 /// Configuration.Replace on top of `baseVersion`. @param configuration the new configuration as JSON.
 operations::Call replaceCall(std::string configuration, std::int64_t baseVersion);
+/// Rollouts.Begin of a service. @param duration the term.
+operations::Call beginRolloutCall(const std::string& service, const std::string& revision, Duration duration);
+/// Rollouts.Retrieve of a service.
+operations::Call retrieveRolloutCall(const std::string& service);
 /// Configuration.Retrieve.
 operations::Call retrieveCall();
 /// Status of one controller.
--- a/libs/simulation/src/trial.cpp
+++ b/libs/simulation/src/trial.cpp
@@ -7,6 +7,7 @@
 #include "simulation/linearizability.hpp"
 #include "trial_clients.hpp"
 #include "trial_operators.hpp"
+#include "trial_rollout.hpp"
 #include "trial_runner.hpp"
 
 namespace zinccleat::simulation {
@@ -22,6 +23,9 @@
 constexpr int kEndPolls = 120;
 constexpr auto kStabilizationTime = 1000ms;  // until the proxy has its lease and the runners are known
 constexpr auto kLeaderDownTime = 300ms;
+constexpr Duration kAfterRollout{2000};  // between its term and the end of the load
+constexpr Duration kMinRolloutTerm{1000};
+constexpr Duration kReversalTimeout{5000};  // when the load has ended
 
 void printLine(const std::string& line) {
   std::printf("%s\n", line.c_str());
@@ -56,6 +60,8 @@
   std::vector<std::shared_ptr<TrialRunner>> runners_;
   TrialClients clients_{fleet_};
   TrialOperators operators_{fleet_, random_};
+  TrialRollout rollout_{fleet_, executions_, random_};
+  bool rolloutReverted_ = false;
 };
 
 Result<bool> Trial::run() {
@@ -65,13 +71,17 @@
   startRunners();
   awaitReadiness();
   announce();
+  printLine("rolls out a revision of two runners that fails half of its streams");
   clients_.start(kClients);
   operators_.start(kOperators);
+  if (!rollout_.begin(std::max(kMinRolloutTerm, kPhases * phaseLength_ - kAfterRollout)))
+    return makeError(ErrorCode::unavailable, "no controller acknowledged the rollout");
   loop.sleepFor(phaseLength_);
   killLeader();
   loop.sleepFor(phaseLength_);
   killRunner();
   loop.sleepFor(phaseLength_);
+  rolloutReverted_ = rollout_.awaitReversal(kReversalTimeout);
   stopLoad();
   return report();
 }
@@ -115,6 +125,7 @@
 void Trial::stopLoad() {
   for (auto& runner : runners_)
     runner->stopHeartbeats();
+  rollout_.stopHeartbeats();
   clients_.stop();
   operators_.stop();
   for (int i = 0; i < kEndPolls && clients_.running() + operators_.running() > 0; ++i)
@@ -127,7 +138,8 @@
 bool Trial::report() const {
   const bool clientsServed = reportClients();
   const bool operatorsServed = reportOperators();
-  return clientsServed && operatorsServed;
+  rollout_.report();
+  return clientsServed && operatorsServed && rolloutReverted_;
 }
 bool Trial::reportClients() const {
   const auto& seen = clients_.statistics();
--- a/libs/simulation/src/trial_runner.cpp
+++ b/libs/simulation/src/trial_runner.cpp
@@ -26,12 +26,13 @@
 }
 
 TrialRunner::TrialRunner(const LocalFleet& fleet, std::string id, std::string service, ExecutionCounts& executions,
-                         std::mt19937_64& random)
+                         std::mt19937_64& random, TrialVersion version)
     : fleet_(fleet),
       id_(std::move(id)),
       service_(std::move(service)),
       executions_(executions),
       random_(random),
+      version_(std::move(version)),
       acceptor_(runtime::EventLoop::get().io(), tcp::endpoint(asio::ip::make_address(fleet.ip(7, 1)), 0)) {
   address_ = fleet.ip(7, 1) + ":" + std::to_string(acceptor_.local_endpoint().port());
 }
@@ -89,6 +90,8 @@
 // A stream that was cut resumes behind the last event that its client has.
 void TrialRunner::answerStream(const std::string& attemptId, int lastEvent, runtime::Connection& connection,
                                runtime::SocketError& ec) {
+  if (++streams_ % 2 == 0 && version_.failsHalf)
+    return send(responseHead(attemptId, "500 Failed", "Content-Length: 0\r\n\r\n"), connection, ec);
   const auto headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   send(responseHead(attemptId, "200 OK", headers), connection, ec);
   for (int number = lastEvent + 1; number <= kEventsPerStream && !ec && running_; ++number) {
@@ -114,7 +117,7 @@
   }
 }
 std::string TrialRunner::heartbeat(int sequence) const {
-  return R"({"targetService":")" + service_ + R"(","address":")" + address_ +
-         R"(","zone":"z","capacity":8,"state":"in_service","sequence":)" + std::to_string(sequence) + "}";
+  return R"({"targetService":")" + service_ + R"(","configVersion":")" + version_.revision + R"(","address":")" +
+         address_ + R"(","zone":"z","capacity":8,"state":"in_service","sequence":)" + std::to_string(sequence) + "}";
 }
 }  // namespace zinccleat::simulation
--- a/libs/simulation/src/trial_runner.hpp
+++ b/libs/simulation/src/trial_runner.hpp
@@ -12,11 +12,17 @@
 /// How often each attempt ran at a runner, by attempt id. A push may run once.
 using ExecutionCounts = std::map<std::string, int>;
 
+/// The software of a runner.
+struct TrialVersion {
+  std::string revision = "v1";
+  bool failsHalf = false;  ///< every other stream is answered with an error
+};
+
 class TrialRunner : public std::enable_shared_from_this<TrialRunner> {
  public:
   /// Listens at a port that the kernel chooses. All references must outlive the event loop's last turn.
   TrialRunner(const LocalFleet& fleet, std::string id, std::string service, ExecutionCounts& executions,
-              std::mt19937_64& random);
+              std::mt19937_64& random, TrialVersion version = {});
   /// Accepts connections and sends heartbeats until `stop`.
   void start();
   /// Ends at once, as a process that is killed: connections break, nothing is said to the controllers.
@@ -24,6 +30,8 @@
   /// Sends no more heartbeats.
   void stopHeartbeats() { sendsHeartbeats_ = false; }
   const std::string& id() const { return id_; }
+  /// Streams that it was sent.
+  int streams() const { return streams_; }
 
  private:
   void acceptNext();
@@ -41,6 +49,8 @@
   std::string id_, service_, address_;
   ExecutionCounts& executions_;
   std::mt19937_64& random_;
+  TrialVersion version_;
+  int streams_ = 0;
   tcp::acceptor acceptor_;
   std::vector<std::shared_ptr<runtime::Connection>> connections_;
   bool running_ = true, sendsHeartbeats_ = true;
