--- a/libs/agent/include/agent/feed_source.hpp
+++ b/libs/agent/include/agent/feed_source.hpp
@@ -15,6 +15,8 @@
   static constexpr auto kStallTimeout = 300ms;
   /// ... while bytes arrive from it, after so long: the complete state of a large fleet takes a while.
   static constexpr auto kTransferTimeout = 2000ms;
+  /// A member that the newest lists do not have is forgotten after so long.
+  static constexpr auto kRetentionTime = 2000ms;
   /// A source that was left is not used again for so long.
   static constexpr auto kAvoidTime = 10000ms;
 
@@ -39,7 +41,11 @@
  private:
   std::string zone_;
   std::uint64_t seed_;
-  std::map<std::string, TimePoint> inZone_;  // by address: since when it is known
+  struct ZoneMember {
+    TimePoint knownSince{};
+    TimePoint listedAt{};  // in the newest list that had it
+  };
+  std::map<std::string, ZoneMember> inZone_;  // by address
   bool knowsMembers_ = false;
   std::map<std::string, TimePoint> avoidedSince_;
 };
--- a/libs/agent/src/feed_source.cpp
+++ b/libs/agent/src/feed_source.cpp
@@ -5,17 +5,15 @@
   if (members.empty())
     return;
   knowsMembers_ = true;
-  const auto known = std::exchange(inZone_, {});
-  for (const auto& member : members) {
-    if (zone_.empty() || member.zone != zone_)
-      continue;
-    const auto since = known.find(member.address);
-    inZone_[member.address] = since == known.end() ? now : since->second;
-  }
+  for (const auto& member : members)
+    if (!zone_.empty() && member.zone == zone_)
+      inZone_.try_emplace(member.address, ZoneMember{now, now}).first->second.listedAt = now;
+  // A new leader has not heard of all members yet: one that it does not list at once has not gone.
+  std::erase_if(inZone_, [now](const auto& entry) { return now - entry.second.listedAt >= kRetentionTime; });
 }
 std::string FeedSource::memberInZone(TimePoint now) const {
   std::string best;
-  for (const auto& [address, since] : inZone_) {
+  for (const auto& [address, member] : inZone_) {
     const auto avoided = avoidedSince_.find(address);
     if (avoided != avoidedSince_.end() && now - avoided->second < kAvoidTime)
       continue;
@@ -33,7 +31,7 @@
   if (isUsable(nearby))
     return nearby;
   // All that the agent lacks, the complete state at its start, would else come from the leader first.
-  const bool connecting = !nearby.empty() && now - inZone_.at(nearby) < kStallTimeout;
+  const bool connecting = !nearby.empty() && now - inZone_.at(nearby).knownSince < kStallTimeout;
   if (connecting)
     return isUsable(present) ? present : std::string();
   return isUsable(leader) ? leader : std::string();
--- a/libs/rollout/include/rollout/evidence_ledger.hpp
+++ b/libs/rollout/include/rollout/evidence_ledger.hpp
@@ -28,7 +28,7 @@
   std::optional<Fault> findFault() const;
   /// Whether there is a suspicion that is not proven: no more requests are to be risked than needed to decide.
   bool isSuspicious() const;
-  /// Whether the answers clear the candidate of a faint fault as well.
+  /// Whether the answers clear the candidate of a faint fault, and of a larger one on each usual route.
   bool isCleared() const;
   /// Answers of the candidate up to now.
   double candidateAnswers() const;
--- a/libs/rollout/include/rollout/rollout_tracker.hpp
+++ b/libs/rollout/include/rollout/rollout_tracker.hpp
@@ -36,6 +36,7 @@
     TimePoint steppedAt{};
     TimePoint writtenAt{};  ///< the leader's newest record
     EvidenceLedger evidence;
+    bool suspicious = false;  ///< at the last decision
     std::map<std::string, ProxyState> proxies;
   };
   Tracked* find(const std::string& service);
--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -8,6 +8,8 @@
 constexpr double kSuspicionAlpha = 0.1;    // from which a candidate gets no more requests than needed
 constexpr double kBeta = 0.05;             // probability that a faint fault is cleared
 constexpr double kFaintFault = 0.08;       // such a fault: so many more of its answers are bad
+constexpr double kRouteFault = 0.3;        // a fault on one route that is cleared as well, where
+constexpr double kUsualRoutePart = 0.05;   // the baseline has so many of its answers there
 constexpr double kMinBadAnswers = 4;       // fewer prove nothing
 constexpr std::size_t kOutliersOneIn = 3;  // runners that are left out, rounded down
 constexpr double kMaxPerReport = 1e6;      // a report with larger numbers is wrong
@@ -122,10 +124,17 @@
 }
 bool EvidenceLedger::isCleared() const {
   Answers allBaseline;
+  for (const auto& [route, baseline] : baseline_)
+    allBaseline += baseline;
   Answers allCandidate;
-  for (const auto& [route, candidate] : candidateByRoute(withoutOutliers())) {
-    allBaseline += baselineOf(route);
+  auto candidateAnswers = candidateByRoute(withoutOutliers());
+  for (const auto& [route, baseline] : baseline_) {
+    const auto& candidate = candidateAnswers[route];
     allCandidate += candidate;
+    const bool isUsual = baseline.answered >= allBaseline.answered * kUsualRoutePart;
+    const double rate = soundRate(baseline.failures(), kFailureTest);
+    if (isUsual && logRatio(candidate.failures(), rate, kRouteFault) > std::log(kBeta))
+      return false;
   }
   const double rate = soundRate(allBaseline.failures(), kFailureTest);
   return logRatio(allCandidate.failures(), rate, kFaintFault) <= std::log(kBeta);
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -33,7 +33,8 @@
       tracked.push_back(std::move(*known));
       continue;
     }
-    tracked.push_back({rollout, now - Duration(rollout.elapsedMs), now, now, EvidenceLedger(rollout.evidence), {}});
+    tracked.push_back(
+        {rollout, now - Duration(rollout.elapsedMs), now, now, EvidenceLedger(rollout.evidence), false, {}});
   }
   tracked_ = std::move(tracked);
 }
@@ -55,7 +56,7 @@
   // Each request is reported once and pays for a part of one: all grants together stay below the share of all requests,
   // whoever leads.
   const double requests = std::clamp(report.requests, 0.0, kMaxRequestsPerReport);
-  const double part = tracked->evidence.isSuspicious() ? kExposurePart / 2 : kExposurePart;
+  const double part = tracked->suspicious ? kExposurePart / 2 : kExposurePart;
   const bool isCanary = tracked->rollout.phase() == RolloutPhase::canary;
   return transport::ExposureGrant{report.service, report.revision, isCanary ? requests * exposureShare_ * part : 0};
 }
@@ -63,6 +64,7 @@
   std::vector<Rollout> records;
   for (auto& each : tracked_) {
     const auto elapsed = toDuration(now - each.startedAt);
+    each.suspicious = each.evidence.isSuspicious();
     const auto step =
         nextStep(each.rollout, each.evidence, fleetView(now, each, state), elapsed, toDuration(now - each.steppedAt));
     const bool checkpointDue = now - each.writtenAt >= kCheckpointInterval;
--- a/tests/feed_source_test.cpp
+++ b/tests/feed_source_test.cpp
@@ -51,6 +51,18 @@
   source.setMembers(kMembers, kNow + 1s);
   EXPECT_EQ(source.choose(kNow + 1100ms, kLeader, "", onlyLeader), kLeader) << "known since before";
 }
+// Found after a loss of all power at 300 machines: a new leader listed itself alone at first, and all agents of the
+// other zones left their member for the leader and came back within a second.
+TEST(FeedSource, KeepsAMemberThatANewLeaderDoesNotListYet) {
+  auto source = sourceIn("b");
+  source.setMembers(kMembers, kNow);
+  source.setMembers({{kLeader, "a"}}, kNow + 100ms);
+  EXPECT_EQ(source.choose(kNow + 100ms, kLeader, kNearby, allConnected), kNearby);
+  const auto onlyLeader = [](const std::string& address) { return address == kLeader; };
+  EXPECT_EQ(source.choose(kNow + 400ms, kLeader, "", onlyLeader), kLeader) << "it may be gone all the same";
+  source.setMembers({{kLeader, "a"}}, kNow + FeedSource::kRetentionTime);
+  EXPECT_EQ(source.choose(kNow + FeedSource::kRetentionTime, kLeader, kNearby, allConnected), kLeader);
+}
 TEST(FeedSource, AvoidsAMemberThatLagsForAWhile) {
   auto source = sourceIn("b");
   source.avoid(kNearby, kNow);
