--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -5,6 +5,7 @@
 #include "rollout/revision_gate.hpp"
 #include "rollout/rollout_plan.hpp"
 #include "rollout/rollout_tracker.hpp"
+#include "transport/access_messages.hpp"
 
 using namespace zinccleat;
 using namespace zinccleat::rollout;
@@ -454,3 +455,28 @@
   gate.setRollouts({});
   EXPECT_FALSE(gate.hasRollouts());
 }
+
+// What a rollout adds to a proxy's control traffic, docs/CAPACITY.md: at 21 requests a second on three routes, one
+// report every 400 ms while the canary lasts.
+TEST(RolloutMessages, AReportOfAUsualProxyIsSmall) {
+  auto gate = gateIn(RolloutPhase::canary);
+  constexpr int kRequestsPerReport = 9;
+  for (int i = 0; i < kRequestsPerReport; ++i) {
+    gate.recordRequest("s");
+    auto attempt = attemptAt(i == 0 ? "v2" : "v1", false);
+    attempt.route = "r-puxsr7" + std::to_string(i % 3);
+    attempt.runner = "i-7f3a91c2aa";
+    gate.recordAttempt("s", attempt);
+  }
+  LeaseRequest plain;
+  LeaseRequest withReport;
+  withReport.extension.rollouts = gate.takeReports();
+  LeaseResponse answer;
+  LeaseResponse withGrant;
+  withGrant.extension.exposures = {{"huvo11a", "v2", 0.6}};
+  const auto reportBytes = pack(withReport).payload.size() - pack(plain).payload.size();
+  const auto grantBytes = pack(withGrant).payload.size() - pack(answer).payload.size();
+  std::printf("report %zu bytes, grant %zu bytes\n", reportBytes, grantBytes);
+  EXPECT_LE(reportBytes, 320U);
+  EXPECT_LE(grantBytes, 40U);
+}
