--- a/tests/rollout_state_test.cpp
+++ b/tests/rollout_state_test.cpp
@@ -174,3 +174,70 @@
   EXPECT_TRUE(state_.rollout("s0"));
   EXPECT_TRUE(state_.rollout("s599"));
 }
+
+// Every order of entries up to a length, as leaders that know little of each other may have them committed: which of
+// them are committed, and that all replicas have the same, is what the model checker of the consensus module searches.
+namespace {
+std::vector<LogEntry> allEntries() {
+  std::vector<LogEntry> entries;
+  int number = 0;
+  const auto id = [&number] { return "entry/" + std::to_string(++number); };
+  for (const auto* revision : {"v2", "v2", "v3"})
+    entries.push_back(rolloutBeginEntry(rolloutTo(revision), id()));
+  for (const auto* revision : {"v2", "v3"}) {
+    entries.push_back(rolloutProgressEntry(stepTo(RolloutPhase::canary, 0, revision), id()));
+    for (const std::int32_t percent : {25, 100})
+      entries.push_back(rolloutProgressEntry(stepTo(RolloutPhase::shifting, percent, revision), id()));
+    entries.push_back(rolloutProgressEntry(stepTo(RolloutPhase::completed, 100, revision), id()));
+    entries.push_back(rolloutProgressEntry(stepTo(RolloutPhase::reverted, 0, revision), id()));
+  }
+  return entries;
+}
+std::size_t problemsAfter(const ReplicatedState& before, const ReplicatedState& after, Verdict verdict,
+                          const LogEntry& entry) {
+  const auto* old = before.rollout("s");
+  const auto* next = after.rollout("s");
+  const bool begins = entry.op() == OperationKind::rolloutBegin;
+  if (!old)
+    return next && !begins ? 1 : 0;
+  if (!next)
+    return 1;  // forgotten
+  if (!next->sameOrder(*old))
+    return old->inProgress() || !begins ? 1 : 0;  // only a new order takes the place, of one that is over
+  const bool wentBack = next->phase() < old->phase() ||
+                        (next->phase() == old->phase() && next->percent < old->percent && next->inProgress());
+  const bool changedItsEnd = !old->inProgress() && next->phase() != old->phase();
+  const bool refusedAgain =
+      begins && entry.body == rolloutBeginEntry(rolloutTo(old->revision), "").body && verdict != Verdict::acknowledged;
+  const bool oldRunnerIsBack = !before.runner("old") && after.runner("old");
+  const bool lostWithoutCompletion =
+      before.runner("old") && !after.runner("old") && next->phase() != RolloutPhase::completed;
+  return static_cast<std::size_t>(wentBack || changedItsEnd || refusedAgain || oldRunnerIsBack ||
+                                  lostWithoutCompletion);
+}
+struct Search {
+  std::vector<LogEntry> entries = allEntries();
+  std::size_t states = 0, problems = 0;
+  void from(const ReplicatedState& state, int depth) {
+    ++states;
+    if (depth == 0)
+      return;
+    for (auto entry : entries) {
+      entry.index = state.state().index + 1;
+      entry.operationId += "/" + std::to_string(depth);
+      ReplicatedState next = state;
+      next.apply(entry);
+      problems += problemsAfter(state, next, *next.outcomeOf(entry.operationId), entry);
+      from(next, depth - 1);
+    }
+  }
+};
+}  // namespace
+TEST_F(RolloutState, EveryOrderOfEntriesKeepsTheInvariants) {
+  join(runnerOf("old", "v1"));
+  constexpr int kDepth = 5;
+  Search search;
+  search.from(state_, kDepth);
+  EXPECT_EQ(search.problems, 0U);
+  EXPECT_GT(search.states, 300'000U);
+}
