--- a/tests/rollout_log_test.cpp
+++ b/tests/rollout_log_test.cpp
@@ -188,11 +188,11 @@
     if (!rollout)
       return;
     if (rollout->revision != "v2" && rollout->revision != "v3")
-      problems_.push_back("a rollout that nobody ordered");
+      problems_.emplace_back("a rollout that nobody ordered");
     if (rollout->revision != "v2" || rollout->inProgress())
       return;
     if (ended_ && *ended_ != rollout->phase())
-      problems_.push_back("completed and reverted");
+      problems_.emplace_back("completed and reverted");
     ended_ = rollout->phase();
   }
   void stepProxy(std::size_t number) {
