Rollouts: exposure tokens are granted whole, the rest is carried over

Cause (found by reading): a proxy kept fractions until they made a token; with two requests a second it got its first after 6 s, with one after 14 s, all proxies at about the same time. Change: the leader carries the rest over to the next report of any proxy; the sum stays below the share.

--- a/libs/rollout/include/rollout/rollout_tracker.hpp
+++ b/libs/rollout/include/rollout/rollout_tracker.hpp
@@ -36,7 +36,8 @@
     TimePoint steppedAt{};
     TimePoint writtenAt{};  ///< the leader's newest record
     EvidenceLedger evidence;
-    bool suspicious = false;  ///< at the last decision
+    bool suspicious = false;     ///< at the last decision
+    double unspentExposure = 0;  ///< parts of a token that reported requests have paid for
     std::map<std::string, ProxyState> proxies;
   };
   Tracked* find(const std::string& service);
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -1,5 +1,7 @@
 #include "rollout/rollout_tracker.hpp"
 
+#include <cmath>
+
 namespace zinccleat::rollout {
 namespace {
 using state_machine::Rollout;
@@ -34,13 +36,14 @@
       continue;
     }
     tracked.push_back(
-        {rollout, now - Duration(rollout.elapsedMs), now, now, EvidenceLedger(rollout.evidence), false, {}});
+        {rollout, now - Duration(rollout.elapsedMs), now, now, EvidenceLedger(rollout.evidence), false, 0, {}});
   }
   tracked_ = std::move(tracked);
 }
 void RolloutTracker::startTerm() {
   for (auto& each : tracked_) {
     each.evidence = EvidenceLedger(each.rollout.evidence);
+    each.unspentExposure = 0;
     each.proxies.clear();
   }
 }
@@ -55,10 +58,16 @@
   tracked->proxies[proxy] = {report.percent, report.baselineInFlight, now};
   // Each request is reported once and pays for a part of one: all grants together stay below the share of all requests,
   // whoever leads.
+  transport::ExposureGrant grant{report.service, report.revision, 0};
+  if (tracked->rollout.phase() != RolloutPhase::canary)
+    return grant;
+  // In whole tokens: where each proxy has few requests, fractions would wait for their sum at each of them.
   const double requests = std::clamp(report.requests, 0.0, kMaxRequestsPerReport);
   const double part = tracked->suspicious ? kExposurePart / 2 : kExposurePart;
-  const bool isCanary = tracked->rollout.phase() == RolloutPhase::canary;
-  return transport::ExposureGrant{report.service, report.revision, isCanary ? requests * exposureShare_ * part : 0};
+  tracked->unspentExposure += requests * exposureShare_ * part;
+  grant.tokens = std::floor(tracked->unspentExposure);
+  tracked->unspentExposure -= grant.tokens;
+  return grant;
 }
 std::vector<Rollout> RolloutTracker::decide(TimePoint now, const state_machine::StateContents& state) {
   std::vector<Rollout> records;
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -277,6 +277,17 @@
   EXPECT_LE(granted, 0.1 * requests);
   EXPECT_GT(granted, 0.05 * requests);
 }
+TEST(RolloutTrackerTest, ProxiesWithFewRequestsShareTheirTokens) {
+  RolloutTracker tracker(0.1);
+  tracker.follow(kStart, stateWith(rolloutIn(RolloutPhase::canary)));
+  double granted = 0;
+  for (int proxy = 0; proxy < 300; ++proxy) {
+    const auto tokens = tracker.report(kStart, "p" + std::to_string(proxy), reportOf(0.5))->tokens;
+    EXPECT_EQ(tokens, std::floor(tokens));
+    granted += tokens;
+  }
+  EXPECT_NEAR(granted, 300 * 0.5 * 0.07, 1);
+}
 TEST(RolloutTrackerTest, NothingIsGrantedOutsideTheCanary) {
   for (const auto& rollout : {rolloutIn(RolloutPhase::shifting, 50), rolloutIn(RolloutPhase::reverted)}) {
     RolloutTracker tracker(0.1);
