Sight: agents log how long their replica lags, proxies that their lease is not renewed

Change: ReplicaLag (pure) measures how long the oldest missing entry has been known to be committed; events replica_lags, replica_caught_up, lease_not_renewed, lease_renewed. No decision depends on them yet.

--- a/libs/agent/include/agent/agent_daemon.hpp
+++ b/libs/agent/include/agent/agent_daemon.hpp
@@ -39,6 +39,8 @@
   void unsubscribe(const std::string& address);
   void refetch();
   void refetchIfBehind();
+  /// Logs that the replica lags, and when it has caught up.
+  void reportLag(TimePoint now);
   void applyEntries();
 
   void onCoreConnected(const std::string& address, const transport::PeerLinkPtr& link);
@@ -60,5 +62,7 @@
   CoreLinks links_;
   int receiptsSinceState_ = 0;
   int stateMessages_ = 0;
+  Duration loggedLag_{0};   // as last logged; 0: not since the replica caught up
+  Duration longestLag_{0};  // since the replica caught up
 };
 }  // namespace zinccleat::agent
--- a/libs/agent/include/agent/log_follower.hpp
+++ b/libs/agent/include/agent/log_follower.hpp
@@ -2,6 +2,7 @@
 /// messages to be sent go out, the present time is passed in.
 #pragma once
 #include "agent/followed_replica.hpp"
+#include "agent/replica_lag.hpp"
 namespace zinccleat::agent {
 /// Follows one leader after the other. A gap is closed before anything behind it is applied; the leader keeps what was
 /// missed.
@@ -38,7 +39,11 @@
   Result<void> restore(const transport::FeedSnapshot& snapshot);
   /// Records the newest index that the core has committed.
   /// @return whether the replica is behind it.
-  bool recordCommitIndex(std::int64_t index);
+  bool recordCommitIndex(TimePoint now, std::int64_t index);
+  /// How long this replica has lacked what is known to be committed.
+  Duration lag(TimePoint now) const { return lag_.at(now); }
+  /// The newest index known to be committed.
+  std::int64_t newestIndex() const { return newestIndex_; }
 
   /// The entries after an index; none if the tail does not reach back to it, so that a snapshot is needed.
   std::optional<transport::FeedEntries> entriesAfter(std::int64_t index) const;
@@ -48,6 +53,7 @@
   FollowedReplica replica_;
   std::deque<transport::LogEntry> tail_;  // the last entries applied, oldest first
   std::int64_t newestIndex_ = 0;          // the newest index known to be committed
+  ReplicaLag lag_;
   TimePoint lastFollow_{};
   std::optional<TimePoint> stalledSince_;  // none: nothing was missing, or something has come since
   bool following_ = false;
--- a/libs/agent/src/agent_daemon.cpp
+++ b/libs/agent/src/agent_daemon.cpp
@@ -12,6 +12,7 @@
 constexpr int kStatesPerViewSample = 8;  // each so many-th report bears a sample of the partial view
 constexpr auto kLinkInterval = 250ms;    // between two looks at which links are wanted
 constexpr auto kShutdownInterval = 100ms;
+constexpr Duration kReportedLag{300};  // a replica that lags for longer is reported, and again at each doubling
 }  // namespace
 
 AgentDaemon::AgentDaemon(const config::Settings& settings)
@@ -129,6 +130,7 @@
 // that requires the entry: being behind is only worth a message once it lasts.
 void AgentDaemon::refetchIfBehind() {
   const auto now = Clock::now();
+  reportLag(now);
   const auto stalledFor = follower_.stalledFor(now);
   const auto source = sourceLink();
   const bool isReceiving = source && now - source->lastReceivedAt() < FeedSource::kStallTimeout;
@@ -141,6 +143,28 @@
   if (stalledFor >= LogFollower::kRefetchInterval)
     refetch();
 }
+void AgentDaemon::reportLag(TimePoint now) {
+  const auto lag = follower_.lag(now);
+  longestLag_ = std::max(longestLag_, lag);
+  if (lag >= std::max(kReportedLag, loggedLag_ * 2)) {
+    const auto source = sourceLink();
+    log::debug("replica_lags", {{"member", sourceAddress_},
+                                {"leader", discovery_.leaderAddress()},
+                                {"index", follower_.replica().lastApplied()},
+                                {"committed", follower_.newestIndex()},
+                                {"has_gap", follower_.replica().hasGap()},
+                                {"received_ms", source ? toDuration(now - source->lastReceivedAt()) : Duration(-1)},
+                                {"lag_ms", lag}});
+    loggedLag_ = lag;
+  }
+  if (lag > Duration(0))
+    return;
+  if (loggedLag_ > Duration(0))
+    log::debug("replica_caught_up",
+               {{"member", sourceAddress_}, {"index", follower_.replica().lastApplied()}, {"lag_ms", longestLag_}});
+  loggedLag_ = Duration(0);
+  longestLag_ = Duration(0);
+}
 void AgentDaemon::applyEntries() {
   std::vector<transport::LogEntry> entries;
   while (auto applied = follower_.applyNext()) {
@@ -219,8 +243,9 @@
 void AgentDaemon::onLeaseResponse(const transport::LeaseResponse& response) {
   if (!response.granted)
     return;
-  follower_.recordCommitIndex(response.commitIndex);
-  discovery_.recordLease(Clock::now());
+  const auto now = Clock::now();
+  follower_.recordCommitIndex(now, response.commitIndex);
+  discovery_.recordLease(now);
   refetchIfBehind();
 }
 void AgentDaemon::onProxyMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
--- a/libs/agent/src/log_follower.cpp
+++ b/libs/agent/src/log_follower.cpp
@@ -29,6 +29,7 @@
   if (!applied)
     return std::nullopt;
   stalledSince_.reset();
+  lag_.recordApplied(applied->entry.index);
   tail_.push_back(applied->entry);
   if (tail_.size() > kTailCapacity)
     tail_.pop_front();
@@ -40,12 +41,14 @@
     return restored;
   }
   stalledSince_.reset();
+  lag_.recordApplied(snapshot.lastIncludedIndex);
   tail_.clear();
   newestIndex_ = std::max(newestIndex_, snapshot.lastIncludedIndex);
   return {};
 }
-bool LogFollower::recordCommitIndex(std::int64_t index) {
+bool LogFollower::recordCommitIndex(TimePoint now, std::int64_t index) {
   newestIndex_ = std::max(newestIndex_, index);
+  lag_.recordCommitted(now, index);
   return replica_.lastApplied() < index;
 }
 std::optional<transport::FeedEntries> LogFollower::entriesAfter(std::int64_t index) const {
--- a/libs/proxy_daemon/include/proxy_daemon/daemon.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/daemon.hpp
@@ -43,6 +43,8 @@
   void adopt(state_machine::ReplicatedState::Change change);
 
   void renewLease();
+  /// Logs that the lease is not renewed although the proxy serves under it, and that it is again.
+  void reportAgingLease(TimePoint now);
   void onLeaseResponse(const transport::LeaseResponse& response);
   void useLease();
 
@@ -52,6 +54,7 @@
   agent::FollowedReplica replica_;
   StateAdoption adoption_;
   LeaseRenewal lease_;
+  bool leaseIsAging_ = false;  // as last reported
   NodeReport report_;
   QuotaTokenClient quotaTokens_;
   std::optional<PartnerLookup> partnerLookup_;  // none without a partner site
--- a/libs/proxy_daemon/include/proxy_daemon/lease_renewal.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/lease_renewal.hpp
@@ -30,6 +30,8 @@
   std::optional<Granted> accept(const transport::LeaseResponse& response);
   /// When the lease ends that may be used once entries up to `lastApplied` are applied; none if none may.
   std::optional<TimePoint> usableUntil(std::int64_t lastApplied) const;
+  /// The entry that must be applied before the newest grant may be used.
+  std::int64_t requiredIndex() const { return requiredIndex_; }
 
  private:
   Duration leaseDuration_;
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -8,6 +8,8 @@
 namespace {
 constexpr auto kRenewalInterval = 400ms;
 constexpr auto kRenewalIntervalWithoutLease = kRenewalInterval / 4;
+/// A lease that was not renewed for so long is reported: three renewals have failed, or the replica lags.
+constexpr auto kAgingLease = kRenewalInterval * 3;
 constexpr auto kConnectionSweepInterval = 1000ms;
 constexpr auto kShutdownInterval = 100ms;
 /// This node's retry budget stays below the rule's by a margin.
@@ -183,12 +185,24 @@
   if (!agentLink_.connected())
     return;
   const auto now = Clock::now();
+  reportAgingLease(now);
   transport::LeaseRequest request;
   request.requestId = lease_.start(now);
   report_.fill(request, now, replica_.state().zoneDrains);
   request.outliersVersion = adoption_.ejectionsVersion();
   agentLink_.send(request);
 }
+void ProxyDaemon::reportAgingLease(TimePoint now) {
+  const bool aging =
+      context_.hasLease(now) && context_.leaseEnds - now < LeaseRenewal::leaseDuration(settings_.timers) - kAgingLease;
+  if (std::exchange(leaseIsAging_, aging) == aging)
+    return;
+  log::debug(aging ? "lease_not_renewed" : "lease_renewed",
+             {{"index", replica_.lastApplied()},
+              {"required", lease_.requiredIndex()},
+              {"left_ms", context_.hasLease(now) ? toDuration(context_.leaseEnds - now) : Duration(0)},
+              {"agent_connected", agentLink_.connected()}});
+}
 void ProxyDaemon::onLeaseResponse(const transport::LeaseResponse& response) {
   const auto granted = lease_.accept(response);
   if (!granted)
--- a/tests/feed_source_test.cpp
+++ b/tests/feed_source_test.cpp
@@ -115,12 +115,12 @@
   follower.offer(feedOf({runnerJoins(1)}, 1));
   while (follower.applyNext())
     ;
-  follower.recordCommitIndex(2);
+  follower.recordCommitIndex(kNow, 2);
   EXPECT_EQ(follower.stalledFor(kNow), Duration(0));
   EXPECT_EQ(follower.stalledFor(kNow + 200ms), Duration(200));
   follower.offer(feedOf({runnerJoins(2)}, 2));
   while (follower.applyNext())
     ;
-  follower.recordCommitIndex(3);
+  follower.recordCommitIndex(kNow, 3);
   EXPECT_EQ(follower.stalledFor(kNow + 290ms), Duration(0)) << "an entry has come meanwhile";
 }
--- a/tests/log_follower_test.cpp
+++ b/tests/log_follower_test.cpp
@@ -55,9 +55,9 @@
   LogFollower follower;
   follower.offer(feedOf({runnerJoins(1)}, 1));
   applyAll(follower);
-  EXPECT_FALSE(follower.recordCommitIndex(1));
+  EXPECT_FALSE(follower.recordCommitIndex(kNow, 1));
   EXPECT_FALSE(follower.isBehind());
-  EXPECT_TRUE(follower.recordCommitIndex(2));
+  EXPECT_TRUE(follower.recordCommitIndex(kNow, 2));
   EXPECT_TRUE(follower.isBehind());
 }
 TEST(LogFollower, AFeedWithoutEntriesShowsThatSomeAreMissing) {
