Agents leave a source that answers and has nothing; proxies stop serving from a replica known to lag

Cause: (1) AgentDaemon counted every byte of its source as a transfer under way, also the answers to its own refetches, and so waited 2,000 ms in place of 300 for a member that is cut off from the core and still talks to its agents. (2) a proxy that its lease renewals had told of missing entries served on to the end of an earlier lease, 3.5 s, though a drain or a configuration binds after 2. Class: a sign of life taken for progress. Ruled out: late heartbeats, a runner that joins again, the choice of runners (read through; no lag beside them). Change: only fragments of a bulk message that is not complete yet give a source more time (PeerLink::lastFragmentAt, FeedSource::isStalled); LeaseRenewal::freshUntil ends service min(drainMs, configApplyMs) - 700 ms after a missing entry is known. An agent on a loopback address listens there, so that a host can run many.

--- a/libs/agent/include/agent/feed_source.hpp
+++ b/libs/agent/include/agent/feed_source.hpp
@@ -10,10 +10,11 @@
 /// Chooses the source; see the file's comment.
 class FeedSource {
  public:
-  /// A source that had nothing for so long while entries were missing is left for the leader; so is one to which there
-  /// is no connection for so long.
+  /// A source that brought nothing for so long while entries were missing is left for the leader; so is one to which
+  /// there is no connection for so long. What else it says does not count: a member that is cut off from the core
+  /// answers its agents, and has nothing for them.
   static constexpr auto kStallTimeout = 300ms;
-  /// ... while bytes arrive from it, after so long: the complete state of a large fleet takes a while.
+  /// ... while a bulk message arrives from it, after so long: the complete state of a large fleet takes a while.
   static constexpr auto kTransferTimeout = 2000ms;
   /// A member that the newest lists do not have is forgotten after so long.
   static constexpr auto kRetentionTime = 2000ms;
@@ -35,6 +36,10 @@
   /// @param present the source until now; empty: none.
   std::string choose(TimePoint now, const std::string& leader, const std::string& present,
                      const std::function<bool(const std::string&)>& isConnected) const;
+  /// Whether the source is to be left for the leader.
+  /// @param stalledFor how long entries have been missing and none has come.
+  /// @param lastFragmentAt see `PeerLink::lastFragmentAt`, of the connection to the source.
+  static bool isStalled(TimePoint now, Duration stalledFor, std::optional<TimePoint> lastFragmentAt);
   /// The member that feeds the agent lacks what the leader has committed: it is avoided for a while.
   void avoid(const std::string& address, TimePoint now) { avoidedSince_[address] = now; }
 
--- a/libs/agent/include/agent/replica_lag.hpp
+++ b/libs/agent/include/agent/replica_lag.hpp
@@ -15,6 +15,8 @@
   void recordCommitted(TimePoint at, std::int64_t committed);
   /// Records that the replica has applied all entries up to `applied`.
   void recordApplied(std::int64_t applied);
+  /// Since when the oldest entry that is missing has been known to be committed; none: nothing is known to be missing.
+  std::optional<TimePoint> since() const;
   /// How long the oldest entry that is missing has been known to be committed; 0: nothing is known to be missing.
   Duration at(TimePoint now) const;
 
--- a/libs/agent/src/agent_daemon.cpp
+++ b/libs/agent/src/agent_daemon.cpp
@@ -37,7 +37,7 @@
   return {};
 }
 Result<void> AgentDaemon::listenForProxy() {
-  const auto endpoint = runtime::parseEndpoint("127.0.0.1:" + std::to_string(settings_.firstPort + kAgentPortOffset));
+  const auto endpoint = runtime::parseEndpoint(agentEndpoint(settings_));
   if (!endpoint)
     return tl::unexpected(endpoint.error());
   return transport::listen(*endpoint, [this](tcp::socket socket) {
@@ -133,9 +133,9 @@
   reportLag(now);
   const auto stalledFor = follower_.stalledFor(now);
   const auto source = sourceLink();
-  const bool isReceiving = source && now - source->lastReceivedAt() < FeedSource::kStallTimeout;
-  const auto timeout = isReceiving ? FeedSource::kTransferTimeout : FeedSource::kStallTimeout;
-  if (stalledFor >= timeout && sourceAddress_ != discovery_.leaderAddress()) {
+  const auto lastFragmentAt = source ? source->lastFragmentAt() : std::nullopt;
+  const bool isStalled = FeedSource::isStalled(now, stalledFor, lastFragmentAt);
+  if (isStalled && sourceAddress_ != discovery_.leaderAddress()) {
     log::debug("feed_source_stalled", {{"member", sourceAddress_}, {"stalled_ms", stalledFor}});
     feedSource_.avoid(sourceAddress_, now);
     return chooseSource();
--- a/libs/agent/src/replica_lag.cpp
+++ b/libs/agent/src/replica_lag.cpp
@@ -19,6 +19,9 @@
   while (!missing_.empty() && missing_.front().index <= applied_)
     missing_.pop_front();
 }
+std::optional<TimePoint> ReplicaLag::since() const {
+  return missing_.empty() ? std::nullopt : std::optional(missing_.front().observedAt);
+}
 Duration ReplicaLag::at(TimePoint now) const {
   return missing_.empty() ? Duration(0) : std::max(Duration(0), toDuration(now - missing_.front().observedAt));
 }
--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -10,8 +10,8 @@
 struct Timers {
   Duration contact{3000};       ///< checked only: nothing uses it
   Duration ack{4000};           ///< checked only: nothing uses it
-  Duration drain{2000};         ///< checked only: nothing uses it
-  Duration configApply{2000};   ///< checked only: nothing uses it
+  Duration drain{2000};         ///< so long after its acknowledgement a drain binds every machine in touch
+  Duration configApply{2000};   ///< ... and a configuration
   Duration revoke{5000};        ///< by then a node that has lost contact stops using a revoked configuration
   Duration revertSlack{250};    ///< checked only: nothing uses it
   Duration lossSlack{200};      ///< checked only: nothing uses it
--- a/libs/proxy_daemon/include/proxy_daemon/daemon.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/daemon.hpp
@@ -54,7 +54,8 @@
   agent::FollowedReplica replica_;
   StateAdoption adoption_;
   LeaseRenewal lease_;
-  bool leaseIsAging_ = false;  // as last reported
+  TimePoint grantedLeaseEnds_{};  // of the lease that may be used, whether or not the replica has come to lag since
+  bool leaseIsAging_ = false;     // as last reported
   NodeReport report_;
   QuotaTokenClient quotaTokens_;
   std::optional<PartnerLookup> partnerLookup_;  // none without a partner site
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -6,7 +6,7 @@
 
 namespace zinccleat::proxy_daemon {
 namespace {
-constexpr auto kRenewalInterval = 400ms;
+constexpr auto kRenewalInterval = LeaseRenewal::kInterval;
 constexpr auto kRenewalIntervalWithoutLease = kRenewalInterval / 4;
 /// A lease that was not renewed for so long is reported: three renewals have failed, or the replica lags.
 constexpr auto kAgingLease = kRenewalInterval * 3;
@@ -26,7 +26,7 @@
 ProxyDaemon::ProxyDaemon(const config::Settings& settings)
     : settings_(settings),
       adoption_(context_, settings.zones),
-      lease_(LeaseRenewal::leaseDuration(settings.timers), randomRequestId()),
+      lease_(LeaseRenewal::leaseDuration(settings.timers), LeaseRenewal::maxLag(settings.timers), randomRequestId()),
       report_(context_, settings.zones, Clock::now()),
       quotaTokens_(context_, agentLink_),
       readiness_(context_),
@@ -65,8 +65,7 @@
 Result<void> ProxyDaemon::start() {
   const auto access = runtime::parseEndpoint(settings_.accessAddress);
   const auto readiness = runtime::parseEndpoint(settings_.readinessAddress);
-  const auto agent =
-      runtime::parseEndpoint("127.0.0.1:" + std::to_string(settings_.firstPort + agent::kAgentPortOffset));
+  const auto agent = runtime::parseEndpoint(agent::agentEndpoint(settings_));
   for (const auto* endpoint : {&access, &readiness, &agent})
     if (!*endpoint)
       return tl::unexpected(endpoint->error());
@@ -171,6 +170,7 @@
 /// A corrupted replica must not decide about requests: nothing is served until a full snapshot has come.
 void ProxyDaemon::requestSnapshot() {
   replica_.markCorrupted();
+  grantedLeaseEnds_ = {};
   context_.leaseEnds = {};
   transport::FollowLog message;
   message.refetch = true;
@@ -218,13 +218,15 @@
   useLease();
 }
 // Called after each response and after each applied entry: a lease counts only once the replica has applied as far as
-// the leader had committed when it granted the lease.
+// the leader had committed when it granted the lease. An earlier one is cut short where the replica lags.
 void ProxyDaemon::useLease() {
-  const auto usableUntil = lease_.usableUntil(replica_.lastApplied());
-  if (!usableUntil || replica_.corrupted())
+  if (replica_.corrupted())
     return;
-  if (context_.leaseEnds == TimePoint{})
+  const auto freshUntil = lease_.freshUntil(replica_.lastApplied());
+  const auto usableUntil = lease_.usableUntil(replica_.lastApplied());
+  if (usableUntil && grantedLeaseEnds_ == TimePoint{})
     log::debug("lease_acquired", {{"index", replica_.lastApplied()}});
-  context_.leaseEnds = std::max(context_.leaseEnds, *usableUntil);
+  grantedLeaseEnds_ = std::max(grantedLeaseEnds_, usableUntil.value_or(TimePoint{}));
+  context_.leaseEnds = std::min(grantedLeaseEnds_, freshUntil);
 }
 }  // namespace zinccleat::proxy_daemon
--- a/libs/proxy_daemon/src/lease_renewal.cpp
+++ b/libs/proxy_daemon/src/lease_renewal.cpp
@@ -7,10 +7,16 @@
   constexpr Duration kWithoutRevocation{60000};
   return timers.revokedFail ? std::max(kShortest, timers.revoke - kRevocationMargin) : kWithoutRevocation;
 }
+Duration LeaseRenewal::maxLag(const config::Timers& timers) {
+  constexpr Duration kAttemptsUnderWay{300};  // of requests that were admitted before: connecting takes so long at most
+  constexpr Duration kShortest{500};
+  return std::max(kShortest, std::min(timers.drain, timers.configApply) - kInterval - kAttemptsUnderWay);
+}
 std::optional<LeaseRenewal::Granted> LeaseRenewal::accept(const transport::LeaseResponse& response) {
   const auto requestedAt = pending_.startedAt(response.requestId);
   if (!requestedAt || !response.granted)
     return std::nullopt;
+  lag_.recordCommitted(*requestedAt, response.commitIndex);
   if (*requestedAt + leaseDuration_ > grantedUntil_) {
     grantedUntil_ = *requestedAt + leaseDuration_;
     requiredIndex_ = std::max(requiredIndex_, response.commitIndex);
@@ -23,4 +29,9 @@
     return std::nullopt;
   return grantedUntil_;
 }
+TimePoint LeaseRenewal::freshUntil(std::int64_t lastApplied) {
+  lag_.recordApplied(lastApplied);
+  const auto missingSince = lag_.since();
+  return missingSince ? *missingSince + maxLag_ : TimePoint::max();
+}
 }  // namespace zinccleat::proxy_daemon
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -4,7 +4,7 @@
 /// never share an address: it binds a socket to 127.N.255.254, which the kernel grants to one at a time, and its
 /// processes inherit that socket, so that the network is not free before the last of them has ended. They end with the
 /// process that owns the fleet, also when that is killed (see child_process.hpp). The network's number gives the fleet
-/// its internal ports too, since an agent and its proxy meet on 127.0.0.1 whatever their own addresses are.
+/// its internal ports too.
 #pragma once
 #include <sys/types.h>
 
--- a/tests/drain.sh
+++ b/tests/drain.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # An access machine with a core of one, as real processes on loopback: SIGHUP ends nothing; from SIGTERM on its proxy is
 # not ready, still answers what comes at first, and ends within graceS. Usage: drain.sh PROGRAM
-# One machine only: an agent listens on 127.0.0.1, so a host can run one.
+
 set -euo pipefail
 program=$1
 dir=$(mktemp -d)
--- a/tests/feed_source_test.cpp
+++ b/tests/feed_source_test.cpp
@@ -124,3 +124,12 @@
   follower.recordCommitIndex(kNow, 3);
   EXPECT_EQ(follower.stalledFor(kNow + 290ms), Duration(0)) << "an entry has come meanwhile";
 }
+TEST(FeedSource, OnlyABulkMessageUnderWayGivesASourceMoreTime) {
+  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout - 1ms, std::nullopt));
+  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout, std::nullopt));
+  const auto justNow = kNow - 10ms;
+  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kTransferTimeout - 1ms, justNow));
+  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kTransferTimeout, justNow)) << "not for ever";
+  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout, kNow - FeedSource::kStallTimeout))
+      << "its fragments have stopped";
+}
--- a/tests/isolated_source_test.cpp
+++ b/tests/isolated_source_test.cpp
@@ -89,14 +89,17 @@
 struct StandInProxy {
   std::int64_t newestEntry = 0;
   std::int64_t lastRequest = 0;
-  Dialer dialer{*parseEndpoint("127.0.0.1:" + std::to_string(kFirstPort + kAgentPortOffset)),
-                [this](const PeerLinkPtr& link, const Envelope& envelope) {
-                  receive<FeedEntries>(link, envelope, [this](const FeedEntries& feed) {
-                    for (const auto& entry : feed.entries)
-                      newestEntry = std::max(newestEntry, entry.index);
-                  });
-                },
-                [](const PeerLinkPtr& link) { link->send(pack(FollowLog{})); }};
+  Dialer dialer;
+  explicit StandInProxy(const config::Settings& settings)
+      : dialer(
+            *parseEndpoint(agentEndpoint(settings)),
+            [this](const PeerLinkPtr& link, const Envelope& envelope) {
+              receive<FeedEntries>(link, envelope, [this](const FeedEntries& feed) {
+                for (const auto& entry : feed.entries)
+                  newestEntry = std::max(newestEntry, entry.index);
+              });
+            },
+            [](const PeerLinkPtr& link) { link->send(pack(FollowLog{})); }) {}
   void renewLease() {
     LeaseRequest request;
     request.requestId = ++lastRequest;
@@ -128,7 +131,7 @@
     settings.seeds = {leader.address + ":8477", neighbour.address + ":8477"};
     agent = std::make_unique<AgentDaemon>(settings);
     ASSERT_TRUE(agent->start());
-    proxy = std::make_unique<StandInProxy>();
+    proxy = std::make_unique<StandInProxy>(settings);
     EventLoop::get().callEvery(kRenewalInterval, [this] { proxy->renewLease(); });
   }
   static bool waitUntil(const std::function<bool()>& condition) {
@@ -163,3 +166,12 @@
     EXPECT_LT(staleFor, kDrainBound / 2) << "half of the bound is for the attempts that are under way";
   });
 }
+
+TEST(AgentEndpoint, IsOnLoopbackWhateverTheMachinesAddress) {
+  config::Settings settings;
+  settings.firstPort = kFirstPort;
+  settings.ip = "10.1.0.5";
+  EXPECT_EQ(agentEndpoint(settings), "127.0.0.1:7941") << "no other machine reaches it";
+  settings.ip = "127.0.6.3";
+  EXPECT_EQ(agentEndpoint(settings), "127.0.6.3:7941") << "many machines on one host";
+}
--- a/tests/lease_renewal_test.cpp
+++ b/tests/lease_renewal_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 const TimePoint kNow = TimePoint{} + 1h;
 constexpr Duration kLease{3500};
+constexpr Duration kMaxLag{1300};
 
 LeaseResponse grant(std::int64_t requestId, std::int64_t commitIndex = 0) {
   LeaseResponse response;
@@ -57,12 +58,12 @@
   EXPECT_EQ(LeaseRenewal::leaseDuration(timers), 60s);
 }
 TEST(LeaseRenewal, NothingIsUsableBeforeTheFirstGrant) {
-  LeaseRenewal lease(kLease, 0);
+  LeaseRenewal lease(kLease, kMaxLag, 0);
   lease.start(kNow);
   EXPECT_FALSE(lease.usableUntil(1000));
 }
 TEST(LeaseRenewal, LastsFromItsRequestNotFromTheResponse) {
-  LeaseRenewal lease(kLease, 0);
+  LeaseRenewal lease(kLease, kMaxLag, 0);
   const auto first = lease.start(kNow);
   lease.start(kNow + 400ms);
   const auto granted = lease.accept(grant(first));
@@ -72,13 +73,13 @@
   EXPECT_EQ(lease.usableUntil(0), kNow + kLease);
 }
 TEST(LeaseRenewal, UsableOnlyOnceTheReplicaHasCaughtUp) {
-  LeaseRenewal lease(kLease, 0);
+  LeaseRenewal lease(kLease, kMaxLag, 0);
   lease.accept(grant(lease.start(kNow), 12));
   EXPECT_FALSE(lease.usableUntil(11));
   EXPECT_EQ(lease.usableUntil(12), kNow + kLease);
 }
 TEST(LeaseRenewal, ALaterGrantExtendsAndRaisesTheIndex) {
-  LeaseRenewal lease(kLease, 0);
+  LeaseRenewal lease(kLease, kMaxLag, 0);
   const auto first = lease.start(kNow);
   const auto second = lease.start(kNow + 400ms);
   EXPECT_TRUE(lease.accept(grant(second, 20))->newestRequest);
@@ -87,14 +88,14 @@
   EXPECT_EQ(lease.usableUntil(20), kNow + 400ms + kLease);
 }
 TEST(LeaseRenewal, AnOlderCommitIndexDoesNotLowerTheRequiredOne) {
-  LeaseRenewal lease(kLease, 0);
+  LeaseRenewal lease(kLease, kMaxLag, 0);
   lease.accept(grant(lease.start(kNow), 20));
   lease.accept(grant(lease.start(kNow + 400ms), 10));
   EXPECT_FALSE(lease.usableUntil(19));
   EXPECT_EQ(lease.usableUntil(20), kNow + 400ms + kLease);
 }
 TEST(LeaseRenewal, RefusalsRepeatsAndStrangersGrantNothing) {
-  LeaseRenewal lease(kLease, 0);
+  LeaseRenewal lease(kLease, kMaxLag, 0);
   const auto request = lease.start(kNow);
   auto refusal = grant(request);
   refusal.granted = false;
@@ -105,3 +106,27 @@
   EXPECT_TRUE(lease.accept(grant(request))) << "a refusal leaves the request pending";
   EXPECT_FALSE(lease.accept(grant(request)));
 }
+
+TEST(LeaseRenewal, TheLagLeavesRoomBeforeADrainOrAConfigurationBinds) {
+  config::Timers timers;
+  timers.drain = 2000ms;
+  timers.configApply = 2500ms;
+  EXPECT_EQ(LeaseRenewal::maxLag(timers), kMaxLag);
+  EXPECT_LT(LeaseRenewal::kInterval + LeaseRenewal::maxLag(timers), timers.drain);
+  timers.configApply = 1000ms;
+  EXPECT_EQ(LeaseRenewal::maxLag(timers), 500ms) << "the shortest: less would end service at each slow entry";
+}
+// Regression (DRAIN, CONFIG): a lease of 3.5 s was served under to its end, although its renewals had told for over 2 s
+// that the replica lacked an entry.
+TEST(LeaseRenewal, AReplicaThatIsKnownToLagEndsServiceBeforeTheLeaseDoes) {
+  LeaseRenewal lease(kLease, kMaxLag, 0);
+  lease.accept(grant(lease.start(kNow), 7));
+  EXPECT_EQ(lease.usableUntil(7), kNow + kLease);
+  EXPECT_EQ(lease.freshUntil(7), TimePoint::max());
+  for (int renewal = 1; renewal <= 4; ++renewal)
+    lease.accept(grant(lease.start(kNow + renewal * LeaseRenewal::kInterval), 7 + renewal));
+  const auto firstMissing = kNow + LeaseRenewal::kInterval;
+  EXPECT_EQ(lease.freshUntil(7), firstMissing + kMaxLag) << "later news move nothing";
+  EXPECT_EQ(lease.freshUntil(8), firstMissing + LeaseRenewal::kInterval + kMaxLag);
+  EXPECT_EQ(lease.freshUntil(11), TimePoint::max());
+}
