--- a/libs/simulation/src/fleet.cpp
+++ b/libs/simulation/src/fleet.cpp
@@ -21,11 +21,12 @@
 constexpr std::size_t kMaxSeeds = 3;
 }  // namespace
 
-LocalFleet::LocalFleet(std::string binary, int core) : binary_(std::move(binary)) {
+LocalFleet::LocalFleet(std::string binary, FleetOptions options)
+    : binary_(std::move(binary)), options_(std::move(options)) {
   std::string pattern = std::filesystem::temp_directory_path() / "zinccleat-fleet-XXXXXX";
   folder_ = ::mkdtemp(pattern.data());
   reserveNetwork();
-  for (int i = 0; i < core; ++i)
+  for (int i = 0; i < options_.core; ++i)
     core_.push_back(ip(2, i + 1));
 }
 void LocalFleet::reserveNetwork() {
@@ -64,20 +65,27 @@
     seeds += (i ? ",\"" : "\"") + control(i) + "\"";
   return seeds;
 }
+std::string LocalFleet::zonesJson() const {
+  std::string json = "{";
+  for (const auto& zone : options_.zones)
+    json += (json.size() > 1 ? ",\"" : "\"") + zone + "\":\"r\"";
+  return json + "}";
+}
 void LocalFleet::writeSettings(const Machine& machine) const {
   const auto path = folder_ + "/" + machine.name;
   if (machine.hasDisk)
     std::filesystem::create_directories(path);
   std::ofstream(path + ".json") << "{\"nodeName\":\"" << machine.name << "\",\"role\":\"" << machine.role
-                                << "\",\"ip\":\"" << machine.ip
-                                << "\",\"zone\":\"z\",\"region\":\"r\",\"zones\":{\"z\":\"r\"},"
+                                << "\",\"ip\":\"" << machine.ip << "\",\"zone\":\"" << machine.zone
+                                << "\",\"region\":\"r\",\"zones\":" << zonesJson() << ","
                                 << "\"bindAddresses\":{" << machine.bindAddresses << "},\"internalPorts\":["
                                 << internalPort() << "," << internalPort() + kInternalPorts - 1 << "],\"seedNodes\":["
                                 << seedNodes()
                                 << "],\"initialAttach\":true,\"quorumMember\":" << (machine.hasDisk ? "true" : "false")
                                 << ",\"dataDir\":" << (machine.hasDisk ? "\"" + path + "\"" : "null")
                                 << ",\"heartbeatMs\":1200,\"limits\":{\"memoryMb\":256,\"fdLimit\":8192},"
-                                << "\"faultTolerance\":{\"machines\":" << (core_.size() - 1) / 2 << "},\"timers\":{}}";
+                                << "\"faultTolerance\":{\"machines\":" << (core_.size() - 1) / 2
+                                << "},\"timers\":" << options_.timers << "}";
 }
 bool LocalFleet::spawn(Process& process) {
   const auto settings = "--settings=" + folder_ + "/" + process.settings + ".json";
@@ -91,7 +99,7 @@
 bool LocalFleet::startCore() {
   for (std::size_t i = 0; i < core_.size(); ++i) {
     const auto name = "core-" + std::to_string(i + 1);
-    writeSettings({name, core_[i], "controller", "\"controlPort\":\"" + control(i) + "\"", true});
+    writeSettings({name, core_[i], "controller", zoneOf(i), "\"controlPort\":\"" + control(i) + "\"", true});
     Process process{name, "controller", name};
     if (!spawn(process))
       return false;
@@ -99,19 +107,39 @@
   }
   return true;
 }
+std::string LocalFleet::readiness(int machine) const {
+  return accessIp(machine) + ":" + std::to_string(kReadinessPort);
+}
 bool LocalFleet::startPair() {
-  const std::string name = "access-1";
-  const auto readiness = ip(3, 1) + ":" + std::to_string(kReadinessPort);
-  writeSettings(
-      {name, ip(3, 1), "proxy", "\"accessPort\":\"" + access() + "\",\"readinessPort\":\"" + readiness + "\"", false});
-  for (const char* role : {"agent", "proxy"}) {
-    Process process{role, role, name};
+  const int machine = accessMachines_++;
+  const auto number = std::to_string(machine + 1);
+  const auto name = "access-" + number;
+  const auto addresses = "\"accessPort\":\"" + access(machine) + "\",\"readinessPort\":\"" + readiness(machine) + "\"";
+  writeSettings({name, accessIp(machine), "proxy", zoneOf(static_cast<std::size_t>(machine)), addresses, false});
+  for (const std::string role : {"agent", "proxy"}) {
+    Process process{machine == 0 ? role : role + "-" + number, role, name};
     if (!spawn(process))
       return false;
     processes_.push_back(std::move(process));
   }
   return true;
 }
+bool LocalFleet::signal(std::size_t process, int number) const {
+  const auto pid = processes_[process].pid;
+  return pid > 0 && ::kill(pid, number) == 0;
+}
+std::optional<int> LocalFleet::takeExit(std::size_t process) {
+  auto& pid = processes_[process].pid;
+  int status = 0;
+  if (pid <= 0 || ::waitpid(pid, &status, WNOHANG) != pid)
+    return std::nullopt;
+  pid = 0;
+  return status;
+}
+void LocalFleet::touchSettings(std::size_t process) const {
+  const auto path = folder_ + "/" + processes_[process].settings + ".json";
+  std::filesystem::last_write_time(path, std::filesystem::file_time_type::clock::now());
+}
 bool LocalFleet::kill(std::size_t process) {
   auto& pid = processes_[process].pid;
   if (pid <= 0)
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -10,9 +10,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 
 #include "runtime/common.hpp"
 namespace zinccleat::simulation {
+/// What all machines of a fleet are told alike.
+struct FleetOptions {
+  int core = 3;                         ///< controllers
+  std::vector<std::string> zones{"z"};  ///< machines of each class stand in them in turn
+  std::string timers = "{}";            ///< the settings' member of that name, JSON
+};
 class LocalFleet {
  public:
   static constexpr unsigned short kControlPort = 8407;
@@ -24,23 +31,34 @@
     pid_t pid = 0;         ///< 0: not running
   };
   /// Reserves addresses and makes the folder; starts nothing. @param core the number of controllers.
-  LocalFleet(std::string binary, int core);
+  LocalFleet(std::string binary, int core) : LocalFleet(std::move(binary), FleetOptions{.core = core}) {}
+  LocalFleet(std::string binary, FleetOptions options);
   /// Kills all processes and removes the folder.
   ~LocalFleet();
   LocalFleet(const LocalFleet&) = delete;
   LocalFleet& operator=(const LocalFleet&) = delete;
   /// Starts the controllers. @return false if one could not be started; `errno` says why.
   bool startCore();
-  /// Starts an agent and a proxy beside the controllers, with the same result.
+  /// Starts an agent and a proxy beside the controllers, on one more access machine, with the same result.
   bool startPair();
+  /// Sends a signal to a process, which is not waited for. @return false if it is not running.
+  bool signal(std::size_t process, int number) const;
+  /// The status (see `waitpid`) of a process that has ended by now; none: it runs, or its end was seen before.
+  std::optional<int> takeExit(std::size_t process);
+  /// Writes a machine's settings file again, as an operator who changes nothing in it.
+  void touchSettings(std::size_t process) const;
   /// Ends a process at once (SIGKILL) and waits for its end. @return false if it was not running.
   bool kill(std::size_t process);
   /// Starts a process again that was killed.
   bool startAgain(std::size_t process);
   /// Address and port of a controller's control interface; indexes past the last begin again at the first.
   std::string control(std::size_t controller) const;
-  /// Address and port where the proxy serves clients.
-  std::string access() const { return ip(3, 1) + ":" + std::to_string(kAccessPort); }
+  /// Address and port where the proxy of an access machine serves clients.
+  std::string access(int machine = 0) const { return accessIp(machine) + ":" + std::to_string(kAccessPort); }
+  /// Address and port where an access machine says whether it is ready.
+  std::string readiness(int machine = 0) const;
+  /// Access machines that were started.
+  int accessMachines() const { return accessMachines_; }
   /// The first of the fleet's internal ports.
   unsigned short internalPort() const;
   /// An address of the fleet's own network.
@@ -54,15 +72,20 @@
 
  private:
   struct Machine {
-    std::string name, ip, role;
+    std::string name, ip, role, zone;
     std::string bindAddresses;  // members of the JSON object
     bool hasDisk = false;       // controllers have one
   };
   void reserveNetwork();
+  std::string accessIp(int machine) const { return ip(3, machine + 1); }
+  const std::string& zoneOf(std::size_t machine) const { return options_.zones[machine % options_.zones.size()]; }
+  std::string zonesJson() const;
   void writeSettings(const Machine& machine) const;
   std::string seedNodes() const;
   bool spawn(Process& process);
   std::string binary_, folder_;
+  FleetOptions options_;
+  int accessMachines_ = 0;
   int network_ = 0;  // N of 127.N.0.0/16
   boost::asio::io_context reservationIo_;
   boost::asio::ip::tcp::acceptor reservation_{reservationIo_};  // open as long as the network is reserved
