--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -193,8 +193,8 @@
   agentLink_.send(request);
 }
 void ProxyDaemon::reportAgingLease(TimePoint now) {
-  const bool aging =
-      context_.hasLease(now) && context_.leaseEnds - now < LeaseRenewal::leaseDuration(settings_.timers) - kAgingLease;
+  const auto left = grantedLeaseEnds_ - now;
+  const bool aging = left > 0ms && left < LeaseRenewal::leaseDuration(settings_.timers) - kAgingLease;
   if (std::exchange(leaseIsAging_, aging) == aging)
     return;
   log::debug(aging ? "lease_not_renewed" : "lease_renewed",
