--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -13,6 +13,7 @@
 #include "controller/controller.hpp"
 #include "operations/commands.hpp"
 #include "proxy_daemon/proxy_daemon.hpp"
+#include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
 #include "simulation/plan.hpp"
 #include "simulation/trial.hpp"
@@ -166,6 +167,7 @@
   return simulation::runAtScale(*plan, kThisProgram, absl::GetFlag(FLAGS_json));
 }
 int loadSettingsAndRun(const std::string& name, int (*run)(const config::Settings&)) {
+  runtime::holdLifecycleSignals();
   const auto path = absl::GetFlag(FLAGS_settings);
   const auto settings = config::loadSettings(path.empty() ? config::settingsPath() : path);
   if (!settings)
--- a/libs/agent/src/agent.cpp
+++ b/libs/agent/src/agent.cpp
@@ -8,7 +8,7 @@
   runtime::EventLoop loop;
   AgentDaemon agent(settings);
   return config::runDaemon(
-      loop, "agent",
+      loop, "agent", settings,
       {.start = [&agent] { return agent.start(); },
        .shutDown = [&agent] { agent.shutDown(); },
        .reloadSettings = [&agent](const config::Settings& changed) { agent.reloadSettings(changed); }});
--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -39,6 +39,7 @@
 };
 /// The settings of one process.
 struct Settings {
+  std::string path;          ///< of the file that they were read from; empty: of none
   std::string node;          ///< the node's name (`nodeName`)
   std::string role;          ///< as the operators call it; not used
   std::string machineClass;  ///< as the operators call it; not used
--- a/libs/config/src/run_daemon.cpp
+++ b/libs/config/src/run_daemon.cpp
@@ -5,22 +5,23 @@
 
 namespace zinccleat::config {
 namespace {
-void reload(const Daemon& daemon) {
-  if (const auto settings = loadSettings(settingsPath()))
+void reload(const std::string& path, const Daemon& daemon) {
+  if (const auto settings = loadSettings(path))
     daemon.reloadSettings(*settings);
   else
     log::error("settings_unreadable", {{"reason", settings.error().message}});
 }
 }  // namespace
 
-int runDaemon(runtime::EventLoop& loop, std::string_view program, const Daemon& daemon) {
+int runDaemon(runtime::EventLoop& loop, std::string_view program, const Settings& settings, const Daemon& daemon) {
   if (const auto started = daemon.start(); !started) {
     log::info("daemon_start_failed", {{"program", program}, {"reason", started.error().message}});
     return 1;
   }
-  runtime::watchLifecycle(settingsPath(),
-                          {.onTerminate = daemon.shutDown, .onReloadSettings = [&daemon] { reload(daemon); }});
+  runtime::watchLifecycle(settings.path,
+                          {.onTerminate = daemon.shutDown, .onReloadSettings = [&] { reload(settings.path, daemon); }});
   loop.run();
+  runtime::holdLifecycleSignals();  // nothing cuts the end of the process short
   return 0;
 }
 }  // namespace zinccleat::config
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -192,6 +192,9 @@
   const auto text = readFile(path);
   if (!text)
     return tl::unexpected(text.error());
-  return parseSettings(*text);
+  auto settings = parseSettings(*text);
+  if (settings)
+    settings->path = path;
+  return settings;
 }
 }  // namespace zinccleat::config
--- a/libs/controller/src/controller.cpp
+++ b/libs/controller/src/controller.cpp
@@ -23,7 +23,7 @@
     if (deadlinePassed || server.inFlight() == 0)
       loop.stop();
   };
-  return config::runDaemon(loop, "controller",
+  return config::runDaemon(loop, "controller", settings,
                            {.start = [&] { return startController(node, server); },
                             .shutDown = [&] { node.shutDown(endRequests); },
                             .reloadSettings = [&](const config::Settings& changed) { node.reloadSettings(changed); }});
--- a/libs/proxy_daemon/src/proxy_daemon.cpp
+++ b/libs/proxy_daemon/src/proxy_daemon.cpp
@@ -8,7 +8,7 @@
   runtime::EventLoop loop;
   ProxyDaemon proxy(settings);
   return config::runDaemon(
-      loop, "proxy",
+      loop, "proxy", settings,
       {.start = [&proxy] { return proxy.start(); },
        .shutDown = [&proxy] { proxy.shutDown(); },
        .reloadSettings = [&proxy](const config::Settings& changed) { proxy.reloadSettings(changed); }});
--- a/libs/runtime/src/lifecycle.cpp
+++ b/libs/runtime/src/lifecycle.cpp
@@ -2,7 +2,9 @@
 
 #include <sys/stat.h>
 
+#include <array>
 #include <boost/asio/signal_set.hpp>
+#include <csignal>
 
 #include "runtime/event_loop.hpp"
 #include "runtime/log_ring.hpp"
@@ -11,6 +13,15 @@
 namespace {
 constexpr auto kFileCheckInterval = 2000ms;
 
+constexpr std::array kSignals{SIGTERM, SIGINT, SIGHUP, SIGUSR1};
+
+void changeSignalMask(int how) {
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  for (const int signal : kSignals)
+    ::sigaddset(&signals, signal);
+  ::pthread_sigmask(how, &signals, nullptr);
+}
 LifecycleEvent eventOf(int signal) {
   switch (signal) {
     case SIGHUP:
@@ -37,11 +48,13 @@
       : settingsPath_(std::move(settingsPath)),
         fingerprint_(fingerprintOf(settingsPath_)),
         handlers_(std::move(handlers)),
-        signals_(EventLoop::get().io(), SIGTERM, SIGINT, SIGHUP) {
-    signals_.add(SIGUSR1);
+        signals_(EventLoop::get().io()) {
+    for (const int signal : kSignals)
+      signals_.add(signal);
   }
   void start() {
     awaitSignal();
+    changeSignalMask(SIG_UNBLOCK);
     EventLoop::get().callEvery(kFileCheckInterval, [self = shared_from_this()] { self->checkFile(); });
   }
 
@@ -77,6 +90,9 @@
 };
 }  // namespace
 
+void holdLifecycleSignals() {
+  changeSignalMask(SIG_BLOCK);
+}
 void watchLifecycle(const std::string& settingsPath, LifecycleHandlers handlers) {
   std::make_shared<LifecycleWatcher>(settingsPath, std::move(handlers))->start();
 }
--- a/tests/drain.sh
+++ b/tests/drain.sh
@@ -54,6 +54,7 @@
 kill -HUP "${pids[@]}"
 [ "$(request $ip)" = 404 ] || wrong "no answer after SIGHUP"
 [ "$(ready $ip)" = 200 ] || wrong "not ready after SIGHUP"
+! grep -q settings_unreadable "$dir"/*.log || wrong "the settings of --settings were not read again"
 
 from=$SECONDS
 kill -TERM "${access[@]}"
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -1,7 +1,10 @@
 /// The event loop's fibers, and the parsing of endpoints.
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 #include "runtime/event_loop.hpp"
+#include "runtime/lifecycle.hpp"
 
 using namespace zinccleat;
 using namespace zinccleat::runtime;
@@ -71,6 +74,20 @@
   });
 }
 
+// Regression: SIGHUP ended a process that had not installed its handlers yet, or had left its event loop.
+TEST(Lifecycle, ASignalThatComesWhileTheProcessStartsIsHandledOnceItRuns) {
+  static int reloads = 0;
+  holdLifecycleSignals();
+  ASSERT_EQ(::raise(SIGHUP), 0);
+  onFiber([] {
+    watchLifecycle("", {.onTerminate = [] {}, .onReloadSettings = [] { ++reloads; }});
+    for (const auto end = Clock::now() + 10s; reloads == 0 && Clock::now() < end;)
+      EventLoop::get().sleepFor(1ms);
+  });
+  EXPECT_EQ(reloads, 1);
+  holdLifecycleSignals();
+  ASSERT_EQ(::raise(SIGHUP), 0) << "as behind the event loop";
+}
 TEST(ParseEndpoint, ReadsAddressAndPort) {
   const auto endpoint = parseEndpoint("127.0.0.1:8405");
   ASSERT_TRUE(endpoint);
--- /dev/null
+++ b/tests/soak/clients.cpp
@@ -0,0 +1,166 @@
+// Clients: each keeps one connection and uses it until the other end closes it, also while the machine shuts down.
+#include "proxy/http.hpp"
+#include "soak_run.hpp"
+
+namespace zinccleat::soak {
+namespace {
+constexpr Duration kPollInterval{1000};
+constexpr Duration kPollTimeout{900};
+constexpr int kMissesUntilOut = 2;
+constexpr Duration kDeadline{4000};            // what clients tell the fleet
+constexpr Duration kPatience{5500};            // what they wait
+constexpr std::uint64_t kLongPauseOneIn = 12;  // pauses of seconds on an open connection
+constexpr int kOk = 200;
+
+struct Answer {
+  int status = 0;
+  bool bodyMatches = false;
+  bool closes = false;
+};
+class SoakClient {
+ public:
+  SoakClient(SoakRun& run, int number) : run_(run), number_(number) {}
+  void use() {
+    while (run_.loaded) {
+      pause();
+      if (!run_.loaded)
+        return;
+      if (!connection_ && !connect())
+        continue;
+      send();
+    }
+  }
+
+ private:
+  void pause() const {
+    const bool isLong = run_.draw(kLongPauseOneIn) == 0;
+    runtime::EventLoop::get().sleepFor(isLong ? run_.drawDuration(500ms, 3500ms) : run_.drawDuration(5ms, 120ms));
+  }
+  bool connect() {
+    std::vector<int> candidates;
+    for (int machine = 0; machine < run_.plan.access; ++machine)
+      if (run_.inService[static_cast<std::size_t>(machine)])
+        candidates.push_back(machine);
+    machine_ = candidates.empty() ? static_cast<int>(run_.draw(static_cast<std::uint64_t>(run_.plan.access)))
+                                  : candidates[run_.draw(candidates.size())];
+    auto connection = std::make_unique<runtime::Connection>();
+    runtime::SocketError ec;
+    connection->setDeadline(Clock::now() + kPollTimeout);
+    connection->connect(*runtime::parseEndpoint(run_.fleet.access(machine_)), ec);
+    connection->clearDeadline();
+    if (ec)
+      return false;
+    runtime::tune(connection->socket());
+    connection_ = std::move(connection);
+    buffer_.clear();
+    return true;
+  }
+  ClientRequest nextRequest() {
+    ClientRequest request;
+    request.attemptId = "c" + std::to_string(number_) + "-" + std::to_string(++requests_);
+    request.machine = machine_;
+    const auto kind = run_.draw(10);
+    request.kind = kind < 4 ? RequestKind::safe : kind < 7 ? RequestKind::unsafe : RequestKind::stream;
+    if (request.kind == RequestKind::safe && run_.draw(2) == 0)
+      request.route = "t" + std::to_string(run_.draw(kOptionalRoutes));
+    return request;
+  }
+  static std::string pathOf(const ClientRequest& request) {
+    if (!request.route.empty())
+      return "/" + request.route + "/x";
+    switch (request.kind) {
+      case RequestKind::safe:
+        return "/safe/x";
+      case RequestKind::unsafe:
+        return "/unsafe/x";
+      case RequestKind::stream:
+        break;
+    }
+    return "/stream/x";
+  }
+  void send() {
+    auto request = nextRequest();
+    const auto text = "POST " + pathOf(request) +
+                      " HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: " + request.attemptId +
+                      "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) + "\r\nContent-Length: 4\r\n\r\nbody";
+    runtime::SocketError ec;
+    connection_->setDeadline(Clock::now() + kPatience);
+    const auto written = connection_->write(asio::buffer(text), ec);
+    request.sentAt = Clock::now();
+    if (ec || written < text.size()) {
+      connection_.reset();  // not a whole request: nothing was read
+      return;
+    }
+    const auto answer = receive(request, ec);
+    request.endedAt = Clock::now();
+    if (answer) {
+      request.end = RequestEnd::answered;
+      request.status = answer->status;
+      request.bodyMatches = answer->bodyMatches;
+    } else {
+      request.end = connection_->deadlineExceeded() ? RequestEnd::unanswered : RequestEnd::connectionClosed;
+    }
+    if (!answer || answer->closes)
+      connection_.reset();
+    else
+      connection_->clearDeadline();
+    run_.seen.requests.push_back(std::move(request));
+  }
+  std::optional<Answer> receive(const ClientRequest& request, runtime::SocketError& ec) {
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    proxy::pump(*connection_, buffer_, parser, false, ec);
+    if (ec || !parser.is_done())
+      return std::nullopt;
+    const auto& message = parser.get();
+    Answer answer;
+    answer.status = static_cast<int>(message.result_int());
+    answer.closes = !message.keep_alive();
+    const auto& body = message.body();
+    const bool stream = request.kind == RequestKind::stream;
+    answer.bodyMatches = message["X-Server-Seal"] == "soak" &&
+                         (stream ? body.starts_with("id: 1\n") && body.ends_with("last " + request.attemptId + "\n\n")
+                                 : body == "done " + request.attemptId);
+    return answer;
+  }
+
+  SoakRun& run_;
+  int number_;
+  int requests_ = 0;
+  int machine_ = 0;
+  std::unique_ptr<runtime::Connection> connection_;
+  proxy::Buffer buffer_;
+};
+
+bool isReady(const std::string& address) {
+  runtime::Connection connection;
+  runtime::SocketError ec;
+  connection.setDeadline(Clock::now() + kPollTimeout);
+  connection.connect(*runtime::parseEndpoint(address), ec);
+  if (!ec)
+    connection.write(asio::buffer(std::string("GET /v1/readiness HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n")),
+                     ec);
+  proxy::Buffer buffer;
+  http::response_parser<http::string_body> parser;
+  if (!ec)
+    proxy::pump(connection, buffer, parser, true, ec);
+  return !ec && parser.get().result_int() == kOk;
+}
+void poll(SoakRun& run, int machine) {
+  int misses = kMissesUntilOut;
+  for (;; runtime::EventLoop::get().sleepFor(kPollInterval)) {
+    misses = isReady(run.fleet.readiness(machine)) ? 0 : misses + 1;
+    run.inService[static_cast<std::size_t>(machine)] = misses < kMissesUntilOut;
+  }
+}
+}  // namespace
+
+void startPlatform(SoakRun& run) {
+  for (int machine = 0; machine < run.plan.access; ++machine)
+    runtime::EventLoop::get().spawn([&run, machine] { poll(run, machine); });
+}
+void startClients(SoakRun& run) {
+  for (int number = 0; number < run.plan.clients; ++number)
+    run.spawn([&run, number] { SoakClient(run, number).use(); });
+}
+}  // namespace zinccleat::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,171 @@
+// zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N] [--kills]
+//     [--keep]
+//
+// One soak run; --keep leaves its folder with the processes' logs where a rule is broken. Prints what was seen and each
+// broken rule; exit status 0: none, 1: some, 2: it could not be played.
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+
+#include "control_calls.hpp"
+#include "soak_run.hpp"
+
+namespace zinccleat::soak {
+namespace {
+constexpr const char* kFolderInMemory = "/dev/shm";
+constexpr Duration kReadyTimeout{30000};
+constexpr Duration kPoll{50};
+constexpr Duration kEndTimeout{12000};
+constexpr Duration kLogTime{500};
+constexpr std::size_t kPrintedViolations = 12;
+
+std::string timersJson(const Bounds& bounds) {
+  return R"({"graceS":)" + std::to_string(bounds.grace.count() / 1000) + R"(,"drainMs":)" +
+         std::to_string(bounds.drain.count()) + R"(,"configApplyMs":)" + std::to_string(bounds.configApply.count()) +
+         R"(,"contactMs":)" + std::to_string(bounds.contact.count()) + "}";
+}
+bool waitUntil(Duration timeout, const std::function<bool()>& condition) {
+  for (const auto end = Clock::now() + timeout; Clock::now() < end; runtime::EventLoop::get().sleepFor(kPoll))
+    if (condition())
+      return true;
+  return false;
+}
+int fail(const std::string& what) {
+  std::printf("soak: %s\n", what.c_str());
+  return 2;
+}
+bool start(SoakRun& run) {
+  if (!run.fleet.startCore())
+    return false;
+  for (int machine = 0; machine < run.plan.access; ++machine)
+    if (!run.fleet.startPair())
+      return false;
+  return installFirstConfiguration(run);
+}
+bool allInService(const SoakRun& run) {
+  return std::all_of(run.inService.begin(), run.inService.end(), [](char in) { return in != 0; });
+}
+int report(const SoakRun& run) {
+  const auto& seen = run.seen;
+  const auto count = [&](int status) {
+    return std::count_if(seen.requests.begin(), seen.requests.end(), [status](const ClientRequest& request) {
+      return request.end == RequestEnd::answered && request.status == status;
+    });
+  };
+  const auto acknowledged = std::count_if(seen.changes.begin(), seen.changes.end(),
+                                          [](const Change& change) { return change.acknowledgedAt.has_value(); });
+  const auto violations = brokenRules(seen);
+  std::printf(
+      "seed %ju: core %d, access %d, processes %zu; requests %zu: 200 %td, 404 %td, 503 %td; changes %zu, acknowledged "
+      "%td; runners left %zu; ends of processes %zu; broken rules %zu\n",
+      static_cast<std::uintmax_t>(run.plan.seed), run.plan.core, run.plan.access, run.fleet.processes().size(),
+      seen.requests.size(), count(200), count(404), count(503), seen.changes.size(), acknowledged,
+      seen.departures.size(), seen.exits.size(), violations.size());
+  for (std::size_t i = 0; i < std::min(violations.size(), kPrintedViolations); ++i)
+    std::printf("  %s: %s\n", violations[i].rule.c_str(), violations[i].what.c_str());
+  std::fflush(stdout);
+  return violations.empty() ? 0 : 1;
+}
+/// Has every process write its log out, and ends this one without removing the folder.
+[[noreturn]] void keepLogs(const SoakRun& run) {
+  for (std::size_t process = 0; process < run.fleet.processes().size(); ++process)
+    (void)run.fleet.signal(process, SIGUSR1);
+  runtime::EventLoop::get().sleepFor(kLogTime);
+  std::printf("  logs: %s\n", run.fleet.folder().c_str());
+  std::fflush(stdout);
+  std::_Exit(1);
+}
+int play(SoakRun& run) {
+  auto& loop = runtime::EventLoop::get();
+  if (!start(run))
+    return fail("the fleet does not start");
+  for (int i = 0; i < run.plan.runners; ++i)
+    startRunner(run, "runner-" + std::to_string(i) + "-" + std::to_string(run.plan.seed));
+  startPlatform(run);
+  if (!waitUntil(kReadyTimeout, [&run] { return allInService(run); }))
+    return fail("the access machines do not get ready");
+  startClients(run);
+  startDisturbances(run);
+  loop.sleepFor(std::chrono::seconds(run.plan.seconds));
+  run.disturbed = false;
+  loop.sleepFor(run.seen.bounds.contact);
+  run.loaded = false;
+  if (!waitUntil(kEndTimeout, [&run] { return run.busy == 0; }))
+    return fail("clients or work on the fleet do not end");
+  readBack(run);
+  const int status = report(run);
+  if (status != 0 && run.plan.keepsLogs)
+    keepLogs(run);
+  return status;
+}
+/// @return whether the argument has this form; the number is set then.
+template <class Number>
+bool parse(const char* argument, const char* name, Number& number) {
+  const auto length = std::strlen(name);
+  if (std::strncmp(argument, name, length) != 0)
+    return false;
+  number = static_cast<Number>(std::strtoull(argument + length, nullptr, 10));
+  return true;
+}
+std::optional<SoakPlan> planOf(int argc, char** argv) {
+  if (argc < 2)
+    return std::nullopt;
+  SoakPlan plan;
+  plan.program = argv[1];
+  for (int i = 2; i < argc; ++i) {
+    const char* argument = argv[i];
+    if (std::strcmp(argument, "--kills") == 0)
+      plan.kills = true;
+    else if (std::strcmp(argument, "--keep") == 0)
+      plan.keepsLogs = true;
+    else if (!parse(argument, "--seed=", plan.seed) && !parse(argument, "--seconds=", plan.seconds) &&
+             !parse(argument, "--core=", plan.core) && !parse(argument, "--access=", plan.access) &&
+             !parse(argument, "--runners=", plan.runners) && !parse(argument, "--clients=", plan.clients))
+      return std::nullopt;
+  }
+  const bool usable = plan.seconds > 0 && plan.core > 0 && plan.access > 0 && plan.runners > 0 && plan.clients > 0;
+  return usable ? std::optional(plan) : std::nullopt;
+}
+}  // namespace
+
+SoakRun::SoakRun(const SoakPlan& soakPlan)
+    : plan(soakPlan),
+      random(soakPlan.seed),
+      fleet(soakPlan.program,
+            simulation::FleetOptions{.core = soakPlan.core, .zones = {"a", "b", "c"}, .timers = timersJson(Bounds{})}),
+      inService(static_cast<std::size_t>(soakPlan.access), 0) {}
+void SoakRun::spawn(std::function<void()> body) {
+  ++busy;
+  runtime::EventLoop::get().spawn([this, body = std::move(body)] {
+    body();
+    --busy;
+  });
+}
+}  // namespace zinccleat::soak
+
+int main(int argc, char** argv) {
+  using namespace zinccleat;
+  const auto plan = soak::planOf(argc, argv);
+  if (!plan) {
+    std::fprintf(stderr,
+                 "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
+                 "[--runners=N] [--clients=N] [--kills]\n");
+    return 2;
+  }
+  // In memory where there is such a folder: what the run measures is not to depend on who else uses the disk.
+  if (std::filesystem::is_directory(soak::kFolderInMemory))
+    ::setenv("TMPDIR", soak::kFolderInMemory, 0);
+  runtime::EventLoop loop;
+  int status = 2;
+  {
+    soak::SoakRun run(*plan);
+    loop.spawn([&] {
+      status = soak::play(run);
+      runtime::EventLoop::get().stop();
+    });
+    loop.run();
+  }
+  std::_Exit(status);  // parked fibers would hold an ordinary exit up
+}
--- /dev/null
+++ b/tests/soak/operators.cpp
@@ -0,0 +1,86 @@
+// The operators: changes of the configuration, repeated until the answer is clear, and the reading back at the end.
+#include "control_calls.hpp"
+#include "operations/json_path.hpp"
+#include "soak_run.hpp"
+
+namespace zinccleat::soak {
+namespace {
+constexpr Duration kCallTimeout{1500};
+constexpr Duration kRetryInterval{60};
+constexpr int kFirstAttempts = 200;
+constexpr int kChangeAttempts = 12;
+constexpr Duration kReadBackTime{3000};
+constexpr int kOk = 200;
+constexpr int kConflict = 412;
+
+std::string routeJson(const std::string& label, const char* type) {
+  return R"({"label":")" + label + R"(","authority":"soak.example","pathPrefix":"/)" + label + R"(/","routeType":")" +
+         type + R"(","expiryMs":4000,"targetLatencyMs":500,"targetService":"models","maxAttempts":2})";
+}
+std::string configurationJson(std::int64_t version, const std::set<std::string>& routes) {
+  std::string table =
+      routeJson("safe", "safe") + "," + routeJson("unsafe", "unsafe") + "," + routeJson("stream", "stream");
+  for (const auto& route : routes)
+    table += "," + routeJson(route, "safe");
+  return R"({"configVersion":)" + std::to_string(version) + R"(,"routeTable":[)" + table +
+         R"(],"serviceTable":[{"label":"models"}]})";
+}
+/// Sends one change until its answer is clear. @return its status; 0 if there was none.
+int sendChange(SoakRun& run, std::int64_t base, std::int64_t version, const std::set<std::string>& routes,
+               int attempts) {
+  const auto call = simulation::replaceCall(configurationJson(version, routes), base);
+  for (int attempt = 0; attempt < attempts; ++attempt) {
+    const auto answer = operations::callOne(run.anyController(), call, kCallTimeout);
+    if (answer && (answer->status == kOk || answer->status == kConflict))
+      return answer->status;
+    runtime::EventLoop::get().sleepFor(kRetryInterval);
+  }
+  return 0;
+}
+std::set<std::string> toggled(SoakRun& run) {
+  auto routes = run.routes;
+  const auto route = "t" + std::to_string(run.draw(kOptionalRoutes));
+  if (routes.erase(route) == 0)
+    routes.insert(route);
+  return routes;
+}
+}  // namespace
+
+bool installFirstConfiguration(SoakRun& run) {
+  const std::set<std::string> routes{"t0", "t1", "t2"};
+  run.seen.changes.push_back({1, routes, Clock::now(), std::nullopt, false});
+  if (sendChange(run, 0, 1, routes, kFirstAttempts) != kOk)
+    return false;
+  run.seen.changes.back().acknowledgedAt = Clock::now();
+  run.version = 1;
+  run.routes = routes;
+  return true;
+}
+void changeConfiguration(SoakRun& run) {
+  const auto base = run.version;
+  const auto version = base + 1 + static_cast<std::int64_t>(run.draw(3));
+  const auto routes = toggled(run);
+  const auto index = run.seen.changes.size();
+  run.seen.changes.push_back({version, routes, Clock::now(), std::nullopt, false});
+  const int status = sendChange(run, base, version, routes, kChangeAttempts);
+  auto& change = run.seen.changes[index];
+  change.refused = status == kConflict;
+  if (status != kOk)
+    return;
+  change.acknowledgedAt = Clock::now();
+  if (version > run.version) {
+    run.version = version;
+    run.routes = routes;
+  }
+}
+void readBack(SoakRun& run) {
+  for (const auto end = Clock::now() + kReadBackTime; Clock::now() < end && !run.seen.finalVersion;
+       runtime::EventLoop::get().sleepFor(kRetryInterval)) {
+    const auto answer = operations::callOne(run.anyController(), simulation::retrieveCall(), kCallTimeout);
+    if (!answer || answer->status != kOk)
+      continue;
+    if (const auto version = operations::fieldOf(answer->body, "configVersion"))
+      run.seen.finalVersion = std::atoll(version->c_str());
+  }
+}
+}  // namespace zinccleat::soak
--- /dev/null
+++ b/tests/soak/runners.cpp
@@ -0,0 +1,148 @@
+// Runners: HTTP servers that record what they run, send heartbeats and leave in order.
+#include "control_calls.hpp"
+#include "proxy/http.hpp"
+#include "soak_run.hpp"
+
+namespace zinccleat::soak {
+namespace {
+using proxy::Buffer;
+using proxy::RequestParser;
+constexpr Duration kHeartbeatInterval{400};
+constexpr Duration kCallTimeout{1000};
+constexpr Duration kServesOn{700};  // beyond the bound of the drain
+constexpr Duration kEventInterval{25};
+constexpr int kMaxDetachCalls = 20;
+
+struct SoakRunner : std::enable_shared_from_this<SoakRunner> {
+  SoakRun& run;
+  std::string id;
+  tcp::acceptor acceptor;
+  bool leaving = false;
+  bool ended = false;
+  std::int64_t sequence = 0;
+
+  SoakRunner(SoakRun& soakRun, std::string runnerId)
+      : run(soakRun),
+        id(std::move(runnerId)),
+        acceptor(runtime::EventLoop::get().io(), tcp::endpoint(asio::ip::make_address(run.fleet.ip(7, 1)), 0)) {}
+  std::string address() const { return run.fleet.ip(7, 1) + ":" + std::to_string(acceptor.local_endpoint().port()); }
+  void acceptNext();
+  void serve(runtime::Connection& connection);
+  void answer(const RequestParser::value_type& request, runtime::Connection& connection, runtime::SocketError& ec);
+  bool sendHeartbeat();
+  void keepAlive();
+  void leave();
+};
+std::map<std::string, std::shared_ptr<SoakRunner>>& runners() {
+  static std::map<std::string, std::shared_ptr<SoakRunner>> all;
+  return all;
+}
+
+void SoakRunner::acceptNext() {
+  acceptor.async_accept([self = shared_from_this()](runtime::SocketError ec, tcp::socket socket) {
+    if (ec)
+      return;
+    auto connection = std::make_shared<runtime::Connection>(std::move(socket));
+    runtime::tune(connection->socket());
+    runtime::EventLoop::get().spawn([self, connection] { self->serve(*connection); });
+    self->acceptNext();
+  });
+}
+void SoakRunner::serve(runtime::Connection& connection) {
+  Buffer buffer;
+  runtime::SocketError ec;
+  while (!ec) {
+    RequestParser parser;
+    if (proxy::readRequest(connection, buffer, parser, {}).outcome != proxy::ReadOutcome::complete)
+      return;
+    answer(parser.get(), connection, ec);
+  }
+}
+void SoakRunner::answer(const RequestParser::value_type& request, runtime::Connection& connection,
+                        runtime::SocketError& ec) {
+  const std::string attemptId(request["X-Attempt-Id"]);
+  const std::string head = "X-Attempt-Id: " + attemptId + "\r\nX-Server-Seal: soak\r\n";
+  if (request["X-Expected-Instance"] != id) {
+    connection.write(asio::buffer("HTTP/1.1 421 Misdirected Request\r\n" + head + "Content-Length: 0\r\n\r\n"), ec);
+    return;
+  }
+  run.seen.executions[attemptId].push_back({id, Clock::now()});
+  const bool stream = request.target().starts_with("/stream/");
+  if (!stream) {
+    runtime::EventLoop::get().sleepFor(run.drawDuration(1ms, 60ms));
+    const auto body = "done " + attemptId;
+    connection.write(asio::buffer("HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + std::to_string(body.size()) +
+                                  "\r\n\r\n" + body),
+                     ec);
+    return;
+  }
+  connection.write(asio::buffer("HTTP/1.1 200 OK\r\n" + head +
+                                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"),
+                   ec);
+  const auto events = 2 + run.draw(20);
+  for (std::uint64_t number = 1; number <= events && !ec; ++number) {
+    const bool last = number == events;
+    const auto event = "id: " + std::to_string(number) + "\ndata: " + (last ? "last " + attemptId : "next") + "\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+    connection.write(asio::buffer(size.data() + event + "\r\n" + (last ? "0\r\n\r\n" : "")), ec);
+    if (!last)
+      runtime::EventLoop::get().sleepFor(kEventInterval);
+  }
+}
+bool SoakRunner::sendHeartbeat() {
+  const auto report = R"({"targetService":"models","configVersion":"v1","address":")" + address() +
+                      R"(","zone":"a","capacity":16,"state":")" + (leaving ? "draining" : "in_service") +
+                      R"(","sequence":)" + std::to_string(++sequence) + "}";
+  return simulation::isAcknowledged(
+      operations::callOne(run.anyController(), simulation::heartbeatCall(id, report), kCallTimeout));
+}
+void SoakRunner::keepAlive() {
+  while (!ended && !leaving) {
+    sendHeartbeat();
+    runtime::EventLoop::get().sleepFor(kHeartbeatInterval);
+  }
+}
+void SoakRunner::leave() {
+  // Some never say that they drain: they detach at once, and serve on as long.
+  const bool saysSo = run.draw(4) != 0;
+  leaving = true;
+  const auto announce = [&] {
+    return saysSo ? sendHeartbeat()
+                  : simulation::isAcknowledged(
+                        operations::callOne(run.anyController(), simulation::detachCall(id), kCallTimeout));
+  };
+  int calls = 0;
+  while (!announce() && ++calls < kMaxDetachCalls)
+    runtime::EventLoop::get().sleepFor(50ms);
+  if (calls < kMaxDetachCalls)
+    run.seen.departures[id] = Clock::now();
+  runtime::EventLoop::get().sleepFor(run.seen.bounds.drain + run.drawDuration(kServesOn, kServesOn * 3));
+  if (saysSo)
+    (void)operations::callOne(run.anyController(), simulation::detachCall(id), kCallTimeout);
+  ended = true;
+  runtime::SocketError ec;
+  acceptor.close(ec);
+}
+}  // namespace
+
+void startRunner(SoakRun& run, const std::string& id) {
+  auto runner = std::make_shared<SoakRunner>(run, id);
+  runners()[id] = runner;
+  runner->acceptNext();
+  runtime::EventLoop::get().spawn([runner] { runner->keepAlive(); });
+}
+void requestDeparture(SoakRun& run, const std::string& id) {
+  const auto found = runners().find(id);
+  if (found == runners().end() || found->second->leaving)
+    return;
+  run.spawn([runner = found->second] { runner->leave(); });
+}
+std::vector<std::string> runnersInService(const SoakRun&) {
+  std::vector<std::string> ids;
+  for (const auto& [id, runner] : runners())
+    if (!runner->leaving)
+      ids.push_back(id);
+  return ids;
+}
+}  // namespace zinccleat::soak
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// One soak run: real processes on loopback, clients that keep using open connections, and work on the fleet that
+/// comes in series and overlaps. All parts share a `SoakRun` and live on the event loop's thread.
+#pragma once
+#include <random>
+
+#include "fleet.hpp"
+#include "observations.hpp"
+#include "runtime/event_loop.hpp"
+namespace zinccleat::soak {
+/// What is played. The seed decides everything that is drawn, not the order in which the processes get the processor.
+struct SoakPlan {
+  std::string program;
+  std::uint64_t seed = 1;
+  int seconds = 12;  ///< from the start of the load to its end
+  int core = 3;
+  int access = 3;
+  int runners = 6;
+  int clients = 24;
+  bool kills = false;      ///< processes are killed too, beside planned work
+  bool keepsLogs = false;  ///< where a rule is broken
+};
+
+/// What the parts of a run share. It outlives the fibers that refer to it: they end with the process.
+struct SoakRun {
+  explicit SoakRun(const SoakPlan& soakPlan);
+  SoakPlan plan;
+  std::mt19937_64 random;
+  simulation::LocalFleet fleet;
+  Observations seen;
+  std::vector<char> inService;   ///< whether the platform gives an access machine new connections
+  bool loaded = true;            ///< clients send requests
+  bool disturbed = true;         ///< work on the fleet goes on
+  int busy = 0;                  ///< fibers of clients and of work that have not ended
+  std::set<std::string> routes;  ///< optional ones in the newest configuration that was acknowledged
+  std::int64_t version = 0;      ///< of that configuration
+
+  std::uint64_t draw(std::uint64_t below) { return random() % below; }
+  Duration drawDuration(Duration least, Duration most) {
+    return least + Duration(static_cast<std::int64_t>(draw(static_cast<std::uint64_t>((most - least).count()) + 1)));
+  }
+  /// Runs `body` on a fiber that counts as busy until it ends.
+  void spawn(std::function<void()> body);
+  std::string anyController() { return fleet.control(draw(fleet.core().size())); }
+};
+
+/// Optional routes that the operators add and drop.
+constexpr int kOptionalRoutes = 6;
+
+/// Starts a runner that serves until it leaves in order: it says so, serves on and ends.
+void startRunner(SoakRun& run, const std::string& id);
+/// Has a runner leave; unknown ids are ignored.
+void requestDeparture(SoakRun& run, const std::string& id);
+/// Ids of runners in service.
+std::vector<std::string> runnersInService(const SoakRun& run);
+/// Asks each access machine every second whether it is ready, as the platform does.
+void startPlatform(SoakRun& run);
+void startClients(SoakRun& run);
+/// Sends the first configuration until it is taken. @return false if nobody took it.
+bool installFirstConfiguration(SoakRun& run);
+/// One change on top of the newest version that is known here.
+void changeConfiguration(SoakRun& run);
+/// Reads the configuration back for up to three seconds, at any controller.
+void readBack(SoakRun& run);
+/// Starts ended processes again, and the series of work on the fleet.
+void startDisturbances(SoakRun& run);
+}  // namespace zinccleat::soak
