--- a/libs/controller/src/api_responses.cpp
+++ b/libs/controller/src/api_responses.cpp
@@ -43,4 +43,11 @@
 Duration ResponseDeadline::left() const {
   return std::max(Duration(0), toDuration(deadline_ - Clock::now()));
 }
+std::optional<ApiResponse> unlessFresh(ControllerServices& services, const ResponseDeadline& deadline) {
+  if (!services.awaitContact(kContactTimeout))
+    return noContactResponse();
+  if (auto fresh = services.awaitReadIndex(deadline.left()); !fresh)
+    return errorResponse(fresh.error());
+  return std::nullopt;
+}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/api_responses.hpp
+++ b/libs/controller/src/api_responses.hpp
@@ -27,4 +27,7 @@
  private:
   TimePoint deadline_;
 };
+/// Waits until this controller has contact with a majority and its replica is as new as the newest acknowledgement.
+/// @return the response if that fails in time; none: the replica may be read.
+std::optional<ApiResponse> unlessFresh(ControllerServices& services, const ResponseDeadline& deadline);
 }  // namespace zinccleat::controller
--- a/libs/controller/src/configuration_handlers.cpp
+++ b/libs/controller/src/configuration_handlers.cpp
@@ -72,10 +72,8 @@
 ApiResponse handleRetrieveConfiguration(const ApiCall& call) {
   const ResponseDeadline deadline;
   auto& services = call.services;
-  if (!services.awaitContact(kContactTimeout))
-    return noContactResponse();
-  if (auto fresh = services.awaitReadIndex(deadline.left()); !fresh)
-    return errorResponse(fresh.error());
+  if (auto response = unlessFresh(services, deadline))
+    return *response;
   const auto& configuration = services.replica().state().configuration;
   if (configuration.empty())
     return errorResponse(HttpStatus::not_found, "no configuration yet");
--- a/libs/controller/src/rollout_handlers.cpp
+++ b/libs/controller/src/rollout_handlers.cpp
@@ -67,14 +67,6 @@
     return {HttpStatus::ok, "{}", ""};
   return errorResponse(HttpStatus::conflict, "another rollout of this service is in progress, or it is over");
 }
-/// Waits until the replica is fresh. @return the response if that failed.
-std::optional<ApiResponse> unlessFresh(const ApiCall& call, const ResponseDeadline& deadline) {
-  if (!call.services.awaitContact(kContactTimeout))
-    return noContactResponse();
-  if (auto fresh = call.services.awaitReadIndex(deadline.left()); !fresh)
-    return errorResponse(fresh.error());
-  return std::nullopt;
-}
 }  // namespace
 
 ApiResponse handleBeginRollout(const ApiCall& call) {
@@ -92,7 +84,7 @@
   if (known && known->sameOrder(ordered))
     return {HttpStatus::ok, "{}", ""};
   if (!isConfigured(services, ordered.service)) {
-    if (auto response = unlessFresh(call, deadline))
+    if (auto response = unlessFresh(call.services, deadline))
       return *response;
     if (!isConfigured(services, ordered.service))
       return errorResponse(HttpStatus::not_found, "no service '" + ordered.service + "'");
@@ -104,7 +96,7 @@
 }
 ApiResponse handleRetrieveRollout(const ApiCall& call) {
   const ResponseDeadline deadline;
-  if (auto response = unlessFresh(call, deadline))
+  if (auto response = unlessFresh(call.services, deadline))
     return *response;
   const auto* rollout = call.services.replica().rollout(call.subject);
   if (!rollout)
@@ -116,7 +108,7 @@
   const auto service = config::parseRolloutRevertRequest(call.request.body);
   if (!service)
     return errorResponse(service.error());
-  if (auto response = unlessFresh(call, deadline))
+  if (auto response = unlessFresh(call.services, deadline))
     return *response;
   const auto* known = call.services.replica().rollout(*service);
   if (!known)
--- a/libs/controller/src/zone_drain_handlers.cpp
+++ b/libs/controller/src/zone_drain_handlers.cpp
@@ -54,9 +54,7 @@
     return noContactResponse();
   if (const auto leader = call.services.leaderControlAddress())
     return redirectTo(*leader, call.path);
-  if (auto fresh = call.services.awaitReadIndex(deadline.left()); !fresh)
-    return errorResponse(fresh.error());
-  return std::nullopt;
+  return unlessFresh(call.services, deadline);
 }
 }  // namespace
 
