--- a/libs/agent/include/agent/agent_daemon.hpp
+++ b/libs/agent/include/agent/agent_daemon.hpp
@@ -56,7 +56,8 @@
   std::string identity_;  // "IP#agent"
   LeaderDiscovery discovery_;
   FeedSource feedSource_;
-  std::string sourceAddress_;  // of the member that feeds this agent; empty: none
+  std::string sourceAddress_;           // of the member that feeds this agent; empty: none
+  std::int64_t sourceCommitIndex_ = 0;  // the newest that this member has said to have committed
   LogFollower follower_;
   ProxyFeed proxyFeed_;
   CoreLinks links_;
--- a/libs/agent/include/agent/feed_source.hpp
+++ b/libs/agent/include/agent/feed_source.hpp
@@ -10,11 +10,15 @@
 /// Chooses the source; see the file's comment.
 class FeedSource {
  public:
-  /// A source that brought nothing for so long while entries were missing is left for the leader; so is one to which
-  /// there is no connection for so long. What else it says does not count: a member that is cut off from the core
-  /// answers its agents, and has nothing for them.
+  /// A source that said nothing for so long while entries were missing is left for the leader; so is one to which there
+  /// is no connection for so long.
   static constexpr auto kStallTimeout = 300ms;
-  /// ... while a bulk message arrives from it, after so long: the complete state of a large fleet takes a while.
+  /// ... that answers and has none of the missing entries itself, after so long: it is cut off from the core, or slow.
+  /// With a renewal of the lease, which tells of an entry, this stays well below the time in which drains and
+  /// configurations bind (2 s). Shorter, and a zone whose controller is busy for a moment would load the leader
+  /// besides.
+  static constexpr auto kIsolationTimeout = 400ms;
+  /// ... that has them, after so long: the complete state of a large fleet takes a while.
   static constexpr auto kTransferTimeout = 2000ms;
   /// A member that the newest lists do not have is forgotten after so long.
   static constexpr auto kRetentionTime = 2000ms;
@@ -36,10 +40,14 @@
   /// @param present the source until now; empty: none.
   std::string choose(TimePoint now, const std::string& leader, const std::string& present,
                      const std::function<bool(const std::string&)>& isConnected) const;
+  /// What is known of a source while entries are missing.
+  struct Activity {
+    TimePoint lastReceivedAt{};      ///< the newest message of any kind
+    bool hasMissingEntries = false;  ///< it has said that it has committed more than the agent has applied
+  };
   /// Whether the source is to be left for the leader.
   /// @param stalledFor how long entries have been missing and none has come.
-  /// @param lastFragmentAt see `PeerLink::lastFragmentAt`, of the connection to the source.
-  static bool isStalled(TimePoint now, Duration stalledFor, std::optional<TimePoint> lastFragmentAt);
+  static bool isStalled(TimePoint now, Duration stalledFor, const Activity& source);
   /// The member that feeds the agent lacks what the leader has committed: it is avoided for a while.
   void avoid(const std::string& address, TimePoint now) { avoidedSince_[address] = now; }
 
--- a/libs/agent/src/agent_daemon.cpp
+++ b/libs/agent/src/agent_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/port.hpp"
 #include "agent/request_forwarding.hpp"
+#include "consensus/cluster_config.hpp"
 #include "runtime/log_ring.hpp"
 #include "transport/listener.hpp"
 
@@ -82,8 +83,10 @@
   if (chosen.empty() || (chosen == sourceAddress_ && follower_.following()))
     return;
   const auto previous = std::exchange(sourceAddress_, chosen);
-  if (previous != chosen)
+  if (previous != chosen) {
+    sourceCommitIndex_ = 0;
     unsubscribe(previous);
+  }
   follow(sourceLink(), false);
 }
 transport::PeerLinkPtr AgentDaemon::leaderLink() const {
@@ -133,8 +136,9 @@
   reportLag(now);
   const auto stalledFor = follower_.stalledFor(now);
   const auto source = sourceLink();
-  const auto lastFragmentAt = source ? source->lastFragmentAt() : std::nullopt;
-  const bool isStalled = FeedSource::isStalled(now, stalledFor, lastFragmentAt);
+  const FeedSource::Activity activity{source ? source->lastReceivedAt() : TimePoint{},
+                                      sourceCommitIndex_ > follower_.replica().lastApplied()};
+  const bool isStalled = FeedSource::isStalled(now, stalledFor, activity);
   if (isStalled && sourceAddress_ != discovery_.leaderAddress()) {
     log::debug("feed_source_stalled", {{"member", sourceAddress_}, {"stalled_ms", stalledFor}});
     feedSource_.avoid(sourceAddress_, now);
@@ -203,6 +207,8 @@
     proxyFeed_.forward(envelope);
 }
 void AgentDaemon::onClusterStatus(const std::string& sender, const transport::ClusterStatus& status) {
+  if (consensus::addressOf(sender) == sourceAddress_)
+    sourceCommitIndex_ = std::max(sourceCommitIndex_, status.commitIndex);
   const auto change = discovery_.observe(status);
   if (change.stale)
     return;
@@ -225,6 +231,8 @@
 void AgentDaemon::onEntries(const transport::PeerLinkPtr& link, transport::FeedEntries feed) {
   if (!discovery_.acceptsTerm(feed.term))
     return;
+  if (link == sourceLink())
+    sourceCommitIndex_ = std::max(sourceCommitIndex_, feed.newestIndex);
   follower_.offer(std::move(feed));
   applyEntries();
   sendStateIfDue(link);
--- a/libs/agent/src/feed_source.cpp
+++ b/libs/agent/src/feed_source.cpp
@@ -11,9 +11,11 @@
   // A new leader has not heard of all members yet: one that it does not list at once has not gone.
   std::erase_if(inZone_, [now](const auto& entry) { return now - entry.second.listedAt >= kRetentionTime; });
 }
-bool FeedSource::isStalled(TimePoint now, Duration stalledFor, std::optional<TimePoint> lastFragmentAt) {
-  const bool transferring = lastFragmentAt && now - *lastFragmentAt < kStallTimeout;
-  return stalledFor >= (transferring ? kTransferTimeout : kStallTimeout);
+bool FeedSource::isStalled(TimePoint now, Duration stalledFor, const Activity& source) {
+  const bool silent = now - source.lastReceivedAt >= kStallTimeout;
+  if (silent)
+    return stalledFor >= kStallTimeout;
+  return stalledFor >= (source.hasMissingEntries ? kTransferTimeout : kIsolationTimeout);
 }
 std::string FeedSource::memberInZone(TimePoint now) const {
   std::string best;
--- a/libs/transport/include/transport/peer_link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -40,9 +40,6 @@
   bool open() const;
   /// When bytes last arrived; the link's construction before that.
   TimePoint lastReceivedAt() const;
-  /// When the newest fragment came of a bulk message that is not complete yet; none if no such message is under way.
-  /// Other messages that arrive in between do not count.
-  std::optional<TimePoint> lastFragmentAt() const;
   /// When the oldest message was queued since which nothing has been received; `TimePoint::max()` if there is none.
   TimePoint unansweredSince() const;
   /// The IP address of the other end; empty if the socket was not connected.
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -24,8 +24,6 @@
   bool writing = false;
   bool open = true;
   TimePoint lastReceivedAt = Clock::now();
-  std::string fragments;  // received of a bulk frame that is not complete yet
-  TimePoint lastFragmentAt{};
   TimePoint unansweredSince = TimePoint::max();
   std::string remoteIp;
   TrafficByType* traffic = &trafficTo({});  // to the peer's zone
@@ -55,9 +53,6 @@
 TimePoint PeerLink::lastReceivedAt() const {
   return impl_->lastReceivedAt;
 }
-std::optional<TimePoint> PeerLink::lastFragmentAt() const {
-  return impl_->fragments.empty() ? std::nullopt : std::optional(impl_->lastFragmentAt);
-}
 TimePoint PeerLink::unansweredSince() const {
   return impl_->unansweredSince;
 }
@@ -100,6 +95,7 @@
   auto& link = *impl_;
   const auto self = shared_from_this();
   std::string received;
+  std::string fragments;
   std::vector<char> chunk(kReadBytes);  // on the heap, because fiber stacks are small
   while (link.open) {
     runtime::SocketError ec;
@@ -109,12 +105,9 @@
     link.lastReceivedAt = Clock::now();
     link.unansweredSince = TimePoint::max();
     received.append(chunk.data(), bytes);
-    const auto fragmentBytes = link.fragments.size();
-    const auto envelopes = decodeFrames(received, &link.fragments);
+    const auto envelopes = decodeFrames(received, &fragments);
     if (!envelopes)
       return decline(envelopes.error().message);
-    if (link.fragments.size() != fragmentBytes)
-      link.lastFragmentAt = link.lastReceivedAt;
     for (const auto& envelope : *envelopes) {
       if (!link.open)
         return;
--- a/tests/feed_source_test.cpp
+++ b/tests/feed_source_test.cpp
@@ -124,12 +124,14 @@
   follower.recordCommitIndex(kNow, 3);
   EXPECT_EQ(follower.stalledFor(kNow + 290ms), Duration(0)) << "an entry has come meanwhile";
 }
-TEST(FeedSource, OnlyABulkMessageUnderWayGivesASourceMoreTime) {
-  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout - 1ms, std::nullopt));
-  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout, std::nullopt));
-  const auto justNow = kNow - 10ms;
-  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kTransferTimeout - 1ms, justNow));
-  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kTransferTimeout, justNow)) << "not for ever";
-  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout, kNow - FeedSource::kStallTimeout))
-      << "its fragments have stopped";
+TEST(FeedSource, HowLongASourceIsWaitedForDependsOnWhatItHasSaid) {
+  const FeedSource::Activity silent{kNow - FeedSource::kStallTimeout, true};
+  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout - 1ms, silent));
+  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kStallTimeout, silent));
+  const FeedSource::Activity isolated{kNow - 10ms, false};
+  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kIsolationTimeout - 1ms, isolated));
+  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kIsolationTimeout, isolated)) << "it answers and has nothing";
+  const FeedSource::Activity busy{kNow - 10ms, true};
+  EXPECT_FALSE(FeedSource::isStalled(kNow, FeedSource::kTransferTimeout - 1ms, busy)) << "the entries are on their way";
+  EXPECT_TRUE(FeedSource::isStalled(kNow, FeedSource::kTransferTimeout, busy)) << "not for ever";
 }
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -150,7 +150,7 @@
   int misses = kMissesUntilOut;
   for (;; runtime::EventLoop::get().sleepFor(kPollInterval)) {
     misses = isReady(run.fleet.readiness(machine)) ? 0 : misses + 1;
-    run.inService[static_cast<std::size_t>(machine)] = misses < kMissesUntilOut;
+    run.inService[static_cast<std::size_t>(machine)] = misses < kMissesUntilOut ? 1 : 0;
   }
 }
 }  // namespace
