--- a/libs/config/include/config/run_daemon.hpp
+++ b/libs/config/include/config/run_daemon.hpp
@@ -15,7 +15,8 @@
 };
 /// Starts a daemon and runs the event loop until it is stopped. Settings that cannot be read again are logged, and the
 /// earlier ones stay in force.
-/// @param settings those that the daemon has begun with; their file is the one that is read again. Must outlive the call.
+/// @param settings those that the daemon has begun with; their file is the one that is read again. Must outlive the
+/// call.
 /// @param program the name of the program in the log line of a failed start.
 /// @return the exit code of the process: 0, or 1 if the daemon could not start.
 int runDaemon(runtime::EventLoop& loop, std::string_view program, const Settings& settings, const Daemon& daemon);
--- a/libs/runtime/include/runtime/lifecycle.hpp
+++ b/libs/runtime/include/runtime/lifecycle.hpp
@@ -13,9 +13,9 @@
   std::function<void()> onTerminate;
   std::function<void()> onReloadSettings;
 };
-/// Holds back the signals of `LifecycleEvent` in this thread, and in threads that it starts later, until `watchLifecycle`
-/// takes what has come meanwhile. Without it such a signal ends a process that is still starting, or has left its event
-/// loop. To be called before the first other thread starts.
+/// Holds back the signals of `LifecycleEvent` in this thread, and in threads that it starts later, until
+/// `watchLifecycle` takes what has come meanwhile. Without it such a signal ends a process that is still starting, or
+/// has left its event loop. To be called before the first other thread starts.
 void holdLifecycleSignals();
 /// Calls the handlers on the event loop's thread until the loop stops. A handler may be called more than once.
 /// @param settingsPath the file whose change is looked for every two seconds; it need not exist.
