Soak: a process is signalled once it holds back or handles signals, by its status in /proc

Ruled out: a second signal at the end of a process (signals are held back there; the proxy has one thread). Change: the masks in /proc/PID/status decide; an unexpected end says how long the process ran. Stricter: signals come as early as the program can bear them.

--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -1,19 +1,29 @@
 // Work on the fleet, in series that overlap: signals, restarts, changes, runners that are replaced, and kills.
 #include <csignal>
+#include <fstream>
 
 #include "soak_run.hpp"
 
 namespace zinccleat::soak {
 namespace {
 constexpr Duration kSupervisionInterval{20};
-/// A process is not signalled before its program can have begun: until the dynamic linker is done the kernel ends it,
-/// whatever the program does.
-constexpr Duration kLinkingTime{300};
 constexpr Duration kLeastRestartDelay{50};
 constexpr Duration kMostRestartDelay{600};
 constexpr Duration kMostSeriesPause{1500};
 constexpr int kMaxSeriesLength = 5;
 
+/// Whether a process blocks or catches a signal, by its status in /proc.
+bool handlesSignal(pid_t pid, int signal) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  const std::uint64_t bit = std::uint64_t{1} << (signal - 1);
+  for (std::string line; std::getline(status, line);) {
+    const bool isMask = line.starts_with("SigBlk:") || line.starts_with("SigCgt:");
+    if (isMask && (std::stoull(line.substr(line.find('\t') + 1), nullptr, 16) & bit) != 0)
+      return true;
+  }
+  return false;
+}
+
 /// Watches the processes as the platform does: ends that take longer than the grace, starts after each end.
 class Supervisor {
  public:
@@ -59,7 +69,7 @@
       auto& state = states_[process];
       if (const auto status = run_.fleet.takeExit(process)) {
         run_.seen.exits.push_back(
-            {run_.fleet.processes()[process].name, *status, state.terminatedAt, state.killed, now});
+            {run_.fleet.processes()[process].name, *status, state.terminatedAt, state.killed, state.startedAt, now});
         disturb(process, state.terminatedAt.has_value());
         state = {};
         state.startAt = now + run_.drawDuration(kLeastRestartDelay, kMostRestartDelay);
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -126,7 +126,8 @@
       return;
     const bool orderly = WIFEXITED(exit.status) && WEXITSTATUS(exit.status) == 0;
     if (!exit.terminatedAt || !orderly)
-      return report("Fault", exit.name + " ended by itself, status " + std::to_string(exit.status));
+      return report("Fault", exit.name + " ended by itself, status " + std::to_string(exit.status) + ", " +
+                                 millisecondsText(toDuration(exit.endedAt - exit.startedAt)) + " after its start");
     const auto took = toDuration(exit.endedAt - *exit.terminatedAt);
     if (took > seen_.bounds.grace + kExitSlack)
       report("Fault", exit.name + " ended " + millisecondsText(took) + " after SIGTERM");
--- a/tests/soak/observations.hpp
+++ b/tests/soak/observations.hpp
@@ -57,6 +57,7 @@
   int status = 0;                         ///< as of `waitpid`
   std::optional<TimePoint> terminatedAt;  ///< SIGTERM
   bool killed = false;                    ///< SIGKILL, by the soak
+  TimePoint startedAt{};                  ///< zero: with the fleet
   TimePoint endedAt{};
 };
 
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -99,11 +99,11 @@
 }
 TEST(SoakObservations, ProcessesEndOnlyWhenAskedAndInTime) {
   auto seen = quietRun();
-  seen.exits = {{"proxy", 0, kStart, false, kStart + 3s}, {"agent", 9, std::nullopt, true, kStart}};
+  seen.exits = {{"proxy", 0, kStart, false, {}, kStart + 3s}, {"agent", 9, std::nullopt, true, {}, kStart}};
   EXPECT_EQ(rulesBrokenBy(seen), "");
   seen.exits[0].endedAt = kStart + 9s;
   EXPECT_EQ(rulesBrokenBy(seen), "Fault ") << "long after its grace";
-  seen.exits[0] = {"proxy", 0, std::nullopt, false, kStart};
+  seen.exits[0] = {"proxy", 0, std::nullopt, false, {}, kStart};
   EXPECT_EQ(rulesBrokenBy(seen), "Fault ") << "nobody asked it to end";
   seen.exits.clear();
   seen.requests.resize(10);
