libs/coordination: replicated state of a shard, its leaseholder, calls and watches; seeded worlds with a checker

Change: ShardState decides locks, renewals and puts when it applies them; Leaseholder gathers batches and answers reads and numbers from memory under a lease checked after the evaluation; CallProgress and answerWatch say what may be promised. Worlds of five machines under freezes, cuts, halves, crashes, power loss, lost disks, leaves.

--- /dev/null
+++ b/libs/coordination/src/leaseholder.cpp
@@ -0,0 +1,151 @@
+#include "coordination/leaseholder.hpp"
+
+#include "transport/avro.hpp"
+
+namespace zinccleat::coordination {
+namespace {
+constexpr std::int64_t kNumberBlock = 64;
+constexpr std::size_t kMaxQueuedCalls = 4096;
+constexpr std::size_t kMaxBatchCommands = 512;
+// While locks are taken, a leader that is lost takes at most so much of the shard's time with it.
+constexpr Duration kTimeStampInterval{200};
+}  // namespace
+
+void Leaseholder::startTerm(TimePoint now) {
+  endTerm();
+  leading_ = true;
+  stampedAt_ = now;
+}
+void Leaseholder::endTerm() {
+  leading_ = false;
+  tickDue_ = false;
+  for (const auto& queued : std::exchange(queue_, {}))
+    reject(queued.callId);
+  for (const auto& proposed : std::exchange(inFlight_, {}))
+    if (proposed.callId != 0)
+      results_.push_back({proposed.callId, CallStatus::unknown, {}});
+  inFlightId_.clear();
+  for (const auto& [name, block] : std::exchange(numbers_, {}))
+    for (const auto callId : block.waiting)
+      reject(callId);
+}
+void Leaseholder::finish(std::int64_t callId, Outcome outcome) {
+  if (callId != 0)
+    results_.push_back({callId, CallStatus::executed, std::move(outcome)});
+}
+void Leaseholder::reject(std::int64_t callId) {
+  if (callId != 0)
+    results_.push_back({callId, CallStatus::notExecuted, {}});
+}
+// The process may have been stopped since the lease was looked at before: only a lease that stands after the evaluation
+// says that nobody else could have written meanwhile.
+void Leaseholder::finishUnderLease(std::int64_t callId, Outcome outcome) {
+  if (hasLease_())
+    finish(callId, std::move(outcome));
+  else
+    reject(callId);
+}
+void Leaseholder::call(std::int64_t callId, const Command& command) {
+  if (!leading_ || !hasLease_())
+    return reject(callId);
+  switch (command.op()) {
+    case CommandKind::nextNumber:
+      return callNumber(callId, command.name);
+    case CommandKind::getCell:
+      return finishUnderLease(callId, state_.readCell(command.name));
+    case CommandKind::readIndex:
+      return finishUnderLease(callId, makeOutcome(OutcomeKind::done, state_.index()));
+    case CommandKind::acquireLock:
+    case CommandKind::renewLock:
+    case CommandKind::releaseLock:
+    case CommandKind::putCell:
+      return enqueue(callId, command);
+    case CommandKind::reserveNumbers:  // the leaseholder's own
+      break;
+  }
+  reject(callId);
+}
+void Leaseholder::enqueue(std::int64_t callId, const Command& command) {
+  if (queue_.size() >= kMaxQueuedCalls)
+    return reject(callId);
+  queue_.push_back({callId, command});
+}
+
+// --- numbers ---
+
+void Leaseholder::callNumber(std::int64_t callId, const std::string& name) {
+  auto& block = numbers_[name];
+  block.waiting.push_back(callId);
+  drawNumbers(name, block);
+}
+void Leaseholder::drawNumbers(const std::string& name, NumberBlock& block) {
+  while (!block.waiting.empty() && !block.empty()) {
+    const auto callId = block.waiting.front();
+    block.waiting.pop_front();
+    finishUnderLease(callId, makeOutcome(OutcomeKind::done, block.next++));
+  }
+  if (block.waiting.empty() || block.reserving)
+    return;
+  block.reserving = true;
+  Command reserve;
+  reserve.kind = static_cast<std::int32_t>(CommandKind::reserveNumbers);
+  reserve.name = name;
+  reserve.argument = kNumberBlock;
+  queue_.push_back({0, reserve});
+}
+void Leaseholder::onReserved(const Command& command, const Outcome& outcome) {
+  auto& block = numbers_[command.name];
+  block.reserving = false;
+  if (outcome.result() != OutcomeKind::done) {
+    for (const auto callId : std::exchange(block.waiting, {}))
+      finish(callId, outcome);
+    return;
+  }
+  block.next = outcome.number + 1;
+  block.last = outcome.number + command.argument;
+  drawNumbers(command.name, block);
+}
+
+// --- batches ---
+
+void Leaseholder::tick(TimePoint now) {
+  tickDue_ = leading_ && state_.hasLocks() && now - stampedAt_ >= kTimeStampInterval;
+}
+// One batch at a time: what comes while it is synced goes along in the next one.
+std::optional<transport::LogEntry> Leaseholder::nextBatch(TimePoint now, const std::string& operationId) {
+  if (!leading_ || !inFlightId_.empty() || (queue_.empty() && !tickDue_))
+    return std::nullopt;
+  const auto count = std::min(queue_.size(), kMaxBatchCommands);
+  const auto end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
+  inFlight_.assign(std::make_move_iterator(queue_.begin()), std::make_move_iterator(end));
+  queue_.erase(queue_.begin(), end);
+  inFlightId_ = operationId;
+  tickDue_ = false;
+  CommandBatch batch;
+  batch.elapsedMs = toDuration(now - stampedAt_).count();
+  batch.historyMs = history_.count();
+  stampedAt_ += Duration(batch.elapsedMs);  // what rounding left out goes into the next one
+  for (const auto& proposed : inFlight_)
+    batch.commands.push_back(proposed.command);
+  transport::LogEntry entry;
+  entry.kind = static_cast<std::int32_t>(transport::OperationKind::coordination);
+  entry.operationId = operationId;
+  entry.body = avro::encode(std::move(batch));
+  return entry;
+}
+void Leaseholder::onApplied(const transport::LogEntry& entry, const std::vector<Outcome>& outcomes) {
+  if (inFlightId_.empty() || entry.operationId != inFlightId_)
+    return;
+  inFlightId_.clear();
+  const auto proposed = std::exchange(inFlight_, {});
+  for (std::size_t i = 0; i < proposed.size() && i < outcomes.size(); ++i) {
+    if (proposed[i].command.op() == CommandKind::reserveNumbers)
+      onReserved(proposed[i].command, outcomes[i]);
+    else
+      finish(proposed[i].callId, outcomes[i]);
+  }
+}
+std::vector<CallResult> Leaseholder::takeResults() {
+  return std::exchange(results_, {});
+}
+}  // namespace zinccleat::coordination
--- a/libs/runtime/include/runtime/common.hpp
+++ b/libs/runtime/include/runtime/common.hpp
@@ -28,6 +28,8 @@
   permissionDenied,    ///< the caller may not do this
   notFound,            ///< the thing named does not exist
   unavailable,         ///< cannot be answered now; nothing was done
+  outcomeUnknown,      ///< it may or may not have taken effect
+  limitReached,        ///< a stated limit leaves no room for it; nothing was done
   corruption,          ///< stored or received bytes that are not what was written
   incompatibleFormat,  ///< bytes in a format of another version of this program
   outOfOrder,          ///< a call that breaks the order which its interface requires
--- a/libs/transport/include/transport/envelope.hpp
+++ b/libs/transport/include/transport/envelope.hpp
@@ -28,9 +28,13 @@
   quotaTokenResponse,
   prefixLookupRequest,
   prefixLookupResponse,
+  // Between core machines, on the links of the coordination service.
+  coordinationConsensus,
+  coordinationCall,
+  coordinationResult,
 };
 /// The type with the highest number.
-constexpr MessageType kLastMessageType = MessageType::prefixLookupResponse;
+constexpr MessageType kLastMessageType = MessageType::coordinationResult;
 
 /// A message as it travels.
 struct Envelope {
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -12,6 +12,7 @@
   configurationDelta = 5,  ///< replaces the configuration by a delta to an earlier version
   rolloutBegin = 6,        ///< an operator has a service's traffic moved to another revision
   rolloutProgress = 7,     ///< how far a rollout has come
+  coordination = 8,        ///< a batch of commands; in the logs of the coordination service only
 };
 
 /// One entry of the replicated log.
--- a/libs/transport/src/zone_traffic.cpp
+++ b/libs/transport/src/zone_traffic.cpp
@@ -7,11 +7,29 @@
 std::map<std::string, TrafficByType> traffic;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(kLastMessageType) + 1> kNames{
-    "unknown",           "consensus",          "submitEntry",         "submitEntryResponse",
-    "readIndexRequest",  "readIndexResponse",  "heartbeatBatch",      "heartbeatBatchResponse",
-    "agentState",        "clusterStatus",      "followLog",           "feedEntries",
-    "feedSnapshot",      "bodyAhead",          "leaseRequest",        "leaseResponse",
-    "quotaTokenRequest", "quotaTokenResponse", "prefixLookupRequest", "prefixLookupResponse",
+    "unknown",
+    "consensus",
+    "submitEntry",
+    "submitEntryResponse",
+    "readIndexRequest",
+    "readIndexResponse",
+    "heartbeatBatch",
+    "heartbeatBatchResponse",
+    "agentState",
+    "clusterStatus",
+    "followLog",
+    "feedEntries",
+    "feedSnapshot",
+    "bodyAhead",
+    "leaseRequest",
+    "leaseResponse",
+    "quotaTokenRequest",
+    "quotaTokenResponse",
+    "prefixLookupRequest",
+    "prefixLookupResponse",
+    "coordinationConsensus",
+    "coordinationCall",
+    "coordinationResult",
 };
 }  // namespace
 
--- /dev/null
+++ b/tests/coordination_history.cpp
@@ -0,0 +1,282 @@
+#include "coordination_history.hpp"
+
+#include <set>
+
+#include "coordination/sharding.hpp"
+
+namespace zinccleat::coordination_history {
+namespace {
+constexpr int kPreconditionFailed = 412, kTooManyRequests = 429, kUnavailable = 503;
+constexpr std::int64_t kMicrosecondsPerMs = 1000;
+
+bool promisesNothingDone(int status) {
+  return status == kPreconditionFailed || status == kTooManyRequests || status == kUnavailable;
+}
+std::string describe(const Call& call) {
+  static const std::map<CallKind, const char*> names{
+      {CallKind::beginLock, "begin"}, {CallKind::renewLock, "renew"}, {CallKind::releaseLock, "release"},
+      {CallKind::number, "number"},   {CallKind::put, "put"},         {CallKind::read, "read"},
+      {CallKind::watch, "watch"}};
+  return std::string(names.at(call.kind)) + " " + call.name + " by " + call.caller + " at " +
+         std::to_string(call.sentAt) + ".." +
+         (call.answeredAt == Call::kNever ? "?" : std::to_string(call.answeredAt)) + " -> " +
+         std::to_string(call.status) + " " + std::to_string(call.number) + " " + call.value;
+}
+/// A value that was answered, with the time from which on everybody may rely on it.
+struct Given {
+  std::int64_t at = 0;
+  std::int64_t number = 0;
+};
+/// The highest number that was given before a moment.
+class GivenNumbers {
+ public:
+  void add(std::int64_t at, std::int64_t number) { all_.push_back({at, number}); }
+  void sort() {
+    std::sort(all_.begin(), all_.end(), [](const Given& a, const Given& b) { return a.at < b.at; });
+    for (std::size_t i = 1; i < all_.size(); ++i)
+      all_[i].number = std::max(all_[i].number, all_[i - 1].number);
+  }
+  std::int64_t highestBefore(std::int64_t moment) const {
+    const auto end = std::partition_point(all_.begin(), all_.end(), [&](const Given& g) { return g.at < moment; });
+    return end == all_.begin() ? 0 : std::prev(end)->number;
+  }
+
+ private:
+  std::vector<Given> all_;
+};
+
+class Checker {
+ public:
+  explicit Checker(const std::vector<Call>& calls) : calls_(calls) {}
+  std::vector<std::string> run() {
+    checkLocks();
+    checkNumbers();
+    checkCells();
+    checkWatches();
+    return std::move(violations_);
+  }
+
+ private:
+  void report(const std::string& rule, const std::string& what) { violations_.push_back(rule + ": " + what); }
+
+  // --- locks: one holder at a moment, rising fences ---
+
+  struct Hold {
+    const Call* begin = nullptr;
+    std::int64_t from = 0, until = 0;  // as the caller counts
+  };
+  void checkLocks() {
+    std::map<std::string, std::vector<const Call*>> byLock;
+    for (const auto& call : calls_)
+      if (call.kind == CallKind::beginLock || call.kind == CallKind::renewLock || call.kind == CallKind::releaseLock)
+        byLock[call.name].push_back(&call);
+    for (const auto& [lock, calls] : byLock) {
+      checkHolds(holdsIn(calls));
+      checkFences(calls);
+    }
+  }
+  static std::vector<Hold> holdsIn(const std::vector<const Call*>& calls) {
+    std::vector<Hold> holds;
+    for (const auto* call : calls)
+      if (call->kind == CallKind::beginLock && call->succeeded())
+        holds.push_back(holdOf(*call, calls));
+    return holds;
+  }
+  // From the answer until the time of the last good call is over, or the release is sent.
+  static Hold holdOf(const Call& begin, const std::vector<const Call*>& calls) {
+    Hold hold{&begin, begin.answeredAt, begin.sentAt + begin.holdMs * kMicrosecondsPerMs};
+    std::vector<const Call*> own;
+    for (const auto* call : calls) {
+      const bool afterBegin = call->caller == begin.caller && call->sentAt > begin.sentAt;
+      if (afterBegin && (call->kind == CallKind::releaseLock || call->fence == begin.number))
+        own.push_back(call);
+    }
+    std::sort(own.begin(), own.end(), [](const Call* a, const Call* b) { return a->sentAt < b->sentAt; });
+    for (const auto* call : own) {
+      if (call->kind == CallKind::releaseLock)
+        hold.until = std::min(hold.until, call->sentAt);
+      else if (call->succeeded() && call->answeredAt <= hold.until)
+        hold.until = std::max(hold.until, call->sentAt + call->holdMs * kMicrosecondsPerMs);
+    }
+    return hold;
+  }
+  void checkHolds(std::vector<Hold> holds) {
+    std::sort(holds.begin(), holds.end(), [](const Hold& a, const Hold& b) { return a.from < b.from; });
+    const Hold* longest = nullptr;
+    for (const auto& hold : holds) {
+      if (hold.until <= hold.from)
+        continue;
+      if (longest && longest->until > hold.from && longest->begin->caller != hold.begin->caller)
+        report("ONE", "two holders: " + describe(*longest->begin) + " until " + std::to_string(longest->until) +
+                          " and " + describe(*hold.begin));
+      if (!longest || hold.until > longest->until)
+        longest = &hold;
+    }
+  }
+  void checkFences(const std::vector<const Call*>& calls) {
+    std::map<std::int64_t, const Call*> byFence;
+    std::vector<const Call*> granted;
+    for (const auto* call : calls)
+      if (call->kind == CallKind::beginLock && call->succeeded())
+        granted.push_back(call);
+    GivenNumbers given;
+    for (const auto* call : granted) {
+      const auto [known, added] = byFence.emplace(call->number, call);
+      if (!added && known->second->caller != call->caller)
+        report("ONE", "one fence for two: " + describe(*known->second) + " and " + describe(*call));
+      given.add(call->answeredAt, call->number);
+    }
+    given.sort();
+    for (const auto* call : granted)
+      if (call->number <= given.highestBefore(call->sentAt))
+        report("ONE", "a fence not above an earlier one: " + describe(*call));
+  }
+
+  // --- numbers ---
+
+  void checkNumbers() {
+    std::map<std::string, GivenNumbers> given;
+    std::set<std::pair<std::string, std::int64_t>> seen;
+    for (const auto& call : calls_)
+      if (call.kind == CallKind::number && call.succeeded()) {
+        given[call.name].add(call.answeredAt, call.number);
+        if (!seen.insert({call.name, call.number}).second)
+          report("ORDER", "a number twice: " + describe(call));
+      }
+    for (auto& [name, numbers] : given)
+      numbers.sort();
+    for (const auto& call : calls_)
+      if (call.kind == CallKind::number && call.succeeded() &&
+          call.number <= given[call.name].highestBefore(call.sentAt))
+        report("ORDER", "a number not above an earlier one: " + describe(call));
+  }
+
+  // --- cells: puts, reads, what watches show ---
+
+  /// A put with all its copies.
+  struct Put {
+    std::int64_t firstSentAt = Call::kNever;
+    std::int64_t revision = 0;  ///< 0: none is known
+    bool refused = false;       ///< the answer to its only copy promises that it was not done
+    int copies = 0;
+  };
+  using PutKey = std::pair<std::string, std::string>;  // cell, value
+
+  void collectPuts() {
+    for (const auto& call : calls_) {
+      if (call.kind != CallKind::put)
+        continue;
+      auto& put = puts_[{call.name, call.value}];
+      put.firstSentAt = std::min(put.firstSentAt, call.sentAt);
+      ++put.copies;
+      put.refused |= promisesNothingDone(call.status);
+    }
+  }
+  /// A revision of a cell that an answer shows.
+  void show(const std::string& cell, const std::string& value, std::int64_t revision, const Call& by) {
+    const auto put = puts_.find({cell, value});
+    if (put == puts_.end() || put->second.firstSentAt > by.answeredAt)
+      return report("MIXED", "a value that nobody had put: " + describe(by));
+    if (put->second.refused && put->second.copies == 1)
+      report("REFUSED", "a value whose put was turned away: " + describe(by));
+    if (put->second.revision != 0 && put->second.revision != revision)
+      report("MIXED", "one put under two revisions: " + describe(by));
+    put->second.revision = revision;
+    const auto group = std::string(coordination::groupOf(cell));
+    const auto [known, added] = revisions_[group].emplace(revision, PutKey{cell, value});
+    if (!added && known->second != PutKey{cell, value})
+      report("ORDER", "one revision for two puts: " + describe(by));
+  }
+  void checkCells() {
+    collectPuts();
+    std::map<std::string, GivenNumbers> ofCell;
+    std::map<std::string, GivenNumbers> ofGroup;
+    for (const auto& call : calls_) {
+      const bool cellCall = call.kind == CallKind::put || call.kind == CallKind::read;
+      if (cellCall && call.succeeded())
+        show(call.name, call.value, call.number, call);
+      if (call.kind == CallKind::put && call.succeeded())
+        ofCell[call.name].add(call.answeredAt, call.number);
+      if (cellCall && call.succeeded())
+        ofGroup[std::string(coordination::groupOf(call.name))].add(call.answeredAt, call.number);
+      for (const auto& event : call.events)
+        show(event.cell, event.value, event.revision, call);
+    }
+    for (auto* given : {&ofCell, &ofGroup})
+      for (auto& [name, numbers] : *given)
+        numbers.sort();
+    for (const auto& call : calls_) {
+      if (call.kind == CallKind::read && (call.succeeded() || call.status == 404) &&
+          call.number < ofCell[call.name].highestBefore(call.sentAt))
+        report("STALE", "a read below an acknowledged put: " + describe(call));
+      if (call.kind == CallKind::put)
+        checkPut(call, ofGroup[std::string(coordination::groupOf(call.name))]);
+    }
+  }
+  void checkPut(const Call& call, const GivenNumbers& given) {
+    if (call.status == kPreconditionFailed && call.number != 0 && !isRevisionOf(call.name, call.number))
+      report("MIXED", "a 412 with a revision that the cell never had: " + describe(call));
+    if (!call.succeeded())
+      return;
+    const auto& put = puts_.at({call.name, call.value});
+    if (call.number <= given.highestBefore(put.firstSentAt))
+      report("ORDER", "a revision not above an earlier one: " + describe(call));
+    if (call.appliesTo == coordination::kAnyRevision)
+      return;
+    for (const auto& [revision, other] : revisions_[std::string(coordination::groupOf(call.name))])
+      if (other.first == call.name && revision > call.appliesTo && revision < call.number)
+        report("ORDER", "a put over a later revision: " + describe(call));
+  }
+  bool isRevisionOf(const std::string& cell, std::int64_t revision) {
+    const auto& revisions = revisions_[std::string(coordination::groupOf(cell))];
+    const auto known = revisions.find(revision);
+    // A put whose answer was lost may have given it.
+    return known == revisions.end() || known->second.first == cell;
+  }
+
+  // --- watches: rising, complete, never behind ---
+
+  void checkWatches() {
+    std::map<std::string, GivenNumbers> acknowledged;
+    for (const auto& call : calls_)
+      if (call.kind == CallKind::put && call.succeeded())
+        acknowledged[std::string(coordination::groupOf(call.name))].add(call.answeredAt, call.number);
+    for (auto& [group, numbers] : acknowledged)
+      numbers.sort();
+    for (const auto& call : calls_)
+      if (call.kind == CallKind::watch && call.succeeded()) {
+        checkEvents(call);
+        if (call.number < acknowledged[call.name].highestBefore(call.sentAt))
+          report("LOST", "a watch behind an acknowledged put: " + describe(call));
+      }
+  }
+  void checkEvents(const Call& call) {
+    std::int64_t last = call.after;
+    std::set<std::int64_t> shown;
+    for (const auto& event : call.events) {
+      if (event.revision <= last)
+        report("ORDER", "events that do not rise: " + describe(call));
+      last = event.revision;
+      shown.insert(event.revision);
+    }
+    if (call.number < call.after)
+      report("ORDER", "a watch that goes back: " + describe(call));
+    if (call.after == 0)
+      return;
+    const auto& revisions = revisions_[call.name];
+    for (auto it = revisions.upper_bound(call.after); it != revisions.end() && it->first <= call.number; ++it)
+      if (!shown.contains(it->first))
+        report("ORDER", "a watch that skips revision " + std::to_string(it->first) + ": " + describe(call));
+  }
+
+  const std::vector<Call>& calls_;
+  std::map<PutKey, Put> puts_;
+  std::map<std::string, std::map<std::int64_t, PutKey>> revisions_;  // by group
+  std::vector<std::string> violations_;
+};
+}  // namespace
+
+std::vector<std::string> violationsIn(const std::vector<Call>& calls) {
+  return Checker(calls).run();
+}
+}  // namespace zinccleat::coordination_history
--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "consensus/messages.hpp"
+#include "coordination/messages.hpp"
 #include "golden_files.hpp"
 #include "hints/hints.hpp"
 #include "state_machine/delta.hpp"
@@ -163,6 +164,17 @@
   };
   return {"frame_consensus.hex", frame, again, ""};
 }
+/// A command without a default and without two values alike.
+coordination::Command commandNumbered(std::int32_t number) {
+  const auto text = std::to_string(number);
+  return {.kind = number,
+          .name = "name-" + text,
+          .holder = "holder-" + text,
+          .value = "value-" + text,
+          .fence = number + 1,
+          .holdMs = number + 2,
+          .argument = number + 3};
+}
 const std::vector<MemberZone> kMemberZones{{"10.0.0.5", "zone-a"}, {"10.0.0.6", "zone-b"}};
 std::vector<Case> frameCases() {
   return {
@@ -251,7 +263,55 @@
                     .requestId = 4007, .promptPrefix = -6148914691236517206, .tenantDigest = 1311768467463790320}),
       frameCase("frame_opening_answer.hex",
                 PrefixLookupResponse{.requestId = 4008, .access = {"10.1.0.4:8405", "10.1.0.5:8405"}}),
+      frameCase("frame_coordination_consensus.hex",
+                coordination::ShardConsensus{.shard = 1, .message = encodeMessage(VoteResponse{.term = 302})}),
+      frameCase("frame_coordination_call.hex",
+                coordination::ShardCall{.shard = 1, .requestId = 4009, .command = commandNumbered(90)}),
+      frameCase("frame_coordination_result.hex",
+                coordination::ShardCallResult{.requestId = 4010, .status = 1, .outcome = {3, 907, "a value"}}),
+  };
+}
+
+// --- the coordination service: its log and its snapshots ---
+
+coordination::Command commandOf(coordination::CommandKind kind, const std::string& name) {
+  coordination::Command command;
+  command.kind = static_cast<std::int32_t>(kind);
+  command.name = name;
+  return command;
+}
+/// A shard with a lock, a number, and a group of two cells.
+coordination::ShardState shardWithAllKinds() {
+  coordination::CommandBatch batch{.elapsedMs = 1234, .historyMs = 40000, .commands = {}};
+  auto lock = commandOf(coordination::CommandKind::acquireLock, "l1f");
+  lock.holder = "a3.7";
+  lock.holdMs = 3000;
+  auto numbers = commandOf(coordination::CommandKind::reserveNumbers, "n2");
+  numbers.argument = 64;
+  auto first = commandOf(coordination::CommandKind::putCell, "g1.2d");
+  first.value = "5c0e7a21d94b36f8";
+  auto second = commandOf(coordination::CommandKind::putCell, "g1.7e");
+  second.value = "91bd3f06e4402b7d";
+  batch.commands = {lock, numbers, first, second};
+  LogEntry entry;
+  entry.index = 5000000013;
+  entry.kind = static_cast<std::int32_t>(OperationKind::coordination);
+  entry.body = avro::encode(batch);
+  coordination::ShardState shard;
+  (void)shard.apply(entry);
+  return shard;
+}
+std::vector<Case> coordinationCases() {
+  const coordination::CommandBatch batch{
+      .elapsedMs = 7, .historyMs = 40000, .commands = {commandNumbered(100), commandNumbered(200)}};
+  const auto again = [](const std::string& bytes) -> Result<std::string> {
+    coordination::ShardState shard;
+    if (auto restored = shard.restore(bytes); !restored)
+      return tl::unexpected(restored.error());
+    return shard.snapshot();
   };
+  return {recordCase("coordination_batch.hex", batch),
+          {"coordination_snapshot.hex", [] { return shardWithAllKinds().snapshot(); }, again, ""}};
 }
 
 DiskRecord fullRecord() {
@@ -607,7 +667,7 @@
 std::vector<Case> allCases() {
   std::vector<Case> all;
   for (const auto& part : {consensusCases(), frameCases(), pieceCases(), diskCases(), snapshotCases(),
-                           snapshotFormat1Cases(), writeCases(), hintCases()})
+                           snapshotFormat1Cases(), writeCases(), hintCases(), coordinationCases()})
     all.insert(all.end(), part.begin(), part.end());
   return all;
 }
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -57,6 +57,7 @@
   int healthyDraws = 0;  ///< how often everything was healthy when the next trouble was drawn
 
   explicit SimulatedCluster(std::uint64_t clusterSeed) : random(clusterSeed), seed(clusterSeed) {}
+  virtual ~SimulatedCluster() = default;
 
   // --- time and chance ---
 
@@ -91,6 +92,7 @@
     ++node.incarnation;
     node.replica = ReplicatedState{};
     node.lastApplied = 0;
+    onProcessStart(node);
     node.pendingRecords.clear();
     const auto records = recordsOn(node.disk);
     const bool founder = firstStart && std::find(seeds.begin(), seeds.end(), ip) != seeds.end();
@@ -142,6 +144,7 @@
     for (auto actions = node.raft->takeActions(); !actions.empty(); actions = node.raft->takeActions())
       for (auto& action : actions)
         std::visit([&](auto& alternative) { carryOut(node, alternative); }, action);
+    afterActions(node);
   }
 
   // --- writes ---
@@ -172,6 +175,30 @@
   }
   static constexpr Duration kWriteRetryInterval{120};
 
+ protected:
+  // --- what is replicated; a derived class puts another state machine in the place of `ReplicatedState` ---
+
+  /// A process begins with an empty state.
+  virtual void onProcessStart(Node&) {}
+  virtual void applyEntry(Node& node, const LogEntry& entry) { node.replica.apply(entry); }
+  virtual bool restoreState(Node& node, const std::string& state) { return node.replica.restore(state).has_value(); }
+  virtual std::string snapshotOf(const Node& node) const { return node.replica.snapshot(); }
+  /// A node has carried out all that its state machine asked for.
+  virtual void afterActions(Node&) {}
+
+  void reportViolation(const std::string& what) { violations.push_back(what + " (seed " + std::to_string(seed) + ")"); }
+  bool isLost(const std::string& from, const std::string& receiver) {
+    return cutLinks.contains({from, receiver}) || std::uniform_real_distribution<>(0, 1)(random) < lossRate;
+  }
+  Duration drawDelay() { return Duration(1 + draw(static_cast<std::uint64_t>(maxDelayMs))); }
+  /// The node at an address, if it is up and a packet from `from` reaches it.
+  Node* reach(const std::string& from, const std::string& receiver) {
+    const auto node = nodes.find(receiver);
+    if (node == nodes.end() || !node->second.up || cutLinks.contains({from, receiver}))
+      return nullptr;
+    return &node->second;
+  }
+
  private:
   struct Event {
     TimePoint at;
@@ -186,8 +213,6 @@
   static constexpr Duration kExitPoll{50};           // between two looks at whether a leaving member may exit
   static constexpr std::int64_t kCompactEvery = 16;  // entries
 
-  void reportViolation(const std::string& what) { violations.push_back(what + " (seed " + std::to_string(seed) + ")"); }
-
   // --- starting ---
 
   static std::string founderAt(const std::string& ip) { return ip + "#0"; }
@@ -264,15 +289,15 @@
     const auto [known, added] = committed.emplace(entry.index, contentOf(entry));
     if (!added && known->second != contentOf(entry))
       reportViolation("two writes at index " + std::to_string(entry.index));
-    node.replica.apply(entry);
+    applyEntry(node, entry);
     if (entry.index % kCompactEvery == 0)
-      node.raft->compact(entry.index, node.replica.snapshot(), now);
+      node.raft->compact(entry.index, snapshotOf(node), now);
   }
   void carryOut(Node& node, const RestoreSnapshot& action) {
     if (action.index < node.lastApplied)
       reportViolation("the applied index went back at " + node.ip);
     node.lastApplied = action.index;
-    if (!node.replica.restore(action.state))
+    if (!restoreState(node, action.state))
       reportViolation("snapshot unreadable");
   }
   static std::string contentOf(const LogEntry& entry) {
@@ -281,17 +306,6 @@
 
   // --- the network ---
 
-  bool isLost(const std::string& from, const std::string& receiver) {
-    return cutLinks.contains({from, receiver}) || std::uniform_real_distribution<>(0, 1)(random) < lossRate;
-  }
-  Duration drawDelay() { return Duration(1 + draw(static_cast<std::uint64_t>(maxDelayMs))); }
-  /// The node at an address, if it is up and a packet from `from` reaches it.
-  Node* reach(const std::string& from, const std::string& receiver) {
-    const auto node = nodes.find(receiver);
-    if (node == nodes.end() || !node->second.up || cutLinks.contains({from, receiver}))
-      return nullptr;
-    return &node->second;
-  }
   /// Messages pass through their encoding: what the connection cannot carry must not pass here either.
   void sendBytes(const Node& from, const std::string& member, const std::string& bytes) {
     const auto receiver = addressOf(member);
