--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -20,6 +20,7 @@
   Duration addressHold{2000};   ///< checked only: nothing uses it
   Duration quotaWindow{5000};   ///< over this a subscriber's quota is measured
   Duration retryWindow{10000};  ///< over this the retry budget is measured
+  Duration history{20000};      ///< a watch may resume from a revision that it was given so long ago
   bool revokedFail = true;      ///< a node without a valid lease refuses requests
   double retryRatio = 0.2;      ///< retries allowed for each first attempt
   double retrySlack = 50;       ///< retries allowed beyond that in a window, over all nodes
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -140,6 +140,7 @@
   reader.seconds(object, "addressHoldS", timers.addressHold);
   reader.seconds(object, "quotaWindowS", timers.quotaWindow);
   reader.seconds(object, "retryWindowS", timers.retryWindow);
+  reader.seconds(object, "historyS", timers.history);
   reader.boolean(object, "revokedFail", timers.revokedFail);
   reader.number(object, "retryRatio", timers.retryRatio);
   reader.number(object, "retrySlack", timers.retrySlack);
--- a/libs/controller/src/api_handlers.hpp
+++ b/libs/controller/src/api_handlers.hpp
@@ -36,6 +36,17 @@
 ApiResponse handleRevertRollout(const ApiCall& call);
 /// Prefix hints of the partner site. Answered by the leader; the others redirect to it.
 ApiResponse handleExchangeHints(const ApiCall& call);
+/// Calls of applications; see coordination_handlers.cpp. Each is passed to the leaseholder of its shard.
+ApiResponse handleBeginLock(const ApiCall& call);
+ApiResponse handleRenewLock(const ApiCall& call);
+ApiResponse handleReleaseLock(const ApiCall& call);
+ApiResponse handleNextNumber(const ApiCall& call);
+ApiResponse handleReplaceCell(const ApiCall& call);
+ApiResponse handleRetrieveCell(const ApiCall& call);
+/// Answered from this controller's replica, once that is as new as the leaseholder's was at the call.
+ApiResponse handleWatch(const ApiCall& call);
+/// This controller's view of the coordination service; answered without contact too.
+ApiResponse handleShards(const ApiCall& call);
 /// This controller's own view; answered without contact too.
 ApiResponse handleStatus(const ApiCall& call);
 /// What this controller has sent, by zone and type of message, and how its disk does; answered without contact too.
--- a/libs/controller/src/api_responses.cpp
+++ b/libs/controller/src/api_responses.cpp
@@ -17,6 +17,8 @@
       return HttpStatus::forbidden;
     case ErrorCode::notFound:
       return HttpStatus::not_found;
+    case ErrorCode::limitReached:
+      return HttpStatus::too_many_requests;
     default:
       return HttpStatus::service_unavailable;
   }
@@ -28,6 +30,8 @@
   return {status, proxy::jsonError(message), headers};
 }
 ApiResponse errorResponse(const Error& error) {
+  if (error.code == ErrorCode::outcomeUnknown)
+    return {HttpStatus::internal_server_error, "{}", "", true};
   return errorResponse(httpStatusOf(error.code), error.message);
 }
 ApiResponse noContactResponse() {
--- a/libs/controller/src/api_responses.hpp
+++ b/libs/controller/src/api_responses.hpp
@@ -9,7 +9,7 @@
 
 /// A 503 also says when to retry.
 ApiResponse errorResponse(HttpStatus status, std::string_view message);
-/// With the HTTP status of the error's code: 400, 403, 404, or 503 for any other.
+/// With the HTTP status of the error's code: 400, 403, 404, 429, or 503 for any other; silent for an unknown outcome.
 ApiResponse errorResponse(const Error& error);
 /// A 503: this controller has no contact with a majority.
 ApiResponse noContactResponse();
--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -81,6 +81,8 @@
 bool ControlServer::answerOn(runtime::Connection& connection, const proxy::RequestParser& parser) {
   const auto response = accepting_ ? answerApiRequest(services_, apiRequestOf(parser.get()), "http://" + address_)
                                    : errorResponse(HttpStatus::service_unavailable, "shutting down");
+  if (response.silent)
+    return false;
   const bool keepAlive = parser.get().keep_alive() && accepting_;
   return writeResponse(connection, response, keepAlive) && keepAlive;
 }
--- a/libs/controller/src/controller_node.cpp
+++ b/libs/controller/src/controller_node.cpp
@@ -15,8 +15,10 @@
 ControllerNode::ControllerNode(config::Settings settings)
     : context_(std::move(settings)),
       contact_(context_),
-      peers_(context_, [this](const transport::PeerLinkPtr& link,
-                              const transport::Envelope& envelope) { dispatcher_.onMessage(link, envelope); }),
+      peers_(context_, context_.settings.firstPort,
+             [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
+               dispatcher_.onMessage(link, envelope);
+             }),
       agents_(context_),
       writes_(context_, submitters()),
       reads_(context_, [this](const consensus::MemberId& leader,
@@ -24,7 +26,8 @@
       requests_(context_),
       hints_(context_),
       runners_(context_, peers_),
-      shutdown_(context_),
+      coordination_(context_),
+      shutdown_(context_, coordination_),
       roles_(context_, {requests_, agents_, runners_, writes_}),
       driver_(context_, {peers_, agents_, writes_, reads_, roles_}),
       dispatcher_(context_, {peers_, driver_, reads_, runners_, agents_, requests_, hints_}) {}
@@ -50,35 +53,29 @@
 Result<void> ControllerNode::start() {
   if (const auto reason = unusableSettings(context_.settings))
     return makeError(ErrorCode::invalidArgument, *reason);
-  auto disk = recoverDisk(context_.settings.dataDir);
-  if (!disk)
-    return tl::unexpected(disk.error());
-  startRaft(context_, disk->recovery, incarnation_);
+  const auto& dataDir = context_.settings.dataDir;
+  auto recovered = recoverDisk(dataDir, storage::Storage(dataDir), snapshotIsValid);
+  if (!recovered)
+    return tl::unexpected(recovered.error());
+  startRaft(context_, recovered->recovery, incarnation_);
   operationIds_.emplace(context_.raft->self(), incarnation_);
-  driver_.startStorage(std::move(disk->storage));
+  if (auto coordination = coordination_.recover(incarnation_); !coordination)
+    return coordination;
+  const auto disk = std::make_shared<DiskThread>();
+  driver_.startStorage(disk, std::move(recovered->storage));
   if (auto started = hints_.start(); !started)
     return started;
   if (auto started = startLinks(); !started)
     return started;
+  if (auto started = coordination_.start(disk); !started)
+    return started;
   startTimers();
   driver_.run();
   return {};
 }
 Result<void> ControllerNode::startLinks() {
   const auto& settings = context_.settings;
-  const auto endpoint = runtime::parseEndpoint(settings.ip + ":" + std::to_string(settings.firstPort));
-  if (!endpoint)
-    return tl::unexpected(endpoint.error());
-  auto listening = transport::listen(*endpoint, [this](tcp::socket socket) {
-    auto link = std::make_shared<transport::PeerLink>(
-        std::move(socket),
-        [this](const transport::PeerLinkPtr& inbound, const transport::Envelope& envelope) {
-          dispatcher_.onMessage(inbound, envelope);
-        },
-        [](const transport::PeerLinkPtr&) {});
-    link->start();
-  });
-  if (!listening)
+  if (auto listening = peers_.listen(); !listening)
     return listening;
   // At once, so that the first request to the others is not lost to a connection that is not open yet.
   const auto voters = context_.raft->voters();
@@ -98,6 +95,7 @@
 void ControllerNode::onTick() {
   const auto now = Clock::now();
   context_.raft->tick(now);
+  coordination_.tick(now);
   requests_.followRollouts(now);
   if (roles_.isLeader() && ++ticksAsLeader_ % kTicksPerEvaluation == 0) {
     requests_.evaluateRunners(now);
@@ -130,6 +128,7 @@
   for (const auto& seed : seeds)
     context_.view.add(viewNameOfController(seed));
   context_.raft->setSeedAddresses(seeds);
+  coordination_.setSeedAddresses(seeds);
   context_.settings.seeds = settings.seeds;
   context_.settings.timers = settings.timers;
   log::debug("settings_reloaded", {{"seeds", seeds.size()}});
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -8,6 +8,7 @@
 #include "agent_sessions.hpp"
 #include "controller_context.hpp"
 #include "controller_services.hpp"
+#include "coordination_service.hpp"
 #include "graceful_shutdown.hpp"
 #include "lease_reads.hpp"
 #include "majority_contact.hpp"
@@ -47,12 +48,19 @@
     return writes_.write(entry, timeout);
   }
   Result<void> awaitReadIndex(Duration timeout) override { return reads_.awaitReadIndex(timeout); }
+  Result<coordination::Outcome> coordinate(const coordination::Command& command, Duration timeout) override {
+    return coordination_.call(command, timeout);
+  }
+  Result<coordination::WatchedEvents> watch(const std::string& group, std::int64_t after, Duration wait) override {
+    return coordination_.watch(group, after, wait);
+  }
   std::string nextOperationId() override { return operationIds_->next(); }
   std::optional<std::string> leaderControlAddress() const override;
   std::optional<std::string> controlAddressIn(const std::string& zone) const override;
   double requestsPerS() const override { return requests_.requestsPerS(Clock::now()); }
   std::string statusJson() const override { return controller::statusJson(statusSources(), Clock::now()); }
   std::string countersJson() const override { return controller::countersJson(*context_.raft); }
+  std::string shardsJson() const override { return coordination_.shardsJson(Clock::now()); }
   std::string zoneDrainsJson() const override { return controller::zoneDrainsJson(statusSources(), Clock::now()); }
   Result<std::string> exchangeHints(std::string_view body, std::string_view seal) override {
     return hints_.exchange(body, seal);
@@ -79,6 +87,7 @@
   AgentRequestHandler requests_;
   PartnerHints hints_;
   RunnerLiveness runners_;
+  CoordinationService coordination_;
   GracefulShutdown shutdown_;
   RoleChanges roles_;
   RaftDriver driver_;
--- a/libs/controller/src/controller_services.hpp
+++ b/libs/controller/src/controller_services.hpp
@@ -2,6 +2,8 @@
 /// What the control API needs of the controller that serves it.
 #pragma once
 #include "config/settings.hpp"
+#include "coordination/commands.hpp"
+#include "coordination/shard_state.hpp"
 #include "state_machine/replicated_state.hpp"
 namespace zinccleat::controller {
 /// Implemented by `ControllerNode`, and by tests. Calls that park their fiber say so.
@@ -26,6 +28,12 @@
   /// Parks the calling fiber until the replica is as new as the leader's log was at the call: what is read from it then
   /// is linearizable. @return `ErrorCode::unavailable` if that took longer than `timeout`.
   virtual Result<void> awaitReadIndex(Duration timeout) = 0;
+  /// Parks the calling fiber until the leaseholder of the command's shard has answered.
+  /// @return `ErrorCode::unavailable`: not executed, and it never will be; `ErrorCode::outcomeUnknown`.
+  virtual Result<coordination::Outcome> coordinate(const coordination::Command& command, Duration timeout) = 0;
+  /// Parks the calling fiber until there are puts above a revision, or the time is up; see
+  /// `CoordinationService::watch`.
+  virtual Result<coordination::WatchedEvents> watch(const std::string& group, std::int64_t after, Duration wait) = 0;
   /// A new id for a write; it is never used again.
   virtual std::string nextOperationId() = 0;
   /// Where the leader's control API listens; none: the leader is unknown, or it is this controller.
@@ -38,6 +46,8 @@
   virtual std::string statusJson() const = 0;
   /// The body of the Counters call.
   virtual std::string countersJson() const = 0;
+  /// The body of the Shards call.
+  virtual std::string shardsJson() const = 0;
   /// The body of the Closures.List call; complete on the leader only.
   virtual std::string zoneDrainsJson() const = 0;
   /// Takes in the partner site's prefix hints. @return our own hints, sealed.
--- /dev/null
+++ b/libs/controller/src/coordination_handlers.cpp
@@ -0,0 +1,129 @@
+/// @file
+/// The calls of applications for coordination: locks, numbers, cells, watches.
+///
+/// A 409 or 412 is the outcome of a committed entry. A 503 or 429 is given only where nothing was executed and never
+/// will be; a call whose outcome is not known ends without an answer, and its caller sends it again.
+#include "api_handlers.hpp"
+#include "api_responses.hpp"
+#include "config/coordination_requests.hpp"
+#include "json_object.hpp"
+
+namespace zinccleat::controller {
+namespace {
+using coordination::Command;
+using coordination::CommandKind;
+using coordination::Outcome;
+using coordination::OutcomeKind;
+
+Command commandOf(CommandKind kind, std::string_view name) {
+  Command command;
+  command.kind = static_cast<std::int32_t>(kind);
+  command.name = std::string(name);
+  return command;
+}
+ApiResponse okResponse(std::string body) {
+  return {HttpStatus::ok, std::move(body), ""};
+}
+ApiResponse numberResponse(HttpStatus status, std::string_view name, std::int64_t number) {
+  return {status, JsonObject().number(name, number).json(), ""};
+}
+/// What a call answers whose outcome is not `OutcomeKind::done`.
+ApiResponse otherOutcome(const Outcome& outcome) {
+  switch (outcome.result()) {
+    case OutcomeKind::lockTaken:
+      return errorResponse(HttpStatus::conflict, "another holds the lock, or the hold is over");
+    case OutcomeKind::revisionMismatch:
+      return numberResponse(HttpStatus::precondition_failed, "revision", outcome.number);
+    case OutcomeKind::notFound:
+      return errorResponse(HttpStatus::not_found, "no such cell");
+    case OutcomeKind::limitReached:
+      return errorResponse(HttpStatus::too_many_requests, "no room for another name or value");
+    case OutcomeKind::done:
+      break;
+  }
+  return okResponse("{}");
+}
+/// Has a command executed, and makes the answer of its outcome.
+template <class Answer>
+ApiResponse executed(const ApiCall& call, const Command& command, Answer&& answerTo) {
+  const ResponseDeadline deadline;
+  if (auto named = config::checkName(command.name); !named)
+    return errorResponse(named.error());
+  const auto outcome = call.services.coordinate(command, deadline.left());
+  if (!outcome)
+    return errorResponse(outcome.error());
+  return outcome->result() == OutcomeKind::done ? answerTo(*outcome) : otherOutcome(*outcome);
+}
+/// One of the calls on a lock.
+template <class Answer>
+ApiResponse lockCall(const ApiCall& call, CommandKind kind, config::LockFields required, Answer&& answerTo) {
+  const auto request = config::parseLockRequest(call.request.body, required);
+  if (!request)
+    return errorResponse(request.error());
+  auto command = commandOf(kind, call.subject);
+  command.holder = request->holder;
+  command.fence = request->fence;
+  command.holdMs = request->holdMs;
+  return executed(call, command, answerTo);
+}
+ApiResponse emptyAnswer(const Outcome&) {
+  return okResponse("{}");
+}
+std::string eventJson(const coordination::CellEvent& event) {
+  return JsonObject().text("label", event.cell).text("value", event.value).number("revision", event.revision).json();
+}
+}  // namespace
+
+ApiResponse handleBeginLock(const ApiCall& call) {
+  return lockCall(call, CommandKind::acquireLock, {.fence = false, .hold = true},
+                  [](const Outcome& outcome) { return numberResponse(HttpStatus::ok, "fenceNumber", outcome.number); });
+}
+ApiResponse handleRenewLock(const ApiCall& call) {
+  return lockCall(call, CommandKind::renewLock, {.fence = true, .hold = true}, emptyAnswer);
+}
+ApiResponse handleReleaseLock(const ApiCall& call) {
+  return lockCall(call, CommandKind::releaseLock, {.fence = true, .hold = false}, emptyAnswer);
+}
+ApiResponse handleNextNumber(const ApiCall& call) {
+  return executed(call, commandOf(CommandKind::nextNumber, call.subject),
+                  [](const Outcome& outcome) { return numberResponse(HttpStatus::ok, "value", outcome.number); });
+}
+ApiResponse handleReplaceCell(const ApiCall& call) {
+  const auto request = config::parsePutRequest(call.request.body);
+  if (!request)
+    return errorResponse(request.error());
+  auto command = commandOf(CommandKind::putCell, call.subject);
+  command.value = request->value;
+  command.argument = request->appliesTo.value_or(coordination::kAnyRevision);
+  return executed(call, command,
+                  [](const Outcome& outcome) { return numberResponse(HttpStatus::ok, "revision", outcome.number); });
+}
+ApiResponse handleRetrieveCell(const ApiCall& call) {
+  return executed(call, commandOf(CommandKind::getCell, call.subject), [](const Outcome& outcome) {
+    return okResponse(JsonObject().text("value", outcome.value).number("revision", outcome.number).json());
+  });
+}
+ApiResponse handleWatch(const ApiCall& call) {
+  const auto& target = call.request.target;
+  const auto queryAt = target.find('?');
+  const auto query = queryAt == std::string::npos ? std::string_view{} : std::string_view(target).substr(queryAt + 1);
+  const auto request = config::parseWatchRequest(query);
+  if (!request)
+    return errorResponse(request.error());
+  if (auto named = config::checkName(call.subject); !named)
+    return errorResponse(named.error());
+  const auto found = call.services.watch(std::string(call.subject), request->after, Duration(request->waitMs));
+  if (!found)
+    return errorResponse(found.error());
+  if (found->discarded)
+    return errorResponse(HttpStatus::gone, "puts after that revision are no longer kept");
+  std::vector<std::string> events;
+  events.reserve(found->events.size());
+  for (const auto& event : found->events)
+    events.push_back(eventJson(event));
+  return okResponse(JsonObject().raw("events", jsonArray(events)).number("revision", found->revision).json());
+}
+ApiResponse handleShards(const ApiCall& call) {
+  return okResponse(call.services.shardsJson());
+}
+}  // namespace zinccleat::controller
--- /dev/null
+++ b/libs/controller/src/coordination_service.cpp
@@ -0,0 +1,265 @@
+#include "coordination_service.hpp"
+
+#include "coordination/sharding.hpp"
+#include "json_object.hpp"
+#include "runtime/log_ring.hpp"
+#include "startup.hpp"
+
+namespace zinccleat::controller {
+namespace {
+using coordination::AttemptEnd;
+using coordination::CallResult;
+using coordination::CallStatus;
+using coordination::Command;
+using coordination::CommandKind;
+using coordination::Outcome;
+using coordination::WatchedEvents;
+
+constexpr int kPortOffset = 2;  // counted from the first of the machine's internal ports
+constexpr Duration kFreshnessTimeout{850};
+constexpr Duration kWatchContactCheck{500};
+constexpr std::size_t kMaxWatches = 1024;
+
+const char* nameOf(consensus::Role role) {
+  switch (role) {
+    case consensus::Role::learner:
+      return "learner";
+    case consensus::Role::follower:
+      return "follower";
+    case consensus::Role::candidate:
+      return "candidate";
+    case consensus::Role::leader:
+      return "leader";
+  }
+  return "";
+}
+}  // namespace
+
+CoordinationService::CoordinationService(ControllerContext& context)
+    : context_(context),
+      links_(context, static_cast<std::uint16_t>(context.settings.firstPort + kPortOffset),
+             [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
+               onMessage(link, envelope);
+             }) {
+  for (int number = 0; number < coordination::kShardCount; ++number)
+    shards_.push_back(std::make_unique<CoordinationShard>(context, number, surroundingsOf(number)));
+}
+CoordinationShard::Surroundings CoordinationService::surroundingsOf(int shard) {
+  CoordinationShard::Surroundings surroundings;
+  surroundings.send = [this, shard](const consensus::MemberId& to, const consensus::ConsensusMessage& message) {
+    const coordination::ShardConsensus wrapped{shard, consensus::encodeMessage(message)};
+    (void)links_.sendEnvelope(to, transport::pack(wrapped, shardAt(shard).raft().self()));
+  };
+  surroundings.onResult = [this, shard](const CallResult& result) { onResult(shard, result); };
+  surroundings.onLeaderChanged = [this, shard] { onLeaderChanged(shard); };
+  surroundings.onApplied = [this, shard] { onApplied(shard); };
+  return surroundings;
+}
+Result<void> CoordinationService::recover(std::uint64_t incarnation) {
+  for (auto& shard : shards_)
+    if (auto recovered = shard->recover(incarnation); !recovered)
+      return recovered;
+  return {};
+}
+Result<void> CoordinationService::start(const std::shared_ptr<DiskThread>& disk) {
+  if (auto listening = links_.listen(); !listening)
+    return listening;
+  dialOthers();
+  for (auto& shard : shards_)
+    shard->start(disk);
+  return {};
+}
+// At once, so that the first request to the others is not lost to a connection that is not open yet.
+void CoordinationService::dialOthers() {
+  for (const auto& seed : seedAddresses(context_.settings))
+    links_.dial(seed);
+  for (const auto& shard : shards_)
+    for (const auto& voter : shard->raft().voters())
+      links_.dial(consensus::addressOf(voter));
+}
+void CoordinationService::tick(TimePoint now) {
+  for (auto& shard : shards_)
+    shard->tick(now);
+}
+void CoordinationService::setSeedAddresses(const std::vector<std::string>& addresses) {
+  for (auto& shard : shards_)
+    shard->setSeedAddresses(addresses);
+}
+void CoordinationService::leave(TimePoint now) {
+  leaving_ = true;
+  for (auto* watch : watches_)
+    watch->waiter.wake();
+  for (auto& shard : shards_)
+    shard->leave(now);
+}
+bool CoordinationService::mayExit() const {
+  return std::all_of(shards_.begin(), shards_.end(), [](const auto& shard) { return shard->raft().mayExit(); });
+}
+
+// --- messages ---
+
+void CoordinationService::onMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
+  const auto isShard = [](int number) { return number >= 0 && number < coordination::kShardCount; };
+  if (envelope.sender.empty())
+    return link->decline("a message that names no sender");
+  links_.recordMessage(envelope.sender, link);
+  transport::receive<coordination::ShardConsensus>(link, envelope, [&](const coordination::ShardConsensus& message) {
+    auto decoded = consensus::decodeMessage(message.message);
+    if (!decoded || !isShard(message.shard))
+      return link->decline("no message of a shard");
+    shardAt(message.shard).receive(envelope.sender, std::move(*decoded));
+  });
+  transport::receive<coordination::ShardCall>(link, envelope, [&](const coordination::ShardCall& message) {
+    if (!isShard(message.shard))
+      return link->decline("a call to an unknown shard");
+    onShardCall(envelope.sender, message);
+  });
+  transport::receive<coordination::ShardCallResult>(link, envelope, [&](const coordination::ShardCallResult& message) {
+    if (const auto call = calls_.find(message.requestId); call != calls_.end()) {
+      call->second->result = {message.requestId, static_cast<CallStatus>(message.status), message.outcome};
+      call->second->waiter.wake();
+    }
+  });
+}
+void CoordinationService::onShardCall(const consensus::MemberId& from, const coordination::ShardCall& message) {
+  const auto callId = ++lastCallId_;
+  remoteCalls_[callId] = {from, message.requestId, message.shard};
+  shardAt(message.shard).call(callId, message.command);
+}
+void CoordinationService::onResult(int shard, const CallResult& result) {
+  if (const auto call = calls_.find(result.callId); call != calls_.end()) {
+    call->second->result = result;
+    call->second->waiter.wake();
+    return;
+  }
+  const auto remote = remoteCalls_.extract(result.callId);
+  if (remote.empty())
+    return;
+  const auto& [from, requestId, ofShard] = remote.mapped();
+  const coordination::ShardCallResult message{requestId, static_cast<std::int32_t>(result.status), result.outcome};
+  (void)links_.sendEnvelope(from, transport::pack(message, shardAt(shard).raft().self()));
+}
+void CoordinationService::onLeaderChanged(int shard) {
+  for (auto& [id, call] : calls_)
+    if (call->shard == shard)
+      call->waiter.wake();
+}
+
+// --- calls ---
+
+AttemptEnd CoordinationService::attempt(CoordinationShard& shard, const Command& command, PendingCall& pending,
+                                        TimePoint deadline) {
+  const auto leader = shard.raft().leader();
+  const auto self = shard.raft().self();
+  // A machine that is cut off does not send: what may reach the other side later can't be called not executed.
+  if (leader.empty() || !shard.raft().inContactWithMajority(Clock::now()))
+    return AttemptEnd::notSent;
+  const auto callId = ++lastCallId_;
+  calls_[callId] = &pending;
+  bool sent = true;
+  if (leader == self)
+    shard.call(callId, command);
+  else
+    sent = links_.sendEnvelope(leader, transport::pack(coordination::ShardCall{shard.number(), callId, command}, self));
+  while (sent && !pending.result && shard.raft().leader() == leader && Clock::now() < deadline)
+    (void)runtime::EventLoop::get().waitFor(pending.waiter, toDuration(deadline - Clock::now()) + 1ms);
+  calls_.erase(callId);
+  if (!sent)
+    return AttemptEnd::notSent;
+  if (!pending.result || pending.result->status == CallStatus::unknown)
+    return AttemptEnd::unknown;
+  return pending.result->status == CallStatus::executed ? AttemptEnd::answered : AttemptEnd::notExecuted;
+}
+Result<Outcome> CoordinationService::call(const Command& command, Duration timeout) {
+  auto& shard = shardAt(coordination::shardOf(command));
+  coordination::CallProgress progress(Clock::now(), timeout);
+  for (;;) {
+    PendingCall pending;
+    pending.shard = shard.number();
+    const auto end = attempt(shard, command, pending, progress.deadline());
+    if (end == AttemptEnd::answered)
+      return pending.result->outcome;
+    const auto pause = progress.pauseAfter(end, Clock::now());
+    if (!pause)
+      return makeError(progress.failure(), "no answer of the shard's leaseholder");
+    runtime::EventLoop::get().sleepFor(*pause);
+  }
+}
+
+// --- watches ---
+
+void CoordinationService::onApplied(int shard) {
+  const auto& state = shardAt(shard).state();
+  const auto& changed = state.changedGroups();
+  for (auto* watch : watches_) {
+    const auto& query = watch->query;
+    if (watch->shard != shard || state.index() < query.readIndex)
+      continue;
+    const bool nowFresh = state.index() == query.readIndex;
+    if (nowFresh || std::find(changed.begin(), changed.end(), query.group) != changed.end())
+      watch->waiter.wake();
+  }
+}
+Result<WatchedEvents> CoordinationService::awaitEvents(PendingWatch& watch, TimePoint deadline) {
+  auto& shard = shardAt(watch.shard);
+  for (;;) {
+    const auto now = Clock::now();
+    if (auto answer = coordination::answerWatch(shard.state(), watch.query, now >= deadline))
+      return *answer;
+    const auto left = toDuration(deadline - now) + 1ms;
+    (void)runtime::EventLoop::get().waitFor(watch.waiter, std::min(left, kWatchContactCheck));
+    // Puts would not reach this replica: the caller is better off at another one.
+    if (leaving_ || !shard.raft().inContactWithMajority(Clock::now()))
+      return makeError(ErrorCode::unavailable, "this replica receives no puts");
+  }
+}
+Result<WatchedEvents> CoordinationService::watch(const std::string& group, std::int64_t after, Duration wait) {
+  if (watches_.size() >= kMaxWatches)
+    return makeError(ErrorCode::limitReached, "too many watches wait here");
+  const auto deadline = Clock::now() + wait;
+  Command freshness;
+  freshness.kind = static_cast<std::int32_t>(CommandKind::readIndex);
+  freshness.name = group;
+  const auto readIndex = call(freshness, kFreshnessTimeout);
+  if (!readIndex)
+    return makeError(ErrorCode::unavailable, readIndex.error().message);
+  PendingWatch own;
+  own.shard = coordination::shardOf(freshness);
+  own.query = {group, after, readIndex->number};
+  watches_.push_back(&own);
+  auto found = awaitEvents(own, deadline);
+  std::erase(watches_, &own);
+  return found;
+}
+
+// --- reports ---
+
+std::string CoordinationService::shardsJson(TimePoint now) const {
+  std::vector<std::string> shards;
+  for (const auto& shard : shards_) {
+    const auto& raft = shard->raft();
+    const auto watching = std::count_if(watches_.begin(), watches_.end(),
+                                        [&](const auto* watch) { return watch->shard == shard->number(); });
+    std::vector<std::string> voters;
+    for (const auto& voter : raft.voters())
+      voters.push_back(config::quoteJson(voter));
+    shards.push_back(JsonObject()
+                         .number("shard", shard->number())
+                         .text("member", raft.self())
+                         .text("role", nameOf(raft.role()))
+                         .text("leaseholder", raft.leader())
+                         .number("epoch", raft.term())
+                         .flag("leased", raft.hasLease(now))
+                         .flag("inContact", raft.inContactWithMajority(now))
+                         .number("applied", shard->state().index())
+                         .number("timeMs", shard->state().timeMs())
+                         .number("locks", shard->state().lockCount())
+                         .number("cells", shard->state().cellCount())
+                         .number("watches", watching)
+                         .number("pendingCalls", shard->pendingCalls())
+                         .raw("members", jsonArray(voters))
+                         .json());
+  }
+  return JsonObject().text("node", context_.settings.node).raw("shards", jsonArray(shards)).json();
+}
+}  // namespace zinccleat::controller
--- /dev/null
+++ b/libs/controller/src/coordination_shard.cpp
@@ -0,0 +1,145 @@
+#include "coordination_shard.hpp"
+
+#include "runtime/log_ring.hpp"
+#include "startup.hpp"
+#include "storage/name_prefix.hpp"
+
+namespace zinccleat::controller {
+namespace {
+// The log is compacted once it is as large as two snapshots, so that writing snapshots costs no more than the log does,
+// and no later than a start can read at ease: each group commit is a file.
+constexpr std::int64_t kMinCompactionInterval = 96;    // entries
+constexpr std::int64_t kMaxCompactionInterval = 2048;  // entries
+constexpr std::size_t kLogBytesPerSnapshotByte = 2;
+constexpr int kHistoryFactor = 2;  // of what a watch is promised
+
+bool isShardSnapshot(const std::string& snapshot) {
+  coordination::ShardState probe;
+  return probe.restore(snapshot).has_value();
+}
+}  // namespace
+
+CoordinationShard::CoordinationShard(const ControllerContext& context, int number, Surroundings surroundings)
+    : context_(context),
+      number_(number),
+      surroundings_(std::move(surroundings)),
+      leaseholder_(state_, [this] { return raft_->hasLease(Clock::now()); }) {}
+
+Result<void> CoordinationShard::recover(std::uint64_t incarnation) {
+  const auto& dataDir = context_.settings.dataDir;
+  auto folder = storage::withNamePrefix(storage::openPosixFolder(dataDir), "shard" + std::to_string(number_) + "-");
+  auto disk = recoverDisk(dataDir, storage::Storage(std::move(folder)), isShardSnapshot);
+  if (!disk)
+    return tl::unexpected(disk.error());
+  consensus::RaftOptions options;
+  options.snapshotIsValid = isShardSnapshot;
+  raft_ = startShardMember(context_, disk->recovery, options, incarnation);
+  operationPrefix_ = raft_->self() + "/" + std::to_string(incarnation) + ".";
+  recoveredStorage_ = std::move(disk->storage);
+  leaseholder_.setHistory(context_.settings.timers.history * kHistoryFactor);
+  return {};
+}
+void CoordinationShard::start(const std::shared_ptr<DiskThread>& disk) {
+  storage_ = std::make_unique<StorageThread>(disk, std::move(*recoveredStorage_));
+  recoveredStorage_.reset();
+  run();
+}
+void CoordinationShard::tick(TimePoint now) {
+  raft_->tick(now);
+  leaseholder_.tick(now);
+  run();
+}
+void CoordinationShard::receive(const consensus::MemberId& from, consensus::ConsensusMessage message) {
+  raft_->receive(Clock::now(), from, std::move(message));
+  run();
+}
+void CoordinationShard::call(std::int64_t callId, const coordination::Command& command) {
+  leaseholder_.call(callId, command);
+  run();
+}
+void CoordinationShard::leave(TimePoint now) {
+  raft_->leave(now);
+  run();
+}
+// After each event: the actions of the log first, then what a change of the role means for the leaseholder, then what
+// it proposes, until there is nothing more to do; last of all the answers.
+void CoordinationShard::run() {
+  if (running_)
+    return;
+  running_ = true;
+  do {
+    carryOutActions();
+    followRole();
+  } while (propose());
+  running_ = false;
+  while (leaseholder_.hasResults())
+    for (const auto& result : leaseholder_.takeResults())
+      surroundings_.onResult(result);
+  if (const auto leader = raft_->leader(); leader != leader_) {
+    leader_ = leader;
+    log::debug("shard_leader_changed", {{"shard", number_}, {"term", raft_->term()}, {"leader", leader}});
+    surroundings_.onLeaderChanged();
+  }
+}
+void CoordinationShard::carryOutActions() {
+  for (auto actions = raft_->takeActions(); !actions.empty(); actions = raft_->takeActions())
+    for (auto& action : actions)
+      std::visit([this](auto& alternative) { carryOut(alternative); }, action);
+}
+void CoordinationShard::followRole() {
+  const auto ledTerm = raft_->role() == consensus::Role::leader ? raft_->term() : 0;
+  if (ledTerm == ledTerm_)
+    return;
+  ledTerm_ = ledTerm;
+  if (ledTerm == 0)
+    return leaseholder_.endTerm();
+  log::debug("shard_leadership_gained", {{"shard", number_}, {"term", ledTerm}});
+  leaseholder_.startTerm(Clock::now());
+}
+bool CoordinationShard::propose() {
+  const auto now = Clock::now();
+  auto entry = leaseholder_.nextBatch(now, operationPrefix_ + std::to_string(operations_ + 1));
+  if (!entry)
+    return false;
+  ++operations_;
+  (void)raft_->submit(now, std::move(*entry));  // it leads: `followRole` has just looked
+  return true;
+}
+void CoordinationShard::carryOut(const consensus::SendMessage& action) const {
+  surroundings_.send(action.to, action.message);
+}
+void CoordinationShard::carryOut(consensus::PersistRecord& action) {
+  storage_->append(std::move(action.record), [this, ticket = action.ticket](const Result<void>& appended) {
+    if (!appended)
+      log::error("storage_append_failed", {{"shard", number_}, {"reason", appended.error().message}});
+    raft_->persisted(Clock::now(), ticket, appended.has_value());
+    run();
+  });
+}
+void CoordinationShard::carryOut(consensus::ApplyEntry& action) {
+  const auto outcomes = state_.apply(action.entry);
+  leaseholder_.onApplied(action.entry, outcomes);
+  surroundings_.onApplied();
+  bytesSinceCompaction_ += action.entry.body.size() + action.entry.operationId.size();
+  ++entriesSinceCompaction_;
+  compactIfDue();
+}
+void CoordinationShard::carryOut(consensus::RestoreSnapshot& action) {
+  // Validated before it gets here, by `recoverDisk` or by `RaftOptions::snapshotIsValid`.
+  checkInvariant(state_.restore(action.state).has_value(), "a shard's snapshot that was found valid restores");
+  snapshotBytes_ = action.state.size();
+  surroundings_.onApplied();
+}
+void CoordinationShard::compactIfDue() {
+  if (entriesSinceCompaction_ < kMinCompactionInterval)
+    return;
+  if (entriesSinceCompaction_ < kMaxCompactionInterval &&
+      bytesSinceCompaction_ < kLogBytesPerSnapshotByte * snapshotBytes_)
+    return;
+  auto snapshot = state_.snapshot();
+  snapshotBytes_ = snapshot.size();
+  entriesSinceCompaction_ = 0;
+  bytesSinceCompaction_ = 0;
+  raft_->compact(state_.index(), std::move(snapshot), Clock::now());
+}
+}  // namespace zinccleat::controller
--- a/libs/controller/src/graceful_shutdown.cpp
+++ b/libs/controller/src/graceful_shutdown.cpp
@@ -17,9 +17,11 @@
   const auto deadline = begun + std::max(kMinDuration, context_.settings.timers.grace - kKillReserve);
   log::debug("shutdown_started", {{"term", context_.raft->term()}, {"member", context_.raft->self()}});
   context_.raft->leave(begun);
+  coordination_.leave(begun);
   runtime::EventLoop::get().callEvery(kPollInterval, [this, mayEnd, begun, deadline] {
     const auto now = Clock::now();
-    if (now - begun >= kMinDuration && (context_.raft->mayExit() || now >= deadline))
+    const bool othersCanGoOn = context_.raft->mayExit() && coordination_.mayExit();
+    if (now - begun >= kMinDuration && (othersCanGoOn || now >= deadline))
       mayEnd(now >= deadline);
   });
   return true;
--- a/libs/controller/src/peer_links.cpp
+++ b/libs/controller/src/peer_links.cpp
@@ -1,18 +1,32 @@
 #include "peer_links.hpp"
 
+#include "transport/listener.hpp"
+
 namespace zinccleat::controller {
 namespace {
 // Bytes that wait for a member before further messages to it are dropped.
 constexpr std::size_t kMaxBacklogBytes = 4U << 20;
 constexpr auto kRecentlyUsed = 1s;
 
-void sendUnlessBacklogged(transport::PeerLink& link, const transport::Envelope& envelope) {
+bool sendUnlessBacklogged(transport::PeerLink& link, const transport::Envelope& envelope) {
   // The replicated log tolerates losses: a member that reads slowly is sent the same again later.
-  if (link.backlog() <= kMaxBacklogBytes)
-    link.send(envelope);
+  if (link.backlog() > kMaxBacklogBytes)
+    return false;
+  link.send(envelope);
+  return true;
 }
 }  // namespace
 
+Result<void> PeerLinks::listen() const {
+  const auto endpoint = runtime::parseEndpoint(context_.settings.ip + ":" + std::to_string(port_));
+  if (!endpoint)
+    return tl::unexpected(endpoint.error());
+  return transport::listen(*endpoint, [this](tcp::socket socket) {
+    auto link =
+        std::make_shared<transport::PeerLink>(std::move(socket), onMessage_, [](const transport::PeerLinkPtr&) {});
+    link->start();
+  });
+}
 void PeerLinks::dial(const std::string& address) {
   (void)dialerTo(address);
 }
@@ -22,7 +36,7 @@
   auto& dialer = dialers_[address];
   if (dialer)
     return dialer.get();
-  const auto endpoint = runtime::parseEndpoint(address + ":" + std::to_string(context_.settings.firstPort));
+  const auto endpoint = runtime::parseEndpoint(address + ":" + std::to_string(port_));
   if (!endpoint) {
     dialers_.erase(address);
     return nullptr;
@@ -34,7 +48,7 @@
   return {transport::MessageType::consensus, context_.raft->self(), consensus::encodeMessage(message)};
 }
 void PeerLinks::send(const consensus::MemberId& to, const consensus::ConsensusMessage& message) {
-  sendEnvelope(to, envelopeOf(message));
+  (void)sendEnvelope(to, envelopeOf(message));
 }
 transport::PeerLinkPtr PeerLinks::recentLinkOf(const consensus::MemberId& member) const {
   const auto it = inboundLinks_.find(member);
@@ -44,17 +58,17 @@
   const bool recentlyUsed = link && link->open() && Clock::now() - link->lastReceivedAt() < kRecentlyUsed;
   return recentlyUsed ? link : nullptr;
 }
-void PeerLinks::sendEnvelope(const consensus::MemberId& to, const transport::Envelope& envelope) {
+bool PeerLinks::sendEnvelope(const consensus::MemberId& to, const transport::Envelope& envelope) {
   // Answers go back on the connection that the other member uses; a dialled one serves where there is none.
   if (const auto link = recentLinkOf(to))
     return sendUnlessBacklogged(*link, envelope);
-  if (auto* dialer = dialerTo(consensus::addressOf(to)); dialer && dialer->up())
-    sendUnlessBacklogged(*dialer->link(), envelope);
+  auto* dialer = dialerTo(consensus::addressOf(to));
+  return dialer && dialer->up() && sendUnlessBacklogged(*dialer->link(), envelope);
 }
 void PeerLinks::sendToVoters(const consensus::ConsensusMessage& message) {
   const auto envelope = envelopeOf(message);
   for (const auto& voter : context_.raft->voters())
     if (voter != context_.raft->self())
-      sendEnvelope(voter, envelope);
+      (void)sendEnvelope(voter, envelope);
 }
 }  // namespace zinccleat::controller
--- a/libs/controller/src/raft_driver.hpp
+++ b/libs/controller/src/raft_driver.hpp
@@ -27,7 +27,7 @@
   /// @param context must outlive this, like all components.
   RaftDriver(ControllerContext& context, Components components) : context_(context), components_(components) {}
   /// Takes over a storage that has been recovered. To be called once, before `run`.
-  void startStorage(storage::Storage storage);
+  void startStorage(const std::shared_ptr<DiskThread>& disk, storage::Storage storage);
   /// Carries out all actions that the raft node has by now, and what follows from a change of roles. To be called after
   /// each event that was passed to the raft node. A nested call does nothing: the outer one goes on with its actions.
   void run();
--- a/libs/controller/src/startup.cpp
+++ b/libs/controller/src/startup.cpp
@@ -33,6 +33,9 @@
 consensus::MemberId founderId(const std::string& address) {
   return address + "#0";
 }
+consensus::MemberId newMemberId(const std::string& address, std::uint64_t incarnation) {
+  return address + "#" + std::to_string(incarnation | 1);  // never a founder's 0
+}
 consensus::MemberId selfId(StartKind kind, const config::Settings& settings, const storage::Recovery& recovery,
                            std::uint64_t incarnation) {
   switch (kind) {
@@ -43,7 +46,7 @@
     case StartKind::joins:
       break;
   }
-  return settings.ip + "#" + std::to_string(incarnation | 1);  // never a founder's 0
+  return newMemberId(settings.ip, incarnation);
 }
 std::vector<consensus::MemberId> founderIds(const config::Settings& settings) {
   std::vector<consensus::MemberId> founders;
@@ -52,9 +55,10 @@
   return founders;
 }
 /// Checked before the records are used: with a state that this program can't read it must neither lead nor vote.
-Result<void> checkSnapshots(const std::string& dataDir, const std::vector<consensus::DiskRecord>& records) {
+Result<void> checkSnapshots(const std::string& dataDir, const std::vector<consensus::DiskRecord>& records,
+                            const std::function<bool(const std::string&)>& isValid) {
   for (const auto& record : records)
-    if (record.full && !record.state.empty() && !snapshotIsValid(record.state))
+    if (record.full && !record.state.empty() && !isValid(record.state))
       return makeError(ErrorCode::ioError,
                        dataDir + ": record " + std::to_string(record.seq) + " holds a state that can't be restored");
   return {};
@@ -94,8 +98,8 @@
   state_machine::ReplicatedState probe;
   return probe.restore(snapshot).has_value();
 }
-Result<RecoveredDisk> recoverDisk(const std::string& dataDir) {
-  storage::Storage storage(dataDir);
+Result<RecoveredDisk> recoverDisk(const std::string& dataDir, storage::Storage storage,
+                                  const std::function<bool(const std::string&)>& isValid) {
   auto recovery = storage::recoverStorage(storage, diskRetry());
   if (!recovery) {
     auto error = recovery.error();
@@ -105,7 +109,7 @@
   }
   for (const auto& warning : recovery->warnings)
     log::info("disk_recovery_warning", {{"path", dataDir}, {"reason", warning}});
-  if (auto valid = checkSnapshots(dataDir, recovery->records); !valid)
+  if (auto valid = checkSnapshots(dataDir, recovery->records, isValid); !valid)
     return tl::unexpected(valid.error());
   return RecoveredDisk{std::move(storage), std::move(*recovery)};
 }
@@ -133,4 +137,25 @@
   }
   log::debug("controller_started", {{"member", self}, {"start", nameOf(kind)}});
 }
+std::unique_ptr<consensus::RaftNode> startShardMember(const ControllerContext& context,
+                                                      const storage::Recovery& recovery,
+                                                      const consensus::RaftOptions& options,
+                                                      std::uint64_t incarnation) {
+  const auto& fleetSelf = context.raft->self();
+  const auto fleetVoters = context.raft->voters();
+  const bool resumes = !recovery.records.empty();
+  const bool votes = std::find(fleetVoters.begin(), fleetVoters.end(), fleetSelf) != fleetVoters.end();
+  const bool founds = !resumes && votes && !recovery.identityLost;
+  const auto self = resumes  ? consensus::MemberId(recovery.records.front().self)
+                    : founds ? fleetSelf
+                             : newMemberId(context.settings.ip, incarnation);
+  const auto now = Clock::now();  // after the disk's recovery, which may have taken long
+  auto member = std::make_unique<consensus::RaftNode>(self, options, incarnation, now);
+  member->setSeedAddresses(seedAddresses(context.settings));
+  if (resumes)
+    member->recover(recovery.records, now);
+  if (founds)
+    member->bootstrap(fleetVoters, now);
+  return member;
+}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/startup.hpp
+++ b/libs/controller/src/startup.hpp
@@ -19,10 +19,21 @@
   storage::Recovery recovery;
 };
 /// Blocks until the disk can be read, for as long as its errors may pass.
+/// @param dataDir for messages.
+/// @param isValid whether this program can restore a snapshot that the storage holds.
 /// @return the errors of `recoverStorage`; `ErrorCode::ioError` for a state that this program can't restore.
-Result<RecoveredDisk> recoverDisk(const std::string& dataDir);
+Result<RecoveredDisk> recoverDisk(const std::string& dataDir, storage::Storage storage,
+                                  const std::function<bool(const std::string&)>& isValid);
 /// Makes `context.raft`: it resumes from the disk's records, founds a cluster with the other seeds on the first start
 /// of all, or starts empty as a learner.
 /// @param incarnation drawn at random at each start of the process.
 void startRaft(ControllerContext& context, const storage::Recovery& recovery, std::uint64_t incarnation);
+/// Makes the member of a shard of the coordination service. It resumes from its own records. Where there are none it
+/// founds the shard's log if it votes in the fleet's log: at the first start of all, and at the first start of a
+/// version that has shards. A log that was founded before has entries that nobody without them can outvote, so a voter
+/// that founds it a second time, having lost nothing but what it never acknowledged, only follows. Any other starts
+/// empty.
+std::unique_ptr<consensus::RaftNode> startShardMember(const ControllerContext& context,
+                                                      const storage::Recovery& recovery,
+                                                      const consensus::RaftOptions& options, std::uint64_t incarnation);
 }  // namespace zinccleat::controller
--- a/tests/fake_controller.hpp
+++ b/tests/fake_controller.hpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "control_api.hpp"
+#include "coordination/leaseholder.hpp"
 #include "operation_ids.hpp"
 
 namespace zinccleat::controller_testing {
@@ -51,6 +52,41 @@
     waited += timeout;
     return makeError(ErrorCode::unavailable, "no fresh lease");
   }
+  /// The only shard, whose leaseholder is this controller; its log commits at once.
+  coordination::ShardState shard;
+  bool outcomeGetsLost = false;  ///< a command is executed, and its outcome never becomes known
+  Result<coordination::Outcome> coordinate(const coordination::Command& command, Duration timeout) override {
+    if (!hasContact) {
+      waited += timeout;
+      return makeError(ErrorCode::unavailable, "no leaseholder");
+    }
+    coordination::Leaseholder leaseholder(shard, [] { return true; });
+    leaseholder.startTerm(TimePoint{});
+    leaseholder.call(1, command);
+    auto now = TimePoint{} + shardTime;
+    while (auto entry = leaseholder.nextBatch(now, nextOperationId())) {
+      entry->index = ++lastIndex;
+      leaseholder.onApplied(*entry, shard.apply(*entry));
+      shardTime = Duration(0);
+      now = TimePoint{};
+    }
+    const auto results = leaseholder.takeResults();
+    if (outcomeGetsLost || results.size() != 1)
+      return makeError(ErrorCode::outcomeUnknown, "no outcome");
+    return results.front().outcome;
+  }
+  Duration shardTime{0};  ///< that passes before the next command
+  Result<coordination::WatchedEvents> watch(const std::string& group, std::int64_t after, Duration wait) override {
+    if (!hasContact)
+      return makeError(ErrorCode::unavailable, "no leaseholder");
+    auto found = shard.eventsAfter(group, after, 1000);
+    if (after == 0)
+      found = {false, {}, shard.revisionOf(group)};
+    if (found.events.empty())
+      waited += wait;
+    return found;
+  }
+  std::string shardsJson() const override { return "{}"; }
   std::string nextOperationId() override { return ids.next(); }
   std::optional<std::string> controlAddressIn(const std::string& zone) const override {
     const auto found = controlAddresses.find(zone);
--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -52,6 +52,13 @@
       return makeError(ErrorCode::unavailable, "no fresh lease");
     return {};
   }
+  Result<coordination::Outcome> coordinate(const coordination::Command&, Duration) override {
+    return makeError(ErrorCode::unavailable, "not here");
+  }
+  Result<coordination::WatchedEvents> watch(const std::string&, std::int64_t, Duration) override {
+    return makeError(ErrorCode::unavailable, "not here");
+  }
+  std::string shardsJson() const override { return "{}"; }
   std::string nextOperationId() override { return "operator/" + std::to_string(writes); }
   std::optional<std::string> controlAddressIn(const std::string&) const override { return std::nullopt; }
   std::optional<std::string> leaderControlAddress() const override { return leader; }
