Soak: applications with locks, numbers, cells and watches on connections that they keep; checked by the history's rules

Each application keeps one connection to a controller until that ends it, repeats puts, renews and releases; at the end everything is asked for again at any controller, for three seconds.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,5 @@
-// zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N] [--kills]
-//     [--keep]
+// zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N]
+//     [--applications=N] [--kills] [--keep]
 //
 // One soak run; --keep leaves its folder with the processes' logs where a rule is broken. Prints what was seen and each
 // broken rule; exit status 0: none, 1: some, 2: it could not be played.
@@ -47,6 +47,15 @@
 bool allInService(const SoakRun& run) {
   return std::all_of(run.inService.begin(), run.inService.end(), [](char in) { return in != 0; });
 }
+/// What applications saw.
+void addCoordination(const SoakRun& run, std::vector<Violation>& violations) {
+  for (const auto& name : run.unansweredAtTheEnd)
+    violations.push_back({"LOST", "at the end no answer for " + name});
+  for (const auto& broken : coordination_history::violationsIn(run.applicationCalls)) {
+    const auto colon = broken.find(": ");
+    violations.push_back({broken.substr(0, colon), broken.substr(colon + 2)});
+  }
+}
 int report(const SoakRun& run) {
   const auto& seen = run.seen;
   const auto count = [&](int status) {
@@ -56,13 +65,16 @@
   };
   const auto acknowledged = std::count_if(seen.changes.begin(), seen.changes.end(),
                                           [](const Change& change) { return change.acknowledgedAt.has_value(); });
-  const auto violations = brokenRules(seen);
+  const auto served = std::count_if(run.applicationCalls.begin(), run.applicationCalls.end(),
+                                    [](const auto& call) { return call.succeeded(); });
+  auto violations = brokenRules(seen);
+  addCoordination(run, violations);
   std::printf(
       "seed %ju: core %d, access %d, processes %zu; requests %zu: 200 %td, 404 %td, 503 %td; changes %zu, acknowledged "
-      "%td; runners left %zu; ends of processes %zu; broken rules %zu\n",
+      "%td; runners left %zu; ends of processes %zu; calls for coordination %zu, 200 %td; broken rules %zu\n",
       static_cast<std::uintmax_t>(run.plan.seed), run.plan.core, run.plan.access, run.fleet.processes().size(),
       seen.requests.size(), count(200), count(404), count(503), seen.changes.size(), acknowledged,
-      seen.departures.size(), seen.exits.size(), violations.size());
+      seen.departures.size(), seen.exits.size(), run.applicationCalls.size(), served, violations.size());
   for (std::size_t i = 0; i < std::min(violations.size(), kPrintedViolations); ++i)
     std::printf("  %s: %s\n", violations[i].rule.c_str(), violations[i].what.c_str());
   std::fflush(stdout);
@@ -87,6 +99,7 @@
   if (!waitUntil(kReadyTimeout, [&run] { return allInService(run); }))
     return fail("the access machines do not get ready");
   startClients(run);
+  startApplications(run);
   startDisturbances(run);
   loop.sleepFor(std::chrono::seconds(run.plan.seconds));
   run.disturbed = false;
@@ -95,6 +108,9 @@
   if (!waitUntil(kEndTimeout, [&run] { return run.busy == 0; }))
     return fail("clients or work on the fleet do not end");
   readBack(run);
+  readBackApplications(run);
+  if (!waitUntil(kEndTimeout, [&run] { return run.busy == 0; }))
+    return fail("applications do not end");
   const int status = report(run);
   if (status != 0 && run.plan.keepsLogs)
     keepLogs(run);
@@ -122,7 +138,8 @@
       plan.keepsLogs = true;
     else if (!parse(argument, "--seed=", plan.seed) && !parse(argument, "--seconds=", plan.seconds) &&
              !parse(argument, "--core=", plan.core) && !parse(argument, "--access=", plan.access) &&
-             !parse(argument, "--runners=", plan.runners) && !parse(argument, "--clients=", plan.clients))
+             !parse(argument, "--runners=", plan.runners) && !parse(argument, "--clients=", plan.clients) &&
+             !parse(argument, "--applications=", plan.applications))
       return std::nullopt;
   }
   const bool usable = plan.seconds > 0 && plan.core > 0 && plan.access > 0 && plan.runners > 0 && plan.clients > 0;
@@ -151,7 +168,7 @@
   if (!plan) {
     std::fprintf(stderr,
                  "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
-                 "[--runners=N] [--clients=N] [--kills]\n");
+                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--keep]\n");
     return 2;
   }
   // In memory where there is such a folder: what the run measures is not to depend on who else uses the disk.
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -4,6 +4,7 @@
 #pragma once
 #include <random>
 
+#include "coordination_history.hpp"
 #include "fleet.hpp"
 #include "observations.hpp"
 #include "runtime/event_loop.hpp"
@@ -17,6 +18,7 @@
   int access = 3;
   int runners = 6;
   int clients = 24;
+  int applications = 8;    ///< that use locks, numbers, cells and watches
   bool kills = false;      ///< processes are killed too, beside planned work
   bool keepsLogs = false;  ///< where a rule is broken
 };
@@ -34,6 +36,8 @@
   int busy = 0;                  ///< fibers of clients and of work that have not ended
   std::set<std::string> routes;  ///< optional ones in the newest configuration that was acknowledged
   std::int64_t version = 0;      ///< of that configuration
+  std::vector<coordination_history::Call> applicationCalls;
+  std::vector<std::string> unansweredAtTheEnd;  ///< what applications asked for in vain
 
   std::uint64_t draw(std::uint64_t below) { return random() % below; }
   Duration drawDuration(Duration least, Duration most) {
@@ -56,6 +60,9 @@
 /// Asks each access machine every second whether it is ready, as the platform does.
 void startPlatform(SoakRun& run);
 void startClients(SoakRun& run);
+void startApplications(SoakRun& run);
+/// Asks for every lock, number, cell and watch for up to three seconds each, on fibers that count as busy.
+void readBackApplications(SoakRun& run);
 /// Sends the first configuration until it is taken. @return false if nobody took it.
 bool installFirstConfiguration(SoakRun& run);
 /// One change on top of the newest version that is known here.
