--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -21,7 +21,7 @@
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
 ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, scale-run: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
-ABSL_FLAG(bool, json, false, "status, rollout: as JSON");
+ABSL_FLAG(bool, json, false, "status, rollout, shards: as JSON");
 ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
 ABSL_FLAG(bool, verbose, false, "write log notes at once, not only when something goes wrong");
 
@@ -38,6 +38,11 @@
     "  status ADDRESS:PORT... [--json]  what the core's nodes know\n"
     "  rollout begin SERVICE REVISION SECONDS ADDRESS:PORT...  moves a service to another revision of its runners\n"
     "  rollout status|watch|revert SERVICE ADDRESS:PORT... [--json]  shows it, follows it to its end, takes it back\n"
+    "  lock begin|renew|release NAME HOLDER [FENCE] [HOLD_MS] ADDRESS:PORT...  takes, keeps, gives back a lock\n"
+    "  number NAME ADDRESS:PORT...  the next number of a name\n"
+    "  cells get NAME, cells put NAME VALUE REVISION|any ADDRESS:PORT...  reads or puts a cell\n"
+    "  watch GROUP REVISION ADDRESS:PORT...  follows the puts of a group\n"
+    "  shards ADDRESS:PORT... [--json]  the coordination service as each node sees it\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
     "  scale-run [FILE] [--set name=value,...] [--json]  a scale run on loopback: real controllers, hollow nodes\n"
     "  trial [--seconds N]  a small fleet on loopback that serves while a leader and a runner are lost\n"
@@ -65,7 +70,7 @@
                                             {"verbose", "proxy agent controller"},
                                             {"set", "runbook scale-run"},
                                             {"dry", "runbook"},
-                                            {"json", "status rollout scale-run"},
+                                            {"json", "status rollout shards scale-run"},
                                             {"seconds", "trial"}}};
 
 // The flag's name in an argument "--name" or "--name=value"; nothing if it is no flag.
@@ -136,6 +141,18 @@
   command.asJson = absl::GetFlag(FLAGS_json);
   return operations::rolloutCommand(command);
 }
+int lock(const Arguments& arguments) {
+  return operations::coordinationCommand("lock", arguments);
+}
+int number(const Arguments& arguments) {
+  return operations::coordinationCommand("number", arguments);
+}
+int cells(const Arguments& arguments) {
+  return operations::coordinationCommand("cells", arguments);
+}
+int shards(const Arguments& arguments) {
+  return operations::shardsCommand(arguments, absl::GetFlag(FLAGS_json));
+}
 // A bare name means one of the runbooks that come with the program.
 std::string runbookPath(const std::string& file) {
   return file.find_first_of("./") == std::string::npos ? "runbooks/" + file + ".run" : file;
@@ -190,15 +207,20 @@
   std::string_view name;
   int (*run)(const Arguments& arguments);
 };
-constexpr std::array<Subcommand, 9> kSubcommands{{{"proxy", proxyDaemon},
-                                                  {"agent", agentDaemon},
-                                                  {"controller", controllerDaemon},
-                                                  {"check", check},
-                                                  {"status", status},
-                                                  {"rollout", rollout},
-                                                  {"runbook", runbook},
-                                                  {"scale-run", scaleRun},
-                                                  {"trial", trial}}};
+constexpr std::array<Subcommand, 14> kSubcommands{{{"proxy", proxyDaemon},
+                                                   {"agent", agentDaemon},
+                                                   {"controller", controllerDaemon},
+                                                   {"check", check},
+                                                   {"status", status},
+                                                   {"rollout", rollout},
+                                                   {"lock", lock},
+                                                   {"number", number},
+                                                   {"cells", cells},
+                                                   {"watch", operations::watchCommand},
+                                                   {"shards", shards},
+                                                   {"runbook", runbook},
+                                                   {"scale-run", scaleRun},
+                                                   {"trial", trial}}};
 
 int runSubcommand(const std::string& name, const Arguments& arguments) {
   const auto found = std::find_if(kSubcommands.begin(), kSubcommands.end(),
--- a/libs/coordination/include/coordination/shard_state.hpp
+++ b/libs/coordination/include/coordination/shard_state.hpp
@@ -32,10 +32,11 @@
   std::int64_t revision = 0;      ///< the events hold all puts up to this one
 };
 
-/// What the state may hold; a command that would need more ends with `OutcomeKind::limitReached`.
+/// What the state may hold; a command that would need more ends with `OutcomeKind::limitReached`. With names and values
+/// of the greatest length a snapshot stays under 24 MiB, which one frame between members can carry.
 struct StateLimits {
-  std::size_t names = 65'536;         ///< locks, numbers and cells, each
-  std::size_t cellBytes = 32U << 20;  ///< names and values of cells and of the history
+  std::size_t names = 16'384;        ///< locks, numbers and cells, each
+  std::size_t cellBytes = 8U << 20;  ///< names and values of cells and of the history
 };
 
 /// The state of one shard; see the file's comment.
--- a/libs/coordination/src/shard_state.cpp
+++ b/libs/coordination/src/shard_state.cpp
@@ -58,6 +58,16 @@
     v("cells", cells), v("history", history);
   }
 };
+/// Whether a group is one that `ShardState::snapshot` writes: puts are looked up by their place in the history.
+bool isConsistent(const GroupRecord& group) {
+  auto next = group.revision - static_cast<std::int64_t>(group.history.size());
+  if (group.discardedUpTo < 0 || group.discardedUpTo > next)
+    return false;
+  for (const auto& event : group.history)
+    if (event.revision != ++next)
+      return false;
+  return true;
+}
 }  // namespace
 
 struct ShardState::Contents {
@@ -279,6 +289,8 @@
   auto contents = avro::decode<Contents>(snapshot);
   if (!contents)
     return tl::unexpected(contents.error());
+  if (!std::all_of(contents->groups.begin(), contents->groups.end(), isConsistent))
+    return makeError(ErrorCode::corruption, "a group whose history has gaps");
   *this = ShardState(limits_);
   index_ = contents->index;
   timeMs_ = contents->timeMs;
--- /dev/null
+++ b/libs/operations/src/coordination_command.cpp
@@ -0,0 +1,172 @@
+#include <cstdio>
+
+#include "config/quote_json.hpp"
+#include "fiber_run.hpp"
+#include "operations/call.hpp"
+#include "operations/commands.hpp"
+#include "operations/json_path.hpp"
+#include "runtime/event_loop.hpp"
+
+namespace zinccleat::operations {
+namespace {
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kExitOk = 0;
+constexpr int kExitOtherwise = 1;
+constexpr int kExitUsage = 2;
+constexpr Duration kWatchRetryInterval{500};
+constexpr int kWatchWaitMs = 10'000;
+constexpr Duration kWatchTimeout{12'000};
+constexpr int kMaxSilentWatches = 10;  // in a row, before a watch gives up
+
+using Arguments = std::vector<std::string>;
+
+int usageError(const std::string& problem) {
+  std::fprintf(stderr, "zinccleat: %s\n", problem.c_str());
+  return kExitUsage;
+}
+/// Prints an answer's body, or why there is none.
+int report(const Result<CallResponse>& response) {
+  if (response && response->status == kOk) {
+    std::printf("%s\n", response->body.c_str());
+    return kExitOk;
+  }
+  const auto reason =
+      response ? "status " + std::to_string(response->status) + ": " + response->body : response.error().message;
+  std::fprintf(stderr, "zinccleat: %s\n", reason.c_str());
+  return kExitOtherwise;
+}
+std::string textField(std::string_view name, const std::string& text) {
+  return config::quoteJson(name) + ":" + config::quoteJson(text);
+}
+std::string numberField(std::string_view name, const std::string& digits) {
+  return config::quoteJson(name) + ":" + digits;
+}
+
+// --- what each command sends; its arguments come in the order of its usage ---
+
+Call beginLock(const Arguments& given) {
+  return {"POST",
+          "/v1/Locks.Begin/" + given[0],
+          "{" + textField("holder", given[1]) + "," + numberField("holdMs", given[2]) + "}",
+          {}};
+}
+Call renewLock(const Arguments& given) {
+  return {"POST",
+          "/v1/Locks.Heartbeat/" + given[0],
+          "{" + textField("holder", given[1]) + "," + numberField("fenceNumber", given[2]) + "," +
+              numberField("holdMs", given[3]) + "}",
+          {}};
+}
+Call releaseLock(const Arguments& given) {
+  return {"POST",
+          "/v1/Locks.Release/" + given[0],
+          "{" + textField("holder", given[1]) + "," + numberField("fenceNumber", given[2]) + "}",
+          {}};
+}
+Call nextNumber(const Arguments& given) {
+  return {"POST", "/v1/numbers/" + given[0], "{}", {}};
+}
+Call getCell(const Arguments& given) {
+  return {"GET", "/v1/Cells.Retrieve/" + given[0], "", {}};
+}
+Call putCell(const Arguments& given) {
+  const auto appliesTo = given[2] == "any" ? std::string() : "," + numberField("appliesTo", given[2]);
+  return {"POST", "/v1/Cells.Replace/" + given[0], "{" + textField("value", given[1]) + appliesTo + "}", {}};
+}
+struct Command {
+  std::string_view subject;
+  std::string_view verb;  ///< empty: the subject has no verbs
+  std::string_view usage;
+  std::size_t argumentCount;
+  Call (*callOf)(const Arguments& given);
+};
+constexpr Command kCommands[] = {
+    {"lock", "begin", "lock begin NAME HOLDER HOLD_MS ADDRESS:PORT...", 3, beginLock},
+    {"lock", "renew", "lock renew NAME HOLDER FENCE HOLD_MS ADDRESS:PORT...", 4, renewLock},
+    {"lock", "release", "lock release NAME HOLDER FENCE ADDRESS:PORT...", 3, releaseLock},
+    {"number", "", "number NAME ADDRESS:PORT...", 1, nextNumber},
+    {"cells", "get", "cells get NAME ADDRESS:PORT...", 1, getCell},
+    {"cells", "put", "cells put NAME VALUE REVISION|any ADDRESS:PORT...", 3, putCell},
+};
+std::string usagesOf(std::string_view subject) {
+  std::string usages;
+  for (const auto& command : kCommands)
+    if (command.subject == subject)
+      usages += (usages.empty() ? "" : ", or ") + std::string(command.usage);
+  return usages;
+}
+/// The part of a list from an index on.
+Arguments restOf(const Arguments& arguments, std::size_t first) {
+  return {arguments.begin() + static_cast<std::ptrdiff_t>(first), arguments.end()};
+}
+}  // namespace
+
+int coordinationCommand(const std::string& subject, const Arguments& arguments) {
+  for (const auto& command : kCommands) {
+    const std::size_t verbs = command.verb.empty() ? 0 : 1;
+    const bool isMeant =
+        command.subject == subject && (verbs == 0 || (!arguments.empty() && arguments[0] == command.verb));
+    if (!isMeant)
+      continue;
+    if (arguments.size() <= verbs + command.argumentCount)
+      return usageError("wants " + std::string(command.usage));
+    const auto call = command.callOf(restOf(arguments, verbs));
+    const auto addresses = restOf(arguments, verbs + command.argumentCount);
+    return runOnEventLoop([&] { return report(callAny(addresses, call, kCallTimeout)); });
+  }
+  return usageError("wants " + usagesOf(subject));
+}
+int watchCommand(const Arguments& arguments) {
+  constexpr std::size_t kGroupAndRevision = 2;
+  if (arguments.size() <= kGroupAndRevision)
+    return usageError("wants watch GROUP REVISION ADDRESS:PORT...");
+  const auto addresses = restOf(arguments, kGroupAndRevision);
+  return runOnEventLoop([&] {
+    auto revision = arguments[1];
+    for (int silent = 0; silent < kMaxSilentWatches; ++silent) {
+      const auto path = "/v1/watch/" + arguments[0] + "?after=" + revision + "&waitMs=" + std::to_string(kWatchWaitMs);
+      const auto response = callAny(addresses, {"GET", path, "", {}}, kWatchTimeout);
+      if (response && (response->status == kGone || response->status / 100 == 4))
+        return report(response);
+      if (response && response->status == kOk) {
+        silent = -1;
+        const auto reached = fieldOf(response->body, "revision").value_or(revision);
+        if (std::exchange(revision, reached) != reached)
+          (void)report(response);
+        std::fflush(stdout);
+      }
+      if (revision == "0" || !response || response->status != kOk)
+        runtime::EventLoop::get().sleepFor(kWatchRetryInterval);
+    }
+    return usageError("no controller has answered for a while");
+  });
+}
+int shardsCommand(const Arguments& addresses, bool asJson) {
+  if (addresses.empty())
+    return usageError("shards: say which nodes: ADDRESS:PORT...");
+  return runOnEventLoop([&] {
+    int status = kExitOtherwise;
+    if (!asJson)
+      std::printf("%-22s %5s %-10s %6s %7s %8s %6s %6s %8s  %s\n", "node", "shard", "role", "epoch", "leased",
+                  "applied", "locks", "cells", "watches", "leaseholder");
+    for (const auto& address : addresses) {
+      const auto response = callOne(address, {"GET", "/v1/Shards", "", {}}, kCallTimeout);
+      if (!response || response->status != kOk || asJson) {
+        status = std::min(status, report(response));
+        continue;
+      }
+      status = kExitOk;
+      const auto field = [&](const std::string& path) { return fieldOf(response->body, path).value_or("?"); };
+      const auto count = std::atoi(field("shards#").c_str());
+      for (int shard = 0; shard < count; ++shard) {
+        const auto of = [&](const char* name) { return field("shards[shard=" + std::to_string(shard) + "]." + name); };
+        std::printf("%-22s %5s %-10s %6s %7s %8s %6s %6s %8s  %s\n", field("node").c_str(), of("shard").c_str(),
+                    of("role").c_str(), of("epoch").c_str(), of("leased").c_str(), of("applied").c_str(),
+                    of("locks").c_str(), of("cells").c_str(), of("watches").c_str(), of("leaseholder").c_str());
+      }
+    }
+    return status;
+  });
+}
+}  // namespace zinccleat::operations
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -39,6 +39,18 @@
 expect 2 "1 to 86400" rollout begin s v2 0 127.0.0.1:1
 expect 2 "no JSON" rollout begin s v2 soon 127.0.0.1:1
 expect 1 "zinccleat rollout:" rollout status s 127.0.0.1:1
+expect 2 "wants lock begin" lock
+expect 2 "or lock renew" lock pause l a
+expect 2 "wants lock begin NAME" lock begin l a 3000
+expect 2 "wants lock renew NAME" lock renew l a 1 3000
+expect 2 "wants number NAME" number n
+expect 2 "wants cells put NAME" cells put c v any
+expect 2 "wants watch GROUP" watch g. 0
+expect 2 "say which nodes" shards
+expect 1 "zinccleat:" lock begin l a 3000 127.0.0.1:1
+expect 1 "zinccleat:" cells get c 127.0.0.1:1
+expect 1 "shard" shards 127.0.0.1:1
+expect 2 "is for: status rollout shards" lock --json
 expect 1 "rollout is no JSON" check rollout /dev/null
 expect 2 "wants one FILE" runbook
 expect 2 "cannot read 'runbooks/nowhere.run'" runbook nowhere
--- /dev/null
+++ b/tests/coordination.sh
@@ -0,0 +1,85 @@
+#!/usr/bin/env bash
+# Locks, numbers, cells and watches on a core of three, as real processes on loopback, by the command line: what was
+# acknowledged outlives the leaseholder, a kill of all three, and a lost disk. Usage: coordination.sh PROGRAM
+set -euo pipefail
+program=$1
+dir=$(mktemp -d)
+declare -A pids
+finish() { kill -9 "${pids[@]}" 2>/dev/null || true; rm -rf "$dir"; }
+trap finish EXIT
+network=127.$((16 + $$ % 224)).9  # of its own, so that runs beside each other don't meet
+nodes=("$network.1:8447" "$network.2:8447" "$network.3:8447")
+seeds="\"${nodes[0]}\",\"${nodes[1]}\",\"${nodes[2]}\""
+bad=0
+wrong() { echo "$*"; bad=1; }
+start() {  # number initialAttach
+  mkdir -p "$dir/core$1"
+  cat > "$dir/core$1.json" <<J
+{"nodeName":"core$1","role":"controller","ip":"$network.$1","zone":"z","region":"r","zones":{"z":"r"},
+ "bindAddresses":{"controlPort":"$network.$1:8447"},"internalPorts":[7860,7875],"seedNodes":[$seeds],"initialAttach":$2,
+ "quorumMember":true,"dataDir":"$dir/core$1","heartbeatMs":1200,"faultTolerance":{"machines":1},"timers":{"graceS":5,"historyS":20}}
+J
+  "$program" controller --settings="$dir/core$1.json" >> "$dir/core$1.log" 2>&1 &
+  pids[$1]=$!
+}
+stop() {  # signal numbers...
+  local signal=$1 number
+  shift
+  for number in "$@"; do kill "-$signal" "${pids[$number]}" 2> /dev/null || true; done
+  for number in "$@"; do wait "${pids[$number]}" 2> /dev/null || true; done
+}
+# The first answer within some seconds.
+answer() {
+  local end=$((SECONDS + 20)) output
+  until output=$("$program" "$@" "${nodes[@]}" 2> "$dir/error"); do
+    [ $SECONDS -lt $end ] || { echo "no answer: $*: $(cat "$dir/error")"; cat "$dir"/*.log; exit 1; }
+  done
+  echo "$output"
+}
+refused() {  # status, arguments
+  local status=$1
+  shift
+  if "$program" "$@" "${nodes[@]}" > "$dir/output" 2>&1 || ! grep -q "status $status" "$dir/output"; then
+    wrong "not refused with $status: $*: $(cat "$dir/output")"
+  fi
+}
+number() { sed 's/[^0-9]//g'; }
+
+for i in 1 2 3; do start $i true; done
+fence=$(answer lock begin l1 a 600000 | number)
+refused 409 lock begin l1 b 1000
+first=$(answer number n1 | number)
+[ "$(answer cells put g1.a v1 any)" = '{"revision":1}' ] || wrong "the first put has not revision 1"
+[ "$(answer cells put g1.b v2 0)" = '{"revision":2}' ] || wrong "the second put has not revision 2"
+refused 412 cells put g1.b v3 7
+refused 404 cells get g1.none
+timeout 3 "$program" watch g1. 1 "${nodes[@]}" > "$dir/watch" || true
+grep -q '"label":"g1.b"' "$dir/watch" || wrong "the watch has not shown the second put: $(cat "$dir/watch")"
+"$program" shards "${nodes[@]}" | grep -q 'leader' || wrong "no leaseholder in the table of shards"
+
+# What was acknowledged is there.
+check() {
+  refused 409 lock begin l1 b 1000
+  [ "$(answer lock renew l1 a "$fence" 600000)" = '{}' ] || wrong "$1: the lock's holder lost it"
+  local next
+  next=$(answer number n1 | number)
+  [ "$next" -gt "$first" ] || wrong "$1: number $next after $first"
+  first=$next
+  [ "$(answer cells put g1.a v1 any)" = '{"revision":1}' ] || wrong "$1: a repeated put has another revision"
+  [ "$(answer cells get g1.b)" = '{"value":"v2","revision":2}' ] || wrong "$1: a cell is not as it was put"
+}
+stop TERM 1
+start 1 false
+check "a controller stopped in order"
+stop KILL 1 2 3
+for i in 1 2 3; do start $i false; done
+check "all controllers killed"
+stop KILL 2
+rm -rf "$dir/core2"
+start 2 false
+check "a disk lost"
+answer lock release l1 a "$fence" > /dev/null
+second=$(answer lock begin l1 b 1000 | number)
+[ "$second" -gt "$fence" ] || wrong "fence $second after $fence"
+[ $bad -ne 0 ] || echo "acknowledged locks, numbers and cells outlived a stop, a kill of all and a lost disk"
+exit $bad
