--- a/libs/controller/src/coordination_service.cpp
+++ b/libs/controller/src/coordination_service.cpp
@@ -53,6 +53,7 @@
   surroundings.onResult = [this, shard](const CallResult& result) { onResult(shard, result); };
   surroundings.onLeaderChanged = [this, shard] { onLeaderChanged(shard); };
   surroundings.onApplied = [this, shard] { onApplied(shard); };
+  surroundings.onRestored = [this, shard] { wakeWatches(shard); };
   return surroundings;
 }
 Result<void> CoordinationService::recover(std::uint64_t incarnation) {
@@ -200,6 +201,11 @@
       watch->waiter.wake();
   }
 }
+void CoordinationService::wakeWatches(int shard) {
+  for (auto* watch : watches_)
+    if (watch->shard == shard)
+      watch->waiter.wake();
+}
 Result<WatchedEvents> CoordinationService::awaitEvents(PendingWatch& watch, TimePoint deadline) {
   auto& shard = shardAt(watch.shard);
   for (;;) {
--- a/libs/controller/src/coordination_service.hpp
+++ b/libs/controller/src/coordination_service.hpp
@@ -69,6 +69,7 @@
   void onResult(int shard, const coordination::CallResult& result);
   void onLeaderChanged(int shard);
   void onApplied(int shard);
+  void wakeWatches(int shard);
   CoordinationShard& shardAt(int number) { return *shards_[static_cast<std::size_t>(number)]; }
   /// Passes the call to the leaseholder as it is known now, and waits for its end, for another leaseholder or until the
   /// deadline.
--- a/libs/controller/src/coordination_shard.cpp
+++ b/libs/controller/src/coordination_shard.cpp
@@ -128,7 +128,7 @@
   // Validated before it gets here, by `recoverDisk` or by `RaftOptions::snapshotIsValid`.
   checkInvariant(state_.restore(action.state).has_value(), "a shard's snapshot that was found valid restores");
   snapshotBytes_ = action.state.size();
-  surroundings_.onApplied();
+  surroundings_.onRestored();
 }
 void CoordinationShard::compactIfDue() {
   if (entriesSinceCompaction_ < kMinCompactionInterval)
--- a/libs/controller/src/coordination_shard.hpp
+++ b/libs/controller/src/coordination_shard.hpp
@@ -16,8 +16,10 @@
     std::function<void(const coordination::CallResult&)> onResult;
     /// Another leader, or none, is followed now.
     std::function<void()> onLeaderChanged;
-    /// The replica has applied an entry or a snapshot.
+    /// The replica has applied an entry.
     std::function<void()> onApplied;
+    /// The replica was restored from a snapshot, which may hold puts of any group.
+    std::function<void()> onRestored;
   };
   CoordinationShard(const ControllerContext& context, int number, Surroundings surroundings);
   /// Recovers the shard's files and makes its member. The fleet's member must have been made: where the files hold
