--- a/libs/consensus/include/consensus/raft_node.hpp
+++ b/libs/consensus/include/consensus/raft_node.hpp
@@ -9,6 +9,8 @@
 namespace zinccleat::consensus {
 /// A learner receives the log without a vote; it becomes a follower once the configuration names it a voter.
 enum class Role { learner, follower, candidate, leader };
+/// The role as reports and log lines have it.
+std::string_view nameOf(Role role);
 
 /// Faults that a test injects to show that its checks would find them. Never set outside of tests.
 struct InjectedFaults {
--- a/libs/consensus/src/raft_core.cpp
+++ b/libs/consensus/src/raft_core.cpp
@@ -3,7 +3,6 @@
 #include "runtime/log_ring.hpp"
 
 namespace zinccleat::consensus {
-namespace {
 std::string_view nameOf(Role role) {
   switch (role) {
     case Role::learner:
@@ -17,7 +16,6 @@
   }
   return "unknown";
 }
-}  // namespace
 
 RaftCore::RaftCore(MemberId member, RaftOptions raftOptions, std::uint64_t seed)
     : self(std::move(member)),
--- a/libs/controller/src/coordination_service.cpp
+++ b/libs/controller/src/coordination_service.cpp
@@ -15,29 +15,14 @@
 using coordination::Outcome;
 using coordination::WatchedEvents;
 
-constexpr int kPortOffset = 2;  // counted from the first of the machine's internal ports
 constexpr Duration kFreshnessTimeout{850};
 constexpr Duration kWatchContactCheck{500};
 constexpr std::size_t kMaxWatches = 1024;
-
-const char* nameOf(consensus::Role role) {
-  switch (role) {
-    case consensus::Role::learner:
-      return "learner";
-    case consensus::Role::follower:
-      return "follower";
-    case consensus::Role::candidate:
-      return "candidate";
-    case consensus::Role::leader:
-      return "leader";
-  }
-  return "";
-}
 }  // namespace
 
 CoordinationService::CoordinationService(ControllerContext& context)
     : context_(context),
-      links_(context, static_cast<std::uint16_t>(context.settings.firstPort + kPortOffset),
+      links_(context, static_cast<std::uint16_t>(context.settings.firstPort + kCoordinationPortOffset),
              [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
                onMessage(link, envelope);
              }) {
@@ -246,9 +231,6 @@
     const auto& raft = shard->raft();
     const auto watching = std::count_if(watches_.begin(), watches_.end(),
                                         [&](const auto* watch) { return watch->shard == shard->number(); });
-    std::vector<std::string> voters;
-    for (const auto& voter : raft.voters())
-      voters.push_back(config::quoteJson(voter));
     shards.push_back(JsonObject()
                          .number("shard", shard->number())
                          .text("member", raft.self())
@@ -263,7 +245,7 @@
                          .number("cells", shard->state().cellCount())
                          .number("watches", watching)
                          .number("pendingCalls", shard->pendingCalls())
-                         .raw("members", jsonArray(voters))
+                         .raw("members", jsonTexts(raft.voters()))
                          .json());
   }
   return JsonObject().text("node", context_.settings.node).raw("shards", jsonArray(shards)).json();
--- a/libs/controller/src/json_object.cpp
+++ b/libs/controller/src/json_object.cpp
@@ -7,4 +7,11 @@
     text += (text.empty() ? "" : ",") + element;
   return "[" + text + "]";
 }
+std::string jsonTexts(const std::vector<std::string>& texts) {
+  std::vector<std::string> quoted;
+  quoted.reserve(texts.size());
+  for (const auto& text : texts)
+    quoted.push_back(config::quoteJson(text));
+  return jsonArray(quoted);
+}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/json_object.hpp
+++ b/libs/controller/src/json_object.hpp
@@ -27,4 +27,6 @@
 };
 /// @param elements are JSON already.
 std::string jsonArray(const std::vector<std::string>& elements);
+/// A JSON array of strings.
+std::string jsonTexts(const std::vector<std::string>& texts);
 }  // namespace zinccleat::controller
--- a/libs/controller/src/startup.hpp
+++ b/libs/controller/src/startup.hpp
@@ -4,6 +4,8 @@
 #include "controller_context.hpp"
 #include "storage/storage.hpp"
 namespace zinccleat::controller {
+/// The port of the coordination service's links, counted from the first of the machine's internal ports.
+constexpr int kCoordinationPortOffset = 2;
 /// Whether the settings name no other controller that this one could join.
 bool seedsNameOnlySelf(const config::Settings& settings);
 /// Why no controller can start with these settings, as one line; none: it can.
--- a/libs/controller/src/status_report.cpp
+++ b/libs/controller/src/status_report.cpp
@@ -6,25 +6,6 @@
 
 namespace zinccleat::controller {
 namespace {
-const char* nameOf(consensus::Role role) {
-  switch (role) {
-    case consensus::Role::learner:
-      return "learner";
-    case consensus::Role::follower:
-      return "follower";
-    case consensus::Role::candidate:
-      return "candidate";
-    case consensus::Role::leader:
-      return "leader";
-  }
-  return "";
-}
-std::string membersJson(const consensus::RaftNode& raft) {
-  std::vector<std::string> members;
-  for (const auto& voter : raft.voters())
-    members.push_back(config::quoteJson(voter));
-  return jsonArray(members);
-}
 std::string runnerJson(const state_machine::Runner& runner) {
   const bool inService = runner.runnerState() == state_machine::RunnerState::inService;
   return JsonObject()
@@ -93,7 +74,7 @@
   addRaft(report, raft, now);
   report.number("applied", state.index).number("version", state.version);
   addCounters(report, sources);
-  return report.raw("members", membersJson(raft)).raw("runners", runnersJson(state)).json();
+  return report.raw("members", jsonTexts(raft.voters())).raw("runners", runnersJson(state)).json();
 }
 std::string zoneDrainsJson(const StatusSources& sources, TimePoint now) {
   std::vector<std::string> drains;
