--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -343,7 +343,7 @@
   settings.node = "core-a";
   settings.ip = ip;
   settings.dataDir = ::mkdtemp(folder.data());
-  settings.firstPort = 7960;
+  settings.firstPort = 7960, settings.lastPort = 7975;
   settings.seeds = {std::string(ip) + ":8477"};
   settings.toleratedMachineFailures = 0;
 
