--- a/libs/operations/src/coordination_command.cpp
+++ b/libs/operations/src/coordination_command.cpp
@@ -100,6 +100,22 @@
 Arguments restOf(const Arguments& arguments, std::size_t first) {
   return {arguments.begin() + static_cast<std::ptrdiff_t>(first), arguments.end()};
 }
+void printShardHeader() {
+  std::printf("%-22s %5s %-10s %6s %7s %8s %6s %6s %8s  %s\n", "node", "shard", "role", "epoch", "leased", "applied",
+              "locks", "cells", "watches", "leaseholder");
+}
+void printShards(const std::string& json) {
+  const auto node = fieldOf(json, "node").value_or("?");
+  const auto count = std::atoi(fieldOf(json, "shards#").value_or("0").c_str());
+  for (int shard = 0; shard < count; ++shard) {
+    const auto field = [&](const char* name) {
+      return fieldOf(json, "shards[shard=" + std::to_string(shard) + "]." + name).value_or("?");
+    };
+    std::printf("%-22s %5s %-10s %6s %7s %8s %6s %6s %8s  %s\n", node.c_str(), field("shard").c_str(),
+                field("role").c_str(), field("epoch").c_str(), field("leased").c_str(), field("applied").c_str(),
+                field("locks").c_str(), field("cells").c_str(), field("watches").c_str(), field("leaseholder").c_str());
+  }
+}
 }  // namespace
 
 int coordinationCommand(const std::string& subject, const Arguments& arguments) {
@@ -148,23 +164,16 @@
   return runOnEventLoop([&] {
     int status = kExitOtherwise;
     if (!asJson)
-      std::printf("%-22s %5s %-10s %6s %7s %8s %6s %6s %8s  %s\n", "node", "shard", "role", "epoch", "leased",
-                  "applied", "locks", "cells", "watches", "leaseholder");
+      printShardHeader();
     for (const auto& address : addresses) {
       const auto response = callOne(address, {"GET", "/v1/Shards", "", {}}, kCallTimeout);
-      if (!response || response->status != kOk || asJson) {
-        status = std::min(status, report(response));
-        continue;
-      }
-      status = kExitOk;
-      const auto field = [&](const std::string& path) { return fieldOf(response->body, path).value_or("?"); };
-      const auto count = std::atoi(field("shards#").c_str());
-      for (int shard = 0; shard < count; ++shard) {
-        const auto of = [&](const char* name) { return field("shards[shard=" + std::to_string(shard) + "]." + name); };
-        std::printf("%-22s %5s %-10s %6s %7s %8s %6s %6s %8s  %s\n", field("node").c_str(), of("shard").c_str(),
-                    of("role").c_str(), of("epoch").c_str(), of("leased").c_str(), of("applied").c_str(),
-                    of("locks").c_str(), of("cells").c_str(), of("watches").c_str(), of("leaseholder").c_str());
-      }
+      const bool answered = response && response->status == kOk;
+      if (answered && !asJson)
+        printShards(response->body);
+      else
+        (void)report(response);
+      if (answered)
+        status = kExitOk;
     }
     return status;
   });
