--- a/tests/control_api_test.cpp
+++ b/tests/control_api_test.cpp
@@ -151,3 +151,16 @@
   replica.apply(applied);
   EXPECT_EQ(replica.outcomeOf(second.operationId), ReplicatedState::Verdict::versionMismatch);
 }
+
+// LOST, SHORT: a page of calls was in force for the users long before any of it had a route here. Each call that their
+// pages ask of controllers has one; a body that says nothing may be refused, but not with "no such call".
+TEST(ControlApi, EveryCallOfTheUsersPagesHasARoute) {
+  FakeController controller;
+  for (const auto* target :
+       {"/v1/Instances.Heartbeat/i-1", "/v1/Instances.Detach/i-1", "/v1/Configuration.Replace", "/v1/Rollouts.Begin",
+        "/v1/Locks.Begin/l", "/v1/Locks.Heartbeat/l", "/v1/Locks.Release/l", "/v1/numbers/n", "/v1/Cells.Replace/g.a"})
+    EXPECT_EQ(controller.post(target, "{}").body.find("no such call"), std::string::npos) << target;
+  for (const auto* target :
+       {"/v1/Configuration.Retrieve", "/v1/Rollouts.Retrieve/s", "/v1/Cells.Retrieve/g.a", "/v1/watch/g."})
+    EXPECT_EQ(controller.get(target).body.find("no such call"), std::string::npos) << target;
+}
