--- a/tests/posix_storage_test.cpp
+++ b/tests/posix_storage_test.cpp
@@ -75,6 +75,7 @@
 TEST(StorageLock, ControllerRejectsAFolderItCannotUse) {
   Settings settings;
   settings.ip = "127.0.5.2";
+  settings.firstPort = 7960, settings.lastPort = 7975;
   settings.dataDir = freshDir();
   Storage holder(settings.dataDir);
   ASSERT_TRUE(holder.lock());
