--- a/tests/coordination_worlds_test.cpp
+++ b/tests/coordination_worlds_test.cpp
@@ -26,6 +26,8 @@
     until_ = until;
     next();
   }
+  /// How many processes were frozen, for 100 to 2,600 ms each; a lease lasts 420.
+  std::size_t freezes() const { return freezes_; }
 
  private:
   std::string drawMachine() { return kMachines[world_.draw(kMachines.size())]; }
@@ -54,6 +56,7 @@
     switch (world_.draw(9)) {
       case 0:
       case 1:  // frozen, and thawed again, mostly past its lease
+        ++freezes_;
         world_.nodes[ip].paused = true;
         return later(drawSpan(), [this, ip] { world_.nodes[ip].paused = false; });
       case 2:
@@ -97,10 +100,12 @@
   CoordinationWorld& world_;
   TimePoint until_{};
   TimePoint lastWipe_{};
+  std::size_t freezes_ = 0;
 };
 struct Played {
   std::vector<std::string> violations;
   std::size_t answered = 0;
+  std::size_t freezes = 0;
 };
 Played play(std::uint64_t seed, PlantedFault planted) {
   CoordinationWorld world(seed, planted);
@@ -127,6 +132,7 @@
   for (const auto& each : world.violations)
     played.violations.push_back(each);
   played.answered = world.answered();
+  played.freezes = faults.freezes();
   return played;
 }
 std::string textOf(const std::vector<std::string>& lines) {
@@ -141,13 +147,17 @@
   const auto from = fromEnvironment("ZINCCLEAT_FROM", 1);
   const auto count = fromEnvironment("ZINCCLEAT_WORLDS", 25);
   std::size_t answered = 0;
+  std::size_t freezes = 0;
   for (auto seed = from; seed < from + count; ++seed) {
     const auto played = play(seed, PlantedFault::nothing);
     EXPECT_TRUE(played.violations.empty())
         << "seed " << seed << ", replay with ZINCCLEAT_FROM=" << seed << " ZINCCLEAT_WORLDS=1\n"
         << textOf(played.violations);
     answered += played.answered;
+    freezes += played.freezes;
   }
+  RecordProperty("answered", static_cast<int>(answered));
+  RecordProperty("freezes", static_cast<int>(freezes));
   EXPECT_GT(answered, count * 500) << "most calls are answered in between";
 }
 
--- a/tests/soak/applications.cpp
+++ b/tests/soak/applications.cpp
@@ -12,7 +12,6 @@
 using coordination_history::Call;
 using coordination_history::CallKind;
 
-constexpr Duration kConnectTimeout{900};
 constexpr Duration kPatience{1000};
 constexpr Duration kWatchWait{700};
 constexpr Duration kWatchPatience{kWatchWait + kPatience};
@@ -141,17 +140,9 @@
 
  private:
   bool connect() {
-    auto connection = std::make_unique<runtime::Connection>();
-    runtime::SocketError ec;
-    connection->setDeadline(Clock::now() + kConnectTimeout);
-    connection->connect(*runtime::parseEndpoint(run_.anyController()), ec);
-    connection->clearDeadline();
-    if (ec)
-      return false;
-    runtime::tune(connection->socket());
-    connection_ = std::move(connection);
+    connection_ = openConnection(run_.anyController());
     buffer_.clear();
-    return true;
+    return connection_ != nullptr;
   }
   void exchange(Call& call) {
     runtime::SocketError ec;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -6,6 +6,7 @@
 namespace {
 constexpr Duration kPollInterval{1000};
 constexpr Duration kPollTimeout{900};
+constexpr Duration kConnectTimeout{900};
 constexpr int kMissesUntilOut = 2;
 constexpr Duration kDeadline{4000};            // what clients tell the fleet
 constexpr Duration kPatience{5500};            // what they wait
@@ -43,17 +44,9 @@
         candidates.push_back(machine);
     machine_ = candidates.empty() ? static_cast<int>(run_.draw(static_cast<std::uint64_t>(run_.plan.access)))
                                   : candidates[run_.draw(candidates.size())];
-    auto connection = std::make_unique<runtime::Connection>();
-    runtime::SocketError ec;
-    connection->setDeadline(Clock::now() + kPollTimeout);
-    connection->connect(*runtime::parseEndpoint(run_.fleet.access(machine_)), ec);
-    connection->clearDeadline();
-    if (ec)
-      return false;
-    runtime::tune(connection->socket());
-    connection_ = std::move(connection);
+    connection_ = openConnection(run_.fleet.access(machine_));
     buffer_.clear();
-    return true;
+    return connection_ != nullptr;
   }
   ClientRequest nextRequest() {
     ClientRequest request;
@@ -155,6 +148,17 @@
 }
 }  // namespace
 
+std::unique_ptr<runtime::Connection> openConnection(const std::string& address) {
+  auto connection = std::make_unique<runtime::Connection>();
+  runtime::SocketError ec;
+  connection->setDeadline(Clock::now() + kConnectTimeout);
+  connection->connect(*runtime::parseEndpoint(address), ec);
+  connection->clearDeadline();
+  if (ec)
+    return nullptr;
+  runtime::tune(connection->socket());
+  return connection;
+}
 void startPlatform(SoakRun& run) {
   for (int machine = 0; machine < run.plan.access; ++machine)
     runtime::EventLoop::get().spawn([&run, machine] { poll(run, machine); });
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -48,6 +48,9 @@
   std::string anyController() { return fleet.control(draw(fleet.core().size())); }
 };
 
+/// Parks the calling fiber until a connection is open. @return null: nobody listens there, or does not answer in time.
+std::unique_ptr<runtime::Connection> openConnection(const std::string& address);
+
 /// Optional routes that the operators add and drop.
 constexpr int kOptionalRoutes = 6;
 
