--- /dev/null
+++ b/tests/rollout_engine_worlds_test.cpp
@@ -0,0 +1,121 @@
+// Rollouts in seeded worlds whose runners have queues, prompts and a memory (issue 39): a version that fails under load
+// only, or only later, or only on some routes or runners, stays within its exposure and is reverted; a good one is
+// completed, also in a surge.
+//
+// ZINCCLEAT_WORLDS=300 target/zinccleat_tests --gtest_filter='RolloutEngineWorlds.*' plays more seeds of each kind and
+// prints the table of docs/notes-rollouts.md.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "rollout_engine_world.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::rollout_world;
+using namespace zinccleat::state_machine;
+namespace {
+constexpr int kUsualWorlds = 6;
+constexpr double kExposureShare = 0.1;
+constexpr double kExposureSlack = 50;
+constexpr Duration kRollback{5000};
+constexpr std::uint64_t kFirstSeed = 9000;
+
+int worldCount() {
+  const char* wanted = std::getenv("ZINCCLEAT_WORLDS");
+  return wanted ? std::max(1, std::atoi(wanted)) : kUsualWorlds;
+}
+struct Kind {
+  const char* name;
+  EnginePlan plan;
+};
+std::ostream& operator<<(std::ostream& out, const Kind& kind) {
+  return out << kind.name;
+}
+EnginePlan ofSize(EngineVersion version, int runners) {
+  EnginePlan plan{.version = version};
+  plan.requestsPerS = plan.requestsPerS * runners / plan.runners;
+  plan.proxies = plan.proxies * runners / plan.runners;
+  plan.runners = runners;
+  return plan;
+}
+EnginePlan withAilingRunners(EngineVersion version) {
+  auto plan = ofSize(version, 90);
+  plan.ailingRunners = 0.15;
+  return plan;
+}
+// Few runners with many short requests each.
+EnginePlan smallService(EngineVersion version) {
+  EnginePlan plan{.version = version};
+  plan.runners = 4;
+  plan.slots = 6;
+  plan.streams = false;
+  plan.requestsPerS = 150;
+  return plan;
+}
+struct Counts {
+  int completed = 0, reverted = 0, undecided = 0, overExposed = 0, lateRollbacks = 0;
+  double worstExposure = 0;  // of what is allowed
+  double decidedAfterMs = 0;
+  double baselineLoad = 0, canaryLoad = 0;
+};
+Counts playAll(const Kind& kind) {
+  Counts counts;
+  const bool isGood = kind.plan.version == EngineVersion::good;
+  const auto wanted = isGood ? RolloutPhase::completed : RolloutPhase::reverted;
+  for (int world = 0; world < worldCount(); ++world) {
+    auto plan = kind.plan;
+    plan.seed = kFirstSeed + static_cast<std::uint64_t>(world);
+    const auto outcome = play(plan);
+    counts.completed += outcome.phase == RolloutPhase::completed ? 1 : 0;
+    counts.reverted += outcome.phase == RolloutPhase::reverted ? 1 : 0;
+    counts.undecided += outcome.inProgress() ? 1 : 0;
+    if (outcome.phase != wanted)
+      std::printf("seed %llu: %s\n", static_cast<unsigned long long>(plan.seed), outcome.reason.c_str());
+    const double allowed = kExposureShare * outcome.requests + kExposureSlack;
+    counts.overExposed += !isGood && outcome.candidateRequests > allowed ? 1 : 0;
+    counts.lateRollbacks += !isGood && outcome.afterFiftiethBad > kRollback ? 1 : 0;
+    if (!isGood)
+      counts.worstExposure = std::max(counts.worstExposure, outcome.candidateRequests / allowed);
+    counts.decidedAfterMs += static_cast<double>(outcome.decidedAfter.count()) / worldCount();
+    counts.baselineLoad += outcome.baselineLoad / worldCount();
+    counts.canaryLoad += outcome.canaryLoad / worldCount();
+  }
+  std::printf("| %s | %d | %d | %d | %d | %d | %d | %.2f | %.1f | %.2f | %.2f |\n", kind.name, worldCount(),
+              counts.completed, counts.reverted, counts.undecided, counts.overExposed, counts.lateRollbacks,
+              counts.worstExposure, counts.decidedAfterMs / 1000, counts.baselineLoad, counts.canaryLoad);
+  return counts;
+}
+std::string nameOf(const testing::TestParamInfo<Kind>& info) {
+  std::string name;
+  for (const char letter : std::string(info.param.name))
+    if (std::isalnum(static_cast<unsigned char>(letter)))
+      name += letter;
+  return name;
+}
+}  // namespace
+
+class RolloutEngineWorlds : public testing::TestWithParam<Kind> {};
+TEST_P(RolloutEngineWorlds, EndAsTheVersionDeserves) {
+  const auto counts = playAll(GetParam());
+  const bool isGood = GetParam().plan.version == EngineVersion::good;
+  // All of the usual few; of many more one in a hundred may err, by the test's error rates.
+  EXPECT_GE(isGood ? counts.completed : counts.reverted, worldCount() * 0.99);
+  EXPECT_LE(counts.overExposed, worldCount() * 0.01);
+  EXPECT_EQ(counts.undecided, 0);
+  EXPECT_EQ(counts.lateRollbacks, 0);
+}
+using V = EngineVersion;
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, RolloutEngineWorlds,
+    testing::Values(Kind{"good, 90 runners", ofSize(V::good, 90)}, Kind{"bad", ofSize(V::bad, 30)},
+                    Kind{"late", ofSize(V::late, 30)}, Kind{"one route", ofSize(V::oneRoute, 30)},
+                    Kind{"slow", ofSize(V::slow, 30)}, Kind{"under load", ofSize(V::underLoad, 30)},
+                    Kind{"under load, 90 runners", ofSize(V::underLoad, 90)},
+                    Kind{"under load, small service", smallService(V::underLoad)}),
+    nameOf);
+
+TEST(RolloutEngineWorldsAiling, AGoodVersionIsHardlyEverReverted) {
+  const auto counts = playAll({"good, 15 in 100 runners ail, 90 runners", withAilingRunners(V::good)});
+  EXPECT_LE(counts.reverted, 1 + worldCount() / 10);
+}
--- a/tests/rollout_world.hpp
+++ b/tests/rollout_world.hpp
@@ -1,12 +1,7 @@
 // A small fleet around the rollout engine, in simulated time: proxies with their gates, controllers of which one leads,
 // a log whose entries reach everyone late, and runners of two revisions. Everything follows from the seed.
 #pragma once
-#include <deque>
-#include <random>
-
-#include "rollout/revision_gate.hpp"
-#include "rollout/rollout_tracker.hpp"
-#include "state_machine/replicated_state.hpp"
+#include "rollout_control.hpp"
 
 namespace zinccleat::rollout_world {
 /// What is wrong with the candidate.
