--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -101,6 +101,7 @@
     return;
   const auto& endpoint = context.runners.at(runner);
   const bool timedOut = outcome == AttemptOutcome::deadlineExceeded;
+  const bool isWarm = now() >= endpoint.warmAt;
   const bool slowStream = context.paces.recordStream(*service, pace);
   rollout::ObservedAttempt attempt;
   attempt.route = route->label;
@@ -108,7 +109,8 @@
   attempt.revision = endpoint.revision;
   attempt.answered = outcome != AttemptOutcome::interrupted && !timedOut;
   attempt.failed = outcome == AttemptOutcome::failed;
-  attempt.slow = (slowResponse || slowStream) && now() >= endpoint.warmAt;
+  attempt.slowStart = slowResponse && isWarm;
+  attempt.slowPace = slowStream && isWarm;
   attempt.load = runnerLoad;
   context.revisions.recordAttempt(*service, attempt);
 }
--- a/libs/rollout/include/rollout/revision_gate.hpp
+++ b/libs/rollout/include/rollout/revision_gate.hpp
@@ -33,16 +33,18 @@
 };
 /// What a proxy saw of one attempt.
 struct ObservedAttempt {
-  std::string route;      ///< label
-  std::string runner;     ///< id
-  std::string revision;   ///< of the runner
-  bool answered = false;  ///< else the answer broke off or never came
-  bool failed = false;    ///< answered with an error of the runner's own
-  bool slow = false;      ///< answered, far slower than usual
-  double load = 0;        ///< of the runner when it began to answer, as a part of its slots
-  /// Whether there is nothing to hold against the runner. A full runner is slow whatever its revision.
-  bool isGood() const { return answered && !failed && !isSlowForItsLoad(); }
-  bool isSlowForItsLoad() const { return slow && load < kFullLoad; }
+  std::string route;       ///< label
+  std::string runner;      ///< id
+  std::string revision;    ///< of the runner
+  bool answered = false;   ///< else the answer broke off or never came
+  bool failed = false;     ///< answered with an error of the runner's own
+  bool slowStart = false;  ///< it began to answer far later than usual
+  bool slowPace = false;   ///< its events followed each other far slower than usual
+  double load = 0;         ///< of the runner when it began to answer, as a part of its slots
+  /// Whether there is nothing to hold against the runner.
+  bool isGood() const { return answered && !failed && !isSlow(); }
+  /// At a full runner requests wait whatever its revision: only the pace says something there.
+  bool isSlow() const { return slowPace || (slowStart && load < kFullLoad); }
   /// The part of the slots from which on a runner counts as full.
   static constexpr double kFullLoad = 0.85;
 };
--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -6,16 +6,15 @@
 
 namespace zinccleat::rollout {
 namespace {
-constexpr double kAlpha = 0.001;           // probability of a false revert, over all tests of one rollout
-constexpr double kSuspicionAlpha = 0.1;    // from which a candidate gets no more requests than needed
-constexpr double kBeta = 0.05;             // probability that a faint fault is cleared
-constexpr double kFaintFault = 0.08;       // such a fault: so many more of its answers are bad
-constexpr double kStratumFault = 0.3;      // a fault in one stratum that is cleared as well, where
-constexpr double kUsualPart = 0.05;        // the baseline has so many of its answers there
-constexpr double kMinBadAnswers = 4;       // fewer prove nothing
-constexpr double kMinBadRunners = 3;       // likewise
-constexpr double kRunnerTolerance = 0.03;  // faulty runners in excess of the baseline's part that are no fault
-constexpr double kMaxPerReport = 1e6;      // a report with larger numbers is wrong
+constexpr double kAlpha = 0.01;  // probability of a false revert, over all tests of one rollout; a miss costs more
+constexpr double kSuspicionAlpha = 0.1;  // from which a candidate gets no more requests than needed
+constexpr double kBeta = 0.05;           // probability that a faint fault is cleared
+constexpr double kFaintFault = 0.08;     // such a fault: so many more of its answers are bad
+constexpr double kStratumFault = 0.3;    // a fault in one stratum that is cleared as well, where
+constexpr double kUsualPart = 0.05;      // the baseline has so many of its answers there
+constexpr double kMinBadAnswers = 4;     // fewer prove nothing
+constexpr double kMinBadRunners = 3;     // likewise
+constexpr double kMaxPerReport = 1e6;    // a report with larger numbers is wrong
 constexpr std::string_view kBusyMark = " (busy)";
 
 double sane(double count) {
@@ -146,7 +145,7 @@
   const double threshold = std::log(tests / kAlpha);
   if (auto fault = findFaultAmong(candidate, threshold))
     return fault;
-  const TestOptions options{.tolerance = kRunnerTolerance, .minSoundRate = kRunnerTolerance};
+  constexpr TestOptions options{.tolerance = 0, .minSoundRate = 0};
   const BadCount baseline{baselineRunners.ejected, baselineRunners.total};
   const bool runnersFail = candidate.runners.bad >= kMinBadRunners && baseline.total > 0 &&
                            logEvidence(candidate.runners, soundRate(baseline, options)) >= threshold;
--- a/libs/rollout/src/exposure.cpp
+++ b/libs/rollout/src/exposure.cpp
@@ -13,9 +13,9 @@
 constexpr double kSmallServiceRequests = 1.2;
 constexpr double kMaxLoadTest = 0.4;
 
-constexpr double kWantedLoad = 0.8;     // of the slots
+constexpr double kWantedLoad = 0.9;     // of the slots
 constexpr double kUnknownFactor = 1.5;  // times the requests after completion, where loads are not known
-constexpr double kMinFactor = 1.1;
+constexpr double kMinFactor = 1.25;
 constexpr double kMaxFactor = 2.5;
 }  // namespace
 
--- a/libs/rollout/src/revision_gate.cpp
+++ b/libs/rollout/src/revision_gate.cpp
@@ -107,7 +107,7 @@
   answers.answered += attempt.answered ? 1 : 0;
   answers.failed += attempt.answered && attempt.failed ? 1 : 0;
   answers.interrupted += attempt.answered ? 0 : 1;
-  answers.slow += attempt.answered && attempt.isSlowForItsLoad() ? 1 : 0;
+  answers.slow += attempt.answered && attempt.isSlow() ? 1 : 0;
   updateFuse(*found, isCandidate, attempt.isGood());
 }
 void RevisionGate::updateFuse(ServiceRollout& service, bool isCandidate, bool isGood) {
--- a/libs/rollout/src/rollout_plan.cpp
+++ b/libs/rollout/src/rollout_plan.cpp
@@ -12,6 +12,7 @@
 constexpr double kGroupPart = 0.14;       // each of its groups is loaded for so long
 constexpr double kCanaryPart = 0.55;      // at the earliest, the canary ends here
 constexpr double kLastShiftPart = 0.72;   // a candidate that few requests have met is shifted to from here on
+constexpr double kFirstStepPart = 0.05;   // the first step of the shift is observed for so long
 constexpr double kStepPart = 0.03;        // each step of the shift is observed for so long
 constexpr double kCompletionPart = 0.88;  // the old runners are waited for until here
 constexpr double kLastDoubtPart = 0.8;    // a suspicion alone holds the shift up until here
@@ -87,7 +88,8 @@
   if (!mayGoOn(rollout, evidence, elapsed))
     return std::nullopt;
   if (rollout.percent < kAll) {
-    const bool observed = sincePhase >= std::max(kMinStep, partOf(rollout, kStepPart));
+    const double part = rollout.percent == kPercents.front() ? kFirstStepPart : kStepPart;
+    const bool observed = sincePhase >= std::max(kMinStep, partOf(rollout, part));
     return observed ? std::optional(Step{RolloutPhase::shifting, nextPercent(rollout.percent), rollout.reason})
                     : std::nullopt;
   }
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -13,7 +13,7 @@
 constexpr auto kCheckpointInterval = 2000ms;  // between two records of the same step
 constexpr std::int32_t kAll = 100;
 constexpr double kMaxRequestsPerReport = 1e5;
-constexpr double kSlackPart = 0.4;  // of the requests that are allowed besides the share, for the load test
+constexpr double kSlackPart = 0.6;  // of the requests that are allowed besides the share, for the load test
 
 Rollout recordOf(const Rollout& rollout, const EvidenceLedger& evidence, Duration elapsed) {
   auto record = rollout;
