--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -119,8 +119,9 @@
   std::vector<int> eligibleRunners(const RunnerQuery& query) const;
   /// Whether only a part of the eligible runners is used.
   static bool isLimited(const rollout::RevisionFilter& revisions);
-  /// The runners that a filter leaves by its `runnerShare` or `loadTestGroup`, the same at all proxies.
-  std::vector<int> runnersWithinLimit(const RunnerQuery& query, TimePoint now) const;
+  /// The runners that a filter leaves by its `runnerShare` or `loadTestGroup`, the same at all proxies. None for some
+  /// requests of a load test, at random: its group would be overloaded.
+  std::vector<int> runnersWithinLimit(const RunnerQuery& query, TimePoint now);
   /// The mean load of the runners of other revisions than the filter's that have reported lately; 0: too few have.
   double meanLoadOfOthers(const RunnerQuery& query, TimePoint now) const;
   /// Whether the runner that a request's prefix prefers among all eligible ones is one of these.
--- a/libs/balancing/include/balancing/stream_pace.hpp
+++ b/libs/balancing/include/balancing/stream_pace.hpp
@@ -24,6 +24,8 @@
   /// A stream has ended.
   /// @return whether it was far slower than usual.
   bool recordStream(const std::string& service, const StreamPace& pace);
+  /// Whether a stream is far slower than usual so far.
+  bool isSlow(const std::string& service, const StreamPace& pace) const;
 
  private:
   std::unordered_map<std::string, LatencyBaseline> usual_;  ///< by service
--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -239,7 +239,7 @@
   return revisions.runnerShare < 1 || revisions.loadTestGroup > 0;
 }
 
-std::vector<int> RunnerPool::runnersWithinLimit(const RunnerQuery& query, TimePoint now) const {
+std::vector<int> RunnerPool::runnersWithinLimit(const RunnerQuery& query, TimePoint now) {
   auto eligible = eligibleRunners(query);
   const auto rank = [&](int index) { return hash64(at(index).id, kShareSeed); };
   std::sort(eligible.begin(), eligible.end(), [&](int one, int other) { return rank(one) < rank(other); });
@@ -250,12 +250,14 @@
     return eligible;
   }
   const double part = rollout::exposureOf(revisions.exposureShare, eligible.size()).loadTest;
-  const auto size = rollout::loadTestGroupSize(eligible.size(), part, meanLoadOfOthers(query, now));
-  const auto first = static_cast<std::size_t>(revisions.loadTestGroup - 1) * size;
-  std::vector<int> group;
-  for (std::size_t i = 0; i < std::min(size, eligible.size()); ++i)
-    group.push_back(eligible[(first + i) % eligible.size()]);
-  return group;
+  const auto group = rollout::loadTestGroup(eligible.size(), part, meanLoadOfOthers(query, now));
+  std::vector<int> members;
+  if (std::uniform_real_distribution<double>(0, 1)(rng_) >= group.requestPart)
+    return members;
+  const auto first = static_cast<std::size_t>(revisions.loadTestGroup - 1) * group.runners;
+  for (std::size_t i = 0; i < std::min(group.runners, eligible.size()); ++i)
+    members.push_back(eligible[(first + i) % eligible.size()]);
+  return members;
 }
 
 double RunnerPool::meanLoadOfOthers(const RunnerQuery& query, TimePoint now) const {
--- a/libs/balancing/src/stream_pace.cpp
+++ b/libs/balancing/src/stream_pace.cpp
@@ -30,9 +30,13 @@
   const auto sample = pace.msPerTenEvents();
   if (!sample)
     return false;
-  auto& usual = usual_[service];
-  const bool slow = *sample > static_cast<double>(usual.slowThreshold().count());
-  usual.add(*sample);
+  const bool slow = isSlow(service, pace);
+  usual_[service].add(*sample);
   return slow;
 }
+bool StreamPaces::isSlow(const std::string& service, const StreamPace& pace) const {
+  const auto sample = pace.msPerTenEvents();
+  const auto usual = usual_.find(service);
+  return sample && usual != usual_.end() && *sample > static_cast<double>(usual->second.slowThreshold().count());
+}
 }  // namespace zinccleat::balancing
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -63,7 +63,7 @@
   pendingAttempt = {runnerIndex, service, prefillTokens, now(), false};
   context.pendingAttempts.insert(&pendingAttempt);
   observed = context.revisions.isObserved(*service);
-  slowResponse = false;
+  slowResponse = slownessRecorded = false;
   runnerLoad = 0;
   pace = {};
 }
@@ -99,19 +99,36 @@
                            staleConnection;
   if (saysNothing)
     return;
-  const auto& endpoint = context.runners.at(runner);
-  const bool timedOut = outcome == AttemptOutcome::deadlineExceeded;
-  const bool isWarm = now() >= endpoint.warmAt;
   const bool slowStream = context.paces.recordStream(*service, pace);
+  auto attempt = observedAttempt();
+  attempt.answered = outcome != AttemptOutcome::interrupted && outcome != AttemptOutcome::deadlineExceeded;
+  attempt.failed = outcome == AttemptOutcome::failed;
+  attempt.slowStart = slowResponse && runnerIsWarm();
+  attempt.slowPace = slowStream && runnerIsWarm();
+  // One that was recorded as slow and then fails counts once more.
+  if (!slownessRecorded || !attempt.answered || attempt.failed)
+    context.revisions.recordAttempt(*service, attempt);
+}
+
+rollout::ObservedAttempt Exchange::observedAttempt() const {
+  const auto& endpoint = context.runners.at(runner);
   rollout::ObservedAttempt attempt;
   attempt.route = route->label;
   attempt.runner = endpoint.id;
   attempt.revision = endpoint.revision;
-  attempt.answered = outcome != AttemptOutcome::interrupted && !timedOut;
-  attempt.failed = outcome == AttemptOutcome::failed;
-  attempt.slowStart = slowResponse && isWarm;
-  attempt.slowPace = slowStream && isWarm;
+  attempt.answered = true;
   attempt.load = runnerLoad;
-  context.revisions.recordAttempt(*service, attempt);
+  return attempt;
+}
+
+void Exchange::observeSlowness() {
+  if (!observed || slownessRecorded || !runnerIsWarm())
+    return;
+  auto attempt = observedAttempt();
+  attempt.slowStart = slowResponse;
+  attempt.slowPace = context.paces.isSlow(*service, pace);
+  slownessRecorded = attempt.isSlow();
+  if (slownessRecorded)
+    context.revisions.recordAttempt(*service, attempt);
 }
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/exchange.hpp
+++ b/libs/proxy/src/exchange.hpp
@@ -48,6 +48,7 @@
   bool observed = false;           ///< the service is being rolled out: the answer is compared with others
   bool slowResponse = false;       ///< it began far later than usual
   double runnerLoad = 0;           ///< of the runner when it began to respond, as a part of its slots
+  bool slownessRecorded = false;   ///< the attempt has been recorded as slow
   balancing::StreamPace pace;      ///< of the events, if observed
   bool staleConnection = false;    ///< it failed on a connection that the runner had dropped: not the runner's fault
   bool isLastAttempt = false;      ///< no other runner is allowed after this one
@@ -74,11 +75,18 @@
   void beginAttempt(int runnerIndex);
   /// The runner has begun to respond, or (`responded` false) never will. Only the first call of an attempt counts.
   void endPrefill(bool responded);
+  /// Bytes of an observed attempt's response have arrived. Once it is certain that the attempt is slow, that is
+  /// recorded: a slow stream may last for long.
+  void observeSlowness();
   /// The attempt has ended; what that says about the runner is recorded.
   void endAttempt(AttemptOutcome outcome);
 
  private:
   /// Records what the attempt says about the runner's revision.
   void observeRevision(AttemptOutcome outcome);
+  /// The attempt as it has been observed so far, answered and neither failed nor slow.
+  rollout::ObservedAttempt observedAttempt() const;
+  /// Whether the runner has passed its slow start.
+  bool runnerIsWarm() const { return now() >= context.runners.at(runner).warmAt; }
 };
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -69,8 +69,10 @@
     if (body.empty())
       return true;
     exchange_.endPrefill(true);
-    if (exchange_.observed)
+    if (exchange_.observed) {
       exchange_.pace.recordBytes(body, Exchange::now());
+      exchange_.observeSlowness();
+    }
     if (exchange_.pendingPartner)
       std::exchange(exchange_.pendingPartner, nullptr)->setDeadline(exchange_.deadline + kDeadlineMargin);
     const auto bytes = completeEventsOnly_ ? exchange_.events.feed(body) : std::string_view(body);
--- a/libs/rollout/include/rollout/evidence_ledger.hpp
+++ b/libs/rollout/include/rollout/evidence_ledger.hpp
@@ -27,11 +27,6 @@
   Kind kind = Kind::answersFail;
   BadCount candidate;  ///< answers, or runners
 };
-/// The runners of the baseline, as outlier detection sees them.
-struct BaselineRunners {
-  double ejected = 0;
-  double total = 0;
-};
 /// The name under which answers on a route are reported and kept.
 /// @param busy the runner had at least half of its slots taken.
 std::string stratumOf(const std::string& route, bool busy);
@@ -47,7 +42,7 @@
   void report(TimePoint now, std::optional<TimePoint> previousReport,
               const std::vector<transport::RevisionAnswers>& answers);
   /// The first fault of the candidate that the evidence proves; none: none is proven.
-  std::optional<Fault> findFault(const BaselineRunners& baselineRunners = {}) const;
+  std::optional<Fault> findFault() const;
   /// Whether there is a suspicion that is not proven: no more requests are to be risked than needed to decide.
   bool isSuspicious() const;
   /// How finely answers are looked at before the candidate is cleared.
@@ -73,6 +68,7 @@
     Answers& operator+=(const Answers& other);
     BadCount failures() const { return {failed, answered}; }
     BadCount slowness() const { return {slow, answered}; }
+    BadCount bad() const { return {std::max(failed, slow), answered}; }
   };
   /// An interruption that may have been a crash of its runner.
   struct Interruption {
@@ -90,7 +86,8 @@
   /// What is left of the candidate's answers when those of outliers are left out.
   struct WithoutOutliers {
     ByStratum answers;
-    BadCount runners;  ///< how many were left out, of how many
+    BadCount runners;         ///< how many were left out, of how many
+    BadCount outlierAnswers;  ///< theirs
   };
 
   static void confirmInterruptions(CandidateRunner& runner, TimePoint answeredAfter);
@@ -100,6 +97,7 @@
   static std::optional<Fault> findFaultIn(const Answers& candidate, const Answers& baseline, const std::string& stratum,
                                           double threshold);
   std::optional<Fault> findFaultAmong(const WithoutOutliers& candidate, double threshold) const;
+  std::optional<Fault> findRunnerFault(const WithoutOutliers& candidate, double tolerance, double threshold) const;
   Answers baselineOf(const std::string& stratum) const;
 
   ByStratum baseline_;
--- a/libs/rollout/include/rollout/exposure.hpp
+++ b/libs/rollout/include/rollout/exposure.hpp
@@ -14,9 +14,14 @@
 /// @param candidateRunners in service.
 Exposure exposureOf(double share, std::size_t candidateRunners);
 
-/// How many runners a group of the load test has: so few that each gets more requests than it would after completion.
-/// How much more follows from the load that runners of the baseline have now, since queues grow faster than requests
-/// do: it should come near the load at which a runner is full.
+/// A group of the candidate's runners that is loaded fully.
+struct LoadTestGroup {
+  std::size_t runners = 0;
+  double requestPart = 1;  ///< of the requests that the load test may have; more would overload so few runners
+};
+/// The group has so few runners that each gets more requests than it would after completion. How much more follows from
+/// the load that runners of the baseline have now, since queues grow faster than requests do: it should come near the
+/// load at which a runner is full.
 /// @param meanLoad of the baseline's runners, as a part of their slots; 0: not known.
-std::size_t loadTestGroupSize(std::size_t candidateRunners, double loadTestPart, double meanLoad);
+LoadTestGroup loadTestGroup(std::size_t candidateRunners, double loadTestPart, double meanLoad);
 }  // namespace zinccleat::rollout
--- a/libs/rollout/include/rollout/rollout_plan.hpp
+++ b/libs/rollout/include/rollout/rollout_plan.hpp
@@ -15,7 +15,6 @@
   double baselineCapacity = 0;  ///< requests at once, of the runners in service
   double candidateCapacity = 0;
   bool baselineIsIdle = false;  ///< all proxies send everything to the candidate and have nothing in flight elsewhere
-  BaselineRunners baselineRunners;
 };
 /// A step of a rollout.
 struct Step {
--- a/libs/rollout/include/rollout/sequential_test.hpp
+++ b/libs/rollout/include/rollout/sequential_test.hpp
@@ -23,7 +23,7 @@
 };
 /// What a kind of bad answer costs, and from which rate on.
 struct TestOptions {
-  double tolerance = 0.02;         ///< added to the baseline's rate: a smaller difference is no fault
+  double tolerance = 0.01;         ///< added to the baseline's rate: a smaller difference is no fault
   double minSoundRate = 0.01;      ///< of the baseline, whatever few answers say
   double unknownSoundRate = 0.08;  ///< where the baseline has no answers
 };
--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -7,14 +7,17 @@
 namespace zinccleat::rollout {
 namespace {
 constexpr double kAlpha = 0.01;  // probability of a false revert, over all tests of one rollout; a miss costs more
-constexpr double kSuspicionAlpha = 0.1;  // from which a candidate gets no more requests than needed
+constexpr double kSuspicionAlpha = 0.2;  // from which a candidate gets no more requests than needed
 constexpr double kBeta = 0.05;           // probability that a faint fault is cleared
 constexpr double kFaintFault = 0.08;     // such a fault: so many more of its answers are bad
 constexpr double kStratumFault = 0.3;    // a fault in one stratum that is cleared as well, where
 constexpr double kUsualPart = 0.05;      // the baseline has so many of its answers there
 constexpr double kMinBadAnswers = 4;     // fewer prove nothing
-constexpr double kMinBadRunners = 3;     // likewise
-constexpr double kMaxPerReport = 1e6;    // a report with larger numbers is wrong
+// Part of the runners that may have a fault of their own beyond what the baseline's answers explain.
+constexpr double kRunnerTolerance = 0.08;
+constexpr double kSuspiciousRunnerTolerance = 0.02;
+constexpr double kMinBadRunners = 2;   // likewise
+constexpr double kMaxPerReport = 1e6;  // a report with larger numbers is wrong
 constexpr std::string_view kBusyMark = " (busy)";
 
 double sane(double count) {
@@ -85,7 +88,7 @@
 // Busy runners are compared with busy ones: else a version that fails under load would look like the fault of the few
 // runners that are.
 EvidenceLedger::WithoutOutliers EvidenceLedger::withoutOutliers() const {
-  WithoutOutliers left{carriedOver_, {}};
+  WithoutOutliers left{carriedOver_, {}, {}};
   std::set<std::string> outliers;
   for (const bool busy : {false, true}) {
     std::vector<const std::string*> ids;
@@ -95,11 +98,13 @@
       if (total.answered <= 0)
         continue;
       ids.push_back(&id);
-      counts.push_back({std::max(total.failed, total.slow), total.answered});
+      counts.push_back(total.bad());
     }
     std::set<std::string> outliersHere;
-    for (const auto index : findOutliers(counts))
+    for (const auto index : findOutliers(counts)) {
       outliersHere.insert(*ids[index]);
+      left.outlierAnswers += counts[index];
+    }
     for (const auto* id : ids)
       for (const auto& [stratum, answers] : candidate_.at(*id).byStratum)
         if (stratum.ends_with(kBusyMark) == busy && !outliersHere.contains(*id))
@@ -138,21 +143,34 @@
   allCandidate.slow = 0;
   return findFaultIn(allCandidate, allBaseline, "", threshold);
 }
+// More of the candidate's runners are outliers than of the baseline's can be: those would have had more bad answers.
+std::optional<Fault> EvidenceLedger::findRunnerFault(const WithoutOutliers& candidate, double tolerance,
+                                                     double threshold) const {
+  if (candidate.runners.bad < kMinBadRunners)
+    return std::nullopt;
+  BadCount baseline;
+  for (const auto& [stratum, answers] : baseline_)
+    baseline += answers.bad();
+  constexpr TestOptions options{.tolerance = 0, .minSoundRate = 0};
+  const double outlierRate = candidate.outlierAnswers.bad / candidate.outlierAnswers.total;
+  const double soundPart = std::min(1.0, soundRate(baseline, options) / outlierRate) + tolerance;
+  if (soundPart >= 1 || logEvidence(candidate.runners, soundPart) < threshold)
+    return std::nullopt;
+  return Fault{"", Fault::Kind::runnersFail, candidate.runners};
+}
 // All tests share alpha (Bonferroni): two for each stratum, one for all together and one for the runners.
-std::optional<Fault> EvidenceLedger::findFault(const BaselineRunners& baselineRunners) const {
+std::optional<Fault> EvidenceLedger::findFault() const {
   const auto candidate = withoutOutliers();
   const double tests = 2.0 * static_cast<double>(candidate.answers.size() + 1);
   const double threshold = std::log(tests / kAlpha);
   if (auto fault = findFaultAmong(candidate, threshold))
     return fault;
-  constexpr TestOptions options{.tolerance = 0, .minSoundRate = 0};
-  const BadCount baseline{baselineRunners.ejected, baselineRunners.total};
-  const bool runnersFail = candidate.runners.bad >= kMinBadRunners && baseline.total > 0 &&
-                           logEvidence(candidate.runners, soundRate(baseline, options)) >= threshold;
-  return runnersFail ? std::optional(Fault{"", Fault::Kind::runnersFail, candidate.runners}) : std::nullopt;
+  return findRunnerFault(candidate, kRunnerTolerance, threshold);
 }
 bool EvidenceLedger::isSuspicious() const {
-  return findFaultAmong(withoutOutliers(), std::log(1 / kSuspicionAlpha)).has_value();
+  const auto candidate = withoutOutliers();
+  const double threshold = std::log(1 / kSuspicionAlpha);
+  return findFaultAmong(candidate, threshold) || findRunnerFault(candidate, kSuspiciousRunnerTolerance, threshold);
 }
 bool EvidenceLedger::isCleared(Clearing clearing) const {
   const auto keyOf = [clearing](const std::string& stratum) {
--- a/libs/rollout/src/exposure.cpp
+++ b/libs/rollout/src/exposure.cpp
@@ -6,16 +6,16 @@
 namespace zinccleat::rollout {
 namespace {
 constexpr double kAllowedPart = 0.7;   // of the share that is allowed: reports are late, and requests go astray
-constexpr double kCanaryPart = 0.25;   // of that, before the load test
-constexpr double kLoadTestPart = 1.7;  // of that, in the load test, which spends what was saved
+constexpr double kCanaryPart = 0.35;   // of that, before the load test
+constexpr double kLoadTestPart = 1.6;  // of that, in the load test, which spends what was saved
 // The load test of a small service: one runner gets so many times the requests that it would have after completion. It
 // lasts as long as what was saved for it.
-constexpr double kSmallServiceRequests = 1.2;
+constexpr double kSmallServiceRequests = 1.6;
 constexpr double kMaxLoadTest = 0.4;
 
 constexpr double kWantedLoad = 0.9;     // of the slots
 constexpr double kUnknownFactor = 1.5;  // times the requests after completion, where loads are not known
-constexpr double kMinFactor = 1.25;
+constexpr double kMinFactor = 1.4;
 constexpr double kMaxFactor = 2.5;
 }  // namespace
 
@@ -24,10 +24,11 @@
   const double smallService = kSmallServiceRequests / std::max(1.0, static_cast<double>(candidateRunners));
   return {allowed, allowed * kCanaryPart, std::clamp(smallService, allowed * kLoadTestPart, kMaxLoadTest)};
 }
-std::size_t loadTestGroupSize(std::size_t candidateRunners, double loadTestPart, double meanLoad) {
+LoadTestGroup loadTestGroup(std::size_t candidateRunners, double loadTestPart, double meanLoad) {
   const double factor =
       meanLoad > 0 ? std::clamp(std::sqrt(kWantedLoad / meanLoad), kMinFactor, kMaxFactor) : kUnknownFactor;
-  const double runners = static_cast<double>(candidateRunners) * loadTestPart / factor;
-  return std::max<std::size_t>(1, static_cast<std::size_t>(runners));
+  const double wanted = static_cast<double>(candidateRunners) * loadTestPart / factor;
+  const double size = std::max(1.0, std::floor(wanted));
+  return {static_cast<std::size_t>(size), std::min(1.0, size / wanted)};
 }
 }  // namespace zinccleat::rollout
--- a/libs/rollout/src/rollout_plan.cpp
+++ b/libs/rollout/src/rollout_plan.cpp
@@ -51,8 +51,11 @@
 }
 std::optional<Step> nextOfCanary(const Rollout& rollout, const EvidenceLedger& evidence, const FleetView& fleet,
                                  Duration elapsed, Duration sincePhase) {
-  if (auto step = nextLoadTestGroup(rollout, elapsed, sincePhase))
-    return step;
+  const bool suspicious = evidence.isSuspicious();
+  // The group that raised a suspicion goes on being loaded.
+  if (!suspicious || rollout.loadTestGroup() == 0)
+    if (auto step = nextLoadTestGroup(rollout, elapsed, sincePhase))
+      return step;
   if (elapsed < partOf(rollout, kCanaryPart) || sincePhase < kMinStep)
     return std::nullopt;
   const bool canCarry =
@@ -62,7 +65,7 @@
       evidence.isCleared(late ? EvidenceLedger::Clearing::byRoute : EvidenceLedger::Clearing::byStratum);
   const bool tested = cleared || (late && evidence.candidateAnswers() >= kMinAnswersLate &&
                                   evidence.candidateBadAnswers() < kMinBadAnswersLate);
-  if (canCarry && tested && !evidence.isSuspicious())
+  if (canCarry && tested && !suspicious)
     return Step{RolloutPhase::shifting, kPercents.front(), "the canary showed no fault"};
   if (elapsed < partOf(rollout, kGiveUpPart))
     return std::nullopt;
@@ -103,7 +106,7 @@
                              Duration elapsed, Duration sincePhase) {
   if (!rollout.inProgress())
     return std::nullopt;
-  if (const auto fault = evidence.findFault(fleet.baselineRunners))
+  if (const auto fault = evidence.findFault())
     return revert(describe(*fault));
   if (rollout.phase() == RolloutPhase::canary)
     return nextOfCanary(rollout, evidence, fleet, elapsed, sincePhase);
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -13,7 +13,7 @@
 constexpr auto kCheckpointInterval = 2000ms;  // between two records of the same step
 constexpr std::int32_t kAll = 100;
 constexpr double kMaxRequestsPerReport = 1e5;
-constexpr double kSlackPart = 0.6;  // of the requests that are allowed besides the share, for the load test
+constexpr double kSlackPart = 0.8;  // of the requests that are allowed besides the share, for the load test
 
 Rollout recordOf(const Rollout& rollout, const EvidenceLedger& evidence, Duration elapsed) {
   auto record = rollout;
@@ -96,14 +96,13 @@
   tracked.dueExposure = std::min(tracked.dueExposure - tokens, 1.0);
   return tokens;
 }
-std::vector<Rollout> RolloutTracker::decide(TimePoint now, const state_machine::StateContents& state,
-                                            const std::vector<transport::RunnerEjection>& ejections) {
+std::vector<Rollout> RolloutTracker::decide(TimePoint now, const state_machine::StateContents& state) {
   std::vector<Rollout> records;
   for (auto& each : tracked_) {
     const auto elapsed = toDuration(now - each.startedAt);
     each.suspicious = each.evidence.isSuspicious();
-    const auto step = nextStep(each.rollout, each.evidence, fleetView(now, each, state, ejections), elapsed,
-                               toDuration(now - each.steppedAt));
+    const auto step =
+        nextStep(each.rollout, each.evidence, fleetView(now, each, state), elapsed, toDuration(now - each.steppedAt));
     const bool checkpointDue = now - each.writtenAt >= kCheckpointInterval;
     if (!step && !checkpointDue)
       continue;
@@ -127,22 +126,14 @@
                                   [&](const Tracked& each) { return each.rollout.service == service; });
   return found == tracked_.end() ? nullptr : &*found;
 }
-FleetView RolloutTracker::fleetView(TimePoint now, const Tracked& tracked, const state_machine::StateContents& state,
-                                    const std::vector<transport::RunnerEjection>& ejections) {
+FleetView RolloutTracker::fleetView(TimePoint now, const Tracked& tracked, const state_machine::StateContents& state) {
   FleetView view;
   for (const auto& runner : state.runners) {
     if (!isInService(runner, tracked.rollout))
       continue;
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, runner.capacity));
-    if (runner.software.revision == tracked.rollout.revision) {
-      view.candidateCapacity += capacity;
-      continue;
-    }
-    view.baselineCapacity += capacity;
-    view.baselineRunners.total += 1;
-    const bool ejected = std::any_of(ejections.begin(), ejections.end(),
-                                     [&](const auto& ejection) { return ejection.runner == runner.id; });
-    view.baselineRunners.ejected += ejected ? 1 : 0;
+    auto& capacity =
+        runner.software.revision == tracked.rollout.revision ? view.candidateCapacity : view.baselineCapacity;
+    capacity += static_cast<double>(std::max<std::int64_t>(1, runner.capacity));
   }
   view.baselineIsIdle = baselineIsIdle(now, tracked);
   return view;
--- a/tests/rollout_engine_world.cpp
+++ b/tests/rollout_engine_world.cpp
@@ -19,6 +19,7 @@
 constexpr int kPrefixes = 60;
 constexpr double kPerMs = 0.001;
 constexpr double kFiftiethBad = 50;
+constexpr Duration kPaceCheck{100};
 constexpr double kTokensPerEvent = 12;
 constexpr double kMinEvents = 3;
 constexpr double kNominalEvents = 10;
@@ -57,6 +58,8 @@
   TimePoint respondedAt;
   bool slow = false;
   bool slowPace = false;
+  bool slownessRecorded = false;
+  double slowness = 1;
   bool responded = false;
   double load = 0;
 };
@@ -139,7 +142,6 @@
     }
     if ((now - kStart) % kEvaluation == Duration(0))
       outliers_.evaluate(now, control_.state().runners);
-    control_.ejections = outliers_.ejections();
   }
   // --- traffic ---
   void serve(TimePoint now) {
@@ -151,6 +153,8 @@
     for (auto& runner : runners_)
       for (const auto& progress : runner.engine.advance(static_cast<double>(kSlice.count())))
         onProgress(progress, now + kSlice);
+    if ((now - kStart) % kPaceCheck == Duration(0))
+      observeSlowness(now);
     for (auto each = flights_.begin(); each != flights_.end();) {
       const bool fails = now >= each->second.failsAt;
       if (fails)
@@ -211,8 +215,8 @@
       lastCandidateRequestAt_ = now;
     const auto id = ++lastId_;
     Flight flight{proxyNumber, runnerNumber, chosen, &kind, now};
-    const bool isSlow = isSlowUnderLoad(runner);
-    const double factor = isSlow ? 6 : 1;
+    const double factor = isSlowUnderLoad(runner) ? 6 : 1;
+    flight.slowness = factor;
     if (fails)
       flight.failsAt = now + kAnswerOfAFailure;
     else if (!runner.engine.submit(
@@ -304,9 +308,7 @@
     }
     if (failed)
       proxy.observer.recordFailure(runner.id);
-    else
-      recordPace(proxy, flight, now);
-    observe(flight, failed);
+    observe(flight, failed, now);
     proxy.pool.attemptEnded(flight.poolIndex);
     if (!runner.isCandidate || !(failed || flight.slow || flight.slowPace))
       return;
@@ -314,28 +316,56 @@
     if (outcome_.candidateBad == kFiftiethBad)
       fiftiethBadAt_ = now;
   }
-  static void recordPace(Proxy& proxy, Flight& flight, TimePoint now) {
-    const double events = flight.kind->outputTokens / kTokensPerEvent;
-    if (events < kMinEvents)
-      return;
-    const auto pace = static_cast<double>(toDuration(now - flight.respondedAt).count()) * kNominalEvents / events;
-    flight.slowPace = pace > static_cast<double>(proxy.paces.slowThreshold().count());
-    proxy.paces.add(pace);
+  static std::optional<double> paceOf(const Flight& flight, double tokens, TimePoint now) {
+    const double events = tokens / kTokensPerEvent;
+    if (!flight.responded || events < kMinEvents)
+      return std::nullopt;
+    return static_cast<double>(toDuration(now - flight.respondedAt).count()) * kNominalEvents / events;
+  }
+  static bool isSlow(const Proxy& proxy, std::optional<double> pace) {
+    return pace && *pace > static_cast<double>(proxy.paces.slowThreshold().count());
+  }
+  // As `Exchange::observeSlowness` does.
+  void observeSlowness(TimePoint now) {
+    for (auto& [id, flight] : flights_) {
+      if (!flight.responded || flight.slownessRecorded)
+        continue;
+      const auto& proxy = proxies_[flight.proxy];
+      // Work that is slow under load has as many times the tokens.
+      const auto tokens = runners_[flight.runner].engine.generated(id).value_or(0) / flight.slowness;
+      flight.slowPace = isSlow(proxy, paceOf(flight, tokens, now));
+      flight.slownessRecorded = attemptOf(flight).isSlow();
+      if (flight.slownessRecorded)
+        record(flight, attemptOf(flight));
+    }
   }
-  void observe(const Flight& flight, bool failed) {
+  rollout::ObservedAttempt attemptOf(const Flight& flight) const {
     const auto& runner = runners_[flight.runner];
-    rollout::ObservedAttempt seen;
-    seen.route = flight.kind->route;
-    seen.runner = runner.id;
-    seen.revision = runner.isCandidate ? kCandidate : kBaseline;
-    seen.answered = true;
-    seen.failed = failed;
-    seen.slowStart = flight.slow;
-    seen.slowPace = flight.slowPace;
-    seen.load = flight.load;
+    rollout::ObservedAttempt attempt;
+    attempt.route = flight.kind->route;
+    attempt.runner = runner.id;
+    attempt.revision = runner.isCandidate ? kCandidate : kBaseline;
+    attempt.answered = true;
+    attempt.slowStart = flight.slow;
+    attempt.slowPace = flight.slowPace;
+    attempt.load = flight.load;
+    return attempt;
+  }
+  void record(const Flight& flight, const rollout::ObservedAttempt& attempt) {
     auto& gate = control_.proxies()[flight.proxy].gate;
     if (gate.isObserved(kService))
-      gate.recordAttempt(kService, seen);
+      gate.recordAttempt(kService, attempt);
+  }
+  void observe(Flight& flight, bool failed, TimePoint now) {
+    auto& proxy = proxies_[flight.proxy];
+    if (const auto pace = paceOf(flight, flight.kind->outputTokens, now); pace && !failed) {
+      flight.slowPace = flight.slowPace || isSlow(proxy, pace);
+      proxy.paces.add(*pace);
+    }
+    auto attempt = attemptOf(flight);
+    attempt.failed = failed;
+    if (!flight.slownessRecorded || failed)
+      record(flight, attempt);
   }
 
   const EnginePlan plan_;
--- a/tests/simulated_engine.cpp
+++ b/tests/simulated_engine.cpp
@@ -46,6 +46,11 @@
   }
   return ms - left / capacity_.prefillTokensPerMs;
 }
+std::optional<double> Engine::generated(std::int64_t id) const {
+  const auto found =
+      std::find_if(running_.begin(), running_.end(), [id](const Running& each) { return each.work.id == id; });
+  return found == running_.end() ? std::nullopt : std::optional(found->generated);
+}
 std::vector<Progress> Engine::advance(double ms) {
   const double budget = ms / capacity_.slowness;
   const auto isReading = [](const Running& each) { return each.unreadTokens > 0; };
--- a/tests/simulated_engine.hpp
+++ b/tests/simulated_engine.hpp
@@ -39,6 +39,8 @@
   bool submit(const Work& work);
   /// Lets time pass.
   std::vector<Progress> advance(double ms);
+  /// Tokens of a request that runs; none: it does not.
+  std::optional<double> generated(std::int64_t id) const;
   std::size_t running() const { return running_.size(); }
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t slots() const { return capacity_.slots; }
