--- a/libs/balancing/include/balancing/stream_pace.hpp
+++ b/libs/balancing/include/balancing/stream_pace.hpp
@@ -10,6 +10,8 @@
   void recordBytes(std::string_view bytes, TimePoint now);
   /// Milliseconds for ten events; none if fewer than three have arrived.
   std::optional<double> msPerTenEvents() const;
+  /// Complete events after the first arrival.
+  int eventsAfterFirst() const { return eventEnds_; }
 
  private:
   int eventEnds_ = 0;  ///< after the first arrival
@@ -24,8 +26,8 @@
   /// A stream has ended.
   /// @return whether it was far slower than usual.
   bool recordStream(const std::string& service, const StreamPace& pace);
-  /// Whether a stream is far slower than usual so far.
-  bool isSlow(const std::string& service, const StreamPace& pace) const;
+  /// Whether a stream that goes on is far slower than usual.
+  bool isSlowMidway(const std::string& service, const StreamPace& pace) const;
 
  private:
   std::unordered_map<std::string, LatencyBaseline> usual_;  ///< by service
--- a/libs/balancing/src/stream_pace.cpp
+++ b/libs/balancing/src/stream_pace.cpp
@@ -2,7 +2,8 @@
 
 namespace zinccleat::balancing {
 namespace {
-constexpr int kMinEvents = 2;  // after the first arrival
+constexpr int kMinEvents = 2;        // after the first arrival
+constexpr int kMinEventsMidway = 5;  // of a stream that goes on: a prompt that is read beside it delays a few
 constexpr double kNominalEvents = 10;
 }  // namespace
 
@@ -30,13 +31,15 @@
   const auto sample = pace.msPerTenEvents();
   if (!sample)
     return false;
-  const bool slow = isSlow(service, pace);
-  usual_[service].add(*sample);
+  auto& usual = usual_[service];
+  const bool slow = *sample > static_cast<double>(usual.slowThreshold().count());
+  usual.add(*sample);
   return slow;
 }
-bool StreamPaces::isSlow(const std::string& service, const StreamPace& pace) const {
+bool StreamPaces::isSlowMidway(const std::string& service, const StreamPace& pace) const {
   const auto sample = pace.msPerTenEvents();
   const auto usual = usual_.find(service);
-  return sample && usual != usual_.end() && *sample > static_cast<double>(usual->second.slowThreshold().count());
+  return sample && pace.eventsAfterFirst() >= kMinEventsMidway && usual != usual_.end() &&
+         *sample > static_cast<double>(usual->second.slowThreshold().count());
 }
 }  // namespace zinccleat::balancing
--- a/libs/controller/src/agent_request_handler.hpp
+++ b/libs/controller/src/agent_request_handler.hpp
@@ -31,7 +31,7 @@
   void followRollouts(TimePoint now) { rollouts_.follow(now, context_.replica.state()); }
   /// The records of rollouts that the leader is to write to the log now.
   std::vector<state_machine::Rollout> decideRollouts(TimePoint now) {
-    return rollouts_.decide(now, context_.replica.state());
+    return rollouts_.decide(now, context_.replica.state(), outliers_.ejections());
   }
   /// Forgets access machines that have not asked for long. To be called each second.
   void expireSilentMachines(TimePoint now);
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -126,7 +126,7 @@
     return;
   auto attempt = observedAttempt();
   attempt.slowStart = slowResponse;
-  attempt.slowPace = context.paces.isSlow(*service, pace);
+  attempt.slowPace = context.paces.isSlowMidway(*service, pace);
   slownessRecorded = attempt.isSlow();
   if (slownessRecorded)
     context.revisions.recordAttempt(*service, attempt);
--- a/libs/rollout/include/rollout/evidence_ledger.hpp
+++ b/libs/rollout/include/rollout/evidence_ledger.hpp
@@ -41,10 +41,20 @@
   /// @param previousReport when that was; none: this is its first, whose answers may be of any age
   void report(TimePoint now, std::optional<TimePoint> previousReport,
               const std::vector<transport::RevisionAnswers>& answers);
+  /// The part of the baseline's runners that outlier detection has all proxies avoid: their answers are few, and yet a
+  /// candidate may have as many such runners. To be kept up to date by the leader.
+  void setEjectedBaseline(double part) { ejectedBaseline_ = part; }
   /// The first fault of the candidate that the evidence proves; none: none is proven.
   std::optional<Fault> findFault() const;
-  /// Whether there is a suspicion that is not proven: no more requests are to be risked than needed to decide.
-  bool isSuspicious() const;
+  /// How sure a suspicion is.
+  enum class Suspicion : std::uint8_t {
+    slight,  ///< no more requests are to be risked than needed to decide
+    strong,  ///< nor is there time to wait for the proof
+  };
+  /// Whether there is a suspicion that is not proven.
+  bool isSuspicious(Suspicion suspicion = Suspicion::slight) const;
+  /// Answers of both revisions up to now.
+  double allAnswers() const;
   /// How finely answers are looked at before the candidate is cleared.
   enum class Clearing : std::uint8_t {
     byStratum,  ///< a larger fault is excluded on each usual route, busy runners apart
@@ -88,6 +98,8 @@
     ByStratum answers;
     BadCount runners;         ///< how many were left out, of how many
     BadCount outlierAnswers;  ///< theirs
+    /// Whether at least two runners that were not busy had bad answers: of one it is not known whose fault that is.
+    bool idleFaultIsShared = false;
   };
 
   static void confirmInterruptions(CandidateRunner& runner, TimePoint answeredAfter);
@@ -100,6 +112,7 @@
   std::optional<Fault> findRunnerFault(const WithoutOutliers& candidate, double tolerance, double threshold) const;
   Answers baselineOf(const std::string& stratum) const;
 
+  double ejectedBaseline_ = 0;
   ByStratum baseline_;
   ByStratum carriedOver_;                             ///< of the candidate, by runners that are not known any more
   std::map<std::string, CandidateRunner> candidate_;  ///< by runner
--- a/libs/rollout/include/rollout/rollout_plan.hpp
+++ b/libs/rollout/include/rollout/rollout_plan.hpp
@@ -14,6 +14,7 @@
 struct FleetView {
   double baselineCapacity = 0;  ///< requests at once, of the runners in service
   double candidateCapacity = 0;
+  double allowedExposure = 0;   ///< requests that a bad candidate may get over the term, as far as can be foreseen
   bool baselineIsIdle = false;  ///< all proxies send everything to the candidate and have nothing in flight elsewhere
 };
 /// A step of a rollout.
--- a/libs/rollout/include/rollout/rollout_tracker.hpp
+++ b/libs/rollout/include/rollout/rollout_tracker.hpp
@@ -8,6 +8,7 @@
 #pragma once
 #include "rollout/rollout_plan.hpp"
 #include "state_machine/fleet_state.hpp"
+#include "transport/lease_records.hpp"
 namespace zinccleat::rollout {
 class RolloutTracker {
  public:
@@ -24,7 +25,9 @@
   std::optional<transport::ExposureGrant> report(TimePoint now, const std::string& proxy,
                                                  const transport::RolloutReport& report);
   /// The rollouts whose record in the log is to be replaced, at the leader: by their next step, or by newer evidence.
-  std::vector<state_machine::Rollout> decide(TimePoint now, const state_machine::StateContents& state);
+  /// @param ejections the runners that outlier detection has all proxies avoid.
+  std::vector<state_machine::Rollout> decide(TimePoint now, const state_machine::StateContents& state,
+                                             const std::vector<transport::RunnerEjection>& ejections = {});
 
  private:
   struct ProxyState {
@@ -46,7 +49,7 @@
     std::size_t candidateRunners = 0;
   };
   Tracked* find(const std::string& service);
-  static FleetView fleetView(TimePoint now, const Tracked& tracked, const state_machine::StateContents& state);
+  FleetView fleetView(TimePoint now, const Tracked& tracked, const state_machine::StateContents& state) const;
   /// Tokens for reported requests of the canary, in whole numbers.
   double grantTokens(Tracked& tracked, double requests) const;
   static bool baselineIsIdle(TimePoint now, const Tracked& tracked);
--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -8,11 +8,12 @@
 namespace {
 constexpr double kAlpha = 0.01;  // probability of a false revert, over all tests of one rollout; a miss costs more
 constexpr double kSuspicionAlpha = 0.2;  // from which a candidate gets no more requests than needed
-constexpr double kBeta = 0.05;           // probability that a faint fault is cleared
-constexpr double kFaintFault = 0.08;     // such a fault: so many more of its answers are bad
-constexpr double kStratumFault = 0.3;    // a fault in one stratum that is cleared as well, where
-constexpr double kUsualPart = 0.05;      // the baseline has so many of its answers there
-constexpr double kMinBadAnswers = 4;     // fewer prove nothing
+constexpr double kStrongSuspicionAlpha = 0.03;
+constexpr double kBeta = 0.05;         // probability that a faint fault is cleared
+constexpr double kFaintFault = 0.08;   // such a fault: so many more of its answers are bad
+constexpr double kStratumFault = 0.3;  // a fault in one stratum that is cleared as well, where
+constexpr double kUsualPart = 0.05;    // the baseline has so many of its answers there
+constexpr double kMinBadAnswers = 4;   // fewer prove nothing
 // Part of the runners that may have a fault of their own beyond what the baseline's answers explain.
 constexpr double kRunnerTolerance = 0.08;
 constexpr double kSuspiciousRunnerTolerance = 0.02;
@@ -88,7 +89,10 @@
 // Busy runners are compared with busy ones: else a version that fails under load would look like the fault of the few
 // runners that are.
 EvidenceLedger::WithoutOutliers EvidenceLedger::withoutOutliers() const {
-  WithoutOutliers left{carriedOver_, {}, {}};
+  WithoutOutliers left{carriedOver_, {}, {}, false};
+  double idleRunnersWithBadAnswers = 0;
+  for (const auto& [stratum, answers] : carriedOver_)
+    idleRunnersWithBadAnswers += answers.bad().bad;  // their runners are not known any more
   std::set<std::string> outliers;
   for (const bool busy : {false, true}) {
     std::vector<const std::string*> ids;
@@ -99,6 +103,7 @@
         continue;
       ids.push_back(&id);
       counts.push_back(total.bad());
+      idleRunnersWithBadAnswers += !busy && total.bad().bad > 0 ? 1 : 0;
     }
     std::set<std::string> outliersHere;
     for (const auto index : findOutliers(counts)) {
@@ -111,6 +116,7 @@
           left.answers[stratum] += answers;
     outliers.merge(outliersHere);
   }
+  left.idleFaultIsShared = idleRunnersWithBadAnswers >= kMinBadRunners;
   left.runners = {static_cast<double>(outliers.size()), static_cast<double>(candidate_.size())};
   return left;
 }
@@ -134,6 +140,8 @@
   Answers allCandidate;
   for (const auto& [stratum, answers] : candidate.answers) {
     const auto baseline = baselineOf(stratum);
+    if (!stratum.ends_with(kBusyMark) && !candidate.idleFaultIsShared)
+      continue;
     allBaseline += baseline;
     allCandidate += answers;
     if (auto fault = findFaultIn(answers, baseline, stratum, threshold))
@@ -153,7 +161,7 @@
     baseline += answers.bad();
   constexpr TestOptions options{.tolerance = 0, .minSoundRate = 0};
   const double outlierRate = candidate.outlierAnswers.bad / candidate.outlierAnswers.total;
-  const double soundPart = std::min(1.0, soundRate(baseline, options) / outlierRate) + tolerance;
+  const double soundPart = std::max(ejectedBaseline_, soundRate(baseline, options) / outlierRate) + tolerance;
   if (soundPart >= 1 || logEvidence(candidate.runners, soundPart) < threshold)
     return std::nullopt;
   return Fault{"", Fault::Kind::runnersFail, candidate.runners};
@@ -167,9 +175,9 @@
     return fault;
   return findRunnerFault(candidate, kRunnerTolerance, threshold);
 }
-bool EvidenceLedger::isSuspicious() const {
+bool EvidenceLedger::isSuspicious(Suspicion suspicion) const {
   const auto candidate = withoutOutliers();
-  const double threshold = std::log(1 / kSuspicionAlpha);
+  const double threshold = std::log(1 / (suspicion == Suspicion::slight ? kSuspicionAlpha : kStrongSuspicionAlpha));
   return findFaultAmong(candidate, threshold) || findRunnerFault(candidate, kSuspiciousRunnerTolerance, threshold);
 }
 bool EvidenceLedger::isCleared(Clearing clearing) const {
@@ -203,6 +211,12 @@
     sum += answers.answered;
   return sum;
 }
+double EvidenceLedger::allAnswers() const {
+  double sum = candidateAnswers();
+  for (const auto& [stratum, answers] : baseline_)
+    sum += answers.answered;
+  return sum;
+}
 double EvidenceLedger::candidateBadAnswers() const {
   double sum = 0;
   for (const auto& [stratum, answers] : candidateAnswersByStratum())
--- a/libs/rollout/src/rollout_plan.cpp
+++ b/libs/rollout/src/rollout_plan.cpp
@@ -12,7 +12,7 @@
 constexpr double kGroupPart = 0.14;       // each of its groups is loaded for so long
 constexpr double kCanaryPart = 0.55;      // at the earliest, the canary ends here
 constexpr double kLastShiftPart = 0.72;   // a candidate that few requests have met is shifted to from here on
-constexpr double kFirstStepPart = 0.05;   // the first step of the shift is observed for so long
+constexpr double kFirstStepPart = 0.1;    // the first step of the shift is observed for so long: its runners fill up
 constexpr double kStepPart = 0.03;        // each step of the shift is observed for so long
 constexpr double kCompletionPart = 0.88;  // the old runners are waited for until here
 constexpr double kLastDoubtPart = 0.8;    // a suspicion alone holds the shift up until here
@@ -21,6 +21,7 @@
 constexpr Duration kMinObservation{800};  // of the full traffic, before completion
 constexpr std::array<std::int32_t, 3> kPercents{25, 50, 100};
 constexpr std::int32_t kAll = 100;
+constexpr double kSpentPart = 0.4;  // of the allowed exposure; answers are counted late
 // Where few requests come, late in the term: so many answers of the candidate, and fewer bad ones than this.
 constexpr double kMinAnswersLate = 8;
 constexpr double kMinBadAnswersLate = 2;
@@ -85,13 +86,18 @@
 }
 std::optional<Step> nextOfShift(const Rollout& rollout, const EvidenceLedger& evidence, const FleetView& fleet,
                                 Duration elapsed, Duration sincePhase) {
+  // Waiting for a proof costs a part of all requests.
+  if (evidence.isSuspicious(EvidenceLedger::Suspicion::strong) &&
+      evidence.candidateAnswers() >= fleet.allowedExposure * kSpentPart)
+    return revert("a suspicion, and most of the exposure is spent");
   if (elapsed >= partOf(rollout, kGiveUpPart))
     return mayGoOn(rollout, evidence, elapsed) ? complete()
                                                : revert("the term is nearly over, and there is a suspicion");
   if (!mayGoOn(rollout, evidence, elapsed))
     return std::nullopt;
   if (rollout.percent < kAll) {
-    const double part = rollout.percent == kPercents.front() ? kFirstStepPart : kStepPart;
+    const bool isFirst = rollout.percent == kPercents.front() && elapsed < partOf(rollout, kLastShiftPart);
+    const double part = isFirst ? kFirstStepPart : kStepPart;
     const bool observed = sincePhase >= std::max(kMinStep, partOf(rollout, part));
     return observed ? std::optional(Step{RolloutPhase::shifting, nextPercent(rollout.percent), rollout.reason})
                     : std::nullopt;
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -29,6 +29,19 @@
     return isInService(runner, rollout) && runner.software.revision == rollout.revision;
   }));
 }
+double ejectedBaselinePart(const Rollout& rollout, const state_machine::StateContents& state,
+                           const std::vector<transport::RunnerEjection>& ejections) {
+  double runners = 0;
+  double ejected = 0;
+  for (const auto& runner : state.runners) {
+    if (!isInService(runner, rollout) || runner.software.revision == rollout.revision)
+      continue;
+    runners += 1;
+    const auto isThis = [&](const auto& ejection) { return ejection.runner == runner.id; };
+    ejected += std::any_of(ejections.begin(), ejections.end(), isThis) ? 1 : 0;
+  }
+  return runners > 0 ? ejected / runners : 0;
+}
 }  // namespace
 
 void RolloutTracker::follow(TimePoint now, const state_machine::StateContents& state) {
@@ -96,10 +109,12 @@
   tracked.dueExposure = std::min(tracked.dueExposure - tokens, 1.0);
   return tokens;
 }
-std::vector<Rollout> RolloutTracker::decide(TimePoint now, const state_machine::StateContents& state) {
+std::vector<Rollout> RolloutTracker::decide(TimePoint now, const state_machine::StateContents& state,
+                                            const std::vector<transport::RunnerEjection>& ejections) {
   std::vector<Rollout> records;
   for (auto& each : tracked_) {
     const auto elapsed = toDuration(now - each.startedAt);
+    each.evidence.setEjectedBaseline(ejectedBaselinePart(each.rollout, state, ejections));
     each.suspicious = each.evidence.isSuspicious();
     const auto step =
         nextStep(each.rollout, each.evidence, fleetView(now, each, state), elapsed, toDuration(now - each.steppedAt));
@@ -126,8 +141,12 @@
                                   [&](const Tracked& each) { return each.rollout.service == service; });
   return found == tracked_.end() ? nullptr : &*found;
 }
-FleetView RolloutTracker::fleetView(TimePoint now, const Tracked& tracked, const state_machine::StateContents& state) {
+FleetView RolloutTracker::fleetView(TimePoint now, const Tracked& tracked,
+                                    const state_machine::StateContents& state) const {
   FleetView view;
+  const auto elapsed = std::max(1ms, toDuration(now - tracked.startedAt));
+  const double part = static_cast<double>(elapsed.count()) / static_cast<double>(tracked.rollout.durationMs);
+  view.allowedExposure = exposureShare_ * tracked.evidence.allAnswers() / std::min(1.0, part) + exposureSlack_;
   for (const auto& runner : state.runners) {
     if (!isInService(runner, tracked.rollout))
       continue;
--- a/tests/rollout_control.hpp
+++ b/tests/rollout_control.hpp
@@ -7,6 +7,7 @@
 #include "rollout/revision_gate.hpp"
 #include "rollout/rollout_tracker.hpp"
 #include "state_machine/replicated_state.hpp"
+#include "transport/lease_records.hpp"
 
 namespace zinccleat::rollout_world {
 constexpr Duration kTick{50};
@@ -56,6 +57,8 @@
   bool hasLeader(TimePoint now) const { return now >= leaderFrom_; }
   Duration decidedAfter() const { return decidedAfter_; }
   double steps() const { return steps_; }
+  /// The runners that the leader has the proxies avoid.
+  std::vector<transport::RunnerEjection> ejections;
 
  private:
   struct CommittedEntry {
