--- a/libs/rollout/src/rollout_plan.cpp
+++ b/libs/rollout/src/rollout_plan.cpp
@@ -52,25 +52,25 @@
 }
 std::optional<Step> nextOfCanary(const Rollout& rollout, const EvidenceLedger& evidence, const FleetView& fleet,
                                  Duration elapsed, Duration sincePhase) {
+  const bool canCarry =
+      fleet.candidateCapacity > 0 && fleet.candidateCapacity >= fleet.baselineCapacity * kMinCapacityPart;
+  if (elapsed >= partOf(rollout, kGiveUpPart))
+    return revert(!canCarry ? "too few runners of this revision" : "too few answers to decide");
   const bool suspicious = evidence.isSuspicious();
   // The group that raised a suspicion goes on being loaded.
   if (!suspicious || rollout.loadTestGroup() == 0)
     if (auto step = nextLoadTestGroup(rollout, elapsed, sincePhase))
       return step;
-  if (elapsed < partOf(rollout, kCanaryPart) || sincePhase < kMinStep)
+  if (elapsed < partOf(rollout, kCanaryPart) || sincePhase < kMinStep || rollout.loadTestGroup() < kLoadTestGroups)
     return std::nullopt;
-  const bool canCarry =
-      fleet.candidateCapacity > 0 && fleet.candidateCapacity >= fleet.baselineCapacity * kMinCapacityPart;
   const bool late = elapsed >= partOf(rollout, kLastShiftPart);
   const bool cleared =
       evidence.isCleared(late ? EvidenceLedger::Clearing::byRoute : EvidenceLedger::Clearing::byStratum);
   const bool tested = cleared || (late && evidence.candidateAnswers() >= kMinAnswersLate &&
                                   evidence.candidateBadAnswers() < kMinBadAnswersLate);
-  if (canCarry && tested && !suspicious)
-    return Step{RolloutPhase::shifting, kPercents.front(), "the canary showed no fault"};
-  if (elapsed < partOf(rollout, kGiveUpPart))
+  if (!canCarry || !tested || suspicious)
     return std::nullopt;
-  return revert(!canCarry ? "too few runners of this revision" : "too few answers to decide");
+  return Step{RolloutPhase::shifting, kPercents.front(), "the canary showed no fault"};
 }
 std::int32_t nextPercent(std::int32_t percent) {
   const auto next = std::find_if(kPercents.begin(), kPercents.end(), [&](auto each) { return each > percent; });
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -2,9 +2,11 @@
 #include <gtest/gtest.h>
 
 #include "rollout/evidence_ledger.hpp"
+#include "rollout/exposure.hpp"
 #include "rollout/revision_gate.hpp"
 #include "rollout/rollout_plan.hpp"
 #include "rollout/rollout_tracker.hpp"
+#include "rollout/runner_outliers.hpp"
 #include "transport/access_messages.hpp"
 
 using namespace zinccleat;
@@ -39,6 +41,12 @@
   ledger.report(kStart, std::nullopt, {answersOf("", 2000, 4), answersOf("n1", 20, 10), answersOf("n2", 20, 9)});
   return ledger;
 }
+// A proof needs more; a suspicion does not.
+EvidenceLedger suspiciousEvidence() {
+  EvidenceLedger ledger;
+  ledger.report(kStart, std::nullopt, {answersOf("", 2000, 4), answersOf("n1", 35, 3), answersOf("n2", 35, 4)});
+  return ledger;
+}
 constexpr FleetView kReady{.baselineCapacity = 100, .candidateCapacity = 100, .baselineIsIdle = false};
 Duration partOf(double part) {
   return Duration(static_cast<Duration::rep>(kDurationMs * part));
@@ -181,6 +189,73 @@
                 {answersOf("", 1000, 2), answersOf("n1", 50, 30), answersOf("n2", 50, 0), answersOf("n3", 50, 1)});
   EXPECT_FALSE(ledger.findFault());
 }
+TEST(EvidenceLedgerTest, FewBadAnswersAtEachOfManyRunnersAreNotLeftOut) {
+  EvidenceLedger ledger;
+  std::vector<RevisionAnswers> answers{answersOf("", 2000, 4)};
+  for (int runner = 0; runner < 60; ++runner)
+    answers.push_back(answersOf("n" + std::to_string(runner), 5, runner % 3 == 0 ? 1 : 0));
+  ledger.report(kStart, std::nullopt, answers);
+  EXPECT_TRUE(ledger.findFault()) << "a third of the runners had one bad answer each, by chance these";
+}
+TEST(EvidenceLedgerTest, AFaultOfBusyRunnersIsNotTakenForTheFaultOfThoseRunners) {
+  EvidenceLedger ledger;
+  std::vector<RevisionAnswers> answers{answersOf("", 1000, 2), answersOf("", 1000, 2, 0, 0, stratumOf("r", true))};
+  for (int runner = 0; runner < 12; ++runner)
+    answers.push_back(answersOf("n" + std::to_string(runner), 30, 0));
+  for (int runner = 0; runner < 3; ++runner)
+    answers.push_back(answersOf("n" + std::to_string(runner), 20, 5, 0, 0, stratumOf("r", true)));
+  ledger.report(kStart, std::nullopt, answers);
+  const auto fault = ledger.findFault();
+  ASSERT_TRUE(fault);
+  EXPECT_EQ(fault->stratum, stratumOf("r", true));
+  EXPECT_EQ(routeOf(fault->stratum), "r");
+}
+TEST(EvidenceLedgerTest, BusyRunnersAreComparedWithBusyOnes) {
+  EvidenceLedger ledger;
+  ledger.report(
+      kStart, std::nullopt,
+      {answersOf("", 1000, 2, 10), answersOf("", 1000, 2, 500, 0, stratumOf("r", true)),
+       answersOf("n1", 30, 0, 15, 0, stratumOf("r", true)), answersOf("n2", 30, 0, 16, 0, stratumOf("r", true))});
+  EXPECT_FALSE(ledger.findFault());
+  ledger.report(kStart, std::nullopt, {answersOf("n1", 30, 0, 15), answersOf("n2", 30, 0, 16)});
+  EXPECT_TRUE(ledger.findFault()) << "idle ones are not that slow";
+}
+TEST(EvidenceLedgerTest, ManyFaultyRunnersAreAFaultOfTheVersion) {
+  const auto ledgerWith = [](int faulty, double ejected) {
+    EvidenceLedger ledger;
+    std::vector<RevisionAnswers> answers{answersOf("", 3000, 6)};
+    for (int runner = 0; runner < 60; ++runner)
+      answers.push_back(answersOf("n" + std::to_string(runner), 20, runner < faulty ? 10 : 0));
+    ledger.report(kStart, std::nullopt, answers);
+    ledger.setEjectedBaseline(ejected);
+    return ledger;
+  };
+  const auto fault = ledgerWith(19, 0).findFault();
+  ASSERT_TRUE(fault);
+  EXPECT_EQ(fault->kind, Fault::Kind::runnersFail);
+  EXPECT_EQ(fault->candidate.bad, 19);
+  EXPECT_FALSE(ledgerWith(4, 0).findFault());
+  EXPECT_FALSE(ledgerWith(12, 0.18).findFault()) << "the baseline has as many";
+  EXPECT_TRUE(ledgerWith(12, 0).isSuspicious());
+}
+TEST(EvidenceLedgerTest, TheCandidateIsNotClearedUntilItsBusyRunnersAre) {
+  auto ledger = soundEvidence();
+  ledger.report(kStart, std::nullopt, {answersOf("", 1000, 2, 0, 0, stratumOf("r", true))});
+  EXPECT_FALSE(ledger.isCleared(EvidenceLedger::Clearing::byStratum));
+  EXPECT_TRUE(ledger.isCleared(EvidenceLedger::Clearing::byRoute));
+  ledger.report(kStart, std::nullopt, {answersOf("n1", 20, 0, 0, 0, stratumOf("r", true))});
+  EXPECT_TRUE(ledger.isCleared(EvidenceLedger::Clearing::byStratum));
+}
+TEST(RunnerOutliersTest, OneRateForAllHasNoOutliers) {
+  EXPECT_TRUE(findOutliers({{5, 20}, {4, 20}, {6, 20}, {5, 20}, {3, 20}, {7, 20}}).empty());
+  EXPECT_TRUE(findOutliers({}).empty());
+  EXPECT_TRUE(findOutliers({{0, 0}, {0, 0}, {0, 0}}).empty());
+}
+TEST(RunnerOutliersTest, AThirdOfTheRunnersAtMost) {
+  EXPECT_EQ(findOutliers({{0, 40}, {20, 40}, {1, 40}}), std::vector<std::size_t>{1});
+  EXPECT_EQ(findOutliers({{0, 40}, {20, 40}, {20, 40}, {0, 40}, {1, 40}, {0, 40}}).size(), 2U);
+  EXPECT_LE(findOutliers({{20, 40}, {20, 40}, {20, 40}, {0, 40}, {0, 40}, {0, 40}}).size(), 2U);
+}
 TEST(EvidenceLedgerTest, ANewLeaderContinuesWithWhatTheLogHolds) {
   const EvidenceLedger next(faultyEvidence().summary());
   EXPECT_TRUE(next.findFault());
@@ -196,16 +271,48 @@
 // --- The plan ---
 
 TEST(RolloutPlan, TheCanaryLastsForHalfOfTheTerm) {
-  const auto canary = rolloutIn(RolloutPhase::canary);
+  const auto canary = rolloutIn(RolloutPhase::canary, kLoadTestGroups);
   EXPECT_FALSE(nextStep(canary, soundEvidence(), kReady, partOf(0.5), partOf(0.5)));
   const auto step = nextStep(canary, soundEvidence(), kReady, partOf(0.56), partOf(0.56));
   ASSERT_TRUE(step);
   EXPECT_EQ(step->phase, RolloutPhase::shifting);
   EXPECT_LT(step->percent, 100);
 }
+TEST(RolloutPlan, TheLoadTestTakesGroupAfterGroup) {
+  const auto groupAfter = [](std::int32_t group, const EvidenceLedger& evidence, double part, Duration sinceGroup) {
+    const auto step = nextStep(rolloutIn(RolloutPhase::canary, group), evidence, kReady, partOf(part), sinceGroup);
+    return step && step->phase == RolloutPhase::canary ? step->percent : 0;
+  };
+  EXPECT_EQ(groupAfter(0, soundEvidence(), 0.2, partOf(0.2)), 0) << "faults that need no load are seen first";
+  EXPECT_EQ(groupAfter(0, soundEvidence(), 0.3, partOf(0.3)), 1);
+  EXPECT_EQ(groupAfter(1, soundEvidence(), 0.35, partOf(0.07)), 0);
+  EXPECT_EQ(groupAfter(1, soundEvidence(), 0.45, partOf(0.17)), 2);
+  EXPECT_EQ(groupAfter(1, suspiciousEvidence(), 0.45, partOf(0.17)), 0) << "the group under suspicion stays loaded";
+  EXPECT_EQ(groupAfter(2, soundEvidence(), 0.5, partOf(0.08)), 0);
+  EXPECT_EQ(groupAfter(1, soundEvidence(), 0.8, Duration(100)), 0) << "a leader that comes late, too";
+  EXPECT_EQ(groupAfter(1, soundEvidence(), 0.8, Duration(450)), 2);
+}
+TEST(RolloutPlan, WithoutALoadTestNothingIsShifted) {
+  for (const std::int32_t group : {0, 1}) {
+    const auto step =
+        nextStep(rolloutIn(RolloutPhase::canary, group), soundEvidence(), kReady, partOf(0.75), partOf(0.75));
+    EXPECT_TRUE(!step || step->phase == RolloutPhase::canary);
+  }
+}
+TEST(RolloutPlan, AStrongSuspicionRevertsOnceMostOfTheExposureIsSpent) {
+  const auto shifting = rolloutIn(RolloutPhase::shifting, 25);
+  auto fleet = kReady;
+  fleet.allowedExposure = 1000;
+  EXPECT_FALSE(nextStep(shifting, suspiciousEvidence(), fleet, partOf(0.6), partOf(0.02)));
+  fleet.allowedExposure = 100;
+  const auto step = nextStep(shifting, suspiciousEvidence(), fleet, partOf(0.6), partOf(0.02));
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->phase, RolloutPhase::reverted);
+  EXPECT_FALSE(nextStep(shifting, soundEvidence(), fleet, partOf(0.6), partOf(0.02)));
+}
 TEST(RolloutPlan, AFaultRevertsInEachPhase) {
-  for (const auto& rollout : {rolloutIn(RolloutPhase::canary), rolloutIn(RolloutPhase::shifting, 25),
-                              rolloutIn(RolloutPhase::shifting, 100)}) {
+  for (const auto& rollout : {rolloutIn(RolloutPhase::canary), rolloutIn(RolloutPhase::canary, 1),
+                              rolloutIn(RolloutPhase::shifting, 25), rolloutIn(RolloutPhase::shifting, 100)}) {
     const auto step = nextStep(rollout, faultyEvidence(), kReady, partOf(0.1), Duration(0));
     ASSERT_TRUE(step);
     EXPECT_EQ(step->phase, RolloutPhase::reverted);
@@ -214,10 +321,15 @@
 }
 TEST(RolloutPlan, EachStepOfTheShiftIsObserved) {
   const auto shifting = rolloutIn(RolloutPhase::shifting, 25);
-  EXPECT_FALSE(nextStep(shifting, soundEvidence(), kReady, partOf(0.6), Duration(100)));
-  const auto step = nextStep(shifting, soundEvidence(), kReady, partOf(0.6), Duration(500));
+  EXPECT_FALSE(nextStep(shifting, soundEvidence(), kReady, partOf(0.6), Duration(500))) << "its runners fill up";
+  const auto step = nextStep(shifting, soundEvidence(), kReady, partOf(0.66), partOf(0.11));
   ASSERT_TRUE(step);
   EXPECT_EQ(step->percent, 50);
+  EXPECT_EQ(nextStep(shifting, soundEvidence(), kReady, partOf(0.75), Duration(500))->percent, 50)
+      << "late in the term";
+  const auto half = rolloutIn(RolloutPhase::shifting, 50);
+  EXPECT_FALSE(nextStep(half, soundEvidence(), kReady, partOf(0.7), Duration(100)));
+  EXPECT_EQ(nextStep(half, soundEvidence(), kReady, partOf(0.7), Duration(500))->percent, 100);
 }
 TEST(RolloutPlan, CompletionWaitsForAttemptsAtTheOldRunnersWithinBounds) {
   const auto full = rolloutIn(RolloutPhase::shifting, 100);
@@ -229,7 +341,7 @@
   EXPECT_EQ(nextStep(full, soundEvidence(), kReady, partOf(0.89), partOf(0.1))->phase, RolloutPhase::completed);
 }
 TEST(RolloutPlan, WhatCantBeTestedOrCantCarryTheTrafficIsRevertedBeforeTheTerm) {
-  const auto canary = rolloutIn(RolloutPhase::canary);
+  const auto canary = rolloutIn(RolloutPhase::canary, kLoadTestGroups);
   const EvidenceLedger nothing;
   EXPECT_FALSE(nextStep(canary, nothing, kReady, partOf(0.9), partOf(0.9)));
   EXPECT_EQ(nextStep(canary, nothing, kReady, partOf(0.95), partOf(0.95))->phase, RolloutPhase::reverted);
@@ -262,24 +374,46 @@
 }
 }  // namespace
 TEST(RolloutTrackerTest, AllGrantsTogetherStayBelowTheShareOfAllRequestsWhoeverLeads) {
-  const auto state = stateWith(rolloutIn(RolloutPhase::canary));
-  double granted = 0;
-  double requests = 0;
-  for (int leader = 0; leader < 5; ++leader) {
-    RolloutTracker tracker(0.1);
-    tracker.follow(kStart, state);
-    tracker.startTerm();
-    for (int proxy = 0; proxy < 300; ++proxy) {
-      requests += 3;
-      granted += tracker.report(kStart, "p" + std::to_string(proxy), reportOf(3))->tokens;
+  for (const std::int32_t group : {0, 1}) {
+    const auto state = stateWith(rolloutIn(RolloutPhase::canary, group));
+    double granted = 0;
+    double requests = 0;
+    for (int leader = 0; leader < 5; ++leader) {
+      RolloutTracker tracker(0.1, 50);
+      tracker.follow(kStart, state);
+      tracker.startTerm();
+      for (int proxy = 0; proxy < 300; ++proxy) {
+        requests += 3;
+        granted += tracker.report(kStart, "p" + std::to_string(proxy), reportOf(3))->tokens;
+      }
     }
+    EXPECT_LE(granted, 0.1 * requests);
+    EXPECT_GT(granted, (group > 0 ? 0.05 : 0.02) * requests);
+  }
+}
+TEST(RolloutTrackerTest, TheLoadTestSpendsWhatTheCanarySavedAndTheSlackOnce) {
+  constexpr double kSlack = 50;
+  auto state = stateWith(rolloutIn(RolloutPhase::canary));
+  RolloutTracker tracker(0.1, kSlack);
+  tracker.follow(kStart, state);
+  tracker.startTerm();
+  double granted = tracker.report(kStart, "p", reportOf(2000, {answersOf("", 2000, 2)}))->tokens;
+  EXPECT_NEAR(granted, 49, 1);
+  for (int time = 0; time < 3; ++time) {
+    const auto records = tracker.decide(kStart + partOf(0.3), state);
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].loadTestGroup(), 1);
   }
-  EXPECT_LE(granted, 0.1 * requests);
-  EXPECT_GT(granted, 0.05 * requests);
+  state.rollouts[0].percent = 1;
+  tracker.follow(kStart + partOf(0.31), state);
+  for (int report = 0; report < 50; ++report)
+    granted += tracker.report(kStart + partOf(0.32), "p", reportOf(40))->tokens;
+  EXPECT_GT(granted, 0.07 * 4000 + 0.5 * kSlack);
+  EXPECT_LE(granted, 0.1 * 4000 + kSlack);
 }
 TEST(RolloutTrackerTest, ProxiesWithFewRequestsShareTheirTokens) {
   RolloutTracker tracker(0.1);
-  tracker.follow(kStart, stateWith(rolloutIn(RolloutPhase::canary)));
+  tracker.follow(kStart, stateWith(rolloutIn(RolloutPhase::canary, 1)));
   double granted = 0;
   for (int proxy = 0; proxy < 300; ++proxy) {
     const auto tokens = tracker.report(kStart, "p" + std::to_string(proxy), reportOf(0.5))->tokens;
@@ -302,7 +436,7 @@
   EXPECT_FALSE(tracker.report(kStart, "p", other));
 }
 TEST(RolloutTrackerTest, AFollowerThatBecomesLeaderKnowsHowLongTheRolloutHasLasted) {
-  const auto state = stateWith(rolloutIn(RolloutPhase::canary));
+  const auto state = stateWith(rolloutIn(RolloutPhase::canary, kLoadTestGroups));
   RolloutTracker tracker(0.1);
   tracker.follow(kStart, state);
   tracker.follow(kStart + partOf(0.6), state);
@@ -411,6 +545,51 @@
     EXPECT_EQ(gate.fallback("s", {Rule::except, "v2", 1})->rule, Rule::only) << "rather than nobody";
   }
 }
+TEST(RevisionGateTest, TheLoadTestNamesItsGroup) {
+  auto gate = gateIn(RolloutPhase::canary, 2);
+  gate.setExposureShare(0.05);
+  EXPECT_EQ(gate.choose("s", 1, false, kStart).rule, Rule::except) << "for tokens, as the canary before";
+  gate.addGrants({{"s", "v2", 1}}, kStart);
+  const auto filter = gate.choose("s", 1, false, kStart);
+  EXPECT_EQ(filter.rule, Rule::only);
+  EXPECT_EQ(filter.loadTestGroup, 2);
+  EXPECT_EQ(filter.exposureShare, 0.05);
+}
+TEST(RevisionGateTest, AnswersOfBusyRunnersAreCountedApartAndFullOnesMayStartLate) {
+  auto gate = gateIn(RolloutPhase::canary);
+  auto attempt = attemptAt("v2", false);
+  attempt.slowStart = true;
+  for (const double load : {0.2, 0.6, 0.9}) {
+    attempt.load = load;
+    gate.recordAttempt("s", attempt);
+  }
+  attempt.slowStart = false;
+  attempt.slowPace = true;
+  gate.recordAttempt("s", attempt);
+  const auto reports = gate.takeReports();
+  ASSERT_EQ(reports.size(), 1U);
+  ASSERT_EQ(reports[0].answers.size(), 2U);
+  EXPECT_EQ(reports[0].answers[0].route, "r");
+  EXPECT_EQ(reports[0].answers[0].slow, 1);
+  EXPECT_EQ(reports[0].answers[1].route, stratumOf("r", true));
+  EXPECT_EQ(reports[0].answers[1].answered, 3);
+  EXPECT_EQ(reports[0].answers[1].slow, 2) << "its start at a full runner says nothing, its pace does";
+}
+TEST(ExposureTest, AGroupIsLoadedBeyondTheLoadAfterCompletionAndNotFarBeyond) {
+  for (const std::size_t runners : {4U, 30U, 90U, 600U})
+    for (const double load : {0.0, 0.2, 0.5, 0.7, 1.1}) {
+      const auto exposure = exposureOf(0.1, runners);
+      EXPECT_LT(exposure.canary, exposure.allowed);
+      EXPECT_GT(exposure.loadTest, exposure.allowed);
+      const auto group = loadTestGroup(runners, exposure.loadTest, load);
+      ASSERT_GE(group.runners, 1U);
+      // Requests of one runner, as a multiple of those after completion.
+      const double factor =
+          exposure.loadTest * group.requestPart * static_cast<double>(runners) / static_cast<double>(group.runners);
+      EXPECT_GE(factor, 1.3) << runners << " runners at " << load;
+      EXPECT_LE(factor, 2.6) << runners << " runners at " << load;
+    }
+}
 TEST(RevisionGateTest, ATokenThatNoRunnerFitsIsGivenBack) {
   auto gate = gateIn(RolloutPhase::canary);
   gate.addGrants({{"s", "v2", 1}}, kStart);
