--- a/tests/revision_choice_test.cpp
+++ b/tests/revision_choice_test.cpp
@@ -98,6 +98,48 @@
   }
   EXPECT_NEAR(moved, kPrefixes * 0.5, kPrefixes * 0.2);
 }
+// A group of the load test gets more requests than it would after completion: it has few runners, and all proxies
+// choose the same ones.
+TEST_F(RevisionChoice, EachGroupOfTheLoadTestHasRunnersOfItsOwn) {
+  const auto runnersOf = [this](std::int32_t group) {
+    std::set<std::string> used;
+    for (int i = 0; i < 400; ++i)
+      used.insert(choose({Rule::only, "v2", 1, group, 0.1}, rng_()));
+    used.erase("");  // its requests are thinned
+    return used;
+  };
+  const auto first = runnersOf(1);
+  const auto second = runnersOf(2);
+  EXPECT_EQ(first.size(), 3U) << "50 x 0.112 / 1.5, since no load is known";
+  EXPECT_EQ(second.size(), first.size());
+  for (const auto& runner : second)
+    EXPECT_FALSE(first.contains(runner));
+  RunnerPool other(78);
+  std::vector<state_machine::Runner> runners;
+  for (int serial = 0; serial < kRunners; ++serial)
+    runners.push_back(runnerOf("v2", serial));
+  other.setRunners(runners, kNow);
+  for (int i = 0; i < 50; ++i) {
+    query_.revisions = {Rule::only, "v2", 1, 1, 0.1};
+    if (const int index = other.choose(query_, kNow); index >= 0) {
+      EXPECT_TRUE(first.contains(other.at(index).id));
+    }
+  }
+}
+TEST_F(RevisionChoice, TheBusierTheBaselineTheLargerTheGroup) {
+  const auto groupSize = [this](const std::string& load) {
+    for (int index = 0; index < static_cast<int>(pool_.size()); ++index)
+      if (pool_.at(index).revision == "v1")
+        pool_.updateLoad(index, load, kNow);
+    std::set<std::string> used;
+    for (int i = 0; i < 400; ++i)
+      used.insert(choose({Rule::only, "v2", 1, 1, 0.1}));
+    used.erase("");
+    return used.size();
+  };
+  EXPECT_EQ(groupSize("2,0,16"), 2U) << "so few that each gets 2.5 times as many requests as usual";
+  EXPECT_EQ(groupSize("14,0,16"), 4U);
+}
 TEST_F(RevisionChoice, AttemptsAtOtherRevisionsAreCounted) {
   query_.revisions = {Rule::only, "v1", 1};
   pool_.attemptStarted(pool_.choose(query_, kNow), 10);
@@ -139,3 +181,18 @@
   EXPECT_TRUE(paces.recordStream("s", streamOf(320ms)));
   EXPECT_FALSE(paces.recordStream("another", streamOf(320ms)));
 }
+TEST(StreamPaceTest, AStreamIsSlowMidwayOnceSeveralEventsHaveCome) {
+  StreamPaces paces;
+  const auto streamOf = [](int events, Duration between) {
+    StreamPace pace;
+    for (int event = 0; event <= events; ++event)
+      pace.recordBytes("data: a\n\n", kNow + between * event);
+    return pace;
+  };
+  EXPECT_FALSE(paces.isSlowMidway("s", streamOf(20, 500ms))) << "nothing is usual yet";
+  for (int stream = 0; stream < 30; ++stream)
+    paces.recordStream("s", streamOf(20, 20ms));
+  EXPECT_FALSE(paces.isSlowMidway("s", streamOf(20, 25ms)));
+  EXPECT_FALSE(paces.isSlowMidway("s", streamOf(2, 500ms))) << "a prompt that was read beside it delays a few";
+  EXPECT_TRUE(paces.isSlowMidway("s", streamOf(8, 500ms)));
+}
--- a/tests/shard_startup_test.cpp
+++ b/tests/shard_startup_test.cpp
@@ -70,6 +70,23 @@
   EXPECT_EQ(member->self(), "10.0.0.2#0");
   EXPECT_EQ(member->voters().size(), 3U);
 }
+// An update in the middle of a replacement: one machine knows the voters from before it, another those from after it.
+// Each would found a log of its own.
+TEST(ShardStartup, MachinesThatKnowDifferentVotersDoNotFoundTwoLogs) {
+  const Started before("10.0.0.2", true);
+  const auto fleetRecords = recordsOf(*before.context.raft);
+  auto laterRecords = fleetRecords;
+  laterRecords.records.front().snapshotConfig = "10.0.0.1#0 10.0.0.2#0 10.0.0.9#5";
+  std::vector<std::vector<consensus::MemberId>> founded;
+  for (const auto& records : {fleetRecords, laterRecords}) {
+    ControllerContext updated(settingsOf("10.0.0.2", false));
+    startRaft(updated, records, kIncarnation);
+    const auto member = startShardMember(updated, {}, {}, kIncarnation);
+    if (!member->voters().empty())
+      founded.push_back(member->voters());
+  }
+  EXPECT_TRUE(founded.empty() || (founded.size() == 2 && founded[0] == founded[1]));
+}
 // Its shard's records were corrupted and set aside: it may have voted under its identity, and must not again.
 TEST(ShardStartup, AQuarantinedShardJoinsAsANewMember) {
   const Started founder("10.0.0.1", true);
