--- a/libs/controller/src/controller_node.cpp
+++ b/libs/controller/src/controller_node.cpp
@@ -26,7 +26,7 @@
       requests_(context_),
       hints_(context_),
       runners_(context_, peers_),
-      coordination_(context_),
+      coordination_(context_, [this](const state_machine::ShardFounding& founding) { proposeFounding(founding); }),
       shutdown_(context_, coordination_),
       roles_(context_, {requests_, agents_, runners_, writes_}),
       driver_(context_, {peers_, agents_, writes_, reads_, roles_}),
@@ -116,6 +116,9 @@
     context_.raft->submit(now, state_machine::rolloutProgressEntry(rollout, operationIds_->next()));
   }
 }
+void ControllerNode::proposeFounding(const state_machine::ShardFounding& founding) {
+  context_.raft->submit(Clock::now(), state_machine::shardsFoundedEntry(founding, operationIds_->next()));
+}
 void ControllerNode::onSecond() {
   const auto now = Clock::now();
   requests_.expireSilentMachines(now);
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -73,6 +73,7 @@
   void onTick();
   void onSecond();
   void writeRollouts(TimePoint now);
+  void proposeFounding(const state_machine::ShardFounding& founding);
   std::string controlAddressAt(const std::string& ip) const;
   StatusSources statusSources() const { return {context_, agents_, requests_, hints_}; }
 
--- a/libs/controller/src/coordination_service.cpp
+++ b/libs/controller/src/coordination_service.cpp
@@ -18,10 +18,12 @@
 constexpr Duration kFreshnessTimeout{850};
 constexpr Duration kWatchContactCheck{500};
 constexpr std::size_t kMaxWatches = 1024;
+constexpr Duration kProposalInterval{500};  // a proposal may be lost with its leader
 }  // namespace
 
-CoordinationService::CoordinationService(ControllerContext& context)
+CoordinationService::CoordinationService(ControllerContext& context, ProposeFounding proposeFounding)
     : context_(context),
+      proposeFounding_(std::move(proposeFounding)),
       links_(context, static_cast<std::uint16_t>(context.settings.firstPort + kCoordinationPortOffset),
              [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
                onMessage(link, envelope);
@@ -64,9 +66,27 @@
       links_.dial(consensus::addressOf(voter));
 }
 void CoordinationService::tick(TimePoint now) {
+  agreeOnFounding(now);
   for (auto& shard : shards_)
     shard->tick(now);
 }
+bool CoordinationService::hasRecords() const {
+  return std::any_of(shards_.begin(), shards_.end(), [](const auto& shard) { return shard->hasRecords(); });
+}
+void CoordinationService::agreeOnFounding(TimePoint now) {
+  const auto& raft = *context_.raft;
+  if (context_.replica.state().shardFounding.isAgreed() || !raft.hasLease(now))
+    return founder_.reset();
+  const ShardFounder::Leader leader{raft.self(), raft.config(), hasRecords()};
+  const auto founding = founder_.decide(now, leader);
+  for (const auto& member : founder_.dueQueries(now, leader))
+    (void)links_.sendEnvelope(member, transport::pack(coordination::ShardRecordsQuery{++lastCallId_}, raft.self()));
+  if (!founding || now - proposedAt_ < kProposalInterval)
+    return;
+  proposedAt_ = now;
+  log::info("shards_founding_proposed", {{"shards", founding->shards}, {"founders", founding->founders.size()}});
+  proposeFounding_(*founding);
+}
 void CoordinationService::setSeedAddresses(const std::vector<std::string>& addresses) {
   for (auto& shard : shards_)
     shard->setSeedAddresses(addresses);
@@ -79,7 +99,7 @@
     shard->leave(now);
 }
 bool CoordinationService::mayExit() const {
-  return std::all_of(shards_.begin(), shards_.end(), [](const auto& shard) { return shard->raft().mayExit(); });
+  return std::all_of(shards_.begin(), shards_.end(), [](const auto& shard) { return shard->mayExit(); });
 }
 
 // --- messages ---
@@ -100,6 +120,12 @@
       return link->decline("a call to an unknown shard");
     onShardCall(envelope.sender, message);
   });
+  transport::receive<coordination::ShardRecordsQuery>(
+      link, envelope, [&](const coordination::ShardRecordsQuery& message) { onRecordsQuery(link, message); });
+  transport::receive<coordination::ShardRecordsAnswer>(link, envelope,
+                                                       [&](const coordination::ShardRecordsAnswer& message) {
+                                                         founder_.recordAnswer(envelope.sender, message.hasRecords);
+                                                       });
   transport::receive<coordination::ShardCallResult>(link, envelope, [&](const coordination::ShardCallResult& message) {
     if (const auto call = calls_.find(message.requestId); call != calls_.end()) {
       call->second->result = {message.requestId, static_cast<CallStatus>(message.status), message.outcome};
@@ -107,6 +133,10 @@
     }
   });
 }
+void CoordinationService::onRecordsQuery(const transport::PeerLinkPtr& link,
+                                         const coordination::ShardRecordsQuery& query) {
+  link->send(transport::pack(coordination::ShardRecordsAnswer{query.requestId, hasRecords()}, context_.raft->self()));
+}
 void CoordinationService::onShardCall(const consensus::MemberId& from, const coordination::ShardCall& message) {
   const auto callId = ++lastCallId_;
   remoteCalls_[callId] = {from, message.requestId, message.shard};
--- a/libs/controller/src/coordination_service.hpp
+++ b/libs/controller/src/coordination_service.hpp
@@ -11,12 +11,15 @@
 #include "coordination_shard.hpp"
 #include "peer_links.hpp"
 #include "runtime/event_loop.hpp"
+#include "shard_founder.hpp"
 namespace zinccleat::controller {
 /// The service; see the file's comment.
 class CoordinationService {
  public:
+  /// Has an entry of the fleet's log written, at its leader.
+  using ProposeFounding = std::function<void(const state_machine::ShardFounding&)>;
   /// @param context must outlive this; its fleet member must exist before `recover`.
-  explicit CoordinationService(ControllerContext& context);
+  CoordinationService(ControllerContext& context, ProposeFounding proposeFounding);
   /// Recovers all shards' files. Blocks while the disk can't be read.
   Result<void> recover(std::uint64_t incarnation);
   /// Listens for the other controllers and begins to take part.
@@ -64,7 +67,11 @@
 
   CoordinationShard::Surroundings surroundingsOf(int shard);
   void dialOthers();
+  bool hasRecords() const;
+  /// At the leader of the fleet's log: has it agreed on once who founds the shards.
+  void agreeOnFounding(TimePoint now);
   void onMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope);
+  void onRecordsQuery(const transport::PeerLinkPtr& link, const coordination::ShardRecordsQuery& query);
   void onShardCall(const consensus::MemberId& from, const coordination::ShardCall& message);
   void onResult(int shard, const coordination::CallResult& result);
   void onLeaderChanged(int shard);
@@ -78,6 +85,9 @@
   Result<coordination::WatchedEvents> awaitEvents(PendingWatch& watch, TimePoint deadline);
 
   ControllerContext& context_;
+  ProposeFounding proposeFounding_;
+  ShardFounder founder_;
+  TimePoint proposedAt_{};
   PeerLinks links_;
   std::vector<std::unique_ptr<CoordinationShard>> shards_;  // by number
   std::map<std::int64_t, PendingCall*> calls_;              // by id, on the stacks of the fibers that wait
--- a/libs/controller/src/coordination_shard.cpp
+++ b/libs/controller/src/coordination_shard.cpp
@@ -1,5 +1,6 @@
 #include "coordination_shard.hpp"
 
+#include "coordination/sharding.hpp"
 #include "runtime/log_ring.hpp"
 #include "startup.hpp"
 #include "storage/name_prefix.hpp"
@@ -31,10 +32,11 @@
   auto disk = recoverDisk(dataDir, storage::Storage(std::move(folder)), isShardSnapshot);
   if (!disk)
     return tl::unexpected(disk.error());
-  consensus::RaftOptions options;
-  options.snapshotIsValid = isShardSnapshot;
-  raft_ = startShardMember(context_, disk->recovery, options, incarnation);
-  operationPrefix_ = raft_->self() + "/" + std::to_string(incarnation) + ".";
+  options_.snapshotIsValid = isShardSnapshot;
+  incarnation_ = incarnation;
+  raft_ = startShardMember(context_, disk->recovery, options_, incarnation);
+  hasRecords_ = takesPart_ = !disk->recovery.records.empty();
+  mayFound_ = !hasRecords_ && !disk->recovery.identityLost;
   recoveredStorage_ = std::move(disk->storage);
   leaseholder_.setHistory(context_.settings.timers.history * kHistoryFactor);
   return {};
@@ -44,12 +46,30 @@
   recoveredStorage_.reset();
   run();
 }
+void CoordinationShard::takePartIfAgreed() {
+  const auto& founding = context_.replica.state().shardFounding;
+  if (takesPart_ || founding.shards != coordination::kShardCount)
+    return;
+  takesPart_ = true;
+  auto founder = mayFound_ ? foundShardMember(context_, options_, incarnation_) : nullptr;
+  log::debug(founder ? "shard_founded" : "shard_joining", {{"shard", number_}, {"founders", founding.founders.size()}});
+  if (founder)
+    raft_ = std::move(founder);
+  run();
+}
 void CoordinationShard::tick(TimePoint now) {
+  takePartIfAgreed();
+  if (!takesPart_)
+    return;
   raft_->tick(now);
   leaseholder_.tick(now);
   run();
 }
 void CoordinationShard::receive(const consensus::MemberId& from, consensus::ConsensusMessage message) {
+  // Another founder may be ahead; what is lost is sent again.
+  takePartIfAgreed();
+  if (!takesPart_)
+    return;
   raft_->receive(Clock::now(), from, std::move(message));
   run();
 }
@@ -58,6 +78,8 @@
   run();
 }
 void CoordinationShard::leave(TimePoint now) {
+  if (!takesPart_)
+    return;
   raft_->leave(now);
   run();
 }
@@ -96,9 +118,12 @@
   log::debug("shard_leadership_gained", {{"shard", number_}, {"term", ledTerm}});
   leaseholder_.startTerm(Clock::now());
 }
+std::string CoordinationShard::nextOperationId() const {
+  return raft_->self() + "/" + std::to_string(incarnation_) + "." + std::to_string(operations_ + 1);
+}
 bool CoordinationShard::propose() {
   const auto now = Clock::now();
-  auto entry = leaseholder_.nextBatch(now, operationPrefix_ + std::to_string(operations_ + 1));
+  auto entry = leaseholder_.nextBatch(now, nextOperationId());
   if (!entry)
     return false;
   ++operations_;
@@ -109,6 +134,7 @@
   surroundings_.send(action.to, action.message);
 }
 void CoordinationShard::carryOut(consensus::PersistRecord& action) {
+  hasRecords_ = true;
   storage_->append(std::move(action.record), [this, ticket = action.ticket](const Result<void>& appended) {
     if (!appended)
       log::error("storage_append_failed", {{"shard", number_}, {"reason", appended.error().message}});
--- a/libs/controller/src/coordination_shard.hpp
+++ b/libs/controller/src/coordination_shard.hpp
@@ -1,7 +1,8 @@
 /// @file
 /// This machine's member of one shard of the coordination service: the replicated log, the replica and, while it leads,
-/// the leaseholder. It carries out what the three ask for, as `RaftDriver` does for the fleet's log. On the event-loop
-/// thread; results of the disk come back to it.
+/// the leaseholder. Without records of the shard it waits, and takes no part, until the fleet's log says who founds it.
+/// It carries out what the three ask for, as `RaftDriver` does for the fleet's log. On the event-loop thread; results
+/// of the disk come back to it.
 #pragma once
 #include "controller_context.hpp"
 #include "coordination/leaseholder.hpp"
@@ -22,9 +23,7 @@
     std::function<void()> onRestored;
   };
   CoordinationShard(const ControllerContext& context, int number, Surroundings surroundings);
-  /// Recovers the shard's files and makes its member. The fleet's member must have been made: where the files hold
-  /// nothing yet, the fleet's voters found the shard's log, and everybody else joins. Blocks while the disk can't be
-  /// read.
+  /// Recovers the shard's files and makes its member. Blocks while the disk can't be read.
   Result<void> recover(std::uint64_t incarnation);
   /// Begins to write. To be called once all storages of the process are recovered.
   void start(const std::shared_ptr<DiskThread>& disk);
@@ -35,6 +34,10 @@
   /// Starts to leave the shard for a planned end of the process.
   void leave(TimePoint now);
   void setSeedAddresses(const std::vector<std::string>& addresses) { raft_->setSeedAddresses(addresses); }
+  /// Whether this machine's disk has records of the shard.
+  bool hasRecords() const { return hasRecords_; }
+  /// Whether the others can do without this machine, after `leave`.
+  bool mayExit() const { return !takesPart_ || raft_->mayExit(); }
 
   int number() const { return number_; }
   const consensus::RaftNode& raft() const { return *raft_; }
@@ -51,19 +54,26 @@
   void followRole();
   /// @return whether a batch was proposed.
   bool propose();
+  std::string nextOperationId() const;
   void compactIfDue();
+  /// Founds or joins the shard's log once it is agreed who founds it.
+  void takePartIfAgreed();
 
   const ControllerContext& context_;
   const int number_;
   Surroundings surroundings_;
   std::unique_ptr<consensus::RaftNode> raft_;
+  consensus::RaftOptions options_;
+  std::uint64_t incarnation_ = 0;
+  bool hasRecords_ = false;
+  bool mayFound_ = false;                             // its disk has lost no records of the shard
+  bool takesPart_ = false;                            // else it waits for the agreement
   std::optional<storage::Storage> recoveredStorage_;  // until `start`
   std::unique_ptr<StorageThread> storage_;
   coordination::ShardState state_;
   coordination::Leaseholder leaseholder_;
   std::int64_t ledTerm_ = 0;  // the term that the leaseholder works in; 0: this member does not lead
   consensus::MemberId leader_;
-  std::string operationPrefix_;
   std::int64_t operations_ = 0;
   std::int64_t entriesSinceCompaction_ = 0;
   std::size_t bytesSinceCompaction_ = 0;
--- a/libs/controller/src/rollout_handlers.cpp
+++ b/libs/controller/src/rollout_handlers.cpp
@@ -41,18 +41,19 @@
   for (const auto& each : rollout.evidence)
     evidence.push_back(evidenceJson(each));
   const bool inProgress = rollout.inProgress();
-  return JsonObject()
-      .text("state", inProgress ? "in_progress" : nameOf(rollout.phase()))
+  JsonObject json;
+  json.text("state", inProgress ? "in_progress" : nameOf(rollout.phase()))
       .text("targetRevision", rollout.revision)
       .text("targetService", rollout.service)
       .text("phase", nameOf(rollout.phase()))
-      .number("percent", rollout.phase() == RolloutPhase::canary ? 0 : rollout.percent)
-      .number("loadTestGroup", rollout.loadTestGroup())
+      .number("percent", rollout.loadTestGroup() > 0 ? 0 : rollout.percent)
       .number("elapsedMs", rollout.elapsedMs)
       .number("durationMs", rollout.durationMs)
       .text("reason", rollout.reason)
-      .raw("evidence", jsonArray(evidence))
-      .json();
+      .raw("evidence", jsonArray(evidence));
+  if (rollout.loadTestGroup() > 0)
+    json.number("loadTestGroup", rollout.loadTestGroup());
+  return json.json();
 }
 bool isConfigured(const ControllerServices& services, const std::string& service) {
   const auto configuration = config::parseConfiguration(services.replica().state().configuration);
--- /dev/null
+++ b/libs/controller/src/shard_founder.cpp
@@ -0,0 +1,46 @@
+#include "shard_founder.hpp"
+
+#include "coordination/sharding.hpp"
+
+namespace zinccleat::controller {
+namespace {
+constexpr Duration kQueryInterval{250};
+}  // namespace
+
+void ShardFounder::reset() {
+  *this = ShardFounder();
+}
+void ShardFounder::recordAnswer(const consensus::MemberId& member, bool hasRecords) {
+  anyHasRecords_ = anyHasRecords_ || hasRecords;
+  if (!hasRecords)
+    withoutRecords_.insert(member);
+}
+std::optional<state_machine::ShardFounding> ShardFounder::decide(TimePoint now, const Leader& leader) {
+  if (!askedSince_)
+    askedSince_ = now;
+  if (leader.hasRecords || anyHasRecords_)
+    return state_machine::ShardFounding{coordination::kShardCount, {}};
+  // In a change of voters it is not settled who they are.
+  if (leader.config.empty() || leader.config.joint())
+    return std::nullopt;
+  const auto lacksRecords = [&](const consensus::MemberId& member) {
+    return member == leader.self || withoutRecords_.contains(member);
+  };
+  const auto& voters = leader.config.voters;
+  const bool all = std::all_of(voters.begin(), voters.end(), lacksRecords);
+  const bool waitedLong = now - *askedSince_ >= kPatience;
+  if (!all && !(waitedLong && leader.config.hasQuorum(lacksRecords)))
+    return std::nullopt;
+  return state_machine::ShardFounding{coordination::kShardCount, voters};
+}
+std::vector<consensus::MemberId> ShardFounder::dueQueries(TimePoint now, const Leader& leader) {
+  std::vector<consensus::MemberId> due;
+  if (leader.hasRecords || anyHasRecords_ || now - askedAt_ < kQueryInterval)
+    return due;
+  askedAt_ = now;
+  for (const auto& member : leader.config.allVoters())
+    if (member != leader.self && !withoutRecords_.contains(member))
+      due.push_back(member);
+  return due;
+}
+}  // namespace zinccleat::controller
--- a/libs/controller/src/startup.cpp
+++ b/libs/controller/src/startup.cpp
@@ -143,21 +143,27 @@
                                                       const storage::Recovery& recovery,
                                                       const consensus::RaftOptions& options,
                                                       std::uint64_t incarnation) {
-  const auto& fleetSelf = context.raft->self();
-  const auto fleetVoters = context.raft->voters();
   const bool resumes = !recovery.records.empty();
-  const bool votes = std::find(fleetVoters.begin(), fleetVoters.end(), fleetSelf) != fleetVoters.end();
-  const bool founds = !resumes && votes && !recovery.identityLost;
-  const auto self = resumes  ? consensus::MemberId(recovery.records.front().self)
-                    : founds ? fleetSelf
-                             : newMemberId(context.settings.ip, incarnation);
+  const auto self =
+      resumes ? consensus::MemberId(recovery.records.front().self) : newMemberId(context.settings.ip, incarnation);
   const auto now = Clock::now();  // after the disk's recovery, which may have taken long
   auto member = std::make_unique<consensus::RaftNode>(self, options, incarnation, now);
   member->setSeedAddresses(seedAddresses(context.settings));
   if (resumes)
     member->recover(recovery.records, now);
-  if (founds)
-    member->bootstrap(fleetVoters, now);
+  return member;
+}
+std::unique_ptr<consensus::RaftNode> foundShardMember(const ControllerContext& context,
+                                                      const consensus::RaftOptions& options,
+                                                      std::uint64_t incarnation) {
+  const auto& founding = context.replica.state().shardFounding;
+  const auto& self = context.raft->self();
+  if (!founding.isFounder(self))
+    return nullptr;
+  const auto now = Clock::now();
+  auto member = std::make_unique<consensus::RaftNode>(self, options, incarnation, now);
+  member->setSeedAddresses(seedAddresses(context.settings));
+  member->bootstrap(founding.founders, now);
   return member;
 }
 }  // namespace zinccleat::controller
--- a/libs/controller/src/startup.hpp
+++ b/libs/controller/src/startup.hpp
@@ -30,12 +30,14 @@
 /// of all, or starts empty as a learner.
 /// @param incarnation drawn at random at each start of the process.
 void startRaft(ControllerContext& context, const storage::Recovery& recovery, std::uint64_t incarnation);
-/// Makes the member of a shard of the coordination service. It resumes from its own records. Where there are none it
-/// founds the shard's log if it votes in the fleet's log: at the first start of all, and at the first start of a
-/// version that has shards. A log that was founded before has entries that nobody without them can outvote, so a voter
-/// that founds it a second time, having lost nothing but what it never acknowledged, only follows. Any other starts
-/// empty.
+/// Makes the member of a shard of the coordination service: it resumes from its own records, or starts empty, as a
+/// machine that joins. Whether it founds the shard's log instead is not known yet, see `foundShardMember`.
 std::unique_ptr<consensus::RaftNode> startShardMember(const ControllerContext& context,
                                                       const storage::Recovery& recovery,
                                                       const consensus::RaftOptions& options, std::uint64_t incarnation);
+/// Makes the member of a shard that founds the shard's log, together with the other founders that were agreed on; null:
+/// this machine is none of them. Only for a machine that has no records of the shard and has not lost any: it has never
+/// voted there. Each founder starts from the same state, whenever that is.
+std::unique_ptr<consensus::RaftNode> foundShardMember(const ControllerContext& context,
+                                                      const consensus::RaftOptions& options, std::uint64_t incarnation);
 }  // namespace zinccleat::controller
--- a/libs/coordination/include/coordination/messages.hpp
+++ b/libs/coordination/include/coordination/messages.hpp
@@ -36,4 +36,24 @@
     v("requestId", requestId), v("status", status), v("outcome", outcome);
   }
 };
+/// Asks a member of the fleet's log whether its disk has records of any shard. Its sender is that log's leader, which
+/// has none itself and is to say who founds the shards.
+struct ShardRecordsQuery {
+  static constexpr auto kType = transport::MessageType::shardRecordsQuery;
+  std::int64_t requestId = 0;
+  template <class V>
+  void fields(V& v) {
+    v("requestId", requestId);
+  }
+};
+/// The answer; the envelope names the member.
+struct ShardRecordsAnswer {
+  static constexpr auto kType = transport::MessageType::shardRecordsAnswer;
+  std::int64_t requestId = 0;
+  bool hasRecords = false;
+  template <class V>
+  void fields(V& v) {
+    v("requestId", requestId), v("hasRecords", hasRecords);
+  }
+};
 }  // namespace zinccleat::coordination
--- a/libs/state_machine/include/state_machine/fleet_state.hpp
+++ b/libs/state_machine/include/state_machine/fleet_state.hpp
@@ -4,6 +4,7 @@
 #pragma once
 #include "state_machine/deduplication.hpp"
 #include "state_machine/rollout.hpp"
+#include "state_machine/shard_founding.hpp"
 
 namespace zinccleat::state_machine {
 /// The lifecycle of a runner. The values are stored and sent.
@@ -71,5 +72,6 @@
   AcceptedConfigurations acceptedConfigurations;
   OperationDeduplication operations;
   DetachedRunners detachedRunners;
+  ShardFounding shardFounding;  ///< known to controllers only
 };
 }  // namespace zinccleat::state_machine
--- a/libs/state_machine/include/state_machine/log_entries.hpp
+++ b/libs/state_machine/include/state_machine/log_entries.hpp
@@ -29,6 +29,9 @@
 /// A rollout has come further. Entries that would take it back change nothing.
 transport::LogEntry rolloutProgressEntry(const Rollout& rollout, std::string operationId);
 
+/// Who founds the shards of the coordination service. Only the first one counts.
+transport::LogEntry shardsFoundedEntry(const ShardFounding& founding, std::string operationId);
+
 /// A runner with its software behind it. Without a revision the bytes are those of earlier versions.
 std::string encodeRunner(const Runner& runner);
 /// @return ErrorCode::corruption for bytes that are no runner.
--- a/libs/state_machine/src/log_entries.cpp
+++ b/libs/state_machine/src/log_entries.cpp
@@ -53,6 +53,9 @@
 transport::LogEntry rolloutProgressEntry(const Rollout& rollout, std::string operationId) {
   return entryOf(transport::OperationKind::rolloutProgress, std::move(operationId), avro::encode(rollout));
 }
+transport::LogEntry shardsFoundedEntry(const ShardFounding& founding, std::string operationId) {
+  return entryOf(transport::OperationKind::shardsFounded, std::move(operationId), avro::encode(founding));
+}
 
 std::string encodeRunner(const Runner& runner) {
   auto bytes = avro::encode(runner);
--- a/libs/state_machine/src/replicated_state.cpp
+++ b/libs/state_machine/src/replicated_state.cpp
@@ -40,6 +40,8 @@
       return applyRolloutBegin(entry, change);
     case transport::OperationKind::rolloutProgress:
       return applyRolloutProgress(entry, change);
+    case transport::OperationKind::shardsFounded:
+      return applyShardsFounded(entry);
     default:  // entries of the consensus module, which change nothing here
       return Verdict::acknowledged;
   }
@@ -215,6 +217,14 @@
     return isBaseline;
   });
 }
+ReplicatedState::Verdict ReplicatedState::applyShardsFounded(const transport::LogEntry& entry) {
+  auto founding = avro::decode<ShardFounding>(entry.body);
+  if (!founding || !founding->isAgreed())
+    return Verdict::invalidVersion;
+  if (!contents_.shardFounding.isAgreed())
+    contents_.shardFounding = std::move(*founding);
+  return Verdict::acknowledged;
+}
 std::vector<Rollout>::iterator ReplicatedState::findRollout(std::string_view service) {
   return std::find_if(contents_.rollouts.begin(), contents_.rollouts.end(),
                       [&](const Rollout& rollout) { return rollout.service == service; });
--- a/libs/state_machine/src/snapshot_codec.cpp
+++ b/libs/state_machine/src/snapshot_codec.cpp
@@ -31,20 +31,25 @@
   }
   return record;
 }
-std::string encodeExtension(const StateContents& contents) {
+// Behind the record of format 2, and each read only where the bytes reach so far: earlier versions ignore what follows.
+std::string encodeExtensions(const StateContents& contents, SnapshotScope scope) {
+  const bool hasFounding = scope == SnapshotScope::controller && contents.shardFounding.isAgreed();
   const bool hasSoftware = std::any_of(contents.runners.begin(), contents.runners.end(),
                                        [](const Runner& runner) { return runner.software != RunnerSoftware{}; });
-  if (!hasSoftware && contents.rollouts.empty())
+  if (!hasSoftware && contents.rollouts.empty() && !hasFounding)
     return {};
   format::Snapshot2Extension extension;
   extension.software.reserve(contents.runners.size());
   for (const auto& runner : contents.runners)
     extension.software.push_back(runner.software);
   extension.rollouts = contents.rollouts;
-  return avro::encode(std::move(extension));
+  auto bytes = avro::encode(std::move(extension));
+  if (hasFounding)
+    bytes += avro::encode(contents.shardFounding);
+  return bytes;
 }
-std::string encodeRecord(format::Snapshot2 record, const StateContents& contents) {
-  return std::string(format::kPrefix2) + avro::encode(std::move(record)) + encodeExtension(contents);
+std::string encodeRecord(format::Snapshot2 record, const StateContents& contents, SnapshotScope scope) {
+  return std::string(format::kPrefix2) + avro::encode(std::move(record)) + encodeExtensions(contents, scope);
 }
 
 /// Integers outside the range that any replica can have.
@@ -92,9 +97,19 @@
   return snapshot;
 }
 
+Result<void> addFounding(std::string_view bytes, StateContents& contents) {
+  auto founding = avro::decode<ShardFounding>(bytes);
+  if (!founding)
+    return tl::unexpected(founding.error());
+  if (!founding->isAgreed())
+    return makeError(ErrorCode::corruption, "a snapshot with an impossible number of shards");
+  contents.shardFounding = std::move(*founding);
+  return {};
+}
 /// Takes over what stands behind the record of format 2.
 Result<void> addExtension(std::string_view bytes, StateContents& contents) {
-  auto extension = avro::decode<format::Snapshot2Extension>(bytes);
+  std::size_t consumed = 0;
+  auto extension = avro::decode<format::Snapshot2Extension>(bytes, &consumed);
   if (!extension)
     return tl::unexpected(extension.error());
   if (extension->software.size() != contents.runners.size())
@@ -105,7 +120,7 @@
     if (rollout.phase() < RolloutPhase::canary || rollout.phase() > RolloutPhase::reverted)
       return makeError(ErrorCode::corruption, "a snapshot with a rollout in no known phase");
   contents.rollouts = std::move(extension->rollouts);
-  return {};
+  return consumed < bytes.size() ? addFounding(bytes.substr(consumed), contents) : Result<void>{};
 }
 Result<Snapshot> decodeFormat2(std::string_view bytes) {
   std::size_t consumed = 0;
@@ -155,13 +170,13 @@
 std::string encodeSnapshot(const StateContents& contents, SnapshotScope scope) {
   auto record = recordOf(contents, scope);
   record.configuration = contents.configuration;
-  return encodeRecord(std::move(record), contents);
+  return encodeRecord(std::move(record), contents, scope);
 }
 std::string encodePartialSnapshot(const StateContents& contents, std::string delta) {
   auto record = recordOf(contents, SnapshotScope::dataPlane);
   record.partial = true;
   record.delta = std::move(delta);
-  return encodeRecord(std::move(record), contents);
+  return encodeRecord(std::move(record), contents, SnapshotScope::dataPlane);
 }
 
 Result<Snapshot> decodeSnapshot(std::string_view bytes) {
--- a/libs/transport/include/transport/envelope.hpp
+++ b/libs/transport/include/transport/envelope.hpp
@@ -32,9 +32,11 @@
   coordinationConsensus,
   coordinationCall,
   coordinationResult,
+  shardRecordsQuery,
+  shardRecordsAnswer,
 };
 /// The type with the highest number.
-constexpr MessageType kLastMessageType = MessageType::coordinationResult;
+constexpr MessageType kLastMessageType = MessageType::shardRecordsAnswer;
 
 /// A message as it travels.
 struct Envelope {
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -13,6 +13,7 @@
   rolloutBegin = 6,        ///< an operator has a service's traffic moved to another revision
   rolloutProgress = 7,     ///< how far a rollout has come
   coordination = 8,        ///< a batch of commands; in the logs of the coordination service only
+  shardsFounded = 9,       ///< who founds the logs of the coordination service, agreed on once
 };
 
 /// One entry of the replicated log.
--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -269,6 +269,9 @@
                 coordination::ShardCall{.shard = 1, .requestId = 4009, .command = commandNumbered(90)}),
       frameCase("frame_coordination_result.hex",
                 coordination::ShardCallResult{.requestId = 4010, .status = 1, .outcome = {3, 907, "a value"}}),
+      frameCase("frame_shard_records_query.hex", coordination::ShardRecordsQuery{.requestId = 4011}),
+      frameCase("frame_shard_records_answer.hex",
+                coordination::ShardRecordsAnswer{.requestId = 4012, .hasRecords = true}),
   };
 }
 
@@ -430,6 +433,13 @@
                      runnerEntry(runnerWithSoftware(2), "runner/i-2"), rolloutBeginEntry(rolloutOrder(), "operator/9"),
                      rolloutProgressEntry(rolloutInProgress(), "leader/9")});
 }
+ShardFounding shardFounding() {
+  return {3, {"10.0.0.1#0", "10.0.0.2#7"}};
+}
+ReplicatedState stateWithShards() {
+  return stateAfter({firstWrite(), runnerEntry(runnerWithSoftware(2), "runner/i-2"),
+                     shardsFoundedEntry(shardFounding(), "leader/10")});
+}
 std::string snapshotFor(const ReplicatedState& copy, const std::string& content) {
   return copy.snapshotFor(content.empty() ? content : digestOf(content));
 }
@@ -445,6 +455,8 @@
           "snapshot_whole.hex", [] { return laterState().snapshot(); }, {}, completeOf),
       snapshotCase(
           "snapshot_with_rollout.hex", [] { return stateWithRollout().snapshot(); }, {}, completeOf),
+      snapshotCase(
+          "snapshot_with_shards.hex", [] { return stateWithShards().snapshot(); }, {}, completeOf),
       snapshotCase(
           "snapshot_access_with_rollout.hex", [] { return snapshotFor(stateWithRollout(), ""); }, {}, forNobody),
       snapshotCase(
@@ -566,6 +578,11 @@
        },
        golden::weaknessOf(runnerWithSoftware(2).software)},
       recordCase("rollout.hex", rolloutInProgress()),
+      recordCase("shard_founding.hex", shardFounding()),
+      {"write_shards_founded.hex",
+       [] { return avro::encode(shardsFoundedEntry(shardFounding(), "leader/10")); },
+       {},
+       ""},
       {"write_rollout_begin.hex", [] { return avro::encode(rolloutBeginEntry(rolloutOrder(), "operator/9")); }, {}, ""},
       {"write_rollout_progress.hex",
        [] { return avro::encode(rolloutProgressEntry(rolloutInProgress(), "leader/9")); },
