--- a/libs/controller/src/coordination_service.cpp
+++ b/libs/controller/src/coordination_service.cpp
@@ -139,7 +139,7 @@
 }
 void CoordinationService::onShardCall(const consensus::MemberId& from, const coordination::ShardCall& message) {
   const auto callId = ++lastCallId_;
-  remoteCalls_[callId] = {from, message.requestId, message.shard};
+  remoteCalls_[callId] = {from, message.requestId};
   shardAt(message.shard).call(callId, message.command);
 }
 void CoordinationService::onResult(int shard, const CallResult& result) {
@@ -151,7 +151,7 @@
   const auto remote = remoteCalls_.extract(result.callId);
   if (remote.empty())
     return;
-  const auto& [from, requestId, ofShard] = remote.mapped();
+  const auto& [from, requestId] = remote.mapped();
   const coordination::ShardCallResult message{requestId, static_cast<std::int32_t>(result.status), result.outcome};
   (void)links_.sendEnvelope(from, transport::pack(message, shardAt(shard).raft().self()));
 }
--- a/libs/controller/src/coordination_service.hpp
+++ b/libs/controller/src/coordination_service.hpp
@@ -57,7 +57,6 @@
   struct RemoteCall {
     consensus::MemberId from;
     std::int64_t requestId = 0;
-    int shard = 0;
   };
   struct PendingWatch {
     runtime::Waiter waiter;
--- a/libs/coordination/include/coordination/shard_state.hpp
+++ b/libs/coordination/include/coordination/shard_state.hpp
@@ -106,7 +106,7 @@
   static std::optional<std::int64_t> revisionOfRepeatedPut(const Group& group, const Cell& cell,
                                                            const std::string& value);
   /// The lock, unless it is free.
-  Lock* findTaken(const std::string& name);
+  const Lock* findTaken(const std::string& name) const;
   std::int64_t endOfHold(std::int64_t holdMs) const;
   void discardEndedLocks();
   void discardHistory(std::int64_t historyMs);
--- a/libs/coordination/src/shard_state.cpp
+++ b/libs/coordination/src/shard_state.cpp
@@ -130,13 +130,13 @@
 
 // --- locks ---
 
-ShardState::Lock* ShardState::findTaken(const std::string& name) {
+const ShardState::Lock* ShardState::findTaken(const std::string& name) const {
   const auto it = locks_.find(name);
   return it == locks_.end() || it->second.endsAtMs <= timeMs_ ? nullptr : &it->second;
 }
 std::int64_t ShardState::fenceOf(const std::string& lock) const {
-  const auto it = locks_.find(lock);
-  return it == locks_.end() || it->second.endsAtMs <= timeMs_ ? 0 : it->second.fence;
+  const auto* taken = findTaken(lock);
+  return taken ? taken->fence : 0;
 }
 // The caller counts from before it sent the call, and the shard's time stood no later then: with the drift of the
 // caller's clock and what rounding takes off, this end is never the earlier one.
@@ -145,7 +145,7 @@
 }
 // Also for the holder itself a new fence: a release that an earlier incarnation of it sent must not free the new hold.
 Outcome ShardState::acquireLock(const Command& command) {
-  auto* taken = findTaken(command.name);
+  const auto* taken = findTaken(command.name);
   if (taken && taken->holder != command.holder)
     return makeOutcome(OutcomeKind::lockTaken);
   if (!taken && locks_.size() >= limits_.names && !locks_.contains(command.name))
@@ -155,11 +155,12 @@
   return makeOutcome(OutcomeKind::done, lastFence_);
 }
 Outcome ShardState::renewLock(const Command& command) {
-  auto* taken = findTaken(command.name);
+  const auto* taken = findTaken(command.name);
   if (!taken || taken->holder != command.holder || taken->fence != command.fence)
     return makeOutcome(OutcomeKind::lockTaken);
-  taken->endsAtMs = std::max(taken->endsAtMs, endOfHold(command.holdMs));
-  return makeOutcome(OutcomeKind::done, taken->fence);
+  auto& renewed = locks_[command.name];
+  renewed.endsAtMs = std::max(renewed.endsAtMs, endOfHold(command.holdMs));
+  return makeOutcome(OutcomeKind::done, renewed.fence);
 }
 Outcome ShardState::releaseLock(const Command& command) {
   const auto it = locks_.find(command.name);
@@ -210,10 +211,11 @@
     return makeOutcome(OutcomeKind::limitReached);
   cellCount_ += cell ? 0 : 1;
   cellBytes_ += addedBytes - (cell ? bytesOf(command.name, cell->value) : 0);
-  store(groups_[groupName], command);
+  auto& group = groups_[groupName];
+  store(group, command);
   if (changedGroups_.empty() || changedGroups_.back() != groupName)
     changedGroups_.push_back(groupName);
-  return makeOutcome(OutcomeKind::done, groups_[groupName].revision);
+  return makeOutcome(OutcomeKind::done, group.revision);
 }
 void ShardState::store(Group& group, const Command& put) {
   auto& cell = group.cells[put.name];
