--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -155,9 +155,9 @@
   BadCount baseline;
   for (const auto& [stratum, answers] : baseline_)
     baseline += answers.bad();
-  constexpr TestOptions options{.tolerance = 0, .minSoundRate = 0};
+  constexpr TestOptions kNoTolerance{.tolerance = 0, .minSoundRate = 0};
   const double outlierRate = candidate.outlierAnswers.bad / candidate.outlierAnswers.total;
-  const double soundPart = std::max(ejectedBaseline_, soundRate(baseline, options) / outlierRate) + tolerance;
+  const double soundPart = std::max(ejectedBaseline_, soundRate(baseline, kNoTolerance) / outlierRate) + tolerance;
   if (soundPart >= 1 || logEvidence(candidate.runners, soundPart) < threshold)
     return std::nullopt;
   return Fault{"", Fault::Kind::runnersFail, candidate.runners};
--- a/tests/revision_choice_test.cpp
+++ b/tests/revision_choice_test.cpp
@@ -116,6 +116,7 @@
     EXPECT_FALSE(first.contains(runner));
   RunnerPool other(78);
   std::vector<state_machine::Runner> runners;
+  runners.reserve(kRunners);
   for (int serial = 0; serial < kRunners; ++serial)
     runners.push_back(runnerOf("v2", serial));
   other.setRunners(runners, kNow);
