--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -250,7 +250,8 @@
     return eligible;
   }
   const double part = rollout::exposureOf(revisions.exposureShare, eligible.size()).loadTest;
-  const auto group = rollout::loadTestGroup(eligible.size(), part, meanLoadOfOthers(query, now));
+  const rollout::BaselineLoad baseline{meanLoadOfOthers(query, now), query.hasPrefixCache};
+  const auto group = rollout::loadTestGroup(eligible.size(), part, baseline);
   std::vector<int> members;
   if (std::uniform_real_distribution<double>(0, 1)(rng_) >= group.requestPart)
     return members;
--- a/libs/rollout/include/rollout/exposure.hpp
+++ b/libs/rollout/include/rollout/exposure.hpp
@@ -19,9 +19,12 @@
   std::size_t runners = 0;
   double requestPart = 1;  ///< of the requests that the load test may have; more would overload so few runners
 };
+/// The load of the baseline's runners now.
+struct BaselineLoad {
+  double mean = 0;             ///< as a part of their slots; 0: not known
+  bool runsInBatches = false;  ///< each request slows those beside it, so that load grows faster than requests do
+};
 /// The group has so few runners that each gets more requests than it would after completion. How much more follows from
-/// the load that runners of the baseline have now, since queues grow faster than requests do: it should come near the
-/// load at which a runner is full.
-/// @param meanLoad of the baseline's runners, as a part of their slots; 0: not known.
-LoadTestGroup loadTestGroup(std::size_t candidateRunners, double loadTestPart, double meanLoad);
+/// the load that runners of the baseline have: it should come near the load at which a runner is full.
+LoadTestGroup loadTestGroup(std::size_t candidateRunners, double loadTestPart, const BaselineLoad& baseline);
 }  // namespace zinccleat::rollout
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -593,7 +593,7 @@
       const auto exposure = exposureOf(0.1, runners);
       EXPECT_LT(exposure.canary, exposure.allowed);
       EXPECT_GT(exposure.loadTest, exposure.allowed);
-      const auto group = loadTestGroup(runners, exposure.loadTest, load);
+      const auto group = loadTestGroup(runners, exposure.loadTest, {load, runners % 4 == 2});
       ASSERT_GE(group.runners, 1U);
       // Requests of one runner, as a multiple of those after completion.
       const double factor =
