--- a/libs/rollout/include/rollout/evidence_ledger.hpp
+++ b/libs/rollout/include/rollout/evidence_ledger.hpp
@@ -94,7 +94,8 @@
     ByStratum answers;
     BadCount runners;         ///< how many were left out, of how many
     BadCount outlierAnswers;  ///< theirs
-    /// Whether at least two runners that were not busy had bad answers: of one it is not known whose fault that is.
+    /// Whether at least two runners that were not busy had bad answers: of one it is not known whose fault that is,
+    /// unless the version has no other.
     bool idleFaultIsShared = false;
   };
 
@@ -102,6 +103,8 @@
   /// The candidate's answers at all runners.
   ByStratum candidateAnswersByStratum() const;
   WithoutOutliers withoutOutliers() const;
+  /// All of the candidate's answers, as if there were no outliers.
+  WithoutOutliers withAllRunners() const;
   static bool isProven(const BadCount& candidate, const BadCount& baseline, const TestOptions& options,
                        double threshold);
   std::optional<Fault> findFaultAmong(const WithoutOutliers& candidate, double threshold) const;
--- a/libs/rollout/src/evidence_ledger.cpp
+++ b/libs/rollout/src/evidence_ledger.cpp
@@ -17,8 +17,10 @@
 // Part of the runners that may have a fault of their own beyond what the baseline's answers explain.
 constexpr double kRunnerTolerance = 0.08;
 constexpr double kSuspiciousRunnerTolerance = 0.02;
-constexpr double kMinBadRunners = 2;   // likewise
-constexpr double kMaxPerReport = 1e6;  // a report with larger numbers is wrong
+constexpr double kMinBadRunners = 2;  // likewise
+constexpr std::size_t kFewRunners = 6;
+constexpr double kMinOfOnlyRunner = 20;  // answers from which on a runner without company counts as the version
+constexpr double kMaxPerReport = 1e6;    // a report with larger numbers is wrong
 
 double sane(double count) {
   return count > 0 && count < kMaxPerReport ? count : 0;
@@ -108,10 +110,15 @@
           left.answers[stratum] += answers;
     outliers.merge(outliersHere);
   }
-  left.idleFaultIsShared = idleRunnersWithBadAnswers >= kMinBadRunners;
+  const bool isOnlyRunner =
+      candidate_.size() == 1 && candidate_.begin()->second.total(false).answered >= kMinOfOnlyRunner;
+  left.idleFaultIsShared = idleRunnersWithBadAnswers >= kMinBadRunners || isOnlyRunner;
   left.runners = {static_cast<double>(outliers.size()), static_cast<double>(candidate_.size())};
   return left;
 }
+EvidenceLedger::WithoutOutliers EvidenceLedger::withAllRunners() const {
+  return {candidateAnswersByStratum(), {0, static_cast<double>(candidate_.size())}, {}, true};
+}
 EvidenceLedger::Answers EvidenceLedger::baselineOf(const std::string& stratum) const {
   const auto found = baseline_.find(stratum);
   return found == baseline_.end() ? Answers{} : found->second;
@@ -172,7 +179,8 @@
   return findRunnerFault(candidate, kRunnerTolerance, threshold);
 }
 bool EvidenceLedger::isSuspicious(Suspicion suspicion) const {
-  const auto candidate = withoutOutliers();
+  // Of few runners one may be all that the load test has loaded: it is not left out of a suspicion.
+  const auto candidate = candidate_.size() < kFewRunners ? withAllRunners() : withoutOutliers();
   const double threshold = std::log(1 / (suspicion == Suspicion::slight ? kSuspicionAlpha : kStrongSuspicionAlpha));
   return findFaultAmong(candidate, threshold) || findRunnerFault(candidate, kSuspiciousRunnerTolerance, threshold);
 }
--- a/libs/rollout/src/rollout_tracker.cpp
+++ b/libs/rollout/src/rollout_tracker.cpp
@@ -96,7 +96,7 @@
   return grant;
 }
 // Each request is reported once and pays for a part of a token: all grants together stay below the share of all
-// requests, whoever leads. Until the load test half of that is kept for it. In whole tokens: where each proxy has few
+// requests, whoever leads. Most of that is kept for the load test. In whole tokens: where each proxy has few
 // requests, fractions would wait for their sum at each of them.
 double RolloutTracker::grantTokens(Tracked& tracked, double requests) const {
   const auto exposure = exposureOf(exposureShare_, tracked.candidateRunners);
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -221,6 +221,16 @@
   ledger.report(kStart, std::nullopt, {answersOf("n1", 30, 0, 15), answersOf("n2", 30, 0, 16)});
   EXPECT_TRUE(ledger.findFault()) << "idle ones are not that slow";
 }
+TEST(EvidenceLedgerTest, OneRunnerIsEnoughOnlyWhereTheVersionHasNoOther) {
+  EvidenceLedger few;
+  few.report(kStart, std::nullopt, {answersOf("", 1000, 2), answersOf("n1", 8, 6)});
+  EXPECT_FALSE(few.findFault()) << "others may answer soon";
+  few.report(kStart, std::nullopt, {answersOf("n1", 30, 15)});
+  EXPECT_TRUE(few.findFault());
+  EvidenceLedger others;
+  others.report(kStart, std::nullopt, {answersOf("", 1000, 2), answersOf("n1", 38, 21), answersOf("n2", 30, 0)});
+  EXPECT_FALSE(others.findFault());
+}
 TEST(EvidenceLedgerTest, ManyFaultyRunnersAreAFaultOfTheVersion) {
   const auto ledgerWith = [](int faulty, double ejected) {
     EvidenceLedger ledger;
