--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -9,10 +9,12 @@
 #include <random>
 #include <set>
 
+#include "balancing/warmup_tracker.hpp"
 #include "config/configuration.hpp"
 #include "rollout/revision_gate.hpp"
 #include "state_machine/replicated_state.hpp"
 #include "transport/lease_records.hpp"
+#include "transport/warmup_records.hpp"
 namespace zinccleat::balancing {
 
 /// One runner, as this proxy knows it.
@@ -22,12 +24,18 @@
   std::string address;  ///< IP:port
   std::string zone;
   std::string revision;  ///< of its software; empty: not known
-  TimePoint warmAt{};    ///< before this it is slow, as it announced when it joined
+  TimePoint warmAt{};    ///< before this it is slow (`WarmupTracker`)
   int capacity = 0;      ///< Requests that it can work on at once, as registered.
   bool draining = false;
   bool present = true;          ///< In the endpoint list. Others only await the end of their attempts.
   int drainPercent = 0;         ///< Percent of new requests to keep away: its zone is being drained.
   bool migrateStreams = false;  ///< Live streams that can be resumed are to move elsewhere.
+  bool evacuated = false;       ///< Its zone is evacuated: it gets no requests.
+
+  // While it is warming up and its service bounds its requests meanwhile.
+  bool warmupIsLimited = false;
+  int warmupGrants = 0;  ///< Requests that this proxy may send it.
+  TimePoint warmupGrantsEnd{};
 
   // This proxy's own attempts.
   int inFlight = 0;
@@ -67,6 +75,7 @@
   struct ZoneDrainLevel {
     int drainPercent = 0;  ///< percent of new requests to keep away
     bool migrateStreams = false;
+    bool evacuated = false;  ///< no requests at all
   };
 
   explicit RunnerPool(std::uint64_t seed) : rng_(seed) {}
@@ -76,6 +85,15 @@
   /// @param now from here on the warm-up counts that a runner announced when it joined.
   void setRunners(const std::vector<state_machine::Runner>& runners, TimePoint now = {});
   void setZoneDrains(std::map<std::string, ZoneDrainLevel> zones);
+  /// Sets the complete list of evacuated zones and regions. From `now` on runners of one that is back in use warm up.
+  void setEvacuations(const std::vector<std::string>& places, TimePoint now);
+  /// Sets the services of the configuration in force, which say how runners warm up.
+  void setServices(const std::vector<config::Service>& services);
+  /// Sets what this proxy may send to runners that are warming up; it replaces what was granted before.
+  /// @param requestedAt when this proxy asked for it.
+  void setWarmupGrants(const std::vector<transport::WarmupGrant>& grants, TimePoint requestedAt);
+  /// Whether a runner is warming up whose requests are bounded meanwhile.
+  bool hasLimitedWarmup(TimePoint now) const;
   void setRegions(std::map<std::string, std::string> zoneToRegion) { regions_ = std::move(zoneToRegion); }
   /// Sets the complete list of ejected runners; all others are healthy.
   void setEjected(const std::vector<transport::RunnerEjection>& ejections);
@@ -95,7 +113,7 @@
   double load(int index, TimePoint now) const;
 
   /// The course of an attempt: each start is followed by one `prefillEnded` and one `attemptEnded`.
-  void attemptStarted(int index, std::int64_t promptTokens);
+  void attemptStarted(int index, std::int64_t promptTokens, TimePoint now = {});
   /// The runner has begun to respond, or never will.
   void prefillEnded(int index, std::int64_t promptTokens);
   void attemptEnded(int index) { --at(index).inFlight; }
@@ -113,6 +131,9 @@
   };
   int indexFor(const std::string& runnerId);
   void applyZoneDrains();
+  void applyWarmups();
+  /// Whether a runner is warming up and no request to it is granted.
+  bool awaitsWarmupGrant(const RunnerEndpoint& endpoint, TimePoint now) const;
   Candidates candidatesFor(const RunnerQuery& query, TimePoint now);
   /// Whether a runner may get such a request at all.
   bool isEligible(int index, const RunnerQuery& query) const;
@@ -137,6 +158,7 @@
   std::vector<RunnerEndpoint> endpoints_;
   std::unordered_map<std::string, int> indexById_;
   std::map<std::string, ZoneDrainLevel> zoneDrains_;
+  WarmupTracker warmups_;
   std::map<std::string, std::string> regions_;  ///< by zone
   std::mt19937_64 rng_;
   double meanPromptTokens_ = 1000;
--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -64,10 +64,7 @@
   for (auto& endpoint : endpoints_)
     endpoint.present = false;
   for (const auto& runner : runners) {
-    const bool isNew = !indexById_.contains(runner.id);
     auto& endpoint = at(indexFor(runner.id));
-    if (isNew)
-      endpoint.warmAt = now + Duration(runner.software.warmupMs);
     endpoint.revision = runner.software.revision;
     endpoint.service = runner.service;
     endpoint.address = runner.address;
@@ -76,6 +73,8 @@
     endpoint.draining = runner.runnerState() == state_machine::RunnerState::draining;
     endpoint.present = true;
   }
+  warmups_.followRunners(runners, now);
+  applyWarmups();
   applyZoneDrains();
   std::erase_if(indexById_, [this](const auto& entry) { return !at(entry.second).present; });
 }
@@ -106,9 +105,49 @@
     const auto level = it == zoneDrains_.end() ? ZoneDrainLevel{} : it->second;
     endpoint.drainPercent = level.drainPercent;
     endpoint.migrateStreams = level.migrateStreams;
+    endpoint.evacuated = level.evacuated;
   }
 }
 
+void RunnerPool::setEvacuations(const std::vector<std::string>& places, TimePoint now) {
+  warmups_.followEvacuations(places, regions_, now);
+  applyWarmups();
+}
+
+void RunnerPool::setServices(const std::vector<config::Service>& services) {
+  warmups_.followServices(services);
+  applyWarmups();
+}
+
+void RunnerPool::applyWarmups() {
+  for (auto& endpoint : endpoints_) {
+    endpoint.warmAt = warmups_.warmAt(endpoint.id);
+    endpoint.warmupIsLimited = warmups_.requestsPerS(endpoint.id) > 0;
+  }
+}
+
+void RunnerPool::setWarmupGrants(const std::vector<transport::WarmupGrant>& grants, TimePoint requestedAt) {
+  for (const auto& grant : grants) {
+    const auto it = indexById_.find(grant.runner);
+    if (it == indexById_.end())
+      continue;
+    auto& endpoint = at(it->second);
+    endpoint.warmupGrants = grant.requests;
+    endpoint.warmupGrantsEnd = requestedAt + transport::kWarmupGrantLifetime;
+  }
+}
+
+bool RunnerPool::hasLimitedWarmup(TimePoint now) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [now](const RunnerEndpoint& endpoint) {
+    return endpoint.present && endpoint.warmupIsLimited && now < endpoint.warmAt;
+  });
+}
+
+bool RunnerPool::awaitsWarmupGrant(const RunnerEndpoint& endpoint, TimePoint now) const {
+  const bool isBounded = endpoint.warmupIsLimited && now < endpoint.warmAt;
+  return isBounded && (endpoint.warmupGrants <= 0 || now >= endpoint.warmupGrantsEnd);
+}
+
 void RunnerPool::setEjected(const std::vector<transport::RunnerEjection>& ejections) {
   for (auto& endpoint : endpoints_)
     endpoint.ejected = 0;
@@ -168,8 +207,10 @@
   endpoint.backoffUntil = now + kBaseBackoff * (1 << endpoint.consecutiveFailures);
 }
 
-void RunnerPool::attemptStarted(int index, std::int64_t promptTokens) {
+void RunnerPool::attemptStarted(int index, std::int64_t promptTokens, TimePoint now) {
   auto& endpoint = at(index);
+  if (now < endpoint.warmAt && endpoint.warmupGrants > 0)
+    --endpoint.warmupGrants;
   ++endpoint.inFlight;
   ++endpoint.prefilling;
   endpoint.prefillTokens += promptTokens;
@@ -207,7 +248,7 @@
   const auto percentile = static_cast<int>((query.affinity ? query.affinity >> kAffinityShift : rng_()) % kPercent);
   for (int index = 0; index < static_cast<int>(endpoints_.size()); ++index) {
     const auto& endpoint = at(index);
-    if (!isEligible(index, query) || contains(query.excluded, index))
+    if (!isEligible(index, query) || contains(query.excluded, index) || awaitsWarmupGrant(endpoint, now))
       continue;
     if (limited && !contains(withinLimit, index))
       continue;
@@ -223,7 +264,7 @@
 
 bool RunnerPool::isEligible(int index, const RunnerQuery& query) const {
   const auto& endpoint = at(index);
-  return endpoint.present && !endpoint.draining && endpoint.service == query.service &&
+  return endpoint.present && !endpoint.draining && !endpoint.evacuated && endpoint.service == query.service &&
          query.revisions.matches(endpoint.revision);
 }
 
--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -29,6 +29,10 @@
   double exposureShare = 0.1;   ///< part of a service's requests that an unproven revision may get during its rollout
   double exposureSlack = 50;    ///< requests that it may get besides
   Duration rollback{5000};      ///< checked only: nothing uses it
+  double warmupExcess = 1.5;    ///< factor by which a runner's `warmupPerS` may be exceeded in a second
+  double warmupSlack = 5;       ///< requests that it may get in a second besides
+  Duration evacuate{5000};      ///< checked only: nothing uses it; drains and evacuations bind sooner
+  Duration merge{3000};         ///< checked only: nothing uses it; replicated counters merge sooner
 };
 /// Another operator's site whose prefix caches may be used from here, and the other way round. Clients' access keys
 /// must be known at both sites.
--- a/libs/config/src/configuration_parser.cpp
+++ b/libs/config/src/configuration_parser.cpp
@@ -26,6 +26,8 @@
   service.healthPath = kDefaultHealthPath;
   reader.text(object, "healthPath", service.healthPath);
   reader.integer(object, "connLimit", service.connLimit);
+  reader.seconds(object, "warmupS", service.warmup);
+  reader.number(object, "warmupPerS", service.warmupRequestsPerS);
   JsonObject engine;
   if (reader.object(object, "engine", engine)) {
     service.engine = true;
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -148,6 +148,10 @@
   reader.number(object, "quotaSlack", timers.quotaSlack);
   reader.number(object, "exposureShare", timers.exposureShare);
   reader.number(object, "exposureSlack", timers.exposureSlack);
+  reader.number(object, "warmupExcess", timers.warmupExcess);
+  reader.number(object, "warmupSlack", timers.warmupSlack);
+  reader.milliseconds(object, "evacuateMs", timers.evacuate);
+  reader.milliseconds(object, "mergeMs", timers.merge);
   reader.milliseconds(object, "rollbackMs", timers.rollback);
 }
 }  // namespace
--- a/libs/controller/src/agent_request_handler.cpp
+++ b/libs/controller/src/agent_request_handler.cpp
@@ -7,7 +7,9 @@
 }  // namespace
 
 AgentRequestHandler::AgentRequestHandler(const ControllerContext& context)
-    : context_(context), rollouts_(context.settings.timers.exposureShare, context.settings.timers.exposureSlack) {
+    : context_(context),
+      rollouts_(context.settings.timers.exposureShare, context.settings.timers.exposureSlack),
+      warmups_({context.settings.timers.warmupExcess, context.settings.timers.warmupSlack}, context.settings.zones) {
   const auto& timers = context.settings.timers;
   const double windowS = std::chrono::duration<double>(timers.quotaWindow).count();
   quota_.setBounds({.excess = timers.quotaExcess, .slack = timers.quotaSlack, .windowS = windowS});
@@ -17,6 +19,7 @@
   outliers_.startTerm(context_.raft->term());
   rollouts_.follow(now, context_.replica.state());
   rollouts_.startTerm();
+  warmups_.startTerm(now);
 }
 void AgentRequestHandler::evaluateRunners(TimePoint now) {
   outliers_.evaluate(now, context_.replica.state().runners);
@@ -41,6 +44,8 @@
   for (const auto& report : request.extension.rollouts)
     if (auto grant = rollouts_.report(now, agent, report))
       response.extension.exposures.push_back(std::move(*grant));
+  if (const auto& zone = request.extension.extension.warmupZone; !zone.empty())
+    response.extension.extension.warmups = warmups_.allocate(now, zone);
   // The list goes only to those that have an older version of it.
   response.outliersVersion = outliers_.version();
   if (request.outliersVersion != response.outliersVersion)
--- a/libs/controller/src/agent_request_handler.hpp
+++ b/libs/controller/src/agent_request_handler.hpp
@@ -10,6 +10,7 @@
 #include "quota_allocator.hpp"
 #include "rollout/rollout_tracker.hpp"
 #include "transport/access_messages.hpp"
+#include "warmup_allocator.hpp"
 namespace zinccleat::controller {
 /// What still runs in a zone or region that is being drained.
 struct ZoneDrainProgress {
@@ -29,6 +30,12 @@
   void evaluateRunners(TimePoint now);
   /// Keeps track of the rollouts of the replica; for every controller, several times a second.
   void followRollouts(TimePoint now) { rollouts_.follow(now, context_.replica.state()); }
+  /// Keeps track of the runners that are warming up; for every controller, several times a second.
+  void followWarmups(TimePoint now) { warmups_.follow(now, context_.replica.state(), context_.configuration.get()); }
+  /// Whether a heartbeat says of its runner's warm-up what is not known.
+  bool changesWarmup(TimePoint now, const state_machine::Runner& reported) const {
+    return warmups_.isChangedBy(now, reported);
+  }
   /// The records of rollouts that the leader is to write to the log now.
   std::vector<state_machine::Rollout> decideRollouts(TimePoint now) {
     return rollouts_.decide(now, context_.replica.state(), outliers_.ejections());
@@ -57,6 +64,7 @@
   QuotaAllocator quota_;
   OutlierDetector outliers_;
   rollout::RolloutTracker rollouts_;
+  WarmupAllocator warmups_;
   std::map<std::string, ReportedLoad> loads_;  // by agent
   std::int64_t accessMachines_ = 0;            // that asked for a lease lately
 };
--- a/libs/controller/src/api_handlers.hpp
+++ b/libs/controller/src/api_handlers.hpp
@@ -27,6 +27,10 @@
 ApiResponse handleSetZoneDrain(const ApiCall& call);
 /// The drains in force and how far they have come. Answered by the leader; the others redirect to it.
 ApiResponse handleListZoneDrains(const ApiCall& call);
+/// Has nothing more sent to the runners of a zone or region. Acknowledged once committed, by any controller.
+ApiResponse handleBeginEvacuation(const ApiCall& call);
+/// Takes an evacuated zone or region back in use; its runners warm up. Acknowledged once committed.
+ApiResponse handleReleaseEvacuation(const ApiCall& call);
 /// Has the traffic of a service moved to another revision of its runners. Acknowledged once committed, and again
 /// whenever the same order is repeated.
 ApiResponse handleBeginRollout(const ApiCall& call);
@@ -45,6 +49,12 @@
 ApiResponse handleRetrieveCell(const ApiCall& call);
 /// Answered from this controller's replica, once that is as new as the leaseholder's was at the call.
 ApiResponse handleWatch(const ApiCall& call);
+/// Adds to a replicated counter. Acknowledged once it is on as many disks as can be had; without contact too.
+ApiResponse handleModifyTally(const ApiCall& call);
+/// A replicated counter's total, as far as this controller knows; answered without contact too.
+ApiResponse handleRetrieveTally(const ApiCall& call);
+/// This controller's view of the replicated counters and of what they lack; answered without contact too.
+ApiResponse handleListTallies(const ApiCall& call);
 /// This controller's view of the coordination service; answered without contact too.
 ApiResponse handleShards(const ApiCall& call);
 /// This controller's own view; answered without contact too.
--- a/libs/controller/src/api_responses.cpp
+++ b/libs/controller/src/api_responses.cpp
@@ -47,6 +47,11 @@
 Duration ResponseDeadline::left() const {
   return std::max(Duration(0), toDuration(deadline_ - Clock::now()));
 }
+bool isZoneOrRegion(const config::Settings& settings, const std::string& name) {
+  return std::any_of(settings.zones.begin(), settings.zones.end(), [&](const auto& zoneToRegion) {
+    return zoneToRegion.first == name || zoneToRegion.second == name;
+  });
+}
 std::optional<ApiResponse> unlessFresh(ControllerServices& services, const ResponseDeadline& deadline) {
   if (!services.awaitContact(kContactTimeout))
     return noContactResponse();
--- a/libs/controller/src/controller_node.cpp
+++ b/libs/controller/src/controller_node.cpp
@@ -27,6 +27,7 @@
       hints_(context_),
       runners_(context_, peers_),
       coordination_(context_, [this](const state_machine::ShardFounding& founding) { proposeFounding(founding); }),
+      counters_(context_),
       shutdown_(context_, coordination_),
       roles_(context_, {requests_, agents_, runners_, writes_}),
       driver_(context_, {peers_, agents_, writes_, reads_, roles_}),
@@ -61,6 +62,8 @@
   operationIds_.emplace(context_.raft->self(), incarnation_);
   if (auto coordination = coordination_.recover(incarnation_); !coordination)
     return coordination;
+  if (auto counters = counters_.recover(incarnation_); !counters)
+    return counters;
   const auto disk = std::make_shared<DiskThread>();
   driver_.startStorage(disk, std::move(recovered->storage));
   if (auto started = hints_.start(); !started)
@@ -69,6 +72,8 @@
     return started;
   if (auto started = coordination_.start(disk); !started)
     return started;
+  if (auto started = counters_.start(disk); !started)
+    return started;
   startTimers();
   driver_.run();
   return {};
@@ -96,7 +101,9 @@
   const auto now = Clock::now();
   context_.raft->tick(now);
   coordination_.tick(now);
+  counters_.tick(now);
   requests_.followRollouts(now);
+  requests_.followWarmups(now);
   if (roles_.isLeader() && ++ticksAsLeader_ % kTicksPerEvaluation == 0) {
     requests_.evaluateRunners(now);
     writeRollouts(now);
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -9,6 +9,7 @@
 #include "controller_context.hpp"
 #include "controller_services.hpp"
 #include "coordination_service.hpp"
+#include "counter_service.hpp"
 #include "graceful_shutdown.hpp"
 #include "lease_reads.hpp"
 #include "majority_contact.hpp"
@@ -44,6 +45,9 @@
   bool awaitContact(Duration timeout) override { return contact_.await(timeout); }
   bool heartbeatsReachLeader() const override;
   void recordHeartbeat(const std::string& runner) override { runners_.recordHeartbeat(runner, Clock::now()); }
+  bool changesWarmup(const state_machine::Runner& reported) const override {
+    return requests_.changesWarmup(Clock::now(), reported);
+  }
   Result<state_machine::ReplicatedState::Verdict> write(transport::LogEntry entry, Duration timeout) override {
     return writes_.write(entry, timeout);
   }
@@ -54,6 +58,10 @@
   Result<coordination::WatchedEvents> watch(const std::string& group, std::int64_t after, Duration wait) override {
     return coordination_.watch(group, after, wait);
   }
+  Result<void> addToCounter(const replicated_counters::Increment& increment, Duration timeout) override {
+    return counters_.add(increment, timeout);
+  }
+  Result<std::int64_t> counterTotal(const std::string& counter) const override { return counters_.total(counter); }
   std::string nextOperationId() override { return operationIds_->next(); }
   std::optional<std::string> leaderControlAddress() const override;
   std::optional<std::string> controlAddressIn(const std::string& zone) const override;
@@ -61,6 +69,7 @@
   std::string statusJson() const override { return controller::statusJson(statusSources(), Clock::now()); }
   std::string countersJson() const override { return controller::countersJson(*context_.raft); }
   std::string shardsJson() const override { return coordination_.shardsJson(Clock::now()); }
+  std::string replicatedCountersJson() const override { return counters_.countersJson(Clock::now()); }
   std::string zoneDrainsJson() const override { return controller::zoneDrainsJson(statusSources(), Clock::now()); }
   Result<std::string> exchangeHints(std::string_view body, std::string_view seal) override {
     return hints_.exchange(body, seal);
@@ -89,6 +98,7 @@
   PartnerHints hints_;
   RunnerLiveness runners_;
   CoordinationService coordination_;
+  CounterService counters_;
   GracefulShutdown shutdown_;
   RoleChanges roles_;
   RaftDriver driver_;
--- a/libs/controller/src/controller_services.hpp
+++ b/libs/controller/src/controller_services.hpp
@@ -4,6 +4,7 @@
 #include "config/settings.hpp"
 #include "coordination/commands.hpp"
 #include "coordination/shard_state.hpp"
+#include "replicated_counters/increments.hpp"
 #include "state_machine/replicated_state.hpp"
 namespace zinccleat::controller {
 /// Implemented by `ControllerNode`, and by tests. Calls that park their fiber say so.
@@ -22,6 +23,8 @@
   virtual bool heartbeatsReachLeader() const = 0;
   /// A runner has sent a heartbeat to this controller.
   virtual void recordHeartbeat(const std::string& runner) = 0;
+  /// Whether a heartbeat says of its runner's warm-up what the replica does not know, and proxies need to.
+  virtual bool changesWarmup(const state_machine::Runner& reported) const = 0;
   /// Parks the calling fiber until its own write is committed and applied here (`PendingWrites` submits it).
   /// @return the write's outcome by the replica, or `ErrorCode::unavailable`.
   virtual Result<state_machine::ReplicatedState::Verdict> write(transport::LogEntry entry, Duration timeout) = 0;
@@ -34,6 +37,12 @@
   /// Parks the calling fiber until there are puts above a revision, or the time is up; see
   /// `CoordinationService::watch`.
   virtual Result<coordination::WatchedEvents> watch(const std::string& group, std::int64_t after, Duration wait) = 0;
+  /// Parks the calling fiber until an increment is on as many disks as can be had.
+  /// @return `ErrorCode::limitReached`: nothing was done; `ErrorCode::outcomeUnknown`: it may count, also later.
+  virtual Result<void> addToCounter(const replicated_counters::Increment& increment, Duration timeout) = 0;
+  /// The total of a replicated counter, as far as this controller knows.
+  /// @return `ErrorCode::unavailable` if it has not caught up with the others since its start.
+  virtual Result<std::int64_t> counterTotal(const std::string& counter) const = 0;
   /// A new id for a write; it is never used again.
   virtual std::string nextOperationId() = 0;
   /// Where the leader's control API listens; none: the leader is unknown, or it is this controller.
@@ -48,6 +57,8 @@
   virtual std::string countersJson() const = 0;
   /// The body of the Shards call.
   virtual std::string shardsJson() const = 0;
+  /// The body of the Tallies.List call.
+  virtual std::string replicatedCountersJson() const = 0;
   /// The body of the Closures.List call; complete on the leader only.
   virtual std::string zoneDrainsJson() const = 0;
   /// Takes in the partner site's prefix hints. @return our own hints, sealed.
--- /dev/null
+++ b/libs/controller/src/counter_service.cpp
@@ -0,0 +1,196 @@
+#include "counter_service.hpp"
+
+#include "json_object.hpp"
+#include "runtime/log_ring.hpp"
+#include "startup.hpp"
+#include "storage/name_prefix.hpp"
+
+namespace zinccleat::controller {
+namespace {
+using replicated_counters::CounterReplica;
+using replicated_counters::IncrementBatch;
+using replicated_counters::IncrementTransfer;
+using replicated_counters::ProgressReport;
+using replicated_counters::TransferRequest;
+
+constexpr Duration kMembershipInterval{500};
+constexpr Duration kAppendRetryInterval{200};
+constexpr std::string_view kFilePrefix = "counters-";
+
+Result<IncrementBatch> batchOf(const consensus::DiskRecord& record) {
+  return avro::decode<IncrementBatch>(record.state);
+}
+bool isBatch(const std::string& state) {
+  return avro::decode<IncrementBatch>(state).has_value();
+}
+// An incarnation is drawn by each process: with the address, no two machines have the same origin by chance.
+replicated_counters::OriginId originOf(const std::string& address, std::uint64_t incarnation) {
+  return static_cast<replicated_counters::OriginId>(hash64(address, incarnation));
+}
+}  // namespace
+
+CounterService::CounterService(ControllerContext& context)
+    : context_(context),
+      links_(context, static_cast<std::uint16_t>(context.settings.firstPort + kCounterPortOffset),
+             [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
+               onMessage(link, envelope);
+             }) {}
+Result<void> CounterService::recover(std::uint64_t incarnation) {
+  const auto& settings = context_.settings;
+  auto folder = storage::withNamePrefix(storage::openPosixFolder(settings.dataDir), std::string(kFilePrefix));
+  auto disk = recoverDisk(settings.dataDir, storage::Storage(std::move(folder)), isBatch);
+  if (!disk)
+    return tl::unexpected(disk.error());
+  CounterReplica::Options options;
+  options.origin = originOf(settings.ip, incarnation);
+  options.zone = settings.zone;
+  options.copies = settings.toleratedMachineFailures;
+  replica_.emplace(options, Clock::now());  // after the disk's recovery, which may have taken long
+  for (const auto& record : disk->recovery.records) {
+    const auto batch = batchOf(record);
+    if (!batch)
+      return makeError(ErrorCode::ioError,
+                       settings.dataDir + ": record " + std::to_string(record.seq) + " of the counters can't be read");
+    replica_->recover(*batch);
+    lastRecord_ = record.seq;
+  }
+  recoveredStorage_ = std::move(disk->storage);
+  return {};
+}
+Result<void> CounterService::start(const std::shared_ptr<DiskThread>& disk) {
+  if (auto listening = links_.listen(); !listening)
+    return listening;
+  storage_ = std::make_unique<StorageThread>(disk, std::move(*recoveredStorage_));
+  recoveredStorage_.reset();
+  followMembership();
+  run();
+  return {};
+}
+void CounterService::followMembership() {
+  std::set<std::string> addresses;
+  for (const auto& voter : context_.raft->voters())
+    addresses.insert(consensus::addressOf(voter));
+  for (const auto& seed : seedAddresses(context_.settings))
+    addresses.insert(seed);
+  addresses.erase(context_.settings.ip);
+  for (const auto& address : addresses)
+    links_.dial(address);
+  replica_->setPeers(addresses);
+}
+void CounterService::tick(TimePoint now) {
+  if (now - membershipFollowedAt_ >= kMembershipInterval) {
+    membershipFollowedAt_ = now;
+    followMembership();
+  }
+  replica_->tick(now);
+  run();
+}
+
+// --- messages ---
+
+void CounterService::onMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
+  const auto address = consensus::addressOf(envelope.sender);
+  if (address.empty())
+    return link->decline("a message that names no sender");
+  links_.recordMessage(envelope.sender, link);
+  heardMembers_[address] = envelope.sender;
+  const auto pass = [&](const auto& message) { replica_->receive(Clock::now(), address, message); };
+  transport::receive<ProgressReport>(link, envelope, pass);
+  transport::receive<TransferRequest>(link, envelope, pass);
+  transport::receive<IncrementTransfer>(link, envelope, pass);
+  run();
+}
+template <class Message>
+void CounterService::send(const std::string& address, const Message& message) {
+  const auto member = heardMembers_.find(address);
+  // A machine that was not heard yet is known by its address alone, which is all that a dialled link needs.
+  const auto to = member == heardMembers_.end() ? consensus::MemberId(address) : member->second;
+  (void)links_.sendEnvelope(to, transport::pack(message, context_.raft->self()));
+}
+
+// --- the disk ---
+
+void CounterService::carryOut(replicated_counters::PersistBatch& action) {
+  consensus::DiskRecord record;
+  record.seq = ++lastRecord_;
+  record.self = context_.raft->self();
+  record.full = action.full;
+  record.state = avro::encode(std::move(action.batch));
+  appendRecord(record);
+}
+// Again until it succeeds: later records build on it, and what it holds is not acknowledged before.
+void CounterService::appendRecord(const consensus::DiskRecord& record) {
+  storage_->append(record, [this, record](const Result<void>& appended) {
+    if (appended) {
+      replica_->persisted(Clock::now());
+      return run();
+    }
+    log::error("storage_append_failed", {{"counters", record.seq}, {"reason", appended.error().message}});
+    runtime::EventLoop::get().spawn([this, record] {
+      runtime::EventLoop::get().sleepFor(kAppendRetryInterval);
+      appendRecord(record);
+    });
+  });
+}
+void CounterService::run() {
+  if (!storage_)
+    return;
+  for (auto actions = replica_->takeActions(); !actions.empty(); actions = replica_->takeActions())
+    for (auto& action : actions)
+      std::visit([this](auto& alternative) { carryOut(alternative); }, action);
+}
+
+// --- calls ---
+
+void CounterService::carryOut(const replicated_counters::Acknowledge& action) {
+  const auto call = calls_.find(action.callId);
+  if (call == calls_.end())
+    return;
+  call->second->acknowledged = true;
+  call->second->waiter.wake();
+}
+Result<void> CounterService::add(const replicated_counters::Increment& increment, Duration timeout) {
+  const auto callId = ++lastCallId_;
+  PendingCall pending;
+  calls_[callId] = &pending;
+  auto added = replica_->add(Clock::now(), callId, increment);
+  run();
+  if (added && !pending.acknowledged)
+    (void)runtime::EventLoop::get().waitFor(pending.waiter, timeout);
+  calls_.erase(callId);
+  replica_->cancel(callId);
+  if (!added)
+    return added;
+  if (!pending.acknowledged)
+    return makeError(ErrorCode::outcomeUnknown, "too few copies in time");
+  return {};
+}
+Result<std::int64_t> CounterService::total(const std::string& counter) const {
+  if (!replica_->mayRead())
+    return makeError(ErrorCode::unavailable, "this replica has not caught up since its start");
+  return replica_->state().total(counter);
+}
+std::string CounterService::countersJson(TimePoint now) const {
+  std::vector<std::string> peers;
+  for (const auto& peer : replica_->peers(now))
+    peers.push_back(JsonObject()
+                        .text("address", peer.address)
+                        .text("zone", peer.zone)
+                        .flag("reachable", peer.reachable)
+                        .number("silentForMs", peer.silentForMs)
+                        .number("theyLack", peer.theyLack)
+                        .number("weLack", peer.weLack)
+                        .json());
+  const auto& state = replica_->state();
+  return JsonObject()
+      .text("node", context_.settings.node)
+      .text("zone", context_.settings.zone)
+      .flag("caughtUp", replica_->mayRead())
+      .number("keptIds", state.keptIncrements())
+      .number("maxKeptIds", CounterReplica::kMaxKeptIncrements)
+      .number("keptBytes", state.keptBytes())
+      .number("pendingCalls", replica_->pendingCalls())
+      .raw("peers", jsonArray(peers))
+      .json();
+}
+}  // namespace zinccleat::controller
--- a/libs/controller/src/runner_handlers.cpp
+++ b/libs/controller/src/runner_handlers.cpp
@@ -27,7 +27,8 @@
 }
 /// Whether a heartbeat says what the replica does not hold yet. One that comes out of order does not; a runner that
 /// drains never returns to service.
-bool isUpdate(const Runner& reported, const state_machine::ReplicatedState& replica) {
+bool isUpdate(const Runner& reported, const ControllerServices& services) {
+  const auto& replica = services.replica();
   if (replica.isDetached(reported.id))
     return false;
   const auto* known = replica.runner(reported.id);
@@ -36,7 +37,7 @@
   if (reported.sequence < known->sequence)
     return false;
   const bool stateChanges = reported.state != known->state && known->runnerState() != RunnerState::draining;
-  return stateChanges || !describesSame(reported, *known);
+  return stateChanges || !describesSame(reported, *known) || services.changesWarmup(reported);
 }
 /// The id names the content: the same update brought to two controllers is one write.
 std::string operationIdOf(const Runner& reported) {
@@ -70,7 +71,7 @@
     return errorResponse(HttpStatus::service_unavailable, "the leader does not answer");
   const auto reported = runnerOf(*heartbeat);
   services.recordHeartbeat(reported.id);
-  if (isUpdate(reported, services.replica())) {
+  if (isUpdate(reported, services)) {
     auto entry = state_machine::runnerEntry(reported, operationIdOf(reported));
     if (auto written = services.write(std::move(entry), deadline.left()); !written)
       return errorResponse(written.error());
--- a/libs/controller/src/startup.cpp
+++ b/libs/controller/src/startup.cpp
@@ -89,8 +89,8 @@
 std::optional<std::string> unusableSettings(const config::Settings& settings) {
   if (settings.dataDir.empty())
     return "settings name no dataDir for a core machine";
-  if (settings.lastPort < settings.firstPort + kCoordinationPortOffset)
-    return "internalPorts hold fewer than three ports";
+  if (settings.lastPort < settings.firstPort + kCounterPortOffset)
+    return "internalPorts hold fewer than four ports";
   if (settings.initialAttach && seedsNameOnlySelf(settings) && settings.toleratedMachineFailures > 0)
     return "seedNodes hold this machine alone, and faultTolerance.machines is " +
            std::to_string(settings.toleratedMachineFailures) + ": a core of one bears no loss";
--- a/libs/controller/src/startup.hpp
+++ b/libs/controller/src/startup.hpp
@@ -6,6 +6,8 @@
 namespace zinccleat::controller {
 /// The port of the coordination service's links, counted from the first of the machine's internal ports.
 constexpr int kCoordinationPortOffset = 2;
+/// The port of the links between replicated counters, counted likewise.
+constexpr int kCounterPortOffset = 3;
 /// Whether the settings name no other controller that this one could join.
 bool seedsNameOnlySelf(const config::Settings& settings);
 /// Why no controller can start with these settings, as one line; none: it can.
--- a/libs/controller/src/zone_drain_handlers.cpp
+++ b/libs/controller/src/zone_drain_handlers.cpp
@@ -16,11 +16,6 @@
     return wanted.drainPercent > 0 || wanted.notAccepting;
   return wanted.drainPercent > current->drainPercent || (wanted.notAccepting && !current->notAccepting);
 }
-bool isZoneOrRegion(const config::Settings& settings, const std::string& name) {
-  return std::any_of(settings.zones.begin(), settings.zones.end(), [&](const auto& zoneToRegion) {
-    return zoneToRegion.first == name || zoneToRegion.second == name;
-  });
-}
 /// Refuses a call that must not be carried out now; none: it may be.
 std::optional<ApiResponse> refusalOf(const config::ZoneDrainRequest& wanted, const ControllerServices& services) {
   if (!isZoneOrRegion(services.settings(), wanted.zone))
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -57,7 +57,7 @@
 
 void Exchange::beginAttempt(int runnerIndex) {
   ++context.attempts;
-  context.runners.attemptStarted(runnerIndex, query.promptTokens);
+  context.runners.attemptStarted(runnerIndex, query.promptTokens, now());
   runner = runnerIndex;
   prefillTokens = query.promptTokens;
   pendingAttempt = {runnerIndex, service, prefillTokens, now(), false};
--- a/libs/proxy_daemon/include/proxy_daemon/zone_drains.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/zone_drains.hpp
@@ -13,4 +13,7 @@
 std::set<std::string> zonesNamed(const ZoneToRegion& zones, const std::string& name);
 /// The drain of each zone; where those of zone and region meet, the stricter one.
 ZoneDrainLevels drainLevels(const ZoneToRegion& zones, const std::vector<state_machine::ZoneDrain>& drains);
+/// Adds the zones that get nothing at all.
+/// @param evacuated zones and regions.
+void addEvacuations(ZoneDrainLevels& levels, const ZoneToRegion& zones, const std::vector<std::string>& evacuated);
 }  // namespace zinccleat::proxy_daemon
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -212,6 +212,7 @@
   if (granted->newestRequest)
     context_.quota.refillReserve(response.grants, granted->requestedAt);
   context_.revisions.addGrants(response.extension.exposures, granted->requestedAt);
+  context_.runners.setWarmupGrants(response.extension.extension.warmups, granted->requestedAt);
   if (response.accessMachines > 0)
     context_.retryBudget.setReserve(
         settings_.timers.retrySlack * kRetrySlackPart / static_cast<double>(response.accessMachines), retrySlackDraw_);
--- a/libs/proxy_daemon/src/node_report.cpp
+++ b/libs/proxy_daemon/src/node_report.cpp
@@ -24,6 +24,8 @@
   context_.recordSlowAttempts(now);
   request.attempts = context_.observer.takeReport(kMaxReportedRunners);
   request.extension.rollouts = context_.revisions.takeReports();
+  if (context_.runners.hasLimitedWarmup(now))
+    request.extension.extension.warmupZone = context_.zone;
   for (auto& report : request.extension.rollouts)
     report.baselineInFlight = context_.runners.inFlightAtOtherRevisions(report.service, report.revision);
 }
--- a/libs/proxy_daemon/src/state_adoption.cpp
+++ b/libs/proxy_daemon/src/state_adoption.cpp
@@ -27,7 +27,9 @@
   auto levels = drainLevels(zones_, state.zoneDrains);
   const auto own = levels.find(context_.zone);
   context_.zoneDraining = own != levels.end() && own->second.migrateStreams;
+  addEvacuations(levels, zones_, state.evacuatedZones);
   context_.runners.setZoneDrains(std::move(levels));
+  context_.runners.setEvacuations(state.evacuatedZones, Clock::now());
 }
 bool StateAdoption::adoptConfiguration(const state_machine::StateContents& state) {
   const auto configuration = config::parseConfiguration(state.configuration);
@@ -36,6 +38,7 @@
     return false;
   }
   context_.configuration = *configuration;
+  context_.runners.setServices((*configuration)->services);
   return true;
 }
 }  // namespace zinccleat::proxy_daemon
--- a/libs/proxy_daemon/src/zone_drains.cpp
+++ b/libs/proxy_daemon/src/zone_drains.cpp
@@ -18,4 +18,9 @@
     }
   return levels;
 }
+void addEvacuations(ZoneDrainLevels& levels, const ZoneToRegion& zones, const std::vector<std::string>& evacuated) {
+  for (const auto& place : evacuated)
+    for (const auto& zone : zonesNamed(zones, place))
+      levels[zone].evacuated = true;
+}
 }  // namespace zinccleat::proxy_daemon
--- /dev/null
+++ b/libs/replicated_counters/src/counter_replica.cpp
@@ -0,0 +1,354 @@
+#include "replicated_counters/counter_replica.hpp"
+
+namespace zinccleat::replicated_counters {
+namespace {
+constexpr Duration kRequestTimeout{400};  // a request that brought nothing is sent again after this
+constexpr Duration kPushToAllAfter{150};  // the first choice of peers did not answer
+constexpr Duration kEpochLength{60'000};  // how finely the age of ids is known
+// The disk's records are replaced by a snapshot once they are twice as large, so that snapshots cost half as much as
+// the records do; and no later than a start can read at ease, since each record is a file.
+constexpr int kMinRecordsPerSnapshot = 256;
+constexpr int kMaxRecordsPerSnapshot = 4096;
+constexpr std::size_t kRecordBytesPerSnapshotByte = 2;
+
+std::map<OriginId, std::int64_t> sequencesOf(const std::vector<OriginProgress>& progress) {
+  std::map<OriginId, std::int64_t> sequences;
+  for (const auto& [origin, sequence] : progress)
+    sequences[origin] = sequence;
+  return sequences;
+}
+std::int64_t valueOf(const std::map<OriginId, std::int64_t>& sequences, OriginId origin) {
+  const auto found = sequences.find(origin);
+  return found == sequences.end() ? 0 : found->second;
+}
+void raiseTo(std::map<OriginId, std::int64_t>& sequences, OriginId origin, std::int64_t sequence) {
+  auto& value = sequences[origin];
+  value = std::max(value, sequence);
+}
+std::int64_t missingIn(const std::map<OriginId, std::int64_t>& other, const std::map<OriginId, std::int64_t>& all) {
+  std::int64_t missing = 0;
+  for (const auto& [origin, sequence] : all)
+    missing += std::max<std::int64_t>(0, sequence - valueOf(other, origin));
+  return missing;
+}
+std::size_t bytesOf(const IncrementBatch& batch) {
+  constexpr std::size_t kFixed = 16;
+  std::size_t bytes = kFixed;
+  for (const auto& range : batch.ranges)
+    for (const auto& increment : range.increments)
+      bytes += kFixed + increment.counter.size() + increment.instanceId.size();
+  for (const auto& folded : batch.folded)
+    for (const auto& amount : folded.amounts)
+      bytes += kFixed + amount.counter.size();
+  return bytes;
+}
+/// Adds a batch behind another one; ranges that continue the last one are joined to it.
+void appendTo(IncrementBatch& batch, IncrementBatch more) {
+  std::move(more.folded.begin(), more.folded.end(), std::back_inserter(batch.folded));
+  std::move(more.foldedIds.begin(), more.foldedIds.end(), std::back_inserter(batch.foldedIds));
+  for (auto& range : more.ranges) {
+    const bool continues = !batch.ranges.empty() && batch.ranges.back().origin == range.origin;
+    if (continues)
+      std::move(range.increments.begin(), range.increments.end(), std::back_inserter(batch.ranges.back().increments));
+    else
+      batch.ranges.push_back(std::move(range));
+  }
+}
+}  // namespace
+
+void CounterReplica::recover(const IncrementBatch& record) {
+  hadRecords_ = true;
+  state_.merge(record);
+  durable_ = sequencesOf(state_.progress());
+  ++recordsSinceSnapshot_;
+  bytesSinceSnapshot_ += bytesOf(record);
+}
+void CounterReplica::setPeers(const std::set<std::string>& addresses) {
+  for (auto& [address, peer] : peers_)
+    peer.isMember = addresses.contains(address);
+  for (const auto& address : addresses)
+    peers_[address].isMember = true;
+}
+CounterReplica::Peer& CounterReplica::heard(TimePoint now, const std::string& from) {
+  auto& peer = peers_[from];
+  peer.heardAt = now;
+  return peer;
+}
+std::vector<Action> CounterReplica::takeActions() {
+  return std::exchange(actions_, {});
+}
+
+// --- increments of callers ---
+
+Result<void> CounterReplica::add(TimePoint now, std::int64_t callId, const Increment& increment) {
+  auto position = state_.find(increment.instanceId);
+  if (!position) {
+    if (state_.keptIncrements() >= kMaxKeptIncrements)
+      return makeError(ErrorCode::limitReached, "no room for the id of another increment");
+    state_.append(options_.origin, increment);
+    const auto sequence = state_.sequenceOf(options_.origin);
+    position = {options_.origin, sequence};
+    appendTo(unpersisted_, {{}, {}, {{options_.origin, sequence, {increment}}}});
+    pushUrgently(increment, sequence, now);
+    persistIfIdle();
+  }
+  pending_.push_back({callId, *position, now, false});
+  acknowledgeWhatIsSafe(now);
+  return {};
+}
+void CounterReplica::cancel(std::int64_t callId) {
+  std::erase_if(pending_, [callId](const PendingCall& call) { return call.callId == callId; });
+}
+int CounterReplica::requiredCopies(TimePoint now) const {
+  if (now - startedAt_ < kStartGrace)
+    return options_.copies;
+  const auto reachable =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) { return isReachable(entry.second, now); });
+  return std::min(options_.copies, static_cast<int>(reachable));
+}
+int CounterReplica::copiesOf(const CounterState::Position& position) const {
+  return static_cast<int>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return valueOf(entry.second.durable, position.origin) >= position.sequence;
+  }));
+}
+bool CounterReplica::isDurable(const CounterState::Position& position) const {
+  return valueOf(durable_, position.origin) >= position.sequence;
+}
+void CounterReplica::acknowledgeWhatIsSafe(TimePoint now) {
+  const auto required = requiredCopies(now);
+  std::erase_if(pending_, [&](const PendingCall& call) {
+    const bool safe = isDurable(call.position) && copiesOf(call.position) >= required;
+    if (safe)
+      actions_.emplace_back(Acknowledge{call.callId});
+    return safe;
+  });
+}
+std::vector<std::string> CounterReplica::peersByPreference(TimePoint now) const {
+  struct Choice {
+    bool sameZone;
+    std::uint64_t order;
+    std::string address;
+    auto operator<=>(const Choice&) const = default;
+  };
+  std::vector<Choice> choices;
+  for (const auto& [address, peer] : peers_)
+    if (isReachable(peer, now))
+      choices.push_back(
+          {peer.zone == options_.zone, hash64(address, static_cast<std::uint64_t>(options_.origin)), address});
+  std::sort(choices.begin(), choices.end());
+  std::vector<std::string> addresses;
+  addresses.reserve(choices.size());
+  for (auto& choice : choices)
+    addresses.push_back(std::move(choice.address));
+  return addresses;
+}
+void CounterReplica::pushUrgently(const Increment& increment, std::int64_t sequence, TimePoint now) {
+  auto addresses = peersByPreference(now);
+  if (addresses.size() > static_cast<std::size_t>(options_.copies))
+    addresses.resize(static_cast<std::size_t>(options_.copies));
+  for (auto& address : addresses)
+    actions_.emplace_back(
+        SendTransfer{std::move(address), {true, {{}, {}, {{options_.origin, sequence, {increment}}}}}});
+}
+void CounterReplica::pushToAll(PendingCall& call, TimePoint now) {
+  call.pushedToAll = true;
+  const auto origin = call.position.origin;
+  for (const auto& address : peersByPreference(now)) {
+    const auto known = valueOf(peers_[address].durable, origin);
+    if (known < call.position.sequence)
+      actions_.emplace_back(SendTransfer{address, {true, state_.batchAfter({{origin, known}}, kTransferBytes)}});
+  }
+}
+
+// --- messages ---
+
+void CounterReplica::receive(TimePoint now, const std::string& from, const ProgressReport& report) {
+  auto& peer = heard(now, from);
+  peer.zone = report.zone;
+  // A peer that came back with another disk reports less than before: its copies are gone.
+  peer.durable = sequencesOf(report.progress);
+  if (!std::exchange(peer.hasReported, true))
+    peer.reportedAtFirst = peer.durable;
+  acknowledgeWhatIsSafe(now);
+  requestMissing(now, from);
+  checkCaughtUp(now);
+}
+void CounterReplica::requestMissing(TimePoint now, const std::string& from) {
+  auto& peer = peers_[from];
+  if (peer.requestedAt && now - *peer.requestedAt < kRequestTimeout)
+    return;
+  TransferRequest request;
+  for (const auto& [origin, sequence] : peer.durable) {
+    const auto own = state_.sequenceOf(origin);
+    const bool isRequested = std::any_of(peers_.begin(), peers_.end(), [&, reached = sequence](const auto& entry) {
+      const auto& other = entry.second;
+      return other.requestedAt && now - *other.requestedAt < kRequestTimeout &&
+             valueOf(other.durable, origin) >= reached;
+    });
+    if (sequence > own && !isRequested)
+      request.after.push_back({origin, own});
+  }
+  if (request.after.empty())
+    return;
+  peer.requestedAt = now;
+  actions_.emplace_back(SendRequest{from, std::move(request)});
+}
+void CounterReplica::receive(TimePoint now, const std::string& from, const TransferRequest& request) {
+  heard(now, from);
+  auto batch = state_.batchAfter(request.after, kTransferBytes);
+  if (!batch.empty())
+    actions_.emplace_back(SendTransfer{from, {false, std::move(batch)}});
+}
+void CounterReplica::receive(TimePoint now, const std::string& from, const IncrementTransfer& transfer) {
+  auto& peer = heard(now, from);
+  if (!transfer.urgent)
+    peer.requestedAt.reset();
+  mergeReceived(transfer.batch);
+  if (transfer.urgent)
+    owedReports_.insert(from);
+  persistIfIdle();
+  if (!isPersisting_)
+    for (const auto& address : std::exchange(owedReports_, {}))
+      reportTo(address);
+  if (!transfer.urgent)
+    requestMissing(now, from);
+  checkCaughtUp(now);
+}
+void CounterReplica::mergeReceived(const IncrementBatch& batch) {
+  auto fresh = state_.merge(batch);
+  if (!fresh.empty())
+    appendTo(unpersisted_, std::move(fresh));
+}
+void CounterReplica::reportTo(const std::string& address) {
+  ProgressReport report;
+  report.zone = options_.zone;
+  for (const auto& [origin, sequence] : durable_)
+    report.progress.push_back({origin, sequence});
+  actions_.emplace_back(SendReport{address, std::move(report)});
+}
+
+// --- the disk ---
+
+void CounterReplica::persistIfIdle() {
+  if (isPersisting_ || (unpersisted_.empty() && !snapshotIsDue_))
+    return;
+  const bool full = std::exchange(snapshotIsDue_, false);
+  PersistBatch write{full ? state_.snapshot() : std::move(unpersisted_), full};
+  unpersisted_ = {};
+  isPersisting_ = true;
+  persisting_ = sequencesOf(state_.progress());
+  const auto bytes = bytesOf(write.batch);
+  recordsSinceSnapshot_ = full ? 0 : recordsSinceSnapshot_ + 1;
+  bytesSinceSnapshot_ = full ? 0 : bytesSinceSnapshot_ + bytes;
+  if (full)
+    snapshotBytes_ = bytes;
+  const bool large = bytesSinceSnapshot_ >= kRecordBytesPerSnapshotByte * snapshotBytes_;
+  snapshotIsDue_ =
+      recordsSinceSnapshot_ >= kMaxRecordsPerSnapshot || (recordsSinceSnapshot_ >= kMinRecordsPerSnapshot && large);
+  actions_.emplace_back(std::move(write));
+}
+void CounterReplica::persisted(TimePoint now) {
+  checkInvariant(isPersisting_, "a write to the disk ends once");
+  isPersisting_ = false;
+  durable_ = std::move(persisting_);
+  persistIfIdle();
+  for (const auto& address : std::exchange(owedReports_, {}))
+    reportTo(address);
+  acknowledgeWhatIsSafe(now);
+}
+
+// --- time ---
+
+void CounterReplica::tick(TimePoint now) {
+  for (auto& call : pending_)
+    if (!call.pushedToAll && now - call.since >= kPushToAllAfter)
+      pushToAll(call, now);
+  if (now - reportedAt_ >= kReportInterval)
+    reportToAll(now);
+  persistIfIdle();
+  acknowledgeWhatIsSafe(now);
+  checkCaughtUp(now);
+  foldOldIds(now);
+}
+void CounterReplica::reportToAll(TimePoint now) {
+  reportedAt_ = now;
+  for (const auto& [address, peer] : peers_)
+    if (peer.isMember || isReachable(peer, now))
+      reportTo(address);
+  std::erase_if(peers_, [&](const auto& entry) {
+    return !entry.second.isMember && now - entry.second.heardAt.value_or(startedAt_) >= kForgetPeer;
+  });
+}
+bool CounterReplica::hasReached(const Sequences& target) const {
+  return std::all_of(target.begin(), target.end(),
+                     [&](const auto& entry) { return state_.sequenceOf(entry.first) >= entry.second; });
+}
+void CounterReplica::checkCaughtUp(TimePoint now) {
+  if (caughtUp_)
+    return;
+  std::size_t reported = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.hasReported)
+      continue;
+    ++reported;
+    if (!hasReached(peer.reportedAtFirst))
+      return;
+  }
+  // The peers may not all be known yet: as many as bear the loss of `copies` machines are assumed.
+  const auto members = std::max(peers_.size() + 1, static_cast<std::size_t>(2 * options_.copies + 1));
+  const bool hasMajority = reported + 1 > members / 2;
+  const bool waitedLong =
+      hadRecords_ ? now - startedAt_ >= kCatchUpGrace : now - startedAt_ >= kEmptyCatchUpGrace && reported > 0;
+  caughtUp_ = hasMajority || waitedLong;
+}
+
+// --- forgetting ids ---
+
+bool CounterReplica::allPeersHave(const Sequences& sequences, TimePoint now) const {
+  return std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const auto& peer = entry.second;
+    const auto lastHeard = peer.heardAt.value_or(startedAt_);
+    return now - lastHeard >= kForgetPeer || (peer.hasReported && missingIn(peer.durable, sequences) == 0);
+  });
+}
+// In two steps. An id may have been accepted at two replicas, each before it heard of the other. Once all peers have a
+// position on their disks none of them accepts its id again. What they had accepted until then is in their reports;
+// once all peers have that too, every replica knows all positions of these ids and folds the same ones.
+void CounterReplica::foldOldIds(TimePoint now) {
+  if (now - epochAt_ < kEpochLength)
+    return;
+  epochAt_ = now;
+  epochs_.push_back({now, durable_});
+  if (foldLimit_) {
+    if (!allPeersHave(foldBarrier_, now) || !hasReached(foldBarrier_))
+      return;
+    for (const auto& [origin, sequence] : *foldLimit_)
+      state_.fold(origin, sequence);
+    foldLimit_.reset();
+    snapshotIsDue_ = true;
+    persistIfIdle();
+    return;
+  }
+  while (epochs_.size() > 1 && now - epochs_[1].at >= kKeepIds)
+    epochs_.pop_front();
+  if (now - epochs_.front().at < kKeepIds || !allPeersHave(epochs_.front().reached, now))
+    return;
+  foldLimit_ = epochs_.front().reached;
+  foldBarrier_ = sequencesOf(state_.progress());
+  for (const auto& [address, peer] : peers_)
+    for (const auto& [origin, sequence] : peer.durable)
+      raiseTo(foldBarrier_, origin, sequence);
+}
+std::vector<PeerStatus> CounterReplica::peers(TimePoint now) const {
+  const auto own = sequencesOf(state_.progress());
+  std::vector<PeerStatus> statuses;
+  for (const auto& [address, peer] : peers_) {
+    PeerStatus status{
+        address, peer.zone, isReachable(peer, now), missingIn(peer.durable, own), missingIn(own, peer.durable), -1};
+    if (peer.heardAt)
+      status.silentForMs = toDuration(now - *peer.heardAt).count();
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
+}
+}  // namespace zinccleat::replicated_counters
--- a/libs/state_machine/include/state_machine/fleet_state.hpp
+++ b/libs/state_machine/include/state_machine/fleet_state.hpp
@@ -57,6 +57,18 @@
   }
 };
 
+/// Nothing is to be sent to the runners of a zone or region, whatever else is available. Beside `ZoneDrain`, which an
+/// operator turns up in steps and which prefers other runners: the two are begun and ended apart.
+struct ZoneEvacuation {
+  std::string zone;        ///< name of a zone, or of a region: all its zones
+  bool evacuated = false;  ///< false: the zone is back in use
+  /// Lists the fields in wire order.
+  template <class V>
+  void fields(V& v) {
+    v("zone", zone), v("evacuated", evacuated);
+  }
+};
+
 /// Everything that a replica holds.
 struct StateContents {
   std::int64_t index = 0;    ///< log index of the newest entry applied
@@ -72,6 +84,7 @@
   AcceptedConfigurations acceptedConfigurations;
   OperationDeduplication operations;
   DetachedRunners detachedRunners;
-  ShardFounding shardFounding;  ///< known to controllers only
+  ShardFounding shardFounding;              ///< known to controllers only
+  std::vector<std::string> evacuatedZones;  ///< zones and regions, in alphabetical order
 };
 }  // namespace zinccleat::state_machine
--- a/libs/state_machine/include/state_machine/log_entries.hpp
+++ b/libs/state_machine/include/state_machine/log_entries.hpp
@@ -20,6 +20,8 @@
 /// Starts, changes or ends the drain of a zone.
 /// @param open true: the zone is back in use, its drain is removed.
 transport::LogEntry zoneDrainEntry(const ZoneDrain& zoneDrain, bool open, std::string operationId);
+/// Begins or ends the evacuation of a zone.
+transport::LogEntry zoneEvacuationEntry(const ZoneEvacuation& evacuation, std::string operationId);
 /// A runner joins, drains or detaches. Detached with sequence 0: its heartbeats were missed, so it may join again.
 transport::LogEntry runnerEntry(const Runner& runner, std::string operationId);
 
--- a/libs/state_machine/include/state_machine/replicated_state.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -29,7 +29,7 @@
   struct Change {
     bool configuration = false;
     bool runners = false;
-    bool zoneDrains = false;
+    bool zoneDrains = false;  ///< also of evacuations
     bool rollouts = false;
     /// The entry's delta did not fit this replica's configuration: the replica is corrupted, see `corrupted`.
     bool corrupted = false;
@@ -80,6 +80,7 @@
   Verdict applyOperation(const transport::LogEntry& entry, Change& change);
   Verdict applyConfiguration(const transport::LogEntry& entry, Change& change);
   void applyZoneDrain(const transport::LogEntry& entry, Change& change);
+  void applyZoneEvacuation(const transport::LogEntry& entry, Change& change);
   void applyRunner(const transport::LogEntry& entry, Change& change);
   Verdict applyRolloutBegin(const transport::LogEntry& entry, Change& change);
   Verdict applyRolloutProgress(const transport::LogEntry& entry, Change& change);
--- a/libs/state_machine/src/log_entries.cpp
+++ b/libs/state_machine/src/log_entries.cpp
@@ -44,6 +44,9 @@
   entry.base = open ? 1 : 0;
   return entry;
 }
+transport::LogEntry zoneEvacuationEntry(const ZoneEvacuation& evacuation, std::string operationId) {
+  return entryOf(transport::OperationKind::zoneEvacuation, std::move(operationId), avro::encode(evacuation));
+}
 transport::LogEntry runnerEntry(const Runner& runner, std::string operationId) {
   return entryOf(transport::OperationKind::runner, std::move(operationId), encodeRunner(runner));
 }
--- a/libs/state_machine/src/replicated_state.cpp
+++ b/libs/state_machine/src/replicated_state.cpp
@@ -33,6 +33,9 @@
     case transport::OperationKind::zoneDrain:
       applyZoneDrain(entry, change);
       return Verdict::acknowledged;
+    case transport::OperationKind::zoneEvacuation:
+      applyZoneEvacuation(entry, change);
+      return Verdict::acknowledged;
     case transport::OperationKind::runner:
       applyRunner(entry, change);
       return Verdict::acknowledged;
@@ -101,6 +104,22 @@
   change.zoneDrains = true;
 }
 
+void ReplicatedState::applyZoneEvacuation(const transport::LogEntry& entry, Change& change) {
+  const auto evacuation = avro::decode<ZoneEvacuation>(entry.body);
+  if (!evacuation)
+    return;
+  auto& zones = contents_.evacuatedZones;
+  const auto place = std::lower_bound(zones.begin(), zones.end(), evacuation->zone);
+  const bool isEvacuated = place != zones.end() && *place == evacuation->zone;
+  if (isEvacuated == evacuation->evacuated)
+    return;
+  if (evacuation->evacuated)
+    zones.insert(place, evacuation->zone);
+  else
+    zones.erase(place);
+  change.zoneDrains = true;
+}
+
 // --- Runners ---
 
 void ReplicatedState::applyRunner(const transport::LogEntry& entry, Change& change) {
--- a/libs/state_machine/src/snapshot_codec.cpp
+++ b/libs/state_machine/src/snapshot_codec.cpp
@@ -33,7 +33,8 @@
 }
 // Behind the record of format 2, and each read only where the bytes reach so far: earlier versions ignore what follows.
 std::string encodeExtensions(const StateContents& contents, SnapshotScope scope) {
-  const bool hasFounding = scope == SnapshotScope::controller && contents.shardFounding.isAgreed();
+  const bool hasEvacuations = !contents.evacuatedZones.empty();
+  const bool hasFounding = hasEvacuations || (scope == SnapshotScope::controller && contents.shardFounding.isAgreed());
   const bool hasSoftware = std::any_of(contents.runners.begin(), contents.runners.end(),
                                        [](const Runner& runner) { return runner.software != RunnerSoftware{}; });
   if (!hasSoftware && contents.rollouts.empty() && !hasFounding)
@@ -46,6 +47,8 @@
   auto bytes = avro::encode(std::move(extension));
   if (hasFounding)
     bytes += avro::encode(contents.shardFounding);
+  if (hasEvacuations)
+    bytes += avro::encode(format::Snapshot2Evacuations{contents.evacuatedZones});
   return bytes;
 }
 std::string encodeRecord(format::Snapshot2 record, const StateContents& contents, SnapshotScope scope) {
@@ -97,14 +100,25 @@
   return snapshot;
 }
 
+Result<void> addEvacuations(std::string_view bytes, StateContents& contents) {
+  auto evacuations = avro::decode<format::Snapshot2Evacuations>(bytes);
+  if (!evacuations)
+    return tl::unexpected(evacuations.error());
+  contents.evacuatedZones = std::move(evacuations->zones);
+  std::sort(contents.evacuatedZones.begin(), contents.evacuatedZones.end());
+  return {};
+}
 Result<void> addFounding(std::string_view bytes, StateContents& contents) {
-  auto founding = avro::decode<ShardFounding>(bytes);
+  std::size_t consumed = 0;
+  auto founding = avro::decode<ShardFounding>(bytes, &consumed);
   if (!founding)
     return tl::unexpected(founding.error());
-  if (!founding->isAgreed())
+  // Where it is not agreed on yet it only stands before the evacuations.
+  const bool isLast = consumed >= bytes.size();
+  if (founding->shards < 0 || (isLast && !founding->isAgreed()))
     return makeError(ErrorCode::corruption, "a snapshot with an impossible number of shards");
   contents.shardFounding = std::move(*founding);
-  return {};
+  return isLast ? Result<void>{} : addEvacuations(bytes.substr(consumed), contents);
 }
 /// Takes over what stands behind the record of format 2.
 Result<void> addExtension(std::string_view bytes, StateContents& contents) {
--- a/libs/state_machine/src/snapshot_formats.hpp
+++ b/libs/state_machine/src/snapshot_formats.hpp
@@ -44,6 +44,16 @@
   }
 };
 
+/// A third record, behind the extension and the founding of shards, left out while it is empty; then the founding is
+/// always there. Versions without evacuations ignore it.
+struct Snapshot2Evacuations {
+  std::vector<std::string> zones;
+  template <class V>
+  void fields(V& v) {
+    v("zones", zones);
+  }
+};
+
 /// An accepted configuration in format 1.
 struct AcceptedConfiguration1 {
   std::int64_t version = 0;
--- a/libs/transport/include/transport/access_messages.hpp
+++ b/libs/transport/include/transport/access_messages.hpp
@@ -14,6 +14,7 @@
 #include "transport/lease_records.hpp"
 #include "transport/messages.hpp"
 #include "transport/rollout_records.hpp"
+#include "transport/warmup_records.hpp"
 namespace zinccleat::transport {
 /// A message with a `requestId`.
 template <class T>
@@ -240,8 +241,18 @@
 struct LeaseRequest {
   static constexpr auto kType = MessageType::leaseRequest;
   struct Extension {
+    /// Sent while runners are warming up.
+    struct WarmupExtension {
+      std::string warmupZone;  ///< the sender's zone: it asks for `WarmupGrant`s
+      bool empty() const { return warmupZone.empty(); }
+      template <class V>
+      void fields(V& v) {
+        v("warmupZone", warmupZone);
+      }
+    };
     std::vector<RolloutReport> rollouts;  ///< of the services that are being rolled out
-    bool empty() const { return rollouts.empty(); }
+    WarmupExtension extension{};
+    bool empty() const { return rollouts.empty() && extension.empty(); }
     template <class V>
     void fields(V& v) {
       v("rollouts", rollouts);
@@ -263,8 +274,18 @@
 struct LeaseResponse {
   static constexpr auto kType = MessageType::leaseResponse;
   struct Extension {
+    /// Sent while runners are warming up.
+    struct WarmupExtension {
+      std::vector<WarmupGrant> warmups;
+      bool empty() const { return warmups.empty(); }
+      template <class V>
+      void fields(V& v) {
+        v("warmups", warmups);
+      }
+    };
     std::vector<ExposureGrant> exposures;  ///< for the rollouts that the request reported on
-    bool empty() const { return exposures.empty(); }
+    WarmupExtension extension{};
+    bool empty() const { return exposures.empty() && extension.empty(); }
     template <class V>
     void fields(V& v) {
       v("exposures", exposures);
--- a/libs/transport/include/transport/envelope.hpp
+++ b/libs/transport/include/transport/envelope.hpp
@@ -34,9 +34,13 @@
   coordinationResult,
   shardRecordsQuery,
   shardRecordsAnswer,
+  // Between core machines, on the links of the replicated counters.
+  counterProgressReport,
+  counterTransferRequest,
+  counterTransfer,
 };
 /// The type with the highest number.
-constexpr MessageType kLastMessageType = MessageType::shardRecordsAnswer;
+constexpr MessageType kLastMessageType = MessageType::counterTransfer;
 
 /// A message as it travels.
 struct Envelope {
@@ -46,20 +50,42 @@
 };
 /// A message that later versions have given further fields, in a struct of their own called `Extension`. They are
 /// encoded as a second record behind the first, which receivers of earlier versions ignore; a message whose extension
-/// is empty has the same bytes as before.
+/// is empty has the same bytes as before. An extension may itself have one.
 template <class T>
 concept Extensible = requires(const T message) {
   { message.extension.empty() } -> std::same_as<bool>;
 };
 
+/// Encodes a record and the extensions that it has.
+template <class T>
+std::string encodeExtended(const T& record) {
+  auto payload = avro::encode(record);
+  if constexpr (Extensible<T>)
+    if (!record.extension.empty())
+      payload += encodeExtended(record.extension);
+  return payload;
+}
+/// Decodes a record and the extensions that the bytes hold.
+/// @return `ErrorCode::corruption` if the record or one of them does not parse.
+template <class T>
+Result<T> decodeExtended(std::string_view payload) {
+  std::size_t consumed = 0;
+  auto record = avro::decode<T>(payload, &consumed);
+  if constexpr (Extensible<T>) {
+    if (!record || consumed >= payload.size())
+      return record;
+    auto extension = decodeExtended<decltype(record->extension)>(payload.substr(consumed));
+    if (!extension)
+      return tl::unexpected(std::move(extension.error()));
+    record->extension = std::move(*extension);
+  }
+  return record;
+}
+
 /// Encodes a message.
 template <class T>
 Envelope pack(const T& message, std::string sender = {}) {
-  auto payload = avro::encode(message);
-  if constexpr (Extensible<T>)
-    if (!message.extension.empty())
-      payload += avro::encode(message.extension);
-  return {T::kType, std::move(sender), std::move(payload)};
+  return {T::kType, std::move(sender), encodeExtended(message)};
 }
 /// Decodes a message.
 /// @return `ErrorCode::corruption` if the envelope holds another type of message, or fields that do not parse.
@@ -68,18 +94,6 @@
   if (envelope.type != T::kType)
     return makeError(ErrorCode::corruption, "a message of type " + std::to_string(static_cast<int>(envelope.type)) +
                                                 " instead of " + std::to_string(static_cast<int>(T::kType)));
-  if constexpr (Extensible<T>) {
-    std::size_t consumed = 0;
-    auto message = avro::decode<T>(envelope.payload, &consumed);
-    if (!message || consumed >= envelope.payload.size())
-      return message;
-    auto extension = avro::decode<typename T::Extension>(std::string_view(envelope.payload).substr(consumed));
-    if (!extension)
-      return tl::unexpected(std::move(extension.error()));
-    message->extension = std::move(*extension);
-    return message;
-  } else {
-    return avro::decode<T>(envelope.payload);
-  }
+  return decodeExtended<T>(envelope.payload);
 }
 }  // namespace zinccleat::transport
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -14,6 +14,7 @@
   rolloutProgress = 7,     ///< how far a rollout has come
   coordination = 8,        ///< a batch of commands; in the logs of the coordination service only
   shardsFounded = 9,       ///< who founds the logs of the coordination service, agreed on once
+  zoneEvacuation = 10,     ///< begins or ends the evacuation of a zone
 };
 
 /// One entry of the replicated log.
--- a/libs/transport/src/zone_traffic.cpp
+++ b/libs/transport/src/zone_traffic.cpp
@@ -30,6 +30,11 @@
     "coordinationConsensus",
     "coordinationCall",
     "coordinationResult",
+    "shardRecordsQuery",
+    "shardRecordsAnswer",
+    "counterProgressReport",
+    "counterTransferRequest",
+    "counterTransfer",
 };
 }  // namespace
 
