--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -21,7 +21,7 @@
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
 ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, scale-run: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
-ABSL_FLAG(bool, json, false, "status, rollout, shards: as JSON");
+ABSL_FLAG(bool, json, false, "status, rollout, shards, tally sides: as JSON");
 ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
 ABSL_FLAG(bool, verbose, false, "write log notes at once, not only when something goes wrong");
 
@@ -42,6 +42,9 @@
     "  number NAME ADDRESS:PORT...  the next number of a name\n"
     "  cells get NAME, cells put NAME VALUE REVISION|any ADDRESS:PORT...  reads or puts a cell\n"
     "  watch GROUP REVISION ADDRESS:PORT...  follows the puts of a group\n"
+    "  tally add NAME INSTANCE_ID AMOUNT, tally get NAME ADDRESS:PORT...  adds to or reads a replicated counter\n"
+    "  tally sides ADDRESS:PORT... [--json]  whom each node reaches, and which increments either side lacks\n"
+    "  evacuation begin|release ZONE ADDRESS:PORT...  sends nothing more to a zone's runners, takes it back in use\n"
     "  shards ADDRESS:PORT... [--json]  the coordination service as each node sees it\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
     "  scale-run [FILE] [--set name=value,...] [--json]  a scale run on loopback: real controllers, hollow nodes\n"
@@ -70,7 +73,7 @@
                                             {"verbose", "proxy agent controller"},
                                             {"set", "runbook scale-run"},
                                             {"dry", "runbook"},
-                                            {"json", "status rollout shards scale-run"},
+                                            {"json", "status rollout shards tally scale-run"},
                                             {"seconds", "trial"}}};
 
 // The flag's name in an argument "--name" or "--name=value"; nothing if it is no flag.
@@ -150,6 +153,12 @@
 int cells(const Arguments& arguments) {
   return operations::coordinationCommand("cells", arguments);
 }
+int tally(const Arguments& arguments) {
+  return operations::tallyCommand(arguments, absl::GetFlag(FLAGS_json));
+}
+int evacuation(const Arguments& arguments) {
+  return operations::coordinationCommand("evacuation", arguments);
+}
 int shards(const Arguments& arguments) {
   return operations::shardsCommand(arguments, absl::GetFlag(FLAGS_json));
 }
@@ -207,7 +216,7 @@
   std::string_view name;
   int (*run)(const Arguments& arguments);
 };
-constexpr std::array<Subcommand, 14> kSubcommands{{{"proxy", proxyDaemon},
+constexpr std::array<Subcommand, 16> kSubcommands{{{"proxy", proxyDaemon},
                                                    {"agent", agentDaemon},
                                                    {"controller", controllerDaemon},
                                                    {"check", check},
@@ -218,6 +227,8 @@
                                                    {"cells", cells},
                                                    {"watch", operations::watchCommand},
                                                    {"shards", shards},
+                                                   {"tally", tally},
+                                                   {"evacuation", evacuation},
                                                    {"runbook", runbook},
                                                    {"scale-run", scaleRun},
                                                    {"trial", trial}}};
--- a/libs/controller/src/counter_service.cpp
+++ b/libs/controller/src/counter_service.cpp
@@ -174,6 +174,7 @@
   std::vector<std::string> peers;
   for (const auto& peer : replica_->peers(now))
     peers.push_back(JsonObject()
+                        .number("peer", peers.size())
                         .text("address", peer.address)
                         .text("zone", peer.zone)
                         .flag("reachable", peer.reachable)
--- a/libs/controller/src/warmup_allocator.cpp
+++ b/libs/controller/src/warmup_allocator.cpp
@@ -3,7 +3,8 @@
 namespace zinccleat::controller {
 namespace {
 // Parts of what a runner may get in any second. A grant is used within its lifetime, 0.7 s, so a second holds what the
-// bucket refilled in 1.7 s and what it held before: 1.7 x 0.4 + 0.15 = 0.83 of the bound.
+// bucket refilled in 1.7 s and what it held before: 1.7 x 0.4 + 0.15 = 0.83 of the bound. Where the bound is small the
+// bucket holds one all the same, and refills no faster than the runner bears.
 constexpr double kRefillPart = 0.4;
 constexpr double kCapacityPart = 0.15;
 constexpr std::size_t kMaxGrants = 24;  // in one answer
@@ -31,7 +32,7 @@
   return std::min(warmups_.requestsPerS(runner), kRefillPart * allowedPerS(runner));
 }
 double WarmupAllocator::capacity(const std::string& runner) const {
-  return kCapacityPart * allowedPerS(runner);
+  return std::max(1.0, kCapacityPart * allowedPerS(runner));
 }
 WarmupAllocator::TokenBucket& WarmupAllocator::refilledBucket(TimePoint now, const std::string& runner) {
   auto& bucket = buckets_[runner];
--- a/libs/operations/include/operations/commands.hpp
+++ b/libs/operations/include/operations/commands.hpp
@@ -23,8 +23,8 @@
 /// `zinccleat rollout VERB SERVICE ...`: orders, shows, follows or takes back the rollout of a service.
 /// @return of `watch`: 0 once it is completed, 1 once it is reverted, 2 if no controller answers
 int rolloutCommand(const RolloutCommand& command);
-/// `zinccleat lock|number|cells ...`: one call for coordination; prints the answer's body.
-/// @param subject `lock`, `number` or `cells`
+/// `zinccleat lock|number|cells|evacuation ...`: one call; prints the answer's body.
+/// @param subject `lock`, `number`, `cells`, `tally` or `evacuation`
 /// @param arguments the verb, where the subject has verbs, its arguments, and the nodes to ask in turn
 /// @return 1 for any answer but 200, 2 for a wrong command line
 int coordinationCommand(const std::string& subject, const std::vector<std::string>& arguments);
@@ -34,6 +34,9 @@
 /// `zinccleat shards ADDRESS...`: the shards of the coordination service as each node sees them.
 /// @return 1 if none of them answered
 int shardsCommand(const std::vector<std::string>& addresses, bool asJson);
+/// `zinccleat tally add|get|sides ...`: one call on a replicated counter, or what each node knows of the others: whom it
+/// reaches, and what either side lacks. @return 1 for any answer but 200, 2 for a wrong command line
+int tallyCommand(const std::vector<std::string>& arguments, bool asJson);
 /// `zinccleat status ADDRESS...`: prints what controllers report about themselves, as a table or as a JSON list.
 /// @return 1 if none of them answered
 int statusCommand(const std::vector<std::string>& addresses, bool asJson);
--- a/libs/operations/src/coordination_command.cpp
+++ b/libs/operations/src/coordination_command.cpp
@@ -74,6 +74,21 @@
   const auto appliesTo = given[2] == "any" ? std::string() : "," + numberField("appliesTo", given[2]);
   return {"POST", "/v1/Cells.Replace/" + given[0], "{" + textField("value", given[1]) + appliesTo + "}", {}};
 }
+Call addToTally(const Arguments& given) {
+  return {"POST",
+          "/v1/Tallies.Modify/" + given[0],
+          "{" + textField("instanceId", given[1]) + "," + numberField("actor", given[2]) + "}",
+          {}};
+}
+Call getTally(const Arguments& given) {
+  return {"GET", "/v1/Tallies.Retrieve/" + given[0], "", {}};
+}
+Call beginEvacuation(const Arguments& given) {
+  return {"POST", "/v1/Evacuation.Begin/" + given[0], "", {}};
+}
+Call releaseEvacuation(const Arguments& given) {
+  return {"POST", "/v1/Evacuation.Release/" + given[0], "", {}};
+}
 struct Command {
   std::string_view subject;
   std::string_view verb;  ///< empty: the subject has no verbs
@@ -88,6 +103,10 @@
     {"number", "", "number NAME ADDRESS:PORT...", 1, nextNumber},
     {"cells", "get", "cells get NAME ADDRESS:PORT...", 1, getCell},
     {"cells", "put", "cells put NAME VALUE REVISION|any ADDRESS:PORT...", 3, putCell},
+    {"tally", "add", "tally add NAME INSTANCE_ID AMOUNT ADDRESS:PORT...", 3, addToTally},
+    {"tally", "get", "tally get NAME ADDRESS:PORT...", 1, getTally},
+    {"evacuation", "begin", "evacuation begin ZONE ADDRESS:PORT...", 1, beginEvacuation},
+    {"evacuation", "release", "evacuation release ZONE ADDRESS:PORT...", 1, releaseEvacuation},
 };
 std::string usagesOf(std::string_view subject) {
   std::string usages;
@@ -116,6 +135,44 @@
                 field("locks").c_str(), field("cells").c_str(), field("watches").c_str(), field("leaseholder").c_str());
   }
 }
+void printPeerHeader() {
+  std::printf("%-22s %-14s %8s %9s  %-18s %-14s %9s %10s %9s %8s\n", "node", "zone", "caughtUp", "ids", "peer", "zone",
+              "reachable", "silentMs", "theyLack", "weLack");
+}
+void printPeers(const std::string& json) {
+  const auto own = [&](const char* name) { return fieldOf(json, name).value_or("?"); };
+  const auto count = std::atoi(fieldOf(json, "peers#").value_or("0").c_str());
+  for (int i = 0; i < count; ++i) {
+    const auto peer = [&](const char* name) {
+      return fieldOf(json, "peers[peer=" + std::to_string(i) + "]." + name).value_or("?");
+    };
+    std::printf("%-22s %-14s %8s %9s  %-18s %-14s %9s %10s %9s %8s\n", own("node").c_str(), own("zone").c_str(),
+                own("caughtUp").c_str(), own("keptIds").c_str(), peer("address").c_str(), peer("zone").c_str(),
+                peer("reachable").c_str(), peer("silentForMs").c_str(), peer("theyLack").c_str(),
+                peer("weLack").c_str());
+  }
+}
+/// Asks each node and prints what it answers, as a table or as it is.
+/// @return 1 if none of them answered.
+int printFromEach(const Arguments& addresses, const std::string& path, bool asJson, void (*printHeader)(),
+                  void (*printRows)(const std::string& json)) {
+  return runOnEventLoop([&] {
+    int status = kExitOtherwise;
+    if (!asJson)
+      printHeader();
+    for (const auto& address : addresses) {
+      const auto response = callOne(address, {"GET", path, "", {}}, kCallTimeout);
+      const bool answered = response && response->status == kOk;
+      if (answered && !asJson)
+        printRows(response->body);
+      else
+        (void)report(response);
+      if (answered)
+        status = kExitOk;
+    }
+    return status;
+  });
+}
 }  // namespace
 
 int coordinationCommand(const std::string& subject, const Arguments& arguments) {
@@ -161,21 +218,14 @@
 int shardsCommand(const Arguments& addresses, bool asJson) {
   if (addresses.empty())
     return usageError("shards: say which nodes: ADDRESS:PORT...");
-  return runOnEventLoop([&] {
-    int status = kExitOtherwise;
-    if (!asJson)
-      printShardHeader();
-    for (const auto& address : addresses) {
-      const auto response = callOne(address, {"GET", "/v1/Shards", "", {}}, kCallTimeout);
-      const bool answered = response && response->status == kOk;
-      if (answered && !asJson)
-        printShards(response->body);
-      else
-        (void)report(response);
-      if (answered)
-        status = kExitOk;
-    }
-    return status;
-  });
+  return printFromEach(addresses, "/v1/Shards", asJson, printShardHeader, printShards);
+}
+int tallyCommand(const Arguments& arguments, bool asJson) {
+  if (arguments.empty() || arguments[0] != "sides")
+    return coordinationCommand("tally", arguments);
+  const auto addresses = restOf(arguments, 1);
+  if (addresses.empty())
+    return usageError("tally sides: say which nodes: ADDRESS:PORT...");
+  return printFromEach(addresses, "/v1/Tallies.List", asJson, printPeerHeader, printPeers);
 }
 }  // namespace zinccleat::operations
--- a/libs/replicated_counters/src/counter_replica.cpp
+++ b/libs/replicated_counters/src/counter_replica.cpp
@@ -291,8 +291,10 @@
     if (!peer.hasReported)
       continue;
     ++reported;
-    if (!hasReached(peer.reportedAtFirst))
-      return;
+    // Of what a peer had, only what it still has: its disk may be lost, and what was nowhere else with it.
+    for (const auto& [origin, sequence] : peer.reportedAtFirst)
+      if (isReachable(peer, now) && state_.sequenceOf(origin) < std::min(sequence, valueOf(peer.durable, origin)))
+        return;
   }
   // The peers may not all be known yet: as many as bear the loss of `copies` machines are assumed.
   const auto members = std::max(peers_.size() + 1, static_cast<std::size_t>(2 * options_.copies + 1));
--- a/tests/controller_node_test.cpp
+++ b/tests/controller_node_test.cpp
@@ -281,9 +281,9 @@
   settings.ip = "10.0.0.4", settings.dataDir = "/tmp/x", settings.seeds = {"10.0.0.4:8080"};
   settings.initialAttach = true;
   settings.toleratedMachineFailures = 0;
-  settings.firstPort = 7960, settings.lastPort = 7961;
-  EXPECT_TRUE(unusableSettings(settings)) << "no port for the links of the coordination service";
-  settings.lastPort = 7962;
+  settings.firstPort = 7960, settings.lastPort = 7962;
+  EXPECT_TRUE(unusableSettings(settings)) << "no port for the links of the replicated counters";
+  settings.lastPort = 7963;
   EXPECT_FALSE(unusableSettings(settings)) << "a cluster of one";
   settings.toleratedMachineFailures = 1;
   EXPECT_TRUE(unusableSettings(settings)) << "a cluster of one tolerates no loss";
--- a/tests/coordination.sh
+++ b/tests/coordination.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Locks, numbers, cells and watches on a core of three, as real processes on loopback, by the command line: what was
+# Locks, numbers, cells, watches and replicated counters on a core of three, as real processes on loopback, by the command line: what was
 # acknowledged outlives the leaseholder, a kill of all three, and a lost disk. Usage: coordination.sh PROGRAM
 set -euo pipefail
 program=$1
@@ -57,6 +57,22 @@
 grep -q '"label":"g1.b"' "$dir/watch" || wrong "the watch has not shown the second put: $(cat "$dir/watch")"
 "$program" shards "${nodes[@]}" | grep -q 'leader' || wrong "no leaseholder in the table of shards"
 
+[ "$(answer tally add t1 5c0e7a21d94b36f8 4)" = '{}' ] || wrong "an increment is not acknowledged"
+[ "$(answer tally add t1 5c0e7a21d94b36f8 4)" = '{}' ] || wrong "a repeated increment is not acknowledged"
+refused 400 tally add t1 x 4.5
+refused 400 evacuation begin nowhere
+[ "$(answer evacuation begin z)" = '{}' ] || wrong "an evacuation is not acknowledged"
+[ "$(answer evacuation release z)" = '{}' ] || wrong "the end of an evacuation is not acknowledged"
+"$program" tally sides "${nodes[@]}" | grep -q 'true' || wrong "nobody reachable in the table of sides"
+
+# The total at one node within some seconds.
+expect_total() {  # node total
+  local end=$((SECONDS + 10)) output=
+  until output=$("$program" tally get t1 "$1" 2> "$dir/error") && [ "$output" = "{\"total\":$2}" ]; do
+    [ $SECONDS -lt $end ] || { wrong "$1 reads $output, not $2: $(cat "$dir/error")"; return; }
+  done
+}
+
 # What was acknowledged is there.
 check() {
   refused 409 lock begin l1 b 1000
@@ -67,7 +83,9 @@
   first=$next
   [ "$(answer cells put g1.a v1 any)" = '{"revision":1}' ] || wrong "$1: a repeated put has another revision"
   [ "$(answer cells get g1.b)" = '{"value":"v2","revision":2}' ] || wrong "$1: a cell is not as it was put"
+  for node in "${nodes[@]}"; do expect_total "$node" "$total"; done
 }
+total=4
 stop TERM 1
 start 1 false
 check "a controller stopped in order"
@@ -78,8 +96,17 @@
 rm -rf "$dir/core2"
 start 2 false
 check "a disk lost"
+# Alone, without a majority: increments are taken and read, everything that needs a majority is not.
+stop KILL 2 3
+[ "$(answer tally add t1 91bd3f06e4402b7d 5)" = '{}' ] || wrong "a node alone takes no increment"
+expect_total "${nodes[0]}" 9
+refused 503 cells put g1.b v9 any
+start 2 false
+start 3 false
+total=9
+check "two nodes came back to one that went on alone"
 answer lock release l1 a "$fence" > /dev/null
 second=$(answer lock begin l1 b 1000 | number)
 [ "$second" -gt "$fence" ] || wrong "fence $second after $fence"
-[ $bad -ne 0 ] || echo "acknowledged locks, numbers and cells outlived a stop, a kill of all and a lost disk"
+[ $bad -ne 0 ] || echo "acknowledged locks, numbers, cells and increments outlived a stop, a kill of all, a lost disk and a time without majority"
 exit $bad
--- /dev/null
+++ b/tests/counter_world.cpp
@@ -0,0 +1,392 @@
+#include "counter_world.hpp"
+
+namespace zinccleat::counter_world {
+namespace {
+using namespace replicated_counters;
+constexpr Duration kTick{50};
+constexpr Duration kCallTimeout{850};
+constexpr int kRounds = 3;  // of faults that overlap, each followed by a calm time
+constexpr Duration kRound{45'000};
+constexpr Duration kFaults{18'000};  // of a round
+constexpr Duration kPlayed = kRounds * kRound;
+constexpr Duration kRecovery{
+    10'000};  // a machine whose disk was lost counts as lost for so long, without another fault
+constexpr std::size_t kCounters = 4;
+}  // namespace
+
+CounterWorld::CounterWorld(std::uint64_t seed, PlantedFault planted) : random_(seed), seed_(seed), planted_(planted) {
+  zones_ = 3 + static_cast<int>(below(2));
+  const int perZone = 1 + static_cast<int>(below(2));
+  copies_ = perZone == 1 ? 1 : 2;
+  for (int i = 0; i < zones_ * perZone; ++i) {
+    auto machine = std::make_unique<Machine>();
+    machine->address = "10.0." + std::to_string(i % zones_) + "." + std::to_string(i);
+    machine->zone = i % zones_;
+    machines_.push_back(std::move(machine));
+  }
+}
+void CounterWorld::violated(const std::string& what) {
+  violations_.push_back("seed " + std::to_string(seed_) + ", " + std::to_string(toDuration(now_ - start_).count()) +
+                        " ms: " + what);
+}
+void CounterWorld::runUntil(TimePoint until) {
+  while (!events_.empty() && events_.begin()->first <= until) {
+    auto event = events_.extract(events_.begin());
+    now_ = std::max(now_, event.key());
+    event.mapped()();
+  }
+  now_ = until;
+}
+CounterWorld::Machine* CounterWorld::machineAt(const std::string& address) {
+  for (auto& machine : machines_)
+    if (machine->address == address && machine->exists && machine->up)
+      return machine.get();
+  return nullptr;
+}
+
+// --- processes, disks, network ---
+
+void CounterWorld::start(Machine& machine) {
+  machine.up = true;
+  ++machine.incarnation;
+  machine.acknowledgedHere.clear();
+  machine.writing.reset();
+  if (planted_ != PlantedFault::originIsReused || machine.origin == 0)
+    machine.origin = static_cast<OriginId>(random_());
+  CounterReplica::Options options;
+  options.origin = machine.origin;
+  options.zone = "z" + std::to_string(machine.zone);
+  options.copies = planted_ == PlantedFault::acknowledgesAlone ? 0 : copies_;
+  machine.replica = std::make_unique<Replica>(options, now_);
+  for (const auto& record : machine.disk)
+    machine.replica->recover(record);
+  std::set<std::string> others;
+  for (const auto& other : machines_)
+    if (other->exists && other.get() != &machine)
+      others.insert(other->address);
+  machine.replica->setPeers(others);
+}
+void CounterWorld::kill(Machine& machine, Duration down) {
+  if (!machine.up)
+    return;
+  machine.up = false;
+  const auto incarnation = machine.incarnation;
+  // A record that was being written is there or not, whole: records are files, written aside and renamed.
+  if (machine.writing && oneIn(2)) {
+    if (machine.writing->full)
+      machine.disk.clear();
+    machine.disk.push_back(machine.writing->batch);
+  }
+  at(now_ + down, [this, &machine, incarnation] {
+    if (machine.exists && !machine.up && machine.incarnation == incarnation)
+      start(machine);
+  });
+}
+bool CounterWorld::loseDisk(Machine& machine) {
+  // As many as are to be borne, until those are recovered.
+  if (diskLosses_ >= copies_)
+    return false;
+  ++diskLosses_;
+  ++lostDisks_;
+  kill(machine, between(300, 2500));
+  machine.disk.clear();
+  machine.writing.reset();
+  machine.diskLostAt = now_;
+  return true;
+}
+void CounterWorld::replace(Machine& machine) {
+  if (!loseDisk(machine))
+    return;
+  machine.exists = false;
+  machine.up = false;
+  auto newcomer = std::make_unique<Machine>();
+  newcomer->zone = machine.zone;
+  newcomer->address = "10.0." + std::to_string(machine.zone) + "." + std::to_string(100 + machines_.size());
+  newcomer->up = false;
+  auto* raw = newcomer.get();
+  machines_.push_back(std::move(newcomer));
+  at(now_ + between(300, 1500), [this, raw] { start(*raw); });
+}
+bool CounterWorld::connected(const Machine& from, const Machine& to) const {
+  return std::none_of(cuts_.begin(), cuts_.end(),
+                      [&](const auto& cut) { return cut.first.contains(from.zone) && cut.second.contains(to.zone); });
+}
+bool CounterWorld::isCutOff(const Machine& machine) const {
+  return std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& cut) {
+    return cut.first.contains(machine.zone) || cut.second.contains(machine.zone);
+  });
+}
+template <class Message>
+void CounterWorld::send(const Machine& from, const std::string& to, Message message) {
+  if constexpr (std::is_same_v<Message, IncrementTransfer>)
+    if (planted_ == PlantedFault::transferDropsOne && !message.urgent)
+      for (auto& range : message.batch.ranges)
+        if (range.increments.size() > 2)
+          range.increments.erase(range.increments.begin() + 1);
+  if (oneIn(200))
+    return;  // a link that was reset
+  const auto sentBy = from.incarnation;
+  const auto* sender = &from;
+  at(now_ + between(1, oneIn(20) ? 120 : 8), [this, sender, sentBy, to, message = std::move(message)] {
+    auto* receiver = machineAt(to);
+    // What a cut holds up is lost with its connection.
+    if (!receiver || sender->incarnation != sentBy || !connected(*sender, *receiver))
+      return;
+    receiver->replica->receive(now_, sender->address, message);
+    run(*receiver);
+  });
+}
+void CounterWorld::write(Machine& machine, PersistBatch batch) {
+  machine.writing = std::move(batch);
+  const auto incarnation = machine.incarnation;
+  at(now_ + between(1, oneIn(30) ? 400 : 8), [this, &machine, incarnation] {
+    if (!machine.up || machine.incarnation != incarnation || !machine.writing)
+      return;
+    if (machine.writing->full)
+      machine.disk.clear();
+    machine.disk.push_back(std::move(machine.writing->batch));
+    machine.writing.reset();
+    machine.replica->persisted(now_);
+    run(machine);
+  });
+}
+void CounterWorld::run(Machine& machine) {
+  for (auto actions = machine.replica->takeActions(); !actions.empty(); actions = machine.replica->takeActions())
+    for (auto& action : actions) {
+      if (auto* report = std::get_if<SendReport>(&action))
+        send(machine, report->to, std::move(report->message));
+      else if (auto* request = std::get_if<SendRequest>(&action))
+        send(machine, request->to, std::move(request->message));
+      else if (auto* transfer = std::get_if<SendTransfer>(&action))
+        send(machine, transfer->to, std::move(transfer->message));
+      else if (auto* batch = std::get_if<PersistBatch>(&action))
+        write(machine, std::move(*batch));
+      else if (auto* acknowledged = std::get_if<Acknowledge>(&action))
+        acknowledge(machine, acknowledged->callId);
+    }
+}
+void CounterWorld::tickAll() {
+  for (auto& machine : machines_) {
+    if (!machine->exists || !machine->up)
+      continue;
+    std::set<std::string> others;
+    for (const auto& other : machines_)
+      if (other->exists && other != machine)
+        others.insert(other->address);
+    machine->replica->setPeers(others);
+    machine->replica->tick(now_);
+    run(*machine);
+  }
+}
+
+// --- callers ---
+
+void CounterWorld::callSome() {
+  auto call = std::make_shared<Call>();
+  call->caller = static_cast<int>(below(static_cast<std::size_t>(zones_)));
+  call->increment = {"t" + std::to_string(below(kCounters)), "id" + std::to_string(++lastIncrement_),
+                     1 + static_cast<std::int64_t>(below(9))};
+  sent_[call->increment.counter] += call->increment.amount;
+  sentIds_[call->increment.instanceId] = call->increment;
+  attempt(std::move(call));
+}
+// The nearest first, then any that the caller's zone reaches; the same id again where the answer was lost.
+void CounterWorld::attempt(std::shared_ptr<Call> call) {
+  if (++call->attempts > 6)
+    return;
+  std::vector<Machine*> near;
+  std::vector<Machine*> far;
+  for (auto& machine : machines_) {
+    if (!machine->exists || !machine->up)
+      continue;
+    Machine caller;
+    caller.zone = call->caller;
+    if (machine->zone == call->caller)
+      near.push_back(machine.get());
+    else if (connected(caller, *machine) && connected(*machine, caller))
+      far.push_back(machine.get());
+  }
+  auto& choices = (!near.empty() && (call->attempts <= 2 || far.empty())) ? near : far;
+  const auto again = [this, call] { attempt(call); };
+  if (choices.empty())
+    return at(now_ + 300ms, again);
+  auto& machine = *choices[below(choices.size())];
+  call->machine = machine.address;
+  call->incarnation = machine.incarnation;
+  const auto callId = ++lastCallId_;
+  calls_[callId] = call;
+  auto increment = call->increment;
+  if (planted_ == PlantedFault::idIsNotKept)
+    increment.instanceId += "@" + machine.address;
+  (void)machine.replica->add(now_, callId, increment);
+  run(machine);
+  at(now_ + kCallTimeout, [this, callId, call, again] {
+    if (calls_.erase(callId) == 0 && !oneIn(20))
+      return;  // it was answered; one in twenty answers is lost on its way
+    if (auto* asked = machineAt(call->machine); asked && asked->incarnation == call->incarnation)
+      asked->replica->cancel(callId);
+    again();
+  });
+}
+void CounterWorld::acknowledge(Machine& machine, std::int64_t callId) {
+  const auto found = calls_.extract(callId);
+  if (found.empty())
+    return;
+  const auto& increment = found.mapped()->increment;
+  const bool isNew = acknowledgedIds_.emplace(increment.instanceId, Acknowledged{}).second;
+  auto& acknowledged = acknowledgedIds_[increment.instanceId];
+  if (isNew)
+    machine.acknowledgedHere[increment.counter] += increment.amount;
+  // One of several acknowledgements is enough to owe it.
+  if (isNew || acknowledged.whileCut)
+    acknowledged = {increment.counter, increment.amount, machine.address, isCutOff(machine), now_};
+}
+bool CounterWorld::isOwed(const Acknowledged& acknowledged) const {
+  if (!acknowledged.whileCut)
+    return true;
+  for (const auto& machine : machines_) {
+    if (machine->address != acknowledged.machine || machine->diskLostAt == TimePoint{})
+      continue;
+    const auto healed = healedAt_.find(machine->zone);
+    const bool stillCut = isCutOff(*machine) || healed == healedAt_.end();
+    if (machine->diskLostAt >= acknowledged.at && (stillCut || machine->diskLostAt < healed->second + kMergeBound))
+      return false;
+  }
+  return true;
+}
+void CounterWorld::readSome(bool final) {
+  for (auto& machine : machines_)
+    if (machine->exists && machine->up && (final || oneIn(3)))
+      readAt(*machine, final);
+}
+void CounterWorld::readAt(Machine& machine, bool final) {
+  if (!machine.replica->mayRead() && planted_ != PlantedFault::readsBeforeCatchUp) {
+    if (final)
+      violated(machine.address + " answers no read in the end");
+    return;
+  }
+  std::map<std::string, std::int64_t> owed;
+  for (const auto& [id, acknowledged] : acknowledgedIds_)
+    if (isOwed(acknowledged) && now_ - acknowledged.at >= kMergeBound)
+      owed[acknowledged.counter] += acknowledged.amount;
+  const bool calm = now_ - calmSince_ >= kMergeBound && now_ >= faultsUntil_;
+  for (const auto& [counter, sent] : sent_) {
+    const auto total = machine.replica->state().total(counter);
+    if (total > sent)
+      violated(machine.address + " reads " + std::to_string(total) + " of " + std::to_string(sent) + " sent");
+    if (total < machine.acknowledgedHere[counter])
+      violated(machine.address + " reads less than it has acknowledged");
+    if (calm && total < owed[counter])
+      violated(machine.address + " reads " + std::to_string(total) + ", owed " + std::to_string(owed[counter]));
+  }
+}
+
+// --- faults ---
+
+void CounterWorld::partition() {
+  ++partitions_;
+  std::set<int> side;
+  std::set<int> others;
+  for (int zone = 0; zone < zones_; ++zone)
+    (oneIn(2) ? side : others).insert(zone);
+  std::vector<std::pair<std::set<int>, std::set<int>>> cut;
+  const auto shape = below(4);
+  if (shape == 0) {  // two zones, which a third reaches both
+    const int one = static_cast<int>(below(static_cast<std::size_t>(zones_)));
+    const int other = (one + 1) % zones_;
+    cut = {{{one}, {other}}, {{other}, {one}}};
+  } else if (shape == 1) {
+    cut = {{side, others}};  // one way
+  } else {
+    cut = {{side, others}, {others, side}};
+  }
+  cuts_.insert(cuts_.end(), cut.begin(), cut.end());
+  at(now_ + between(500, 15'000), [this, cut, side, others] {
+    for (const auto& each : cut) {
+      const auto found = std::find(cuts_.begin(), cuts_.end(), each);
+      if (found != cuts_.end())
+        cuts_.erase(found);
+      for (const int zone : each.first)
+        healedAt_[zone] = now_;
+      for (const int zone : each.second)
+        healedAt_[zone] = now_;
+    }
+    calmSince_ = now_;
+  });
+}
+void CounterWorld::fault() {
+  // All are back and have been in touch for a while: before that, a cut may keep what was lost from being copied again.
+  if (cuts_.empty() && now_ - calmSince_ >= kRecovery)
+    diskLosses_ = 0;
+  calmSince_ = now_;
+  auto& machine = *machines_[below(machines_.size())];
+  if (!machine.exists)
+    return;
+  switch (below(9)) {
+    case 0:
+    case 1:
+    case 2:
+      return partition();
+    case 3:
+    case 4:
+      return kill(machine, between(200, 4000));
+    case 5: {
+      const auto down = between(300, 2000);
+      for (auto& each : machines_)
+        if (each->exists)
+          kill(*each, down + between(0, 1500));
+      return;
+    }
+    case 6:
+    case 7:
+      (void)loseDisk(machine);
+      return;
+    default:
+      return replace(machine);
+  }
+}
+void CounterWorld::readAtANewDisk() {
+  auto machine = std::find_if(machines_.begin(), machines_.end(), [](const auto& each) { return each->exists; });
+  kill(**machine, 100ms);
+  (*machine)->disk.clear();
+  const auto until = now_ + 4s;
+  while (now_ < until) {
+    runUntil(now_ + 10ms);
+    const bool answers =
+        (*machine)->up && ((*machine)->replica->mayRead() || planted_ == PlantedFault::readsBeforeCatchUp);
+    if (answers)
+      readAt(**machine, false);
+  }
+  readAt(**machine, true);
+}
+void CounterWorld::play() {
+  for (auto& machine : machines_)
+    start(*machine);
+  for (auto when = start_ + kTick; when < start_ + kPlayed + 40s; when += kTick)
+    at(when, [this] { tickAll(); });
+  for (auto when = start_ + 2s; when < start_ + kPlayed + 10s; when += between(10, 90))
+    at(when, [this] { callSome(); });
+  for (int round = 0; round < kRounds; ++round) {
+    const auto begin = start_ + round * kRound;
+    for (auto when = begin + 2s; when < begin + kFaults; when += between(300, 6000))
+      at(when, [this] { fault(); });
+  }
+  for (auto when = start_ + 2s; when < start_ + kPlayed + 30s; when += 150ms)
+    at(when, [this] { readSome(false); });
+  faultsUntil_ = start_ + kPlayed + 20s;  // the last cut has healed, all machines are back
+  runUntil(start_ + kPlayed + 35s);
+  calmSince_ = std::min(calmSince_, now_ - kMergeBound);
+  readSome(true);
+  readAtANewDisk();
+  const Machine* first = nullptr;
+  for (auto& machine : machines_) {
+    if (!machine->exists || !machine->up)
+      continue;
+    if (!first)
+      first = machine.get();
+    for (const auto& [counter, sent] : sent_)
+      if (machine->replica->state().total(counter) != first->replica->state().total(counter))
+        violated(machine->address + " and " + first->address + " differ in the end");
+  }
+}
+}  // namespace zinccleat::counter_world
--- /dev/null
+++ b/tests/counter_worlds_test.cpp
@@ -0,0 +1,65 @@
+/// @file
+/// Seeded worlds of replicated counters (`counter_world.hpp` says what they play and check), and faults planted in the
+/// service, each of which the checks must find.
+///
+/// More of them: `ZINCCLEAT_FROM=1000 ZINCCLEAT_WORLDS=1000 target/zinccleat_tests --gtest_filter='CounterWorlds.*'`
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "counter_world.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::counter_world;
+namespace {
+std::uint64_t numberFrom(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+bool isFound(PlantedFault planted) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CounterWorld world(seed, planted);
+    world.play();
+    if (!world.violations().empty())
+      return true;
+  }
+  return false;
+}
+}  // namespace
+
+TEST(CounterWorlds, KeepTheRules) {
+  const auto from = numberFrom("ZINCCLEAT_FROM", 1);
+  const auto count = numberFrom("ZINCCLEAT_WORLDS", 40);
+  std::size_t acknowledged = 0;
+  std::size_t partitions = 0;
+  std::size_t lostDisks = 0;
+  for (auto seed = from; seed < from + count; ++seed) {
+    CounterWorld world(seed, PlantedFault::nothing);
+    world.play();
+    acknowledged += world.acknowledged();
+    partitions += world.partitions();
+    lostDisks += world.lostDisks();
+    for (const auto& violation : world.violations())
+      ADD_FAILURE() << violation;
+  }
+  EXPECT_GT(acknowledged, 400 * count);
+  EXPECT_GT(partitions, count);
+  EXPECT_GT(lostDisks, count);
+  std::printf("%zu acknowledged, %zu partitions, %zu lost disks in %llu worlds\n", acknowledged, partitions, lostDisks,
+              static_cast<unsigned long long>(count));
+}
+TEST(CounterWorlds, AnIdThatIsNotKeptIsFound) {
+  EXPECT_TRUE(isFound(PlantedFault::idIsNotKept));
+}
+TEST(CounterWorlds, AnOriginThatIsReusedIsFound) {
+  EXPECT_TRUE(isFound(PlantedFault::originIsReused));
+}
+TEST(CounterWorlds, ATransferThatDropsAnIncrementIsFound) {
+  EXPECT_TRUE(isFound(PlantedFault::transferDropsOne));
+}
+TEST(CounterWorlds, AnAcknowledgementOnOneDiskIsFound) {
+  EXPECT_TRUE(isFound(PlantedFault::acknowledgesAlone));
+}
+TEST(CounterWorlds, AReadBeforeCatchingUpIsFound) {
+  EXPECT_TRUE(isFound(PlantedFault::readsBeforeCatchUp));
+}
--- /dev/null
+++ b/tests/evacuation_test.cpp
@@ -0,0 +1,99 @@
+/// @file
+/// Evacuations of zones: the calls, the replicated state, and what a proxy sends to the runners of an evacuated zone.
+#include <gtest/gtest.h>
+
+#include "balancing/runner_pool.hpp"
+#include "fake_controller.hpp"
+#include "proxy_daemon/zone_drains.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::controller_testing;
+namespace {
+const TimePoint kNow = TimePoint{} + std::chrono::hours(1);
+const std::map<std::string, std::string> kZones{{"z1", "r"}, {"z2", "r"}, {"z3", "s"}};
+
+struct Evacuation : testing::Test {
+  Evacuation() {
+    controller.configuredSettings.zones = kZones;
+    pool.setRegions(kZones);
+    pool.setRunners({runnerOf("i1", "z1"), runnerOf("i2", "z2")}, kNow);
+  }
+  static Runner runnerOf(const std::string& id, const std::string& zone) {
+    Runner runner;
+    runner.id = id, runner.service = "s", runner.address = "10.0.0.1:" + id, runner.zone = zone, runner.capacity = 4;
+    return runner;
+  }
+  /// As a proxy does when the state has changed.
+  void adopt(TimePoint now = kNow) {
+    const auto& state = controller.replica().state();
+    auto levels = proxy_daemon::drainLevels(kZones, state.zoneDrains);
+    proxy_daemon::addEvacuations(levels, kZones, state.evacuatedZones);
+    pool.setZoneDrains(std::move(levels));
+    pool.setEvacuations(state.evacuatedZones, now);
+  }
+  std::string chosen(const std::string& zone, std::vector<int> excluded = {}) {
+    balancing::RunnerQuery query;
+    query.service = "s", query.zone = zone, query.excluded = std::move(excluded);
+    const int index = pool.choose(query, kNow);
+    return index < 0 ? "" : pool.at(index).id;
+  }
+  FakeController controller;
+  balancing::RunnerPool pool{7};
+};
+}  // namespace
+
+TEST_F(Evacuation, NothingIsSentToAnEvacuatedZoneEvenIfNothingElseIsLeft) {
+  EXPECT_EQ(chosen("z1"), "i1");
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z1", "").status, HttpStatus::ok);
+  adopt();
+  for (int i = 0; i < 100; ++i)
+    EXPECT_EQ(chosen("z1"), "i2");
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z2", "").status, HttpStatus::ok);
+  adopt();
+  EXPECT_EQ(chosen("z1"), "") << "a drain prefers other runners, an evacuation binds";
+  EXPECT_EQ(controller.post("/v1/Evacuation.Release/z1", "").status, HttpStatus::ok);
+  adopt();
+  EXPECT_EQ(chosen("z2"), "i1");
+}
+TEST_F(Evacuation, ARegionMeansAllItsZones) {
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/r", "").status, HttpStatus::ok);
+  adopt();
+  EXPECT_EQ(chosen("z1"), "");
+  EXPECT_EQ(controller.post("/v1/Evacuation.Release/r", "").status, HttpStatus::ok);
+  adopt();
+  EXPECT_EQ(chosen("z2"), "i2");
+}
+TEST_F(Evacuation, AnOrderThatIsRepeatedIsAcknowledgedAgain) {
+  for (int i = 0; i < 3; ++i)
+    EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z1", "").status, HttpStatus::ok);
+  EXPECT_EQ(controller.replica().state().evacuatedZones, (std::vector<std::string>{"z1"}));
+  for (int i = 0; i < 3; ++i)
+    EXPECT_EQ(controller.post("/v1/Evacuation.Release/z1", "").status, HttpStatus::ok);
+  EXPECT_TRUE(controller.replica().state().evacuatedZones.empty());
+}
+TEST_F(Evacuation, ADrainOfTheSameZoneIsBegunAndEndedApart) {
+  EXPECT_EQ(controller.post("/v1/Closures.Set", R"({"place":"z1","share":100})").status, HttpStatus::ok);
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z1", "").status, HttpStatus::ok);
+  EXPECT_EQ(controller.post("/v1/Evacuation.Release/z1", "").status, HttpStatus::ok);
+  EXPECT_EQ(controller.replica().state().zoneDrains.size(), 1U);
+}
+TEST_F(Evacuation, AnUnknownZoneIsRefusedAndWithoutContactNothingIsAcknowledged) {
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z9", "").status, HttpStatus::bad_request);
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/", "").status, HttpStatus::bad_request);
+  controller.hasContact = false;
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z1", "").status, HttpStatus::service_unavailable);
+  controller.hasContact = true;
+  controller.commits = false;
+  controller.waited = Duration(0);
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z1", "").status, HttpStatus::service_unavailable);
+  EXPECT_TRUE(controller.replica().state().evacuatedZones.empty());
+  EXPECT_LE(controller.waited, 900ms) << "the caller has given up after a second";
+}
+TEST_F(Evacuation, SnapshotsKeepIt) {
+  EXPECT_EQ(controller.post("/v1/Evacuation.Begin/z1", "").status, HttpStatus::ok);
+  for (const auto& snapshot : {controller.replica().snapshot(), controller.replica().snapshotFor("")}) {
+    state_machine::ReplicatedState restored;
+    ASSERT_TRUE(restored.restore(snapshot));
+    EXPECT_EQ(restored.state().evacuatedZones, (std::vector<std::string>{"z1"}));
+  }
+}
--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -5,6 +5,7 @@
 #include "coordination/messages.hpp"
 #include "golden_files.hpp"
 #include "hints/hints.hpp"
+#include "replicated_counters/messages.hpp"
 #include "state_machine/delta.hpp"
 #include "state_machine/replicated_state.hpp"
 #include "storage/record_format.hpp"
@@ -176,6 +177,12 @@
           .argument = number + 3};
 }
 const std::vector<MemberZone> kMemberZones{{"10.0.0.5", "zone-a"}, {"10.0.0.6", "zone-b"}};
+replicated_counters::IncrementBatch incrementBatch() {
+  return {.folded = {{-51, 52, {{"t1", 53}, {"t2", -54}}}, {61, 62, {{"t5", 63}, {"t6", -64}}}},
+          .foldedIds = {"5c0e7a21d94b36f8", "91bd3f06e4402b7d"},
+          .ranges = {{55, 56, {{"t3", "e4402b7d5c1e07a2", 57}, {"t4", "7a21d94b36f85c0e", -58}}},
+                     {-65, 66, {{"t7", "d94b36f85c0e7a21", 67}, {"t8", "36f85c0e7a21d94b", -68}}}}};
+}
 std::vector<Case> frameCases() {
   return {
       consensusFrameCase(),
@@ -272,6 +279,36 @@
       frameCase("frame_shard_records_query.hex", coordination::ShardRecordsQuery{.requestId = 4011}),
       frameCase("frame_shard_records_answer.hex",
                 coordination::ShardRecordsAnswer{.requestId = 4012, .hasRecords = true}),
+      frameCase(
+          "frame_lease_question_warmups.hex",
+          LeaseRequest{.requestId = 4013,
+                       .demand = recordsOf<QuotaDemand>("demand", 210),
+                       .holds = recordsOf<QuotaHolding>("holds", 220),
+                       .load = recordsOf<ZoneLoad>("load", 230),
+                       .attempts = recordsOf<RunnerAttempts>("attempts", 240),
+                       .outliersVersion = 55,
+                       .extension = {.rollouts = {{"service-1",
+                                                   "revision-2",
+                                                   25,
+                                                   31.5,
+                                                   7,
+                                                   {{"route-1", "i-1", 21, 2, 3, 4}, {"route-2", "i-2", 25, 6, 8, 9}}}},
+                                     .extension = {.warmupZone = "zone-1"}}}),
+      frameCase("frame_lease_answer_warmups.hex",
+                LeaseResponse{.requestId = 4014,
+                              .granted = true,
+                              .commitIndex = 5000000012,
+                              .accessMachines = 14,
+                              .grants = recordsOf<QuotaGrant>("grants", 250),
+                              .outliersVersion = 56,
+                              .outliers = recordsOf<RunnerEjection>("outliers", 260),
+                              .extension = {.exposures = {{"service-1", "revision-2", 1.25}},
+                                            .extension = {.warmups = {{"i-1", 2}, {"i-3", 4}}}}}),
+      frameCase("frame_counter_report.hex",
+                replicated_counters::ProgressReport{.zone = "zone-1", .progress = {{-41, 42}, {43, 44}}}),
+      frameCase("frame_counter_request.hex", replicated_counters::TransferRequest{.after = {{-45, 46}, {47, 48}}}),
+      frameCase("frame_counter_transfer.hex",
+                replicated_counters::IncrementTransfer{.urgent = true, .batch = incrementBatch()}),
   };
 }
 
@@ -317,6 +354,12 @@
           {"coordination_snapshot.hex", [] { return shardWithAllKinds().snapshot(); }, again, ""}};
 }
 
+// --- replicated counters: what a disk record holds ---
+
+std::vector<Case> counterCases() {
+  return {recordCase("counter_batch.hex", incrementBatch())};
+}
+
 DiskRecord fullRecord() {
   return {.seq = 901,
           .term = 301,
@@ -440,6 +483,12 @@
   return stateAfter({firstWrite(), runnerEntry(runnerWithSoftware(2), "runner/i-2"),
                      shardsFoundedEntry(shardFounding(), "leader/10")});
 }
+ReplicatedState stateWithEvacuations() {
+  return stateAfter(
+      {firstWrite(), runnerEntry(runnerWithSoftware(2), "runner/i-2"), shardsFoundedEntry(shardFounding(), "leader/10"),
+       zoneEvacuationEntry({"zone-2", true}, "operator/11"), zoneEvacuationEntry({"zone-1", true}, "operator/12"),
+       zoneEvacuationEntry({"zone-3", true}, "operator/13"), zoneEvacuationEntry({"zone-2", false}, "operator/14")});
+}
 std::string snapshotFor(const ReplicatedState& copy, const std::string& content) {
   return copy.snapshotFor(content.empty() ? content : digestOf(content));
 }
@@ -457,6 +506,11 @@
           "snapshot_with_rollout.hex", [] { return stateWithRollout().snapshot(); }, {}, completeOf),
       snapshotCase(
           "snapshot_with_shards.hex", [] { return stateWithShards().snapshot(); }, {}, completeOf),
+      snapshotCase(
+          "snapshot_with_evacuations.hex", [] { return stateWithEvacuations().snapshot(); }, {}, completeOf),
+      snapshotCase(
+          "snapshot_access_with_evacuations.hex", [] { return snapshotFor(stateWithEvacuations(), ""); }, {},
+          forNobody),
       snapshotCase(
           "snapshot_access_with_rollout.hex", [] { return snapshotFor(stateWithRollout(), ""); }, {}, forNobody),
       snapshotCase(
@@ -553,6 +607,7 @@
 std::vector<Case> writeCases() {
   const auto on = firstState();
   return {
+      recordCase("evacuation.hex", ZoneEvacuation{.zone = "zone-7", .evacuated = true}),
       recordCase("delta_fields.hex", Delta{.baseDigest = "digest of the base",
                                            .resultDigest = "digest of the result",
                                            .segments = {{.copyOffset = 11, .copyLength = 12, .literal = "one"},
@@ -684,7 +739,7 @@
 std::vector<Case> allCases() {
   std::vector<Case> all;
   for (const auto& part : {consensusCases(), frameCases(), pieceCases(), diskCases(), snapshotCases(),
-                           snapshotFormat1Cases(), writeCases(), hintCases(), coordinationCases()})
+                           snapshotFormat1Cases(), writeCases(), hintCases(), coordinationCases(), counterCases()})
     all.insert(all.end(), part.begin(), part.end());
   return all;
 }
--- /dev/null
+++ b/tests/warmup_test.cpp
@@ -0,0 +1,254 @@
+/// @file
+/// The slow start of runners: what is known of it, what the leader grants to all proxies together, what one proxy
+/// sends. The worlds play fleets of up to 330 proxies, leaders that change, lost answers and runners that lose their
+/// caches without notice, and count what each runner gets in each second.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "balancing/runner_pool.hpp"
+#include "fake_controller.hpp"
+#include "warmup_allocator.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::controller;
+namespace {
+const TimePoint kStart = TimePoint{} + std::chrono::hours(1);
+constexpr double kPerS = 14;
+const WarmupAllocator::Bounds kBounds{1.5, 5};
+const std::map<std::string, std::string> kZones{{"z1", "r"}, {"z2", "r"}};
+
+config::Configuration configurationOf(double perS) {
+  config::Configuration configuration;
+  config::Service service;
+  service.label = "s";
+  service.warmup = Duration(3000);
+  service.warmupRequestsPerS = perS;
+  configuration.services = {service};
+  return configuration;
+}
+state_machine::Runner runnerOf(const std::string& id, std::int64_t sequence, std::int64_t warmupMs,
+                               const std::string& zone = "z1") {
+  state_machine::Runner runner;
+  runner.id = id, runner.service = "s", runner.address = "10.0.0.1:" + id, runner.zone = zone, runner.capacity = 16;
+  runner.sequence = sequence;
+  runner.software.warmupMs = warmupMs;
+  return runner;
+}
+balancing::RunnerPool poolOf(const std::vector<state_machine::Runner>& runners, const config::Configuration& config,
+                             TimePoint now) {
+  balancing::RunnerPool pool(7);
+  pool.setRegions(kZones);
+  pool.setServices(config.services);
+  pool.setRunners(runners, now);
+  return pool;
+}
+balancing::RunnerQuery queryOf() {
+  balancing::RunnerQuery query;
+  query.service = "s", query.zone = "z1";
+  return query;
+}
+}  // namespace
+
+// --- one proxy ---
+
+TEST(Warmup, ARunnerThatWarmsUpGetsNothingWithoutAGrant) {
+  const auto config = configurationOf(kPerS);
+  auto pool = poolOf({runnerOf("i1", 1, 3000)}, config, kStart);
+  EXPECT_TRUE(pool.hasLimitedWarmup(kStart));
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 1s), -1);
+  pool.setWarmupGrants({{"i1", 1}}, kStart + 1s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 1s), 0);
+  pool.attemptStarted(0, 100, kStart + 1s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 1s), -1) << "it is used up";
+  pool.setWarmupGrants({{"i1", 1}}, kStart + 1s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 1s + transport::kWarmupGrantLifetime), -1) << "it has expired";
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 3s), 0) << "it is warm";
+  EXPECT_FALSE(pool.hasLimitedWarmup(kStart + 3s));
+}
+TEST(Warmup, WithoutABoundOfItsServiceARunnerIsUsedAtOnce) {
+  auto pool = poolOf({runnerOf("i1", 1, 3000)}, configurationOf(0), kStart);
+  EXPECT_EQ(pool.choose(queryOf(), kStart), 0);
+  EXPECT_FALSE(pool.hasLimitedWarmup(kStart));
+}
+TEST(Warmup, ARunnerThatSaysAgainThatItWarmsUpIsBoundedAgain) {
+  const auto config = configurationOf(kPerS);
+  auto pool = poolOf({runnerOf("i1", 1, 0)}, config, kStart);
+  EXPECT_EQ(pool.choose(queryOf(), kStart), 0);
+  pool.setRunners({runnerOf("i1", 5, 2000)}, kStart + 10s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 10s), -1);
+  pool.setRunners({runnerOf("i1", 5, 2000)}, kStart + 11s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 12s), 0) << "the same heartbeat counts once";
+  pool.setRunners({runnerOf("i1", 8, 2000)}, kStart + 20s);
+  pool.setRunners({runnerOf("i1", 9, 0)}, kStart + 21s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 21s), 0) << "it says that it is warm";
+}
+TEST(Warmup, RunnersOfAZoneThatIsBackInUseWarmUp) {
+  const auto config = configurationOf(kPerS);
+  auto pool = poolOf({runnerOf("i1", 1, 0)}, config, kStart);
+  pool.setEvacuations({"r"}, kStart);
+  pool.setEvacuations({}, kStart + 10s);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 12s), -1);
+  EXPECT_EQ(pool.choose(queryOf(), kStart + 13s), 0);
+}
+
+// --- what heartbeats bring ---
+
+TEST(Warmup, AHeartbeatThatChangesAWarmupIsWrittenAndOthersAreNot) {
+  controller_testing::FakeController controller;
+  controller.heartbeat("i1", 1);
+  controller.heartbeat("i1", 2);
+  EXPECT_EQ(controller.written.size(), 1U);
+  controller.warmupChanges = true;
+  controller.heartbeat("i1", 3);
+  EXPECT_EQ(controller.written.size(), 2U);
+}
+TEST(Warmup, WhatIsKnownOfAWarmupIsNotWrittenAgain) {
+  const auto config = configurationOf(kPerS);
+  WarmupAllocator leader(kBounds, kZones);
+  state_machine::StateContents state;
+  state.index = 1;
+  state.runners = {runnerOf("i1", 1, 3000)};
+  leader.follow(kStart, state, &config);
+  EXPECT_FALSE(leader.isChangedBy(kStart + 1s, runnerOf("i1", 2, 2000)));
+  EXPECT_TRUE(leader.isChangedBy(kStart + 1s, runnerOf("i1", 2, 3000))) << "it has begun anew";
+  EXPECT_TRUE(leader.isChangedBy(kStart + 4s, runnerOf("i1", 4, 0))) << "replicas that start later must know";
+  state.index = 2;
+  state.runners = {runnerOf("i1", 4, 0)};
+  leader.follow(kStart + 4s, state, &config);
+  EXPECT_FALSE(leader.isChangedBy(kStart + 5s, runnerOf("i1", 5, 0)));
+  EXPECT_TRUE(leader.isChangedBy(kStart + 6s, runnerOf("i1", 6, 2500))) << "it has lost its caches";
+  EXPECT_FALSE(leader.isChangedBy(kStart + 6s, runnerOf("unknown", 6, 2500)));
+}
+
+// --- the leader ---
+
+TEST(Warmup, GrantsGoToProxiesOfTheRunnersZoneFirst) {
+  const auto config = configurationOf(kPerS);
+  WarmupAllocator leader(kBounds, kZones);
+  state_machine::StateContents state;
+  state.index = 1;
+  state.runners = {runnerOf("i1", 1, 3000)};
+  leader.follow(kStart, state, &config);
+  int near = 0;
+  int far = 0;
+  for (auto now = kStart; now < kStart + 3s; now += 20ms) {
+    far += static_cast<int>(leader.allocate(now, "z2").size());
+    near += static_cast<int>(leader.allocate(now, "z1").size());
+  }
+  EXPECT_GE(near, 20);
+  EXPECT_EQ(far, 0);
+  leader.follow(kStart + 3s, state, &config);
+  EXPECT_TRUE(leader.allocate(kStart + 4s, "z1").empty()) << "it is warm";
+}
+TEST(Warmup, OtherZonesGetWhatTheRunnersZoneLeaves) {
+  const auto config = configurationOf(kPerS);
+  WarmupAllocator leader(kBounds, kZones);
+  state_machine::StateContents state;
+  state.index = 1;
+  state.runners = {runnerOf("i1", 1, 3000)};
+  leader.follow(kStart, state, &config);
+  int far = 0;
+  for (auto now = kStart; now < kStart + 3s; now += 20ms)
+    far += static_cast<int>(leader.allocate(now, "z2").size());
+  EXPECT_GE(far, 15);
+}
+TEST(Warmup, ANewLeaderWaitsUntilTheGrantsOfTheOneBeforeHaveExpired) {
+  const auto config = configurationOf(kPerS);
+  WarmupAllocator leader(kBounds, kZones);
+  state_machine::StateContents state;
+  state.index = 1;
+  state.runners = {runnerOf("i1", 1, 3000)};
+  leader.follow(kStart, state, &config);
+  leader.startTerm(kStart);
+  for (auto now = kStart; now < kStart + transport::kWarmupGrantLifetime; now += 20ms)
+    EXPECT_TRUE(leader.allocate(now, "z1").empty());
+}
+
+// --- fleets ---
+
+namespace {
+/// Proxies that use each grant at once, at the worst moment of its lifetime, and more demand than any runner bears.
+struct WarmupWorld {
+  struct Proxy {
+    std::string zone;
+    Duration phase;
+    std::vector<std::pair<std::string, TimePoint>> grants;  // runner, end
+  };
+  explicit WarmupWorld(std::uint64_t seed) : random(seed) {}
+  std::mt19937_64 random;
+  std::map<std::string, std::vector<TimePoint>> arrivals;  // by runner
+
+  std::size_t below(std::size_t limit) { return static_cast<std::size_t>(random() % limit); }
+  /// The most requests that any runner got within one second.
+  std::size_t worstSecond() const {
+    std::size_t worst = 0;
+    for (const auto& [runner, times] : arrivals)
+      for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= 1s)
+          ++first;
+        worst = std::max(worst, last - first + 1);
+      }
+    return worst;
+  }
+  std::size_t total() const {
+    std::size_t sum = 0;
+    for (const auto& [runner, times] : arrivals)
+      sum += times.size();
+    return sum;
+  }
+  void play(double perS, std::size_t proxyCount, int leaderChanges) {
+    const auto config = configurationOf(perS);
+    WarmupAllocator leader(kBounds, kZones);
+    state_machine::StateContents state;
+    state.index = 1;
+    for (int i = 0; i < 6; ++i)
+      state.runners.push_back(runnerOf("i" + std::to_string(i), 1, 3000, i % 2 == 0 ? "z1" : "z2"));
+    leader.follow(kStart, state, &config);
+    std::vector<Proxy> proxies(proxyCount);
+    for (auto& proxy : proxies)
+      proxy = {below(2) == 0 ? "z1" : "z2", Duration(10 * below(40)), {}};
+    const bool usesLate = below(2) == 0;
+    for (auto now = kStart; now < kStart + 4s; now += 10ms) {
+      if (leaderChanges > 0 && below(100) == 0) {
+        --leaderChanges;
+        leader.startTerm(now);
+      }
+      for (auto& proxy : proxies)
+        step(proxy, leader, now, usesLate);
+    }
+    for (auto& [runner, times] : arrivals)
+      std::sort(times.begin(), times.end());
+  }
+  void step(Proxy& proxy, WarmupAllocator& leader, TimePoint now, bool usesLate) {
+    const bool asks = toDuration(now - kStart - proxy.phase).count() % 400 == 0;
+    if (asks && below(20) != 0) {  // else the answer is lost, and its grants with it
+      const auto delay = Duration(below(60));
+      for (const auto& grant : leader.allocate(now + delay, proxy.zone))
+        proxy.grants.emplace_back(grant.runner, now + transport::kWarmupGrantLifetime);
+    }
+    std::erase_if(proxy.grants, [&](const auto& grant) {
+      const bool due = !usesLate || grant.second - now <= 10ms;
+      if (due)
+        arrivals[grant.first].push_back(now);
+      return due;
+    });
+  }
+};
+}  // namespace
+
+TEST(Warmup, AllProxiesTogetherStayWithinTheBoundWhoeverLeads) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    for (const double perS : {1.0, 4.0, 14.0, 60.0}) {
+      WarmupWorld world(seed);
+      const std::size_t proxies = seed % 3 == 0 ? 8 : (seed % 3 == 1 ? 70 : 330);
+      world.play(perS, proxies, static_cast<int>(seed % 3));
+      EXPECT_LE(static_cast<double>(world.worstSecond()), perS * kBounds.excess + kBounds.slack)
+          << "seed " << seed << ", " << perS << " requests a second, " << proxies << " proxies";
+      // A bucket that is filled once a second gives nothing while the leader changes twice in two seconds.
+      if (perS > 1 || seed % 3 != 2) {
+        EXPECT_GT(world.total(), 0U) << "a runner that gets nothing never warms up, seed " << seed << ", " << perS;
+      }
+    }
+  }
+}
