--- a/libs/controller/src/counter_service.cpp
+++ b/libs/controller/src/counter_service.cpp
@@ -21,7 +21,8 @@
   return avro::decode<IncrementBatch>(record.state);
 }
 bool isBatch(const std::string& state) {
-  return avro::decode<IncrementBatch>(state).has_value();
+  const auto batch = avro::decode<IncrementBatch>(state);
+  return batch && replicated_counters::isWellFormed(*batch);
 }
 // An incarnation is drawn by each process: with the address, no two machines have the same origin by chance.
 replicated_counters::OriginId originOf(const std::string& address, std::uint64_t incarnation) {
@@ -48,7 +49,7 @@
   replica_.emplace(options, Clock::now());  // after the disk's recovery, which may have taken long
   for (const auto& record : disk->recovery.records) {
     const auto batch = batchOf(record);
-    if (!batch)
+    if (!batch || !replicated_counters::isWellFormed(*batch))
       return makeError(ErrorCode::ioError,
                        settings.dataDir + ": record " + std::to_string(record.seq) + " of the counters can't be read");
     replica_->recover(*batch);
@@ -78,13 +79,30 @@
   replica_->setPeers(addresses);
 }
 void CounterService::tick(TimePoint now) {
+  replica_->tick(now);
   if (now - membershipFollowedAt_ >= kMembershipInterval) {
     membershipFollowedAt_ = now;
     followMembership();
+    logChanges(now);
   }
-  replica_->tick(now);
   run();
 }
+void CounterService::logChanges(TimePoint now) {
+  if (replica_->mayRead() && !std::exchange(caughtUp_, true))
+    log::debug("counters_caught_up", {{"ids", replica_->state().keptIncrements()}});
+  std::set<std::string> unreachable;
+  for (const auto& peer : replica_->peers(now)) {
+    if (peer.reachable || peer.silentForMs < 0)
+      continue;
+    unreachable.insert(peer.address);
+    if (!unreachablePeers_.contains(peer.address))
+      log::info("counter_peer_unreachable", {{"peer", peer.address}, {"zone", peer.zone}});
+  }
+  for (const auto& address : unreachablePeers_)
+    if (!unreachable.contains(address))
+      log::info("counter_peer_back", {{"peer", address}});
+  unreachablePeers_ = std::move(unreachable);
+}
 
 // --- messages ---
 
@@ -94,10 +112,14 @@
     return link->decline("a message that names no sender");
   links_.recordMessage(envelope.sender, link);
   heardMembers_[address] = envelope.sender;
-  const auto pass = [&](const auto& message) { replica_->receive(Clock::now(), address, message); };
-  transport::receive<ProgressReport>(link, envelope, pass);
-  transport::receive<TransferRequest>(link, envelope, pass);
-  transport::receive<IncrementTransfer>(link, envelope, pass);
+  const auto pass = [&](const auto& message, const auto& content) {
+    if (!replicated_counters::isWellFormed(content))
+      return link->decline("a sequence that no origin can have");
+    replica_->receive(Clock::now(), address, message);
+  };
+  transport::receive<ProgressReport>(link, envelope, [&](const auto& report) { pass(report, report.progress); });
+  transport::receive<TransferRequest>(link, envelope, [&](const auto& request) { pass(request, request.after); });
+  transport::receive<IncrementTransfer>(link, envelope, [&](const auto& transfer) { pass(transfer, transfer.batch); });
   run();
 }
 template <class Message>
--- a/libs/controller/src/counter_service.hpp
+++ b/libs/controller/src/counter_service.hpp
@@ -47,6 +47,8 @@
   void carryOut(replicated_counters::PersistBatch& action);
   void carryOut(const replicated_counters::Acknowledge& action);
   void appendRecord(const consensus::DiskRecord& record);
+  /// Writes to the log who became unreachable or came back.
+  void logChanges(TimePoint now);
   void run();
 
   ControllerContext& context_;
@@ -59,5 +61,7 @@
   std::map<std::int64_t, PendingCall*> calls_;               // by id, on the stacks of the fibers that wait
   std::int64_t lastCallId_ = 0;
   TimePoint membershipFollowedAt_{};
+  bool caughtUp_ = false;
+  std::set<std::string> unreachablePeers_;
 };
 }  // namespace zinccleat::controller
--- a/libs/operations/include/operations/commands.hpp
+++ b/libs/operations/include/operations/commands.hpp
@@ -34,8 +34,8 @@
 /// `zinccleat shards ADDRESS...`: the shards of the coordination service as each node sees them.
 /// @return 1 if none of them answered
 int shardsCommand(const std::vector<std::string>& addresses, bool asJson);
-/// `zinccleat tally add|get|sides ...`: one call on a replicated counter, or what each node knows of the others: whom it
-/// reaches, and what either side lacks. @return 1 for any answer but 200, 2 for a wrong command line
+/// `zinccleat tally add|get|sides ...`: one call on a replicated counter, or what each node knows of the others: whom
+/// it reaches, and what either side lacks. @return 1 for any answer but 200, 2 for a wrong command line
 int tallyCommand(const std::vector<std::string>& arguments, bool asJson);
 /// `zinccleat status ADDRESS...`: prints what controllers report about themselves, as a table or as a JSON list.
 /// @return 1 if none of them answered
--- a/libs/replicated_counters/include/replicated_counters/increments.hpp
+++ b/libs/replicated_counters/include/replicated_counters/increments.hpp
@@ -70,4 +70,9 @@
   }
   bool empty() const { return folded.empty() && ranges.empty(); }
 };
+/// Sequences above this are malformed: no origin comes near it.
+constexpr std::int64_t kMaxSequence = std::int64_t{1} << 53;
+/// Whether all numbers are within what any replica can have. What is not must not be merged.
+bool isWellFormed(const IncrementBatch& batch);
+bool isWellFormed(const std::vector<OriginProgress>& progress);
 }  // namespace zinccleat::replicated_counters
--- a/libs/replicated_counters/src/counter_state.cpp
+++ b/libs/replicated_counters/src/counter_state.cpp
@@ -125,9 +125,11 @@
   return true;
 }
 std::optional<IncrementRange> CounterState::mergeRange(const IncrementRange& range) {
+  if (range.firstSequence < 1)
+    return std::nullopt;
   const auto next = sequenceOf(range.origin) + 1;
   const auto skipped = next - range.firstSequence;
-  if (range.firstSequence < 1 || skipped < 0 || skipped >= static_cast<std::int64_t>(range.increments.size()))
+  if (skipped < 0 || skipped >= static_cast<std::int64_t>(range.increments.size()))
     return std::nullopt;
   IncrementRange fresh{range.origin, next, {range.increments.begin() + skipped, range.increments.end()}};
   for (const auto& increment : fresh.increments)
