Proxies find out that a zone can't be reached by the silence of several of its runners and a probe (in work)

Cause: at the onset of a cut each runner across it had to fail by itself, and requests on kept connections waited for 4 s.

--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/port.hpp"
 #include "proxy/proxy.hpp"
+#include "proxy/zone_probes.hpp"
 #include "runtime/log_ring.hpp"
 
 namespace zinccleat::proxy_daemon {
@@ -10,6 +11,7 @@
 constexpr auto kRenewalIntervalWithoutLease = kRenewalInterval / 4;
 /// A lease that was not renewed for so long is reported: three renewals have failed, or the replica lags.
 constexpr auto kAgingLease = kRenewalInterval * 3;
+constexpr auto kZoneProbeInterval = 100ms;
 constexpr auto kConnectionSweepInterval = 1000ms;
 constexpr auto kShutdownInterval = 100ms;
 /// This node's retry budget stays below the rule's by a margin.
@@ -99,6 +101,7 @@
     if (!context_.hasLease(Clock::now()))
       renewLease();
   });
+  loop.callEvery(kZoneProbeInterval, [this] { proxy::probeSilentZones(context_); });
   loop.callEvery(kConnectionSweepInterval, [this] { context_.connections.closeExpired(Clock::now()); });
 }
 void ProxyDaemon::shutDown() {
