--- a/libs/replicated_counters/include/replicated_counters/counter_state.hpp
+++ b/libs/replicated_counters/include/replicated_counters/counter_state.hpp
@@ -16,7 +16,10 @@
   struct Position {
     OriginId origin = 0;
     std::int64_t sequence = 0;
-    auto operator<=>(const Position&) const = default;
+    bool operator==(const Position&) const = default;
+    bool operator<(const Position& other) const {
+      return origin != other.origin ? origin < other.origin : sequence < other.sequence;
+    }
   };
 
   /// The newest sequence up to which all increments of an origin are here; 0: none.
--- a/libs/replicated_counters/src/counter_replica.cpp
+++ b/libs/replicated_counters/src/counter_replica.cpp
@@ -1,5 +1,7 @@
 #include "replicated_counters/counter_replica.hpp"
 
+#include <tuple>
+
 namespace zinccleat::replicated_counters {
 namespace {
 constexpr Duration kRequestTimeout{400};  // a request that brought nothing is sent again after this
@@ -124,22 +126,18 @@
   });
 }
 std::vector<std::string> CounterReplica::peersByPreference(TimePoint now) const {
-  struct Choice {
-    bool sameZone;
-    std::uint64_t order;
-    std::string address;
-    auto operator<=>(const Choice&) const = default;
-  };
+  // Zones apart first, then an order that differs from replica to replica.
+  using Choice = std::tuple<bool, std::uint64_t, std::string>;
   std::vector<Choice> choices;
   for (const auto& [address, peer] : peers_)
     if (isReachable(peer, now))
-      choices.push_back(
-          {peer.zone == options_.zone, hash64(address, static_cast<std::uint64_t>(options_.origin)), address});
+      choices.emplace_back(peer.zone == options_.zone, hash64(address, static_cast<std::uint64_t>(options_.origin)),
+                           address);
   std::sort(choices.begin(), choices.end());
   std::vector<std::string> addresses;
   addresses.reserve(choices.size());
   for (auto& choice : choices)
-    addresses.push_back(std::move(choice.address));
+    addresses.push_back(std::move(std::get<std::string>(choice)));
   return addresses;
 }
 void CounterReplica::pushUrgently(const Increment& increment, std::int64_t sequence, TimePoint now) {
@@ -178,12 +176,13 @@
   if (peer.requestedAt && now - *peer.requestedAt < kRequestTimeout)
     return;
   TransferRequest request;
-  for (const auto& [origin, sequence] : peer.durable) {
+  for (const auto& offered : peer.durable) {
+    const auto& [origin, sequence] = offered;
     const auto own = state_.sequenceOf(origin);
-    const bool isRequested = std::any_of(peers_.begin(), peers_.end(), [&, reached = sequence](const auto& entry) {
+    const bool isRequested = std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
       const auto& other = entry.second;
       return other.requestedAt && now - *other.requestedAt < kRequestTimeout &&
-             valueOf(other.durable, origin) >= reached;
+             valueOf(other.durable, offered.first) >= offered.second;
     });
     if (sequence > own && !isRequested)
       request.after.push_back({origin, own});
--- a/tests/counter_world.cpp
+++ b/tests/counter_world.cpp
@@ -9,13 +9,13 @@
 constexpr Duration kRound{45'000};
 constexpr Duration kFaults{18'000};  // of a round
 constexpr Duration kPlayed = kRounds * kRound;
-constexpr Duration kRecovery{
-    10'000};  // a machine whose disk was lost counts as lost for so long, without another fault
+// A machine whose disk was lost counts as lost for so long, without another fault.
+constexpr Duration kRecovery{10'000};
 constexpr std::size_t kCounters = 4;
 }  // namespace
 
-CounterWorld::CounterWorld(std::uint64_t seed, PlantedFault planted) : random_(seed), seed_(seed), planted_(planted) {
-  zones_ = 3 + static_cast<int>(below(2));
+CounterWorld::CounterWorld(std::uint64_t seed, PlantedFault planted)
+    : random_(seed), seed_(seed), planted_(planted), zones_(3 + static_cast<int>(below(2))) {
   const int perZone = 1 + static_cast<int>(below(2));
   copies_ = perZone == 1 ? 1 : 2;
   for (int i = 0; i < zones_ * perZone; ++i) {
@@ -188,10 +188,10 @@
                      1 + static_cast<std::int64_t>(below(9))};
   sent_[call->increment.counter] += call->increment.amount;
   sentIds_[call->increment.instanceId] = call->increment;
-  attempt(std::move(call));
+  attempt(call);
 }
 // The nearest first, then any that the caller's zone reaches; the same id again where the answer was lost.
-void CounterWorld::attempt(std::shared_ptr<Call> call) {
+void CounterWorld::attempt(const std::shared_ptr<Call>& call) {
   if (++call->attempts > 6)
     return;
   std::vector<Machine*> near;
--- a/tests/counter_world.hpp
+++ b/tests/counter_world.hpp
@@ -93,7 +93,7 @@
 
   void tickAll();
   void callSome();
-  void attempt(std::shared_ptr<Call> call);
+  void attempt(const std::shared_ptr<Call>& call);
   void acknowledge(Machine& machine, std::int64_t callId);
   /// A machine comes back with an empty disk in a calm time, and is read at once.
   void readAtANewDisk();
--- /dev/null
+++ b/tests/soak/counters.cpp
@@ -0,0 +1,84 @@
+// Applications that add to replicated counters, each increment under an id of its own, again and again until it is
+// acknowledged; and what every controller answers in the end.
+#include "config/json.hpp"
+#include "operations/call.hpp"
+#include "soak_run.hpp"
+
+namespace zinccleat::soak {
+namespace {
+constexpr Duration kPatience{1000};
+constexpr Duration kRetryInterval{30};
+constexpr Duration kReadBackTime{5000};
+constexpr int kCounters = 3;
+constexpr int kAttempts = 8;
+constexpr int kOk = 200;
+constexpr std::uint64_t kLargestAmount = 9;
+
+std::string counterName(std::uint64_t number) {
+  return "counter" + std::to_string(number);
+}
+std::optional<std::int64_t> totalAt(const std::string& address, const std::string& counter) {
+  const auto answer = operations::callOne(address, {"GET", "/v1/Tallies.Retrieve/" + counter, "", {}}, kPatience);
+  if (!answer || answer->status != kOk)
+    return std::nullopt;
+  config::JsonDocument document(answer->body);
+  config::JsonObject root;
+  std::int64_t total = -1;
+  config::JsonReader reader;
+  if (document.object(root))
+    reader.integer(root, "total", total, config::Presence::required);
+  return total;
+}
+void addOne(SoakRun& run, const std::string& instanceId) {
+  const auto counter = counterName(run.draw(kCounters));
+  const auto amount = static_cast<std::int64_t>(1 + run.draw(kLargestAmount));
+  const auto body = "{\"instanceId\":\"" + instanceId + "\",\"actor\":" + std::to_string(amount) + "}";
+  run.sentIncrements[counter] += amount;
+  bool acknowledged = false;
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    const auto answer =
+        operations::callOne(run.anyController(), {"POST", "/v1/Tallies.Modify/" + counter, body, {}}, kPatience);
+    if (answer && answer->status == kOk) {
+      if (!std::exchange(acknowledged, true))
+        run.acknowledgedIncrements[counter] += amount;
+      // Sometimes once more, as a caller does whose answer was lost.
+      if (run.draw(4) != 0)
+        return;
+    }
+    runtime::EventLoop::get().sleepFor(kRetryInterval);
+  }
+}
+void use(SoakRun& run, int number) {
+  for (int increment = 0; run.loaded; ++increment) {
+    runtime::EventLoop::get().sleepFor(run.drawDuration(5ms, 120ms));
+    addOne(run, "application" + std::to_string(number) + "-" + std::to_string(increment));
+  }
+}
+/// Asks one controller until its total is the same as the others' or the time is up.
+void readBackOne(SoakRun& run, const std::string& address, const std::string& counter) {
+  const auto sent = run.sentIncrements[counter];
+  const auto acknowledged = run.acknowledgedIncrements[counter];
+  std::optional<std::int64_t> total;
+  for (const auto end = Clock::now() + kReadBackTime; Clock::now() < end;
+       runtime::EventLoop::get().sleepFor(kRetryInterval)) {
+    total = totalAt(address, counter);
+    if (total && *total >= acknowledged && *total <= sent)
+      return;
+  }
+  run.unansweredAtTheEnd.push_back(counter + " at " + address + ": " + (total ? std::to_string(*total) : "nothing") +
+                                   ", acknowledged " + std::to_string(acknowledged) + ", sent " + std::to_string(sent));
+}
+}  // namespace
+
+void startCounting(SoakRun& run) {
+  for (int number = 0; number < run.plan.applications / 2; ++number)
+    run.spawn([&run, number] { use(run, number); });
+}
+void readBackCounters(SoakRun& run) {
+  for (std::size_t controller = 0; controller < run.fleet.core().size(); ++controller)
+    for (std::uint64_t counter = 0; counter < kCounters; ++counter)
+      run.spawn([&run, address = run.fleet.control(controller), name = counterName(counter)] {
+        readBackOne(run, address, name);
+      });
+}
+}  // namespace zinccleat::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -67,14 +67,19 @@
                                           [](const Change& change) { return change.acknowledgedAt.has_value(); });
   const auto served = std::count_if(run.applicationCalls.begin(), run.applicationCalls.end(),
                                     [](const auto& call) { return call.succeeded(); });
+  std::int64_t counted = 0;
+  for (const auto& [counter, amount] : run.acknowledgedIncrements)
+    counted += amount;
   auto violations = brokenRules(seen);
   addCoordination(run, violations);
   std::printf(
       "seed %ju: core %d, access %d, processes %zu; requests %zu: 200 %td, 404 %td, 503 %td; changes %zu, acknowledged "
-      "%td; runners left %zu; ends of processes %zu; calls for coordination %zu, 200 %td; broken rules %zu\n",
+      "%td; runners left %zu; ends of processes %zu; calls for coordination %zu, 200 %td; counted %jd; broken rules "
+      "%zu\n",
       static_cast<std::uintmax_t>(run.plan.seed), run.plan.core, run.plan.access, run.fleet.processes().size(),
       seen.requests.size(), count(200), count(404), count(503), seen.changes.size(), acknowledged,
-      seen.departures.size(), seen.exits.size(), run.applicationCalls.size(), served, violations.size());
+      seen.departures.size(), seen.exits.size(), run.applicationCalls.size(), served,
+      static_cast<std::intmax_t>(counted), violations.size());
   for (std::size_t i = 0; i < std::min(violations.size(), kPrintedViolations); ++i)
     std::printf("  %s: %s\n", violations[i].rule.c_str(), violations[i].what.c_str());
   std::fflush(stdout);
@@ -100,6 +105,7 @@
     return fail("the access machines do not get ready");
   startClients(run);
   startApplications(run);
+  startCounting(run);
   startDisturbances(run);
   loop.sleepFor(std::chrono::seconds(run.plan.seconds));
   run.disturbed = false;
@@ -109,6 +115,7 @@
     return fail("clients or work on the fleet do not end");
   readBack(run);
   readBackApplications(run);
+  readBackCounters(run);
   if (!waitUntil(kEndTimeout, [&run] { return run.busy == 0; }))
     return fail("applications do not end");
   const int status = report(run);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -18,7 +18,7 @@
   int access = 3;
   int runners = 6;
   int clients = 24;
-  int applications = 8;    ///< that use locks, numbers, cells and watches
+  int applications = 8;    ///< that use locks, numbers, cells and watches; half as many add to counters
   bool kills = false;      ///< processes are killed too, beside planned work
   bool keepsLogs = false;  ///< where a rule is broken
 };
@@ -37,7 +37,9 @@
   std::set<std::string> routes;  ///< optional ones in the newest configuration that was acknowledged
   std::int64_t version = 0;      ///< of that configuration
   std::vector<coordination_history::Call> applicationCalls;
-  std::vector<std::string> unansweredAtTheEnd;  ///< what applications asked for in vain
+  std::vector<std::string> unansweredAtTheEnd;                 ///< what applications asked for in vain
+  std::map<std::string, std::int64_t> sentIncrements;          ///< by counter: the sum of what was sent at least once
+  std::map<std::string, std::int64_t> acknowledgedIncrements;  ///< by counter: the sum of what was acknowledged
 
   std::uint64_t draw(std::uint64_t below) { return random() % below; }
   Duration drawDuration(Duration least, Duration most) {
@@ -66,6 +68,10 @@
 void startApplications(SoakRun& run);
 /// Asks for every lock, number, cell and watch for up to three seconds each, on fibers that count as busy.
 void readBackApplications(SoakRun& run);
+/// Adds to replicated counters until the load ends.
+void startCounting(SoakRun& run);
+/// Asks every controller for every counter for up to five seconds each, on fibers that count as busy.
+void readBackCounters(SoakRun& run);
 /// Sends the first configuration until it is taken. @return false if nobody took it.
 bool installFirstConfiguration(SoakRun& run);
 /// One change on top of the newest version that is known here.
--- a/tests/warmup_test.cpp
+++ b/tests/warmup_test.cpp
@@ -172,7 +172,7 @@
 struct WarmupWorld {
   struct Proxy {
     std::string zone;
-    Duration phase;
+    Duration phase{0};
     std::vector<std::pair<std::string, TimePoint>> grants;  // runner, end
   };
   explicit WarmupWorld(std::uint64_t seed) : random(seed) {}
