--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -10,7 +10,6 @@
 #include <set>
 
 #include "balancing/warmup_tracker.hpp"
-#include "balancing/zone_reachability.hpp"
 #include "config/configuration.hpp"
 #include "rollout/revision_gate.hpp"
 #include "state_machine/replicated_state.hpp"
@@ -32,7 +31,6 @@
   int drainPercent = 0;         ///< Percent of new requests to keep away: its zone is being drained.
   bool migrateStreams = false;  ///< Live streams that can be resumed are to move elsewhere.
   bool evacuated = false;       ///< Its zone is evacuated: it gets no requests.
-  bool unreachable = false;     ///< Its zone can't be reached from here.
 
   // While it is warming up and its service bounds its requests meanwhile.
   bool warmupIsLimited = false;
@@ -121,20 +119,6 @@
   void attemptEnded(int index) { --at(index).inFlight; }
   /// Takes a runner's report of its load: "running,waiting,slots". One that cannot be read is ignored.
   void updateLoad(int index, std::string_view report, TimePoint now);
-  /// Something came from a runner, be it a refusal: its zone can be reached.
-  void recordHeard(int index, TimePoint now);
-  /// The same of any runner of a zone. @return whether the zone was unreachable until now.
-  bool recordZoneHeard(const std::string& zone, TimePoint now);
-  /// A new connection to a runner timed out. @return whether its zone is unreachable from now on.
-  bool recordConnectTimeout(int index, TimePoint now);
-  /// A probe of a zone timed out. @return whether the zone is unreachable from now on.
-  bool recordProbeTimeout(const std::string& zone);
-  /// See `ZoneReachability`.
-  std::vector<std::string> zonesToProbe(const std::vector<ZoneReachability::SilentAttempt>& attempts, TimePoint now) {
-    return reachability_.zonesToProbe(attempts, now);
-  }
-  /// Some runner of a zone, at random; -1: none is known.
-  int anyRunnerIn(std::string_view zone);
   void recordSuccess(int index);
   void recordFailure(int index, TimePoint now);
 
@@ -148,7 +132,6 @@
   int indexFor(const std::string& runnerId);
   void applyZoneDrains();
   void applyWarmups();
-  void applyReachability();
   /// Whether a runner is warming up and no request to it is granted.
   bool awaitsWarmupGrant(const RunnerEndpoint& endpoint, TimePoint now) const;
   Candidates candidatesFor(const RunnerQuery& query, TimePoint now);
@@ -176,7 +159,6 @@
   std::unordered_map<std::string, int> indexById_;
   std::map<std::string, ZoneDrainLevel> zoneDrains_;
   WarmupTracker warmups_;
-  ZoneReachability reachability_;
   std::map<std::string, std::string> regions_;  ///< by zone
   std::mt19937_64 rng_;
   double meanPromptTokens_ = 1000;
--- a/libs/balancing/src/runner_pool.cpp
+++ b/libs/balancing/src/runner_pool.cpp
@@ -75,7 +75,6 @@
   }
   warmups_.followRunners(runners, now);
   applyWarmups();
-  applyReachability();
   applyZoneDrains();
   std::erase_if(indexById_, [this](const auto& entry) { return !at(entry.second).present; });
 }
@@ -196,44 +195,6 @@
   return std::max(endpoint.inFlight, estimated) / slots;
 }
 
-void RunnerPool::applyReachability() {
-  for (auto& endpoint : endpoints_)
-    endpoint.unreachable = reachability_.isUnreachable(endpoint.zone);
-}
-
-void RunnerPool::recordHeard(int index, TimePoint now) {
-  (void)recordZoneHeard(at(index).zone, now);
-}
-
-bool RunnerPool::recordZoneHeard(const std::string& zone, TimePoint now) {
-  const bool changed = reachability_.recordHeard(zone, now);
-  if (changed)
-    applyReachability();
-  return changed;
-}
-
-bool RunnerPool::recordConnectTimeout(int index, TimePoint now) {
-  const bool changed = reachability_.recordTimeout(at(index).zone, index, now);
-  if (changed)
-    applyReachability();
-  return changed;
-}
-
-bool RunnerPool::recordProbeTimeout(const std::string& zone) {
-  const bool changed = reachability_.recordProbeTimeout(zone);
-  if (changed)
-    applyReachability();
-  return changed;
-}
-
-int RunnerPool::anyRunnerIn(std::string_view zone) {
-  std::vector<int> runners;
-  for (int index = 0; index < static_cast<int>(endpoints_.size()); ++index)
-    if (at(index).present && at(index).zone == zone)
-      runners.push_back(index);
-  return runners.empty() ? -1 : runners[rng_() % runners.size()];
-}
-
 void RunnerPool::recordSuccess(int index) {
   auto& endpoint = at(index);
   endpoint.consecutiveFailures = 0;
@@ -368,7 +329,7 @@
 bool RunnerPool::isUnhealthy(const RunnerEndpoint& endpoint, const RunnerQuery& query, TimePoint now) {
   // After a failure one request at a time: a runner that still fails should cost one of them, not many.
   const bool backingOff = endpoint.backoffUntil > now || (endpoint.consecutiveFailures > 0 && endpoint.inFlight > 0);
-  if (backingOff || endpoint.unreachable || endpoint.ejected >= 1)
+  if (backingOff || endpoint.ejected >= 1)
     return true;
   if (endpoint.ejected <= 0)
     return false;
--- a/libs/proxy/include/proxy/proxy_context.hpp
+++ b/libs/proxy/include/proxy/proxy_context.hpp
@@ -29,8 +29,6 @@
   std::int64_t promptTokens = 0;
   TimePoint startedAt{};
   bool countedSlow = false;  ///< reported to the runner observer as slow
-  /// The connection on which it waits for a response, if it may be given up for another runner; else null.
-  runtime::Connection* abandonable = nullptr;
 };
 /// A request that waits for a token of its tenant's quota.
 struct QuotaWaiter {
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -60,7 +60,7 @@
   context.runners.attemptStarted(runnerIndex, query.promptTokens, now());
   runner = runnerIndex;
   prefillTokens = query.promptTokens;
-  pendingAttempt = {runnerIndex, service, prefillTokens, now(), false, nullptr};
+  pendingAttempt = {runnerIndex, service, prefillTokens, now(), false};
   context.pendingAttempts.insert(&pendingAttempt);
   observed = context.revisions.isObserved(*service);
   slowResponse = slownessRecorded = false;
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -32,7 +32,7 @@
   connection_->setDeadline(exchange_.deadline + kDeadlineMargin);
   if (const auto outcome = sendRequest())
     return *outcome;
-  ec_ = awaitResponse();
+  ec_ = readFinalHeader(*connection_, buffer_, response_, exchange_.request.method(), exchange_.attemptId);
   if (ec_ || !belongsTo(response_->get(), exchange_.attemptId))
     return responseLost();
   return relayResponse();
@@ -52,32 +52,13 @@
   connection_->connect(*endpoint, ec_);
   if (ec_) {
     recordFailure();
-    recordReachability(connection_->deadlineExceeded());
     pool.closeAll(runnerId_);
     return false;
   }
-  recordReachability(false);
   connection_->clearDeadline();
   return true;
 }
 
-void RunnerAttempt::recordReachability(bool timedOut) {
-  auto& runners = exchange_.context.runners;
-  if (timedOut)
-    (void)runners.recordConnectTimeout(runner_, Exchange::now());
-  else
-    runners.recordHeard(runner_, Exchange::now());
-}
-
-runtime::SocketError RunnerAttempt::awaitResponse() {
-  exchange_.pendingAttempt.abandonable = exchange_.query.idempotent ? connection_.get() : nullptr;
-  const auto ec = readFinalHeader(*connection_, buffer_, response_, exchange_.request.method(), exchange_.attemptId);
-  exchange_.pendingAttempt.abandonable = nullptr;
-  if (!ec)
-    recordReachability(false);
-  return ec;
-}
-
 std::optional<AttemptOutcome> RunnerAttempt::sendRequest() {
   ForwardingOptions options;
   options.expectedInstance = runnerId_;
--- a/libs/proxy/src/runner_attempt.hpp
+++ b/libs/proxy/src/runner_attempt.hpp
@@ -18,10 +18,6 @@
   /// Takes a pooled connection or opens a new one.
   /// @return false if the runner cannot be reached; it has been sent nothing.
   bool connect();
-  /// Records whether a new connection timed out, or anything came from the runner.
-  void recordReachability(bool timedOut);
-  /// Waits for the response's header. Meanwhile a repeatable attempt may be given up, see `probeSilentZones`.
-  runtime::SocketError awaitResponse();
   /// Writes the request.
   /// @return the outcome if the attempt has ended with that.
   std::optional<AttemptOutcome> sendRequest();
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "agent/port.hpp"
 #include "proxy/proxy.hpp"
-#include "proxy/zone_probes.hpp"
 #include "runtime/log_ring.hpp"
 
 namespace zinccleat::proxy_daemon {
@@ -11,7 +10,6 @@
 constexpr auto kRenewalIntervalWithoutLease = kRenewalInterval / 4;
 /// A lease that was not renewed for so long is reported: three renewals have failed, or the replica lags.
 constexpr auto kAgingLease = kRenewalInterval * 3;
-constexpr auto kZoneProbeInterval = 100ms;
 constexpr auto kConnectionSweepInterval = 1000ms;
 constexpr auto kShutdownInterval = 100ms;
 /// This node's retry budget stays below the rule's by a margin.
@@ -101,7 +99,6 @@
     if (!context_.hasLease(Clock::now()))
       renewLease();
   });
-  loop.callEvery(kZoneProbeInterval, [this] { proxy::probeSilentZones(context_); });
   loop.callEvery(kConnectionSweepInterval, [this] { context_.connections.closeExpired(Clock::now()); });
 }
 void ProxyDaemon::shutDown() {
