--- a/tests/fake_controller.hpp
+++ b/tests/fake_controller.hpp
@@ -5,8 +5,8 @@
 
 #include "control_api.hpp"
 #include "coordination/leaseholder.hpp"
+#include "fake_counters.hpp"
 #include "operation_ids.hpp"
-#include "replicated_counters/counter_state.hpp"
 
 namespace zinccleat::controller_testing {
 using namespace zinccleat::config;
@@ -89,23 +89,15 @@
   }
   bool changesWarmup(const Runner&) const override { return warmupChanges; }
   bool warmupChanges = false;
+  FakeCounters counters;
   Result<void> addToCounter(const replicated_counters::Increment& increment, Duration timeout) override {
-    if (lacksCopies) {
+    auto added = counters.add(increment);
+    if (!added)
       waited += timeout;
-      return makeError(ErrorCode::outcomeUnknown, "too few copies");
-    }
-    if (!counters.find(increment.instanceId))
-      counters.append(1, increment);
-    return {};
-  }
-  Result<std::int64_t> counterTotal(const std::string& counter) const override {
-    if (isCatchingUp)
-      return makeError(ErrorCode::unavailable, "catching up");
-    return counters.total(counter);
+    return added;
   }
+  Result<std::int64_t> counterTotal(const std::string& counter) const override { return counters.total(counter); }
   std::string replicatedCountersJson() const override { return "{}"; }
-  replicated_counters::CounterState counters;
-  bool lacksCopies = false, isCatchingUp = false;
   std::string shardsJson() const override { return "{}"; }
   std::string nextOperationId() override { return ids.next(); }
   std::optional<std::string> controlAddressIn(const std::string& zone) const override {
--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -8,8 +8,8 @@
 
 #include "control_api.hpp"
 #include "controller_node.hpp"
+#include "fake_counters.hpp"
 #include "golden_files.hpp"
-#include "replicated_counters/counter_state.hpp"
 #include "runtime/event_loop.hpp"
 
 using namespace zinccleat;
@@ -61,21 +61,12 @@
   }
   bool changesWarmup(const Runner&) const override { return warmupChanges; }
   bool warmupChanges = false;
+  controller_testing::FakeCounters counters;
   Result<void> addToCounter(const replicated_counters::Increment& increment, Duration /*timeout*/) override {
-    if (lacksCopies)
-      return makeError(ErrorCode::outcomeUnknown, "too few copies");
-    if (!counters.find(increment.instanceId))
-      counters.append(1, increment);
-    return {};
-  }
-  Result<std::int64_t> counterTotal(const std::string& counter) const override {
-    if (isCatchingUp)
-      return makeError(ErrorCode::unavailable, "catching up");
-    return counters.total(counter);
+    return counters.add(increment);
   }
+  Result<std::int64_t> counterTotal(const std::string& counter) const override { return counters.total(counter); }
   std::string replicatedCountersJson() const override { return "{}"; }
-  replicated_counters::CounterState counters;
-  bool lacksCopies = false, isCatchingUp = false;
   std::string shardsJson() const override { return "{}"; }
   std::string nextOperationId() override { return "operator/" + std::to_string(writes); }
   std::optional<std::string> controlAddressIn(const std::string&) const override { return std::nullopt; }
--- a/tests/replicated_counters_test.cpp
+++ b/tests/replicated_counters_test.cpp
@@ -343,14 +343,14 @@
 }
 TEST(CounterCalls, WhatIsNotAcknowledgedInTimeIsNotAnswered) {
   controller_testing::FakeController controller;
-  controller.lacksCopies = true;
+  controller.counters.lacksCopies = true;
   const auto answer = controller.post("/v1/Tallies.Modify/t3", R"({"instanceId":"a","actor":4})");
   EXPECT_TRUE(answer.silent);
   EXPECT_LE(controller.waited, 900ms) << "the caller has given up after a second";
 }
 TEST(CounterCalls, AReplicaThatIsCatchingUpSendsReadersElsewhere) {
   controller_testing::FakeController controller;
-  controller.isCatchingUp = true;
+  controller.counters.isCatchingUp = true;
   EXPECT_EQ(controller.get("/v1/Tallies.Retrieve/t3").status, controller::HttpStatus::service_unavailable);
 }
 TEST(CounterCalls, BadInputIsRefusedInOneLineAndChangesNothing) {
@@ -371,5 +371,5 @@
             controller::HttpStatus::bad_request);
   EXPECT_EQ(controller.post("/v1/Tallies.Modify/", R"({"instanceId":"a","actor":4})").status,
             controller::HttpStatus::bad_request);
-  EXPECT_EQ(controller.counters.keptIncrements(), 0U);
+  EXPECT_EQ(controller.counters.state.keptIncrements(), 0U);
 }
--- a/tests/warmup_test.cpp
+++ b/tests/warmup_test.cpp
@@ -43,6 +43,17 @@
   pool.setRunners(runners, now);
   return pool;
 }
+state_machine::StateContents stateOf(std::vector<state_machine::Runner> runners) {
+  state_machine::StateContents state;
+  state.index = 1;
+  state.runners = std::move(runners);
+  return state;
+}
+WarmupAllocator leaderFollowing(const state_machine::StateContents& state, const config::Configuration& config) {
+  WarmupAllocator leader(kBounds, kZones);
+  leader.follow(kStart, state, &config);
+  return leader;
+}
 balancing::RunnerQuery queryOf() {
   balancing::RunnerQuery query;
   query.service = "s", query.zone = "z1";
@@ -105,11 +116,8 @@
 }
 TEST(Warmup, WhatIsKnownOfAWarmupIsNotWrittenAgain) {
   const auto config = configurationOf(kPerS);
-  WarmupAllocator leader(kBounds, kZones);
-  state_machine::StateContents state;
-  state.index = 1;
-  state.runners = {runnerOf("i1", 1, 3000)};
-  leader.follow(kStart, state, &config);
+  auto state = stateOf({runnerOf("i1", 1, 3000)});
+  auto leader = leaderFollowing(state, config);
   EXPECT_FALSE(leader.isChangedBy(kStart + 1s, runnerOf("i1", 2, 2000)));
   EXPECT_TRUE(leader.isChangedBy(kStart + 1s, runnerOf("i1", 2, 3000))) << "it has begun anew";
   EXPECT_TRUE(leader.isChangedBy(kStart + 4s, runnerOf("i1", 4, 0))) << "replicas that start later must know";
@@ -125,11 +133,8 @@
 
 TEST(Warmup, GrantsGoToProxiesOfTheRunnersZoneFirst) {
   const auto config = configurationOf(kPerS);
-  WarmupAllocator leader(kBounds, kZones);
-  state_machine::StateContents state;
-  state.index = 1;
-  state.runners = {runnerOf("i1", 1, 3000)};
-  leader.follow(kStart, state, &config);
+  auto state = stateOf({runnerOf("i1", 1, 3000)});
+  auto leader = leaderFollowing(state, config);
   int near = 0;
   int far = 0;
   for (auto now = kStart; now < kStart + 3s; now += 20ms) {
@@ -143,11 +148,8 @@
 }
 TEST(Warmup, OtherZonesGetWhatTheRunnersZoneLeaves) {
   const auto config = configurationOf(kPerS);
-  WarmupAllocator leader(kBounds, kZones);
-  state_machine::StateContents state;
-  state.index = 1;
-  state.runners = {runnerOf("i1", 1, 3000)};
-  leader.follow(kStart, state, &config);
+  auto state = stateOf({runnerOf("i1", 1, 3000)});
+  auto leader = leaderFollowing(state, config);
   int far = 0;
   for (auto now = kStart; now < kStart + 3s; now += 20ms)
     far += static_cast<int>(leader.allocate(now, "z2").size());
@@ -155,11 +157,8 @@
 }
 TEST(Warmup, ANewLeaderWaitsUntilTheGrantsOfTheOneBeforeHaveExpired) {
   const auto config = configurationOf(kPerS);
-  WarmupAllocator leader(kBounds, kZones);
-  state_machine::StateContents state;
-  state.index = 1;
-  state.runners = {runnerOf("i1", 1, 3000)};
-  leader.follow(kStart, state, &config);
+  auto state = stateOf({runnerOf("i1", 1, 3000)});
+  auto leader = leaderFollowing(state, config);
   leader.startTerm(kStart);
   for (auto now = kStart; now < kStart + transport::kWarmupGrantLifetime; now += 20ms)
     EXPECT_TRUE(leader.allocate(now, "z1").empty());
@@ -199,12 +198,10 @@
   }
   void play(double perS, std::size_t proxyCount, int leaderChanges) {
     const auto config = configurationOf(perS);
-    WarmupAllocator leader(kBounds, kZones);
-    state_machine::StateContents state;
-    state.index = 1;
+    std::vector<state_machine::Runner> runners;
     for (int i = 0; i < 6; ++i)
-      state.runners.push_back(runnerOf("i" + std::to_string(i), 1, 3000, i % 2 == 0 ? "z1" : "z2"));
-    leader.follow(kStart, state, &config);
+      runners.push_back(runnerOf("i" + std::to_string(i), 1, 3000, i % 2 == 0 ? "z1" : "z2"));
+    auto leader = leaderFollowing(stateOf(std::move(runners)), config);
     std::vector<Proxy> proxies(proxyCount);
     for (auto& proxy : proxies)
       proxy = {below(2) == 0 ? "z1" : "z2", Duration(10 * below(40)), {}};
