--- a/tests/warmup_test.cpp
+++ b/tests/warmup_test.cpp
@@ -198,8 +198,10 @@
   }
   void play(double perS, std::size_t proxyCount, int leaderChanges) {
     const auto config = configurationOf(perS);
+    constexpr int kRunners = 6;
     std::vector<state_machine::Runner> runners;
-    for (int i = 0; i < 6; ++i)
+    runners.reserve(kRunners);
+    for (int i = 0; i < kRunners; ++i)
       runners.push_back(runnerOf("i" + std::to_string(i), 1, 3000, i % 2 == 0 ? "z1" : "z2"));
     auto leader = leaderFollowing(stateOf(std::move(runners)), config);
     std::vector<Proxy> proxies(proxyCount);
