Consensus: a leader is found and kept while disks are slow

Ruled out: longer election timeouts alone (they lengthen every ordinary election); requests before the vote's sync with an unsynced log (a late vote of a first candidacy could count for a shorter log of a second one).

Change: requests leave at once if the log that they claim is on the disk, the candidate leads only with its own vote on the disk; a pre-vote keeps the election under way; no pre-vote is granted while one's own vote is on its way to the disk; a disk counts as stuck only beyond three times its newest sync; a leader hands over only if a quorum commits in a third of the time of its own disk; a record knows its first ticket.

Worlds: slow disks on one machine or all join the faults of the consensus and coordination worlds.

--- a/libs/consensus/include/consensus/raft_node.hpp
+++ b/libs/consensus/include/consensus/raft_node.hpp
@@ -29,7 +29,7 @@
   Duration electionTimeout{550};  ///< longer than the lease
   Duration electionTimeoutSpread{300};
   Duration tickInterval{50};           ///< how often `tick` is called
-  Duration syncStallTimeout{700};      ///< a leader with a sync this old hands over if another member has synced more
+  Duration syncStallTimeout{700};      ///< a leader with a sync this old hands over if a quorum syncs much faster
   Duration unreachableAfter{2500};     ///< a voter not heard for so long may be replaced or removed
   Duration voteRetryInterval{100};     ///< between two pre-vote requests without a majority
   Duration resendTimeout{400};         ///< entries without an acknowledgement are sent again
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -24,11 +24,11 @@
 // disturbs no leader when it comes back.
 void RaftCore::startPreVote(TimePoint now) {
   resetElectionTimer(now);
-  if (!isVoter() || diskStalled())
+  if (!isVoter() || diskStuck())
     return;
   election.transferredTerm = 0;
   election.preVoting = true;
-  election.votes = {self};
+  election.preVotes = {self};
   setRole(Role::candidate);
   election.lastVoteRequestAt = now;
   requestVotes(0);
@@ -37,8 +37,12 @@
 void RaftCore::startElection(TimePoint now) {
   resetElectionTimer(now);
   const bool transferred = std::exchange(election.transferAccepted, false);
-  if (!isVoter() || diskStalled())
+  if (!isVoter() || diskStuck())
     return;
+  // The requests claim the log as it is. Where all of it is on the disk they need not wait for the vote's record: a
+  // member that forgets its candidacy in a restart has promised nothing to anybody, and it leads only once its own vote
+  // is on the disk (`winIfElected`).
+  const bool logIsPersisted = log.persistedIndex() >= log.lastLogIndex();
   election.transferredTerm = transferred ? term.current : 0;
   election.preVoting = false;
   ++term.current;
@@ -50,7 +54,7 @@
   term.ticket = persist(0, {});
   election.ownVoteTicket = term.ticket;
   election.voteTicket = term.ticket;
-  requestVotes(election.ownVoteTicket);
+  requestVotes(logIsPersisted ? 0 : election.ownVoteTicket);
 }
 void RaftCore::requestVotes(PersistTicket after) {
   VoteRequest request;
@@ -68,11 +72,14 @@
 void RaftCore::winIfElected(TimePoint now) {
   if (role != Role::candidate)
     return;
-  if (!log.config().hasQuorum([&](const MemberId& voter) { return election.votes.contains(voter); }))
-    return;
-  if (election.preVoting)
-    return startElection(now);
-  becomeLeader(now);
+  const auto hasQuorumOf = [this](const std::set<MemberId>& votes) {
+    return log.config().hasQuorum([&](const MemberId& voter) { return votes.contains(voter); });
+  };
+  // A member that leads has its term on its disk.
+  if (election.votes.contains(self) && hasQuorumOf(election.votes))
+    return becomeLeader(now);
+  if (election.preVoting && hasQuorumOf(election.preVotes))
+    startElection(now);
 }
 void RaftCore::becomeLeader(TimePoint now) {
   setRole(Role::leader);
@@ -106,7 +113,9 @@
 void RaftCore::onPreVoteRequest(TimePoint now, const MemberId& from, const VoteRequest& request) {
   if (request.term <= term.current)
     return sendCurrentTerm(from);
-  if (boundByLease(now, request))
+  // A vote that is on its way to the disk may still decide its election: until the candidate has heard of it, nobody
+  // else should make that election void. On slow disks no term would be won otherwise.
+  if (boundByLease(now, request) || awaitingOwnVoteRecord())
     return;
   if (log.isUpToDate(request.lastLogTerm, request.lastLogIndex))
     send(from, VoteResponse{request.term, true});
@@ -141,15 +150,16 @@
   send(candidate, VoteResponse{term.current, false}, after);
 }
 void RaftCore::onVoteResponse(TimePoint now, const MemberId& from, const VoteResponse& response) {
-  if (role != Role::candidate || response.preVote != election.preVoting)
-    return;
-  if (response.term != (election.preVoting ? term.current + 1 : term.current))
+  const bool inPreVote = response.preVote && election.preVoting && response.term == term.current + 1;
+  const bool inElection = !response.preVote && term.votedFor == self && response.term == term.current;
+  if (role != Role::candidate || (!inPreVote && !inElection))
     return;
-  election.votes.insert(from);
+  auto& votes = inPreVote ? election.preVotes : election.votes;
+  votes.insert(from);
   winIfElected(now);
 }
 void RaftCore::onTransferLeadership(TimePoint now, const TransferLeadership& message) {
-  if (message.term != term.current || role != Role::follower || diskStalled())
+  if (message.term != term.current || role != Role::follower || diskStuck())
     return;
   follower.leasePromisedUntil = {};
   election.transferAccepted = true;
--- a/libs/consensus/src/fingerprint.cpp
+++ b/libs/consensus/src/fingerprint.cpp
@@ -49,7 +49,7 @@
   writer(leading.heartbeatId);  // absolute: answers in flight name a heartbeat by its id
   for (const auto& [id, sentAt] : leading.heartbeatSentAt)
     writer(id)(sentAt);
-  writer(leading.firstIndexOfTerm)(leading.lastHeartbeatAt)(leading.lastQuorumAt);
+  writer(leading.firstIndexOfTerm)(leading.lastHeartbeatAt)(leading.lastQuorumAt)(leading.commitAheadOfDiskSince);
 }
 // Tickets relative to the newest one: their absolute values make no difference.
 void writePersistence(FingerprintWriter& writer, const RaftCore& core) {
@@ -58,7 +58,8 @@
   if (!core.persistence.pending().empty())
     writer(core.term.ticket - newest)(core.election.ownVoteTicket - newest)(core.election.voteTicket - newest);
   for (const auto& pending : core.persistence.pending()) {
-    writer(pending.ticket - newest)(pending.lastLogIndex)(pending.lastLogTerm)(pending.failed);
+    writer(pending.ticket - newest)(pending.firstTicket -
+                                    newest)(pending.lastLogIndex)(pending.lastLogTerm)(pending.failed);
     writer(pending.inFlight)(pending.retryAt)(static_cast<std::int64_t>(pending.pendingFor.count()));
   }
   for (const auto& deferred : core.persistence.deferred())
@@ -77,6 +78,9 @@
   writer.deadline(election.suppressedUntil)(lastTickAt);
   for (const auto& vote : election.votes)
     writer(vote);
+  writer(static_cast<std::int64_t>(election.votes.size()));
+  for (const auto& vote : election.preVotes)
+    writer(vote);
   writeLeading(writer, leading);
   writer(membership.lastJoinRequestAt)(membership.lastLeaveRequestAt);
   writer(membership.leaving)(membership.exitAllowed);
--- a/libs/consensus/src/leader.cpp
+++ b/libs/consensus/src/leader.cpp
@@ -13,7 +13,8 @@
     leading.lastQuorumAt = now;
   else if (now - leading.lastQuorumAt > options.lease + options.electionTimeout)
     return stepDown(now);
-  if (persistence.oldestFailed() || (diskStalled() && anotherHasSyncedMore(now)))
+  trackCommitAheadOfDisk(now);
+  if (diskStalled() && commitsMuchFasterThanOwnDisk(now))
     return transferLeadership(now);
   tickMembership(now);
   if (role == Role::leader && now - leading.lastHeartbeatAt >= options.heartbeatInterval)
@@ -74,12 +75,18 @@
 bool RaftCore::recentlyHeard(TimePoint now, const PeerProgress& progress) const {
   return now - progress.lastHeardAt < options.heartbeatInterval * kRecentlyHeardHeartbeats;
 }
-bool RaftCore::anotherHasSyncedMore(TimePoint now) const {
-  const auto voters = log.config().allVoters();
-  return std::any_of(voters.begin(), voters.end(), [&](const MemberId& voter) {
-    const auto* peer = leading.find(voter);
-    return peer && recentlyHeard(now, *peer) && peer->matchIndex > log.persistedIndex();
-  });
+void RaftCore::trackCommitAheadOfDisk(TimePoint now) {
+  if (log.commitIndex() <= log.persistedIndex())
+    leading.commitAheadOfDiskSince = {};
+  else if (leading.commitAheadOfDiskSince == TimePoint{})
+    leading.commitAheadOfDiskSince = now;
+}
+bool RaftCore::commitsMuchFasterThanOwnDisk(TimePoint now) const {
+  if (leading.commitAheadOfDiskSince == TimePoint{})
+    return false;
+  constexpr int kTimesFaster = 3;
+  const auto ahead = toDuration(now - leading.commitAheadOfDiskSince);
+  return persistence.oldestFailed() || ahead * kTimesFaster >= persistence.oldestAge() * (kTimesFaster - 1);
 }
 MemberId RaftCore::bestSuccessor(TimePoint now) const {
   MemberId best;
--- a/libs/consensus/src/leader_state.cpp
+++ b/libs/consensus/src/leader_state.cpp
@@ -7,6 +7,7 @@
 
 void LeaderState::startTerm(TimePoint now, std::int64_t firstIndex) {
   lastQuorumAt = now;
+  commitAheadOfDiskSince = {};
   peers.clear();
   heartbeatSentAt.clear();
   firstIndexOfTerm = firstIndex;
--- a/libs/consensus/src/leader_state.hpp
+++ b/libs/consensus/src/leader_state.hpp
@@ -13,7 +13,8 @@
   std::map<std::int64_t, TimePoint> heartbeatSentAt;  ///< by id, the newest ones
   std::int64_t firstIndexOfTerm = 0;                  ///< the no-op entry with which the term began
   TimePoint lastHeartbeatAt{};
-  TimePoint lastQuorumAt{};  ///< when the lease was last valid
+  TimePoint lastQuorumAt{};            ///< when the lease was last valid
+  TimePoint commitAheadOfDiskSince{};  ///< others have committed what this member's disk has not synced; zero: none
 
   /// Forgets the peers of an earlier term.
   void startTerm(TimePoint now, std::int64_t firstIndex);
--- a/libs/consensus/src/persistence.cpp
+++ b/libs/consensus/src/persistence.cpp
@@ -56,6 +56,12 @@
 bool RaftCore::diskStalled() const {
   return persistence.oldestFailed() || persistence.oldestAge() > options.syncStallTimeout;
 }
+bool RaftCore::diskStuck() const {
+  constexpr int kSyncsOfPatience = 3;  // a record may wait for the one before it, and syncs differ
+  const bool moves =
+      !persistence.oldestFailed() && persistence.oldestAge() <= persistence.lastSyncTime() * kSyncsOfPatience;
+  return diskStalled() && !moves;
+}
 // Only the oldest record is retried, since the disk takes them in order. Whatever was queued behind it goes along in
 // one full record: a backlog of single records would take longer to write than it took to gather.
 void RaftCore::retryPersist(TimePoint now) {
@@ -78,14 +84,16 @@
   if (awaitedVote && !awaitingOwnVoteRecord() && role != Role::leader)
     resetElectionTimer(now);
   log.markPersisted(synced->lastLogIndex, synced->lastLogTerm);
-  if (role == Role::candidate && !election.preVoting && ticket >= election.ownVoteTicket)
+  if (role == Role::candidate && term.votedFor == self && ticket >= election.ownVoteTicket)
     election.votes.insert(self);
   for (auto& deferred : persistence.releaseMessages())
     if (deferred.term == term.current)  // a vote or a request of an earlier term is void
       actions.emplace_back(SendMessage{std::move(deferred.to), std::move(deferred.message)});
   winIfElected(now);
-  if (role == Role::leader)
+  if (role == Role::leader) {
+    leading.commitAheadOfDiskSince = {};  // counted anew for the next record
     return advanceCommit(now);
+  }
   if (std::min(follower.matchIndex, log.persistedIndex()) > 0)
     acknowledge(0, 0);
 }
--- a/libs/consensus/src/persistence_queue.cpp
+++ b/libs/consensus/src/persistence_queue.cpp
@@ -25,7 +25,7 @@
   if (gathers)
     pending_.back().record = combine(std::move(pending_.back().record), std::move(record));
   else
-    pending_.push_back({.record = std::move(record)});
+    pending_.push_back({.firstTicket = lastTicket_ + 1, .record = std::move(record)});
   auto& newest = pending_.back();
   newest.ticket = ++lastTicket_;
   newest.lastLogIndex = lastLogIndex;
@@ -57,7 +57,7 @@
   return completed;
 }
 std::vector<DeferredMessage> PersistenceQueue::releaseMessages() {
-  const auto oldest = pending_.empty() ? std::numeric_limits<PersistTicket>::max() : pending_.front().ticket;
+  const auto oldest = pending_.empty() ? std::numeric_limits<PersistTicket>::max() : pending_.front().firstTicket;
   std::vector<DeferredMessage> released;
   std::vector<DeferredMessage> stillDeferred;
   for (auto& message : deferred_) {
--- a/libs/consensus/src/persistence_queue.hpp
+++ b/libs/consensus/src/persistence_queue.hpp
@@ -16,7 +16,8 @@
 
 /// A record that is not on the disk yet.
 struct PendingRecord {
-  PersistTicket ticket = 0;
+  PersistTicket ticket = 0;       ///< of the newest that was gathered into it; what the disk answers with
+  PersistTicket firstTicket = 0;  ///< of the oldest
   DiskRecord record;
   std::int64_t lastLogIndex = 0, lastLogTerm = 0;  ///< the end of the log that the record makes durable
   bool inFlight = false;                           ///< handed to the disk and not answered yet
@@ -37,7 +38,7 @@
   /// Continues behind a sequence number that was read back from the disk.
   void recoverSequence(std::int64_t sequence) { lastSequence_ = std::max(lastSequence_, sequence); }
   /// Queues a record; its sequence number is assigned when it is handed over.
-  /// @return its ticket, which is also that of whatever it is gathered with.
+  /// @return its ticket.
   PersistTicket add(DiskRecord record, std::int64_t lastLogIndex, std::int64_t lastLogTerm);
   /// Hands the oldest record over if the disk has none and the oldest has not failed.
   /// @return the record that the disk is to be given now; null: none.
@@ -47,7 +48,7 @@
   /// @return false if the record is there already: the message may be sent now.
   bool defer(DeferredMessage& message);
   /// Whether the record with this ticket, or an older one, is not on the disk yet.
-  bool isPending(PersistTicket ticket) const { return !pending_.empty() && pending_.front().ticket <= ticket; }
+  bool isPending(PersistTicket ticket) const { return !pending_.empty() && pending_.front().firstTicket <= ticket; }
   /// The disk has synced a record.
   /// @return the record, no longer pending; nothing for an unknown ticket.
   std::optional<PendingRecord> complete(PersistTicket ticket);
--- a/libs/consensus/src/raft_core.cpp
+++ b/libs/consensus/src/raft_core.cpp
@@ -51,6 +51,7 @@
   follower.leader.clear();
   follower.matchIndex = 0;
   election.preVoting = false;
+  election.votes.clear();
   setRole(passiveRole());
   resetElectionTimer(now);
   term.ticket = persist(0, {});
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -74,6 +74,9 @@
   void agePendingRecords(TimePoint now);
   /// Whether the disk has refused a record or has not answered for `RaftOptions::syncStallTimeout`.
   bool diskStalled() const;
+  /// Whether the disk is stalled, and for much longer than its newest sync took: a disk that is slow but moves is not
+  /// stuck, and its member may vote and lead.
+  bool diskStuck() const;
   void retryPersist(TimePoint now);
   void onPersisted(TimePoint now, PersistTicket ticket);
 
@@ -113,8 +116,11 @@
   TimePoint leaseEnd() const;
   bool leaseValid(TimePoint now) const;
   bool recentlyHeard(TimePoint now, const PeerProgress& progress) const;
-  /// Whether another voter has synced more than this member: otherwise no disk is better off than this one.
-  bool anotherHasSyncedMore(TimePoint now) const;
+  /// Whether a quorum commits without this member's disk, and in a third of the time that this disk has taken already.
+  /// Otherwise a transfer of the leadership gains nothing: too many disks are as slow, and an election needs them too.
+  bool commitsMuchFasterThanOwnDisk(TimePoint now) const;
+  /// Follows how long the commit index has been ahead of this member's disk.
+  void trackCommitAheadOfDisk(TimePoint now);
   /// Hands the leadership to `bestSuccessor`; stays leader without one.
   void transferLeadership(TimePoint now);
   /// The voter in contact that has most on its disk and is not leaving itself; empty: none.
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -172,6 +172,15 @@
   cluster.nodes[ip].syncTime = Duration(cluster.draw(2) ? 100 : 2500);
   cluster.schedule(4000ms, [&cluster, ip] { cluster.nodes[ip].syncTime = kUsualSyncTime; });
 }
+void slowDisksForAWhile(SimulatedCluster& cluster, const std::vector<std::string>& machines) {
+  const Duration syncTime(100 + cluster.draw(2000));
+  for (const auto& ip : machines)
+    cluster.nodes[ip].syncTime = syncTime;
+  cluster.schedule(Duration(2000 + cluster.draw(6000)), [&cluster, machines] {
+    for (const auto& ip : machines)
+      cluster.nodes[ip].syncTime = kUsualSyncTime;
+  });
+}
 void fullDiskForAWhile(SimulatedCluster& cluster, const std::string& ip) {
   cluster.nodes[ip].diskFull = true;
   cluster.schedule(3000ms, [&cluster, ip] { cluster.nodes[ip].diskFull = false; });
@@ -223,6 +232,7 @@
   pause,
   isolate,
   slowDisk,
+  slowDisks,
   fullDisk,
   badNetwork,
   transferLeadership,
@@ -249,6 +259,8 @@
       return isolateForAWhile(cluster, ip);
     case FaultKind::slowDisk:
       return slowDiskForAWhile(cluster, ip);
+    case FaultKind::slowDisks:
+      return slowDisksForAWhile(cluster, machines);
     case FaultKind::fullDisk:
       return fullDiskForAWhile(cluster, ip);
     case FaultKind::badNetwork:
--- a/tests/coordination_world.cpp
+++ b/tests/coordination_world.cpp
@@ -130,7 +130,8 @@
 void CoordinationWorld::attempt(const TakenPtr& taken) {
   auto& node = nodes[taken->ip];
   const auto leaderId = node.raft->leader();
-  if (leaderId.empty() || !node.raft->inContactWithMajority(now))
+  const bool inContact = planted_ == PlantedFault::leaseIsNotChecked || node.raft->inContactWithMajority(now);
+  if (leaderId.empty() || !inContact)
     return endAttempt(taken, AttemptEnd::notSent);
   // The attempt ends by its result, by another leader or by the time, whichever is first.
   const auto ended = std::make_shared<bool>(false);
--- a/tests/coordination_worlds_test.cpp
+++ b/tests/coordination_worlds_test.cpp
@@ -53,7 +53,7 @@
   }
   void strike() {
     const auto ip = drawTarget();
-    switch (world_.draw(9)) {
+    switch (world_.draw(10)) {
       case 0:
       case 1:  // frozen, and thawed again, mostly past its lease
         ++freezes_;
@@ -91,12 +91,27 @@
         world_.crash(ip);
         world_.nodes[ip].disk.clear();
         return later(Duration(50 + world_.draw(300)), [this, ip] { restart(ip); });
+      case 8:
+        return slowDisks(ip);
       default:
         world_.leave(ip, Duration(1500));
         return later(Duration(2000), [this, ip] { restart(ip); });
     }
   }
 
+  /// The disk of one machine or of all is slow for a while.
+  void slowDisks(const std::string& one) {
+    const bool all = world_.draw(2) == 0;
+    const Duration syncTime(50 + world_.draw(1500));
+    for (const auto& ip : kMachines)
+      if (all || ip == one)
+        world_.nodes[ip].syncTime = syncTime;
+    later(drawSpan(), [this] {
+      for (const auto& ip : kMachines)
+        world_.nodes[ip].syncTime = kUsualSyncTime;
+    });
+  }
+
   CoordinationWorld& world_;
   TimePoint until_{};
   TimePoint lastWipe_{};
@@ -120,6 +135,7 @@
   world.cutLinks.clear();
   for (const auto& ip : kMachines) {
     world.nodes[ip].paused = false;
+    world.nodes[ip].syncTime = kUsualSyncTime;
     if (!world.nodes[ip].up)
       world.start(ip, kMachines, false);
   }
