Storage: logs that wait for the disk together share the sync of the folder, votes go before counters

Cause: one disk thread serves the fleet's log, the shards' logs and the counters, each record two syncs (file, folder), one after the other: a vote behind three other records waited for eight syncs, at 700 ms each 5.6 s.

Change: `AppendQueue` takes what waits as one batch: n records take n + 1 syncs; consensus records go before counters, which wait for one batch at the most. `Storage::append` is `place`, `syncFolder`, `confirm`; what is acknowledged when is as before. Format unchanged.

--- /dev/null
+++ b/libs/controller/src/append_queue.cpp
@@ -0,0 +1,51 @@
+#include "append_queue.hpp"
+
+namespace zinccleat::controller {
+void AppendQueue::add(PendingAppend append) {
+  waiting_.push_back(std::move(append));
+}
+std::vector<PendingAppend> AppendQueue::takeBatch() {
+  const auto isConsensus = [](const PendingAppend& append) { return append.urgency == AppendUrgency::consensus; };
+  const bool consensusWaits = std::any_of(waiting_.begin(), waiting_.end(), isConsensus);
+  const bool countersGo = !consensusWaits || std::exchange(countersAreDue_, false);
+  std::vector<PendingAppend> batch;
+  std::deque<PendingAppend> later;
+  for (auto& append : waiting_) {
+    const bool isSecondOfStorage = std::any_of(
+        batch.begin(), batch.end(), [&](const PendingAppend& other) { return other.storage == append.storage; });
+    const bool goes = !isSecondOfStorage && (countersGo || isConsensus(append));
+    if (goes)
+      batch.push_back(std::move(append));
+    else
+      later.push_back(std::move(append));
+  }
+  waiting_ = std::move(later);
+  if (!countersGo)
+    countersAreDue_ = true;
+  return batch;
+}
+std::vector<std::shared_ptr<storage::Storage>> AppendQueue::runNext() {
+  auto batch = takeBatch();
+  std::vector<std::shared_ptr<storage::Storage>> withFullRecords;
+  std::vector<Result<void>> results;
+  results.reserve(batch.size());
+  for (const auto& append : batch)
+    results.push_back(append.storage->place(append.record));
+  const auto placed =
+      std::find_if(results.begin(), results.end(), [](const auto& result) { return result.has_value(); });
+  if (placed != results.end()) {
+    const auto synced = batch[static_cast<std::size_t>(placed - results.begin())].storage->syncFolder();
+    for (auto& result : results)
+      if (result && !synced)
+        result = synced;
+  }
+  for (std::size_t i = 0; i < batch.size(); ++i) {
+    if (results[i])
+      batch[i].storage->confirm(batch[i].record);
+    batch[i].onAppended(results[i]);
+    if (results[i] && batch[i].record.full)
+      withFullRecords.push_back(batch[i].storage);
+  }
+  return withFullRecords;
+}
+}  // namespace zinccleat::controller
--- a/libs/controller/src/raft_driver.cpp
+++ b/libs/controller/src/raft_driver.cpp
@@ -9,7 +9,7 @@
 }  // namespace
 
 void RaftDriver::startStorage(const std::shared_ptr<DiskThread>& disk, storage::Storage storage) {
-  storage_ = std::make_unique<StorageThread>(disk, std::move(storage));
+  storage_ = std::make_unique<StorageThread>(disk, std::move(storage), AppendUrgency::consensus);
 }
 // The way from a decision of the raft node to the rest of the controller: its actions first, then what a change of the
 // role brings with it, then the entries that were committed go to the agents.
--- a/libs/controller/src/storage_thread.hpp
+++ b/libs/controller/src/storage_thread.hpp
@@ -5,8 +5,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <thread>
 
+#include "append_queue.hpp"
 #include "runtime/event_loop.hpp"
-#include "storage/storage.hpp"
 
 namespace zinccleat::controller {
 /// The one thread of a process that waits for the disk.
@@ -20,10 +20,35 @@
   }
   DiskThread(const DiskThread&) = delete;
   DiskThread& operator=(const DiskThread&) = delete;
-  /// Runs `task` on the thread, after all tasks that were posted before.
-  void post(std::function<void()> task) { asio::post(io_, std::move(task)); }
+  /// Has a record appended, together with whatever else waits then. Records of one storage keep their order.
+  void append(PendingAppend append) {
+    asio::post(io_, [this, append = std::move(append)]() mutable {
+      queue_.add(std::move(append));
+      // Behind all that is posted already: what comes while the disk is busy is taken together.
+      if (!std::exchange(runIsPosted_, true))
+        asio::post(io_, [this] { runNext(); });
+    });
+  }
 
  private:
+  static constexpr std::size_t kFilesRemovedAtOnce = 8;
+  void runNext() {
+    for (auto& storage : queue_.runNext())
+      removeObsolete(std::move(storage));
+    runIsPosted_ = !queue_.empty();
+    if (runIsPosted_)
+      asio::post(io_, [this] { runNext(); });
+  }
+  // After the answer, and a few files at a time: a record that comes meanwhile waits for these few only.
+  void removeObsolete(std::shared_ptr<storage::Storage> storage) {
+    asio::post(io_, [this, storage = std::move(storage)] {
+      if (storage->removeObsolete(kFilesRemovedAtOnce))
+        removeObsolete(storage);
+    });
+  }
+
+  AppendQueue queue_;         // of the thread alone
+  bool runIsPosted_ = false;  // of the thread alone
   asio::io_context io_{1};
   asio::executor_work_guard<asio::io_context::executor_type> guard_;
   std::thread thread_;
@@ -33,33 +58,21 @@
 class StorageThread {
  public:
   using OnAppended = std::function<void(const Result<void>&)>;
-  /// Takes over a storage that has been recovered.
-  StorageThread(std::shared_ptr<DiskThread> disk, storage::Storage storage)
-      : disk_(std::move(disk)), storage_(std::make_shared<storage::Storage>(std::move(storage))) {}
+  /// Takes over a storage that has been recovered. All storages of one thread are in one folder.
+  StorageThread(std::shared_ptr<DiskThread> disk, storage::Storage storage, AppendUrgency urgency)
+      : disk_(std::move(disk)), storage_(std::make_shared<storage::Storage>(std::move(storage))), urgency_(urgency) {}
   /// Appends in the order of the calls. A record that failed may be appended again.
   /// @param onAppended is called on the event loop, without an error once the record is durable.
   void append(consensus::DiskRecord record, OnAppended onAppended) {
-    disk_->post(
-        [disk = disk_.get(), storage = storage_, record = std::move(record), onAppended = std::move(onAppended)] {
-          auto appended = storage->append(record);
-          asio::post(runtime::EventLoop::get().io(),
-                     [onAppended, appended = std::move(appended)] { onAppended(appended); });
-          if (record.full)
-            removeObsolete(disk, storage);
-        });
+    auto answer = [onAppended = std::move(onAppended)](const Result<void>& appended) {
+      asio::post(runtime::EventLoop::get().io(), [onAppended, appended] { onAppended(appended); });
+    };
+    disk_->append({storage_, std::move(record), urgency_, std::move(answer)});
   }
 
  private:
-  // After the answer, and a few files at a time: a record that comes meanwhile waits for these few only.
-  static void removeObsolete(DiskThread* disk, const std::shared_ptr<storage::Storage>& storage) {
-    disk->post([disk, storage] {
-      if (storage->removeObsolete(kFilesRemovedAtOnce))
-        removeObsolete(disk, storage);
-    });
-  }
-
-  static constexpr std::size_t kFilesRemovedAtOnce = 8;
   std::shared_ptr<DiskThread> disk_;
   std::shared_ptr<storage::Storage> storage_;
+  AppendUrgency urgency_;
 };
 }  // namespace zinccleat::controller
--- a/libs/storage/include/storage/storage.hpp
+++ b/libs/storage/include/storage/storage.hpp
@@ -45,6 +45,15 @@
   /// @return outOfOrder if nothing was loaded, or if its number does not follow the newest record's; ioError.
   Result<void> append(const consensus::DiskRecord& record);
 
+  /// `append` in three steps, for storages of one folder that share the sync of the folder. Writes the record and gives
+  /// it its name; it is not durable yet.
+  /// @return as `append`, which may be called instead, or this again, after an error.
+  Result<void> place(const consensus::DiskRecord& record);
+  /// Makes the names of all records durable that were placed in the folder, by whichever storage.
+  Result<void> syncFolder() { return files_->syncFolder(); }
+  /// The folder was synced after `record` was placed: it is the newest one now.
+  void confirm(const consensus::DiskRecord& record);
+
   /// Removes up to `limit` files that a full record made obsolete. Nothing depends on its success: a file that stays is
   /// removed after the next full record or at the next load.
   /// @return true if more are left.
--- a/libs/storage/src/storage.cpp
+++ b/libs/storage/src/storage.cpp
@@ -1,9 +1,9 @@
 // Crash safety: why appended records survive, and what recovery follows from it.
 //
 // Record N is written under a temporary name, synced, renamed to `record-N`, and the folder is synced. Only then is it
-// acknowledged, and only then is N + 1 started. A folder sync covers all earlier changes of names. Files below a full
-// record are removed once it is acknowledged, without a sync of their own. So after any power loss, in which each
-// unsynced change of a name is kept or lost by itself:
+// acknowledged, and only then is N + 1 started. Storages of one folder may share the sync of the folder. A folder sync
+// covers all earlier changes of names. Files below a full record are removed once it is acknowledged, without a sync of
+// their own. So after any power loss, in which each unsynced change of a name is kept or lost by itself:
 //  - Every acknowledged record from the newest acknowledged full one on exists and is complete.
 //  - At most one record above them, which was never acknowledged, may exist too. It was synced before it got its name,
 //    so it is complete, and it may be used: it is what the member was about to promise.
@@ -113,6 +113,15 @@
 // --- Appending ---
 
 Result<void> Storage::append(const consensus::DiskRecord& record) {
+  auto appended = place(record);
+  if (appended)
+    appended = syncFolder();
+  if (appended)
+    confirm(record);
+  return appended;
+}
+
+Result<void> Storage::place(const consensus::DiskRecord& record) {
   if (!loaded_ || record.seq != lastSequence_ + 1)
     return makeError(ErrorCode::outOfOrder, recordName(record.seq) + " is out of order");
   if (auto written = write(record); !written) {
@@ -120,13 +129,16 @@
       freeSpace();
     return written;
   }
+  return {};
+}
+
+void Storage::confirm(const consensus::DiskRecord& record) {
   lastSequence_ = record.seq;
   if (record.full) {
     obsoleteFiles_.insert(obsoleteFiles_.end(), currentFiles_.begin(), currentFiles_.end());
     currentFiles_.clear();
   }
   currentFiles_.push_back(recordName(record.seq));
-  return {};
 }
 
 // Each step may fail; a retry begins at the first. A temporary file that was left behind is removed, never reused: its
@@ -143,9 +155,8 @@
   if (!placed) {
     // Only to release its space; the retry would remove it as well.
     (void)files_->remove(temporary);
-    return placed;
   }
-  return files_->syncFolder();
+  return placed;
 }
 
 Result<void> Storage::writeSynced(const std::string& name, std::string_view content) {
