--- a/libs/consensus/include/consensus/messages.hpp
+++ b/libs/consensus/include/consensus/messages.hpp
@@ -30,6 +30,15 @@
     v("term", term), v("preVote", preVote);
   }
 };
+/// What later versions have added to AppendEntries.
+struct AppendEntriesExtension {
+  std::int64_t leaseMs = 0;  ///< how long the promise of the leader's lease is to last; 0: `RaftOptions::longestLease`
+  bool empty() const { return leaseMs == 0; }
+  template <class V>
+  void fields(V& v) {
+    v("leaseMs", leaseMs);
+  }
+};
 /// Entries after `prevLogIndex`, or none: a heartbeat. Whoever accepts it promises the leader its lease.
 struct AppendEntries {
   std::int64_t term = 0;
@@ -38,6 +47,7 @@
   std::int64_t heartbeatId = 0;                    ///< echoed in the answer: tells the leader which one was answered
   bool leaderHasLease = false;
   std::vector<transport::LogEntry> entries;
+  AppendEntriesExtension extension;
   template <class V>
   void fields(V& v) {
     v("term", term), v("prevLogIndex", prevLogIndex), v("prevLogTerm", prevLogTerm);
--- a/libs/consensus/include/consensus/raft_node.hpp
+++ b/libs/consensus/include/consensus/raft_node.hpp
@@ -23,11 +23,12 @@
 };
 /// Timers and limits; equal on all members of a cluster.
 struct RaftOptions {
-  Duration heartbeatInterval{120};
-  Duration lease{500};            ///< a follower promises its leader to elect nobody else for so long
-  Duration leaseMargin{80};       ///< the leader stops relying on the promise so much sooner
-  Duration electionTimeout{550};  ///< longer than the lease
-  Duration electionTimeoutSpread{300};
+  Duration heartbeatInterval{90};  ///< at the second tick, as ticks go
+  Duration lease{400};             ///< as a leader: followers are asked to elect nobody else for so long
+  Duration longestLease{500};      ///< that a leader of any version asks for; those before the extension name none
+  Duration leaseMargin{67};        ///< the leader stops relying on the promise so much sooner: a sixth
+  Duration electionTimeout{430};   ///< longer than the lease
+  Duration electionTimeoutSpread{200};
   Duration tickInterval{50};           ///< how often `tick` is called
   Duration syncStallTimeout{700};      ///< a leader with a sync this old hands over if a quorum syncs much faster
   Duration unreachableAfter{2500};     ///< a voter not heard for so long may be replaced or removed
--- a/libs/consensus/src/follower.cpp
+++ b/libs/consensus/src/follower.cpp
@@ -8,7 +8,8 @@
 constexpr std::int64_t kNeedsSnapshot = -1;
 }  // namespace
 
-bool RaftCore::followLeader(TimePoint now, const MemberId& from, std::int64_t leaderTerm, bool leaderHasLease) {
+bool RaftCore::followLeader(TimePoint now, const MemberId& from, std::int64_t leaderTerm, bool leaderHasLease,
+                            Duration promise) {
   if (leaderTerm > term.current)
     enterTerm(now, leaderTerm);
   if (role == Role::leader)
@@ -18,10 +19,14 @@
   follower.leader = from;
   follower.leaderHeardAt = now;
   follower.leaderHadLease = leaderHasLease;
-  follower.leasePromisedUntil = now + options.lease;
+  follower.leasePromisedUntil = std::max(follower.leasePromisedUntil, now + promise);
   resetElectionTimer(now);
   return true;
 }
+Duration RaftCore::promiseFor(const AppendEntries& message) const {
+  const Duration asked(message.extension.leaseMs);
+  return asked > Duration(0) && asked < options.longestLease ? asked : options.longestLease;
+}
 // The answer is a promise to this leader which a restart must not forget: callers wait for the term's record.
 void RaftCore::acknowledge(std::int64_t heartbeatId, PersistTicket after) {
   if (follower.leader.empty())
@@ -43,7 +48,7 @@
 void RaftCore::onAppendEntries(TimePoint now, const MemberId& from, AppendEntries message) {
   if (message.term < term.current)
     return sendCurrentTerm(from);
-  if (!followLeader(now, from, message.term, message.leaderHasLease))
+  if (!followLeader(now, from, message.term, message.leaderHasLease, promiseFor(message)))
     return;
   if (log.isUninitialized())
     return rejectEntries(message, from, kNeedsSnapshot);
@@ -119,7 +124,7 @@
     log::debug("snapshot_rejected", {{"member", self}, {"peer", from}, {"index", message.lastIncludedIndex}});
     return;
   }
-  if (!followLeader(now, from, message.term, follower.leaderHadLease))
+  if (!followLeader(now, from, message.term, follower.leaderHadLease, options.longestLease))
     return;
   // A log that agrees with the snapshot stays: entries above it may already count for a commit.
   const bool agrees = log.termAt(message.lastIncludedIndex) == message.lastIncludedTerm;
--- a/libs/consensus/src/messages.cpp
+++ b/libs/consensus/src/messages.cpp
@@ -1,6 +1,7 @@
 #include "consensus/messages.hpp"
 
 #include "transport/avro.hpp"
+#include "transport/envelope.hpp"
 
 namespace zinccleat::consensus {
 namespace {
@@ -11,7 +12,7 @@
   } else {
     if (type != Index)
       return decodeAlternative<Index + 1>(type, record);
-    auto message = avro::decode<std::variant_alternative_t<Index, ConsensusMessage>>(record);
+    auto message = transport::decodeExtended<std::variant_alternative_t<Index, ConsensusMessage>>(record);
     if (!message)
       return tl::unexpected(message.error());
     return ConsensusMessage(std::move(*message));
@@ -21,7 +22,7 @@
 
 std::string encodeMessage(const ConsensusMessage& message) {
   std::string bytes(1, static_cast<char>(message.index()));
-  bytes += std::visit([](const auto& alternative) { return avro::encode(alternative); }, message);
+  bytes += std::visit([](const auto& alternative) { return transport::encodeExtended(alternative); }, message);
   return bytes;
 }
 Result<ConsensusMessage> decodeMessage(std::string_view bytes) {
--- a/libs/consensus/src/raft_core.hpp
+++ b/libs/consensus/src/raft_core.hpp
@@ -148,7 +148,10 @@
 
   /// Follows whoever speaks as the leader of this term or a higher one, and promises its lease.
   /// @return false if this member leads that term itself.
-  bool followLeader(TimePoint now, const MemberId& from, std::int64_t leaderTerm, bool leaderHasLease);
+  bool followLeader(TimePoint now, const MemberId& from, std::int64_t leaderTerm, bool leaderHasLease,
+                    Duration promise);
+  /// How long the promise is to last that a leader asks for.
+  Duration promiseFor(const AppendEntries& message) const;
   void onAppendEntries(TimePoint now, const MemberId& from, AppendEntries message);
   /// Skips entries below this member's snapshot: they are committed and therefore equal.
   void skipBelowSnapshot(AppendEntries& message) const;
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -82,6 +82,7 @@
   message.heartbeatId = leading.heartbeatId;
   message.leaderHasLease = leaseValid(lastTickAt);  // exact to a tick, which is enough for followers
   message.entries = std::move(entries);
+  message.extension.leaseMs = options.lease.count();
   send(peer, std::move(message));
 }
 void RaftCore::trackPeer(TimePoint now, const MemberId& peer) {
