Proxies serve for nine tenths of revokeMs without the leader, not for revokeMs less 1.5 s

Cause: the margin was meant for requests in progress. The rule counts from when a request was sent; a request is checked after it was read, and before each attempt, and a lease counts from the proxy's own request, before the leader's answer: nothing in progress can be later than the lease. Ruled out: no margin (the machine's clock may run slower than the others').

Change: a lease of 0.9 revokeMs (4.5 s of 5 s; 3.5 s before), never longer than the bound, also for bounds below half a second, where 500 ms were too long.

Before -> after: service of a proxy that has lost the leader, at 5 s: 3.5 s -> 4.5 s from its last renewal.

--- a/libs/proxy_daemon/include/proxy_daemon/lease_renewal.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/lease_renewal.hpp
@@ -21,8 +21,9 @@
     TimePoint requestedAt;
     bool newestRequest = false;  ///< the response is to the newest request
   };
-  /// How long a lease lasts under these settings. It ends a margin before a revoked key must be refused, as a request
-  /// may be in progress when it ends.
+  /// How long a lease lasts under these settings. A revocation that is acknowledged after the request for a lease must
+  /// bind requests that are sent `Timers::revoke` later; each request is checked after it has arrived, so it needs no
+  /// margin for what is in progress. The margin, a tenth, is for this machine's clock: it may run slower by so much.
   static Duration leaseDuration(const config::Timers& timers);
   /// Time between two renewals.
   static constexpr Duration kInterval{400};
--- a/libs/proxy_daemon/src/lease_renewal.cpp
+++ b/libs/proxy_daemon/src/lease_renewal.cpp
@@ -2,10 +2,9 @@
 
 namespace zinccleat::proxy_daemon {
 Duration LeaseRenewal::leaseDuration(const config::Timers& timers) {
-  constexpr Duration kRevocationMargin{1500};
-  constexpr Duration kShortest{500};
+  constexpr int kMarginDivisor = 10;
   constexpr Duration kWithoutRevocation{60000};
-  return timers.revokedFail ? std::max(kShortest, timers.revoke - kRevocationMargin) : kWithoutRevocation;
+  return timers.revokedFail ? timers.revoke - timers.revoke / kMarginDivisor : kWithoutRevocation;
 }
 Duration LeaseRenewal::maxLag(const config::Timers& timers) {
   constexpr Duration kAttemptsUnderWay{300};  // of requests that were admitted before: connecting takes so long at most
