Soak: faults of disks and links on the real processes

A library that only the tests build, preloaded into the programs, takes the place of the C library's calls for sockets, files and the clock, by a table that the soak maps too: syncs that are slow, stall or fail, full disks, refused writes; packets between controllers, agents, proxies and runners that are lost one way or both ways until the cut heals, or held for a moment; resets. `--disks` and `--cuts` play them in series beside the signals, restarts, changes, locks and counters.

Ruled out: relays between the sockets (addresses are the machines' identities), packet filters (isolation tools).

--- /dev/null
+++ b/tests/preload/fault_library.cpp
@@ -0,0 +1,336 @@
+// A library that is preloaded into the programs of a soak run and plays the faults of `soak/fault_table.hpp`: it takes
+// the place of the C library's calls for sockets, files and the clock. Without the table's file it changes nothing.
+//
+// Links. Only the machine that has opened a connection acts on it, for both directions; so each connection has one
+// owner. While packets are lost, what would be sent is not taken and what arrives is not shown, as if the network did
+// not move; a new connection hangs, as without an answer to its first packet. Afterwards both go on, late.
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstdarg>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <ctime>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "soak/fault_table.hpp"
+
+namespace {
+using zinccleat::soak::FaultTable;
+using zinccleat::soak::kFaultTableVariable;
+using zinccleat::soak::kMaxFaultMachines;
+using zinccleat::soak::MachineFaults;
+
+constexpr int kMaxDescriptors = 65'536;
+constexpr int kNoMachine = -1;
+constexpr useconds_t kPollMicroseconds = 5'000;
+constexpr useconds_t kMicrosecondsPerMillisecond = 1'000;
+
+/// The C library's own function of a name.
+template <class Function>
+Function* realFunction(const char* name) {
+  return reinterpret_cast<Function*>(::dlsym(RTLD_NEXT, name));
+}
+
+/// What is known of one descriptor.
+struct Descriptor {
+  std::atomic<int> peer{kNoMachine};  // of a connection that this process has opened
+  std::atomic<bool> isFile{false};    // a file that is open for writing
+  std::atomic<int> epoll{-1};         // where it is registered
+  epoll_event event{};
+  bool wasCut = false;
+  int resets = 0;  // that it has lived through
+};
+
+class Faults {
+ public:
+  static Faults& instance() {
+    static auto* faults = new Faults;  // never destroyed: other threads may still use it while the process ends
+    return *faults;
+  }
+  bool active() const { return table_ != nullptr && self_ != kNoMachine; }
+  MachineFaults& machine() { return table_->machines[static_cast<std::size_t>(self_)]; }
+  Descriptor* descriptor(int number) {
+    return active() && number >= 0 && number < kMaxDescriptors ? &descriptors_[static_cast<std::size_t>(number)]
+                                                               : nullptr;
+  }
+  bool isCut(int from, int to) const {
+    return table_->cut[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)].load() != 0;
+  }
+  bool sendIsCut(int number) {
+    const auto* known = descriptor(number);
+    const int peer = known ? known->peer.load() : kNoMachine;
+    return peer != kNoMachine && isCut(self_, peer);
+  }
+  bool receiveIsCut(int number) {
+    const auto* known = descriptor(number);
+    const int peer = known ? known->peer.load() : kNoMachine;
+    return peer != kNoMachine && isCut(peer, self_);
+  }
+  /// The machine at an address; `kNoMachine`: none of the table, or this one.
+  int machineAt(const sockaddr* address) const {
+    if (address->sa_family != AF_INET)
+      return kNoMachine;
+    char text[INET_ADDRSTRLEN] = {};
+    ::inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, text, sizeof(text));
+    for (std::size_t i = 0; i < kMaxFaultMachines; ++i)
+      if (static_cast<int>(i) != self_ && std::strcmp(table_->machines[i].ip, text) == 0)
+        return static_cast<int>(i);
+    return kNoMachine;
+  }
+  void opened(int number, int peer) {
+    auto* known = descriptor(number);
+    known->resets = table_->resets[static_cast<std::size_t>(self_)][static_cast<std::size_t>(peer)].load();
+    known->wasCut = false;
+    known->peer = peer;
+  }
+  void closed(int number) {
+    if (auto* known = descriptor(number)) {
+      const std::lock_guard lock(mutex_);
+      known->peer = kNoMachine;
+      known->isFile = false;
+      known->epoll = -1;
+    }
+  }
+  void registered(int epoll, int number, const epoll_event* event) {
+    if (auto* known = descriptor(number); known && event) {
+      const std::lock_guard lock(mutex_);
+      known->epoll = epoll;
+      known->event = *event;
+    }
+  }
+  /// An address at which no connection is ever accepted or refused.
+  sockaddr_in blackHole() const { return blackHole_; }
+
+ private:
+  Faults() : descriptors_(new Descriptor[kMaxDescriptors]) {
+    const char* path = std::getenv(kFaultTableVariable);
+    if (!path)
+      return;
+    const int file = realFunction<int(const char*, int, ...)>("open")(path, O_RDWR | O_CLOEXEC);
+    if (file < 0)
+      return;
+    void* memory = ::mmap(nullptr, sizeof(FaultTable), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
+    if (memory == MAP_FAILED)
+      return;
+    table_ = static_cast<FaultTable*>(memory);
+    self_ = ownMachine();
+    if (self_ == kNoMachine)
+      return;
+    digBlackHole();
+    startWatch();
+  }
+  /// By the settings file on the command line.
+  int ownMachine() const {
+    std::string line(4096, '\0');
+    std::FILE* file = std::fopen("/proc/self/cmdline", "r");
+    if (!file)
+      return kNoMachine;
+    line.resize(std::fread(line.data(), 1, line.size(), file));
+    std::fclose(file);
+    for (std::size_t i = 0; i < kMaxFaultMachines; ++i) {
+      const std::string name = table_->machines[i].name;
+      if (!name.empty() && line.find("/" + name + ".json") != std::string::npos)
+        return static_cast<int>(i);
+    }
+    return kNoMachine;
+  }
+  // A listener whose queue is full: the kernel drops what else asks for a connection.
+  void digBlackHole() {
+    const auto realConnect = realFunction<int(int, const sockaddr*, socklen_t)>("connect");
+    blackHole_.sin_family = AF_INET;
+    blackHole_.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto* address = reinterpret_cast<sockaddr*>(&blackHole_);
+    socklen_t size = sizeof(blackHole_);
+    if (::bind(listener, address, size) != 0 || ::getsockname(listener, address, &size) != 0 ||
+        ::listen(listener, 0) != 0)
+      std::abort();
+    for (int i = 0; i < 3; ++i)
+      (void)realConnect(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0), address, size);
+  }
+  // Its thread takes no signals: they are the program's.
+  void startWatch() {
+    sigset_t all;
+    sigset_t before;
+    ::sigfillset(&all);
+    ::pthread_sigmask(SIG_SETMASK, &all, &before);
+    std::thread([this] {
+      for (;; ::usleep(kPollMicroseconds))
+        watch();
+    }).detach();
+    ::pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  }
+  // What became possible while a link was cut is announced again, since the program waits for a change; resets come
+  // here.
+  void watch() {
+    static const auto realControl = realFunction<int(int, int, int, epoll_event*)>("epoll_ctl");
+    const std::lock_guard lock(mutex_);
+    for (int number = 0; number < kMaxDescriptors; ++number) {
+      auto& known = descriptors_[static_cast<std::size_t>(number)];
+      const int peer = known.peer.load();
+      if (peer == kNoMachine)
+        continue;
+      const bool cut = isCut(self_, peer) || isCut(peer, self_);
+      if (std::exchange(known.wasCut, cut) && !cut && known.epoll >= 0)
+        realControl(known.epoll, EPOLL_CTL_MOD, number, &known.event);
+      const int resets = table_->resets[static_cast<std::size_t>(self_)][static_cast<std::size_t>(peer)].load();
+      if (std::exchange(known.resets, resets) != resets)
+        ::shutdown(number, SHUT_RDWR);
+    }
+  }
+
+  FaultTable* table_ = nullptr;
+  int self_ = kNoMachine;
+  Descriptor* descriptors_;
+  std::mutex mutex_;
+  sockaddr_in blackHole_{};
+};
+
+/// Takes one of a number of faults that are still to come.
+bool takeOne(std::atomic<std::int32_t>& left) {
+  if (left.load() <= 0)
+    return false;
+  return left.fetch_sub(1) > 0;
+}
+int fail(int error) {
+  errno = error;
+  return -1;
+}
+}  // namespace
+
+extern "C" {
+__attribute__((constructor)) void zinccleatSoakFaultsBegin() {
+  (void)Faults::instance();
+}
+
+// --- sockets ---
+
+int connect(int number, const sockaddr* address, socklen_t size) {
+  static const auto real = realFunction<int(int, const sockaddr*, socklen_t)>("connect");
+  auto& faults = Faults::instance();
+  const int peer = faults.active() ? faults.machineAt(address) : kNoMachine;
+  if (peer == kNoMachine || !faults.descriptor(number))
+    return real(number, address, size);
+  faults.opened(number, peer);
+  if (!faults.sendIsCut(number) && !faults.receiveIsCut(number))
+    return real(number, address, size);
+  const auto nowhere = faults.blackHole();
+  return real(number, reinterpret_cast<const sockaddr*>(&nowhere), sizeof(nowhere));
+}
+int close(int number) {
+  static const auto real = realFunction<int(int)>("close");
+  Faults::instance().closed(number);
+  return real(number);
+}
+int epoll_ctl(int epoll, int operation, int number, epoll_event* event) {
+  static const auto real = realFunction<int(int, int, int, epoll_event*)>("epoll_ctl");
+  Faults::instance().registered(epoll, number, event);
+  return real(epoll, operation, number, event);
+}
+ssize_t send(int number, const void* bytes, size_t size, int flags) {
+  static const auto real = realFunction<ssize_t(int, const void*, size_t, int)>("send");
+  return Faults::instance().sendIsCut(number) ? fail(EAGAIN) : real(number, bytes, size, flags);
+}
+ssize_t sendmsg(int number, const msghdr* message, int flags) {
+  static const auto real = realFunction<ssize_t(int, const msghdr*, int)>("sendmsg");
+  return Faults::instance().sendIsCut(number) ? fail(EAGAIN) : real(number, message, flags);
+}
+ssize_t recv(int number, void* bytes, size_t size, int flags) {
+  static const auto real = realFunction<ssize_t(int, void*, size_t, int)>("recv");
+  return Faults::instance().receiveIsCut(number) ? fail(EAGAIN) : real(number, bytes, size, flags);
+}
+ssize_t recvmsg(int number, msghdr* message, int flags) {
+  static const auto real = realFunction<ssize_t(int, msghdr*, int)>("recvmsg");
+  return Faults::instance().receiveIsCut(number) ? fail(EAGAIN) : real(number, message, flags);
+}
+
+// --- files ---
+
+int open(const char* path, int flags, ...) {
+  static const auto real = realFunction<int(const char*, int, ...)>("open");
+  mode_t mode = 0;
+  if ((flags & O_CREAT) != 0) {
+    va_list arguments;
+    va_start(arguments, flags);
+    mode = va_arg(arguments, mode_t);
+    va_end(arguments);
+  }
+  const int number = real(path, flags, mode);
+  if (auto* known = Faults::instance().descriptor(number))
+    known->isFile = (flags & O_CREAT) != 0 && (flags & O_ACCMODE) == O_WRONLY && (flags & O_APPEND) == 0;
+  return number;
+}
+ssize_t write(int number, const void* bytes, size_t size) {
+  static const auto real = realFunction<ssize_t(int, const void*, size_t)>("write");
+  auto& faults = Faults::instance();
+  const auto* known = faults.descriptor(number);
+  if (known && known->isFile) {
+    if (faults.machine().full.load() != 0)
+      return fail(ENOSPC);
+    if (takeOne(faults.machine().refusedWrites))
+      return fail(EIO);
+  }
+  return real(number, bytes, size);
+}
+int fsync(int number) {
+  static const auto real = realFunction<int(int)>("fsync");
+  auto& faults = Faults::instance();
+  if (faults.active()) {
+    auto& machine = faults.machine();
+    ::usleep(static_cast<useconds_t>(machine.syncMs.load()) * kMicrosecondsPerMillisecond);
+    while (machine.stalled.load() != 0)
+      ::usleep(kPollMicroseconds);
+    if (takeOne(machine.refusedSyncs))
+      return fail(EIO);
+  }
+  return real(number);
+}
+
+// --- the clock ---
+
+// While it runs slowly it shows less than has passed; it never goes back, and what it lost stays lost.
+int clock_gettime(clockid_t clock, timespec* time) {
+  static const auto real = realFunction<int(clockid_t, timespec*)>("clock_gettime");
+  const int result = real(clock, time);
+  auto& faults = Faults::instance();
+  if (result != 0 || clock != CLOCK_MONOTONIC || !faults.active())
+    return result;
+  constexpr std::int64_t kNanoseconds = 1'000'000'000;
+  static std::mutex mutex;
+  static std::int64_t slowSince = 0;
+  static std::int64_t lost = 0;
+  static std::int64_t lastDivisor = 1;
+  const std::lock_guard lock(mutex);
+  const std::int64_t now = time->tv_sec * kNanoseconds + time->tv_nsec;
+  const auto divisor = std::max<std::int64_t>(1, faults.machine().clockDivisor.load());
+  std::int64_t lostNow = lost;
+  if (divisor > 1) {
+    if (slowSince == 0)
+      slowSince = now;
+    lastDivisor = divisor;
+    lostNow += (now - slowSince) - (now - slowSince) / divisor;
+  } else if (slowSince != 0) {
+    lost += (now - slowSince) - (now - slowSince) / lastDivisor;
+    slowSince = 0;
+    lostNow = lost;
+  }
+  time->tv_sec = (now - lostNow) / kNanoseconds;
+  time->tv_nsec = (now - lostNow) % kNanoseconds;
+  return 0;
+}
+}
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -96,6 +96,7 @@
   explicit Disturber(SoakRun& run) : run_(run), supervisor_(run) {}
   void start() {
     supervisor_.start();
+    run_.killForFault = [this](std::size_t process) { supervisor_.kill(process); };
     // Each kind in a series of its own, so that they overlap.
     repeat([this] { restartAccessMachines(); });
     repeat([this] { restartAccessMachines(); });
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,7 @@
 
 namespace zinccleat::soak {
 namespace {
+constexpr const char* kPlant = "--plant=";
 constexpr const char* kFolderInMemory = "/dev/shm";
 constexpr Duration kReadyTimeout{30000};
 constexpr Duration kPoll{50};
@@ -36,7 +37,21 @@
   std::printf("soak: %s\n", what.c_str());
   return 2;
 }
+/// Places of the table: the controllers, the access machines, the runners.
+void prepareFaults(SoakRun& run) {
+  auto& faults = run.faults.emplace(run.plan.library, run.fleet.folder());
+  for (std::size_t i = 0; i < run.fleet.core().size(); ++i)
+    faults.addMachine("core-" + std::to_string(i + 1), run.fleet.core()[i]);
+  for (int access = 0; access < run.plan.access; ++access) {
+    const auto address = run.fleet.access(access);
+    faults.addMachine("access-" + std::to_string(access + 1), address.substr(0, address.find(':')));
+  }
+  faults.addMachine("runners", run.fleet.ip(7, 1));
+  faults.preload();
+}
 bool start(SoakRun& run) {
+  if (run.plan.disks || run.plan.cuts || !run.plan.planted.empty())
+    prepareFaults(run);
   if (!run.fleet.startCore())
     return false;
   for (int machine = 0; machine < run.plan.access; ++machine)
@@ -107,8 +122,11 @@
   startApplications(run);
   startCounting(run);
   startDisturbances(run);
+  startFaults(run);
   loop.sleepFor(std::chrono::seconds(run.plan.seconds));
   run.disturbed = false;
+  if (run.faults)
+    run.faults->endAll();
   loop.sleepFor(run.seen.bounds.contact);
   run.loaded = false;
   if (!waitUntil(kEndTimeout, [&run] { return run.busy == 0; }))
@@ -141,6 +159,12 @@
     const char* argument = argv[i];
     if (std::strcmp(argument, "--kills") == 0)
       plan.kills = true;
+    else if (std::strcmp(argument, "--disks") == 0)
+      plan.disks = true;
+    else if (std::strcmp(argument, "--cuts") == 0)
+      plan.cuts = true;
+    else if (std::strncmp(argument, kPlant, std::strlen(kPlant)) == 0)
+      plan.planted = argument + std::strlen(kPlant);
     else if (std::strcmp(argument, "--keep") == 0)
       plan.keepsLogs = true;
     else if (!parse(argument, "--seed=", plan.seed) && !parse(argument, "--seconds=", plan.seconds) &&
@@ -150,6 +174,7 @@
       return std::nullopt;
   }
   const bool usable = plan.seconds > 0 && plan.core > 0 && plan.access > 0 && plan.runners > 0 && plan.clients > 0;
+  plan.library = std::filesystem::absolute(argv[0]).parent_path() / "libzinccleat_soak_faults.so";
   return usable ? std::optional(plan) : std::nullopt;
 }
 }  // namespace
@@ -175,7 +200,8 @@
   if (!plan) {
     std::fprintf(stderr,
                  "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
-                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--keep]\n");
+                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] "
+                 "[--plant=slow-clock|lost-disks] [--keep]\n");
     return 2;
   }
   // In memory where there is such a folder: what the run measures is not to depend on who else uses the disk.
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "coordination_history.hpp"
+#include "faults.hpp"
 #include "fleet.hpp"
 #include "observations.hpp"
 #include "runtime/event_loop.hpp"
@@ -20,6 +21,10 @@
   int clients = 24;
   int applications = 8;    ///< that use locks, numbers, cells and watches; half as many add to counters
   bool kills = false;      ///< processes are killed too, beside planned work
+  bool disks = false;      ///< disks are slow, stall, fill up or refuse single operations
+  bool cuts = false;       ///< packets between machines are lost or late, connections are reset
+  std::string planted;     ///< a fault of the service, planted to show that the checks find it; see `startFaults`
+  std::string library;     ///< the path of the library that the programs preload for disks and cuts
   bool keepsLogs = false;  ///< where a rule is broken
 };
 
@@ -29,6 +34,7 @@
   SoakPlan plan;
   std::mt19937_64 random;
   simulation::LocalFleet fleet;
+  std::optional<FaultControl> faults;  ///< none: without disks and cuts
   Observations seen;
   std::vector<char> inService;   ///< whether the platform gives an access machine new connections
   bool loaded = true;            ///< clients send requests
@@ -40,6 +46,7 @@
   std::vector<std::string> unansweredAtTheEnd;                 ///< what applications asked for in vain
   std::map<std::string, std::int64_t> sentIncrements;          ///< by counter: the sum of what was sent at least once
   std::map<std::string, std::int64_t> acknowledgedIncrements;  ///< by counter: the sum of what was acknowledged
+  std::function<void(std::size_t)> killForFault;               ///< a process, by its place; it is started again
 
   std::uint64_t draw(std::uint64_t below) { return random() % below; }
   Duration drawDuration(Duration least, Duration most) {
@@ -80,4 +87,8 @@
 void readBack(SoakRun& run);
 /// Starts ended processes again, and the series of work on the fleet.
 void startDisturbances(SoakRun& run);
+/// Starts the series of faults of disks and links that the plan has, and what is planted:
+/// - `slow-clock`: a controller is cut off while its clock runs slowly, so that leases that it holds last too long;
+/// - `lost-disks`: all controllers lose their disks at once, more than is to be borne.
+void startFaults(SoakRun& run);
 }  // namespace zinccleat::soak
