--- a/libs/controller/src/warmup_allocator.cpp
+++ b/libs/controller/src/warmup_allocator.cpp
@@ -13,9 +13,11 @@
 
 void WarmupAllocator::follow(TimePoint now, const state_machine::StateContents& state,
                              const config::Configuration* configuration) {
-  if (configuration && configuration != followedConfiguration_)
+  // A configuration may take the address of one that is gone: the version tells them apart.
+  if (configuration && configuration->version != followedVersion_) {
     warmups_.followServices(configuration->services);
-  followedConfiguration_ = configuration;
+    followedVersion_ = configuration->version;
+  }
   if (std::exchange(followedIndex_, state.index) == state.index)
     return;
   warmups_.followRunners(state.runners, now);
--- a/libs/controller/src/warmup_allocator.hpp
+++ b/libs/controller/src/warmup_allocator.hpp
@@ -48,8 +48,8 @@
   std::map<std::string, std::string> zoneToRegion_;
   balancing::WarmupTracker warmups_;
   std::int64_t followedIndex_ = -1;
-  const config::Configuration* followedConfiguration_ = nullptr;  // compared only, never followed
-  std::map<std::string, TokenBucket> buckets_;                    // by runner
+  std::int64_t followedVersion_ = -1;           // of the configuration
+  std::map<std::string, TokenBucket> buckets_;  // by runner
   TimePoint grantsFrom_{};
   std::size_t nextRunner_ = 0;  // grants begin at another runner each time
 };
--- a/tests/warmup_test.cpp
+++ b/tests/warmup_test.cpp
@@ -61,6 +61,24 @@
 }
 }  // namespace
 
+// Found on reading: the leader knew a configuration by its address alone, which the next one may take.
+TEST(Warmup, TheLeaderFollowsAConfigurationThatTakesTheAddressOfTheLast) {
+  auto state = stateOf({runnerOf("i1", 1, 3000)});
+  auto config = configurationOf(0);
+  config.version = 1;
+  auto leader = leaderFollowing(state, config);
+  leader.startTerm(kStart);
+  const auto later = kStart + 1s;
+  (void)leader.allocate(later, "z1");
+  EXPECT_TRUE(leader.allocate(later + 1s, "z1").empty()) << "the service has no bound";
+  config = configurationOf(kPerS);
+  config.version = 2;
+  ++state.index;
+  leader.follow(later, state, &config);
+  (void)leader.allocate(later, "z1");
+  EXPECT_FALSE(leader.allocate(later + 1s, "z1").empty());
+}
+
 // --- one proxy ---
 
 TEST(Warmup, ARunnerThatWarmsUpGetsNothingWithoutAGrant) {
