--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -15,11 +15,10 @@
 #include "proxy_daemon/proxy_daemon.hpp"
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
-#include "simulation/plan.hpp"
 #include "simulation/trial.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
-ABSL_FLAG(std::vector<std::string>, set, {}, "runbook, scale-run: name=value,...; a list value is split by +");
+ABSL_FLAG(std::vector<std::string>, set, {}, "runbook: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
 ABSL_FLAG(bool, json, false, "status, rollout, shards, tally sides: as JSON");
 ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
@@ -47,7 +46,6 @@
     "  evacuation begin|release ZONE ADDRESS:PORT...  sends nothing more to a zone's runners, takes it back in use\n"
     "  shards ADDRESS:PORT... [--json]  the coordination service as each node sees it\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
-    "  scale-run [FILE] [--set name=value,...] [--json]  a scale run on loopback: real controllers, hollow nodes\n"
     "  trial [--seconds N]  a small fleet on loopback that serves while a leader and a runner are lost\n"
     "  --help, --version\n"
     "exit status: 0 as asked, 1 it went otherwise, 2 the command line or a file is wrong";
@@ -71,9 +69,9 @@
 };
 constexpr std::array<FlagUse, 6> kFlagUses{{{"settings", "proxy agent controller"},
                                             {"verbose", "proxy agent controller"},
-                                            {"set", "runbook scale-run"},
+                                            {"set", "runbook"},
                                             {"dry", "runbook"},
-                                            {"json", "status rollout shards tally scale-run"},
+                                            {"json", "status rollout shards tally"},
                                             {"seconds", "trial"}}};
 
 // The flag's name in an argument "--name" or "--name=value"; nothing if it is no flag.
@@ -180,18 +178,6 @@
     return usageError("trial", "--seconds is 3 to 600");
   return simulation::trial(kThisProgram, seconds);
 }
-Result<simulation::ScaleRunPlan> loadPlan(const Arguments& arguments) {
-  const auto text = arguments.empty() ? Result<std::string>("{}") : config::readFile(arguments[0]);
-  if (!text)
-    return tl::unexpected(text.error());
-  return simulation::parsePlan(*text, absl::GetFlag(FLAGS_set));
-}
-int scaleRun(const Arguments& arguments) {
-  const auto plan = loadPlan(arguments);
-  if (!plan)
-    return usageError("scale-run", plan.error().message);
-  return simulation::runAtScale(*plan, kThisProgram, absl::GetFlag(FLAGS_json));
-}
 int loadSettingsAndRun(const std::string& name, int (*run)(const config::Settings&)) {
   runtime::holdLifecycleSignals();
   const auto path = absl::GetFlag(FLAGS_settings);
@@ -216,7 +202,7 @@
   std::string_view name;
   int (*run)(const Arguments& arguments);
 };
-constexpr std::array<Subcommand, 16> kSubcommands{{{"proxy", proxyDaemon},
+constexpr std::array<Subcommand, 15> kSubcommands{{{"proxy", proxyDaemon},
                                                    {"agent", agentDaemon},
                                                    {"controller", controllerDaemon},
                                                    {"check", check},
@@ -230,7 +216,6 @@
                                                    {"tally", tally},
                                                    {"evacuation", evacuation},
                                                    {"runbook", runbook},
-                                                   {"scale-run", scaleRun},
                                                    {"trial", trial}}};
 
 int runSubcommand(const std::string& name, const Arguments& arguments) {
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -1,6 +1,6 @@
 /// A fleet of real processes on loopback addresses, with a folder of its own that is removed with it.
 ///
-/// Each fleet reserves a network 127.N.0.0/16 for itself, so that several on one machine, of trials and of scale runs,
+/// Each fleet reserves a network 127.N.0.0/16 for itself, so that several on one machine, of trials and of soak runs,
 /// never share an address: it binds a socket to 127.N.255.254, which the kernel grants to one at a time, and its
 /// processes inherit that socket, so that the network is not free before the last of them has ended. They end with the
 /// process that owns the fleet, also when that is killed (see child_process.hpp). The network's number gives the fleet
--- a/libs/simulation/src/trial.cpp
+++ b/libs/simulation/src/trial.cpp
@@ -148,7 +148,7 @@
               seen.late);
   std::printf("refused with a time to come back %d, failed tries %d\n", seen.refusals, seen.failures);
   std::printf("lost %d, wrong %d, run twice %d\n", seen.lost, seen.wrong, doubled);
-  std::printf("\nfurther: docs/design.md, docs/operators, zinccleat scale-run\n");
+  std::printf("\nfurther: docs/design.md, docs/operators\n");
   return seen.lost + seen.wrong + doubled == 0 && seen.pushes > 0 && seen.streams > 0;
 }
 bool Trial::reportOperators() const {
--- a/tests/child_process_test.cpp
+++ b/tests/child_process_test.cpp
@@ -1,4 +1,4 @@
-/// The processes of a trial or a scale run end with the one that started them, and no two runs share addresses.
+/// The processes of a trial or a soak run end with the one that started them, and no two runs share addresses.
 #include "child_process.hpp"
 
 #include <gtest/gtest.h>
