--- a/tests/counter_world.cpp
+++ b/tests/counter_world.cpp
@@ -401,8 +401,9 @@
     at(when, [this] { callSome(); });
   runUntil(start_ + kCalm + 1s);
 }
-double CounterWorld::lateShare(Duration aim) const {
-  const auto inTime = std::count_if(callTimes_.begin(), callTimes_.end(), [aim](Duration time) { return time <= aim; });
+double CounterWorld::lateShare(Duration target) const {
+  const auto inTime =
+      std::count_if(callTimes_.begin(), callTimes_.end(), [target](Duration time) { return time <= target; });
   return 1 - static_cast<double>(inTime) / static_cast<double>(sentIds_.size());
 }
 void CounterWorld::play() {
--- a/tests/counter_world.hpp
+++ b/tests/counter_world.hpp
@@ -38,8 +38,8 @@
   void play();
   /// Plays callers without faults, one disk of which takes `slowSync` a write (zero: none is slow), for a minute.
   void playCalm(Duration slowSync);
-  /// The part of the increments that were acknowledged later than `aim` after they were first sent, or never.
-  double lateShare(Duration aim) const;
+  /// The part of the increments that were acknowledged later than `target` after they were first sent, or never.
+  double lateShare(Duration target) const;
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t acknowledged() const { return acknowledgedIds_.size(); }
   std::size_t partitions() const { return partitions_; }
--- a/tests/counter_worlds_test.cpp
+++ b/tests/counter_worlds_test.cpp
@@ -67,7 +67,7 @@
 // Causes: each waited for the disk of the machine that took it; peers were chosen by zone and hash alone; and a
 // transfer that came while a write was under way was reported up to a report's interval late.
 TEST(CounterWorlds, OneSlowDiskMakesNoMoreIncrementsLate) {
-  constexpr Duration kAim{60};
+  constexpr Duration kTargetLatency{60};
   constexpr double kMostMore = 0.02;
   for (const auto slowSync : {50ms, 100ms, 400ms, 3000ms})
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
@@ -75,8 +75,8 @@
       sound.playCalm(Duration(0));
       CounterWorld slow(seed, PlantedFault::nothing);
       slow.playCalm(slowSync);
-      EXPECT_LE(slow.lateShare(kAim), sound.lateShare(kAim) + kMostMore)
-          << slowSync.count() << " ms, seed " << seed << ", with sound disks " << sound.lateShare(kAim);
-      EXPECT_LE(sound.lateShare(kAim), kMostMore) << "seed " << seed;
+      EXPECT_LE(slow.lateShare(kTargetLatency), sound.lateShare(kTargetLatency) + kMostMore)
+          << slowSync.count() << " ms, seed " << seed << ", with sound disks " << sound.lateShare(kTargetLatency);
+      EXPECT_LE(sound.lateShare(kTargetLatency), kMostMore) << "seed " << seed;
     }
 }
