Counters: records are encoded on the disk's thread

The encoding goes to the disk's thread, under a type of its own; the copy stays. Found by measuring the limits (docs/CAPACITY.md). Bytes on the disk as before (golden bytes, tests/coordination.sh).

--- a/libs/controller/src/append_queue.cpp
+++ b/libs/controller/src/append_queue.cpp
@@ -29,8 +29,11 @@
   std::vector<std::shared_ptr<storage::Storage>> withFullRecords;
   std::vector<Result<void>> results;
   results.reserve(batch.size());
-  for (const auto& append : batch)
+  for (auto& append : batch) {
+    if (append.encodeState)
+      append.record.state = append.encodeState();
     results.push_back(append.storage->place(append.record));
+  }
   const auto placed =
       std::find_if(results.begin(), results.end(), [](const auto& result) { return result.has_value(); });
   if (placed != results.end()) {
--- a/libs/controller/src/append_queue.hpp
+++ b/libs/controller/src/append_queue.hpp
@@ -17,6 +17,9 @@
   std::shared_ptr<storage::Storage> storage;
   consensus::DiskRecord record;
   AppendUrgency urgency = AppendUrgency::consensus;
+  /// Encodes the record's state just before it is written; empty: it is there already. For states that would hold the
+  /// event loop up. Called on the disk's thread, once.
+  std::function<std::string()> encodeState;
   std::function<void(const Result<void>&)> onAppended;  ///< called by the queue, on the disk's thread
 };
 
--- a/libs/controller/src/counter_service.cpp
+++ b/libs/controller/src/counter_service.cpp
@@ -17,6 +17,14 @@
 constexpr Duration kAppendRetryInterval{200};
 constexpr std::string_view kFilePrefix = "counters-";
 
+/// A batch as the disk's thread encodes it: a type of its own, since each thread may encode its own types only.
+struct StoredBatch {
+  std::shared_ptr<IncrementBatch> batch = std::make_shared<IncrementBatch>();
+  template <class V>
+  void fields(V& v) {
+    batch->fields(v);
+  }
+};
 Result<IncrementBatch> batchOf(const consensus::DiskRecord& record) {
   return avro::decode<IncrementBatch>(record.state);
 }
@@ -137,22 +145,24 @@
   record.seq = ++lastRecord_;
   record.self = context_.raft->self();
   record.full = action.full;
-  record.state = avro::encode(std::move(action.batch));
-  appendRecord(record);
+  appendRecord(record, std::make_shared<IncrementBatch>(std::move(action.batch)));
 }
-// Again until it succeeds: later records build on it, and what it holds is not acknowledged before.
-void CounterService::appendRecord(const consensus::DiskRecord& record) {
-  storage_->append(record, [this, record](const Result<void>& appended) {
+// Again until it succeeds: later records build on it, and what it holds is not acknowledged before. Encoded beside the
+// event loop: a snapshot of all kept ids takes a tenth of a second.
+void CounterService::appendRecord(const consensus::DiskRecord& record, const std::shared_ptr<IncrementBatch>& batch) {
+  const auto encode = [batch] { return avro::encode(StoredBatch{batch}); };
+  const auto onAppended = [this, record, batch](const Result<void>& appended) {
     if (appended) {
       replica_->persisted(Clock::now());
       return run();
     }
     log::error("storage_append_failed", {{"counters", record.seq}, {"reason", appended.error().message}});
-    runtime::EventLoop::get().spawn([this, record] {
+    runtime::EventLoop::get().spawn([this, record, batch] {
       runtime::EventLoop::get().sleepFor(kAppendRetryInterval);
-      appendRecord(record);
+      appendRecord(record, batch);
     });
-  });
+  };
+  storage_->append(record, onAppended, encode);
 }
 void CounterService::run() {
   if (!storage_)
--- a/libs/controller/src/counter_service.hpp
+++ b/libs/controller/src/counter_service.hpp
@@ -46,7 +46,8 @@
   void carryOut(const replicated_counters::SendTransfer& action) { send(action.to, action.message); }
   void carryOut(replicated_counters::PersistBatch& action);
   void carryOut(const replicated_counters::Acknowledge& action);
-  void appendRecord(const consensus::DiskRecord& record);
+  void appendRecord(const consensus::DiskRecord& record,
+                    const std::shared_ptr<replicated_counters::IncrementBatch>& batch);
   /// Writes to the log who became unreachable or came back.
   void logChanges(TimePoint now);
   void run();
--- a/libs/controller/src/storage_thread.hpp
+++ b/libs/controller/src/storage_thread.hpp
@@ -63,11 +63,12 @@
       : disk_(std::move(disk)), storage_(std::make_shared<storage::Storage>(std::move(storage))), urgency_(urgency) {}
   /// Appends in the order of the calls. A record that failed may be appended again.
   /// @param onAppended is called on the event loop, without an error once the record is durable.
-  void append(consensus::DiskRecord record, OnAppended onAppended) {
+  /// @param encodeState see `PendingAppend`.
+  void append(consensus::DiskRecord record, OnAppended onAppended, std::function<std::string()> encodeState = {}) {
     auto answer = [onAppended = std::move(onAppended)](const Result<void>& appended) {
       asio::post(runtime::EventLoop::get().io(), [onAppended, appended] { onAppended(appended); });
     };
-    disk_->append({storage_, std::move(record), urgency_, std::move(answer)});
+    disk_->append({storage_, std::move(record), urgency_, std::move(encodeState), std::move(answer)});
   }
 
  private:
--- a/tests/append_queue_test.cpp
+++ b/tests/append_queue_test.cpp
@@ -100,7 +100,7 @@
   SharedFolder folder;
   const auto fleet = folder.open("");
   folder.queue.add(
-      {fleet, recordOf(1, false), AppendUrgency::consensus, [](const auto& appended) { EXPECT_FALSE(appended); }});
+      {fleet, recordOf(1, false), AppendUrgency::consensus, {}, [](const auto& appended) { EXPECT_FALSE(appended); }});
   folder.disk.fate = [](Operation operation, int) {
     return operation == Operation::syncFolder ? Fate::failsBefore : Fate::succeeds;
   };
@@ -108,3 +108,18 @@
   folder.disk.fate = nullptr;
   EXPECT_TRUE(fleet->append(recordOf(1, false)));
 }
+TEST(AppendQueue, AStateIsEncodedAsItIsWritten) {
+  SharedFolder folder;
+  const auto counters = folder.open("counters-");
+  int encoded = 0;
+  const auto encode = [&encoded] {
+    ++encoded;
+    return std::string("state");
+  };
+  folder.queue.add({counters, recordOf(1, true), AppendUrgency::counters, encode,
+                    [](const auto& appended) { EXPECT_TRUE(appended); }});
+  EXPECT_EQ(encoded, 0);
+  (void)folder.queue.runNext();
+  EXPECT_EQ(encoded, 1);
+  EXPECT_EQ(folder.open("counters-")->load()->front().state, "state");
+}
