--- a/tests/append_queue_test.cpp
+++ b/tests/append_queue_test.cpp
@@ -18,8 +18,9 @@
     return storage;
   }
   void add(const std::string& name, const std::shared_ptr<Storage>& storage, AppendUrgency urgency, bool full = false) {
-    queue.add({storage, recordOf(++lastRecords_[storage.get()], full), urgency,
-               [this, name](const auto& appended) { (appended ? appendedNames : failedNames).push_back(name); }});
+    queue.add({storage, recordOf(++lastRecords_[storage.get()], full), urgency, {}, [this, name](const auto& appended) {
+                 (appended ? appendedNames : failedNames).push_back(name);
+               }});
   }
   /// Runs one batch.
   /// @return how many syncs it took.
