--- a/tests/preload/fault_library.cpp
+++ b/tests/preload/fault_library.cpp
@@ -213,6 +213,8 @@
 }
 }  // namespace
 
+// The C library names its parameters with two underscores, which are its own.
+// NOLINTBEGIN(readability-inconsistent-declaration-parameter-name)
 extern "C" {
 __attribute__((constructor)) void zinccleatSoakFaultsBegin() {
   (void)Faults::instance();
@@ -334,3 +336,4 @@
   return 0;
 }
 }
+// NOLINTEND(readability-inconsistent-declaration-parameter-name)
--- a/tests/slow_disk_test.cpp
+++ b/tests/slow_disk_test.cpp
@@ -17,7 +17,6 @@
 using consensus::RaftNode;
 using consensus::RaftOptions;
 using consensus::SendMessage;
-using sim::kUsualSyncTime;
 using sim::SimulatedCluster;
 
 const std::vector<std::string> kMachines = {"10.1.0.1", "10.2.0.1", "10.3.0.1", "10.1.0.2", "10.2.0.2"};
@@ -84,7 +83,7 @@
   auto& node = cluster.nodes[kMachines[number % kMachines.size()]];
   if (!node.up)
     return {};
-  const auto id = node.id + "/" + std::to_string(++cluster.operationCount);
+  auto id = node.id + "/" + std::to_string(++cluster.operationCount);
   auto entry = state_machine::configurationEntry(0, cluster.operationCount, id, id);
   entry.operationId = id;
   cluster.attemptWrite(node.ip, node.incarnation, entry, kAttempts);
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -12,16 +12,23 @@
 constexpr Duration kMostSeriesPause{1500};
 constexpr int kMaxSeriesLength = 5;
 
-/// Whether a process blocks or catches a signal, by its status in /proc.
-bool handlesSignal(pid_t pid, int signal) {
+/// What a process blocks and catches, by its status in /proc.
+struct SignalMasks {
+  std::uint64_t blocked = 0, caught = 0;
+  bool handles(int signal) const { return ((blocked | caught) >> (signal - 1) & 1U) != 0; }
+  std::string text() const { return "blocked " + std::to_string(blocked) + ", caught " + std::to_string(caught); }
+};
+SignalMasks signalMasksOf(pid_t pid) {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  const std::uint64_t bit = std::uint64_t{1} << (signal - 1);
+  SignalMasks masks;
   for (std::string line; std::getline(status, line);) {
-    const bool isMask = line.starts_with("SigBlk:") || line.starts_with("SigCgt:");
-    if (isMask && (std::stoull(line.substr(line.find('\t') + 1), nullptr, 16) & bit) != 0)
-      return true;
+    const auto value = [&line] { return std::stoull(line.substr(line.find('\t') + 1), nullptr, 16); };
+    if (line.starts_with("SigBlk:"))
+      masks.blocked = value();
+    if (line.starts_with("SigCgt:"))
+      masks.caught = value();
   }
-  return false;
+  return masks;
 }
 
 /// Watches the processes as the platform does: ends that take longer than the grace, starts after each end.
@@ -41,11 +48,13 @@
   }
   /// Whether a process has begun to hold back or handle SIGTERM. Before that, while the dynamic linker works (10 ms, up
   /// to 180 ms on a busy machine), the kernel ends it whatever the program does.
-  bool mayBeSignalled(std::size_t process) const { return handlesSignal(run_.fleet.processes()[process].pid, SIGTERM); }
+  bool mayBeSignalled(std::size_t process) const { return masksOf(process).handles(SIGTERM); }
   void terminate(std::size_t process) {
-    if (!mayBeSignalled(process))
+    const auto masks = masksOf(process);
+    if (!masks.handles(SIGTERM))
       return;
     disturb(process, true);
+    states_[process].masks = masks.text();
     if (run_.fleet.signal(process, SIGTERM) && !states_[process].terminatedAt)
       states_[process].terminatedAt = Clock::now();
   }
@@ -64,14 +73,16 @@
     bool killed = false;
     TimePoint startAt = TimePoint::max();
     TimePoint startedAt{};
+    std::string masks;
   };
+  SignalMasks masksOf(std::size_t process) const { return signalMasksOf(run_.fleet.processes()[process].pid); }
   void check() {
     const auto now = Clock::now();
     for (std::size_t process = 0; process < states_.size(); ++process) {
       auto& state = states_[process];
       if (const auto status = run_.fleet.takeExit(process)) {
-        run_.seen.exits.push_back(
-            {run_.fleet.processes()[process].name, *status, state.terminatedAt, state.killed, state.startedAt, now});
+        run_.seen.exits.push_back({run_.fleet.processes()[process].name, *status, state.terminatedAt, state.killed,
+                                   state.startedAt, now, state.masks});
         disturb(process, state.terminatedAt.has_value());
         state = {};
         state.startAt = now + run_.drawDuration(kLeastRestartDelay, kMostRestartDelay);
@@ -105,6 +116,7 @@
     repeat([this] { changeInSeries(); });
     repeat([this] { changeInSeries(); });
     repeat([this] { replaceRunners(); });
+    repeat([this] { evacuateZone(run_); });
     if (run_.plan.kills)
       repeat([this] { killProcesses(); });
   }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -25,7 +25,8 @@
 std::string timersJson(const Bounds& bounds) {
   return R"({"graceS":)" + std::to_string(bounds.grace.count() / 1000) + R"(,"drainMs":)" +
          std::to_string(bounds.drain.count()) + R"(,"configApplyMs":)" + std::to_string(bounds.configApply.count()) +
-         R"(,"contactMs":)" + std::to_string(bounds.contact.count()) + "}";
+         R"(,"evacuateMs":)" + std::to_string(bounds.evacuate.count()) + R"(,"contactMs":)" +
+         std::to_string(bounds.contact.count()) + "}";
 }
 bool waitUntil(Duration timeout, const std::function<bool()>& condition) {
   for (const auto end = Clock::now() + timeout; Clock::now() < end; runtime::EventLoop::get().sleepFor(kPoll))
@@ -183,7 +184,7 @@
     : plan(soakPlan),
       random(soakPlan.seed),
       fleet(soakPlan.program,
-            simulation::FleetOptions{.core = soakPlan.core, .zones = {"a", "b", "c"}, .timers = timersJson(Bounds{})}),
+            simulation::FleetOptions{.core = soakPlan.core, .zones = kZones, .timers = timersJson(Bounds{})}),
       inService(static_cast<std::size_t>(soakPlan.access), 0) {}
 void SoakRun::spawn(std::function<void()> body) {
   ++busy;
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -71,8 +71,22 @@
     const auto& executions = executionsOf(request);
     if (request.kind != RequestKind::safe && executions.size() > 1)
       report("TWICE", nameOf(request) + " ran " + std::to_string(executions.size()) + " times");
-    for (const auto& execution : executions)
+    for (const auto& execution : executions) {
       checkDrain(request, execution);
+      checkEvacuation(request, execution);
+    }
+  }
+  void checkEvacuation(const ClientRequest& request, const Execution& execution) {
+    const auto zone = seen_.runnerZones.find(execution.runner);
+    if (zone == seen_.runnerZones.end() || !seen_.inTouch(request.machine, execution.at))
+      return;
+    for (const auto& evacuation : seen_.evacuations) {
+      const bool binds = evacuation.zone == zone->second &&
+                         execution.at > evacuation.acknowledgedAt + seen_.bounds.evacuate &&
+                         (!evacuation.releasedAt || execution.at < *evacuation.releasedAt);
+      if (binds)
+        report("EVAC", nameOf(request) + " reached " + execution.runner + " in the evacuated zone " + zone->second);
+    }
   }
   void checkDrain(const ClientRequest& request, const Execution& execution) {
     const auto left = seen_.departures.find(execution.runner);
@@ -127,7 +141,11 @@
     const bool orderly = WIFEXITED(exit.status) && WEXITSTATUS(exit.status) == 0;
     if (!exit.terminatedAt || !orderly)
       return report("Fault", exit.name + " ended by itself, status " + std::to_string(exit.status) + ", " +
-                                 millisecondsText(toDuration(exit.endedAt - exit.startedAt)) + " after its start");
+                                 millisecondsText(toDuration(exit.endedAt - exit.startedAt)) + " after its start" +
+                                 (exit.terminatedAt
+                                      ? ", SIGTERM " + millisecondsText(toDuration(exit.endedAt - *exit.terminatedAt)) +
+                                            " before, masks then: " + exit.signalMasks
+                                      : ", without SIGTERM"));
     const auto took = toDuration(exit.endedAt - *exit.terminatedAt);
     if (took > seen_.bounds.grace + kExitSlack)
       report("Fault", exit.name + " ended " + millisecondsText(took) + " after SIGTERM");
--- a/tests/soak/observations.hpp
+++ b/tests/soak/observations.hpp
@@ -15,6 +15,7 @@
   Duration configApply{2000};  ///< a configuration binds so long after its acknowledgement
   Duration lossSlack{200};     ///< a connection that ends sooner after a request's last byte may have crossed it
   Duration grace{4000};        ///< from SIGTERM to SIGKILL
+  Duration evacuate{2000};     ///< an evacuation binds so long after its acknowledgement
 };
 enum class RequestKind : std::uint8_t { safe, unsafe, stream };
 enum class RequestEnd : std::uint8_t { answered, connectionClosed, unanswered };
@@ -44,6 +45,12 @@
   std::optional<TimePoint> acknowledgedAt;
   bool refused = false;  ///< by a clear answer: it was never in force
 };
+/// The runners of a zone are to get nothing.
+struct ZoneEvacuation {
+  std::string zone;
+  TimePoint acknowledgedAt{};
+  std::optional<TimePoint> releasedAt;  ///< when it was asked to be taken back
+};
 /// A moment at which something was done to a machine.
 struct Disturbance {
   static constexpr int kCore = -1;
@@ -59,6 +66,7 @@
   bool killed = false;                    ///< SIGKILL, by the soak
   TimePoint startedAt{};                  ///< zero: with the fleet
   TimePoint endedAt{};
+  std::string signalMasks;  ///< of the process as it got SIGTERM last, as /proc has them
 };
 
 /// All that was seen in one run.
@@ -67,6 +75,8 @@
   std::vector<ClientRequest> requests;
   std::map<std::string, std::vector<Execution>> executions;  ///< by attempt id
   std::map<std::string, TimePoint> departures;               ///< acknowledgement of each runner's drain or detaching
+  std::map<std::string, std::string> runnerZones;            ///< by runner
+  std::vector<ZoneEvacuation> evacuations;
   std::vector<Change> changes;
   std::vector<Disturbance> disturbances;
   std::vector<ProcessExit> exits;
--- a/tests/soak/operators.cpp
+++ b/tests/soak/operators.cpp
@@ -9,6 +9,7 @@
 constexpr Duration kRetryInterval{60};
 constexpr int kFirstAttempts = 200;
 constexpr int kChangeAttempts = 12;
+constexpr int kZoneOrderAttempts = 20;
 constexpr Duration kReadBackTime{3000};
 constexpr int kOk = 200;
 constexpr int kConflict = 412;
@@ -73,6 +74,30 @@
     run.routes = routes;
   }
 }
+namespace {
+/// Sends an order on a zone until it is acknowledged. @return whether it was.
+bool sendZoneOrder(SoakRun& run, const std::string& order, const std::string& zone) {
+  for (int attempt = 0; attempt < kZoneOrderAttempts; ++attempt) {
+    const auto answer = operations::callOne(run.anyController(),
+                                            {"POST", "/v1/Evacuation." + order + "/" + zone, "", {}}, kCallTimeout);
+    if (answer && answer->status == kOk)
+      return true;
+    runtime::EventLoop::get().sleepFor(kRetryInterval);
+  }
+  return false;
+}
+}  // namespace
+void evacuateZone(SoakRun& run) {
+  const auto& zone = kZones[run.draw(kZones.size())];
+  const bool acknowledged = sendZoneOrder(run, "Begin", zone);
+  const auto index = run.seen.evacuations.size();
+  if (acknowledged)
+    run.seen.evacuations.push_back({zone, Clock::now(), std::nullopt});
+  runtime::EventLoop::get().sleepFor(run.seen.bounds.evacuate + run.drawDuration(0ms, 2500ms));
+  if (acknowledged)
+    run.seen.evacuations[index].releasedAt = Clock::now();
+  (void)sendZoneOrder(run, "Release", zone);
+}
 void readBack(SoakRun& run) {
   for (const auto end = Clock::now() + kReadBackTime; Clock::now() < end && !run.seen.finalVersion;
        runtime::EventLoop::get().sleepFor(kRetryInterval)) {
--- a/tests/soak/runners.cpp
+++ b/tests/soak/runners.cpp
@@ -26,6 +26,7 @@
         id(std::move(runnerId)),
         acceptor(runtime::EventLoop::get().io(), tcp::endpoint(asio::ip::make_address(run.fleet.ip(7, 1)), 0)) {}
   std::string address() const { return run.fleet.ip(7, 1) + ":" + std::to_string(acceptor.local_endpoint().port()); }
+  const std::string& zone() const { return run.seen.runnerZones[id]; }
   void acceptNext();
   void serve(runtime::Connection& connection);
   void answer(const RequestParser::value_type& request, runtime::Connection& connection, runtime::SocketError& ec);
@@ -91,8 +92,8 @@
   }
 }
 bool SoakRunner::sendHeartbeat() {
-  const auto report = R"({"targetService":"models","configVersion":"v1","address":")" + address() +
-                      R"(","zone":"a","capacity":16,"state":")" + (leaving ? "draining" : "in_service") +
+  const auto report = R"({"targetService":"models","configVersion":"v1","address":")" + address() + R"(","zone":")" +
+                      zone() + R"(","capacity":16,"state":")" + (leaving ? "draining" : "in_service") +
                       R"(","sequence":)" + std::to_string(++sequence) + "}";
   return simulation::isAcknowledged(
       operations::callOne(run.anyController(), simulation::heartbeatCall(id, report), kCallTimeout));
@@ -129,6 +130,7 @@
 void startRunner(SoakRun& run, const std::string& id) {
   auto runner = std::make_shared<SoakRunner>(run, id);
   runners()[id] = runner;
+  run.seen.runnerZones[id] = kZones[run.draw(kZones.size())];
   runner->acceptNext();
   runtime::EventLoop::get().spawn([runner] { runner->keepAlive(); });
 }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -60,6 +60,9 @@
 /// Parks the calling fiber until a connection is open. @return null: nobody listens there, or does not answer in time.
 std::unique_ptr<runtime::Connection> openConnection(const std::string& address);
 
+/// Zones of the runners, as of the machines.
+inline const std::vector<std::string> kZones = {"a", "b", "c"};
+
 /// Optional routes that the operators add and drop.
 constexpr int kOptionalRoutes = 6;
 
@@ -83,6 +86,8 @@
 bool installFirstConfiguration(SoakRun& run);
 /// One change on top of the newest version that is known here.
 void changeConfiguration(SoakRun& run);
+/// Evacuates a zone of runners for a while, and takes it back.
+void evacuateZone(SoakRun& run);
 /// Reads the configuration back for up to three seconds, at any controller.
 void readBack(SoakRun& run);
 /// Starts ended processes again, and the series of work on the fleet.
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -61,6 +61,20 @@
   seen.disturbances = {{Disturbance::kCore, kStart + 9s, true}};
   EXPECT_EQ(rulesBrokenBy(seen), "") << "the machine is not in touch";
 }
+TEST(SoakObservations, NothingReachesAnEvacuatedZoneAfterItsBound) {
+  auto seen = quietRun();
+  seen.requests.push_back(answered("late", kStart + 10s));
+  seen.executions["late"] = {{"i1", kStart + 10s}};
+  seen.runnerZones["i1"] = "a";
+  seen.evacuations = {{"a", kStart + 8s, std::nullopt}};
+  EXPECT_EQ(rulesBrokenBy(seen), "") << "within the bound";
+  seen.evacuations[0].acknowledgedAt = kStart + 8s - 1ms;
+  EXPECT_EQ(rulesBrokenBy(seen), "EVAC ");
+  seen.evacuations[0].releasedAt = kStart + 9s;
+  EXPECT_EQ(rulesBrokenBy(seen), "") << "it was taken back";
+  seen.evacuations[0] = {"b", kStart + 7s, std::nullopt};
+  EXPECT_EQ(rulesBrokenBy(seen), "") << "another zone";
+}
 TEST(SoakObservations, WhatMayRunOnceRunsOnceAndARefusalIsTrue) {
   auto seen = quietRun();
   seen.requests.push_back(answered("a", kStart + 9s));
