Runners: one change of one runner costs work for that runner

Change: RunnerTable indexes the runners by id and address and remembers which have changed lately; RunnerMembership, WarmupTracker and the leader's WarmupAllocator follow the changes, or everything where too much was missed.

--- a/libs/balancing/include/balancing/runner_membership.hpp
+++ b/libs/balancing/include/balancing/runner_membership.hpp
@@ -23,6 +23,9 @@
   /// flight there.
   /// @param now from here on the warm-up counts that a runner announced when it joined.
   void setRunners(const std::vector<state_machine::Runner>& runners, TimePoint now);
+  /// Follows the replicated list of runners: takes over those that have changed since the last call, or all where that
+  /// is not known any more. The work grows with the runners that have changed.
+  void follow(const state_machine::RunnerTable& runners, TimePoint now);
   void setZoneDrains(std::map<std::string, ZoneDrainLevel> zones);
   /// Sets the complete list of evacuated zones and regions. From `now` on runners of one that is back in use warm up.
   void setEvacuations(const std::vector<std::string>& places, TimePoint now);
@@ -49,12 +52,20 @@
   bool sameRegion(std::string_view zone, std::string_view otherZone) const;
 
  private:
+  void takeOver(const state_machine::Runner& runner);
+  void markAbsent(const std::string& runnerId);
   int indexFor(const std::string& runnerId);
+  int freeIndex();
+  void applyZoneDrain(RunnerEndpoint& endpoint) const;
   void applyZoneDrains();
+  void applyWarmup(RunnerEndpoint& endpoint) const;
   void applyWarmups();
 
   std::vector<RunnerEndpoint> endpoints_;
   std::unordered_map<std::string, int> indexById_;
+  std::vector<int> absent_;  ///< the indexes of endpoints that are not present, which may have attempts in flight
+  std::int64_t followedRevision_ = 0;                     ///< of the replicated list
+  std::unordered_map<std::string, double> ejectedLevel_;  ///< by runner, also of runners that are not known yet
   std::map<std::string, ZoneDrainLevel> zoneDrains_;
   WarmupTracker warmups_;
   std::map<std::string, std::string> regions_;  ///< by zone
--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -20,6 +20,7 @@
   void setRunners(const std::vector<state_machine::Runner>& runners, TimePoint now = {}) {
     runners_.setRunners(runners, now);
   }
+  void followRunners(const state_machine::RunnerTable& runners, TimePoint now) { runners_.follow(runners, now); }
   void setZoneDrains(std::map<std::string, ZoneDrainLevel> zones) { runners_.setZoneDrains(std::move(zones)); }
   void setEvacuations(const std::vector<std::string>& places, TimePoint now) { runners_.setEvacuations(places, now); }
   void setServices(const std::vector<config::Service>& services) { runners_.setServices(services); }
--- a/libs/balancing/include/balancing/warmup_tracker.hpp
+++ b/libs/balancing/include/balancing/warmup_tracker.hpp
@@ -17,6 +17,10 @@
   /// Takes over the complete list of runners. A runner that is new, or whose heartbeat was written anew, warms up for
   /// as long as it says.
   void followRunners(const std::vector<state_machine::Runner>& runners, TimePoint now);
+  /// Takes over what has become of one runner, in constant time.
+  void followRunner(const state_machine::Runner& runner, TimePoint now);
+  /// Forgets a runner that is no longer listed, in constant time.
+  void forgetRunner(const std::string& runner);
   /// Takes over the complete list of evacuated zones and regions. Runners of one that is back in use warm up for as
   /// long as their service says.
   /// @param zoneToRegion of all zones.
@@ -31,8 +35,8 @@
   bool isAnnounced(const std::string& runner) const;
   /// Requests a second that a runner bears while it warms up; 0: no bound is known.
   double requestsPerS(const std::string& runner) const;
-  /// The runners that are warming up and whose requests are bounded meanwhile.
-  std::vector<std::string> limitedRunners(TimePoint now) const;
+  /// The runners that are warming up and whose requests are bounded meanwhile, by id. Looks at no others.
+  std::vector<std::string> limitedRunners(TimePoint now);
   /// The zone of a runner; empty: it is not known.
   std::string zoneOf(const std::string& runner) const;
 
@@ -49,8 +53,9 @@
     Duration warmup{0};
     double requestsPerS = 0;
   };
-  std::map<std::string, Warmup> runners_;           // by id
-  std::map<std::string, ServiceLimit> services_;    // by label, those with a bound
-  std::optional<std::set<std::string>> evacuated_;  // zones; none: nothing was followed yet
+  std::unordered_map<std::string, Warmup> runners_;  // by id
+  std::set<std::string> warming_;                    // the ids of those whose warm-up was not over when last looked at
+  std::map<std::string, ServiceLimit> services_;     // by label, those with a bound
+  std::optional<std::set<std::string>> evacuated_;   // zones; none: nothing was followed yet
 };
 }  // namespace zinccleat::balancing
--- a/libs/balancing/src/runner_membership.cpp
+++ b/libs/balancing/src/runner_membership.cpp
@@ -1,53 +1,101 @@
 #include "balancing/runner_membership.hpp"
 
+#include <unordered_set>
+
 namespace zinccleat::balancing {
 void RunnerMembership::setRunners(const std::vector<state_machine::Runner>& runners, TimePoint now) {
-  for (auto& endpoint : endpoints_)
-    endpoint.present = false;
-  for (const auto& runner : runners) {
-    auto& endpoint = at(indexFor(runner.id));
-    endpoint.revision = runner.software.revision;
-    endpoint.service = runner.service;
-    endpoint.address = runner.address;
-    endpoint.zone = runner.zone;
-    endpoint.capacity = static_cast<int>(runner.capacity);
-    endpoint.draining = runner.runnerState() == state_machine::RunnerState::draining;
-    endpoint.present = true;
-  }
+  std::unordered_set<std::string_view> listed;
+  for (const auto& runner : runners)
+    listed.insert(runner.id);
+  std::vector<std::string> left;
+  for (const auto& [id, index] : indexById_)
+    if (!listed.contains(id))
+      left.push_back(id);
+  for (const auto& id : left)
+    markAbsent(id);
   warmups_.followRunners(runners, now);
-  applyWarmups();
-  applyZoneDrains();
-  std::erase_if(indexById_, [this](const auto& entry) { return !at(entry.second).present; });
+  for (const auto& runner : runners)
+    takeOver(runner);
+}
+
+void RunnerMembership::follow(const state_machine::RunnerTable& runners, TimePoint now) {
+  const auto changed = runners.changedSince(std::exchange(followedRevision_, runners.revision()));
+  if (!changed)
+    return setRunners(runners, now);
+  for (const auto& id : *changed) {
+    const auto* runner = runners.find(id);
+    if (!runner) {
+      warmups_.forgetRunner(id);
+      markAbsent(id);
+      continue;
+    }
+    warmups_.followRunner(*runner, now);
+    takeOver(*runner);
+  }
+}
+
+void RunnerMembership::takeOver(const state_machine::Runner& runner) {
+  auto& endpoint = at(indexFor(runner.id));
+  endpoint.revision = runner.software.revision;
+  endpoint.service = runner.service;
+  endpoint.address = runner.address;
+  endpoint.zone = runner.zone;
+  endpoint.capacity = static_cast<int>(runner.capacity);
+  endpoint.draining = runner.runnerState() == state_machine::RunnerState::draining;
+  applyWarmup(endpoint);
+  applyZoneDrain(endpoint);
+}
+
+void RunnerMembership::markAbsent(const std::string& runnerId) {
+  const auto known = indexById_.find(runnerId);
+  if (known == indexById_.end())
+    return;
+  at(known->second).present = false;
+  absent_.push_back(known->second);
+  indexById_.erase(known);
 }
 
 int RunnerMembership::indexFor(const std::string& runnerId) {
   if (const auto it = indexById_.find(runnerId); it != indexById_.end())
     return it->second;
-  auto endpoint = std::find_if(endpoints_.begin(), endpoints_.end(), [this](const RunnerEndpoint& candidate) {
-    return !candidate.present && candidate.inFlight == 0 && !indexById_.contains(candidate.id);
-  });
-  if (endpoint == endpoints_.end())
-    endpoint = endpoints_.emplace(endpoints_.end());
-  *endpoint = RunnerEndpoint{};
-  endpoint->id = runnerId;
-  const auto index = static_cast<int>(endpoint - endpoints_.begin());
+  const int index = freeIndex();
+  auto& endpoint = at(index);
+  endpoint = RunnerEndpoint{};
+  endpoint.id = runnerId;
+  const auto ejected = ejectedLevel_.find(runnerId);
+  endpoint.ejected = ejected == ejectedLevel_.end() ? 0 : ejected->second;
   indexById_[runnerId] = index;
   return index;
 }
 
+int RunnerMembership::freeIndex() {
+  const auto unused =
+      std::find_if(absent_.begin(), absent_.end(), [this](int index) { return at(index).inFlight == 0; });
+  if (unused == absent_.end()) {
+    endpoints_.emplace_back();
+    return static_cast<int>(endpoints_.size()) - 1;
+  }
+  const int index = *unused;
+  absent_.erase(unused);
+  return index;
+}
+
 void RunnerMembership::setZoneDrains(std::map<std::string, ZoneDrainLevel> zones) {
   zoneDrains_ = std::move(zones);
   applyZoneDrains();
 }
 
 void RunnerMembership::applyZoneDrains() {
-  for (auto& endpoint : endpoints_) {
-    const auto it = zoneDrains_.find(endpoint.zone);
-    const auto level = it == zoneDrains_.end() ? ZoneDrainLevel{} : it->second;
-    endpoint.drainPercent = level.drainPercent;
-    endpoint.migrateStreams = level.migrateStreams;
-    endpoint.evacuated = level.evacuated;
-  }
+  for (auto& endpoint : endpoints_)
+    applyZoneDrain(endpoint);
+}
+
+void RunnerMembership::applyZoneDrain(RunnerEndpoint& endpoint) const {
+  const auto it = zoneDrains_.find(endpoint.zone);
+  const auto level = it == zoneDrains_.end() ? ZoneDrainLevel{} : it->second;
+  endpoint.drainPercent = level.drainPercent;
+  endpoint.migrateStreams = level.migrateStreams;
+  endpoint.evacuated = level.evacuated;
 }
 
 void RunnerMembership::setEvacuations(const std::vector<std::string>& places, TimePoint now) {
@@ -61,10 +109,13 @@
 }
 
 void RunnerMembership::applyWarmups() {
-  for (auto& endpoint : endpoints_) {
-    endpoint.warmAt = warmups_.warmAt(endpoint.id);
-    endpoint.warmupIsLimited = warmups_.requestsPerS(endpoint.id) > 0;
-  }
+  for (auto& endpoint : endpoints_)
+    applyWarmup(endpoint);
+}
+
+void RunnerMembership::applyWarmup(RunnerEndpoint& endpoint) const {
+  endpoint.warmAt = warmups_.warmAt(endpoint.id);
+  endpoint.warmupIsLimited = warmups_.requestsPerS(endpoint.id) > 0;
 }
 
 void RunnerMembership::setWarmupGrants(const std::vector<transport::WarmupGrant>& grants, TimePoint requestedAt) {
@@ -93,6 +144,9 @@
 void RunnerMembership::setEjected(const std::vector<transport::RunnerEjection>& ejections) {
   for (auto& endpoint : endpoints_)
     endpoint.ejected = 0;
+  ejectedLevel_.clear();
+  for (const auto& ejection : ejections)
+    ejectedLevel_[ejection.runner] = ejection.level;
   for (const auto& ejection : ejections)
     if (const auto it = indexById_.find(ejection.runner); it != indexById_.end())
       at(it->second).ejected = ejection.level;
--- a/libs/balancing/src/warmup_tracker.cpp
+++ b/libs/balancing/src/warmup_tracker.cpp
@@ -1,20 +1,32 @@
 #include "balancing/warmup_tracker.hpp"
 
+#include <unordered_set>
+
 namespace zinccleat::balancing {
 void WarmupTracker::followRunners(const std::vector<state_machine::Runner>& runners, TimePoint now) {
-  std::map<std::string, Warmup> followed;
+  std::unordered_set<std::string_view> listed;
   for (const auto& runner : runners) {
-    auto& warmup = followed[runner.id];
-    if (const auto known = runners_.find(runner.id); known != runners_.end())
-      warmup = std::move(known->second);
-    warmup.service = runner.service;
-    warmup.zone = runner.zone;
-    if (runner.sequence <= warmup.sequence)
-      continue;
-    warmup.sequence = runner.sequence;
-    warmup.announced = runner.software.warmupMs > 0 ? now + Duration(runner.software.warmupMs) : TimePoint{};
+    listed.insert(runner.id);
+    followRunner(runner, now);
   }
-  runners_ = std::move(followed);
+  std::erase_if(runners_, [&](const auto& entry) { return !listed.contains(entry.first); });
+  std::erase_if(warming_, [this](const auto& id) { return !runners_.contains(id); });
+}
+void WarmupTracker::followRunner(const state_machine::Runner& runner, TimePoint now) {
+  auto& warmup = runners_[runner.id];
+  warmup.service = runner.service;
+  warmup.zone = runner.zone;
+  if (runner.sequence <= warmup.sequence)
+    return;
+  warmup.sequence = runner.sequence;
+  const bool warmsUp = runner.software.warmupMs > 0;
+  warmup.announced = warmsUp ? now + Duration(runner.software.warmupMs) : TimePoint{};
+  if (warmsUp)
+    warming_.insert(runner.id);
+}
+void WarmupTracker::forgetRunner(const std::string& runner) {
+  runners_.erase(runner);
+  warming_.erase(runner);
 }
 void WarmupTracker::followEvacuations(const std::vector<std::string>& places,
                                       const std::map<std::string, std::string>& zoneToRegion, TimePoint now) {
@@ -24,11 +36,15 @@
       if (zone == place || region == place)
         zones.insert(zone);
   const auto before = std::exchange(evacuated_, zones).value_or(std::set<std::string>{});
+  if (std::includes(zones.begin(), zones.end(), before.begin(), before.end()))
+    return;  // no zone is back in use
   for (auto& [id, warmup] : runners_) {
     const bool released = before.contains(warmup.zone) && !zones.contains(warmup.zone);
     const auto limit = services_.find(warmup.service);
-    if (released && limit != services_.end())
-      warmup.assumed = now + limit->second.warmup;
+    if (!released || limit == services_.end())
+      continue;
+    warmup.assumed = now + limit->second.warmup;
+    warming_.insert(id);
   }
 }
 void WarmupTracker::followServices(const std::vector<config::Service>& services) {
@@ -52,10 +68,11 @@
   const auto limit = services_.find(warmup->second.service);
   return limit == services_.end() ? 0 : limit->second.requestsPerS;
 }
-std::vector<std::string> WarmupTracker::limitedRunners(TimePoint now) const {
+std::vector<std::string> WarmupTracker::limitedRunners(TimePoint now) {
+  std::erase_if(warming_, [&](const auto& id) { return now >= runners_.at(id).end(); });
   std::vector<std::string> limited;
-  for (const auto& [id, warmup] : runners_)
-    if (now < warmup.end() && services_.contains(warmup.service))
+  for (const auto& id : warming_)
+    if (services_.contains(runners_.at(id).service))
       limited.push_back(id);
   return limited;
 }
--- a/libs/controller/src/warmup_allocator.cpp
+++ b/libs/controller/src/warmup_allocator.cpp
@@ -20,9 +20,20 @@
   }
   if (std::exchange(followedIndex_, state.index) == state.index)
     return;
-  warmups_.followRunners(state.runners, now);
+  followRunners(now, state.runners);
   warmups_.followEvacuations(state.evacuatedZones, zoneToRegion_, now);
 }
+void WarmupAllocator::followRunners(TimePoint now, const state_machine::RunnerTable& runners) {
+  const auto changed = runners.changedSince(std::exchange(followedRunners_, runners.revision()));
+  if (!changed)
+    return warmups_.followRunners(runners, now);
+  for (const auto& id : *changed) {
+    if (const auto* runner = runners.find(id))
+      warmups_.followRunner(*runner, now);
+    else
+      warmups_.forgetRunner(id);
+  }
+}
 void WarmupAllocator::startTerm(TimePoint now) {
   buckets_.clear();
   grantsFrom_ = now + transport::kWarmupGrantLifetime;
--- a/libs/controller/src/warmup_allocator.hpp
+++ b/libs/controller/src/warmup_allocator.hpp
@@ -35,6 +35,7 @@
   bool isChangedBy(TimePoint now, const state_machine::Runner& reported) const;
 
  private:
+  void followRunners(TimePoint now, const state_machine::RunnerTable& runners);
   struct TokenBucket {
     double tokens = 0;
     TimePoint refilledAt{};
@@ -48,6 +49,7 @@
   std::map<std::string, std::string> zoneToRegion_;
   balancing::WarmupTracker warmups_;
   std::int64_t followedIndex_ = -1;
+  std::int64_t followedRunners_ = 0;            // the revision of their table
   std::int64_t followedVersion_ = -1;           // of the configuration
   std::map<std::string, TokenBucket> buckets_;  // by runner
   TimePoint grantsFrom_{};
--- a/libs/proxy_daemon/include/proxy_daemon/state_adoption.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/state_adoption.hpp
@@ -20,13 +20,11 @@
   std::int64_t ejectionsVersion() const { return ejectionsVersion_; }
 
  private:
-  void adoptRunners(const state_machine::StateContents& state);
   void adoptZoneDrains(const state_machine::StateContents& state);
   bool adoptConfiguration(const state_machine::StateContents& state);
 
   proxy::ProxyContext& context_;
   ZoneToRegion zones_;
   std::int64_t ejectionsVersion_ = 0;
-  std::vector<transport::RunnerEjection> ejections_;
 };
 }  // namespace zinccleat::proxy_daemon
--- a/libs/proxy_daemon/src/state_adoption.cpp
+++ b/libs/proxy_daemon/src/state_adoption.cpp
@@ -5,7 +5,7 @@
 namespace zinccleat::proxy_daemon {
 bool StateAdoption::adopt(const state_machine::StateContents& state, state_machine::ReplicatedState::Change change) {
   if (change.runners)
-    adoptRunners(state);
+    context_.runners.followRunners(state.runners, Clock::now());
   if (change.zoneDrains)
     adoptZoneDrains(state);
   if (change.rollouts)
@@ -16,12 +16,7 @@
   if (response.outliersVersion == 0 || response.outliersVersion == ejectionsVersion_)
     return;
   ejectionsVersion_ = response.outliersVersion;
-  ejections_ = response.outliers;
-  context_.runners.setEjected(ejections_);
-}
-void StateAdoption::adoptRunners(const state_machine::StateContents& state) {
-  context_.runners.setRunners(state.runners, Clock::now());
-  context_.runners.setEjected(ejections_);  // a runner that joins may be on the list already
+  context_.runners.setEjected(response.outliers);
 }
 void StateAdoption::adoptZoneDrains(const state_machine::StateContents& state) {
   auto levels = drainLevels(zones_, state.zoneDrains);
--- a/libs/state_machine/include/state_machine/replicated_state.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -91,8 +91,7 @@
   void detachRunner(const Runner& update);
   void removeRunner(const Runner& removed);
   void joinRunner(Runner joining);
-  bool updateRunner(Runner& known, Runner update);
-  std::vector<Runner>::iterator findRunner(const std::string& id);
+  bool updateRunner(const Runner& known, Runner update);
   void acceptConfiguration(std::int64_t version, std::string digest, std::string text);
   void keepEarlierConfiguration();
   const EarlierConfiguration* findEarlierConfiguration(const std::string& digest) const;
--- a/libs/state_machine/src/replicated_state.cpp
+++ b/libs/state_machine/src/replicated_state.cpp
@@ -133,8 +133,7 @@
   }
   if (isDetached(update->id))
     return;
-  const auto known = findRunner(update->id);
-  if (known != contents_.runners.end()) {
+  if (const auto* known = runner(update->id)) {
     change.runners = updateRunner(*known, std::move(*update));
     return;
   }
@@ -145,38 +144,30 @@
   // Sequence 0 says that its heartbeats were missed: such a runner may join again, one that left may not.
   if (update.sequence != 0)
     contents_.detachedRunners.record(update.id);
-  if (const auto known = findRunner(update.id); known != contents_.runners.end())
-    removeRunner(Runner(*known));
+  if (const auto* known = runner(update.id))
+    removeRunner(*known);
 }
 void ReplicatedState::removeRunner(const Runner& removed) {
   // A draining runner never joins again, however it ended: a late heartbeat would bring it new requests.
   if (removed.runnerState() == RunnerState::draining)
     contents_.detachedRunners.record(removed.id);
-  std::erase_if(contents_.runners, [&](const Runner& runner) { return runner.id == removed.id; });
+  contents_.runners.remove(std::string(removed.id));  // a copy: `removed` may be the table's
 }
 void ReplicatedState::joinRunner(Runner joining) {
   // A new runner at an address proves that an earlier one there has ended.
-  std::vector<Runner> replaced;
-  std::copy_if(contents_.runners.begin(), contents_.runners.end(), std::back_inserter(replaced),
-               [&](const Runner& runner) { return runner.address == joining.address; });
-  for (const auto& runner : replaced)
-    removeRunner(runner);
-  contents_.runners.push_back(std::move(joining));
+  for (const auto& replaced : contents_.runners.idsAt(joining.address))
+    removeRunner(*runner(replaced));
+  contents_.runners.put(std::move(joining));
 }
 /// @return false for a late heartbeat, which changes nothing.
-bool ReplicatedState::updateRunner(Runner& known, Runner update) {
+bool ReplicatedState::updateRunner(const Runner& known, Runner update) {
   if (update.sequence < known.sequence)
     return false;
-  const bool draining = known.runnerState() == RunnerState::draining;
-  known = std::move(update);
-  if (draining)
-    known.state = static_cast<std::int32_t>(RunnerState::draining);
+  if (known.runnerState() == RunnerState::draining)
+    update.state = static_cast<std::int32_t>(RunnerState::draining);
+  contents_.runners.put(std::move(update));
   return true;
 }
-std::vector<Runner>::iterator ReplicatedState::findRunner(const std::string& id) {
-  return std::find_if(contents_.runners.begin(), contents_.runners.end(),
-                      [&](const Runner& runner) { return runner.id == id; });
-}
 
 // --- Rollouts ---
 
@@ -229,12 +220,14 @@
 }
 /// The operator stops them without notice. Their ids are recorded, so that none of them joins again by a heartbeat.
 void ReplicatedState::removeBaselineRunners(const Rollout& completed) {
-  std::erase_if(contents_.runners, [&](const Runner& runner) {
-    const bool isBaseline = runner.service == completed.service && runner.software.revision != completed.revision;
-    if (isBaseline)
-      contents_.detachedRunners.record(runner.id);
-    return isBaseline;
-  });
+  std::vector<std::string> baseline;
+  for (const auto& runner : contents_.runners)
+    if (runner.service == completed.service && runner.software.revision != completed.revision)
+      baseline.push_back(runner.id);
+  for (const auto& id : baseline) {
+    contents_.detachedRunners.record(id);
+    contents_.runners.remove(id);
+  }
 }
 ReplicatedState::Verdict ReplicatedState::applyShardsFounded(const transport::LogEntry& entry) {
   auto founding = avro::decode<ShardFounding>(entry.body);
@@ -276,7 +269,9 @@
 }
 Result<void> ReplicatedState::restore(std::string_view snapshot) {
   if (snapshot.empty()) {
-    contents_ = {};
+    StateContents empty;
+    empty.runners.supersede(contents_.runners);
+    contents_ = std::move(empty);
     earlierConfigurations_.clear();
     return {};
   }
@@ -288,6 +283,7 @@
     return tl::unexpected(configuration.error());
   if (contents_.digest != restored->contents.digest)
     keepEarlierConfiguration();
+  restored->contents.runners.supersede(contents_.runners);
   contents_ = std::move(restored->contents);
   contents_.configuration = std::move(*configuration);
   return {};
@@ -302,9 +298,7 @@
   return static_cast<Verdict>(*verdict);
 }
 const Runner* ReplicatedState::runner(const std::string& id) const {
-  const auto found = std::find_if(contents_.runners.begin(), contents_.runners.end(),
-                                  [&](const Runner& runner) { return runner.id == id; });
-  return found == contents_.runners.end() ? nullptr : &*found;
+  return contents_.runners.find(id);
 }
 const Rollout* ReplicatedState::rollout(std::string_view service) const {
   const auto found = std::find_if(contents_.rollouts.begin(), contents_.rollouts.end(),
--- a/libs/state_machine/src/snapshot_codec.cpp
+++ b/libs/state_machine/src/snapshot_codec.cpp
@@ -128,8 +128,10 @@
     return tl::unexpected(extension.error());
   if (extension->software.size() != contents.runners.size())
     return makeError(ErrorCode::corruption, "a snapshot whose runners do not match their software");
-  for (std::size_t i = 0; i < contents.runners.size(); ++i)
-    contents.runners[i].software = std::move(extension->software[i]);
+  auto runners = contents.runners.list();
+  for (std::size_t i = 0; i < runners.size(); ++i)
+    runners[i].software = std::move(extension->software[i]);
+  contents.runners = std::move(runners);
   for (const auto& rollout : extension->rollouts)
     if (rollout.phase() < RolloutPhase::canary || rollout.phase() > RolloutPhase::reverted)
       return makeError(ErrorCode::corruption, "a snapshot with a rollout in no known phase");
