--- a/libs/balancing/include/balancing/runner_pool.hpp
+++ b/libs/balancing/include/balancing/runner_pool.hpp
@@ -37,6 +37,7 @@
   RunnerEndpoint& at(int index) { return runners_.at(index); }
   const RunnerEndpoint& at(int index) const { return runners_.at(index); }
   std::size_t size() const { return runners_.size(); }
+  const std::vector<RunnerEndpoint>& endpoints() const { return runners_.endpoints(); }
   /// This proxy's attempts in flight at runners of these zones.
   int inFlightInZones(const std::set<std::string>& zones) const;
   /// This proxy's attempts in flight at runners of a service that have any revision but this.
--- a/libs/config/include/config/configuration.hpp
+++ b/libs/config/include/config/configuration.hpp
@@ -35,6 +35,13 @@
   /// Whether a request may be sent again although a runner may have executed it.
   bool idempotent() const { return type == RouteType::safe || (type == RouteType::stream && streamResume); }
 };
+/// How many runners of a service the platform may be asked for, in each zone where it runs.
+struct Scaling {
+  int min = 0;
+  int max = 0;
+  Duration boot{0};  ///< from an order until its runners serve
+  bool operator==(const Scaling&) const = default;
+};
 /// A kind of runner that routes send requests to.
 struct Service {
   std::string label;
@@ -46,6 +53,7 @@
   int stride = 1;                 ///< checked only: nothing uses it
   Duration warmup{0};             ///< how long a runner is slow after a start or the loss of its caches
   double warmupRequestsPerS = 0;  ///< requests a second that it bears meanwhile; 0: no bound
+  std::optional<Scaling> scaling;  ///< none: the number of its runners is not ours to order
 };
 /// A client with a quota and access keys.
 struct Subscriber {
--- a/libs/config/include/config/settings.hpp
+++ b/libs/config/include/config/settings.hpp
@@ -33,6 +33,17 @@
   double warmupSlack = 5;       ///< requests that it may get in a second besides
   Duration evacuate{5000};      ///< checked only: nothing uses it; drains and evacuations bind sooner
   Duration merge{3000};         ///< checked only: nothing uses it; replicated counters merge sooner
+  Duration lease{3000};         ///< in this time a function at the platform does not return to an earlier holder
+  Duration reportWindow{0};     ///< the length of a window of usage; 0: usage is not reported
+  Duration usageDelay{10000};   ///< a window's report is due so long after its end
+  double usageError = 0.05;     ///< checked only: nothing uses it; counts are exact but for what dies with a proxy
+};
+/// What the platform, on whose machines the fleet runs, takes from it.
+struct PlatformApi {
+  std::string address;           ///< "IP:port"
+  bool usageReporting = false;   ///< the fleet reports its usage there
+  bool scaling = false;          ///< the fleet orders runners there
+  double functionCallsPerS = 0;  ///< calls for these functions that it takes, of all nodes together
 };
 /// Another operator's site whose prefix caches may be used from here, and the other way round. Clients' access keys
 /// must be known at both sites.
@@ -66,6 +77,7 @@
   int fdLimit = 0;                           ///< limit of open file descriptors, 0: none (`limits.fdLimit`)
   int toleratedMachineFailures = 1;          ///< controllers that may be lost at once (`faultTolerance.machines`)
   std::optional<PartnerSite> partner;        ///< none: no prefix hints in or out
+  std::optional<PlatformApi> platform;       ///< none: the fleet has no functions at a platform
   Timers timers;
 };
 /// Parses the text of a settings file.
--- a/libs/config/src/configuration_parser.cpp
+++ b/libs/config/src/configuration_parser.cpp
@@ -20,6 +20,15 @@
   reader.milliseconds(object, "headerTimerMs", limits.headerTimeout);
   reader.milliseconds(object, "idleTimerMs", limits.idleTimeout);
 }
+Scaling readScaling(JsonReader& reader, const JsonObject& object) {
+  Scaling scaling;
+  reader.integer(object, "min", scaling.min, Presence::required);
+  reader.integer(object, "max", scaling.max, Presence::required);
+  reader.seconds(object, "bootS", scaling.boot);
+  if (scaling.min < 0 || scaling.min > scaling.max)
+    reader.fail("no range from min to max in", "scaling");
+  return scaling;
+}
 Service readService(JsonReader& reader, const JsonObject& object) {
   Service service;
   reader.text(object, "label", service.label, Presence::required);
@@ -35,6 +44,9 @@
     reader.integer(engine, "kvCapacity", service.kvCapacity);
     reader.integer(engine, "stride", service.stride);
   }
+  JsonObject scaling;
+  if (reader.object(object, "scaling", scaling))
+    service.scaling = readScaling(reader, scaling);
   return service;
 }
 RouteType readRouteType(JsonReader& reader, const JsonObject& object) {
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -153,6 +153,36 @@
   reader.milliseconds(object, "evacuateMs", timers.evacuate);
   reader.milliseconds(object, "mergeMs", timers.merge);
   reader.milliseconds(object, "rollbackMs", timers.rollback);
+  reader.milliseconds(object, "leaseMs", timers.lease);
+  reader.seconds(object, "reportWindowS", timers.reportWindow);
+  reader.seconds(object, "usageDelayS", timers.usageDelay);
+  reader.number(object, "usageError", timers.usageError);
+}
+// Functions that are not known here are left to others. Calls need an address.
+void readPlatformApi(JsonReader& reader, const JsonObject& root, Settings& settings) {
+  JsonObject object;
+  if (!reader.object(root, "platformApi", object))
+    return;
+  PlatformApi platform;
+  reader.text(object, "address", platform.address);
+  reader.number(object, "functionPerS", platform.functionCallsPerS);
+  JsonArray functions;
+  if (reader.array(object, "functions", functions)) {
+    for (const auto element : functions) {
+      std::string_view function;
+      if (element.get(function)) {
+        reader.fail("no text in", "functions");
+        continue;
+      }
+      platform.usageReporting |= function == "usage_reporting";
+      platform.scaling |= function == "scaling";
+    }
+  }
+  const bool hasFunction = platform.usageReporting || platform.scaling;
+  if (hasFunction && platform.address.empty())
+    reader.fail("no address in", "platformApi");
+  if (hasFunction)
+    settings.platform = std::move(platform);
 }
 }  // namespace
 
@@ -188,6 +218,7 @@
   readFaultTolerance(reader, *root, settings);
   readPartnerSite(reader, *root, settings);
   readTimers(reader, *root, settings.timers);
+  readPlatformApi(reader, *root, settings);
   if (!reader.ok())
     return makeError(ErrorCode::invalidArgument, "settings: " + reader.error());
   return settings;
--- a/libs/controller/src/agent_sessions.cpp
+++ b/libs/controller/src/agent_sessions.cpp
@@ -19,6 +19,14 @@
 // Every so many answers to an agent's state hold voters, zones and view, changed or not.
 constexpr int kFullStatusInterval = 8;
 
+/// Reports of usage grow with the tenants and concern controllers only.
+transport::LogEntry forDataPlane(const transport::LogEntry& entry) {
+  if (entry.op() != transport::OperationKind::usageReport)
+    return entry;
+  auto stripped = entry;
+  stripped.body.clear();
+  return stripped;
+}
 /// Of what a status says of the core's members.
 std::size_t membersHashOf(const transport::ClusterStatus& status) {
   std::size_t hash = 0;
@@ -105,7 +113,7 @@
   feed.term = raft.term();
   feed.newestIndex = raft.commitIndex();
   for (auto next = index + 1; next <= raft.commitIndex(); ++next)
-    feed.entries.push_back(*raft.entryAt(next));
+    feed.entries.push_back(forDataPlane(*raft.entryAt(next)));
   return feed;
 }
 transport::FeedSnapshot AgentSessions::snapshotFor(std::int64_t index, const std::string& cachedDigest) const {
--- a/libs/controller/src/controller_node.cpp
+++ b/libs/controller/src/controller_node.cpp
@@ -29,9 +29,10 @@
       coordination_(context_, [this](const state_machine::ShardFounding& founding) { proposeFounding(founding); }),
       counters_(context_),
       shutdown_(context_, coordination_),
-      roles_(context_, {requests_, agents_, runners_, writes_}),
+      platform_(context_, [this] { return operationIds_->next(); }),
+      roles_(context_, {requests_, agents_, runners_, writes_, platform_}),
       driver_(context_, {peers_, agents_, writes_, reads_, roles_}),
-      dispatcher_(context_, {peers_, driver_, reads_, runners_, agents_, requests_, hints_}) {}
+      dispatcher_(context_, {peers_, driver_, reads_, runners_, agents_, requests_, hints_, platform_}) {}
 ControllerNode::~ControllerNode() = default;
 
 // At the leader, `MessageDispatcher::onSubmitEntry` receives what is forwarded; the raft nodes and the agents keep a
@@ -108,6 +109,7 @@
     requests_.evaluateRunners(now);
     writeRollouts(now);
   }
+  platform_.tick(now);
   driver_.run();
 }
 void ControllerNode::writeRollouts(TimePoint now) {
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -100,6 +100,7 @@
   CoordinationService coordination_;
   CounterService counters_;
   GracefulShutdown shutdown_;
+  PlatformFunctions platform_;
   RoleChanges roles_;
   RaftDriver driver_;
   MessageDispatcher dispatcher_;
--- a/libs/controller/src/message_dispatcher.cpp
+++ b/libs/controller/src/message_dispatcher.cpp
@@ -77,7 +77,11 @@
 void MessageDispatcher::onAgentRequest(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
   const auto now = Clock::now();
   transport::receive<transport::LeaseRequest>(link, envelope, [&](const transport::LeaseRequest& message) {
-    respond(link, components_.requests.onLeaseRequest(now, envelope.sender, message));
+    auto response = components_.requests.onLeaseRequest(now, envelope.sender, message);
+    if (response.granted)
+      response.extension.extension.extension =
+          components_.platform.onReport(now, envelope.sender, message.extension.extension.extension);
+    respond(link, response);
   });
   transport::receive<transport::QuotaTokenRequest>(link, envelope, [&](const transport::QuotaTokenRequest& message) {
     respond(link, components_.requests.onQuotaTokenRequest(now, message));
--- a/libs/controller/src/message_dispatcher.hpp
+++ b/libs/controller/src/message_dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "lease_reads.hpp"
 #include "partner_hints.hpp"
 #include "peer_links.hpp"
+#include "platform_functions.hpp"
 #include "raft_driver.hpp"
 #include "runner_liveness.hpp"
 namespace zinccleat::controller {
@@ -22,6 +23,7 @@
     AgentSessions& agents;
     AgentRequestHandler& requests;
     PartnerHints& hints;
+    PlatformFunctions& platform;
   };
   /// @param context must outlive this, like all components.
   MessageDispatcher(ControllerContext& context, Components components) : context_(context), components_(components) {}
--- a/libs/controller/src/role_changes.cpp
+++ b/libs/controller/src/role_changes.cpp
@@ -15,6 +15,7 @@
   if (leads) {
     log::debug("leadership_gained", {{"term", term}});
     observers_.requests.startTerm(Clock::now());
+    observers_.platform.startTerm(Clock::now());
   } else {
     log::debug("leadership_lost", {{"term", term}});
     observers_.agents.stopFeedingOtherZones();
--- a/libs/controller/src/role_changes.hpp
+++ b/libs/controller/src/role_changes.hpp
@@ -8,6 +8,7 @@
 #include "agent_sessions.hpp"
 #include "controller_context.hpp"
 #include "pending_writes.hpp"
+#include "platform_functions.hpp"
 #include "runner_liveness.hpp"
 namespace zinccleat::controller {
 /// Notifies the other components of changes; see the file's comment.
@@ -19,6 +20,7 @@
     AgentSessions& agents;
     RunnerLiveness& runners;
     PendingWrites& writes;
+    PlatformFunctions& platform;
   };
   /// @param context must outlive this, like all observers.
   RoleChanges(const ControllerContext& context, Observers observers) : context_(context), observers_(observers) {}
--- a/libs/operations/include/operations/call.hpp
+++ b/libs/operations/include/operations/call.hpp
@@ -15,6 +15,7 @@
   std::string path;  ///< begins with a slash
   std::string body;  ///< JSON, or empty
   std::vector<HttpHeader> headers;
+  std::function<bool()> mayStillSend;  ///< asked once the connection stands; false: nothing is sent. Unset: true
 };
 /// A controller's answer.
 struct CallResponse {
--- a/libs/operations/src/call.cpp
+++ b/libs/operations/src/call.cpp
@@ -47,6 +47,8 @@
   connection.connect(*endpoint, failure);
   if (failure)
     return connectionError(address, connection, failure);
+  if (call.mayStillSend && !call.mayStillSend())
+    return makeError(ErrorCode::unavailable, address + ": no longer to be sent");
   const auto request = writeRequest(address, destination.path, call);
   connection.write(asio::buffer(request), failure);
   proxy::Buffer buffer;
--- /dev/null
+++ b/libs/platform/src/usage_collector.cpp
@@ -0,0 +1,102 @@
+#include "platform/usage_collector.hpp"
+
+namespace zinccleat::platform {
+namespace {
+constexpr auto kSettleTime = 1500ms;       // after its end a window waits so long in any case
+constexpr double kFewMissing = 0.01;       // part of the proxies whose silence hardly changes a report
+constexpr double kPatiencePart = 0.65;     // of the delay: so long a window waits for a few
+constexpr auto kLongestWait = 40s;         // for many, which may be cut off
+constexpr auto kFirstReports = 2500ms;     // by then every proxy in touch has found a new leader
+constexpr auto kForgetReporterAfter = 60s;
+constexpr std::int64_t kOldestWindow = 16;  // behind the newest; earlier ones are given up
+}  // namespace
+
+void UsageCollector::startTerm(TimePoint now) {
+  termBegan_ = now;
+  reporters_.clear();
+  incarnationOf_.clear();
+  counts_.clear();
+}
+std::int64_t UsageCollector::report(const std::string& machine, const transport::PlatformReport& report,
+                                    TimePoint now) {
+  const auto [entry, isNew] = reporters_.try_emplace(report.incarnation);
+  auto& reporter = entry->second;
+  reporter.machine = machine;
+  reporter.heardAt = now;
+  if (isNew) {
+    auto& newest = incarnationOf_[machine];
+    if (const auto earlier = reporters_.find(newest); newest != 0 && earlier != reporters_.end())
+      earlier->second.superseded = true;
+    newest = report.incarnation;
+  }
+  reporter.received = std::max(reporter.received, report.firstBatch - 1);
+  for (const auto& batch : report.batches) {
+    if (batch.number != reporter.received + 1)
+      continue;
+    reporter.received = batch.number;
+    reporter.completeThrough = std::max(reporter.completeThrough, batch.completeThrough);
+    addCounts(batch);
+  }
+  return reporter.received;
+}
+void UsageCollector::addCounts(const transport::UsageBatch& batch) {
+  for (const auto& count : batch.counts)
+    if (count.requests > 0)
+      counts_[count.window][count.tenant] += count.requests;
+}
+UsageCollector::Completeness UsageCollector::completenessOf(std::int64_t window,
+                                                            const state_machine::UsageReports& known,
+                                                            TimePoint windowBegan) const {
+  Completeness completeness;
+  for (const auto& [incarnation, reporter] : reporters_) {
+    if (reporter.heardAt + times_.lease < windowBegan)
+      continue;
+    ++completeness.reporters;
+    if (!reporter.superseded && reporter.completeThrough < window)
+      ++completeness.missing;
+  }
+  // Proxies that this leader has never heard may have served under the one before it.
+  const bool othersMayHaveServed = windowBegan < termBegan_ + times_.lease;
+  if (othersMayHaveServed)
+    completeness.missing += std::max<std::int64_t>(0, known.newestReporters() - completeness.reporters);
+  return completeness;
+}
+bool UsageCollector::mayCommit(const Completeness& completeness, Duration sinceEnd, TimePoint now) const {
+  if (sinceEnd < kSettleTime || now - termBegan_ < kFirstReports)
+    return false;
+  if (completeness.missing == 0)
+    return true;
+  const auto patience = std::chrono::duration_cast<Duration>(times_.delay * kPatiencePart);
+  const auto all = static_cast<double>(completeness.reporters + completeness.missing);
+  const bool few = static_cast<double>(completeness.missing) <= std::max(1.0, all * kFewMissing);
+  return sinceEnd >= (few ? patience : std::max<Duration>(patience, kLongestWait));
+}
+std::vector<state_machine::UsageReport> UsageCollector::ready(const state_machine::UsageReports& known,
+                                                              FleetTime fleetTime, TimePoint now) {
+  std::vector<state_machine::UsageReport> reports;
+  if (times_.windowLength <= Duration(0))
+    return reports;
+  const auto newest = windowOf(fleetTime, times_.windowLength) - 1;
+  const auto first = known.empty() ? newest : std::max(*known.windows().begin(), newest - kOldestWindow);
+  for (auto window = first; window <= newest; ++window) {
+    if (!known.mayCommit(window))
+      continue;
+    const auto sinceEnd = toDuration(fleetTime - endOf(window, times_.windowLength));
+    const auto completeness = completenessOf(window, known, now - sinceEnd - times_.windowLength);
+    if (!mayCommit(completeness, sinceEnd, now))
+      continue;
+    incompleteWindows_ += completeness.missing > 0 ? 1 : 0;
+    state_machine::UsageReport report{window, completeness.reporters, {}};
+    for (const auto& [tenant, requests] : counts_[window])
+      report.counts.push_back({tenant, requests});
+    reports.push_back(std::move(report));
+  }
+  forget(first, now);
+  return reports;
+}
+void UsageCollector::forget(std::int64_t before, TimePoint now) {
+  std::erase_if(counts_, [before](const auto& window) { return window.first < before; });
+  std::erase_if(reporters_, [now](const auto& entry) { return now - entry.second.heardAt > kForgetReporterAfter; });
+  std::erase_if(incarnationOf_, [this](const auto& entry) { return !reporters_.contains(entry.second); });
+}
+}  // namespace zinccleat::platform
--- /dev/null
+++ b/libs/platform/src/usage_recorder.cpp
@@ -0,0 +1,83 @@
+#include "platform/usage_recorder.hpp"
+
+namespace zinccleat::platform {
+namespace {
+constexpr std::size_t kMaxBatches = 256;        // kept for a new leader
+constexpr std::size_t kMaxCountsPerReport = 400;  // further ones go with the next report
+constexpr auto kMaxRoundTrip = 200ms;           // a slower answer says little about the time
+}  // namespace
+
+// Windows never go back by one: a correction of the clock would else reopen a window that was called complete.
+std::int64_t UsageRecorder::windowAt(TimePoint moment) {
+  const auto window = windowOf(FleetTime(toDuration(moment.time_since_epoch()) + offset_.value_or(Duration(0))),
+                               windowLength_);
+  if (window != currentWindow_ - 1)
+    currentWindow_ = window;
+  return currentWindow_;
+}
+void UsageRecorder::recordRequest(const std::string& tenant, TimePoint began) {
+  if (!counts() || tenant.empty())
+    return;
+  ++open_[{windowAt(began), tenant}];
+}
+void UsageRecorder::cutBatch(TimePoint now) {
+  cutAt_ = now;
+  const auto complete = windowAt(now) - 1;
+  if (open_.empty() && complete <= completeThrough_)
+    return;
+  transport::UsageBatch batch;
+  batch.number = nextNumber_++;
+  batch.completeThrough = completeThrough_ = std::max(complete, completeThrough_);
+  for (const auto& [key, requests] : open_)
+    batch.counts.push_back({key.first, key.second, requests});
+  open_.clear();
+  batches_.push_back(std::move(batch));
+  if (batches_.size() <= kMaxBatches)
+    return;
+  for (const auto& count : batches_.front().counts)
+    dropped_ += batches_.front().number > received_ ? static_cast<std::uint64_t>(count.requests) : 0;
+  batches_.pop_front();
+}
+void UsageRecorder::fill(transport::PlatformReport& report, FleetTime timeOfDay, TimePoint now, bool isLast) {
+  if (!enabled())
+    return;
+  if (!offsetIsFleets_)
+    offset_ = timeOfDay.time_since_epoch() - toDuration(now.time_since_epoch());
+  report.incarnation = incarnation_;
+  report.timeOfDayMs = timeOfDay.time_since_epoch().count();
+  if (!counts())
+    return;
+  if (isLast || now - cutAt_ >= kBatchInterval)
+    cutBatch(now);
+  report.firstBatch = batches_.empty() ? nextNumber_ : batches_.front().number;
+  std::size_t counts = 0;
+  for (const auto& batch : batches_) {
+    if (batch.number <= received_)
+      continue;
+    counts += batch.counts.size();
+    if (counts > kMaxCountsPerReport && !report.batches.empty())
+      break;
+    report.batches.push_back(batch);
+  }
+}
+void UsageRecorder::accept(const transport::PlatformReportAnswer& answer, TimePoint requestedAt, TimePoint now) {
+  if (!enabled() || answer.empty())
+    return;
+  if (answer.fleetTimeMs > 0 && (now - requestedAt < kMaxRoundTrip || !offsetIsFleets_)) {
+    const auto answeredAt = requestedAt + (now - requestedAt) / 2;
+    offset_ = Duration(answer.fleetTimeMs) - toDuration(answeredAt.time_since_epoch());
+    offsetIsFleets_ = true;
+  }
+  received_ = answer.receivedBatch;
+  dropReported(answer.reportedThrough);
+}
+void UsageRecorder::dropReported(std::int64_t reportedThrough) {
+  const auto isReported = [reportedThrough](const transport::UsageBatch& batch) {
+    return batch.completeThrough <= reportedThrough &&
+           std::all_of(batch.counts.begin(), batch.counts.end(),
+                       [&](const transport::UsageCount& count) { return count.window <= reportedThrough; });
+  };
+  while (!batches_.empty() && isReported(batches_.front()))
+    batches_.pop_front();
+}
+}  // namespace zinccleat::platform
--- a/libs/proxy/include/proxy/proxy_context.hpp
+++ b/libs/proxy/include/proxy/proxy_context.hpp
@@ -15,6 +15,7 @@
 #include "balancing/runner_pool.hpp"
 #include "balancing/stream_pace.hpp"
 #include "config/configuration.hpp"
+#include "platform/usage_recorder.hpp"
 #include "proxy/connection_pool.hpp"
 #include "proxy/graceful_shutdown.hpp"
 #include "proxy/idle_connections.hpp"
@@ -50,6 +51,10 @@
   balancing::AdmissionControl admission;
   balancing::PartnerCircuitBreaker partner;
 
+  // What the platform is told.
+  platform::UsageRecorder usage;
+  std::unordered_map<std::string, int> turnedAway;  ///< requests that found no runner, by service; since the last report
+
   // Outlier detection.
   balancing::RunnerObserver observer;
   balancing::StreamPaces paces;  ///< of services that are being rolled out
--- a/libs/proxy/src/admission_check.cpp
+++ b/libs/proxy/src/admission_check.cpp
@@ -83,6 +83,7 @@
   const double draw = static_cast<double>(context.rng() % kDrawSteps) / kDrawSteps;
   if (context.admission.admits(*exchange.service, exchange.precedence, draw, exchange.arrivedAt))
     return std::nullopt;
+  ++context.turnedAway[*exchange.service];
   const auto spread = static_cast<std::int64_t>(context.rng() % kOverloadRetrySpreadMs);
   return Rejection{503, Duration(kOverloadRetryMs + spread), "overloaded"};
 }
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -60,6 +60,7 @@
   context.runners.attemptStarted(runnerIndex, query.promptTokens, now());
   runner = runnerIndex;
   prefillTokens = query.promptTokens;
+  usageRecorded = false;
   pendingAttempt = {runnerIndex, service, prefillTokens, now(), false};
   context.pendingAttempts.insert(&pendingAttempt);
   observed = context.revisions.isObserved(*service);
@@ -83,6 +84,11 @@
     context.admission.recordResponse(*service, now() - arrivedAt > route->latencyTarget, now());
 }
 
+void Exchange::recordUsage(TimePoint began) {
+  if (!std::exchange(usageRecorded, true))
+    context.usage.recordRequest(tenant, began);
+}
+
 void Exchange::endAttempt(AttemptOutcome outcome) {
   endPrefill(false);
   if (isRunnerFailure(outcome, staleConnection))
--- a/libs/proxy/src/exchange.hpp
+++ b/libs/proxy/src/exchange.hpp
@@ -45,6 +45,7 @@
   int runner = -1;                  ///< index in the runner pool; -1: none, or a node of the partner site
   std::int64_t prefillTokens = -1;  ///< of the prompt, until the runner begins to respond; then -1
   PendingAttempt pendingAttempt{};
+  bool usageRecorded = false;      ///< the runner has begun the request, which is counted
   bool observed = false;           ///< the service is being rolled out: the answer is compared with others
   bool slowResponse = false;       ///< it began far later than usual
   double runnerLoad = 0;           ///< of the runner when it began to respond, as a part of its slots
@@ -78,6 +79,8 @@
   /// Bytes of an observed attempt's response have arrived. Once it is certain that the attempt is slow, that is
   /// recorded: a slow stream may last for long.
   void observeSlowness();
+  /// A runner has begun the request of the attempt in progress. Each attempt counts once.
+  void recordUsage(TimePoint began);
   /// The attempt has ended; what that says about the runner is recorded.
   void endAttempt(AttemptOutcome outcome);
 
--- a/libs/proxy/src/request_handler.cpp
+++ b/libs/proxy/src/request_handler.cpp
@@ -91,8 +91,10 @@
   if (!context.hasLease(Exchange::now()))
     return tl::unexpected(NoRunner::leaseEnded);
   const int runner = chooseRunner(exchange, earlierAttempts == 0);
-  if (runner < 0)
+  if (runner < 0) {
+    ++context.turnedAway[*exchange.service];
     return tl::unexpected(NoRunner::noneFits);
+  }
   const bool isRetry = state.runnersUsed > 0;
   const bool isFree = !isRetry || std::exchange(exchange.nextAttemptIsPaid, false);
   if (isFree || context.retryBudget.tryWithdraw(*exchange.service, Exchange::now()))
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -148,6 +148,9 @@
     return responseLost();
   const auto status = response_->get().result_int();
   recordResult(status, notExecuted);
+  // A stream that has failed before its first event has not begun to run; anything else began about when it was sent.
+  if (!notExecuted && exchange_.route->type != config::RouteType::stream)
+    exchange_.recordUsage(exchange_.pendingAttempt.startedAt);
   auto header = forwardedResponseHeader(response_->get());
   auto body = std::move(response_->get().body());
   releaseConnection();
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -68,6 +68,7 @@
     auto& body = response_.get().body();
     if (body.empty())
       return true;
+    exchange_.recordUsage(Exchange::now());
     exchange_.endPrefill(true);
     if (exchange_.observed) {
       exchange_.pace.recordBytes(body, Exchange::now());
--- a/libs/proxy_daemon/include/proxy_daemon/node_report.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/node_report.hpp
@@ -31,10 +31,13 @@
 
  private:
   std::vector<transport::ZoneLoad> load(TimePoint now, const std::vector<state_machine::ZoneDrain>& drains);
+  void fillPlatform(transport::PlatformReport& report, TimePoint now);
+  std::vector<transport::RunnerLoadReport> runnerLoads();
   transport::ZoneLoad loadOf(const state_machine::ZoneDrain& drain) const;
 
   proxy::ProxyContext& context_;
   ZoneToRegion zones_;
   RequestRate rate_;
+  TimePoint loadsReportedAt_{};
 };
 }  // namespace zinccleat::proxy_daemon
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -38,6 +38,9 @@
   context_.revisions.setExposureShare(settings.timers.exposureShare);
   context_.retryBudget = balancing::RetryBudget(settings.timers.retryRatio * kRetryRatioPart,
                                                 settings.timers.retryWindow / kRetryWindowParts);
+  if (settings.platform)
+    context_.usage = platform::UsageRecorder(
+        settings.platform->usageReporting ? settings.timers.reportWindow : Duration(0), randomRequestId() | 1);
   applyLimits();
   connectCallbacks();
 }
@@ -212,6 +215,7 @@
   if (granted->newestRequest)
     context_.quota.refillReserve(response.grants, granted->requestedAt);
   context_.revisions.addGrants(response.extension.exposures, granted->requestedAt);
+  context_.usage.accept(response.extension.extension.extension, granted->requestedAt, Clock::now());
   context_.runners.setWarmupGrants(response.extension.extension.warmups, granted->requestedAt);
   if (response.accessMachines > 0)
     context_.retryBudget.setReserve(
--- a/libs/proxy_daemon/src/node_report.cpp
+++ b/libs/proxy_daemon/src/node_report.cpp
@@ -4,6 +4,7 @@
 namespace {
 constexpr std::size_t kMaxReportedRunners = 24;  // the worst first
 constexpr auto kRateInterval = 900ms;
+constexpr auto kRunnerLoadInterval = 900ms;
 }  // namespace
 
 double RequestRate::update(TimePoint now, std::uint64_t total) {
@@ -28,6 +29,44 @@
     request.extension.extension.warmupZone = context_.zone;
   for (auto& report : request.extension.rollouts)
     report.baselineInFlight = context_.runners.inFlightAtOtherRevisions(report.service, report.revision);
+  fillPlatform(request.extension.extension.extension, now);
+}
+void NodeReport::fillPlatform(transport::PlatformReport& report, TimePoint now) {
+  if (!context_.usage.enabled())
+    return;
+  const auto timeOfDay = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+  context_.usage.fill(report, timeOfDay, now, context_.shutdown.begun());
+  if (now - loadsReportedAt_ < kRunnerLoadInterval)
+    return;
+  loadsReportedAt_ = now;
+  report.loads = runnerLoads();
+}
+/// One record for each service and zone in which runners are ordered by their load, and one for what found no runner.
+std::vector<transport::RunnerLoadReport> NodeReport::runnerLoads() {
+  std::vector<transport::RunnerLoadReport> loads;
+  if (!context_.configuration)
+    return loads;
+  for (const auto& service : context_.configuration->services) {
+    if (!service.scaling)
+      continue;
+    std::map<std::string, transport::RunnerLoadReport> byZone;
+    for (const auto& endpoint : context_.runners.endpoints()) {
+      if (!endpoint.present || endpoint.service != service.label || endpoint.inFlight == 0)
+        continue;
+      auto& load = byZone[endpoint.zone];
+      load.inFlight += endpoint.inFlight;
+      load.prefilling += endpoint.prefilling;
+    }
+    for (auto& [zone, load] : byZone) {
+      load.service = service.label;
+      load.zone = zone;
+      loads.push_back(std::move(load));
+    }
+    const auto turnedAway = context_.turnedAway.find(service.label);
+    loads.push_back({service.label, "", 0, 0, turnedAway == context_.turnedAway.end() ? 0 : turnedAway->second});
+  }
+  context_.turnedAway.clear();
+  return loads;
 }
 /// The load of the machine, and the progress of each drain.
 std::vector<transport::ZoneLoad> NodeReport::load(TimePoint now, const std::vector<state_machine::ZoneDrain>& drains) {
--- a/libs/state_machine/include/state_machine/fleet_state.hpp
+++ b/libs/state_machine/include/state_machine/fleet_state.hpp
@@ -6,6 +6,7 @@
 #include "state_machine/rollout.hpp"
 #include "state_machine/runner_table.hpp"
 #include "state_machine/shard_founding.hpp"
+#include "state_machine/usage_reports.hpp"
 
 namespace zinccleat::state_machine {
 /// A zone or region that is being evacuated for maintenance.
@@ -50,5 +51,6 @@
   DetachedRunners detachedRunners;
   ShardFounding shardFounding;              ///< known to controllers only
   std::vector<std::string> evacuatedZones;  ///< zones and regions, in alphabetical order
+  UsageReports usage;                       ///< known to controllers only
 };
 }  // namespace zinccleat::state_machine
--- a/libs/state_machine/include/state_machine/log_entries.hpp
+++ b/libs/state_machine/include/state_machine/log_entries.hpp
@@ -34,6 +34,11 @@
 /// Who founds the shards of the coordination service. Only the first one counts.
 transport::LogEntry shardsFoundedEntry(const ShardFounding& founding, std::string operationId);
 
+/// What the platform is to be told of the usage in a window. Only the first one of a window counts.
+transport::LogEntry usageReportEntry(const UsageReport& report, std::string operationId);
+/// The platform has the report of a window.
+transport::LogEntry usageConfirmedEntry(std::int64_t window, std::string operationId);
+
 /// A runner with its software behind it. Without a revision the bytes are those of earlier versions.
 std::string encodeRunner(const Runner& runner);
 /// @return ErrorCode::corruption for bytes that are no runner.
--- a/libs/state_machine/include/state_machine/replicated_state.hpp
+++ b/libs/state_machine/include/state_machine/replicated_state.hpp
@@ -85,6 +85,7 @@
   Verdict applyRolloutBegin(const transport::LogEntry& entry, Change& change);
   Verdict applyRolloutProgress(const transport::LogEntry& entry, Change& change);
   Verdict applyShardsFounded(const transport::LogEntry& entry);
+  Verdict applyUsageReport(const transport::LogEntry& entry);
   void addRollout(Rollout rollout);
   void removeBaselineRunners(const Rollout& completed);
   std::vector<Rollout>::iterator findRollout(std::string_view service);
--- /dev/null
+++ b/libs/state_machine/include/state_machine/usage_reports.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// The usage reports of the fleet in the replicated state: what was, or is to be, sent to the platform for each window.
+/// A report is committed before it is first sent, so whoever sends it sends the same.
+#pragma once
+#include <set>
+
+#include "runtime/common.hpp"
+
+namespace zinccleat::state_machine {
+/// The requests of one tenant in a window.
+struct TenantUsage {
+  std::string tenant;
+  std::int64_t requests = 0;
+  /// Lists the fields in wire order.
+  template <class V>
+  void fields(V& v) {
+    v("tenant", tenant), v("requests", requests);
+  }
+  bool operator==(const TenantUsage&) const = default;
+};
+/// The report of one window.
+struct UsageReport {
+  std::int64_t window = 0;
+  std::int64_t reporters = 0;  ///< the proxies whose counts are in it
+  std::vector<TenantUsage> counts;
+  /// Lists the fields in wire order.
+  template <class V>
+  void fields(V& v) {
+    v("window", window), v("reporters", reporters), v("counts", counts);
+  }
+  bool operator==(const UsageReport&) const = default;
+};
+
+/// The reports of the newest windows. Known to controllers only.
+class UsageReports {
+ public:
+  /// Windows that are remembered; an older one is never reported.
+  static constexpr std::size_t kRememberedWindows = 64;
+
+  /// @return false: the window has a report already, or is too old to tell.
+  bool commit(UsageReport report);
+  /// The platform has the report of a window: its counts are forgotten.
+  void confirm(std::int64_t window);
+  bool contains(std::int64_t window) const { return windows_.contains(window); }
+  bool empty() const { return windows_.empty(); }
+  /// Whether a window without a report may still get one.
+  bool mayCommit(std::int64_t window) const;
+  /// The newest window up to which all have a report, from the oldest one that is remembered; 0: there is none.
+  std::int64_t reportedThrough() const;
+  /// The proxies whose counts are in the newest report.
+  std::int64_t newestReporters() const { return newestReporters_; }
+  /// Those that the platform is not known to have, the oldest first.
+  const std::vector<UsageReport>& unconfirmed() const { return unconfirmed_; }
+  const std::set<std::int64_t>& windows() const { return windows_; }
+  /// Restores what was stored.
+  void restore(std::set<std::int64_t> windows, std::vector<UsageReport> unconfirmed, std::int64_t newestReporters);
+  bool operator==(const UsageReports&) const = default;
+
+ private:
+  std::set<std::int64_t> windows_;        // that have a report
+  std::vector<UsageReport> unconfirmed_;  // by window
+  std::int64_t newestReporters_ = 0;
+};
+}  // namespace zinccleat::state_machine
--- a/libs/state_machine/src/log_entries.cpp
+++ b/libs/state_machine/src/log_entries.cpp
@@ -60,6 +60,15 @@
   return entryOf(transport::OperationKind::shardsFounded, std::move(operationId), avro::encode(founding));
 }
 
+transport::LogEntry usageReportEntry(const UsageReport& report, std::string operationId) {
+  return entryOf(transport::OperationKind::usageReport, std::move(operationId), avro::encode(report));
+}
+transport::LogEntry usageConfirmedEntry(std::int64_t window, std::string operationId) {
+  auto entry = entryOf(transport::OperationKind::usageConfirmed, std::move(operationId), {});
+  entry.base = window;
+  return entry;
+}
+
 std::string encodeRunner(const Runner& runner) {
   auto bytes = avro::encode(runner);
   if (runner.software != RunnerSoftware{})
--- a/libs/state_machine/src/replicated_state.cpp
+++ b/libs/state_machine/src/replicated_state.cpp
@@ -45,6 +45,11 @@
       return applyRolloutProgress(entry, change);
     case transport::OperationKind::shardsFounded:
       return applyShardsFounded(entry);
+    case transport::OperationKind::usageReport:
+      return applyUsageReport(entry);
+    case transport::OperationKind::usageConfirmed:
+      contents_.usage.confirm(entry.base);
+      return Verdict::acknowledged;
     default:  // entries of the consensus module, which change nothing here
       return Verdict::acknowledged;
   }
@@ -237,6 +242,13 @@
     contents_.shardFounding = std::move(*founding);
   return Verdict::acknowledged;
 }
+// On the data plane the entry comes without its body and changes nothing.
+ReplicatedState::Verdict ReplicatedState::applyUsageReport(const transport::LogEntry& entry) {
+  auto report = avro::decode<UsageReport>(entry.body);
+  if (!report)
+    return Verdict::invalidVersion;
+  return contents_.usage.commit(std::move(*report)) ? Verdict::acknowledged : Verdict::conflict;
+}
 std::vector<Rollout>::iterator ReplicatedState::findRollout(std::string_view service) {
   return std::find_if(contents_.rollouts.begin(), contents_.rollouts.end(),
                       [&](const Rollout& rollout) { return rollout.service == service; });
--- a/libs/state_machine/src/snapshot_codec.cpp
+++ b/libs/state_machine/src/snapshot_codec.cpp
@@ -31,9 +31,13 @@
   }
   return record;
 }
+format::Snapshot2Usage usageRecordOf(const UsageReports& usage) {
+  return {{usage.windows().begin(), usage.windows().end()}, usage.unconfirmed(), usage.newestReporters()};
+}
 // Behind the record of format 2, and each read only where the bytes reach so far: earlier versions ignore what follows.
 std::string encodeExtensions(const StateContents& contents, SnapshotScope scope) {
-  const bool hasEvacuations = !contents.evacuatedZones.empty();
+  const bool hasUsage = scope == SnapshotScope::controller && !contents.usage.empty();
+  const bool hasEvacuations = hasUsage || !contents.evacuatedZones.empty();
   const bool hasFounding = hasEvacuations || (scope == SnapshotScope::controller && contents.shardFounding.isAgreed());
   const bool hasSoftware = std::any_of(contents.runners.begin(), contents.runners.end(),
                                        [](const Runner& runner) { return runner.software != RunnerSoftware{}; });
@@ -49,6 +53,8 @@
     bytes += avro::encode(contents.shardFounding);
   if (hasEvacuations)
     bytes += avro::encode(format::Snapshot2Evacuations{contents.evacuatedZones});
+  if (hasUsage)
+    bytes += avro::encode(usageRecordOf(contents.usage));
   return bytes;
 }
 std::string encodeRecord(format::Snapshot2 record, const StateContents& contents, SnapshotScope scope) {
@@ -100,13 +106,27 @@
   return snapshot;
 }
 
+Result<void> addUsage(std::string_view bytes, StateContents& contents) {
+  auto usage = avro::decode<format::Snapshot2Usage>(bytes);
+  if (!usage)
+    return tl::unexpected(usage.error());
+  const std::set<std::int64_t> windows(usage->windows.begin(), usage->windows.end());
+  const bool windowsMatch =
+      std::all_of(usage->unconfirmed.begin(), usage->unconfirmed.end(),
+                  [&](const UsageReport& report) { return windows.contains(report.window); });
+  if (!windowsMatch || windows.size() > UsageReports::kRememberedWindows)
+    return makeError(ErrorCode::corruption, "a snapshot with impossible usage reports");
+  contents.usage.restore(windows, std::move(usage->unconfirmed), usage->newestReporters);
+  return {};
+}
 Result<void> addEvacuations(std::string_view bytes, StateContents& contents) {
-  auto evacuations = avro::decode<format::Snapshot2Evacuations>(bytes);
+  std::size_t consumed = 0;
+  auto evacuations = avro::decode<format::Snapshot2Evacuations>(bytes, &consumed);
   if (!evacuations)
     return tl::unexpected(evacuations.error());
   contents.evacuatedZones = std::move(evacuations->zones);
   std::sort(contents.evacuatedZones.begin(), contents.evacuatedZones.end());
-  return {};
+  return consumed < bytes.size() ? addUsage(bytes.substr(consumed), contents) : Result<void>{};
 }
 Result<void> addFounding(std::string_view bytes, StateContents& contents) {
   std::size_t consumed = 0;
--- /dev/null
+++ b/libs/state_machine/src/usage_reports.cpp
@@ -0,0 +1,42 @@
+#include "state_machine/usage_reports.hpp"
+
+namespace zinccleat::state_machine {
+bool UsageReports::mayCommit(std::int64_t window) const {
+  if (windows_.contains(window))
+    return false;
+  return windows_.size() < kRememberedWindows || window > *windows_.begin();
+}
+bool UsageReports::commit(UsageReport report) {
+  if (!mayCommit(report.window))
+    return false;
+  if (windows_.empty() || report.window > *windows_.rbegin())
+    newestReporters_ = report.reporters;
+  windows_.insert(report.window);
+  const auto place = std::lower_bound(
+      unconfirmed_.begin(), unconfirmed_.end(), report.window,
+      [](const UsageReport& other, std::int64_t window) { return other.window < window; });
+  unconfirmed_.insert(place, std::move(report));
+  if (windows_.size() > kRememberedWindows) {
+    confirm(*windows_.begin());
+    windows_.erase(windows_.begin());
+  }
+  return true;
+}
+void UsageReports::confirm(std::int64_t window) {
+  std::erase_if(unconfirmed_, [window](const UsageReport& report) { return report.window == window; });
+}
+std::int64_t UsageReports::reportedThrough() const {
+  if (windows_.empty())
+    return 0;
+  auto through = *windows_.begin();
+  while (windows_.contains(through + 1))
+    ++through;
+  return through;
+}
+void UsageReports::restore(std::set<std::int64_t> windows, std::vector<UsageReport> unconfirmed,
+                           std::int64_t newestReporters) {
+  windows_ = std::move(windows);
+  unconfirmed_ = std::move(unconfirmed);
+  newestReporters_ = newestReporters;
+}
+}  // namespace zinccleat::state_machine
--- a/libs/transport/include/transport/access_messages.hpp
+++ b/libs/transport/include/transport/access_messages.hpp
@@ -13,6 +13,7 @@
 #include "transport/envelope.hpp"
 #include "transport/lease_records.hpp"
 #include "transport/messages.hpp"
+#include "transport/platform_records.hpp"
 #include "transport/rollout_records.hpp"
 #include "transport/warmup_records.hpp"
 namespace zinccleat::transport {
@@ -241,10 +242,11 @@
 struct LeaseRequest {
   static constexpr auto kType = MessageType::leaseRequest;
   struct Extension {
-    /// Sent while runners are warming up.
+    /// Sent while runners are warming up, and with what stands behind it.
     struct WarmupExtension {
-      std::string warmupZone;  ///< the sender's zone: it asks for `WarmupGrant`s
-      bool empty() const { return warmupZone.empty(); }
+      std::string warmupZone;     ///< the sender's zone: it asks for `WarmupGrant`s
+      PlatformReport extension{};  ///< sent where the fleet has functions at its platform
+      bool empty() const { return warmupZone.empty() && extension.empty(); }
       template <class V>
       void fields(V& v) {
         v("warmupZone", warmupZone);
@@ -274,10 +276,11 @@
 struct LeaseResponse {
   static constexpr auto kType = MessageType::leaseResponse;
   struct Extension {
-    /// Sent while runners are warming up.
+    /// Sent while runners are warming up, and with what stands behind it.
     struct WarmupExtension {
       std::vector<WarmupGrant> warmups;
-      bool empty() const { return warmups.empty(); }
+      PlatformReportAnswer extension{};  ///< answers a `PlatformReport`
+      bool empty() const { return warmups.empty() && extension.empty(); }
       template <class V>
       void fields(V& v) {
         v("warmups", warmups);
--- a/libs/transport/include/transport/messages.hpp
+++ b/libs/transport/include/transport/messages.hpp
@@ -15,6 +15,8 @@
   coordination = 8,        ///< a batch of commands; in the logs of the coordination service only
   shardsFounded = 9,       ///< who founds the logs of the coordination service, agreed on once
   zoneEvacuation = 10,     ///< begins or ends the evacuation of a zone
+  usageReport = 11,        ///< what the platform is told of a window's usage; controllers only, see `AgentSessions`
+  usageConfirmed = 12,     ///< the platform has the report of a window
 };
 
 /// One entry of the replicated log.
