--- a/libs/platform/src/scaling_policy.cpp
+++ b/libs/platform/src/scaling_policy.cpp
@@ -4,17 +4,26 @@
 
 namespace zinccleat::platform {
 namespace {
-constexpr double kTargetUse = 0.5;      // of the places; above it the first token comes late more and more
+// Of the places of the runners that are left after the loss of a zone, in a burst that comes faster than runners boot:
+// beyond it first tokens come late more and more, since prompts are read between the tokens of others.
+constexpr double kUseInBurst = 0.45;
+constexpr double kBurst = 1.8;          // times the demand of the moment
 constexpr double kTurnedAwayHoldS = 1;  // a request that was turned away would have held a place for about so long
 constexpr auto kLoadLifetime = 3s;
-constexpr auto kFirstLoads = 4s;      // of a term: by then all proxies have told their load
-constexpr double kSightedPart = 0.9;  // of the proxies; with fewer the leader is blind
+constexpr auto kFirstLoads = 4s;       // of a term: by then all proxies have told their load
+constexpr auto kMinObservation = 20s;  // of a term: what the demand is in quiet seconds says little before
+constexpr double kSightedPart = 0.9;   // of the proxies; with fewer the leader is blind
 constexpr auto kMinOrderInterval = 2s;
 constexpr std::array kRepeatAfter = {3s, 8s};  // an order that got no answer
 
 bool isEvacuated(const state_machine::StateContents& state, const std::string& zone) {
   return std::find(state.evacuatedZones.begin(), state.evacuatedZones.end(), zone) != state.evacuatedZones.end();
 }
+/// The part of the places that the demand of the moment may take.
+double targetUse(std::size_t zones) {
+  const double left = zones > 1 ? static_cast<double>(zones - 1) / static_cast<double>(zones) : 1;
+  return kUseInBurst / kBurst * left;
+}
 bool isRolledOut(const state_machine::StateContents& state, const std::string& service) {
   return std::any_of(state.rollouts.begin(), state.rollouts.end(), [&](const state_machine::Rollout& rollout) {
     return rollout.service == service && rollout.inProgress();
@@ -57,7 +66,8 @@
                                                 TimePoint now) {
   std::size_t reporting = 0;
   const auto loads = sumLoads(now, reporting);
-  const bool sighted = static_cast<double>(reporting) >= kSightedPart * static_cast<double>(machines);
+  const bool sighted = static_cast<double>(reporting) >= kSightedPart * static_cast<double>(machines) &&
+                       now - termBegan_ >= kMinObservation;
   std::vector<ScalingOrder> orders;
   for (const auto& service : configuration.services) {
     if (!service.scaling)
@@ -80,7 +90,7 @@
       subject.demand = (load == loads.end() ? 0 : load->second.inFlight) +
                        static_cast<int>(std::ceil(refused / static_cast<double>(zones.size())));
       const double placesEach = std::max(1.0, static_cast<double>(present.second) / present.first);
-      const int wanted = static_cast<int>(std::ceil(subject.demand / (placesEach * kTargetUse)));
+      const int wanted = static_cast<int>(std::ceil(subject.demand / (placesEach * targetUse(zones.size()))));
       recordWanted(subject, std::clamp(wanted, service.scaling->min, service.scaling->max), service.scaling->boot, now);
       const bool mayLower = sighted && !isEvacuated(state, zone) && !isRolledOut(state, service.label);
       if (auto order = decideOne(name, subject, *service.scaling, mayLower, now))
