--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -20,7 +20,7 @@
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
 ABSL_FLAG(std::vector<std::string>, set, {}, "runbook: name=value,...; a list value is split by +");
 ABSL_FLAG(bool, dry, false, "runbook: show the steps, call nothing");
-ABSL_FLAG(bool, json, false, "status, rollout, shards, tally sides: as JSON");
+ABSL_FLAG(bool, json, false, "status, rollout, shards, functions, tally sides: as JSON");
 ABSL_FLAG(int, seconds, 9, "trial: how long it serves");
 ABSL_FLAG(bool, verbose, false, "write log notes at once, not only when something goes wrong");
 
@@ -45,6 +45,7 @@
     "  tally sides ADDRESS:PORT... [--json]  whom each node reaches, and which increments either side lacks\n"
     "  evacuation begin|release ZONE ADDRESS:PORT...  sends nothing more to a zone's runners, takes it back in use\n"
     "  shards ADDRESS:PORT... [--json]  the coordination service as each node sees it\n"
+    "  functions ADDRESS:PORT... [--json]  usage reports and orders of runners at the platform\n"
     "  runbook FILE --set name=value,... [--dry]  runs a runbook; lists of addresses are joined by +\n"
     "  trial [--seconds N]  a small fleet on loopback that serves while a leader and a runner are lost\n"
     "  --help, --version\n"
@@ -71,7 +72,7 @@
                                             {"verbose", "proxy agent controller"},
                                             {"set", "runbook"},
                                             {"dry", "runbook"},
-                                            {"json", "status rollout shards tally"},
+                                            {"json", "status rollout shards functions tally"},
                                             {"seconds", "trial"}}};
 
 // The flag's name in an argument "--name" or "--name=value"; nothing if it is no flag.
@@ -160,6 +161,9 @@
 int shards(const Arguments& arguments) {
   return operations::shardsCommand(arguments, absl::GetFlag(FLAGS_json));
 }
+int functions(const Arguments& arguments) {
+  return operations::functionsCommand(arguments, absl::GetFlag(FLAGS_json));
+}
 // A bare name means one of the runbooks that come with the program.
 std::string runbookPath(const std::string& file) {
   return file.find_first_of("./") == std::string::npos ? "runbooks/" + file + ".run" : file;
@@ -202,7 +206,7 @@
   std::string_view name;
   int (*run)(const Arguments& arguments);
 };
-constexpr std::array<Subcommand, 15> kSubcommands{{{"proxy", proxyDaemon},
+constexpr std::array<Subcommand, 16> kSubcommands{{{"proxy", proxyDaemon},
                                                    {"agent", agentDaemon},
                                                    {"controller", controllerDaemon},
                                                    {"check", check},
@@ -213,11 +217,15 @@
                                                    {"cells", cells},
                                                    {"watch", operations::watchCommand},
                                                    {"shards", shards},
+                                                   {"functions", functions},
                                                    {"tally", tally},
                                                    {"evacuation", evacuation},
                                                    {"runbook", runbook},
                                                    {"trial", trial}}};
 
+bool isDaemon(std::string_view name) {
+  return name == "proxy" || name == "agent" || name == "controller";
+}
 int runSubcommand(const std::string& name, const Arguments& arguments) {
   const auto found = std::find_if(kSubcommands.begin(), kSubcommands.end(),
                                   [&](const Subcommand& candidate) { return candidate.name == name; });
@@ -247,6 +255,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // At once: a SIGTERM that comes before is not lost but ends a daemon in order, as one that comes later.
+  if (argc > 1 && isDaemon(argv[1]))
+    runtime::holdLifecycleSignals();
   const std::vector<std::string_view> given(argv + std::min(argc, 1), argv + argc);
   if (const auto text = helpText(given); !text.empty()) {
     std::printf("%s\n", text.c_str());
--- a/libs/controller/src/api_handlers.hpp
+++ b/libs/controller/src/api_handlers.hpp
@@ -60,5 +60,6 @@
 /// This controller's own view; answered without contact too.
 ApiResponse handleStatus(const ApiCall& call);
 /// What this controller has sent, by zone and type of message, and how its disk does; answered without contact too.
+ApiResponse handleListFunctions(const ApiCall& call);
 ApiResponse handleCounters(const ApiCall& call);
 }  // namespace zinccleat::controller
--- a/libs/controller/src/control_api.cpp
+++ b/libs/controller/src/control_api.cpp
@@ -40,6 +40,7 @@
     Route{"POST", "/v1/Tallies.Modify/", handleModifyTally},
     Route{"GET", "/v1/Tallies.Retrieve/", handleRetrieveTally},
     Route{"GET", "/v1/Tallies.List", handleListTallies},
+    Route{"GET", "/v1/Functions.List", handleListFunctions},
     Route{"GET", "/v1/Shards", handleShards},
     Route{"GET", "/v1/Status", handleStatus},
     Route{"GET", "/v1/Counters", handleCounters},
--- a/libs/controller/src/controller_node.hpp
+++ b/libs/controller/src/controller_node.hpp
@@ -68,6 +68,7 @@
   double requestsPerS() const override { return requests_.requestsPerS(Clock::now()); }
   std::string statusJson() const override { return controller::statusJson(statusSources(), Clock::now()); }
   std::string countersJson() const override { return controller::countersJson(*context_.raft); }
+  std::string platformJson() const override { return platform_.statusJson(Clock::now()); }
   std::string shardsJson() const override { return coordination_.shardsJson(Clock::now()); }
   std::string replicatedCountersJson() const override { return counters_.countersJson(Clock::now()); }
   std::string zoneDrainsJson() const override { return controller::zoneDrainsJson(statusSources(), Clock::now()); }
--- a/libs/controller/src/controller_services.hpp
+++ b/libs/controller/src/controller_services.hpp
@@ -55,6 +55,8 @@
   virtual std::string statusJson() const = 0;
   /// The body of the Counters call.
   virtual std::string countersJson() const = 0;
+  /// The body of the Functions call: what this node knows of the functions at the platform.
+  virtual std::string platformJson() const = 0;
   /// The body of the Shards call.
   virtual std::string shardsJson() const = 0;
   /// The body of the Tallies.List call.
--- a/libs/controller/src/platform_functions.cpp
+++ b/libs/controller/src/platform_functions.cpp
@@ -32,6 +32,19 @@
 std::string subjectOf(const platform::ScalingOrder& order) {
   return "scaling/" + order.service + "/" + order.zone;
 }
+std::string scalingJson(const std::vector<platform::ScalingStatus>& status) {
+  std::string rows;
+  int row = 0;
+  for (const auto& each : status) {
+    rows += rows.empty() ? "{" : ",{";
+    rows += "\"row\":" + std::to_string(row) + ",\"service\":" + config::quoteJson(each.service) +
+            ",\"zone\":" + config::quoteJson(each.zone) + ",\"present\":" + std::to_string(each.present) +
+            ",\"demand\":" + std::to_string(each.demand) + ",\"wanted\":" + std::to_string(each.wanted) +
+            ",\"ordered\":" + std::to_string(each.ordered) + ",\"reason\":" + config::quoteJson(each.reason) + "}";
+    ++row;
+  }
+  return rows;
+}
 }  // namespace
 
 PlatformFunctions::PlatformFunctions(const ControllerContext& context, std::function<std::string()> nextOperationId)
@@ -136,15 +149,11 @@
         {{"service", order.service}, {"zone", order.zone}, {"count", order.desiredCount}, {"reason", order.reason}});
   });
 }
-std::string PlatformFunctions::statusJson(TimePoint now) {
+std::string PlatformFunctions::statusJson(TimePoint now) const {
   const auto& reports = context_.replica.state().usage;
-  const auto time = clock_.timeAt(now);
-  std::string orders;
-  for (const auto& each : scaling_.status())
-    orders += std::string(orders.empty() ? "" : ",") + "{\"service\":" + config::quoteJson(each.service) +
-              ",\"zone\":" + config::quoteJson(each.zone) + ",\"present\":" + std::to_string(each.present) +
-              ",\"demand\":" + std::to_string(each.demand) + ",\"wanted\":" + std::to_string(each.wanted) +
-              ",\"ordered\":" + std::to_string(each.ordered) + ",\"reason\":" + config::quoteJson(each.reason) + "}";
+  const auto time = clock_.lastEstimateAt(now);
+  if (!context_.settings.platform)
+    return "{}";
   return "{\"holder\":" + std::string(context_.isLeader() ? "true" : "false") +
          ",\"fence\":" + std::to_string(context_.raft->term()) +
          ",\"fleetTimeMs\":" + std::to_string(time ? time->time_since_epoch().count() : 0) +
@@ -152,6 +161,7 @@
          ",\"unconfirmedReports\":" + std::to_string(reports.unconfirmed().size()) +
          ",\"incompleteWindows\":" + std::to_string(usage_.incompleteWindows()) +
          ",\"reportsAccepted\":" + std::to_string(reportsAccepted_) +
-         ",\"ordersAccepted\":" + std::to_string(ordersAccepted_) + ",\"scaling\":[" + orders + "]}";
+         ",\"ordersAccepted\":" + std::to_string(ordersAccepted_) + ",\"scaling\":[" + scalingJson(scaling_.status()) +
+         "]}";
 }
 }  // namespace zinccleat::controller
--- a/libs/controller/src/platform_functions.hpp
+++ b/libs/controller/src/platform_functions.hpp
@@ -27,8 +27,8 @@
                                            const transport::PlatformReport& report);
   /// Commits and sends what is due; for the leader, many times a second. The caller has the log's actions carried out.
   void tick(TimePoint now);
-  /// The body of the Functions call.
-  std::string statusJson(TimePoint now);
+  /// The body of the Functions call; without a platform an empty object.
+  std::string statusJson(TimePoint now) const;
 
  private:
   void commitUsage(TimePoint now);
--- a/libs/controller/src/report_handlers.cpp
+++ b/libs/controller/src/report_handlers.cpp
@@ -19,6 +19,12 @@
 ApiResponse handleStatus(const ApiCall& call) {
   return {HttpStatus::ok, call.services.statusJson(), ""};
 }
+ApiResponse handleListFunctions(const ApiCall& call) {
+  auto& services = call.services;
+  if (const auto leader = services.leaderControlAddress())
+    return redirectTo(*leader, call.path);
+  return {HttpStatus::ok, services.platformJson(), ""};
+}
 ApiResponse handleCounters(const ApiCall& call) {
   return {HttpStatus::ok, call.services.countersJson(), ""};
 }
--- a/libs/operations/include/operations/commands.hpp
+++ b/libs/operations/include/operations/commands.hpp
@@ -34,6 +34,9 @@
 /// `zinccleat shards ADDRESS...`: the shards of the coordination service as each node sees them.
 /// @return 1 if none of them answered
 int shardsCommand(const std::vector<std::string>& addresses, bool asJson);
+/// `zinccleat functions ADDRESS...`: usage reports and orders of runners, as the leader knows them.
+/// @return 1 if none of the nodes answered
+int functionsCommand(const std::vector<std::string>& addresses, bool asJson);
 /// `zinccleat tally add|get|sides ...`: one call on a replicated counter, or what each node knows of the others: whom
 /// it reaches, and what either side lacks. @return 1 for any answer but 200, 2 for a wrong command line
 int tallyCommand(const std::vector<std::string>& arguments, bool asJson);
--- a/libs/operations/src/coordination_command.cpp
+++ b/libs/operations/src/coordination_command.cpp
@@ -152,6 +152,24 @@
                 peer("weLack").c_str());
   }
 }
+void printFunctionHeader() {
+  std::printf("%-8s %6s %16s %12s %10s  %-18s %-14s %8s %8s %8s %8s  %s\n", "holder", "fence", "reportedThrough",
+              "unconfirmed", "incomplete", "service", "zone", "present", "demand", "wanted", "ordered", "reason");
+}
+void printFunctions(const std::string& json) {
+  const auto own = [&](const char* name) { return fieldOf(json, name).value_or("-"); };
+  const auto count = std::max(1, std::atoi(fieldOf(json, "scaling#").value_or("0").c_str()));
+  for (int i = 0; i < count; ++i) {
+    const auto order = [&](const char* name) {
+      return fieldOf(json, "scaling[row=" + std::to_string(i) + "]." + name).value_or("-");
+    };
+    std::printf("%-8s %6s %16s %12s %10s  %-18s %-14s %8s %8s %8s %8s  %s\n", own("holder").c_str(),
+                own("fence").c_str(), own("reportedThrough").c_str(), own("unconfirmedReports").c_str(),
+                own("incompleteWindows").c_str(), order("service").c_str(), order("zone").c_str(),
+                order("present").c_str(), order("demand").c_str(), order("wanted").c_str(), order("ordered").c_str(),
+                order("reason").c_str());
+  }
+}
 /// Asks each node and prints what it answers, as a table or as it is.
 /// @return 1 if none of them answered.
 int printFromEach(const Arguments& addresses, const std::string& path, bool asJson, void (*printHeader)(),
@@ -220,6 +238,11 @@
     return usageError("shards: say which nodes: ADDRESS:PORT...");
   return printFromEach(addresses, "/v1/Shards", asJson, printShardHeader, printShards);
 }
+int functionsCommand(const Arguments& addresses, bool asJson) {
+  if (addresses.empty())
+    return usageError("functions: say which nodes: ADDRESS:PORT...");
+  return printFromEach(addresses, "/v1/Functions.List", asJson, printFunctionHeader, printFunctions);
+}
 int tallyCommand(const Arguments& arguments, bool asJson) {
   if (arguments.empty() || arguments[0] != "sides")
     return coordinationCommand("tally", arguments);
--- a/libs/platform/include/platform/fleet_clock.hpp
+++ b/libs/platform/include/platform/fleet_clock.hpp
@@ -17,6 +17,8 @@
   void record(const std::string& machine, FleetTime timeOfDay, TimePoint now);
   /// @return none while too few machines have been heard.
   std::optional<FleetTime> timeAt(TimePoint now);
+  /// The same by the newest estimate, without a new one.
+  std::optional<FleetTime> lastEstimateAt(TimePoint now) const;
 
  private:
   struct Sample {
--- a/libs/platform/src/fleet_clock.cpp
+++ b/libs/platform/src/fleet_clock.cpp
@@ -15,6 +15,9 @@
 std::optional<FleetTime> FleetClock::timeAt(TimePoint now) {
   if (!offset_ || now - estimatedAt_ >= kEstimateInterval)
     estimate(now);
+  return lastEstimateAt(now);
+}
+std::optional<FleetTime> FleetClock::lastEstimateAt(TimePoint now) const {
   if (!offset_)
     return std::nullopt;
   return FleetTime(toDuration(now.time_since_epoch()) + *offset_);
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -29,6 +29,8 @@
 expect 2 "cannot read" proxy --settings=/nowhere.json
 expect 2 "say which nodes" status
 expect 2 "say which nodes" tally sides
+expect 2 "say which nodes" functions
+expect 1 "127.0.0.1:1" functions 127.0.0.1:1
 expect 2 "wants tally add NAME INSTANCE_ID AMOUNT" tally add t1 x 4
 expect 2 "or tally get NAME" tally
 expect 2 "wants evacuation begin ZONE" evacuation begin z
--- a/tests/fake_controller.hpp
+++ b/tests/fake_controller.hpp
@@ -98,6 +98,7 @@
   }
   Result<std::int64_t> counterTotal(const std::string& counter) const override { return counters.total(counter); }
   std::string replicatedCountersJson() const override { return "{}"; }
+  std::string platformJson() const override { return "{}"; }
   std::string shardsJson() const override { return "{}"; }
   std::string nextOperationId() override { return ids.next(); }
   std::optional<std::string> controlAddressIn(const std::string& zone) const override {
--- a/tests/golden_calls_test.cpp
+++ b/tests/golden_calls_test.cpp
@@ -67,6 +67,7 @@
   }
   Result<std::int64_t> counterTotal(const std::string& counter) const override { return counters.total(counter); }
   std::string replicatedCountersJson() const override { return "{}"; }
+  std::string platformJson() const override { return "{}"; }
   std::string shardsJson() const override { return "{}"; }
   std::string nextOperationId() override { return "operator/" + std::to_string(writes); }
   std::optional<std::string> controlAddressIn(const std::string&) const override { return std::nullopt; }
