--- a/libs/config/include/config/configuration.hpp
+++ b/libs/config/include/config/configuration.hpp
@@ -39,7 +39,7 @@
 struct Scaling {
   int min = 0;
   int max = 0;
-  Duration boot{0};  ///< from an order until its runners serve
+  Duration startup{0};  ///< from an order until its runners serve
   bool operator==(const Scaling&) const = default;
 };
 /// A kind of runner that routes send requests to.
--- a/libs/config/src/configuration_parser.cpp
+++ b/libs/config/src/configuration_parser.cpp
@@ -24,7 +24,7 @@
   Scaling scaling;
   reader.integer(object, "min", scaling.min, Presence::required);
   reader.integer(object, "max", scaling.max, Presence::required);
-  reader.seconds(object, "bootS", scaling.boot);
+  reader.seconds(object, "bootS", scaling.startup);
   if (scaling.min < 0 || scaling.min > scaling.max)
     reader.fail("no range from min to max in", "scaling");
   return scaling;
--- a/libs/controller/src/counter_service.cpp
+++ b/libs/controller/src/counter_service.cpp
@@ -76,15 +76,16 @@
   return {};
 }
 void CounterService::followMembership() {
-  std::set<std::string> addresses;
+  std::set<std::string> voters;
   for (const auto& voter : context_.raft->voters())
-    addresses.insert(consensus::addressOf(voter));
+    voters.insert(consensus::addressOf(voter));
+  auto addresses = voters;
   for (const auto& seed : seedAddresses(context_.settings))
     addresses.insert(seed);
   addresses.erase(context_.settings.ip);
   for (const auto& address : addresses)
     links_.dial(address);
-  replica_->setPeers(addresses);
+  replica_->setPeers(addresses, voters);
 }
 void CounterService::tick(TimePoint now) {
   replica_->tick(now);
--- a/libs/platform/include/platform/scaling_policy.hpp
+++ b/libs/platform/include/platform/scaling_policy.hpp
@@ -3,7 +3,7 @@
 /// are in use, up at once and down slowly. Why so: docs/notes-platform.md.
 ///
 /// A count is never lowered while the leader is blind (proxies have not reported), in a zone that is evacuated, during
-/// a rollout of the service, or within `Scaling::boot` of a higher demand.
+/// a rollout of the service, or within `Scaling::startup` of a higher demand.
 ///
 /// Soft state of the leader. Pure: the time is passed in.
 #pragma once
--- a/libs/platform/include/platform/usage_collector.hpp
+++ b/libs/platform/include/platform/usage_collector.hpp
@@ -58,7 +58,7 @@
 
   UsageTimes times_;
   TimePoint termBegan_{};
-  std::optional<std::int64_t> firstWindow_;  // where no report is known, reports begin here
+  std::optional<std::int64_t> firstWindow_;                             // where no report is known, reports begin here
   std::unordered_map<std::int64_t, Reporter> reporters_;                // by incarnation
   std::unordered_map<std::string, std::int64_t> incarnationOf_;         // by machine, the newest
   std::map<std::int64_t, std::map<std::string, std::int64_t>> counts_;  // by window and tenant
--- a/libs/platform/include/platform/usage_recorder.hpp
+++ b/libs/platform/include/platform/usage_recorder.hpp
@@ -46,8 +46,8 @@
 
   Duration windowLength_{0};
   std::int64_t incarnation_ = 0;
-  std::optional<Duration> offset_;  // fleet time less steady time
-  bool offsetIsFleets_ = false;     // else by this machine's own clock
+  std::optional<Duration> offset_;                              // fleet time less steady time
+  bool offsetIsFleets_ = false;                                 // else by this machine's own clock
   std::vector<std::pair<std::string, TimePoint>> withoutTime_;  // tenants and begins, until there is an offset
   TimePoint firstFillAt_{};
   std::int64_t currentWindow_ = 0;
--- a/libs/platform/src/scaling_policy.cpp
+++ b/libs/platform/src/scaling_policy.cpp
@@ -91,7 +91,8 @@
                        static_cast<int>(std::ceil(refused / static_cast<double>(zones.size())));
       const double placesEach = std::max(1.0, static_cast<double>(present.second) / present.first);
       const int wanted = static_cast<int>(std::ceil(subject.demand / (placesEach * targetUse(zones.size()))));
-      recordWanted(subject, std::clamp(wanted, service.scaling->min, service.scaling->max), service.scaling->boot, now);
+      recordWanted(subject, std::clamp(wanted, service.scaling->min, service.scaling->max), service.scaling->startup,
+                   now);
       const bool mayLower = sighted && !isEvacuated(state, zone) && !isRolledOut(state, service.label);
       if (auto order = decideOne(name, subject, *service.scaling, mayLower, now))
         orders.push_back(std::move(*order));
--- a/libs/platform/src/usage_collector.cpp
+++ b/libs/platform/src/usage_collector.cpp
@@ -2,7 +2,7 @@
 
 namespace zinccleat::platform {
 namespace {
-constexpr auto kSettleTime = 1500ms;    // after its end a window waits so long in any case
+constexpr auto kReportGrace = 1500ms;   // after its end a window waits so long in any case
 constexpr double kFewMissing = 0.01;    // part of the proxies whose silence hardly changes a report
 constexpr double kPatiencePart = 0.65;  // of the delay: so long a window waits for a few
 constexpr auto kLongestWait = 40s;      // for many, which may be cut off
@@ -64,7 +64,7 @@
   return completeness;
 }
 bool UsageCollector::mayCommit(const Completeness& completeness, Duration sinceEnd, TimePoint now) const {
-  if (sinceEnd < kSettleTime || now - termBegan_ < kFirstReports)
+  if (sinceEnd < kReportGrace || now - termBegan_ < kFirstReports)
     return false;
   if (completeness.missing == 0)
     return true;
--- a/libs/replicated_counters/include/replicated_counters/counter_replica.hpp
+++ b/libs/replicated_counters/include/replicated_counters/counter_replica.hpp
@@ -15,7 +15,8 @@
 /// - Whatever is on the disk of a replica is on those of all others about `kReportInterval` after they hear each other,
 ///   and one round trip for each `kTransferBytes`.
 /// - An id is kept for `kKeepIds` at least after its increment was merged here, and until every peer has it on its
-///   disk. A peer that is known and silent stops the folding of ids; beyond `kMaxKeptIncrements` increments are
+///   disk. A peer that is known and silent stops the folding of ids, unless it was replaced and is silent for
+///   `kForgetRemovedPeer`; beyond `kMaxKeptIncrements` increments are
 ///   refused.
 #pragma once
 #include <set>
@@ -88,6 +89,8 @@
   static constexpr std::size_t kMaxKeptIncrements = 200'000;
   /// A peer that was silent for so long is given up: it stops the folding of ids no longer.
   static constexpr Duration kForgetPeer{std::chrono::hours(24)};
+  /// The same for a machine that the fleet's log has removed from its voters: another has taken its place.
+  static constexpr Duration kForgetRemovedPeer = kKeepIds;
 
   CounterReplica(Options options, TimePoint now) : options_(std::move(options)), startedAt_(now) {}
 
@@ -95,7 +98,8 @@
   void recover(const IncrementBatch& record);
 
   /// The other controllers that are known now, by address. One that is named no longer counts as long as it is heard.
-  void setPeers(const std::set<std::string>& addresses);
+  /// @param voters of the fleet's log, by address; a machine that was one and is none any more has been replaced.
+  void setPeers(const std::set<std::string>& addresses, const std::set<std::string>& voters = {});
   /// A caller adds to a counter; an `Acknowledge` with this id follows, unless `cancel` comes first.
   /// @return `ErrorCode::limitReached` if no more ids can be kept: nothing was done.
   Result<void> add(TimePoint now, std::int64_t callId, const Increment& increment);
@@ -122,6 +126,8 @@
   using Sequences = std::map<OriginId, std::int64_t>;
   struct Peer {
     bool isMember = false;  // named by `setPeers`
+    bool wasVoter = false;
+    bool isRemoved = false;  // was a voter and is none any more
     std::string zone;
     std::optional<TimePoint> heardAt;
     Sequences durable;          // what it has reported
@@ -175,6 +181,9 @@
   void checkCaughtUp(TimePoint now);
   bool hasReached(const Sequences& target) const;
   void foldOldIds(TimePoint now);
+  void startFolding(TimePoint now);
+  void finishFolding(TimePoint now);
+  bool isGivenUp(const Peer& peer, TimePoint now) const;
   bool allPeersHave(const Sequences& sequences, TimePoint now) const;
 
   Options options_;
@@ -197,6 +206,7 @@
   std::deque<Epoch> epochs_;            // oldest first
   std::optional<Sequences> foldLimit_;  // every peer has these; folded once every peer has what they had accepted then
   Sequences foldBarrier_;
+  TimePoint foldStartedAt_{};
   TimePoint reportedAt_{};
   TimePoint epochAt_{};
   std::vector<Action> actions_;
--- a/libs/replicated_counters/src/counter_replica.cpp
+++ b/libs/replicated_counters/src/counter_replica.cpp
@@ -72,11 +72,16 @@
   ++recordsSinceSnapshot_;
   bytesSinceSnapshot_ += bytesOf(record);
 }
-void CounterReplica::setPeers(const std::set<std::string>& addresses) {
-  for (auto& [address, peer] : peers_)
-    peer.isMember = addresses.contains(address);
+void CounterReplica::setPeers(const std::set<std::string>& addresses, const std::set<std::string>& voters) {
   for (const auto& address : addresses)
     peers_[address].isMember = true;
+  for (auto& [address, peer] : peers_) {
+    const bool isVoter = voters.contains(address);
+    peer.isMember = addresses.contains(address);
+    // Without voters nothing is known: this machine follows no log yet.
+    peer.isRemoved = peer.wasVoter && !isVoter && !voters.empty();
+    peer.wasVoter = peer.wasVoter || isVoter;
+  }
 }
 CounterReplica::Peer& CounterReplica::heard(TimePoint now, const std::string& from) {
   auto& peer = peers_[from];
@@ -384,10 +389,13 @@
 bool CounterReplica::allPeersHave(const Sequences& sequences, TimePoint now) const {
   return std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const auto& peer = entry.second;
-    const auto lastHeard = peer.heardAt.value_or(startedAt_);
-    return now - lastHeard >= kForgetPeer || (peer.hasReported && missingIn(peer.durable, sequences) == 0);
+    return isGivenUp(peer, now) || (peer.hasReported && missingIn(peer.durable, sequences) == 0);
   });
 }
+bool CounterReplica::isGivenUp(const Peer& peer, TimePoint now) const {
+  const auto silentFor = now - peer.heardAt.value_or(startedAt_);
+  return silentFor >= (peer.isRemoved ? kForgetRemovedPeer : kForgetPeer);
+}
 // In two steps. An id may have been accepted at two replicas, each before it heard of the other. Once all peers have a
 // position on their disks none of them accepts its id again. What they had accepted until then is in their reports;
 // once all peers have that too, every replica knows all positions of these ids and folds the same ones.
@@ -396,25 +404,37 @@
     return;
   epochAt_ = now;
   epochs_.push_back({now, durable_});
-  if (foldLimit_) {
-    if (!allPeersHave(foldBarrier_, now) || !hasReached(foldBarrier_))
-      return;
-    for (const auto& [origin, sequence] : *foldLimit_)
-      state_.fold(origin, sequence);
-    foldLimit_.reset();
-    snapshotIsDue_ = true;
-    persistIfIdle();
-    return;
-  }
+  if (foldLimit_)
+    finishFolding(now);
+  else
+    startFolding(now);
+}
+void CounterReplica::startFolding(TimePoint now) {
   while (epochs_.size() > 1 && now - epochs_[1].at >= kKeepIds)
     epochs_.pop_front();
   if (now - epochs_.front().at < kKeepIds || !allPeersHave(epochs_.front().reached, now))
     return;
   foldLimit_ = epochs_.front().reached;
   foldBarrier_ = sequencesOf(state_.progress());
+  foldStartedAt_ = now;
+  // What a machine that is given up has reported may have gone with it.
   for (const auto& [address, peer] : peers_)
-    for (const auto& [origin, sequence] : peer.durable)
-      raiseTo(foldBarrier_, origin, sequence);
+    if (!isGivenUp(peer, now))
+      for (const auto& [origin, sequence] : peer.durable)
+        raiseTo(foldBarrier_, origin, sequence);
+}
+void CounterReplica::finishFolding(TimePoint now) {
+  if (!allPeersHave(foldBarrier_, now) || !hasReached(foldBarrier_)) {
+    // What it waits for may have gone with a machine that was replaced meanwhile: it begins anew.
+    if (now - foldStartedAt_ >= kKeepIds)
+      foldLimit_.reset();
+    return;
+  }
+  for (const auto& [origin, sequence] : *foldLimit_)
+    state_.fold(origin, sequence);
+  foldLimit_.reset();
+  snapshotIsDue_ = true;
+  persistIfIdle();
 }
 std::vector<PeerStatus> CounterReplica::peers(TimePoint now) const {
   const auto own = sequencesOf(state_.progress());
--- a/tests/platform_worlds_test.cpp
+++ b/tests/platform_worlds_test.cpp
@@ -27,8 +27,8 @@
 constexpr int kTenants = 6;
 constexpr std::int64_t kFirstWindow = 353445120;
 constexpr TimePoint kStart{500s};
-constexpr auto kLead = 16s;     // machines start so long before their traffic
-constexpr auto kTrouble = 60s;  // then the world is calm
+constexpr auto kLead = 16s;         // machines start so long before their traffic
+constexpr auto kFaultPeriod = 60s;  // then the world is calm
 constexpr auto kEnd = 100s;
 
 /// Faults of the code under test, each of which the checks must find.
@@ -118,9 +118,9 @@
   }
   void play() {
     for (auto now = kStart; now < kStart + kEnd; now += kStep) {
-      const bool troubled = now < kStart + kTrouble;
-      if (troubled && chance(0.01))
-        trouble(now);
+      const bool hasFaults = now < kStart + kFaultPeriod;
+      if (hasFaults && chance(0.01))
+        injectFault(now);
       if (now >= bounceAt_) {
         bounceAt_ = TimePoint::max();
         elect(bounceTo_, now);
@@ -181,7 +181,7 @@
     // What a deposed leader proposed is committed or not.
     std::erase_if(log_, [this](const auto&) { return chance(0.5); });
   }
-  void trouble(TimePoint now) {
+  void injectFault(TimePoint now) {
     const auto kind = rng_() % 5;
     if (kind == 0)
       depose(now);
@@ -330,7 +330,7 @@
       }
       checkCounts(window, report->second);
       const auto due = kStart + (window - kFirstWindow + 1) * kWindow + kDelay;
-      if (window > kFirstWindow + (kTrouble + 15s) / kWindow && report->second.at > due)
+      if (window > kFirstWindow + (kFaultPeriod + 15s) / kWindow && report->second.at > due)
         broken_.push_back("a late report in calm times of window " + std::to_string(window - kFirstWindow));
     }
   }
--- a/tests/replicated_counters_test.cpp
+++ b/tests/replicated_counters_test.cpp
@@ -352,6 +352,51 @@
   EXPECT_EQ(replica.state().total("t"), 4);
   EXPECT_EQ(replica.state().keptIncrements(), 0U);
 }
+// A core of three in which one machine is replaced a minute after the start; it had reported an increment that went
+// with it. Then half a day of five increments a second.
+TEST(CounterReplica, AReplacedMachineDoesNotStopTheFolding) {
+  constexpr int kPerStep = 150;
+  constexpr OriginId kReplaced = 33;
+  auto replica = replicaOf(kA, 2, {"b", "c"});
+  replica.receive(kStart, "c", reportOf("z3", {{kReplaced, 1}}));
+  std::size_t mostKept = 0;
+  int refused = 0;
+  for (auto now = kStart + 1s; now < kStart + 12h; now += 30s) {
+    const bool isReplaced = now > kStart + 1min;
+    const std::set<std::string> peers{"b", isReplaced ? "d" : "c"};
+    replica.setPeers(peers, peers);
+    for (int i = 0; i < kPerStep; ++i)
+      refused += replica.add(now, i, incrementOf(std::to_string(now.time_since_epoch().count() + i), 1)) ? 0 : 1;
+    while (!actionsOf<PersistBatch>(replica).empty())
+      replica.persisted(now);
+    for (const auto& peer : peers)
+      replica.receive(now, peer, reportOf("z2", replica.state().progress()));
+    replica.tick(now);
+    while (!actionsOf<PersistBatch>(replica).empty())
+      replica.persisted(now);
+    for (int i = 0; i < kPerStep; ++i)
+      replica.cancel(i);
+    mostKept = std::max(mostKept, replica.state().keptIncrements());
+  }
+  EXPECT_EQ(refused, 0);
+  const auto half = static_cast<std::size_t>(CounterReplica::kKeepIds / 30s) * kPerStep;
+  EXPECT_LE(mostKept, 4 * half)
+      << "ids are kept twice their time at the most, and once more while the machine is awaited";
+}
+TEST(CounterReplica, AMemberThatIsSilentIsAwaitedForADay) {
+  auto replica = replicaOf(kA, 2, {"b", "c"});
+  ASSERT_TRUE(replica.add(kStart, 1, incrementOf("x", 1)));
+  while (!actionsOf<PersistBatch>(replica).empty())
+    replica.persisted(kStart);
+  for (auto now = kStart; now < kStart + 20h; now += 30s) {
+    replica.setPeers({"b", "c"}, {"b", "c"});
+    replica.receive(now, "b", reportOf("z2", replica.state().progress()));
+    replica.tick(now);
+    while (!actionsOf<PersistBatch>(replica).empty())
+      replica.persisted(now);
+  }
+  EXPECT_EQ(replica.state().keptIncrements(), 1U);
+}
 TEST(CounterReplica, AnIdIsKeptForItsTime) {
   auto replica = replicaOf(kA, 0, {"b"});
   ASSERT_TRUE(replica.add(kStart, 1, incrementOf("x", 4)));
--- a/tests/runner_changes_test.cpp
+++ b/tests/runner_changes_test.cpp
@@ -54,7 +54,7 @@
   EXPECT_EQ(table.idsAt("x"), std::vector<std::string>{"b"});
 }
 
-TEST(RunnerMembership, FollowsChangesAsIfItHadSeenTheWholeList) {
+TEST(RunnerMembership, FollowsChangesAsIfItHadSeenTheCompleteList) {
   auto table = tableOf(50);
   balancing::RunnerMembership followed;
   followed.follow(table, kNow);
@@ -69,8 +69,8 @@
       followed.follow(table, kNow + Duration(step));
   }
   followed.follow(table, kNow + 1s);
-  balancing::RunnerMembership whole;
-  whole.setRunners(table, kNow + 1s);
+  balancing::RunnerMembership complete;
+  complete.setRunners(table, kNow + 1s);
   const auto present = [](const balancing::RunnerMembership& membership) {
     std::set<std::string> ids;
     for (const auto& endpoint : membership.endpoints()) {
@@ -80,7 +80,7 @@
     }
     return ids;
   };
-  EXPECT_EQ(present(followed), present(whole));
+  EXPECT_EQ(present(followed), present(complete));
 }
 TEST(RunnerMembership, ReusesNoIndexWithAttemptsInFlight) {
   RunnerTable table{runnerOf("a"), runnerOf("b")};
