--- a/libs/state_machine/include/state_machine/runner_table.hpp
+++ b/libs/state_machine/include/state_machine/runner_table.hpp
@@ -40,8 +40,6 @@
   std::vector<std::string> idsAt(const std::string& address) const;
   /// Adds a runner, or replaces the one with its id.
   void put(Runner runner);
-  /// The same; for tables that are filled in one go.
-  void push_back(Runner runner) { put(std::move(runner)); }
   /// Removes a runner; the last one takes its place in the list.
   void remove(const std::string& id);
 
--- a/tests/platform_worlds_test.cpp
+++ b/tests/platform_worlds_test.cpp
@@ -64,7 +64,7 @@
     acts_.back().second = now;
     const auto last = acts_.size() - 1;
     if (acts_.size() >= 3 && acts_[last - 2].first == holder && now - acts_[last - 2].second < kLease)
-      broken.push_back("A, B, A within the lease");
+      broken.emplace_back("A, B, A within the lease");
     return true;
   }
 
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -384,7 +384,7 @@
   for (const auto* id : {"o1", "o2", "n1", "n2"}) {
     Runner runner{id, "s", std::string(id) + ":1", "z", 4, 1, 0};
     runner.software.revision = id[0] == 'n' ? "v2" : "v1";
-    state.runners.push_back(runner);
+    state.runners.put(runner);
   }
   return state;
 }
