--- a/libs/controller/src/platform_functions.cpp
+++ b/libs/controller/src/platform_functions.cpp
@@ -54,6 +54,7 @@
       usage_(usageTimesOf(context.settings)) {}
 void PlatformFunctions::startTerm(TimePoint now) {
   client_.startTerm(now);
+  clock_ = {};  // the first machines that are heard anew may all be wrong
   usage_.startTerm(now);
   scaling_.startTerm(now);
   proposedAt_.clear();
