--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,7 @@
 # and reads each of them. The program itself comes from the build of the deploy file (target/zinccleat).
 set -euo pipefail
 cd "$(dirname "$0")"
-export PYTHONDONTWRITEBYTECODE=1
-for file in lib/*.py [0-9]*/*.py; do
+for file in lib/fleet lib/standins lib/run [0-9]*/case; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$file"
 done
 echo "stand-ins: ready"
