--- a/libs/controller/src/raft_driver.cpp
+++ b/libs/controller/src/raft_driver.cpp
@@ -7,6 +7,18 @@
 constexpr std::int64_t kMinCompactionInterval = 96;  // in applied entries
 // After this many intervals the log is compacted even if agents lag behind.
 constexpr std::int64_t kMaxIntervalsWithLaggingAgents = 4;
+
+/// Logs which operators' orders on zones were applied, and by which controller and operation each was submitted, so
+/// that two copies of an order can be told from two orders.
+void logZoneOrder(const transport::LogEntry& entry, const state_machine::ReplicatedState::Change& change) {
+  const bool isEvacuation = entry.op() == transport::OperationKind::zoneEvacuation;
+  if (!isEvacuation && entry.op() != transport::OperationKind::zoneDrain)
+    return;
+  log::info("zone_order_applied", {{"kind", isEvacuation ? "evacuation" : "drain"},
+                                   {"operation", entry.operationId},
+                                   {"index", entry.index},
+                                   {"changed", change.zoneDrains}});
+}
 }  // namespace
 
 void RaftDriver::startStorage(const std::shared_ptr<DiskThread>& disk, storage::Storage storage) {
@@ -40,6 +52,7 @@
 }
 void RaftDriver::executeAction(consensus::ApplyEntry& action) {
   const auto change = context_.replica.apply(action.entry);
+  logZoneOrder(action.entry, change);
   // The entry had a different effect on this replica than on the other members. Exiting is a remedy: at the next start
   // the replica is restored from the records on disk.
   checkInvariant(!change.corrupted, "the replica matches the other members");
