Configuration: an empty list of subscribers is a list

Cause: Configuration kept the subscribers, not whether there was a list; an empty vector was taken for an absent field. Change: requiresAccessKeys, set from the presence of the field (null counts as an empty list); the proxy's two places ask for it. zinccleat check remarks on an empty list. Why it works: the text always told the two apart; only its reading did not.

--- a/libs/config/include/config/configuration.hpp
+++ b/libs/config/include/config/configuration.hpp
@@ -74,6 +74,9 @@
   std::int64_t version = 0;  ///< always above 0
   std::vector<Route> routes;
   std::vector<Service> services;
+  /// Whether requests need an access key, except on keyless routes: the configuration has a list of subscribers, which
+  /// may be empty. With an empty list no key is valid.
+  bool requiresAccessKeys = false;
   std::vector<Subscriber> subscribers;
   std::unordered_map<std::string, int> subscriberByAccessKey;           ///< index into `subscribers`
   std::unordered_map<std::string, std::vector<int>> routesByAuthority;  ///< indexes into `routes`, longest prefix first
--- a/libs/config/include/config/json.hpp
+++ b/libs/config/include/config/json.hpp
@@ -48,6 +48,8 @@
   /// Records the error "<problem> '<name>'", unless an earlier error is recorded.
   void fail(std::string_view problem, std::string_view name);
 
+  /// Whether an object has a field, even if the field is `null`.
+  static bool contains(const JsonObject& object, std::string_view key);
   void text(const JsonObject& object, std::string_view key, std::string& out, Presence presence = Presence::optional);
   void number(const JsonObject& object, std::string_view key, double& out, Presence presence = Presence::optional);
   void boolean(const JsonObject& object, std::string_view key, bool& out);
--- a/libs/config/src/configuration_parser.cpp
+++ b/libs/config/src/configuration_parser.cpp
@@ -207,6 +207,8 @@
 }
 
 bool ConfigurationParser::readSubscribers(const JsonObject& root) {
+  // `null` counts as an empty list and not as absent: without a list every request would be served.
+  configuration_->requiresAccessKeys = JsonReader::contains(root, "subscribers");
   return forEachObject(root, "subscribers", Presence::optional, [this](const JsonObject& object) {
     auto& subscribers = configuration_->subscribers;
     Subscriber subscriber;
--- a/libs/config/src/json.cpp
+++ b/libs/config/src/json.cpp
@@ -33,6 +33,10 @@
   if (ok())
     error_ = std::string(problem) + " '" + std::string(name) + "'";
 }
+bool JsonReader::contains(const JsonObject& object, std::string_view key) {
+  JsonElement ignored;
+  return object.at_key(key).get(ignored) == simdjson::SUCCESS;
+}
 bool JsonReader::find(const JsonObject& object, std::string_view key, JsonElement& out, Presence presence) {
   const bool required = presence == Presence::required;
   if (object.at_key(key).get(out) == simdjson::SUCCESS)
--- a/libs/operations/src/check_command.cpp
+++ b/libs/operations/src/check_command.cpp
@@ -36,6 +36,16 @@
                                               {"rollout", checkRollout},
                                               {"runbook", checkRunbook}}};
 
+// A remark on a valid file that an operator may not have meant so; empty if there is none.
+std::string remarkOn(std::string_view kind, const std::string& text) {
+  if (kind != "configuration")
+    return {};
+  const auto configuration = config::parseConfiguration(text);
+  const bool refusesAll =
+      configuration && (*configuration)->requiresAccessKeys && (*configuration)->subscribers.empty();
+  return refusesAll ? "; 'subscribers' is empty: no key is valid, and only keyless routes are served" : "";
+}
+
 int reportInvalid(const std::string& file, const std::string& problem) {
   std::fprintf(stderr, "zinccleat check: %s: %s\n", file.c_str(), problem.c_str());
   return 1;
@@ -54,7 +64,7 @@
   }
   if (const auto problem = found->check(*text); !problem.empty())
     return reportInvalid(file, problem);
-  std::printf("%s: fine\n", file.c_str());
+  std::printf("%s: fine%s\n", file.c_str(), remarkOn(kind, *text).c_str());
   return 0;
 }
 }  // namespace zinccleat::operations
--- a/libs/proxy/src/admission_check.cpp
+++ b/libs/proxy/src/admission_check.cpp
@@ -56,7 +56,7 @@
 
 MaybeRejection authenticate(Exchange& exchange) {
   const auto& configuration = *exchange.configuration;
-  if (configuration.subscribers.empty() || exchange.route->keyless)
+  if (!configuration.requiresAccessKeys || exchange.route->keyless)
     return std::nullopt;
   const int index = configuration.findSubscriber(bearerKey(exchange.request));
   if (index < 0)
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -65,7 +65,7 @@
   options.subscriber = exchange_.tenant;
   options.timeLeft = toDuration(exchange_.deadline - Exchange::now());
   options.precedence = exchange_.precedence;
-  options.removeAuthorization = !exchange_.configuration->subscribers.empty();
+  options.removeAuthorization = exchange_.configuration->requiresAccessKeys;
   if (exchange_.responseStarted)
     options.lastEventId = exchange_.events.lastEventId();
   const auto& body = exchange_.request.body();
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -65,6 +65,15 @@
 expect 1 "settings" check settings /dev/null
 expect 1 "configuration" check configuration /dev/null
 expect 1 "no step in it" check runbook /dev/null
+folder=$(mktemp -d)
+echo '{"configVersion":1,"routeTable":[],"serviceTable":[],"subscribers":[]}' > "$folder/no-tenant.json"
+echo '{"configVersion":1,"routeTable":[],"serviceTable":[]}' > "$folder/no-list.json"
+expect 0 "no key is valid" check configuration "$folder/no-tenant.json"
+if "$program" check configuration "$folder/no-list.json" | grep -q "no key is valid"; then
+  echo "check takes a missing list of subscribers for an empty one"
+  failed=1
+fi
+rm -r "$folder"
 # `status --json` escapes the text of an unusable address, so that the report stays valid JSON.
 report=$("$program" status --json 'a"b:1')
 if [[ "$report" != *'"node":"a\"b:1"'* ]]; then
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -87,6 +87,58 @@
   }
 }
 
+// Guards against review/1: the version that took the last tenant's key away was read like one without a list, and every
+// request was served.
+TEST(Configuration, AnEmptyListOfSubscribersIsAListAndRequiresKeys) {
+  const auto withList = [](const std::string& field) {
+    return R"({"configVersion":1,"routeTable":[],"serviceTable":[])" + field + "}";
+  };
+  const struct {
+    std::string field;
+    bool requiresAccessKeys;
+  } cases[] = {{"", false},
+               {R"(,"subscribers":[])", true},
+               {R"(,"subscribers":null)", true},
+               {R"(,"subscribers":[{"label":"t"}])", true},
+               {R"(,"subscribers":[{"label":"t","accessKeys":[]}])", true},
+               {R"(,"subscribers":[{"label":"t","accessKeys":null}])", true},
+               {R"(,"subscribers":[{"label":"t","accessKeys":["k"]}])", true}};
+  for (const auto& each : cases) {
+    const auto parsed = parseConfiguration(withList(each.field));
+    ASSERT_TRUE(parsed) << each.field << ": " << parsed.error().message;
+    EXPECT_EQ((*parsed)->requiresAccessKeys, each.requiresAccessKeys) << each.field;
+    EXPECT_EQ((*parsed)->findSubscriber("other"), -1) << each.field;
+    EXPECT_EQ((*parsed)->findSubscriber(""), -1) << each.field;
+  }
+  EXPECT_FALSE(parseConfiguration(withList(R"(,"subscribers":{})"))) << "an object is no list";
+}
+// What absent, null and empty mean for the other optional lists and objects; docs/rules.md has the table.
+TEST(Configuration, AbsentAndEmptyListsAndObjectsHaveTheirMeaning) {
+  const auto parseWith = [](const std::string& route, const std::string& service, const std::string& limits) {
+    return parseConfiguration(
+        R"({"configVersion":1,"routeTable":[{"authority":"h","pathPrefix":"/p/","routeType":"safe","expiryMs":9)" +
+        route + R"(}],"serviceTable":[{"label":"s")" + service + "}]" + limits + "}");
+  };
+  const std::string toService = R"(,"targetService":"s")";
+  EXPECT_TRUE(parseWith(toService, "", ""));
+  EXPECT_TRUE(parseWith(toService + R"(,"weightedTargets":null)", "", "")) << "null is absent: the single target";
+  EXPECT_FALSE(parseWith(toService + R"(,"weightedTargets":[])", "", "")) << "no target has a share";
+  EXPECT_FALSE(parseWith("", "", "")) << "no target at all";
+  EXPECT_FALSE((*parseWith(toService, "", ""))->services[0].engine);
+  EXPECT_FALSE((*parseWith(toService, R"(,"engine":null)", ""))->services[0].engine);
+  EXPECT_TRUE((*parseWith(toService, R"(,"engine":{})", ""))->services[0].engine);
+  EXPECT_FALSE((*parseWith(toService, "", ""))->services[0].scaling);
+  EXPECT_FALSE((*parseWith(toService, R"(,"scaling":null)", ""))->services[0].scaling);
+  EXPECT_FALSE(parseWith(toService, R"(,"scaling":{})", "")) << "an order of runners needs its bounds";
+  for (const std::string limits : {"", R"(,"limits":null)", R"(,"limits":{})"})
+    EXPECT_EQ((*parseWith(toService, "", limits))->limits.maxBodyBytes, Limits{}.maxBodyBytes) << limits;
+  const auto empty = parseConfiguration(R"({"configVersion":1,"routeTable":[],"serviceTable":[]})");
+  ASSERT_TRUE(empty);
+  EXPECT_EQ((*empty)->find("h", "/p/"), -1) << "without routes nothing is served";
+  EXPECT_FALSE(parseConfiguration(R"({"configVersion":1,"routeTable":null,"serviceTable":[]})"));
+  EXPECT_FALSE(parseConfiguration(R"({"configVersion":1,"routeTable":[]})"));
+}
+
 TEST(Configuration, NamesTheFirstProblem) {
   struct {
     std::string text;
--- a/tests/delta_test.cpp
+++ b/tests/delta_test.cpp
@@ -241,3 +241,43 @@
   ASSERT_TRUE(empty.restore(sender.state.snapshotFor({})));
   EXPECT_EQ(empty.snapshotFor({}), sender.state.snapshotFor({}));
 }
+
+// The text in force keeps whether the list of subscribers is absent, null, empty or filled, on every way that it takes
+// to a replica: a delta, a snapshot for a controller and its disk, and full and partial snapshots for the data plane.
+TEST(Delta, AnEmptyListOfSubscribersStaysApartFromNone) {
+  const auto withList = [](int version, const std::string& field) {
+    return R"({"configVersion":)" + std::to_string(version) + R"(,"routeTable":[],"serviceTable":[{"label":")" +
+           std::string(200, 's') + R"("}])" + field + "}";
+  };
+  const std::string fields[] = {"", R"(,"subscribers":null)", R"(,"subscribers":[])",
+                                R"(,"subscribers":[{"label":"t","accessKeys":["k"]}])"};
+  for (const auto& before : fields)
+    for (const auto& after : fields) {
+      const auto text = withList(2, after);
+      ReplicatedState replica;
+      ReplicatedState follower;
+      std::int64_t index = 0;
+      const auto apply = [&](LogEntry entry) {
+        entry.index = ++index;
+        replica.apply(entry);
+        follower.apply(entry);
+      };
+      apply(configurationEntry(0, 1, withList(1, before), "operator/1"));
+      const auto cached = replica.state().digest;
+      const auto change = configurationChangeEntry(1, 2, text, "operator/2", replica.state());
+      EXPECT_EQ(change.op(), OperationKind::configurationDelta) << before << after;
+      apply(change);
+      EXPECT_EQ(follower.state().configuration, text) << before << after;
+      ReplicatedState restored;
+      ASSERT_TRUE(restored.restore(replica.snapshot()));
+      EXPECT_EQ(restored.state().configuration, text);
+      ASSERT_TRUE(restored.restore(replica.snapshotFor("")));
+      EXPECT_EQ(restored.state().configuration, text);
+      ReplicatedState partial;
+      auto first = configurationEntry(0, 1, withList(1, before), "operator/1");
+      first.index = 1;
+      partial.apply(first);
+      ASSERT_TRUE(partial.restore(replica.snapshotFor(cached)));
+      EXPECT_EQ(partial.state().configuration, text);
+    }
+}
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -46,6 +46,41 @@
     EXPECT_EQ(sendRequest(proxy, requestText("/open/", "a", "", "", "")).status, 200);
   });
 }
+namespace {
+std::shared_ptr<const config::Configuration> configurationWithSubscribers(const std::string& field) {
+  return *config::parseConfiguration(R"({"configVersion":8,"routeTable":[
+      {"authority":"h.example","pathPrefix":"/safe/","routeType":"safe","expiryMs":20000,"targetService":"s"},
+      {"authority":"h.example","pathPrefix":"/open/","routeType":"safe","expiryMs":20000,"targetService":"s","keyless":true}],
+      "serviceTable":[{"label":"s"}])" +
+                                     field + "}");
+}
+}  // namespace
+// Guards against review/1: once the last tenant's key was taken away, every key ran, and runners saw the keys.
+TEST(Proxy, OnceTheLastKeyIsTakenAwayNoKeyRuns) {
+  withProxy([](TestProxy& proxy) {
+    auto runner = proxy.runner("i-1", respondOk);
+    for (const std::string field : {R"(,"subscribers":[])", R"(,"subscribers":null)"}) {
+      proxy.context.configuration = configurationWithSubscribers(field);
+      for (const std::string key : {"key1", "unknown", ""})
+        EXPECT_EQ(sendRequest(proxy, requestText("/safe/", "a", "", "", key)).status, 401) << field << key;
+      EXPECT_TRUE(runner->receivedRequests.empty());
+      EXPECT_EQ(sendRequest(proxy, requestText("/open/", "b")).status, 200) << "a keyless route needs no key";
+      ASSERT_EQ(runner->receivedRequests.size(), 1U);
+      EXPECT_EQ(runner->receivedRequests[0].find("key1"), std::string::npos) << "runners see no keys";
+      runner->receivedRequests.clear();
+    }
+  });
+}
+TEST(Proxy, WithoutAListOfSubscribersRequestsCarryNoKey) {
+  withProxy([](TestProxy& proxy) {
+    auto runner = proxy.runner("i-1", respondOk);
+    proxy.context.configuration = configurationWithSubscribers("");
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/", "a", "", "", "")).status, 200);
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/", "b")).status, 200);
+    ASSERT_EQ(runner->receivedRequests.size(), 2U);
+    EXPECT_NE(runner->receivedRequests[1].find("key1"), std::string::npos) << "the header is the client's own";
+  });
+}
 TEST(Proxy, WithoutAFreshLeaseNothingIsServed) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
