Soak: frozen processes, zones in quick turns, access keys

New checks: revoked and unknown keys, 401 for a valid one, the tenant and the key that a runner is shown. Runners are spread evenly over the zones.

--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -55,11 +55,16 @@
     request.machine = machine_;
     const auto kind = run_.draw(10);
     request.kind = kind < 4 ? RequestKind::safe : kind < 7 ? RequestKind::unsafe : RequestKind::stream;
-    if (request.kind == RequestKind::safe && run_.draw(2) == 0)
+    if (request.kind == RequestKind::safe && run_.draw(3) == 0) {
+      const auto key = run_.draw(kAccessKeys.size() + 1);
+      request.accessKey = key < kAccessKeys.size() ? kAccessKeys[key] : kUnknownKey;
+    } else if (request.kind == RequestKind::safe && run_.draw(2) == 0)
       request.route = "t" + std::to_string(run_.draw(kOptionalRouteCount));
     return request;
   }
   static std::string pathOf(const ClientRequest& request) {
+    if (!request.accessKey.empty())
+      return "/keyed/x";
     if (!request.route.empty())
       return "/" + request.route + "/x";
     switch (request.kind) {
@@ -74,9 +79,11 @@
   }
   void send() {
     auto request = nextRequest();
-    const auto text =
-        "POST " + pathOf(request) + " HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: " + request.attemptId +
-        "\r\nX-Deadline-Ms: " + std::to_string(kRequestDeadline.count()) + "\r\nContent-Length: 4\r\n\r\nbody";
+    const auto text = "POST " + pathOf(request) +
+                      " HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: " + request.attemptId +
+                      "\r\nX-Deadline-Ms: " + std::to_string(kRequestDeadline.count()) +
+                      (request.accessKey.empty() ? "" : "\r\nAuthorization: Bearer " + request.accessKey) +
+                      "\r\nContent-Length: 4\r\n\r\nbody";
     runtime::SocketError ec;
     connection_->setDeadline(Clock::now() + kResponseTimeout);
     const auto written = connection_->write(asio::buffer(text), ec);
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -12,6 +12,9 @@
 constexpr Duration kMaxRestartDelay{600};
 constexpr Duration kMaxSeriesPause{1500};
 constexpr int kMaxSeriesLength = 5;
+constexpr Duration kMinFreeze{300};
+constexpr Duration kMaxFreeze{3500};
+constexpr Duration kFreezeRecordInterval{100};
 
 /// The signals that a process blocks and handles, as /proc/PID/status shows them.
 struct SignalMasks {
@@ -53,7 +56,7 @@
   bool handlesTermination(std::size_t process) const { return masksOf(process).handles(SIGTERM); }
   void terminate(std::size_t process) {
     const auto masks = masksOf(process);
-    if (!masks.handles(SIGTERM))
+    if (!masks.handles(SIGTERM) || states_[process].frozen)
       return;
     recordDisturbance(process, true);
     states_[process].masks = masks.text();
@@ -66,13 +69,24 @@
     (void)run_.fleet.signal(process, SIGKILL);
   }
   bool isRunning(std::size_t process) const {
-    return run_.fleet.processes()[process].pid > 0 && !states_[process].terminatedAt;
+    return run_.fleet.processes()[process].pid > 0 && !states_[process].terminatedAt && !states_[process].frozen;
+  }
+  /// Stops a process, which must be running, without ending it.
+  void freeze(std::size_t process) {
+    recordDisturbance(process, false);
+    states_[process].frozen = run_.fleet.signal(process, SIGSTOP);
+  }
+  void thaw(std::size_t process) {
+    recordDisturbance(process, false);
+    states_[process].frozen = false;
+    (void)run_.fleet.signal(process, SIGCONT);
   }
 
  private:
   struct State {
     std::optional<TimePoint> terminatedAt;
     bool killed = false;
+    bool frozen = false;
     TimePoint restartAt = TimePoint::max();
     TimePoint startedAt{};
     std::string masks;
@@ -114,12 +128,17 @@
     // Each kind of operation has its own series, so that operations overlap.
     repeat([this] { restartAccessMachines(); });
     repeat([this] { restartAccessMachines(); });
-    repeat([this] { restartController(); });
+    repeat([this] { disturbController(); });
     repeat([this] { reloadSettings(); });
     repeat([this] { sendConfigurationChanges(); });
     repeat([this] { sendConfigurationChanges(); });
     repeat([this] { replaceRunners(); });
-    repeat([this] { evacuateZone(run_); });
+    repeat([this] { changeAccessKeys(run_); });
+    // One zone keeps its runners.
+    for (std::size_t zone = 1; zone < kZones.size(); ++zone)
+      repeat([this, zone] { evacuateInTurns(run_, kZones[(zone + run_.plan.seed) % kZones.size()]); });
+    if (run_.plan.freezes)
+      repeat([this] { freezeAccessMachine(); });
     if (run_.plan.kills)
       repeat([this] { killProcesses(); });
   }
@@ -193,6 +212,34 @@
       requestDeparture(run_, leaving[run_.draw(leaving.size())]);
     }
   }
+  /// At most one controller is down or stands still at a time, so restarts and freezes of controllers take turns.
+  void disturbController() {
+    if (run_.plan.freezes && run_.draw(4) != 0)
+      freeze({run_.draw(run_.fleet.core().size())});
+    else
+      restartController();
+  }
+  void freezeAccessMachine() {
+    const auto first = firstProcessOf(drawMachine());
+    freeze({first, first + 1});
+  }
+  /// Stops processes for a time that may be longer than their callers wait, unless one of them is not running.
+  void freeze(const std::vector<std::size_t>& processes) {
+    const auto canFreeze = [this](std::size_t process) {
+      return supervisor_.isRunning(process) && supervisor_.handlesTermination(process);
+    };
+    if (!std::all_of(processes.begin(), processes.end(), canFreeze))
+      return;
+    for (const auto process : processes)
+      supervisor_.freeze(process);
+    const auto end = Clock::now() + run_.drawDuration(kMinFreeze, kMaxFreeze);
+    while (Clock::now() < end && run_.disturbancesActive) {
+      sleepFor(kFreezeRecordInterval);
+      supervisor_.recordDisturbance(processes.front(), false);
+    }
+    for (const auto process : processes)
+      supervisor_.thaw(process);
+  }
   void killProcesses() {
     const auto process = run_.draw(run_.fleet.processes().size());
     if (supervisor_.isRunning(process))
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,5 @@
 // zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N]
-//     [--applications=N] [--kills] [--disks] [--cuts] [--plant=slow-clock|lost-disks] [--keep]
+//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--plant=slow-clock|lost-disks] [--keep]
 //
 // Performs one soak run, and prints a summary and the violated rules. With --keep, the folder with the logs of the
 // processes is kept after a violation. Exit status: 0 without violations, 1 with violations, 2 if the run failed to
@@ -20,6 +20,7 @@
 constexpr Duration kReadyTimeout{30000};
 constexpr Duration kPollInterval{50};
 constexpr Duration kEndTimeout{12000};
+constexpr Duration kCalmTime{3000};
 constexpr Duration kLogFlushTime{500};
 constexpr std::size_t kMaxPrintedViolations = 12;
 
@@ -27,7 +28,8 @@
   return R"({"graceS":)" + std::to_string(bounds.grace.count() / 1000) + R"(,"drainMs":)" +
          std::to_string(bounds.drain.count()) + R"(,"configApplyMs":)" + std::to_string(bounds.configApply.count()) +
          R"(,"evacuateMs":)" + std::to_string(bounds.evacuate.count()) + R"(,"contactMs":)" +
-         std::to_string(bounds.contact.count()) + "}";
+         std::to_string(bounds.contact.count()) + R"(,"revokedFail":true,"revokeMs":)" +
+         std::to_string(bounds.revoke.count()) + "}";
 }
 bool waitUntil(Duration timeout, const std::function<bool()>& condition) {
   for (const auto end = Clock::now() + timeout; Clock::now() < end; runtime::EventLoop::get().sleepFor(kPollInterval))
@@ -92,13 +94,19 @@
   auto violations = findViolations(observations);
   addApplicationViolations(run, violations);
   std::printf(
-      "seed %ju: core %d, access %d, processes %zu; requests %zu: 200 %td, 404 %td, 503 %td; changes %zu, acknowledged "
+      "seed %ju: core %d, access %d, processes %zu; requests %zu: 200 %td, 401 %td, 404 %td, 503 %td; changes %zu, "
+      "acknowledged "
       "%td; runners left %zu; ends of processes %zu; calls for coordination %zu, 200 %td; counted %jd; broken rules "
       "%zu\n",
       static_cast<std::uintmax_t>(run.plan.seed), run.plan.core, run.plan.access, run.fleet.processes().size(),
-      observations.requests.size(), count(200), count(404), count(503), observations.changes.size(), acknowledged,
-      observations.departures.size(), observations.exits.size(), run.applicationCalls.size(), served,
+      observations.requests.size(), count(200), count(401), count(404), count(503), observations.changes.size(),
+      acknowledged, observations.departures.size(), observations.exits.size(), run.applicationCalls.size(), served,
       static_cast<std::intmax_t>(counted), violations.size());
+  std::map<std::string, int> violationsByRule;
+  for (const auto& violation : violations)
+    ++violationsByRule[violation.rule];
+  for (const auto& [rule, times] : violationsByRule)
+    std::printf("  %s broken %d times\n", rule.c_str(), times);
   for (std::size_t i = 0; i < std::min(violations.size(), kMaxPrintedViolations); ++i)
     std::printf("  %s: %s\n", violations[i].rule.c_str(), violations[i].what.c_str());
   std::fflush(stdout);
@@ -131,7 +139,8 @@
   run.disturbancesActive = false;
   if (run.faults)
     run.faults->endAll();
-  loop.sleepFor(run.observations.bounds.contact);
+  // Most rules bind a machine only once it is connected again. The load goes on for a while after that.
+  loop.sleepFor(run.observations.bounds.contact + kCalmTime);
   run.loadActive = false;
   if (!waitUntil(kEndTimeout, [&run] { return run.activeFibers == 0; }))
     return fail("clients or operations on the fleet did not end in time");
@@ -168,6 +177,8 @@
       plan.disks = true;
     else if (std::strcmp(argument, "--cuts") == 0)
       plan.cuts = true;
+    else if (std::strcmp(argument, "--freezes") == 0)
+      plan.freezes = true;
     else if (std::strncmp(argument, kPlantOption, std::strlen(kPlantOption)) == 0)
       plan.plantedFault = argument + std::strlen(kPlantOption);
     else if (std::strcmp(argument, "--keep") == 0)
@@ -205,7 +216,7 @@
   if (!plan) {
     std::fprintf(stderr,
                  "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
-                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] "
+                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] "
                  "[--plant=slow-clock|lost-disks] [--keep]\n");
     return 2;
   }
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -6,6 +6,7 @@
 namespace {
 constexpr Duration kExitSlack{1000};  // a busy machine may delay the last handler of a process
 constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr std::size_t kMinRequests = 50;
 
@@ -20,6 +21,15 @@
   return std::to_string(duration.count()) + " ms";
 }
 
+bool allHaveKey(const std::vector<const ConfigurationChange*>& changes, const std::string& key) {
+  const auto has = [&key](const ConfigurationChange* change) { return change->keys.contains(key); };
+  return !changes.empty() && std::all_of(changes.begin(), changes.end(), has);
+}
+bool noneHasKey(const std::vector<const ConfigurationChange*>& changes, const std::string& key) {
+  const auto has = [&key](const ConfigurationChange* change) { return change->keys.contains(key); };
+  return !changes.empty() && std::none_of(changes.begin(), changes.end(), has);
+}
+
 class Checker {
  public:
   explicit Checker(const Observations& observations) : observations_(observations) {}
@@ -29,6 +39,7 @@
       checkAnswer(request);
       checkExecutions(request);
       checkRoute(request);
+      checkKey(request);
     }
     checkFinalVersion();
     for (const auto& exit : observations_.exits)
@@ -101,11 +112,12 @@
   /// Returns the changes whose configuration a connected machine may have used between `sent` and `ended`: the newest
   /// one that must be effective by then, and newer ones that were sent and not rejected. Empty if none must be
   /// effective yet.
-  std::vector<const ConfigurationChange*> possiblyEffectiveChanges(TimePoint sent, TimePoint ended) const {
+  /// @param bound time from the acknowledgement of a change until it must be effective.
+  std::vector<const ConfigurationChange*> possiblyEffectiveChanges(TimePoint sent, TimePoint ended,
+                                                                   Duration bound) const {
     const ConfigurationChange* newestEffective = nullptr;
     for (const auto& change : observations_.changes) {
-      const bool mustBeEffective =
-          change.acknowledgedAt && *change.acknowledgedAt + observations_.bounds.configApply < sent;
+      const bool mustBeEffective = change.acknowledgedAt && *change.acknowledgedAt + bound < sent;
       if (mustBeEffective && (!newestEffective || change.version > newestEffective->version))
         newestEffective = &change;
     }
@@ -120,7 +132,7 @@
     if (request.route.empty() || request.end != RequestEnd::answered ||
         !observations_.mustBeConnected(request.machine, request.endedAt))
       return;
-    const auto possible = possiblyEffectiveChanges(request.sentAt, request.endedAt);
+    const auto possible = possiblyEffectiveChanges(request.sentAt, request.endedAt, observations_.bounds.configApply);
     const auto has = [&](const ConfigurationChange* change) { return change->routes.contains(request.route); };
     const bool inNone = !possible.empty() && std::none_of(possible.begin(), possible.end(), has);
     const bool inAll = !possible.empty() && std::all_of(possible.begin(), possible.end(), has);
@@ -129,6 +141,36 @@
     if (inNone && isSuccess(request.status))
       report("CONFIG", describeRequest(request) + " was served although " + request.route + " was dropped");
   }
+  void checkKey(const ClientRequest& request) {
+    for (const auto& execution : executionsOf(request)) {
+      if (execution.showsKey)
+        report("UNASKED", describeRequest(request) + " showed its key to " + execution.runner);
+      if (!request.accessKey.empty() && execution.subscriber != tenantOf(request.accessKey))
+        report("UNASKED", describeRequest(request) + " with " + request.accessKey + " ran for the tenant '" +
+                              execution.subscriber + "'");
+    }
+    if (!request.accessKey.empty())
+      checkKeyIsValid(request);
+  }
+  void checkKeyIsValid(const ClientRequest& request) {
+    const auto& key = request.accessKey;
+    const bool ran = !executionsOf(request).empty();
+    const auto& changes = observations_.changes;
+    const bool wasEverSent =
+        std::any_of(changes.begin(), changes.end(), [&key](const auto& change) { return change.keys.contains(key); });
+    if (ran && !wasEverSent)
+      return report("ROUTE", describeRequest(request) + " ran with " + key + " of no configuration");
+    const auto& bounds = observations_.bounds;
+    if (ran && noneHasKey(possiblyEffectiveChanges(request.sentAt, request.endedAt, bounds.revoke), key))
+      report("CONFIG", describeRequest(request) + " ran with " + key + ", which was taken away");
+    if (!observations_.mustBeConnected(request.machine, request.endedAt))
+      return;
+    const auto possible = possiblyEffectiveChanges(request.sentAt, request.endedAt, bounds.configApply);
+    if (ran && noneHasKey(possible, key))
+      report("CONFIG", describeRequest(request) + " ran at a connected machine with " + key + ", which was dropped");
+    if (request.end == RequestEnd::answered && request.status == kUnauthorized && allHaveKey(possible, key))
+      report("CONFIG", describeRequest(request) + " got 401 although " + key + " is there");
+  }
   void checkFinalVersion() {
     std::int64_t acknowledged = 0;
     for (const auto& change : observations_.changes)
@@ -171,6 +213,9 @@
 };
 }  // namespace
 
+std::string tenantOf(const std::string& accessKey) {
+  return "tenant-of-" + accessKey;
+}
 bool Observations::mustBeConnected(int machine, TimePoint at) const {
   return std::none_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& each) {
     const bool concerns = each.machine == Disturbance::kCore || each.machine == machine;
--- a/tests/soak/observations.hpp
+++ b/tests/soak/observations.hpp
@@ -17,6 +17,8 @@
                                ///< been closed before the request arrived
   Duration grace{4000};        ///< time from SIGTERM to SIGKILL
   Duration evacuate{2000};     ///< an evacuation must be effective within this time after its acknowledgement
+  Duration revoke{5000};       ///< a key must be refused by every machine, connected or not, within this time after the
+                               ///< acknowledgement of a configuration without it
 };
 enum class RequestKind : std::uint8_t { safe, unsafe, stream };
 enum class RequestEnd : std::uint8_t { answered, connectionClosed, unanswered };
@@ -32,11 +34,14 @@
   RequestEnd end = RequestEnd::unanswered;
   int status = 0;
   bool bodyMatches = false;
+  std::string accessKey;  ///< the key that the request carries; empty: its route needs none
 };
 /// A runner started to execute a request.
 struct Execution {
   std::string runner;
   TimePoint at{};
+  std::string subscriber;  ///< the tenant that the runner was told
+  bool showsKey = false;   ///< whether the runner was given the client's key
 };
 /// A change of the configuration, as observed by the operator who sent it.
 struct ConfigurationChange {
@@ -44,8 +49,11 @@
   std::set<std::string> routes;  ///< labels of the optional routes in the new configuration
   TimePoint sentAt{};
   std::optional<TimePoint> acknowledgedAt;
-  bool refused = false;  ///< rejected by a definite response, so that the change never became effective
+  bool refused = false;             ///< rejected by a definite response, so that the change never became effective
+  std::set<std::string> keys = {};  ///< access keys of the new configuration, each of a tenant of its own
 };
+/// The tenant that owns an access key in every configuration that has the key.
+std::string tenantOf(const std::string& accessKey);
 /// An evacuation of a zone: runners of the zone must receive no requests.
 struct ZoneEvacuation {
   std::string zone;
--- a/tests/soak/runners.cpp
+++ b/tests/soak/runners.cpp
@@ -68,7 +68,8 @@
                      ec);
     return;
   }
-  run.observations.executions[attemptId].push_back({id, Clock::now()});
+  run.observations.executions[attemptId].push_back(
+      {id, Clock::now(), std::string(request["X-Subscriber"]), !request["Authorization"].empty()});
   const bool stream = request.target().starts_with("/stream/");
   if (!stream) {
     runtime::EventLoop::get().sleepFor(run.drawDuration(1ms, 60ms));
@@ -127,12 +128,21 @@
   runtime::SocketError ec;
   acceptor.close(ec);
 }
+/// The runners are spread evenly, so that each zone can serve while the others are evacuated.
+std::string zoneWithFewestRunners(const SoakRun& run) {
+  std::map<std::string, int> runnersByZone;
+  for (const auto& id : runnersInService(run))
+    ++runnersByZone[run.observations.runnerZones.at(id)];
+  return *std::min_element(kZones.begin(), kZones.end(), [&](const std::string& one, const std::string& other) {
+    return runnersByZone[one] < runnersByZone[other];
+  });
+}
 }  // namespace
 
 void startRunner(SoakRun& run, const std::string& id) {
   auto runner = std::make_shared<SoakRunner>(run, id);
+  run.observations.runnerZones[id] = zoneWithFewestRunners(run);
   runners()[id] = runner;
-  run.observations.runnerZones[id] = kZones[run.draw(kZones.size())];
   runner->acceptNext();
   runtime::EventLoop::get().spawn([runner] { runner->sendHeartbeats(); });
 }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -26,6 +26,7 @@
   bool kills = false;    ///< whether processes are also killed with SIGKILL
   bool disks = false;    ///< whether disks are slow, stall, are full or fail single operations
   bool cuts = false;     ///< whether packets are lost or delayed and connections are reset
+  bool freezes = false;  ///< whether processes stand still for a time (SIGSTOP, SIGCONT)
   std::string plantedFault;          ///< a fault beyond what the fleet tolerates, injected to show that the checks find
                                      ///< violations; see `startFaults`
   std::string library;               ///< path of the library that the processes preload to inject faults
@@ -45,6 +46,8 @@
   bool disturbancesActive = true;  ///< whether operations on the fleet and faults continue
   int activeFibers = 0;            ///< number of fibers started by `spawn` that have not ended
   std::set<std::string> routes;    ///< optional routes of the newest acknowledged configuration
+  std::set<std::string> keys;      ///< access keys of the newest acknowledged configuration
+  bool takesKeysAway = true;       ///< whether the next change of the keys takes one away or adds one
   std::int64_t version = 0;        ///< version of the newest acknowledged configuration
   std::vector<coordination_history::Call> applicationCalls;
   std::vector<std::string> failedFinalReads;                   ///< names that no controller answered for at the end
@@ -69,6 +72,10 @@
 
 /// Number of optional routes that the operators add and remove.
 constexpr int kOptionalRouteCount = 6;
+/// The access keys that the operators add and take away, to the last one.
+inline const std::vector<std::string> kAccessKeys = {"key-1", "key-2", "key-3"};
+/// A key that no configuration has.
+inline const std::string kUnknownKey = "key-of-nobody";
 
 /// Starts a runner. After `requestDeparture`, the runner announces that it leaves, keeps serving for a while and stops.
 void startRunner(SoakRun& run, const std::string& id);
@@ -92,8 +99,11 @@
 bool installFirstConfiguration(SoakRun& run);
 /// Sends one change that is based on the newest acknowledged configuration.
 void changeConfiguration(SoakRun& run);
-/// Evacuates a random zone of runners, and releases it after a random time.
-void evacuateZone(SoakRun& run);
+/// Takes an access key away, or adds one: all are taken away one after the other, and then added again.
+void changeAccessKeys(SoakRun& run);
+/// Evacuates and releases a zone of runners in quick turns, then evacuates the zone and releases it after a random
+/// time. A zone that is evacuated when the disturbances end remains so until the load ends.
+void evacuateInTurns(SoakRun& run, const std::string& zone);
 /// Reads the configuration version from any controller, with retries for up to three seconds.
 void readBackConfiguration(SoakRun& run);
 /// Starts the supervisor, which restarts processes that have exited, and the series of operations on the fleet.
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -105,6 +105,48 @@
   observations.requests.back().status = 200;
   EXPECT_EQ(violatedRules(observations), "CONFIG ") << "the route was removed long before";
 }
+TEST(SoakObservations, AKeyThatWasTakenAwayRunsNoLonger) {
+  auto observations = observationsWithoutViolation();
+  observations.changes[0].keys = {"k"};
+  observations.changes.push_back({2, {"t1"}, kStart + 2s, kStart + 2s + 50ms, false, {}});
+  observations.finalVersion = 2;
+  auto keyed = answered("keyed", kStart + 9s);
+  keyed.accessKey = "k";
+  observations.requests.push_back(keyed);
+  EXPECT_EQ(violatedRules(observations), "") << "it did not run";
+  observations.executions["keyed"] = {{"i1", kStart + 9s, tenantOf("k")}};
+  EXPECT_EQ(violatedRules(observations), "CONFIG CONFIG ") << "both bounds are over";
+  observations.disturbances = {{kMachine, kStart + 8s, false}};
+  EXPECT_EQ(violatedRules(observations), "CONFIG ") << "the bound of a revocation holds for every machine";
+  observations.requests.back().sentAt = kStart + 7s;
+  EXPECT_EQ(violatedRules(observations), "") << "sent within the bound";
+  observations.requests.back().accessKey = "nobody's";
+  observations.executions["keyed"][0].subscriber = tenantOf("nobody's");
+  EXPECT_EQ(violatedRules(observations), "ROUTE ") << "no configuration ever had the key";
+}
+TEST(SoakObservations, AKeyThatIsThereIsNotRefused) {
+  auto observations = observationsWithoutViolation();
+  observations.changes[0].keys = {"k"};
+  auto refused = answered("refused", kStart + 9s, 401);
+  refused.accessKey = "k";
+  observations.requests.push_back(refused);
+  EXPECT_EQ(violatedRules(observations), "CONFIG ");
+  observations.changes.push_back({2, {"t1"}, kStart + 8s, std::nullopt, false, {}});
+  EXPECT_EQ(violatedRules(observations), "") << "the change that takes the key away may be effective";
+}
+TEST(SoakObservations, ARunnerIsToldTheTenantAndNotTheKey) {
+  auto observations = observationsWithoutViolation();
+  observations.changes[0].keys = {"k"};
+  auto keyed = answered("keyed", kStart + 9s);
+  keyed.accessKey = "k";
+  observations.requests.push_back(keyed);
+  observations.executions["keyed"] = {{"i1", kStart + 9s, tenantOf("k"), false}};
+  EXPECT_EQ(violatedRules(observations), "");
+  observations.executions["keyed"] = {{"i1", kStart + 9s, tenantOf("k"), true}};
+  EXPECT_EQ(violatedRules(observations), "UNASKED ");
+  observations.executions["keyed"] = {{"i1", kStart + 9s, "", false}};
+  EXPECT_EQ(violatedRules(observations), "UNASKED ");
+}
 TEST(SoakObservations, WhatWasAcknowledgedIsReadBack) {
   auto observations = observationsWithoutViolation();
   observations.finalVersion = 0;
