Controller: late copies of rollout orders, joins and locks have no effect

A late Rollouts.Begin began a rollout again that was over, after another one; a late Rollouts.Revert reverted the rollout that had begun since; a late heartbeat let a runner that had ended join again, in place of the one at its address; a late Locks.Begin gave the lock a fence that its holder doesn't know. Change: both rollout orders go through writeOrder; heartbeats in service and Locks.Begin are not carried out once their caller has left (without a wait: they are frequent, and a lock is never held twice by it). Drains and detaching are carried out for callers that don't wait, as before.

--- a/libs/controller/src/api_handlers.hpp
+++ b/libs/controller/src/api_handlers.hpp
@@ -10,6 +10,10 @@
   std::string_view path;     ///< path without the query string
   std::string_view subject;  ///< last path segment in calls that name a subject: a runner id or a service label
   const std::string& heartbeatUri;
+
+  /// Whether the caller has closed its connection, so that it has sent or may send the call again elsewhere. Suspends
+  /// the calling fiber for at most `wait` until the close.
+  bool callerHasLeft(Duration wait = Duration(0)) const { return request.callerHasLeft && request.callerHasLeft(wait); }
 };
 
 /// Handles a runner's heartbeat. A join, and a heartbeat that reports draining, is acknowledged only after its write is
--- a/libs/controller/src/api_responses.cpp
+++ b/libs/controller/src/api_responses.cpp
@@ -34,6 +34,9 @@
     return {HttpStatus::internal_server_error, "{}", "", true};
   return errorResponse(httpStatusOf(error.code), error.message);
 }
+Error callerLeftError() {
+  return {ErrorCode::outcomeUnknown, "the caller has left"};
+}
 ApiResponse noContactResponse() {
   return errorResponse(HttpStatus::service_unavailable, "no contact with a majority of the core");
 }
--- a/libs/controller/src/api_responses.hpp
+++ b/libs/controller/src/api_responses.hpp
@@ -12,6 +12,8 @@
 /// Builds a response from an error code: status 400, 403, 404 or 429, or 503 for any other code. For an unknown outcome
 /// the connection is closed without a response.
 ApiResponse errorResponse(const Error& error);
+/// The error of a call that is not carried out because its caller has left. It leads to no response.
+Error callerLeftError();
 /// Builds a 503 response: this controller has no contact with a majority.
 ApiResponse noContactResponse();
 /// Builds a redirect to the leader.
--- a/libs/controller/src/coordination_handlers.cpp
+++ b/libs/controller/src/coordination_handlers.cpp
@@ -76,6 +76,10 @@
 }  // namespace
 
 ApiResponse handleBeginLock(const ApiCall& call) {
+  // Its holder may have got the lock from another controller since. Acquired once more, the lock would have a fence
+  // that the holder does not know.
+  if (call.callerHasLeft())
+    return errorResponse(callerLeftError());
   return lockCall(call, CommandKind::acquireLock, {.fence = false, .hold = true},
                   [](const Outcome& outcome) { return numberResponse(HttpStatus::ok, "fenceNumber", outcome.number); });
 }
--- a/libs/controller/src/order_writer.cpp
+++ b/libs/controller/src/order_writer.cpp
@@ -8,10 +8,6 @@
 // After a delay of the link, the close of an abandoned connection arrives a round trip behind the call, because the
 // caller's machine sends them again one after the other.
 constexpr Duration kCloseArrivalTimeout{100};
-
-bool callerHasLeft(const ApiRequest& request, Duration wait) {
-  return request.callerHasLeft && request.callerHasLeft(wait);
-}
 }  // namespace
 
 Result<state_machine::ReplicatedState::Verdict> writeOrder(const ApiCall& call, const ResponseDeadline& deadline,
@@ -25,9 +21,9 @@
     const auto content = state_machine::orderContentOf(entry);
     const auto& orders = services.replica().state().orders;
     const auto base = orders.newest(subject).index;
-    if (callerHasLeft(call.request, std::exchange(closeArrival, Duration(0)))) {
+    if (call.callerHasLeft(std::exchange(closeArrival, Duration(0)))) {
       log::info("order_abandoned", {{"subject", subject}});
-      return makeError(ErrorCode::outcomeUnknown, "the caller has left");
+      return tl::unexpected(callerLeftError());
     }
     const auto written = services.writeOrder(std::move(entry), base, deadline.left());
     if (!written || orders.newest(subject).content == content)
--- a/libs/controller/src/rollout_handlers.cpp
+++ b/libs/controller/src/rollout_handlers.cpp
@@ -5,6 +5,7 @@
 #include "config/configuration.hpp"
 #include "config/control_requests.hpp"
 #include "json_object.hpp"
+#include "order_writer.hpp"
 
 namespace zinccleat::controller {
 namespace {
@@ -69,6 +70,14 @@
     return {HttpStatus::ok, "{}", ""};
   return errorResponse(HttpStatus::conflict, "another rollout of this service is in progress, or it is over");
 }
+/// Builds the entry that reverts a rollout. The entry has no effect if another rollout of the service has begun since.
+transport::LogEntry revertEntry(const ControllerServices& services, const Rollout& ordered) {
+  const auto* known = services.replica().rollout(ordered.service);
+  Rollout reverted = known && known->isSameRollout(ordered) ? *known : ordered;
+  reverted.setPhase(RolloutPhase::reverted);
+  reverted.reason = "an operator took it back";
+  return state_machine::rolloutProgressEntry(reverted, "");
+}
 }  // namespace
 
 ApiResponse handleBeginRollout(const ApiCall& call) {
@@ -93,8 +102,7 @@
   }
   if (!services.awaitContact(kContactTimeout))
     return noContactResponse();
-  return responseTo(
-      services.write(state_machine::rolloutBeginEntry(ordered, services.nextOperationId()), deadline.left()));
+  return responseTo(writeOrder(call, deadline, [&] { return state_machine::rolloutBeginEntry(ordered, ""); }));
 }
 ApiResponse handleRetrieveRollout(const ApiCall& call) {
   const ResponseDeadline deadline;
@@ -115,10 +123,7 @@
   const auto* known = call.services.replica().rollout(*service);
   if (!known)
     return errorResponse(HttpStatus::not_found, "no rollout of this service");
-  Rollout reverted = *known;
-  reverted.setPhase(RolloutPhase::reverted);
-  reverted.reason = "an operator took it back";
-  auto entry = state_machine::rolloutProgressEntry(reverted, call.services.nextOperationId());
-  return responseTo(call.services.write(std::move(entry), deadline.left()));
+  const Rollout ordered = *known;
+  return responseTo(writeOrder(call, deadline, [&] { return revertEntry(call.services, ordered); }));
 }
 }  // namespace zinccleat::controller
--- a/libs/controller/src/runner_handlers.cpp
+++ b/libs/controller/src/runner_handlers.cpp
@@ -71,6 +71,10 @@
   if (!services.heartbeatsReachLeader())
     return errorResponse(HttpStatus::service_unavailable, "the leader does not answer");
   const auto reported = runnerOf(*heartbeat);
+  // A late heartbeat is no sign of life: by it a runner that ended could join again, in place of the one that has got
+  // its address. A drain is never late, because a runner that drains does not return to service.
+  if (!heartbeat->draining && call.callerHasLeft())
+    return errorResponse(callerLeftError());
   services.recordHeartbeat(reported.id);
   if (updatesReplica(reported, services)) {
     auto entry = state_machine::runnerEntry(reported, operationIdOf(reported));
--- a/libs/state_machine/src/log_entries.cpp
+++ b/libs/state_machine/src/log_entries.cpp
@@ -57,6 +57,12 @@
     const auto zoneDrain = avro::decode<ZoneDrain>(entry.body);
     return zoneDrain ? "drain/" + zoneDrain->zone : "";
   }
+  const bool isBegin = entry.op() == transport::OperationKind::rolloutBegin;
+  if (isBegin || entry.op() == transport::OperationKind::rolloutProgress) {
+    const auto rollout = avro::decode<Rollout>(entry.body);
+    const bool isOrder = rollout && (isBegin || rollout->phase() == RolloutPhase::reverted);
+    return isOrder ? "rollout/" + rollout->service : "";
+  }
   return "";
 }
 std::int64_t orderContentOf(const transport::LogEntry& entry) {
