--- a/tests/balancing_test.cpp
+++ b/tests/balancing_test.cpp
@@ -115,6 +115,21 @@
     }
   }
 }
+// Guards against tokens for a tenant whose configuration is gone: once the list is empty, or left out, nobody is owed
+// any.
+TEST(Quota, NobodyIsGrantedTokensWithoutSubscribers) {
+  QuotaAllocator allocator;
+  allocator.setBounds({0.1, 20, 5});
+  const TimePoint now{100s};
+  allocator.startTerm(now);
+  const std::vector<QuotaDemand> demand{{"t", 5}};
+  const auto withTenant = configurationWithTenant(32, 32);
+  EXPECT_EQ(allocator.allocate(now, "n", demand, {}, withTenant.get()).size(), 1U);
+  for (const std::string field : {"", R"(,"subscribers":[])", R"(,"subscribers":null)"}) {
+    const auto without = *parseConfiguration(R"({"configVersion":2,"routeTable":[],"serviceTable":[])" + field + "}");
+    EXPECT_TRUE(allocator.allocate(now + 1s, "n", demand, {}, without.get()).empty()) << field;
+  }
+}
 // Demand below the limit must not be rejected, whether a tenant's requests are spread over few nodes or many. A token
 // takes one round trip to the leader, and no token is lost by expiry.
 TEST(Quota, DemandBelowTheLimitIsAllowed) {
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -134,7 +134,7 @@
   observations.changes.push_back({2, {"t1"}, kStart + 8s, std::nullopt, false, {}});
   EXPECT_EQ(violatedRules(observations), "") << "the change that takes the key away may be effective";
 }
-TEST(SoakObservations, ARunnerIsToldTheTenantAndNotTheKey) {
+TEST(SoakObservations, ARunnerSeesTheTenantAndNotTheKey) {
   auto observations = observationsWithoutViolation();
   observations.changes[0].keys = {"k"};
   auto keyed = answered("keyed", kStart + 9s);
