Proxy: a request whose client has left reaches no runner

A proxy that stood still read requests whose clients had left and sent them to runners on open connections; the watch on the client noticed it only at the next turn of the event loop. Change: serveClient looks at the client after each request that it read, not only after it waited for memory; the linter's finding in order_writer. Measured: RequestRules.ARequestIsNotStartedOnceItsClientHasLeft failed before (3 requests at the runner in place of 2) and passes now.

--- a/libs/controller/src/order_writer.cpp
+++ b/libs/controller/src/order_writer.cpp
@@ -25,7 +25,7 @@
       log::info("order_abandoned", {{"subject", subject}});
       return tl::unexpected(callerLeftError());
     }
-    const auto written = services.writeOrder(std::move(entry), base, deadline.left());
+    auto written = services.writeOrder(std::move(entry), base, deadline.left());
     if (!written || orders.newest(subject).content == content)
       return written;
     log::info("order_overtaken", {{"subject", subject}, {"base", base}});
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -34,13 +34,10 @@
 }
 
 // Waits while the bodies of the requests in flight exceed `maxBodyBytes`. A request that is not read stays in the
-// socket buffers and uses no memory of this process. Returns whether it had to wait.
-bool waitForBodyCapacity(const ProxyContext& context) {
-  if (context.bodyBytes <= context.maxBodyBytes)
-    return false;
+// socket buffers and uses no memory of this process.
+void waitForBodyCapacity(const ProxyContext& context) {
   while (context.bodyBytes > context.maxBodyBytes)
     runtime::EventLoop::get().sleepFor(kBodyCapacityPollInterval);
-  return true;
 }
 
 // Answers a request that could not be read completely and ends the connection.
@@ -75,7 +72,7 @@
   Buffer buffer;
   for (;;) {
     const auto limits = limitsOf(context);
-    const bool waited = waitForBodyCapacity(context);
+    waitForBodyCapacity(context);
     if (!awaitNextRequest(context, client, buffer, limits.idle))
       return;
     RequestParser parser;
@@ -84,8 +81,9 @@
       return;
     if (read.outcome == ReadOutcome::rejected)
       return reject(client, read.status);
-    // The client may have disconnected while its request was not being read. Such a request must not reach a runner.
-    if (waited && client.peerHasClosed())
+    // The client may have disconnected while its request was not being read, because this process waited for capacity
+    // or stood still. Such a request must not reach a runner.
+    if (client.peerHasClosed())
       return;
     ++context.inFlight;
     const auto bytes = parser.get().body().size();
--- a/tests/request_rules_test.cpp
+++ b/tests/request_rules_test.cpp
@@ -109,6 +109,20 @@
         << "the precedence of the subscriber overrides that of the route";
   });
 }
+// Guards against requests that lay in the socket of a proxy that stood still: their clients have left, and sent them
+// again elsewhere.
+TEST(RequestRules, ARequestIsNotStartedOnceItsClientHasLeft) {
+  withProxy([](TestProxy& proxy) {
+    auto runner = proxy.runner("i-1", respondOk);
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "first")).status, 200) << "leaves an open connection";
+    auto client = proxy.connectClient();
+    sendBytes(*client, requestText("/safe/x", "abandoned"));
+    client->close();
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "next")).status, 200);
+    ASSERT_EQ(runner->receivedRequests.size(), 2U);
+    EXPECT_EQ(headerOf(runner->receivedRequests[1], "X-Attempt-Id"), "next");
+  });
+}
 TEST(RequestRules, ARunnerIsGivenNoMoreTimeThanIsLeft) {
   constexpr auto kFirstAttemptDuration = 60ms;
   const struct {
