--- a/libs/controller/src/counter_service.cpp
+++ b/libs/controller/src/counter_service.cpp
@@ -90,8 +90,6 @@
   replica_->setPeers(addresses, voters);
 }
 void CounterService::tick(TimePoint now) {
-  for (const auto& [address, refusedAt] : links_.refusals())
-    replica_->recordRefusal(refusedAt, address);
   replica_->tick(now);
   if (now - membershipFollowedAt_ >= kMembershipInterval) {
     membershipFollowedAt_ = now;
--- a/libs/controller/src/peer_links.cpp
+++ b/libs/controller/src/peer_links.cpp
@@ -30,13 +30,6 @@
 void PeerLinks::dial(const std::string& address) {
   (void)dialerTo(address);
 }
-std::map<std::string, TimePoint> PeerLinks::refusals() const {
-  std::map<std::string, TimePoint> refusals;
-  for (const auto& [address, dialer] : dialers_)
-    if (const auto refusedAt = dialer->refusedAt())
-      refusals[address] = *refusedAt;
-  return refusals;
-}
 transport::Dialer* PeerLinks::dialerTo(const std::string& address) {
   if (address == context_.settings.ip)
     return nullptr;
--- a/libs/controller/src/peer_links.hpp
+++ b/libs/controller/src/peer_links.hpp
@@ -14,8 +14,6 @@
       : context_(context), port_(port), onMessage_(std::move(onMessage)) {}
   /// Opens a connection to a controller and reopens it whenever it closes.
   void dial(const std::string& address);
-  /// The addresses that have refused a connection, and when they last did; see `transport::Dialer::refusedAt`.
-  std::map<std::string, TimePoint> refusals() const;
   /// Records that a member has sent a message on this connection. Messages to the member use the connection while it
   /// stays in use.
   void recordMessage(const consensus::MemberId& member, const transport::PeerLinkPtr& link) {
--- a/libs/replicated_counters/include/replicated_counters/counter_replica.hpp
+++ b/libs/replicated_counters/include/replicated_counters/counter_replica.hpp
@@ -7,12 +7,10 @@
 /// Guarantees:
 /// - An increment is acknowledged once it is on this replica's disk and on the disks of `Options::copies` peers. If
 ///   fewer peers than that are reachable (a message arrived from them within `kReachabilityTimeout`), the disks of all
-///   reachable peers suffice. A peer whose machine refuses connections is not cut off, its process has ended; it counts
-///   like a reachable one, so that the increment waits for its return rather than for the loss of a single disk. An
-///   increment is also acknowledged once it is on the disks of `Options::copies` + 1 peers, regardless of the local
-///   disk. In both cases at least one copy survives the loss of `Options::copies` machines. A replica without any
-///   reachable peer acknowledges on its own disk alone, but not within `kStartGrace` after its start, because its peers
-///   may not have reached it yet.
+///   reachable peers suffice. An increment is also acknowledged once it is on the disks of `Options::copies` + 1 peers,
+///   regardless of the local disk. In both cases at least one copy survives the loss of `Options::copies` machines. A
+///   replica without any reachable peer acknowledges on its own disk alone, but not within `kStartGrace` after its
+///   start, because its peers may not have reached it yet.
 /// - Peers are chosen by the recently measured response times of their disks, so one slow disk delays no caller.
 /// - A read includes every increment that this incarnation of the replica has acknowledged. After a start the replica
 ///   answers no reads until it has caught up with its peers (`mayRead`).
@@ -116,8 +114,6 @@
   Result<void> add(TimePoint now, std::int64_t callId, const Increment& increment);
   /// Drops a call whose caller has given up. The increment may still be counted.
   void cancel(std::int64_t callId);
-  /// A peer's machine has refused a connection at `at`.
-  void recordRefusal(TimePoint at, const std::string& from);
   void receive(TimePoint now, const std::string& from, const ProgressReport& report);
   void receive(TimePoint now, const std::string& from, const TransferRequest& request);
   void receive(TimePoint now, const std::string& from, const IncrementTransfer& transfer);
@@ -143,9 +139,8 @@
     bool isRemoved = false;  // was a voter and no longer is one
     std::string zone;
     std::optional<TimePoint> heardAt;
-    std::optional<TimePoint> refusedAt;  // when its machine last refused a connection
-    Sequences durable;                   // the progress that the peer last reported
-    Sequences initiallyReported;         // the peer's first report to this incarnation
+    Sequences durable;            // the progress that the peer last reported
+    Sequences initiallyReported;  // the peer's first report to this incarnation
     bool hasReported = false;
     std::optional<TimePoint> requestedAt;  // when the outstanding transfer request was sent
     DiskTime diskTime;
@@ -166,10 +161,6 @@
   bool isReachable(const Peer& peer, TimePoint now) const {
     return peer.heardAt && now - *peer.heardAt < kReachabilityTimeout;
   }
-  /// Whether a peer's process has ended on a machine that can be reached.
-  bool hasEnded(const Peer& peer, TimePoint now) const {
-    return !peer.isRemoved && peer.refusedAt && now - *peer.refusedAt < kReachabilityTimeout;
-  }
   Peer& recordContact(TimePoint now, const std::string& from);
   int requiredCopies(TimePoint now) const;
   int remoteCopiesOf(const CounterState::Position& position) const;
--- a/libs/replicated_counters/src/counter_replica.cpp
+++ b/libs/replicated_counters/src/counter_replica.cpp
@@ -91,10 +91,6 @@
   peer.heardAt = now;
   return peer;
 }
-void CounterReplica::recordRefusal(TimePoint at, const std::string& from) {
-  if (const auto peer = peers_.find(from); peer != peers_.end())
-    peer->second.refusedAt = at;
-}
 std::vector<Action> CounterReplica::takeActions() {
   return std::exchange(actions_, {});
 }
@@ -124,10 +120,9 @@
 int CounterReplica::requiredCopies(TimePoint now) const {
   if (now - startedAt_ < kStartGrace)
     return options_.copies;
-  const auto notCutOff = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    return isReachable(entry.second, now) || hasEnded(entry.second, now);
-  });
-  return std::min(options_.copies, static_cast<int>(notCutOff));
+  const auto reachable =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) { return isReachable(entry.second, now); });
+  return std::min(options_.copies, static_cast<int>(reachable));
 }
 int CounterReplica::remoteCopiesOf(const CounterState::Position& position) const {
   return static_cast<int>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
--- a/libs/transport/include/transport/dialer.hpp
+++ b/libs/transport/include/transport/dialer.hpp
@@ -20,8 +20,6 @@
   bool send(const Envelope& envelope);
   /// Whether a connection is established.
   bool up() const;
-  /// When a connection attempt was last refused: the machine was up then, and no process listened. None: never.
-  std::optional<TimePoint> refusedAt() const;
   /// The link of the current connection, or null.
   PeerLinkPtr link() const;
   /// Closes the connection and stops reconnecting.
--- a/libs/transport/src/dialer.cpp
+++ b/libs/transport/src/dialer.cpp
@@ -21,7 +21,6 @@
   PeerLinkPtr link;
   bool released = false;
   int failures = 0;  // since the last established connection
-  std::optional<TimePoint> refusedAt;
 
   void start() {
     runtime::EventLoop::get().spawn([self = shared_from_this()] { self->keepConnected(); });
@@ -44,8 +43,6 @@
     runtime::SocketError ec;
     connection.connect(endpoint, ec);
     connection.clearDeadline();
-    if (ec == asio::error::connection_refused)
-      refusedAt = Clock::now();
     if (ec) {
       if (failures++ % kFailuresPerLogLine == 0)
         log::debug("peer_unreachable", {{"peer", endpoint.address().to_string()},
@@ -91,9 +88,6 @@
 bool Dialer::up() const {
   return impl_->link && impl_->link->open();
 }
-std::optional<TimePoint> Dialer::refusedAt() const {
-  return impl_->refusedAt;
-}
 PeerLinkPtr Dialer::link() const {
   return impl_->link;
 }
