Counters: fewer copies only with evidence of a partition

Cause: requiredCopies took the absence of contact for a partition. A killed peer, one that stands still, a pause of the process itself and its start look the same. Change: a copy is not asked for only if eight connection attempts in a row got no answer from the peer's machine while this process ran (PartitionDetector). An answer, a message or a pause voids that. What is known of each peer is logged when copies begin to be missing.

--- a/libs/controller/src/counter_service.cpp
+++ b/libs/controller/src/counter_service.cpp
@@ -10,6 +10,7 @@
 using replicated_counters::CounterReplica;
 using replicated_counters::IncrementBatch;
 using replicated_counters::IncrementTransfer;
+using replicated_counters::PartitionDetector;
 using replicated_counters::ProgressReport;
 using replicated_counters::TransferRequest;
 
@@ -38,6 +39,16 @@
 replicated_counters::OriginId originOf(const std::string& address, std::uint64_t incarnation) {
   return static_cast<replicated_counters::OriginId>(hash64(address, incarnation));
 }
+/// Describes what is known of a peer: how long it has been silent, the connection attempts in a row that were not
+/// answered, and the last one that was.
+std::string describeEvidence(const replicated_counters::PeerStatus& peer, TimePoint now) {
+  auto text = peer.address + " silent " + std::to_string(peer.silentForMs) + " ms, unanswered " +
+              std::to_string(peer.unansweredAttempts);
+  if (peer.lastAnswer)
+    text += std::string(", ") + transport::nameOf(peer.lastAnswer->outcome) + " " +
+            std::to_string(toDuration(now - peer.lastAnswer->endedAt).count()) + " ms ago";
+  return text + (peer.cutOff ? ", cut off" : "");
+}
 }  // namespace
 
 CounterService::CounterService(ControllerContext& context)
@@ -115,6 +126,18 @@
   unreachablePeers_ = std::move(unreachable);
 }
 
+void CounterService::logMissingCopies(bool hasAllCopies) {
+  if (std::exchange(acknowledgesWithAllCopies_, hasAllCopies) == hasAllCopies)
+    return;
+  if (hasAllCopies)
+    return log::info("counter_copies_complete", {});
+  const auto now = Clock::now();
+  std::string evidence;
+  for (const auto& peer : replica_->peers(now))
+    evidence += (evidence.empty() ? "" : "; ") + describeEvidence(peer, now);
+  log::info("counter_copies_missing", {{"sinceTickMs", replica_->sinceTick(now).count()}, {"peers", evidence}});
+}
+
 // --- messages ---
 
 void CounterService::onMessage(const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
@@ -142,6 +165,14 @@
   (void)links_.sendEnvelope(to, transport::pack(message, context_.raft->self()));
 }
 
+void CounterService::executeAction(const replicated_counters::AttemptConnection& action) {
+  const auto onEnded = [this, address = action.to](const transport::ConnectionAttempt& attempt) {
+    replica_->receive(Clock::now(), address, attempt);
+    run();
+  };
+  links_.attemptConnection(action.to, PartitionDetector::kAttemptTimeout, onEnded);
+}
+
 // --- disk ---
 
 void CounterService::executeAction(replicated_counters::PersistBatch& action) {
@@ -180,6 +211,7 @@
 // --- calls ---
 
 void CounterService::executeAction(const replicated_counters::Acknowledge& action) {
+  logMissingCopies(action.hasAllCopies);
   const auto call = calls_.find(action.callId);
   if (call == calls_.end())
     return;
@@ -215,6 +247,7 @@
                         .text("address", peer.address)
                         .text("zone", peer.zone)
                         .flag("reachable", peer.reachable)
+                        .flag("cutOff", peer.cutOff)
                         .number("silentForMs", peer.silentForMs)
                         .number("theyLack", peer.theyLack)
                         .number("weLack", peer.weLack)
--- a/libs/controller/src/counter_service.hpp
+++ b/libs/controller/src/counter_service.hpp
@@ -48,10 +48,13 @@
   void executeAction(const replicated_counters::SendTransfer& action) { send(action.to, action.message); }
   void executeAction(replicated_counters::PersistBatch& action);
   void executeAction(const replicated_counters::Acknowledge& action);
+  void executeAction(const replicated_counters::AttemptConnection& action);
   void appendRecord(const consensus::DiskRecord& record,
                     const std::shared_ptr<replicated_counters::IncrementBatch>& batch);
   /// Logs which peers became unreachable or reachable again.
   void logReachabilityChanges(TimePoint now);
+  /// Logs when increments begin to be acknowledged with fewer copies, with the evidence, and when this ends.
+  void logMissingCopies(bool hasAllCopies);
   void run();
 
   ControllerContext& context_;
@@ -67,5 +70,6 @@
   TimePoint membershipFollowedAt_{};
   bool caughtUp_ = false;
   std::set<std::string> unreachablePeers_;
+  bool acknowledgesWithAllCopies_ = true;
 };
 }  // namespace zinccleat::controller
--- a/libs/controller/src/peer_links.cpp
+++ b/libs/controller/src/peer_links.cpp
@@ -18,7 +18,7 @@
 }  // namespace
 
 Result<void> PeerLinks::listen() const {
-  const auto endpoint = runtime::parseEndpoint(context_.settings.ip + ":" + std::to_string(port_));
+  const auto endpoint = endpointAt(context_.settings.ip);
   if (!endpoint)
     return tl::unexpected(endpoint.error());
   return transport::listen(*endpoint, [this](tcp::socket socket) {
@@ -30,13 +30,18 @@
 void PeerLinks::dial(const std::string& address) {
   (void)dialerTo(address);
 }
+void PeerLinks::attemptConnection(const std::string& address, Duration timeout,
+                                  std::function<void(const transport::ConnectionAttempt&)> onEnded) const {
+  if (const auto endpoint = endpointAt(address))
+    transport::attemptConnection(*endpoint, timeout, std::move(onEnded));
+}
 transport::Dialer* PeerLinks::dialerTo(const std::string& address) {
   if (address == context_.settings.ip)
     return nullptr;
   auto& dialer = dialers_[address];
   if (dialer)
     return dialer.get();
-  const auto endpoint = runtime::parseEndpoint(address + ":" + std::to_string(port_));
+  const auto endpoint = endpointAt(address);
   if (!endpoint) {
     dialers_.erase(address);
     return nullptr;
--- a/libs/controller/src/peer_links.hpp
+++ b/libs/controller/src/peer_links.hpp
@@ -3,6 +3,7 @@
 /// answer sends again. Connections are opened, kept and used only here, on the event-loop thread.
 #pragma once
 #include "controller_context.hpp"
+#include "transport/connection_attempt.hpp"
 #include "transport/dialer.hpp"
 namespace zinccleat::controller {
 /// Sends messages to the other controllers; see the file comment.
@@ -14,6 +15,10 @@
       : context_(context), port_(port), onMessage_(std::move(onMessage)) {}
   /// Opens a connection to a controller and reopens it whenever it closes.
   void dial(const std::string& address);
+  /// Attempts to connect to a controller, apart from the connections for messages. Does nothing for an address that
+  /// cannot be dialled.
+  void attemptConnection(const std::string& address, Duration timeout,
+                         std::function<void(const transport::ConnectionAttempt&)> onEnded) const;
   /// Records that a member has sent a message on this connection. Messages to the member use the connection while it
   /// stays in use.
   void recordMessage(const consensus::MemberId& member, const transport::PeerLinkPtr& link) {
@@ -35,6 +40,9 @@
   bool sendEnvelope(const consensus::MemberId& to, const transport::Envelope& envelope);
 
  private:
+  Result<tcp::endpoint> endpointAt(const std::string& address) const {
+    return runtime::parseEndpoint(address + ":" + std::to_string(port_));
+  }
   transport::Envelope envelopeOf(const consensus::ConsensusMessage& message) const;
   /// Returns the connection on which a message of the member arrived within the last second; null: none.
   transport::PeerLinkPtr recentLinkOf(const consensus::MemberId& member) const;
--- a/libs/replicated_counters/include/replicated_counters/counter_replica.hpp
+++ b/libs/replicated_counters/include/replicated_counters/counter_replica.hpp
@@ -5,12 +5,13 @@
 /// missing increments. Pure state machine: it takes events, returns actions and is passed the clock. Not thread-safe.
 ///
 /// Guarantees:
-/// - An increment is acknowledged once it is on this replica's disk and on the disks of `Options::copies` peers. If
-///   fewer peers than that are reachable (a message arrived from them within `kReachabilityTimeout`), the disks of all
-///   reachable peers suffice. An increment is also acknowledged once it is on the disks of `Options::copies` + 1 peers,
-///   regardless of the local disk. In both cases at least one copy survives the loss of `Options::copies` machines. A
-///   replica without any reachable peer acknowledges on its own disk alone, but not within `kStartGrace` after its
-///   start, because its peers may not have reached it yet.
+/// - An increment is acknowledged once it is on this replica's disk and on the disks of `Options::copies` peers, or on
+///   the disks of `Options::copies` + 1 peers, regardless of the local disk. In both cases at least one copy survives
+///   the loss of `Options::copies` machines.
+/// - If a network partition separates so many peers from this replica that fewer than `Options::copies` remain, the
+///   disks of the remaining ones suffice; a replica without any acknowledges on its own disk alone. Each missing copy
+///   takes evidence of a partition (`PartitionDetector`): a peer that is only silent may have ended or stand still, and
+///   increments wait for its return. Within `kStartGrace` after the start, all copies are required.
 /// - Peers are chosen by the recently measured response times of their disks, so one slow disk delays no caller.
 /// - A read includes every increment that this incarnation of the replica has acknowledged. After a start the replica
 ///   answers no reads until it has caught up with its peers (`mayRead`).
@@ -27,6 +28,7 @@
 #include "replicated_counters/counter_state.hpp"
 #include "replicated_counters/disk_time.hpp"
 #include "replicated_counters/messages.hpp"
+#include "replicated_counters/partition_detector.hpp"
 namespace zinccleat::replicated_counters {
 /// Sends a progress report to a peer.
 struct SendReport {
@@ -52,8 +54,13 @@
 /// Acknowledges an increment to its caller.
 struct Acknowledge {
   std::int64_t callId = 0;
+  bool hasAllCopies = true;  ///< false: a partition allows fewer than `CounterReplica::Options::copies`
 };
-using Action = std::variant<SendReport, SendRequest, SendTransfer, PersistBatch, Acknowledge>;
+/// Attempts to connect to a silent peer. The owner passes the `ConnectionAttempt` to `CounterReplica::receive`.
+struct AttemptConnection {
+  std::string to;  ///< address of the peer
+};
+using Action = std::variant<SendReport, SendRequest, SendTransfer, PersistBatch, Acknowledge, AttemptConnection>;
 
 /// The status of one peer, as shown to operators.
 struct PeerStatus {
@@ -63,6 +70,10 @@
   std::int64_t theyLack = 0;      ///< increments stored here that the peer has not reported as durable
   std::int64_t weLack = 0;        ///< increments that the peer has reported as durable and that are not stored here
   std::int64_t silentForMs = -1;  ///< time since the last message from the peer; -1: no message yet
+  bool cutOff = false;            ///< there is evidence of a partition between this machine and the peer
+  int unansweredAttempts = 0;     ///< connection attempts in a row that were not answered
+  /// The last connection attempt that was answered while the peer was silent, if any.
+  std::optional<transport::ConnectionAttempt> lastAnswer;
 };
 
 /// A replica of the counters. The guarantees are listed at the top of this file.
@@ -79,6 +90,8 @@
   static constexpr Duration kReportInterval{250};
   /// A peer counts as reachable for this long after its last message.
   static constexpr Duration kReachabilityTimeout{700};
+  /// After this time without a message from a peer, connection attempts show why it is silent.
+  static constexpr Duration kAttemptAfterSilence{400};
   /// For this long after the start, an increment is acknowledged only with the full number of `Options::copies`.
   static constexpr Duration kStartGrace{1500};
   /// A replica that started with records on its disk waits at most this long for reports from a majority before it
@@ -99,7 +112,7 @@
   /// blocking the folding of ids once it has been silent for this long.
   static constexpr Duration kRemovedPeerTimeout = kIdRetention;
 
-  CounterReplica(Options options, TimePoint now) : options_(std::move(options)), startedAt_(now) {}
+  CounterReplica(Options options, TimePoint now) : options_(std::move(options)), startedAt_(now), tickedAt_(now) {}
 
   /// Restores one record from the disk. Called once for each record, in order, before any other event.
   void recover(const IncrementBatch& record);
@@ -117,9 +130,12 @@
   void receive(TimePoint now, const std::string& from, const ProgressReport& report);
   void receive(TimePoint now, const std::string& from, const TransferRequest& request);
   void receive(TimePoint now, const std::string& from, const IncrementTransfer& transfer);
+  /// An attempt to connect to a peer has ended.
+  void receive(TimePoint now, const std::string& from, const transport::ConnectionAttempt& attempt);
   /// The write of the last `PersistBatch` has finished and the batch is durable.
   void persisted(TimePoint now);
-  /// Handles timeouts; to be called several times a second.
+  /// Handles timeouts. To be called several times within `PartitionDetector::kMaxPause`; a longer interval counts as a
+  /// pause of the process.
   void tick(TimePoint now);
   /// Removes and returns the pending actions.
   std::vector<Action> takeActions();
@@ -129,6 +145,8 @@
   const CounterState& state() const { return state_; }
   /// Number of calls that wait for copies on other disks.
   std::size_t pendingCalls() const { return pending_.size(); }
+  /// Time since the last `tick`.
+  Duration sinceTick(TimePoint now) const { return toDuration(now - tickedAt_); }
   std::vector<PeerStatus> peers(TimePoint now) const;
 
  private:
@@ -139,6 +157,7 @@
     bool isRemoved = false;  // was a voter and no longer is one
     std::string zone;
     std::optional<TimePoint> heardAt;
+    PartitionDetector partition;
     Sequences durable;            // the progress that the peer last reported
     Sequences initiallyReported;  // the peer's first report to this incarnation
     bool hasReported = false;
@@ -161,8 +180,18 @@
   bool isReachable(const Peer& peer, TimePoint now) const {
     return peer.heardAt && now - *peer.heardAt < kReachabilityTimeout;
   }
+  /// Whether there is evidence of a partition between this machine and a silent peer.
+  bool isCutOff(const Peer& peer, TimePoint now) const {
+    return !isReachable(peer, now) && !isPaused(now) && peer.partition.isCutOff(now);
+  }
+  /// Whether this process was paused just now, so that it has not looked at what happened meanwhile.
+  bool isPaused(TimePoint now) const { return now - tickedAt_ > PartitionDetector::kMaxPause; }
   Peer& recordContact(TimePoint now, const std::string& from);
+  void detectPause(TimePoint now);
+  void attemptConnections(TimePoint now);
+  /// The number of peers whose disks must store an increment.
   int requiredCopies(TimePoint now) const;
+  int assumedPeers() const;
   int remoteCopiesOf(const CounterState::Position& position) const;
   /// Whether an increment is on enough disks to be acknowledged.
   bool hasEnoughCopies(const CounterState::Position& position, int requiredCopies) const;
@@ -199,6 +228,7 @@
 
   Options options_;
   TimePoint startedAt_;
+  TimePoint tickedAt_;
   CounterState state_;
   bool hadRecords_ = false;
   bool caughtUp_ = false;
--- a/libs/replicated_counters/src/counter_replica.cpp
+++ b/libs/replicated_counters/src/counter_replica.cpp
@@ -89,6 +89,7 @@
 CounterReplica::Peer& CounterReplica::recordContact(TimePoint now, const std::string& from) {
   auto& peer = peers_[from];
   peer.heardAt = now;
+  peer.partition.discard(now);
   return peer;
 }
 std::vector<Action> CounterReplica::takeActions() {
@@ -120,9 +121,14 @@
 int CounterReplica::requiredCopies(TimePoint now) const {
   if (now - startedAt_ < kStartGrace)
     return options_.copies;
-  const auto reachable =
-      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) { return isReachable(entry.second, now); });
-  return std::min(options_.copies, static_cast<int>(reachable));
+  const auto cutOff = static_cast<int>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) { return isCutOff(entry.second, now); }));
+  return std::clamp(assumedPeers() - cutOff, 0, options_.copies);
+}
+// Some peers may still be unknown. A fleet has at least as many members as are needed to tolerate the loss of `copies`
+// machines.
+int CounterReplica::assumedPeers() const {
+  return std::max(static_cast<int>(peers_.size()), 2 * options_.copies);
 }
 int CounterReplica::remoteCopiesOf(const CounterState::Position& position) const {
   return static_cast<int>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
@@ -144,7 +150,7 @@
   std::erase_if(pending_, [&](const PendingCall& call) {
     const bool safe = hasEnoughCopies(call.position, required);
     if (safe)
-      actions_.emplace_back(Acknowledge{call.callId});
+      actions_.emplace_back(Acknowledge{call.callId, hasEnoughCopies(call.position, options_.copies)});
     return safe;
   });
 }
@@ -286,6 +292,13 @@
     requestMissing(now, from);
   updateCaughtUp(now);
 }
+void CounterReplica::receive(TimePoint now, const std::string& from, const transport::ConnectionAttempt& attempt) {
+  const auto peer = peers_.find(from);
+  if (peer == peers_.end())
+    return;
+  peer->second.partition.recordAttempt(attempt);
+  acknowledgeReplicatedCalls(now);
+}
 void CounterReplica::mergeReceived(const IncrementBatch& batch) {
   auto newIncrements = state_.merge(batch);
   if (!newIncrements.empty())
@@ -341,7 +354,31 @@
 
 // --- timeouts ---
 
+void CounterReplica::detectPause(TimePoint now) {
+  if (isPaused(now))
+    for (auto& [address, peer] : peers_)
+      peer.partition.discard(now);
+  tickedAt_ = now;
+}
+// While enough peers for all copies are heard, it does not matter why others are silent.
+void CounterReplica::attemptConnections(TimePoint now) {
+  const auto isSilent = [&](const Peer& peer) {
+    return now - peer.heardAt.value_or(startedAt_) >= kAttemptAfterSilence;
+  };
+  const auto silent =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) { return isSilent(entry.second); });
+  if (static_cast<int>(peers_.size()) - silent >= options_.copies)
+    return;
+  for (auto& [address, peer] : peers_) {
+    if (!isSilent(peer) || !peer.partition.isAttemptDue(now))
+      continue;
+    peer.partition.beginAttempt(now);
+    actions_.emplace_back(AttemptConnection{address});
+  }
+}
 void CounterReplica::tick(TimePoint now) {
+  detectPause(now);
+  attemptConnections(now);
   for (auto& call : pending_) {
     if (!call.pushedToAllPeers && now - call.since >= kPushToAllPeersAfter)
       pushToAllPeers(call, now);
@@ -382,9 +419,7 @@
       if (isReachable(peer, now) && state_.sequenceOf(origin) < std::min(sequence, sequenceIn(peer.durable, origin)))
         return;
   }
-  // Some peers may still be unknown. At least as many members are assumed as are needed to tolerate the loss of
-  // `copies` machines.
-  const auto members = std::max(peers_.size() + 1, static_cast<std::size_t>(2 * options_.copies + 1));
+  const auto members = static_cast<std::size_t>(assumedPeers()) + 1;
   const bool hasMajority = reported + 1 > members / 2;
   const bool gracePeriodIsOver =
       hadRecords_ ? now - startedAt_ >= kCatchUpGrace : now - startedAt_ >= kEmptyCatchUpGrace && reported > 0;
@@ -454,6 +489,9 @@
         -1};
     if (peer.heardAt)
       status.silentForMs = toDuration(now - *peer.heardAt).count();
+    status.cutOff = isCutOff(peer, now);
+    status.unansweredAttempts = peer.partition.unansweredAttempts();
+    status.lastAnswer = peer.partition.lastAnswer();
     statuses.push_back(std::move(status));
   }
   return statuses;
