Soak: the only controller that answers loses its disk

In some turns it cuts that controller off instead, and asks that increments are acknowledged on both sides. LocalFleet::loseDisk empties a disk as on a real machine. The supervisor has files of its own.

--- a/libs/simulation/src/fleet.cpp
+++ b/libs/simulation/src/fleet.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "child_process.hpp"
 
@@ -141,6 +142,18 @@
   const auto path = folder_ + "/" + processes_[process].settings + ".json";
   std::filesystem::last_write_time(path, std::filesystem::file_time_type::clock::now());
 }
+void LocalFleet::loseDisk(std::size_t controller) const {
+  const auto path = folder_ + "/" + processes_[controller].name;
+  std::filesystem::remove_all(path);
+  std::filesystem::create_directories(path);
+  std::ostringstream settings;
+  settings << std::ifstream(path + ".json").rdbuf();
+  auto text = std::move(settings).str();
+  const std::string firstStart = "\"initialAttach\":true";
+  if (const auto found = text.find(firstStart); found != std::string::npos)
+    text.replace(found, firstStart.size(), "\"initialAttach\":false");
+  std::ofstream(path + ".json") << text;
+}
 bool LocalFleet::kill(std::size_t process) {
   auto& pid = processes_[process].pid;
   if (pid <= 0)
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -55,6 +55,9 @@
   /// Starts a process again that is not running.
   /// @return false if the process is running or cannot be started.
   bool restartProcess(std::size_t process);
+  /// Empties the disk of a controller that is not running. As on a real machine that comes back so, `initialAttach` is
+  /// false from then on.
+  void loseDisk(std::size_t controller) const;
   /// Address and port of a controller's control API. @param controller index in `core`, taken modulo its size.
   std::string control(std::size_t controller) const;
   /// Address and port where the proxy of an access machine serves clients.
--- a/tests/soak/counters.cpp
+++ b/tests/soak/counters.cpp
@@ -6,7 +6,7 @@
 
 namespace zinccleat::soak {
 namespace {
-constexpr Duration kResponseTimeout{1000};
+constexpr Duration kReadTimeout{1000};
 constexpr Duration kRetryInterval{30};
 constexpr Duration kReadBackTimeout{5000};
 constexpr int kCounters = 3;
@@ -18,8 +18,7 @@
   return "counter" + std::to_string(number);
 }
 std::optional<std::int64_t> readTotal(const std::string& address, const std::string& counter) {
-  const auto response =
-      operations::callOne(address, {"GET", "/v1/Tallies.Retrieve/" + counter, "", {}}, kResponseTimeout);
+  const auto response = operations::callOne(address, {"GET", "/v1/Tallies.Retrieve/" + counter, "", {}}, kReadTimeout);
   if (!response || response->status != kOk)
     return std::nullopt;
   config::JsonDocument document(response->body);
@@ -30,18 +29,33 @@
     reader.integer(root, "total", total, config::Presence::required);
   return total;
 }
-void sendIncrement(SoakRun& run, const std::string& instanceId) {
+struct Increment {
+  std::string counter;
+  std::int64_t amount = 0;
+  std::string instanceId;
+};
+/// Draws an increment, which counts as sent from now on.
+Increment drawIncrement(SoakRun& run, const std::string& instanceId) {
   const auto counter = counterName(run.draw(kCounters));
   const auto amount = static_cast<std::int64_t>(1 + run.draw(kMaxAmount));
-  const auto body = "{\"instanceId\":\"" + instanceId + "\",\"actor\":" + std::to_string(amount) + "}";
   run.sentIncrements[counter] += amount;
+  return {counter, amount, instanceId};
+}
+/// Sends an increment to one controller. @return whether the controller acknowledged it.
+bool send(const std::string& address, const Increment& increment) {
+  const auto body =
+      "{\"instanceId\":\"" + increment.instanceId + "\",\"actor\":" + std::to_string(increment.amount) + "}";
+  const auto response =
+      operations::callOne(address, {"POST", "/v1/Tallies.Modify/" + increment.counter, body, {}}, kIncrementTimeout);
+  return response && response->status == kOk;
+}
+void sendIncrement(SoakRun& run, const std::string& instanceId) {
+  const auto increment = drawIncrement(run, instanceId);
   bool acknowledged = false;
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    const auto response = operations::callOne(run.randomControllerAddress(),
-                                              {"POST", "/v1/Tallies.Modify/" + counter, body, {}}, kResponseTimeout);
-    if (response && response->status == kOk) {
+    if (send(run.randomControllerAddress(), increment)) {
       if (!std::exchange(acknowledged, true))
-        run.acknowledgedIncrements[counter] += amount;
+        run.acknowledgedIncrements[increment.counter] += increment.amount;
       // Sometimes sends an acknowledged increment again, like a caller that did not receive the response.
       if (run.draw(4) != 0)
         return;
@@ -72,6 +86,13 @@
 }
 }  // namespace
 
+bool sendIncrementOnce(SoakRun& run, const std::string& address, const std::string& instanceId) {
+  const auto increment = drawIncrement(run, instanceId);
+  const bool acknowledged = send(address, increment);
+  if (acknowledged)
+    run.acknowledgedIncrements[increment.counter] += increment.amount;
+  return acknowledged;
+}
 void startCounterApplications(SoakRun& run) {
   for (int number = 0; number < run.plan.applications / 2; ++number)
     run.spawn([&run, number] { sendIncrementsUntilLoadEnds(run, number); });
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -1,130 +1,22 @@
 // Operations on the fleet, in overlapping series: signals, restarts, configuration changes, replacement of runners, and
-// kills. Also the supervisor that restarts processes.
+// kills.
 #include <csignal>
-#include <fstream>
 
 #include "soak_run.hpp"
+#include "supervisor.hpp"
 
 namespace zinccleat::soak {
 namespace {
-constexpr Duration kSupervisionInterval{20};
-constexpr Duration kMinRestartDelay{50};
-constexpr Duration kMaxRestartDelay{600};
 constexpr Duration kMaxSeriesPause{1500};
 constexpr int kMaxSeriesLength = 5;
 constexpr Duration kMinFreeze{300};
 constexpr Duration kMaxFreeze{3500};
 constexpr Duration kFreezeRecordInterval{100};
 
-/// The signals that a process blocks and handles, as /proc/PID/status shows them.
-struct SignalMasks {
-  std::uint64_t blocked = 0, caught = 0;
-  bool handles(int signal) const { return ((blocked | caught) >> (signal - 1) & 1U) != 0; }
-  std::string text() const { return "blocked " + std::to_string(blocked) + ", caught " + std::to_string(caught); }
-};
-SignalMasks signalMasksOf(pid_t pid) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  SignalMasks masks;
-  for (std::string line; std::getline(status, line);) {
-    const auto value = [&line] { return std::stoull(line.substr(line.find('\t') + 1), nullptr, 16); };
-    if (line.starts_with("SigBlk:"))
-      masks.blocked = value();
-    if (line.starts_with("SigCgt:"))
-      masks.caught = value();
-  }
-  return masks;
-}
-
-/// Supervises the processes as the platform does: sends SIGKILL to a process that does not exit within the grace
-/// period, and restarts each process after its exit.
-class Supervisor {
- public:
-  explicit Supervisor(SoakRun& run) : run_(run), states_(run.fleet.processes().size()) {}
-  void start() {
-    runtime::EventLoop::get().callEvery(kSupervisionInterval, [this] { check(); });
-  }
-  /// Returns the access machine of a process, or `Disturbance::kCore`.
-  int machineOf(std::size_t process) const {
-    const auto core = run_.fleet.core().size();
-    return process < core ? Disturbance::kCore : static_cast<int>((process - core) / 2);
-  }
-  void recordDisturbance(std::size_t process, bool planned) {
-    run_.observations.disturbances.push_back({machineOf(process), Clock::now(), planned});
-  }
-  /// Whether a process already blocks or handles SIGTERM. Before that, while the dynamic linker is active (10 ms, up to
-  /// 180 ms on a busy machine), SIGTERM terminates the process regardless of the program's code.
-  bool handlesTermination(std::size_t process) const { return masksOf(process).handles(SIGTERM); }
-  void terminate(std::size_t process) {
-    const auto masks = masksOf(process);
-    if (!masks.handles(SIGTERM) || states_[process].frozen)
-      return;
-    recordDisturbance(process, true);
-    states_[process].masks = masks.text();
-    if (run_.fleet.signal(process, SIGTERM) && !states_[process].terminatedAt)
-      states_[process].terminatedAt = Clock::now();
-  }
-  void kill(std::size_t process) {
-    recordDisturbance(process, false);
-    states_[process].killed = true;
-    (void)run_.fleet.signal(process, SIGKILL);
-  }
-  bool isRunning(std::size_t process) const {
-    return run_.fleet.processes()[process].pid > 0 && !states_[process].terminatedAt && !states_[process].frozen;
-  }
-  /// Stops a process, which must be running, without ending it.
-  void freeze(std::size_t process) {
-    recordDisturbance(process, false);
-    states_[process].frozen = run_.fleet.signal(process, SIGSTOP);
-  }
-  void thaw(std::size_t process) {
-    recordDisturbance(process, false);
-    states_[process].frozen = false;
-    (void)run_.fleet.signal(process, SIGCONT);
-  }
-
- private:
-  struct State {
-    std::optional<TimePoint> terminatedAt;
-    bool killed = false;
-    bool frozen = false;
-    TimePoint restartAt = TimePoint::max();
-    TimePoint startedAt{};
-    std::string masks;
-  };
-  SignalMasks masksOf(std::size_t process) const { return signalMasksOf(run_.fleet.processes()[process].pid); }
-  void check() {
-    const auto now = Clock::now();
-    for (std::size_t process = 0; process < states_.size(); ++process) {
-      auto& state = states_[process];
-      if (const auto status = run_.fleet.pollExitStatus(process)) {
-        run_.observations.exits.push_back({run_.fleet.processes()[process].name, *status, state.terminatedAt,
-                                           state.killed, state.startedAt, now, state.masks});
-        recordDisturbance(process, state.terminatedAt.has_value());
-        state = {};
-        state.restartAt = now + run_.drawDuration(kMinRestartDelay, kMaxRestartDelay);
-      }
-      if (now >= state.restartAt) {
-        state.restartAt = TimePoint::max();
-        recordDisturbance(process, true);
-        state.startedAt = now;
-        (void)run_.fleet.restartProcess(process);
-      }
-      // The platform sends SIGKILL when the grace period is over. A process that is killed here counts as a violation,
-      // because of its exit status.
-      if (state.terminatedAt && now - *state.terminatedAt > run_.observations.bounds.grace)
-        (void)run_.fleet.signal(process, SIGKILL);
-    }
-  }
-  SoakRun& run_;
-  std::vector<State> states_;
-};
-
 class FleetOperations {
  public:
-  explicit FleetOperations(SoakRun& run) : run_(run), supervisor_(run) {}
+  FleetOperations(SoakRun& run, Supervisor& supervisor) : run_(run), supervisor_(supervisor) {}
   void start() {
-    supervisor_.start();
-    run_.killProcess = [this](std::size_t process) { supervisor_.kill(process); };
     // Each kind of operation has its own series, so that operations overlap.
     repeat([this] { restartAccessMachines(); });
     repeat([this] { restartAccessMachines(); });
@@ -212,8 +104,11 @@
       requestDeparture(run_, leaving[run_.draw(leaving.size())]);
     }
   }
-  /// At most one controller is down or stands still at a time, so restarts and freezes of controllers take turns.
+  /// At most one controller is down or stands still at a time, so restarts and freezes of controllers take turns. While
+  /// a disk is being lost, controllers are disturbed only by that series.
   void disturbController() {
+    if (run_.diskIsBeingLost)
+      return;
     if (run_.plan.freezes && run_.draw(4) != 0)
       freeze({run_.draw(run_.fleet.core().size())});
     else
@@ -242,20 +137,21 @@
   }
   void killProcesses() {
     const auto process = run_.draw(run_.fleet.processes().size());
-    if (supervisor_.isRunning(process))
+    const bool isReserved = run_.diskIsBeingLost && process < run_.fleet.core().size();
+    if (supervisor_.isRunning(process) && !isReserved)
       supervisor_.kill(process);
     sleepFor(run_.drawDuration(500ms, 3000ms));
   }
 
   SoakRun& run_;
-  Supervisor supervisor_;
+  Supervisor& supervisor_;
   int startedRunners_ = 100;
 };
 }  // namespace
 
 void startDisturbances(SoakRun& run) {
   static std::unique_ptr<FleetOperations> fleetOperations;
-  fleetOperations = std::make_unique<FleetOperations>(run);
+  fleetOperations = std::make_unique<FleetOperations>(run, *run.supervisor);
   fleetOperations->start();
 }
 }  // namespace zinccleat::soak
--- a/tests/soak/link_and_disk_faults.cpp
+++ b/tests/soak/link_and_disk_faults.cpp
@@ -3,6 +3,7 @@
 #include <numeric>
 
 #include "soak_run.hpp"
+#include "supervisor.hpp"
 
 namespace zinccleat::soak {
 namespace {
@@ -156,7 +157,7 @@
     sleepFor(std::chrono::seconds(run_.plan.seconds) * 2 / 3);
     recordDisturbance(Disturbance::kCore);
     for (const auto each : controllers())
-      run_.killProcess(each);
+      run_.supervisor->kill(each);
     for (const auto each : controllers())
       for (const auto& file :
            std::filesystem::directory_iterator(run_.fleet.folder() + "/core-" + std::to_string(each + 1)))
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 // zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N]
-//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--plant=slow-clock|lost-disks] [--keep]
+//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--plant=slow-clock|lost-disks]
+//     [--keep]
 //
 // Performs one soak run, and prints a summary and the violated rules. With --keep, the folder with the logs of the
 // processes is kept after a violation. Exit status: 0 without violations, 1 with violations, 2 if the run failed to
@@ -12,6 +13,7 @@
 
 #include "control_calls.hpp"
 #include "soak_run.hpp"
+#include "supervisor.hpp"
 
 namespace zinccleat::soak {
 namespace {
@@ -54,7 +56,7 @@
   faults.preload();
 }
 bool start(SoakRun& run) {
-  if (run.plan.disks || run.plan.cuts || !run.plan.plantedFault.empty())
+  if (run.plan.disks || run.plan.cuts || run.plan.losses || !run.plan.plantedFault.empty())
     prepareFaults(run);
   if (!run.fleet.startCore())
     return false;
@@ -70,6 +72,10 @@
 void addApplicationViolations(const SoakRun& run, std::vector<Violation>& violations) {
   for (const auto& name : run.failedFinalReads)
     violations.push_back({"LOST", "at the end no answer for " + name});
+  const auto& sides = run.partitionIncrements;
+  if (sides.acknowledged < sides.sent)
+    violations.push_back({"All", "across a partition " + std::to_string(sides.sent - sides.acknowledged) + " of " +
+                                     std::to_string(sides.sent) + " increments are not acknowledged"});
   for (const auto& broken : coordination_history::violationsIn(run.applicationCalls)) {
     const auto colon = broken.find(": ");
     violations.push_back({broken.substr(0, colon), broken.substr(colon + 2)});
@@ -102,6 +108,10 @@
       observations.requests.size(), count(200), count(401), count(404), count(503), observations.changes.size(),
       acknowledged, observations.departures.size(), observations.exits.size(), run.applicationCalls.size(), served,
       static_cast<std::intmax_t>(counted), violations.size());
+  if (const auto& sides = run.partitionIncrements; sides.sent > 0)
+    std::printf("  across partitions: %jd increments, %jd acknowledged, %jd within the aim\n",
+                static_cast<std::intmax_t>(sides.sent), static_cast<std::intmax_t>(sides.acknowledged),
+                static_cast<std::intmax_t>(sides.inTime));
   std::map<std::string, int> violationsByRule;
   for (const auto& violation : violations)
     ++violationsByRule[violation.rule];
@@ -133,8 +143,11 @@
   startClients(run);
   startApplications(run);
   startCounterApplications(run);
+  run.supervisor = std::make_shared<Supervisor>(run);
+  run.supervisor->start();
   startDisturbances(run);
   startFaults(run);
+  startLosses(run);
   loop.sleepFor(std::chrono::seconds(run.plan.seconds));
   run.disturbancesActive = false;
   if (run.faults)
@@ -179,6 +192,8 @@
       plan.cuts = true;
     else if (std::strcmp(argument, "--freezes") == 0)
       plan.freezes = true;
+    else if (std::strcmp(argument, "--losses") == 0)
+      plan.losses = true;
     else if (std::strncmp(argument, kPlantOption, std::strlen(kPlantOption)) == 0)
       plan.plantedFault = argument + std::strlen(kPlantOption);
     else if (std::strcmp(argument, "--keep") == 0)
@@ -189,6 +204,8 @@
              !parse(argument, "--applications=", plan.applications))
       return std::nullopt;
   }
+  if (plan.losses && (plan.cuts || plan.disks))
+    return std::nullopt;  // a disk that is lost during a partition may take increments with it
   const bool usable = plan.seconds > 0 && plan.core > 0 && plan.access > 0 && plan.runners > 0 && plan.clients > 0;
   plan.library = std::filesystem::absolute(argv[0]).parent_path() / "libzinccleat_soak_faults.so";
   return usable ? std::optional(plan) : std::nullopt;
@@ -216,7 +233,7 @@
   if (!plan) {
     std::fprintf(stderr,
                  "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
-                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] "
+                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] "
                  "[--plant=slow-clock|lost-disks] [--keep]\n");
     return 2;
   }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -3,6 +3,7 @@
 /// on the fleet (restarts, configuration changes, evacuations, faults). All parts of the run share a `SoakRun` and run
 /// on the event loop's thread.
 #pragma once
+#include <memory>
 #include <random>
 
 #include "coordination_history.hpp"
@@ -27,12 +28,21 @@
   bool disks = false;    ///< whether disks are slow, stall, are full or fail single operations
   bool cuts = false;     ///< whether packets are lost or delayed and connections are reset
   bool freezes = false;  ///< whether processes stand still for a time (SIGSTOP, SIGCONT)
+  bool losses = false;   ///< whether the disk of the only controller that answers is lost; see `startLosses`
   std::string plantedFault;          ///< a fault beyond what the fleet tolerates, injected to show that the checks find
                                      ///< violations; see `startFaults`
   std::string library;               ///< path of the library that the processes preload to inject faults
   bool keepLogsOnViolation = false;  ///< whether the folder with the logs is kept after a violation
 };
 
+/// The increments that were sent to machines on both sides of a partition after its onset.
+struct PartitionIncrements {
+  std::int64_t sent = 0;
+  std::int64_t acknowledged = 0;  ///< within `kIncrementTimeout`
+  std::int64_t inTime = 0;        ///< within `kIncrementTargetLatency`
+};
+class Supervisor;
+
 /// State shared by the parts of a run. Must outlive the fibers that refer to it, which run until the process exits.
 struct SoakRun {
   explicit SoakRun(const SoakPlan& soakPlan);
@@ -53,7 +63,9 @@
   std::vector<std::string> failedFinalReads;                   ///< names that no controller answered for at the end
   std::map<std::string, std::int64_t> sentIncrements;          ///< by counter: sum of all increments that were sent
   std::map<std::string, std::int64_t> acknowledgedIncrements;  ///< by counter: sum of the acknowledged increments
-  std::function<void(std::size_t)> killProcess;  ///< kills a process, by index; the process is then restarted
+  PartitionIncrements partitionIncrements;
+  std::shared_ptr<Supervisor> supervisor;  ///< set once the processes run
+  bool diskIsBeingLost = false;            ///< whether the controllers are reserved for the series of `startLosses`
 
   std::uint64_t draw(std::uint64_t below) { return random() % below; }
   Duration drawDuration(Duration least, Duration most) {
@@ -92,6 +104,12 @@
 void readBackApplications(SoakRun& run);
 /// Starts applications that increment replicated counters until the load ends.
 void startCounterApplications(SoakRun& run);
+/// After this time without an answer, a caller of a counter gives up.
+constexpr Duration kIncrementTimeout{1000};
+/// The callers' aim for the answer to an increment.
+constexpr Duration kIncrementTargetLatency{80};
+/// Sends one increment to one controller, once. @return whether it was acknowledged.
+bool sendIncrementOnce(SoakRun& run, const std::string& address, const std::string& instanceId);
 /// Reads every counter from every controller for up to five seconds each, on fibers that count in
 /// `SoakRun::activeFibers`.
 void readBackCounters(SoakRun& run);
@@ -106,10 +124,12 @@
 void evacuateInTurns(SoakRun& run, const std::string& zone);
 /// Reads the configuration version from any controller, with retries for up to three seconds.
 void readBackConfiguration(SoakRun& run);
-/// Starts the supervisor, which restarts processes that have exited, and the series of operations on the fleet.
+/// Starts the series of operations on the fleet.
 void startDisturbances(SoakRun& run);
 /// Starts the series of disk and network faults that the plan enables, and the fault of `SoakPlan::plantedFault`:
 /// - `slow-clock`: a controller is partitioned while its clock runs slowly, so that its leases last too long;
 /// - `lost-disks`: all controllers lose their disks at once, which is more than the fleet tolerates.
 void startFaults(SoakRun& run);
+/// Starts the series that loses the disk of the only controller that answers, if the plan enables it.
+void startLosses(SoakRun& run);
 }  // namespace zinccleat::soak
