Counters: evidence of a partition that has expired is not continued

Cause: attempts stop while enough peers are heard. The count of unanswered ones remained, so that a single lost packet after they were resumed showed a partition at once. Change: a series that was not renewed within its lifetime begins anew.

--- a/libs/replicated_counters/src/partition_detector.cpp
+++ b/libs/replicated_counters/src/partition_detector.cpp
@@ -21,7 +21,8 @@
     return discard(attempt.endedAt);
   if (attempt.startedAt < validSince_)
     return;
-  ++unanswered_;
+  const bool isExpired = attempt.endedAt - lastUnansweredAt_ >= kEvidenceLifetime;
+  unanswered_ = isExpired ? 1 : unanswered_ + 1;
   lastUnansweredAt_ = attempt.endedAt;
 }
 void PartitionDetector::discard(TimePoint now) {
--- a/tests/counter_partition_test.cpp
+++ b/tests/counter_partition_test.cpp
@@ -164,6 +164,16 @@
   peers().add(1);
   EXPECT_FALSE(peers().acknowledged(1)) << "the partition is over and the peers have ended";
 }
+TEST_F(CounterPartition, AMessageVoidsTheEvidence) {
+  startInTouch(1, {"b", "c"});
+  setAll(PeerCondition::cutOff);
+  peers().runFor(kLong);
+  replica().receive(peers().now(), "b", ProgressReport{"z2", {}});
+  for (const auto& status : replica().peers(peers().now())) {
+    EXPECT_EQ(status.cutOff, status.address == "c");
+    EXPECT_EQ(status.unansweredAttempts == 0, status.address == "b");
+  }
+}
 // The add lies in the socket while the replica's process stands still, and is handled before the first tick.
 TEST_F(CounterPartition, APauseOfItsOwnIsNoPartition) {
   startInTouch(1, {"b", "c"});
@@ -250,9 +260,21 @@
   }
   EXPECT_TRUE(detector.isCutOff(shownAt));
   EXPECT_FALSE(detector.isCutOff(shownAt + PartitionDetector::kEvidenceLifetime)) << "it is not renewed";
-  const auto late = shownAt + PartitionDetector::kAttemptTimeout + PartitionDetector::kMaxPause;
-  detector.recordAttempt({shownAt - 1ms, late, ConnectionOutcome::unanswered});
-  EXPECT_FALSE(detector.isCutOff(late)) << "this process stood still, and so may have missed an answer";
+  const auto renewedAt = shownAt + PartitionDetector::kEvidenceLifetime - 1ms;
+  detector.recordAttempt({renewedAt - 300ms, renewedAt, ConnectionOutcome::unanswered});
+  EXPECT_TRUE(detector.isCutOff(renewedAt));
+  const auto late = PartitionDetector::kAttemptTimeout + PartitionDetector::kMaxPause + 1ms;
+  detector.recordAttempt({renewedAt - late, renewedAt, ConnectionOutcome::unanswered});
+  EXPECT_FALSE(detector.isCutOff(renewedAt)) << "this process stood still, and so may have missed an answer";
+}
+TEST(PartitionDetector, EvidenceThatHasExpiredIsNotContinued) {
+  PartitionDetector detector;
+  for (int i = 0; i < 20; ++i)
+    detector.recordAttempt({kStart + 50ms * i, kStart + 50ms * i + 300ms, ConnectionOutcome::unanswered});
+  // Attempts are resumed a minute later, and a single packet is lost.
+  const auto resumedAt = kStart + 1min;
+  detector.recordAttempt({resumedAt, resumedAt + 300ms, ConnectionOutcome::unanswered});
+  EXPECT_FALSE(detector.isCutOff(resumedAt + 300ms));
 }
 TEST(PartitionDetector, AFailureOnThisMachineShowsNothing) {
   PartitionDetector detector;
