--- a/tests/soak/losses.cpp
+++ b/tests/soak/losses.cpp
@@ -218,7 +218,7 @@
 
   SoakRun& run_;
   Supervisor& supervisor_;
-  std::mt19937_64 random_;  // of its own, so that the seed alone determines the first turn
+  std::mt19937_64 random_;  // of its own, so that other series change little of what is drawn
   bool silenceLasts_ = false;
   int lastId_ = 0;
 };
