Ends: every end of a process leaves its reason on the last line of its log

Hypotheses before any logic was changed: a signal before main blocks it; an obstacle that passes (address, data folder, settings) taken for a final one; a start that waits deaf to SIGTERM; an exception or invariant; memory over the limit. The logs could not tell the last three apart: an exception, a crash and an orderly end all left nothing.

Change: process_ended with the exit status and the reason, or with the signal of a crash; uncaught_exception with the text of the exception. The process ends without destructors, which could join a disk thread that hangs.

--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -2,7 +2,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -15,6 +14,7 @@
 #include "proxy_daemon/proxy_daemon.hpp"
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
+#include "runtime/process_end.hpp"
 #include "simulation/trial.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file; default: $ZINCCLEAT_CONFIG");
@@ -188,11 +188,13 @@
 }
 int loadSettingsAndRun(const std::string& name, int (*run)(const config::Settings&)) {
   runtime::blockLifecycleSignals();
+  runtime::reportCrashes("zinccleat/" + name);
   const auto path = absl::GetFlag(FLAGS_settings);
   const auto settings = config::loadSettings(path.empty() ? config::settingsPath() : path);
   if (!settings)
     return usageError(name, settings.error().message);
   log::setNodeName(settings->node + "/" + name);
+  runtime::reportCrashes(settings->node + "/" + name);
   log::setVerbose(absl::GetFlag(FLAGS_verbose));
   return run(*settings);
 }
@@ -249,13 +251,6 @@
   }
   return {};
 }
-
-// Flushes all output and ends the process without destroying static objects. A normal exit would block, because the
-// fiber library waits for fibers that are suspended on connections whose event loop no longer runs.
-[[noreturn]] void exitNow(int exitStatus) {
-  std::fflush(nullptr);
-  ::_exit(exitStatus);
-}
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -276,5 +271,6 @@
   const auto positional = absl::ParseCommandLine(argc, argv);  // the program's name, the subcommand, its arguments
   const std::string subcommand = positional.size() > 1 ? positional[1] : "";
   const auto first = positional.begin() + std::min<std::ptrdiff_t>(2, std::ssize(positional));
-  exitNow(runSubcommand(subcommand, Arguments(first, positional.end())));
+  // A normal exit would block, because the fiber library waits for suspended fibers.
+  runtime::exitWithoutCleanup(runSubcommand(subcommand, Arguments(first, positional.end())));
 }
--- a/libs/config/src/run_daemon.cpp
+++ b/libs/config/src/run_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
+#include "runtime/process_end.hpp"
 
 namespace zinccleat::config {
 namespace {
@@ -22,6 +23,6 @@
                           {.onTerminate = daemon.shutDown, .onReloadSettings = [&] { reload(settings.path, daemon); }});
   loop.run();
   runtime::blockLifecycleSignals();  // a further signal must not kill the process during its cleanup
-  return 0;
+  runtime::endProcess(runtime::ExitStatus::success, "asked to end");
 }
 }  // namespace zinccleat::config
