--- a/apps/zinccleat/main.cpp
+++ b/apps/zinccleat/main.cpp
@@ -222,9 +222,6 @@
                                                    {"runbook", runbook},
                                                    {"trial", trial}}};
 
-bool isDaemon(std::string_view name) {
-  return name == "proxy" || name == "agent" || name == "controller";
-}
 int runSubcommand(const std::string& name, const Arguments& arguments) {
   const auto found = std::find_if(kSubcommands.begin(), kSubcommands.end(),
                                   [&](const Subcommand& candidate) { return candidate.name == name; });
@@ -244,13 +241,22 @@
   }
   return {};
 }
-}  // namespace
 
-int main(int argc, char** argv) {
-  // Blocks the lifecycle signals first, so that a SIGTERM during the start stays pending until `Startup` or the event
-  // loop handles it.
+bool isDaemon(std::string_view name) {
+  return name == "proxy" || name == "agent" || name == "controller";
+}
+// Called by the dynamic linker before the constructors of all libraries, some of which run for milliseconds: a
+// lifecycle signal of a daemon stays pending from here on until `Startup` or the event loop handles it. Before that, it
+// ends the process.
+void blockSignalsOfDaemon(int argc, char** argv, char** /*environment*/) {
   if (argc > 1 && isDaemon(argv[1]))
     runtime::blockLifecycleSignals();
+}
+[[gnu::section(".preinit_array"), gnu::used]] void (*const kBeforeConstructors)(int, char**,
+                                                                                char**) = blockSignalsOfDaemon;
+}  // namespace
+
+int main(int argc, char** argv) {
   const std::vector<std::string_view> given(argv + std::min(argc, 1), argv + argc);
   if (const auto text = helpText(given); !text.empty()) {
     std::printf("%s\n", text.c_str());
--- a/tests/process_start.sh
+++ b/tests/process_start.sh
@@ -2,9 +2,10 @@
 # Guards against processes that do not start, or end by themselves, because of an obstacle that passes: an address or a
 # data folder that a previous instance still holds, or a settings file that is being written. Each case starts a process
 # into such an obstacle and checks that it waits, goes on once the obstacle has passed, ends in time if it does not pass,
-# and ends at once when SIGTERM arrives meanwhile. Usage: process_start.sh PROGRAM
+# and ends at once when SIGTERM arrives meanwhile. Usage: process_start.sh PROGRAM EARLY_SIGNALS_LIBRARY
 set -uo pipefail
 program=$1
+early_signals=$2
 folder=$(mktemp -d)
 failed=0
 pids=()
@@ -160,6 +161,18 @@
 expect_end "$pid" 1 0
 [[ "$(last_line second)" == *event=process_ended*status=0* ]] || fail "the end has no reason: $(last_line second)"
 
+# --- A signal before the program's own code ---
+# Constructors of shared libraries run before main. SIGHUP and SIGUSR1 during that time must not end the process.
+for program_name in agent proxy controller; do
+  case_name="SIGHUP and SIGUSR1 before main of $program_name"
+  settings "$folder/a.json" $network.11 18880 "$folder/early"
+  LD_PRELOAD=$early_signals start only $program_name "$folder/a.json"
+  sleep 0.5
+  running "$pid" || fail "a signal before main has ended the process"
+  kill "$pid"
+  expect_end "$pid" 4 0
+done
+
 # --- A crash leaves its reason ---
 case_name="crash"
 settings "$folder/a.json" $network.10 18880
