Agent: it meets its proxy at the machine's own address, so that machines can share a host

Seen by callers: where several access machines of a deployment share one host, all agents but one end with status 1, again and again, and their proxies never become ready.

Change: the endpoint is the machine's own address, whatever it is. The agent closes connections of other machines unread (isOwnMachine), which the loopback address ensured before. Agent and proxy of a machine are to be updated together where its address is not a loopback address: versions before meet at 127.0.0.1.

--- a/libs/agent/include/agent/agent.hpp
+++ b/libs/agent/include/agent/agent.hpp
@@ -1,5 +1,5 @@
 /// The agent process. One agent runs next to each proxy. It follows the replicated log of the core and sends the log to
-/// the proxy over loopback. The components:
+/// the proxy on the same machine. The components:
 ///
 ///  - `agent_daemon.hpp` connects the components below to sockets and timers;
 ///  - `leader_discovery.hpp` decides to which members of the core the agent connects (pure);
--- a/libs/agent/src/agent_daemon.cpp
+++ b/libs/agent/src/agent_daemon.cpp
@@ -41,7 +41,11 @@
   const auto endpoint = runtime::parseEndpoint(agentEndpoint(settings_));
   if (!endpoint)
     return tl::unexpected(endpoint.error());
-  return transport::listen(*endpoint, [this](tcp::socket socket) {
+  return transport::listen(*endpoint, [this, own = endpoint->address()](tcp::socket socket) {
+    runtime::SocketError ec;
+    const auto remote = socket.remote_endpoint(ec);
+    if (ec || !isOwnMachine(remote.address(), own))
+      return;  // closes the connection: only the proxy of this machine may connect
     auto proxy = std::make_shared<transport::PeerLink>(
         std::move(socket),
         [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
--- a/libs/agent/src/port.cpp
+++ b/libs/agent/src/port.cpp
@@ -2,8 +2,9 @@
 
 namespace zinccleat::agent {
 std::string agentEndpoint(const config::Settings& settings) {
-  constexpr std::string_view kLoopbackNetwork = "127.";
-  const bool ownIsLoopback = settings.ip.starts_with(kLoopbackNetwork);
-  return (ownIsLoopback ? settings.ip : "127.0.0.1") + ":" + std::to_string(settings.firstPort + kAgentPortOffset);
+  return settings.ip + ":" + std::to_string(settings.firstPort + kAgentPortOffset);
+}
+bool isOwnMachine(const asio::ip::address& remote, const asio::ip::address& own) {
+  return remote == own || remote.is_loopback();
 }
 }  // namespace zinccleat::agent
--- a/libs/proxy_daemon/include/proxy_daemon/agent_link.hpp
+++ b/libs/proxy_daemon/include/proxy_daemon/agent_link.hpp
@@ -6,7 +6,7 @@
 class AgentLink {
  public:
   /// Starts to connect. The link is never connected before this call.
-  /// @param endpoint the agent's loopback endpoint.
+  /// @param endpoint the agent's endpoint.
   /// @param onMessage called for each message from the agent.
   /// @param onConnected called each time that a connection is established.
   void start(const tcp::endpoint& endpoint, transport::PeerLink::OnMessage onMessage,
