Memory: what connections may hold is reserved before it is read, on the proxy and on the control API

Seen by callers: a process that goes over memoryMb is ended by its machine, with all that it carries. 1,500 connections that announce a body and send 1 MB of it: proxy 603 MB of its 220, controller 728 MB of its 256, after 8 s on.

Cause: maxBodyBytes counted a request once it had been read, so nothing bounded bodies that are being read; the control API had no bound at all; an answer was read from its runner completely, whatever its client read of it.

Change: a MemoryBudget for all connections (a quarter of memoryMb on a proxy, an eighth on a controller). A body's length is reserved before the body is read; a body without a length grows its reservation as it is read. While the budget has no room the body stays unread, after 500 ms it gets 503; messages over 64 KB leave a quarter to small ones. An answer that does not fit is forwarded as it arrives, no faster than its client reads it. Connections beyond another quarter (proxy) or eighth (controller) at 32 KB each are closed unread. Bodies are no longer copied to be sent. A partial event, and an answer that belongs to no request, are bounded too. The two tests that set bodyBytes now hold a reservation instead; what they assert is unchanged.

MemoryBudget.*, Proxy.BodiesThatAreBeingReadStayWithinTheMemory, ABodyWithoutALengthStaysWithinTheMemory, AnAnswerLargerThanTheMemoryIsForwardedAsItArrives, AnAnswerThatNobodyReadsIsNotReadFromItsRunner, AForwardedAnswerThatBreaksOffDoesNotLookComplete, ControlServer.BodiesThatAreBeingReadStayWithinTheMemory. Open: 503 for want of memory does not follow the order of precedence.

--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -7,6 +7,14 @@
 namespace zinccleat::controller {
 namespace {
 constexpr std::size_t kMaxBodyBytes = 16U << 20;
+constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
+// Small fractions, because a configuration is held several times while it is checked, written and sent.
+constexpr std::size_t kMemoryDivisorForBodies = 8;
+constexpr std::size_t kMemoryDivisorForConnections = 8;
+constexpr std::size_t kBytesPerConnection = std::size_t{32} * 1024;  // stack, buffers and header of a request
+constexpr int kReservedDescriptors = 512;                            // for files, peers and agents
+constexpr int kMinConnections = 64;
+constexpr int kMaxConnections = 1 << 16;
 constexpr auto kWriteTimeout = 5s;
 constexpr std::string_view kJsonContentType = "application/json";
 
@@ -17,14 +25,29 @@
   return {value.data(), value.size()};
 }
 /// @param connection the caller's connection, which must outlive the result.
-ApiRequest apiRequestOf(const HttpRequest& request, runtime::Connection& connection) {
+/// @param request loses its body to the result.
+ApiRequest apiRequestOf(HttpRequest& request, runtime::Connection& connection) {
   return {std::string(request.method_string()),
           std::string(request.target()),
-          request.body(),
+          std::move(request.body()),
           headerOf(request, "X-Base-Version"),
           headerOf(request, "X-Hint-Seal"),
           [&connection](Duration wait) { return connection.awaitPeerClose(wait); }};
 }
+runtime::MemoryBudget bodyMemoryOf(const config::Settings& settings) {
+  if (settings.memoryMb <= 0)
+    return runtime::MemoryBudget();
+  return runtime::MemoryBudget(static_cast<std::size_t>(settings.memoryMb) * kBytesPerMb / kMemoryDivisorForBodies);
+}
+int maxConnectionsOf(const config::Settings& settings) {
+  int connections = kMaxConnections;
+  if (settings.fdLimit > 0)
+    connections = std::min(connections, settings.fdLimit - kReservedDescriptors);
+  if (settings.memoryMb > 0)
+    connections = std::min(connections, static_cast<int>(static_cast<std::size_t>(settings.memoryMb) * kBytesPerMb /
+                                                         kMemoryDivisorForConnections / kBytesPerConnection));
+  return std::max(kMinConnections, connections);
+}
 /// Writes an error response to a request that could not be read. The caller then closes the connection.
 void writeErrorResponse(runtime::Connection& connection, int status) {
   runtime::SocketError ignored;
@@ -44,15 +67,24 @@
 }  // namespace
 
 ControlServer::ControlServer(ControllerServices& services, std::string address)
-    : services_(services), address_(std::move(address)) {}
+    : services_(services),
+      address_(std::move(address)),
+      bodyMemory_(bodyMemoryOf(services.settings())),
+      maxConnections_(maxConnectionsOf(services.settings())) {}
 
 Result<void> ControlServer::start() {
   const auto endpoint = runtime::parseEndpoint(address_);
   if (!endpoint)
     return makeError(endpoint.error().code, "controlPort: " + endpoint.error().message, endpoint.error().subcode);
   auto listener = transport::openListener(*endpoint, [this](tcp::socket socket) {
+    if (connections_ >= maxConnections_)
+      return;  // closes the connection before any byte is read, so the caller may try another controller
     auto shared = std::make_shared<tcp::socket>(std::move(socket));
-    runtime::EventLoop::get().spawn([this, shared] { serve(std::move(*shared)); });
+    ++connections_;
+    runtime::EventLoop::get().spawn([this, shared] {
+      serve(std::move(*shared));
+      --connections_;
+    });
   });
   if (!listener)
     return tl::unexpected(listener.error());
@@ -72,7 +104,8 @@
         return;
     }
     proxy::RequestParser parser;
-    const auto read = proxy::readRequest(connection, buffer, parser, limits);
+    runtime::MemoryReservation memory(bodyMemory_);
+    const auto read = proxy::readRequest(connection, buffer, parser, limits, &memory);
     if (read.outcome == proxy::ReadOutcome::closed)
       return;
     if (read.outcome == proxy::ReadOutcome::rejected)
@@ -84,7 +117,7 @@
       return;
   }
 }
-bool ControlServer::handleRequest(runtime::Connection& connection, const proxy::RequestParser& parser) {
+bool ControlServer::handleRequest(runtime::Connection& connection, proxy::RequestParser& parser) {
   const auto response = accepting_
                             ? answerApiRequest(services_, apiRequestOf(parser.get(), connection), "http://" + address_)
                             : errorResponse(HttpStatus::service_unavailable, "shutting down");
--- a/libs/controller/src/control_server.hpp
+++ b/libs/controller/src/control_server.hpp
@@ -25,14 +25,19 @@
   void stopAccepting();
   /// Number of requests that were read completely and are not answered yet.
   int inFlight() const { return inFlight_; }
+  /// Bytes of memory that are reserved for the bodies of requests.
+  std::size_t bodyBytes() const { return bodyMemory_.used(); }
 
  private:
   /// Handles one request and writes the response.
   /// @return whether the connection stays open after the response.
-  bool handleRequest(runtime::Connection& connection, const proxy::RequestParser& parser);
+  bool handleRequest(runtime::Connection& connection, proxy::RequestParser& parser);
 
   ControllerServices& services_;
   const std::string address_;
+  runtime::MemoryBudget bodyMemory_;  // for the bodies of requests
+  int maxConnections_;                // further connections are closed unread
+  int connections_ = 0;
   std::optional<transport::Listener> listener_;
   proxy::IdleConnections idleConnections_;
   bool accepting_ = true;
--- a/libs/proxy/include/proxy/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 
 #include "runtime/event_loop.hpp"
+#include "runtime/memory_budget.hpp"
 namespace zinccleat {
 namespace http = boost::beast::http;
 }  // namespace zinccleat
@@ -23,6 +24,8 @@
   Duration idle{15000};        ///< milliseconds until the first byte
   Duration headerTime{3000};   ///< milliseconds from the first byte to the end of the header
   Duration bodyTime{10000};    ///< milliseconds from the end of the header to the end of the body
+  /// Milliseconds to wait, with the body unread, until the memory for the body is free.
+  Duration memoryTime{500};
 };
 enum class ReadOutcome {
   complete,  ///< the request was read completely
@@ -38,14 +41,17 @@
 /// @return false if the connection ended or stayed idle.
 bool awaitRequest(runtime::Connection& connection, Buffer& buffer, Duration idle);
 /// Reads one request. Bytes that follow the request stay in the buffer.
-ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
-                       const ReadLimits& limits);
+/// @param memory  reserves the body's bytes before they are read; null: the body is not limited by a budget. If the
+///                budget has no room in time, the request is rejected with 503.
+ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser, const ReadLimits& limits,
+                       runtime::MemoryReservation* memory = nullptr);
 /// Feeds a parser from the buffer and the connection until the message is parsed.
 /// @param headerOnly  stop once the header is parsed
-/// @param ec          error of the parser or the connection; none on success
+/// @param ec          error of the parser or the connection; none on success; `no_buffer_space` if `memory` cannot grow
+/// @param memory      grows by the bytes of the body before they are read; may be null
 template <class Parser>
 void readIntoParser(runtime::Connection& connection, Buffer& buffer, Parser& parser, bool headerOnly,
-                    runtime::SocketError& ec);
+                    runtime::SocketError& ec, runtime::MemoryReservation* memory = nullptr);
 
 /// The standard reason phrase of an HTTP status.
 std::string_view reasonPhrase(int status);
@@ -60,9 +66,24 @@
 /// Maximum number of bytes that one read from a connection returns.
 inline constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 
+/// A message without a length ends when its connection is closed. Clears `ec` if the message is complete then.
+template <class Parser>
+void endMessageAtEof(Parser& parser, runtime::SocketError& ec) {
+  if (ec != asio::error::eof || !parser.is_header_done() || parser.chunked() || parser.content_length())
+    return;
+  runtime::SocketError eofError;
+  parser.put_eof(eofError);
+  if (!eofError)
+    ec = {};
+}
 template <class Parser>
 void readIntoParser(runtime::Connection& connection, Buffer& buffer, Parser& parser, bool headerOnly,
-                    runtime::SocketError& ec) {
+                    runtime::SocketError& ec, runtime::MemoryReservation* memory) {
+  const auto reserved = memory ? memory->bytes() : 0;
+  // Twice the size, because a string that grows may double its capacity.
+  const auto hasMemory = [&] {
+    return !memory || memory->tryGrowTo(reserved + 2 * (parser.get().body().size() + kReadBytes));
+  };
   for (;;) {
     if (parser.is_done() || (headerOnly && parser.is_header_done())) {
       ec = {};
@@ -77,17 +98,13 @@
         continue;
     }
     ec = {};
-    const auto received = connection.read(buffer.prepare(kReadBytes), ec);
-    if (ec) {
-      // A message without a length ends when its connection is closed.
-      if (ec == asio::error::eof && parser.is_header_done() && !parser.chunked() && !parser.content_length()) {
-        runtime::SocketError eofError;
-        parser.put_eof(eofError);
-        if (!eofError)
-          ec = {};
-      }
+    if (!hasMemory()) {
+      ec = asio::error::no_buffer_space;
       return;
     }
+    const auto received = connection.read(buffer.prepare(kReadBytes), ec);
+    if (ec)
+      return endMessageAtEof(parser, ec);
     buffer.commit(received);
   }
 }
--- a/libs/proxy/include/proxy/proxy_context.hpp
+++ b/libs/proxy/include/proxy/proxy_context.hpp
@@ -21,6 +21,7 @@
 #include "proxy/idle_connections.hpp"
 #include "rollout/revision_gate.hpp"
 #include "runtime/event_loop.hpp"
+#include "runtime/memory_budget.hpp"
 namespace zinccleat::proxy {
 
 /// An attempt whose runner has not begun to respond.
@@ -82,13 +83,12 @@
   Duration retryAfterWithoutLease(TimePoint now);
 
   GracefulShutdown shutdown;
-  IdleConnections idleConnections;                  ///< idle client connections
-  bool zoneDraining = false;                        ///< whether this zone accepts no new clients
-  int inFlight = 0;                                 ///< requests that were read completely and have not ended
-  int clients = 0;                                  ///< open client connections
-  int maxClients = 1 << 20;                         ///< above this number, new connections are closed unread
-  std::size_t bodyBytes = 0;                        ///< total body size of the requests in flight
-  std::size_t maxBodyBytes = std::size_t{1} << 40;  ///< while `bodyBytes` is above this, no new request is read
+  IdleConnections idleConnections;      ///< idle client connections
+  bool zoneDraining = false;            ///< whether this zone accepts no new clients
+  int inFlight = 0;                     ///< requests that were read completely and have not ended
+  int clients = 0;                      ///< open client connections
+  int maxClients = 1 << 20;             ///< above this number, new connections are closed unread
+  runtime::MemoryBudget messageMemory;  ///< for the bodies of requests and of complete responses
   std::mt19937_64 rng;
 
   // Counters since the process started.
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -7,7 +7,6 @@
 namespace zinccleat::proxy {
 namespace {
 constexpr Duration kMinBodyTime{5000};
-constexpr auto kBodyCapacityPollInterval = 20ms;
 constexpr auto kDiscardTime = 500ms;
 constexpr std::size_t kDiscardBytes = 2048;
 
@@ -33,13 +32,6 @@
   return awaitRequest(client, buffer, idle);
 }
 
-// Waits while the bodies of the requests in flight exceed `maxBodyBytes`. A request that is not read stays in the
-// socket buffers and uses no memory of this process.
-void waitForBodyCapacity(const ProxyContext& context) {
-  while (context.bodyBytes > context.maxBodyBytes)
-    runtime::EventLoop::get().sleepFor(kBodyCapacityPollInterval);
-}
-
 // Answers a request that could not be read completely and ends the connection.
 void reject(runtime::Connection& client, int status) {
   runtime::SocketError ec;
@@ -72,11 +64,11 @@
   Buffer buffer;
   for (;;) {
     const auto limits = limitsOf(context);
-    waitForBodyCapacity(context);
     if (!awaitNextRequest(context, client, buffer, limits.idle))
       return;
     RequestParser parser;
-    const auto read = readRequest(client, buffer, parser, limits);
+    runtime::MemoryReservation memory(context.messageMemory);
+    const auto read = readRequest(client, buffer, parser, limits, &memory);
     if (read.outcome == ReadOutcome::closed)
       return;
     if (read.outcome == ReadOutcome::rejected)
@@ -86,10 +78,7 @@
     if (client.peerHasClosed())
       return;
     ++context.inFlight;
-    const auto bytes = parser.get().body().size();
-    context.bodyBytes += bytes;
-    const bool keepAlive = handleRequest(context, client, parser);
-    context.bodyBytes -= bytes;
+    const bool keepAlive = handleRequest(context, client, parser, memory);
     --context.inFlight;
     if (!keepAlive)
       return;
--- a/libs/proxy/src/exchange.cpp
+++ b/libs/proxy/src/exchange.cpp
@@ -24,10 +24,10 @@
 }
 }  // namespace
 
-bool Exchange::writeToClient(std::string_view bytes) {
+bool Exchange::writeToClient(std::string_view header, std::string_view body) {
   runtime::SocketError ec;
   client.setDeadline(now() + kClientWriteTimeout);
-  client.write(asio::buffer(bytes), ec);
+  client.write(asio::buffer(header), asio::buffer(body), ec);
   client.clearDeadline();
   return !ec;
 }
--- a/libs/proxy/src/exchange.hpp
+++ b/libs/proxy/src/exchange.hpp
@@ -14,12 +14,14 @@
 };
 
 struct Exchange {
-  Exchange(ProxyContext& proxyContext, runtime::Connection& clientConnection, RequestParser& parser)
-      : context(proxyContext), client(clientConnection), request(parser.get()) {}
+  Exchange(ProxyContext& proxyContext, runtime::Connection& clientConnection, RequestParser& parser,
+           runtime::MemoryReservation& messageMemory)
+      : context(proxyContext), client(clientConnection), request(parser.get()), memory(messageMemory) {}
 
   ProxyContext& context;
   runtime::Connection& client;
   RequestParser::value_type& request;
+  runtime::MemoryReservation& memory;  ///< for the body of the request and of a response that is read completely
   const TimePoint arrivedAt = Clock::now();
   /// The configuration that was active when the request arrived. It applies until the request ends.
   const std::shared_ptr<const config::Configuration> configuration = context.configuration;
@@ -65,7 +67,8 @@
 
   /// Writes to the client.
   /// @return false if the client has disconnected or has read nothing for too long.
-  bool writeToClient(std::string_view bytes);
+  bool writeToClient(std::string_view bytes) { return writeToClient(bytes, {}); }
+  bool writeToClient(std::string_view header, std::string_view body);
   /// Writes one chunk of a chunked response.
   bool writeChunk(std::string_view bytes);
   /// Answers the request without a runner.
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -8,6 +8,8 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
+constexpr int kServiceUnavailable = 503;
+constexpr auto kMemoryPollInterval = 20ms;
 constexpr std::size_t kTypicalHeaderBytes = 160;
 
 int statusOf(const runtime::SocketError& ec) {
@@ -32,12 +34,28 @@
     ec = http::error::bad_transfer_encoding;
 }
 
-void readBody(runtime::Connection& connection, Buffer& buffer, RequestParser& parser, runtime::SocketError& ec) {
+// Waits until the memory for a body of known length is reserved. The body stays in the socket's buffers meanwhile.
+bool reserveBody(const RequestParser& parser, runtime::MemoryReservation& memory, Duration wait) {
+  const auto length = parser.content_length();
+  if (!length)
+    return true;
+  const auto end = Clock::now() + wait;
+  while (!memory.tryGrowTo(*length)) {
+    if (Clock::now() >= end)
+      return false;
+    runtime::EventLoop::get().sleepFor(kMemoryPollInterval);
+  }
+  return true;
+}
+
+void readBody(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
+              runtime::MemoryReservation* memory, runtime::SocketError& ec) {
+  const bool growsWhileRead = memory && !parser.content_length();
   // A client that sends `Expect: 100-continue` waits for this interim response before it sends the body.
   if (parser.get().count(http::field::expect))
     connection.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec);
   if (!ec)
-    readIntoParser(connection, buffer, parser, false, ec);
+    readIntoParser(connection, buffer, parser, false, ec, growsWhileRead ? memory : nullptr);
 }
 }  // namespace
 
@@ -60,11 +78,11 @@
   return true;
 }
 
-ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
-                       const ReadLimits& limits) {
+ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser, const ReadLimits& limits,
+                       runtime::MemoryReservation* memory) {
   parser.header_limit(static_cast<std::uint32_t>(limits.header));
   parser.body_limit(limits.body);
-  parser.eager(true);
+  parser.eager(!memory);  // the body is parsed only after its memory is reserved
   if (!awaitRequest(connection, buffer, limits.idle))
     return {ReadOutcome::closed, 0};
 
@@ -72,11 +90,17 @@
   connection.setDeadline(Clock::now() + limits.headerTime);
   readHeader(connection, buffer, parser, ec);
   if (!ec && !parser.is_done()) {
+    connection.clearDeadline();
+    if (memory && !reserveBody(parser, *memory, limits.memoryTime))
+      return {ReadOutcome::rejected, kServiceUnavailable};
+    parser.eager(true);
     connection.setDeadline(Clock::now() + limits.bodyTime);
-    readBody(connection, buffer, parser, ec);
+    readBody(connection, buffer, parser, memory, ec);
   }
   const bool timedOut = connection.deadlineExceeded();
   connection.clearDeadline();
+  if (ec == asio::error::no_buffer_space)
+    return {ReadOutcome::rejected, kServiceUnavailable};
   if (!ec)
     return {ReadOutcome::complete, 0};
   if (timedOut)
--- a/libs/proxy/src/request_handler.cpp
+++ b/libs/proxy/src/request_handler.cpp
@@ -135,12 +135,11 @@
 }
 
 bool forwardFailure(Exchange& exchange) {
-  auto response = std::move(exchange.failure.header);
-  response += "Content-Length: " + std::to_string(exchange.failure.body.size()) + "\r\n";
-  response += exchange.connectionHeader();
-  response += "\r\n";
-  response += exchange.failure.body;
-  return exchange.writeToClient(response) && exchange.keepAlive;
+  auto& [header, body] = exchange.failure;
+  header += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  header += exchange.connectionHeader();
+  header += "\r\n";
+  return exchange.writeToClient(header, body) && exchange.keepAlive;
 }
 
 // The request has not run, so the client may retry. `Retry-After` is randomized so that clients do not retry all at
@@ -174,8 +173,9 @@
 }
 }  // namespace
 
-bool handleRequest(ProxyContext& context, runtime::Connection& client, RequestParser& parser) {
-  Exchange exchange(context, client, parser);
+bool handleRequest(ProxyContext& context, runtime::Connection& client, RequestParser& parser,
+                   runtime::MemoryReservation& memory) {
+  Exchange exchange(context, client, parser, memory);
   if (const auto rejection = admit(exchange))
     return exchange.respond(rejection->status, rejection->retryAfter, rejection->reason);
   exchange.clientWatch.emplace(client);
--- a/libs/proxy/src/request_handler.hpp
+++ b/libs/proxy/src/request_handler.hpp
@@ -5,5 +5,6 @@
 namespace zinccleat::proxy {
 /// Handles a request that was read completely.
 /// @return whether the client's connection may carry another request.
-bool handleRequest(ProxyContext& context, runtime::Connection& client, RequestParser& parser);
+bool handleRequest(ProxyContext& context, runtime::Connection& client, RequestParser& parser,
+                   runtime::MemoryReservation& memory);
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -69,9 +69,8 @@
   if (exchange_.responseStarted)
     options.lastEventId = exchange_.events.lastEventId();
   const auto& body = exchange_.request.body();
-  auto message = forwardedRequestHeader(exchange_.request, options, body.size());
-  message += body;
-  const auto bytesWritten = connection_->write(asio::buffer(message), ec_);
+  const auto header = forwardedRequestHeader(exchange_.request, options, body.size());
+  const auto bytesWritten = connection_->write(asio::buffer(header), asio::buffer(body), ec_);
   if (!ec_)
     return std::nullopt;
   if (clientDisconnected())
@@ -140,8 +139,34 @@
   return AttemptOutcome::completed;
 }
 
-AttemptOutcome RunnerAttempt::relayComplete(bool notExecuted) {
+// Reads the rest of the response. Returns false if its body does not fit into the memory that is free.
+bool RunnerAttempt::readBody() {
+  auto& memory = exchange_.memory;
+  const auto length = response_->content_length();
+  if (response_->is_done() || !length) {
+    readIntoParser(*connection_, buffer_, *response_, false, ec_, &memory);
+    return ec_ != asio::error::no_buffer_space;
+  }
+  if (!memory.tryGrowTo(memory.bytes() + *length))
+    return false;
   readIntoParser(*connection_, buffer_, *response_, false, ec_);
+  return true;
+}
+
+// Handles a response whose body does not fit into memory. A success is forwarded as it arrives, no faster than the
+// client reads it; another runner can then no longer be tried. Other responses are treated as lost.
+AttemptOutcome RunnerAttempt::relayWithoutMemory(bool notExecuted) {
+  if (isSuccess(response_->get().result_int()) && !notExecuted && !exchange_.responseStarted) {
+    ec_ = {};
+    return relayEvents();
+  }
+  exchange_.staleConnection = true;
+  return notExecuted ? AttemptOutcome::notExecuted : AttemptOutcome::interrupted;
+}
+
+AttemptOutcome RunnerAttempt::relayComplete(bool notExecuted) {
+  if (!readBody())
+    return relayWithoutMemory(notExecuted);
   if (ec_ && clientDisconnected())
     return AttemptOutcome::clientDisconnected;
   // "Not executed" in a complete header is valid even if the body does not arrive.
@@ -191,10 +216,9 @@
   header += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   header += exchange_.connectionHeader();
   header += "\r\n";
-  if (exchange_.request.method() != http::verb::head)
-    header += body;
+  const auto sent = exchange_.request.method() == http::verb::head ? std::string_view() : std::string_view(body);
   exchange_.clientWatch->attach(nullptr);
-  return exchange_.writeToClient(header) ? AttemptOutcome::completed : AttemptOutcome::clientDisconnected;
+  return exchange_.writeToClient(header, sent) ? AttemptOutcome::completed : AttemptOutcome::clientDisconnected;
 }
 
 void RunnerAttempt::releaseConnection() {
--- a/libs/proxy/src/runner_attempt.hpp
+++ b/libs/proxy/src/runner_attempt.hpp
@@ -29,6 +29,8 @@
   AttemptOutcome relayResponse();
   AttemptOutcome relayEvents();
   /// Reads the complete response before forwarding its first byte.
+  bool readBody();
+  AttemptOutcome relayWithoutMemory(bool notExecuted);
   AttemptOutcome relayComplete(bool notExecuted);
   AttemptOutcome storeFailure(unsigned status, std::string header, std::string body);
   AttemptOutcome sendToClient(std::string header, const std::string& body);
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -87,6 +87,9 @@
   // broken.
   bool receive() {
     runtime::SocketError ec;
+    // An event that never ends must not fill the memory.
+    if (!exchange_.memory.tryGrowTo(requestBytes_ + 2 * exchange_.events.partialEvent().size()))
+      return false;
     if (buffer_.size() > 0) {
       const auto parsed = response_.put(buffer_.data(), ec);
       buffer_.consume(parsed);
@@ -120,6 +123,7 @@
   runtime::Connection& upstream_;
   Buffer& buffer_;
   ResponseParser& response_;
+  const std::size_t requestBytes_ = exchange_.memory.bytes();
   // If another runner may have to continue the stream, only complete events are forwarded to the client.
   const bool completeEventsOnly_ = exchange_.route->streamResume;
 };
--- a/libs/proxy/src/upstream_response.cpp
+++ b/libs/proxy/src/upstream_response.cpp
@@ -6,6 +6,7 @@
 namespace {
 constexpr std::uint64_t kMaxResponseBytes = 64U << 20;
 constexpr int kMaxUnrelatedResponses = 2;  // responses to other attempts that are skipped
+constexpr std::uint64_t kMaxUnrelatedResponseBytes = std::uint64_t{256} * 1024;
 constexpr int kMaxInterimResponses = 16;
 constexpr auto kDefaultKeepAlive = 20s;   // used if the runner's response has no `Keep-Alive` timeout
 constexpr auto kKeepAliveMargin = 700ms;  // the runner must not close a connection that was just reused
@@ -71,6 +72,9 @@
     if (belongsTo(parser->get(), attemptId) || unrelatedResponses++ >= kMaxUnrelatedResponses)
       return {};
     // This is a response to an earlier request on the connection. It is read to its end and discarded.
+    if (parser->content_length().value_or(0) > kMaxUnrelatedResponseBytes)
+      return make_error_code(http::error::body_limit);
+    parser->body_limit(kMaxUnrelatedResponseBytes);
     readIntoParser(upstream, buffer, *parser, false, ec);
     if (ec)
       return ec;
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -50,11 +50,17 @@
   constexpr int kDescriptorsPerRequest = 2;  // one for the client, one for the runner
   constexpr int kMinClients = 64;
   constexpr std::size_t kBytesPerMb = std::size_t{1024} * 1024;
-  constexpr std::size_t kMemoryDivisorForBodies = 4;
+  constexpr std::size_t kMemoryDivisorForMessages = 4;
+  constexpr std::size_t kMemoryDivisorForConnections = 4;
+  constexpr std::size_t kBytesPerConnection = std::size_t{32} * 1024;  // stack, buffers and header of a request
   if (settings_.fdLimit > 0)
     context_.maxClients = std::max(kMinClients, (settings_.fdLimit - kReservedDescriptors) / kDescriptorsPerRequest);
-  if (settings_.memoryMb > 0)
-    context_.maxBodyBytes = static_cast<std::size_t>(settings_.memoryMb) * kBytesPerMb / kMemoryDivisorForBodies;
+  if (settings_.memoryMb <= 0)
+    return;
+  const auto memory = static_cast<std::size_t>(settings_.memoryMb) * kBytesPerMb;
+  const auto connections = static_cast<int>(memory / kMemoryDivisorForConnections / kBytesPerConnection);
+  context_.maxClients = std::max(kMinClients, std::min(context_.maxClients, connections));
+  context_.messageMemory = runtime::MemoryBudget(memory / kMemoryDivisorForMessages);
 }
 void ProxyDaemon::connectCallbacks() {
   context_.requestReserveRefill = [this] { renewLease(); };  // a lease request also contains the quota demand
--- a/libs/runtime/include/runtime/connection.hpp
+++ b/libs/runtime/include/runtime/connection.hpp
@@ -25,6 +25,8 @@
   /// @return the number of bytes that the operating system accepted. Only 0 together with an error proves that no byte
   /// can reach the peer.
   std::size_t write(asio::const_buffer buffer, SocketError& ec);
+  /// Writes two buffers as one message, without joining them in memory.
+  std::size_t write(asio::const_buffer first, asio::const_buffer second, SocketError& ec);
   /// Connects to an endpoint.
   void connect(const tcp::endpoint& endpoint, SocketError& ec);
   /// Waits until bytes can be read, without reading them.
--- a/libs/runtime/src/connection.cpp
+++ b/libs/runtime/src/connection.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <cstddef>
@@ -39,22 +40,30 @@
   return received;
 }
 std::size_t Connection::write(asio::const_buffer buffer, SocketError& ec) {
+  return write(buffer, asio::const_buffer(), ec);
+}
+std::size_t Connection::write(asio::const_buffer first, asio::const_buffer second, SocketError& ec) {
   // Tries a non-blocking send first: most writes fit into the socket's buffer, and suspending the fiber would cost an
   // iteration of the event loop.
   if (!nonBlocking_) {
     socket_.non_blocking(true, ec);
     nonBlocking_ = true;
   }
-  auto written = socket_.send(asio::buffer(buffer), MSG_NOSIGNAL, ec);
+  const auto total = first.size() + second.size();
+  std::array buffers{first, second};
+  auto written = second.size() == 0 ? socket_.send(asio::buffer(first), MSG_NOSIGNAL, ec)
+                                    : socket_.send(buffers, MSG_NOSIGNAL, ec);
   if (ec == asio::error::would_block)
     ec = {};
   else if (ec)
     return 0;
-  if (written >= buffer.size())
+  if (written >= total)
     return written;
-  buffer += written;
+  const auto ofFirst = std::min(written, first.size());
+  buffers[0] += ofFirst;
+  buffers[1] += written - ofFirst;
   Waiter waiter;
-  asio::async_write(socket_, asio::buffer(buffer), [&](SocketError error, std::size_t bytes) {
+  asio::async_write(socket_, buffers, [&](SocketError error, std::size_t bytes) {
     ec = error;
     written += bytes;
     waiter.wake();
--- /dev/null
+++ b/tests/memory_limits_test.cpp
@@ -0,0 +1,186 @@
+// Guards against a process that grows over its `memoryMb` because of what its peers send or do not read: bodies that
+// are announced and never completed, bodies without a length, answers that nobody reads. Clients and runners are fakes
+// on loopback connections; the checks look at the memory budget, which bounds what the process holds for messages.
+#include "control_server.hpp"
+#include "fake_controller.hpp"
+#include "runtime/memory_budget.hpp"
+#include "standins.hpp"
+
+using namespace zinccleat;
+using namespace zinccleat::proxy_testing;
+
+namespace {
+constexpr std::size_t kMb = std::size_t{1} << 20U;
+
+void allowBodies(TestProxy& proxy, std::size_t bytes) {
+  auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
+  configuration->limits.maxBodyBytes = bytes;
+  proxy.context.configuration = configuration;
+}
+std::string announcement(const std::string& path, const std::string& attempt, std::size_t bytes) {
+  const auto complete = requestText(path, attempt);
+  const std::string zero = "Content-Length: 0";
+  auto text = complete;
+  return text.replace(text.find(zero), zero.size(), "Content-Length: " + std::to_string(bytes));
+}
+/// Sends a part of a body from its own fiber, because the peer may read none of it.
+void sendInBackground(Connection& connection, std::size_t bytes) {
+  EventLoop::get().spawn([&connection, bytes] { sendBytes(connection, std::string(bytes, 'x')); });
+}
+}  // namespace
+
+TEST(MemoryBudget, LargeReservationsLeaveRoomForSmallOnes) {
+  MemoryBudget budget(kMb);
+  MemoryReservation large(budget);
+  MemoryReservation small(budget);
+  EXPECT_FALSE(large.tryGrowTo(kMb)) << "a large message may use three quarters";
+  EXPECT_TRUE(large.tryGrowTo(kMb / 4 * 3));
+  EXPECT_TRUE(small.tryGrowTo(MemoryBudget::kLargeBytes));
+  EXPECT_FALSE(small.tryGrowTo(MemoryBudget::kLargeBytes + 1));
+  EXPECT_EQ(budget.used(), kMb / 4 * 3 + MemoryBudget::kLargeBytes);
+  large.shrinkTo(10);
+  EXPECT_TRUE(small.tryGrowTo(MemoryBudget::kLargeBytes + 1));
+}
+TEST(MemoryBudget, IsFreeAgainAfterTheLastReservation) {
+  MemoryBudget budget(100);
+  {
+    MemoryReservation one(budget);
+    MemoryReservation other(budget);
+    EXPECT_TRUE(one.tryGrowTo(60));
+    EXPECT_TRUE(one.tryGrowTo(30)) << "a smaller size has no effect";
+    EXPECT_FALSE(other.tryGrowTo(41));
+    EXPECT_TRUE(other.tryGrowTo(40));
+    EXPECT_EQ(budget.used(), 100U);
+  }
+  EXPECT_EQ(budget.used(), 0U);
+}
+TEST(Proxy, BodiesThatAreBeingReadStayWithinTheMemory) {
+  withProxy([](TestProxy& proxy) {
+    constexpr int kClients = 40;
+    allowBodies(proxy, 2 * kMb);
+    proxy.context.messageMemory = MemoryBudget(4 * kMb);
+    auto runner = proxy.runner("i-1", respondOk);
+    std::vector<std::unique_ptr<Connection>> clients;
+    for (int i = 0; i < kClients; ++i) {
+      clients.push_back(proxy.connectClient());
+      sendBytes(*clients.back(), announcement("/safe/x", "slow-" + std::to_string(i), kMb));
+      sendInBackground(*clients.back(), kMb / 2);
+    }
+    EventLoop::get().sleepFor(100ms);
+    EXPECT_EQ(proxy.context.messageMemory.used(), 3 * kMb) << "three bodies are read, the others wait";
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "small", "", "body")).status, 200);
+    Buffer buffer;
+    EXPECT_EQ(readResponse(*clients.back(), buffer).status, 503) << "whoever waits too long is told so";
+    EXPECT_EQ(runner->receivedRequests.size(), 1U) << "a request that got 503 never runs";
+  });
+}
+TEST(Proxy, ABodyWithoutALengthStaysWithinTheMemory) {
+  withProxy([](TestProxy& proxy) {
+    allowBodies(proxy, 2 * kMb);
+    proxy.context.messageMemory = MemoryBudget(kMb / 2);
+    auto runner = proxy.runner("i-1", respondOk);
+    auto client = proxy.connectClient();
+    auto header = requestText("/safe/x", "a1");
+    const std::string zero = "Content-Length: 0";
+    header.replace(header.find(zero), zero.size(), "Transfer-Encoding: chunked");
+    sendBytes(*client, header);
+    EventLoop::get().spawn([&client] { sendBytes(*client, chunk(std::string(kMb, 'x')) + "0\r\n\r\n"); });
+    Buffer buffer;
+    EXPECT_EQ(readResponse(*client, buffer).status, 503);
+    EXPECT_TRUE(runner->receivedRequests.empty());
+    EventLoop::get().sleepFor(600ms);  // the rest of the body is discarded for half a second
+    EXPECT_EQ(proxy.context.messageMemory.used(), 0U);
+  });
+}
+TEST(Proxy, AnAnswerLargerThanTheMemoryIsForwardedAsItArrives) {
+  for (const bool hasLength : {true, false})
+    withProxy([hasLength](TestProxy& proxy) {
+      proxy.context.messageMemory = MemoryBudget(kMb / 4);
+      const std::string body(2 * kMb, 'b');
+      proxy.runner("i-1", [&](FakeRunner&, Connection& connection, const std::string& id, const std::string&) {
+        sendBytes(connection, hasLength ? completeResponse(id, body) : streamHeader(id) + chunk(body) + "0\r\n\r\n");
+      });
+      const auto response = sendRequest(proxy, requestText("/safe/x", "a1"));
+      EXPECT_EQ(response.status, 200);
+      EXPECT_TRUE(response.bodyComplete);
+      EXPECT_TRUE(response.body == body);
+      EXPECT_LE(proxy.context.messageMemory.used(), kMb / 4);
+    });
+}
+TEST(Proxy, AnAnswerThatNobodyReadsIsNotReadFromItsRunner) {
+  withProxy([](TestProxy& proxy) {
+    proxy.context.messageMemory = MemoryBudget(kMb);
+    constexpr std::size_t kBytes = 24 * kMb;  // more than the buffers of all sockets on the way
+    std::size_t sent = 0;
+    proxy.runner("i-1", [&](FakeRunner&, Connection& connection, const std::string& id, const std::string&) {
+      SocketError ec;
+      sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+                                "\r\nX-Server-Seal: s\r\nContent-Length: " + std::to_string(kBytes) + "\r\n\r\n");
+      const std::string part(kMb / 4, 'p');
+      while (!ec && sent < kBytes) {
+        connection.write(asio::buffer(part), ec);
+        sent += part.size();
+      }
+    });
+    auto client = proxy.connectClient();
+    sendBytes(*client, requestText("/safe/x", "a1"));
+    EventLoop::get().sleepFor(500ms);
+    EXPECT_LT(sent, kBytes) << "the proxy reads no faster than its client";
+    EXPECT_LE(proxy.context.messageMemory.used(), kMb);
+    Buffer buffer;
+    EXPECT_EQ(readResponse(*client, buffer).status, 200) << "what is read now is an answer, begun in time";
+  });
+}
+// A success is complete only if all of it has come: the connection is cut where the runner breaks off.
+TEST(Proxy, AForwardedAnswerThatBreaksOffDoesNotLookComplete) {
+  withProxy([](TestProxy& proxy) {
+    proxy.context.messageMemory = MemoryBudget(kMb / 4);
+    proxy.runner("i-1", [](FakeRunner&, Connection& connection, const std::string& id, const std::string&) {
+      sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+                                "\r\nX-Server-Seal: s\r\nContent-Length: 2000000\r\n\r\n" + std::string(kMb, 'p'));
+      connection.close();
+    });
+    const auto response = sendRequest(proxy, requestText("/safe/x", "a1"));
+    EXPECT_FALSE(response.bodyComplete);
+  });
+}
+// Calls of many runners and operators at once. `memoryMb` of 8 leaves 1 MB for the bodies of calls.
+TEST(ControlServer, BodiesThatAreBeingReadStayWithinTheMemory) {
+  static controller_testing::FakeController controller;
+  controller.configuredSettings.memoryMb = 8;
+  static controller::ControlServer server(controller, "127.0.0.1:0");
+  EventLoop::get().spawn([] {
+    const auto listener = *transport::openListener({asio::ip::make_address("127.0.0.1"), 0}, [](tcp::socket socket) {
+      auto shared = std::make_shared<tcp::socket>(std::move(socket));
+      EventLoop::get().spawn([shared] { server.serve(std::move(*shared)); });
+    });
+    const auto dial = [&listener] {
+      auto connection = std::make_unique<Connection>();
+      SocketError ec;
+      connection->connect(listener.endpoint(), ec);
+      EXPECT_FALSE(ec);
+      return connection;
+    };
+    const auto replaceCall = [](std::size_t bytes) {
+      return "POST /v1/Configuration.Replace HTTP/1.1\r\nHost: c\r\nX-Base-Version: 0\r\nContent-Length: " +
+             std::to_string(bytes) + "\r\n\r\n";
+    };
+    std::vector<std::unique_ptr<Connection>> callers;
+    for (int i = 0; i < 20; ++i) {
+      callers.push_back(dial());
+      sendBytes(*callers.back(), replaceCall(kMb / 4));
+      sendInBackground(*callers.back(), kMb / 8);
+    }
+    EventLoop::get().sleepFor(50ms);
+    auto runner = dial();
+    Buffer buffer;
+    sendBytes(*runner, "GET /v1/Status HTTP/1.1\r\nHost: c\r\n\r\n");
+    EXPECT_EQ(readResponse(*runner, buffer).status, 200);
+    EXPECT_EQ(server.bodyBytes(), kMb / 4 * 3);
+    Buffer refused;
+    EXPECT_EQ(readResponse(*callers.back(), refused).status, 503);
+    callers.clear();
+    EventLoop::get().stop();
+  });
+  EventLoop::get().run();
+}
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -350,13 +350,15 @@
 TEST(Proxy, ReadsNothingWhileBodiesExceedTheLimit) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
-    proxy.context.bodyBytes = 2, proxy.context.maxBodyBytes = 1;
+    proxy.context.messageMemory = MemoryBudget(10);
+    std::optional<MemoryReservation> others(proxy.context.messageMemory);
+    ASSERT_TRUE(others->tryGrowTo(10));
     auto connection = proxy.connectClient();
     Buffer buffer;
-    sendBytes(*connection, requestText("/safe/x", "a1"));
+    sendBytes(*connection, requestText("/safe/x", "a1", "", "body"));
     EventLoop::get().sleepFor(60ms);
     EXPECT_TRUE(runner->receivedRequests.empty());
-    proxy.context.bodyBytes = 0;
+    others.reset();
     EXPECT_EQ(readResponse(*connection, buffer).status, 200);
   });
 }
--- a/tests/request_rules_test.cpp
+++ b/tests/request_rules_test.cpp
@@ -237,21 +237,22 @@
       EXPECT_LE(closedAt - disconnectedAt, kCancelMargin) << path;
     });
 }
-// A client may disconnect while its request is not being read because `maxBodyBytes` is exceeded. The request must not
-// reach a runner afterwards.
+// A client may disconnect while its request is not being read because no memory is free for its body. The request must
+// not reach a runner afterwards.
 TEST(RequestRules, AClientThatDisconnectedBeforeItsRequestWasReadReachesNoRunner) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
     EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "a1")).status,
               200);  // puts a connection to the runner into the pool
-    proxy.context.bodyBytes = 2;
-    proxy.context.maxBodyBytes = 1;
+    proxy.context.messageMemory = MemoryBudget(10);
+    std::optional<MemoryReservation> others(proxy.context.messageMemory);
+    ASSERT_TRUE(others->tryGrowTo(10));
     auto client = proxy.connectClient();
-    sendBytes(*client, requestText("/safe/x", "a2"));
+    sendBytes(*client, requestText("/safe/x", "a2", "", "body"));
     EventLoop::get().sleepFor(60ms);
     client->close();
     EventLoop::get().sleepFor(kCancelMargin + 100ms);
-    proxy.context.bodyBytes = 0;
+    others.reset();
     EventLoop::get().sleepFor(100ms);
     EXPECT_EQ(runner->receivedRequests.size(), 1U);
   });
@@ -362,7 +363,7 @@
       auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
       configuration->limits.maxBodyBytes = std::int64_t{16} << 20U;
       proxy.context.configuration = configuration;
-      proxy.context.maxBodyBytes = std::size_t{64} << 20U;
+      proxy.context.messageMemory = MemoryBudget(std::size_t{64} << 20U);
       auto& runner = *new EarlyResponder;  // never freed: its fibers may outlive the test
       runner.acceptNext();
       proxy.context.runners.setRunners({Runner{"i-1", "s", runner.address(), "z", 4, 1, 0}});
