Memory: the log of a controller and the tail of an agent are bounded by bytes, not only by entries

Seen by callers: controllers go over memoryMb while an operator replaces large configurations that have little in common: 60 of 4.7 MB, three controllers: 456 to 468 MB of their 256, growing with each change.

Cause: the log is compacted after 96 entries (up to 384 while agents lag), whatever they hold; an agent retained the last 256 entries for its proxy.

Change: the log is also compacted after 8 MB of bodies, the agent's tail keeps 8 MB and the newest entry.

ControllerNode.TheLogIsCompactedByTheBytesOfItsEntries fails without the limit (32 MB on disk after 14 x 2 MB), LogFollower.RetainsABoundedNumberOfBytes.

--- a/libs/agent/include/agent/log_follower.hpp
+++ b/libs/agent/include/agent/log_follower.hpp
@@ -13,6 +13,8 @@
   static constexpr auto kRefetchInterval = 150ms;
   /// Number of applied entries that are retained for a proxy that reconnects.
   static constexpr std::size_t kTailCapacity = 256;
+  /// Maximum number of bytes in the bodies of the retained entries, apart from the newest entry.
+  static constexpr std::size_t kTailBytes = std::size_t{8} << 20;
 
   /// Creates a message that subscribes to the source's log.
   /// @param refetch whether the message requests missing entries again.
@@ -53,8 +55,11 @@
   const FollowedReplica& replica() const { return replica_; }
 
  private:
+  void retain(const transport::LogEntry& entry);
+
   FollowedReplica replica_;
   std::deque<transport::LogEntry> tail_;  // the last applied entries, oldest first
+  std::size_t tailBytes_ = 0;             // total size of the bodies of `tail_`
   std::int64_t newestIndex_ = 0;          // highest index that is known to be committed
   ReplicaLag lag_;
   TimePoint lastFollow_{};
--- a/libs/agent/src/log_follower.cpp
+++ b/libs/agent/src/log_follower.cpp
@@ -30,11 +30,17 @@
     return std::nullopt;
   stalledSince_.reset();
   lag_.recordApplied(applied->entry.index);
-  tail_.push_back(applied->entry);
-  if (tail_.size() > kTailCapacity)
-    tail_.pop_front();
+  retain(applied->entry);
   return applied;
 }
+void LogFollower::retain(const transport::LogEntry& entry) {
+  tail_.push_back(entry);
+  tailBytes_ += entry.body.size();
+  while (tail_.size() > kTailCapacity || (tailBytes_ > kTailBytes && tail_.size() > 1)) {
+    tailBytes_ -= tail_.front().body.size();
+    tail_.pop_front();
+  }
+}
 Result<void> LogFollower::restore(const transport::FeedSnapshot& snapshot) {
   if (auto restored = replica_.restore(snapshot); !restored) {
     replica_.markCorrupted();
@@ -43,6 +49,7 @@
   stalledSince_.reset();
   lag_.recordApplied(snapshot.lastIncludedIndex);
   tail_.clear();
+  tailBytes_ = 0;
   newestIndex_ = std::max(newestIndex_, snapshot.lastIncludedIndex);
   return {};
 }
--- a/libs/controller/src/raft_driver.cpp
+++ b/libs/controller/src/raft_driver.cpp
@@ -7,6 +7,9 @@
 constexpr std::int64_t kMinCompactionInterval = 96;  // in applied entries
 // After this many intervals the log is compacted even if agents lag behind.
 constexpr std::int64_t kMaxIntervalsWithLaggingAgents = 4;
+// The log is also compacted after this many bytes of bodies, since it is kept in memory. Agents that lag behind then
+// get a snapshot.
+constexpr std::size_t kMaxLogBytes = std::size_t{8} << 20;
 
 /// Logs which operators' orders on zones were applied, and by which controller and operation each was submitted, so
 /// that two copies of an order can be told from two orders.
@@ -60,6 +63,8 @@
     adoptConfiguration();
   components_.writes.onApplied(action.entry.operationId);
   components_.reads.onApplied();
+  ++appliedSinceCompaction_;
+  bytesSinceCompaction_ += action.entry.body.size();
   compactIfDue();
 }
 void RaftDriver::executeAction(consensus::RestoreSnapshot& action) {
@@ -77,16 +82,22 @@
   const auto runners = static_cast<std::int64_t>(context_.replica.state().runners.size());
   return std::max(kMinCompactionInterval, runners);
 }
-void RaftDriver::compactIfDue() {
+bool RaftDriver::isCompactionDue() const {
+  if (bytesSinceCompaction_ >= kMaxLogBytes)
+    return true;
   const auto newest = context_.replica.state().index;
   const auto interval = compactionInterval();
   // Entries that a connected agent still lacks are kept for up to `kMaxIntervalsWithLaggingAgents` intervals. An agent
   // that is further behind gets a snapshot.
   const bool agentsAreNearlyCaughtUp = components_.agents.lowestApplied(newest) + interval / 2 >= newest;
-  if (++appliedSinceCompaction_ < (agentsAreNearlyCaughtUp ? interval : kMaxIntervalsWithLaggingAgents * interval))
+  return appliedSinceCompaction_ >= (agentsAreNearlyCaughtUp ? interval : kMaxIntervalsWithLaggingAgents * interval);
+}
+void RaftDriver::compactIfDue() {
+  if (!isCompactionDue())
     return;
   appliedSinceCompaction_ = 0;
-  context_.raft->compact(newest, context_.replica.snapshot(), Clock::now());
+  bytesSinceCompaction_ = 0;
+  context_.raft->compact(context_.replica.state().index, context_.replica.snapshot(), Clock::now());
 }
 void RaftDriver::adoptConfiguration() {
   const auto& text = context_.replica.state().configuration;
--- a/libs/controller/src/raft_driver.hpp
+++ b/libs/controller/src/raft_driver.hpp
@@ -39,12 +39,14 @@
   void executeAction(consensus::RestoreSnapshot& action);
   std::int64_t compactionInterval() const;
   void compactIfDue();
+  bool isCompactionDue() const;
   void adoptConfiguration();
 
   ControllerContext& context_;
   Components components_;
   std::unique_ptr<AsyncStorage> storage_;
   std::int64_t appliedSinceCompaction_ = 0;  // number of entries
+  std::size_t bytesSinceCompaction_ = 0;     // total size of the bodies of these entries
   bool running_ = false;
 };
 }  // namespace zinccleat::controller
--- a/tests/controller_node_test.cpp
+++ b/tests/controller_node_test.cpp
@@ -85,6 +85,33 @@
 }
 }  // namespace
 
+// Guards against a controller that grows over its memory because its log holds many large configurations that have
+// little in common. The records on the disk are those of the log in memory.
+TEST(ControllerNode, TheLogIsCompactedByTheBytesOfItsEntries) {
+  runOnLoop([] {
+    constexpr int kVersions = 14;
+    constexpr std::uintmax_t kMb = std::uintmax_t{1} << 20U;
+    auto& controller = newController("127.0.5.8");
+    auto& node = *controller.node;
+    ASSERT_TRUE(start(node));
+    ASSERT_TRUE(controller.waitUntil(10s, [&] { return fieldOf(node.statusJson(), "leased") == "true"; }));
+    for (int version = 1; version <= kVersions; ++version) {
+      auto configuration = configurationOf(version);
+      configuration.insert(configuration.size() - 1, ",\"note\":\"" + std::string(2 * kMb, 'a' + version) + "\"");
+      const auto entry = configurationEntry(version - 1, version, configuration, node.nextOperationId());
+      const auto outcome = node.write(entry, 10s);
+      ASSERT_TRUE(outcome && *outcome == ReplicatedState::Verdict::acknowledged) << version;
+    }
+    const auto bytesOnDisk = [&] {
+      std::uintmax_t bytes = 0;
+      for (const auto& file : std::filesystem::directory_iterator(node.settings().dataDir))
+        bytes += file.is_regular_file() ? file.file_size() : 0;
+      return bytes;
+    };
+    EXPECT_TRUE(controller.waitUntil(5s, [&] { return bytesOnDisk() < 14 * kMb; }))
+        << bytesOnDisk() << " bytes for configurations of 2 MB each";
+  });
+}
 // Regression: a controller ran out of memory because each refetch queued another full answer behind those not yet read.
 TEST(ControllerNode, AnAgentThatDoesNotReadCostsABoundedBacklog) {
   runOnLoop([] {
--- a/tests/log_follower_test.cpp
+++ b/tests/log_follower_test.cpp
@@ -42,6 +42,25 @@
   EXPECT_EQ(follower.replica().state().version, 1);
   EXPECT_FALSE(follower.isBehind());
 }
+// Guards against an agent that grows over its memory because it retains many large configurations for its proxy.
+TEST(LogFollower, RetainsABoundedNumberOfBytes) {
+  constexpr int kEntries = 40;
+  const std::size_t bytes = LogFollower::kTailBytes / 4;
+  LogFollower follower;
+  for (std::int64_t i = 1; i <= kEntries; ++i) {
+    auto entry = runnerJoins(i);
+    entry.body.resize(bytes, ' ');
+    follower.offer(feedOf({entry}, i));
+  }
+  applyAll(follower);
+  EXPECT_EQ(follower.replica().lastApplied(), kEntries);
+  std::size_t retained = 0;
+  for (std::int64_t from = kEntries - 1; from > 0; --from)
+    if (const auto entries = follower.entriesAfter(from))
+      retained = entries->entries.size();
+  EXPECT_EQ(retained, 4U);
+  EXPECT_FALSE(follower.entriesAfter(1)) << "a proxy that is further behind gets a snapshot";
+}
 TEST(LogFollower, AGapBlocksAllThatFollows) {
   LogFollower follower;
   follower.offer(feedOf({runnerJoins(1), runnerJoins(3)}, 3));
