Soak: starts that meet obstacles and signals; memory limits; no signal is passed over any more

The soak asked each process whether it handled SIGTERM before it sent a signal, and no start of it met a held address, a held folder or half-written settings, so it could not see a start that is disturbed.

Change: signals go to processes whether or not their program runs yet. An end by one of these signals is excused only if /proc showed, when it was sent, that the program could not have blocked it yet, and only 250 ms after the start.

--- a/libs/simulation/src/child_process.cpp
+++ b/libs/simulation/src/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,6 +24,7 @@
   int inherited;
   int errorPipe;  // the child writes errno to it if a step before or in exec() fails; exec() closes it
   pid_t parent;
+  ChildOptions options;
 };
 // Makes the kernel kill this process when its parent ends. Returns false if that fails or the parent has already ended:
 // a parent that ended before the call of prctl() causes no signal.
@@ -45,11 +47,27 @@
   }
   return ::close_range(kFirstClosedDescriptor, ~0U, CLOSE_RANGE_CLOEXEC) == 0;
 }
+bool limitDescriptors(int count) {
+  if (count <= 0)
+    return true;
+  const rlimit limit{static_cast<rlim_t>(count), static_cast<rlim_t>(count)};
+  return ::setrlimit(RLIMIT_NOFILE, &limit) == 0;
+}
+bool blockSignals() {
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1})
+    ::sigaddset(&signals, signal);
+  return ::sigprocmask(SIG_BLOCK, &signals, nullptr) == 0;
+}
+bool applyOptions(const ChildOptions& options) {
+  return limitDescriptors(options.maxDescriptors) && (!options.blocksSignals || blockSignals());
+}
 [[noreturn]] void execInChild(Launch launch) {
   // Moves the pipe above descriptor 3, which closeAllButInherited overwrites.
   launch.errorPipe = ::fcntl(launch.errorPipe, F_DUPFD_CLOEXEC, kFirstClosedDescriptor);
   if (launch.errorPipe >= 0 && killOnParentExit(launch.parent) && redirectOutputToLog(launch) &&
-      closeAllButInherited(launch))
+      closeAllButInherited(launch) && applyOptions(launch.options))
     ::execv(launch.arguments[0], launch.arguments);
   const int error = errno;
   if (launch.errorPipe >= 0)
@@ -68,7 +86,8 @@
 }
 }  // namespace
 
-pid_t startChild(const std::vector<std::string>& arguments, const std::string& logPath, int inherited) {
+pid_t startChild(const std::vector<std::string>& arguments, const std::string& logPath, int inherited,
+                 const ChildOptions& options) {
   std::vector<char*> pointers;
   pointers.reserve(arguments.size() + 1);
   for (const auto& argument : arguments)
@@ -77,7 +96,7 @@
   int errorPipe[2];
   if (::pipe2(errorPipe, O_CLOEXEC) != 0)
     return -1;
-  const Launch launch{pointers.data(), logPath.c_str(), inherited, errorPipe[1], ::getpid()};
+  const Launch launch{pointers.data(), logPath.c_str(), inherited, errorPipe[1], ::getpid(), options};
   const pid_t child = ::fork();
   if (child == 0)
     execInChild(launch);
--- a/libs/simulation/src/fleet.cpp
+++ b/libs/simulation/src/fleet.cpp
@@ -21,6 +21,10 @@
 static_assert(kFirstInternalPort + kNetworks * kInternalPorts < 32'768);
 constexpr unsigned short kReadinessPort = 8406;
 constexpr std::size_t kMaxSeeds = 3;
+// Offsets from the first internal port, as in the programs.
+constexpr int kAgentPortOffset = 1;
+constexpr int kCoordinationPortOffset = 2;
+constexpr int kCounterPortOffset = 3;
 }  // namespace
 
 LocalFleet::LocalFleet(std::string binary, FleetOptions options)
@@ -85,14 +89,16 @@
                                 << seedNodes()
                                 << "],\"initialAttach\":true,\"quorumMember\":" << (machine.hasDisk ? "true" : "false")
                                 << ",\"dataDir\":" << (machine.hasDisk ? "\"" + path + "\"" : "null")
-                                << ",\"heartbeatMs\":1200,\"limits\":{\"memoryMb\":256,\"fdLimit\":8192},"
+                                << ",\"heartbeatMs\":1200,\"limits\":{\"memoryMb\":" << machine.limits.memoryMb
+                                << ",\"fdLimit\":" << machine.limits.fdLimit << "},"
                                 << "\"faultTolerance\":{\"machines\":" << (core_.size() - 1) / 2
                                 << "},\"timers\":" << options_.timers << "}";
 }
-bool LocalFleet::spawn(Process& process) {
+bool LocalFleet::spawn(Process& process, bool blocksSignals) {
   const auto settings = "--settings=" + folder_ + "/" + process.settings + ".json";
   const auto log = folder_ + "/" + process.name + ".log";
-  const pid_t pid = startChild({binary_, process.role, settings}, log, reservation_.native_handle());
+  const ChildOptions options{options_.enforcesDescriptorLimits ? process.limits.fdLimit : 0, blocksSignals};
+  const pid_t pid = startChild({binary_, process.role, settings}, log, reservation_.native_handle(), options);
   if (pid < 0)
     return false;
   process.pid = pid;
@@ -101,8 +107,9 @@
 bool LocalFleet::startCore() {
   for (std::size_t i = 0; i < core_.size(); ++i) {
     const auto name = "core-" + std::to_string(i + 1);
-    writeSettings({name, core_[i], "controller", zoneOf(i), "\"controlPort\":\"" + control(i) + "\"", true});
-    Process process{name, "controller", name};
+    writeSettings(
+        {name, core_[i], "controller", zoneOf(i), "\"controlPort\":\"" + control(i) + "\"", true, options_.coreLimits});
+    Process process{name, "controller", name, 0, options_.coreLimits};
     if (!spawn(process))
       return false;
     processes_.push_back(std::move(process));
@@ -117,9 +124,10 @@
   const auto number = std::to_string(machine + 1);
   const auto name = "access-" + number;
   const auto addresses = "\"accessPort\":\"" + access(machine) + "\",\"readinessPort\":\"" + readiness(machine) + "\"";
-  writeSettings({name, accessIp(machine), "proxy", zoneOf(static_cast<std::size_t>(machine)), addresses, false});
+  writeSettings({name, accessIp(machine), "proxy", zoneOf(static_cast<std::size_t>(machine)), addresses, false,
+                 options_.accessLimits});
   for (const std::string role : {"agent", "proxy"}) {
-    Process process{machine == 0 ? role : role + "-" + number, role, name};
+    Process process{machine == 0 ? role : role + "-" + number, role, name, 0, options_.accessLimits};
     if (!spawn(process))
       return false;
     processes_.push_back(std::move(process));
@@ -163,7 +171,19 @@
   pid = 0;
   return true;
 }
-bool LocalFleet::restartProcess(std::size_t process) {
-  return processes_[process].pid == 0 && spawn(processes_[process]);
+bool LocalFleet::restartProcess(std::size_t process, bool blocksSignals) {
+  return processes_[process].pid == 0 && spawn(processes_[process], blocksSignals);
+}
+std::vector<std::string> LocalFleet::listeningAddresses(std::size_t process) const {
+  const auto internal = [this](const std::string& ip, int offset) {
+    return ip + ":" + std::to_string(internalPort() + offset);
+  };
+  if (process < core_.size())
+    return {control(process), internal(core_[process], 0), internal(core_[process], kCoordinationPortOffset),
+            internal(core_[process], kCounterPortOffset)};
+  const auto machine = static_cast<int>((process - core_.size()) / 2);
+  if (processes_[process].role == "agent")
+    return {internal(accessIp(machine), kAgentPortOffset)};
+  return {access(machine), readiness(machine)};
 }
 }  // namespace zinccleat::simulation
--- a/libs/simulation/src/fleet.hpp
+++ b/libs/simulation/src/fleet.hpp
@@ -15,11 +15,19 @@
 
 #include "runtime/common.hpp"
 namespace zinccleat::simulation {
+/// Limits of a process, which the fleet writes into its settings.
+struct ProcessLimits {
+  int memoryMb = 256;
+  int fdLimit = 8192;
+};
 /// Settings that all machines of a fleet share.
 struct FleetOptions {
   int core = 3;                         ///< number of controllers
   std::vector<std::string> zones{"z"};  ///< controllers and access machines are each assigned to the zones in turn
   std::string timers = "{}";            ///< JSON value of the settings field `timers`
+  ProcessLimits coreLimits{};
+  ProcessLimits accessLimits{};
+  bool enforcesDescriptorLimits = false;  ///< whether processes are started with `fdLimit` as their limit
 };
 class LocalFleet {
  public:
@@ -30,6 +38,7 @@
     std::string role;      ///< the program's subcommand
     std::string settings;  ///< name of the settings file, without extension
     pid_t pid = 0;         ///< 0: not running
+    ProcessLimits limits{};
   };
   /// Reserves a network and creates the folder, without starting any process. @param core the number of controllers.
   LocalFleet(std::string binary, int core) : LocalFleet(std::move(binary), FleetOptions{.core = core}) {}
@@ -53,8 +62,15 @@
   /// Kills a process with SIGKILL and waits until it has ended. @return false if the process was not running.
   bool kill(std::size_t process);
   /// Starts a process again that is not running.
+  /// @param blocksSignals whether the lifecycle signals are blocked until the program unblocks them.
   /// @return false if the process is running or cannot be started.
-  bool restartProcess(std::size_t process);
+  bool restartProcess(std::size_t process, bool blocksSignals = false);
+  /// Path of the settings file of a process.
+  std::string settingsPath(std::size_t process) const { return folder_ + "/" + processes_[process].settings + ".json"; }
+  /// Path of the data folder of a controller.
+  std::string dataFolder(std::size_t controller) const { return folder_ + "/" + processes_[controller].name; }
+  /// The addresses ("IP:port") on which a process listens.
+  std::vector<std::string> listeningAddresses(std::size_t process) const;
   /// Empties the disk of a controller that is not running. As on a real machine that comes back so, `initialAttach` is
   /// false from then on.
   void loseDisk(std::size_t controller) const;
@@ -83,6 +99,7 @@
     std::string name, ip, role, zone;
     std::string bindAddresses;  // fields of the JSON object `bindAddresses`, without braces
     bool hasDisk = false;       // true for controllers, which store data in the folder
+    ProcessLimits limits{};
   };
   void reserveNetwork();
   std::string accessIp(int machine) const { return ip(3, machine + 1); }
@@ -90,7 +107,7 @@
   std::string zonesJson() const;
   void writeSettings(const Machine& machine) const;
   std::string seedNodes() const;
-  bool spawn(Process& process);
+  bool spawn(Process& process, bool blocksSignals = false);
   std::string binary_, folder_;
   FleetOptions options_;
   int accessMachines_ = 0;
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -79,11 +79,8 @@
     sleepFor(run_.drawDuration(1500ms, 4000ms));
   }
   void sendHangup(std::size_t process) {
-    if (!supervisor_.handlesTermination(process))
-      return;
     run_.fleet.touchSettings(process);
-    supervisor_.recordDisturbance(process, true);
-    (void)run_.fleet.signal(process, SIGHUP);
+    supervisor_.signalEarly(process, SIGHUP);
   }
   void reloadSettings() {
     for (int i = drawSeriesLength(); i > 0; --i, sleepFor(run_.drawDuration(1ms, 150ms)))
@@ -120,9 +117,7 @@
   }
   /// Stops processes for a time that may be longer than their callers wait, unless one of them is not running.
   void freeze(const std::vector<std::size_t>& processes) {
-    const auto canFreeze = [this](std::size_t process) {
-      return supervisor_.isRunning(process) && supervisor_.handlesTermination(process);
-    };
+    const auto canFreeze = [this](std::size_t process) { return supervisor_.isRunning(process); };
     if (!std::all_of(processes.begin(), processes.end(), canFreeze))
       return;
     for (const auto process : processes)
--- a/tests/soak/losses.cpp
+++ b/tests/soak/losses.cpp
@@ -64,7 +64,7 @@
     for (const auto end = Clock::now() + kStartTimeout; Clock::now() < end; sleepFor(kPollInterval)) {
       bool all = true;
       for (std::size_t i = 0; i < controllers(); ++i)
-        all = all && supervisor_.isRunning(i) && supervisor_.handlesTermination(i);
+        all = all && supervisor_.isRunning(i);
       if (all)
         return true;
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 // zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N]
-//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--plant=slow-clock|lost-disks]
+//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--starts]
+//     [--plant=slow-clock|lost-disks]
 //     [--keep]
 //
 // Performs one soak run, and prints a summary and the violated rules. With --keep, the folder with the logs of the
@@ -25,6 +26,9 @@
 constexpr Duration kCalmTime{3000};
 constexpr Duration kLogFlushTime{500};
 constexpr std::size_t kMaxPrintedViolations = 12;
+// Those of a small deployment.
+constexpr simulation::ProcessLimits kCoreLimits{.memoryMb = 256, .fdLimit = 4096};
+constexpr simulation::ProcessLimits kAccessLimits{.memoryMb = 220, .fdLimit = 4200};
 
 std::string timersJson(const Bounds& bounds) {
   return R"({"graceS":)" + std::to_string(bounds.grace.count() / 1000) + R"(,"drainMs":)" +
@@ -194,6 +198,8 @@
       plan.freezes = true;
     else if (std::strcmp(argument, "--losses") == 0)
       plan.losses = true;
+    else if (std::strcmp(argument, "--starts") == 0)
+      plan.starts = true;
     else if (std::strncmp(argument, kPlantOption, std::strlen(kPlantOption)) == 0)
       plan.plantedFault = argument + std::strlen(kPlantOption);
     else if (std::strcmp(argument, "--keep") == 0)
@@ -215,8 +221,12 @@
 SoakRun::SoakRun(const SoakPlan& soakPlan)
     : plan(soakPlan),
       random(soakPlan.seed),
-      fleet(soakPlan.program,
-            simulation::FleetOptions{.core = soakPlan.core, .zones = kZones, .timers = timersJson(Bounds{})}),
+      fleet(soakPlan.program, simulation::FleetOptions{.core = soakPlan.core,
+                                                       .zones = kZones,
+                                                       .timers = timersJson(Bounds{}),
+                                                       .coreLimits = kCoreLimits,
+                                                       .accessLimits = kAccessLimits,
+                                                       .enforcesDescriptorLimits = true}),
       inService(static_cast<std::size_t>(soakPlan.access), 0) {}
 void SoakRun::spawn(std::function<void()> body) {
   ++activeFibers;
@@ -231,10 +241,11 @@
   using namespace zinccleat;
   const auto plan = soak::parsePlan(argc, argv);
   if (!plan) {
-    std::fprintf(stderr,
-                 "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
-                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] "
-                 "[--plant=slow-clock|lost-disks] [--keep]\n");
+    std::fprintf(
+        stderr,
+        "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
+        "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--starts] "
+        "[--plant=slow-clock|lost-disks] [--keep]\n");
     return 2;
   }
   // Uses a folder in memory if the system has one, so that other users of the disk don't influence the timing of the
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -2,9 +2,12 @@
 
 #include <sys/wait.h>
 
+#include <csignal>
+
 namespace zinccleat::soak {
 namespace {
-constexpr Duration kExitSlack{1000};  // a busy machine may delay the last handler of a process
+constexpr Duration kExitSlack{1000};   // a busy machine may delay the last handler of a process
+constexpr Duration kMaxLinkTime{250};  // from exec until the program blocks its signals, on a busy machine
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
@@ -44,6 +47,7 @@
     checkFinalVersion();
     for (const auto& exit : observations_.exits)
       checkExit(exit);
+    checkMemory();
     checkServed();
     return std::move(violations_);
   }
@@ -182,8 +186,21 @@
       report("CONFIG", "version " + std::to_string(acknowledged) + " was acknowledged, " +
                            std::to_string(*observations_.finalVersion) + " is read back");
   }
+  /// Whether a process ended by a signal that reached it before the program could block it. Only the first moments of a
+  /// process are excused.
+  static bool endedBeforeProgram(const ProcessExit& exit) {
+    const bool bySignal =
+        WIFSIGNALED(exit.status) &&
+        (WTERMSIG(exit.status) == SIGTERM || WTERMSIG(exit.status) == SIGHUP || WTERMSIG(exit.status) == SIGUSR1);
+    return bySignal && exit.signalledBeforeProgram && toDuration(exit.endedAt - exit.startedAt) < kMaxLinkTime;
+  }
+  void checkMemory() {
+    for (const auto& [process, peak] : observations_.peakMemoryMb)
+      if (const auto limit = observations_.memoryLimitMb.at(process); peak > limit)
+        report("Fault", process + " used " + std::to_string(peak) + " MB of its " + std::to_string(limit));
+  }
   void checkExit(const ProcessExit& exit) {
-    if (exit.killed)
+    if (exit.killed || endedBeforeProgram(exit))
       return;
     const bool orderly = WIFEXITED(exit.status) && WEXITSTATUS(exit.status) == 0;
     if (!exit.terminatedAt || !orderly)
--- a/tests/soak/observations.hpp
+++ b/tests/soak/observations.hpp
@@ -75,7 +75,10 @@
   bool killed = false;                    ///< whether the soak run sent SIGKILL
   TimePoint startedAt{};                  ///< zero: at the start of the fleet
   TimePoint endedAt{};
-  std::string signalMasks;  ///< signal masks from /proc when SIGTERM was last sent
+  std::string signalMasks;  ///< signal masks from /proc when a signal was last sent
+  /// Whether a signal was sent before the program could block it: during exec, or while the dynamic linker maps the
+  /// program's libraries. The signal then ends the process, whatever the program does.
+  bool signalledBeforeProgram = false;
 };
 
 /// All observations of one run.
@@ -89,6 +92,8 @@
   std::vector<ConfigurationChange> changes;
   std::vector<Disturbance> disturbances;
   std::vector<ProcessExit> exits;
+  std::map<std::string, int> peakMemoryMb;   ///< key: process
+  std::map<std::string, int> memoryLimitMb;  ///< key: process
   std::optional<std::int64_t> finalVersion;  ///< configuration version that was read at the end of the run
 
   /// Whether a machine must be connected to the core at a time: neither the machine nor the core was disturbed within
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -28,6 +28,7 @@
   bool disks = false;    ///< whether disks are slow, stall, are full or fail single operations
   bool cuts = false;     ///< whether packets are lost or delayed and connections are reset
   bool freezes = false;  ///< whether processes stand still for a time (SIGSTOP, SIGCONT)
+  bool starts = false;   ///< whether starts meet obstacles and signals; see `StartObstacles`
   bool losses = false;   ///< whether the disk of the only controller that answers is lost; see `startLosses`
   std::string plantedFault;          ///< a fault beyond what the fleet tolerates, injected to show that the checks find
                                      ///< violations; see `startFaults`
--- a/tests/soak/supervisor.cpp
+++ b/tests/soak/supervisor.cpp
@@ -8,6 +8,7 @@
 constexpr Duration kSupervisionInterval{20};
 constexpr Duration kMinRestartDelay{50};
 constexpr Duration kMaxRestartDelay{600};
+constexpr int kChecksPerMemoryCheck = 10;
 
 /// The signals that a process blocks and handles, as /proc/PID/status shows them.
 struct SignalMasks {
@@ -15,8 +16,11 @@
   bool handles(int signal) const { return ((blocked | caught) >> (signal - 1) & 1U) != 0; }
   std::string text() const { return "blocked " + std::to_string(blocked) + ", caught " + std::to_string(caught); }
 };
+std::ifstream statusOf(pid_t pid) {
+  return std::ifstream("/proc/" + std::to_string(pid) + "/status");
+}
 SignalMasks signalMasksOf(pid_t pid) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  auto status = statusOf(pid);
   SignalMasks masks;
   for (std::string line; std::getline(status, line);) {
     const auto value = [&line] { return std::stoull(line.substr(line.find('\t') + 1), nullptr, 16); };
@@ -27,6 +31,16 @@
   }
   return masks;
 }
+/// The largest amount of memory that a process has used so far, in MB; 0 if it has ended.
+int peakMemoryMbOf(pid_t pid) {
+  constexpr std::string_view kKey = "VmHWM:";
+  constexpr int kKbPerMb = 1024;
+  auto status = statusOf(pid);
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with(kKey))
+      return std::stoi(line.substr(kKey.size())) / kKbPerMb;
+  return 0;
+}
 }  // namespace
 
 void Supervisor::start() {
@@ -39,15 +53,24 @@
 void Supervisor::recordDisturbance(std::size_t process, bool planned) {
   run_.observations.disturbances.push_back({machineOf(process), Clock::now(), planned});
 }
-bool Supervisor::handlesTermination(std::size_t process) const {
-  return signalMasksOf(run_.fleet.processes()[process].pid).handles(SIGTERM);
+void Supervisor::recordMasks(std::size_t process, int signal) {
+  auto& state = states_[process];
+  const auto masks = signalMasksOf(run_.fleet.processes()[process].pid);
+  state.masks = masks.text();
+  state.signalledBeforeProgram |= !masks.handles(signal);
+}
+void Supervisor::signalEarly(std::size_t process, int signal) {
+  if (states_[process].frozen || run_.fleet.processes()[process].pid <= 0)
+    return;
+  recordDisturbance(process, true);
+  recordMasks(process, signal);
+  (void)run_.fleet.signal(process, signal);
 }
 void Supervisor::terminate(std::size_t process) {
-  const auto masks = signalMasksOf(run_.fleet.processes()[process].pid);
-  if (!masks.handles(SIGTERM) || states_[process].frozen)
+  if (states_[process].frozen || run_.fleet.processes()[process].pid <= 0)
     return;
   recordDisturbance(process, true);
-  states_[process].masks = masks.text();
+  recordMasks(process, SIGTERM);
   if (run_.fleet.signal(process, SIGTERM) && !states_[process].terminatedAt)
     states_[process].terminatedAt = Clock::now();
 }
@@ -68,7 +91,8 @@
 }
 bool Supervisor::isRunning(std::size_t process) const {
   const auto& state = states_[process];
-  return run_.fleet.processes()[process].pid > 0 && !state.terminatedAt && !state.frozen && !state.killed;
+  return run_.fleet.processes()[process].pid > 0 && !state.terminatedAt && !state.frozen && !state.killed &&
+         !state.obstructed;
 }
 void Supervisor::freeze(std::size_t process) {
   recordDisturbance(process, false);
@@ -83,26 +107,45 @@
   auto& state = states_[process];
   const auto now = Clock::now();
   run_.observations.exits.push_back({run_.fleet.processes()[process].name, status, state.terminatedAt, state.killed,
-                                     state.startedAt, now, state.masks});
+                                     state.startedAt, now, state.masks, state.signalledBeforeProgram});
   recordDisturbance(process, state.terminatedAt.has_value());
   const bool onHold = state.onHold;
+  const bool obstructed = state.obstructed;
   state = {};
   state.onHold = onHold;
+  state.obstructed = obstructed;
   if (!onHold)
     state.restartAt = now + run_.drawDuration(kMinRestartDelay, kMaxRestartDelay);
 }
+void Supervisor::start(std::size_t process) {
+  auto& state = states_[process];
+  state.restartAt = TimePoint::max();
+  recordDisturbance(process, true);
+  const bool obstructs = run_.plan.starts && run_.disturbancesActive;
+  if (obstructs && !state.obstructed)
+    obstacles_.beforeStart(process);
+  state.startedAt = Clock::now();
+  (void)run_.fleet.restartProcess(process, obstructs && obstacles_.drawBlocksSignals());
+  if (obstructs)
+    obstacles_.afterStart(process);
+}
+void Supervisor::checkMemory(std::size_t process) {
+  const auto& running = run_.fleet.processes()[process];
+  auto& peak = run_.observations.peakMemoryMb[running.name];
+  peak = std::max(peak, running.pid > 0 ? peakMemoryMbOf(running.pid) : 0);
+  run_.observations.memoryLimitMb[running.name] = running.limits.memoryMb;
+}
 void Supervisor::checkAll() {
   const auto now = Clock::now();
+  ++checks_;
   for (std::size_t process = 0; process < states_.size(); ++process) {
     auto& state = states_[process];
     if (const auto status = run_.fleet.pollExitStatus(process))
       recordExit(process, *status);
-    if (now >= state.restartAt) {
-      state.restartAt = TimePoint::max();
-      recordDisturbance(process, true);
-      state.startedAt = now;
-      (void)run_.fleet.restartProcess(process);
-    }
+    if (now >= state.restartAt)
+      start(process);
+    if (checks_ % kChecksPerMemoryCheck == 0)
+      checkMemory(process);
     // The platform sends SIGKILL when the grace period is over. A process that is killed here counts as a violation,
     // because of its exit status.
     if (state.terminatedAt && now - *state.terminatedAt > run_.observations.bounds.grace)
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -3,6 +3,8 @@
 /// not.
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 #include "soak/observations.hpp"
 
 using namespace zinccleat;
@@ -166,3 +168,28 @@
   observations.requests.resize(10);
   EXPECT_EQ(violatedRules(observations), "Fault ") << "the run has too few requests";
 }
+TEST(SoakObservations, AnEndByASignalIsExcusedOnlyBeforeTheProgramRuns) {
+  auto observations = observationsWithoutViolation();
+  ProcessExit exit{"agent", SIGHUP, std::nullopt, false, kStart, kStart + 5ms, "", true};
+  observations.exits = {exit};
+  EXPECT_EQ(violatedRules(observations), "") << "the dynamic linker was active";
+  observations.exits[0].signalledBeforeProgram = false;
+  EXPECT_EQ(violatedRules(observations), "Fault ");
+  observations.exits[0] = exit;
+  observations.exits[0].endedAt = kStart + 2s;
+  EXPECT_EQ(violatedRules(observations), "Fault ") << "linking does not take so long";
+  observations.exits[0] = exit;
+  observations.exits[0].status = SIGSEGV;
+  EXPECT_EQ(violatedRules(observations), "Fault ") << "a crash is never excused";
+  observations.exits[0] = exit;
+  observations.exits[0].status = 256;
+  EXPECT_EQ(violatedRules(observations), "Fault ") << "the program ended by itself";
+}
+TEST(SoakObservations, AProcessKeepsWithinItsMemory) {
+  auto observations = observationsWithoutViolation();
+  observations.memoryLimitMb = {{"proxy", 220}};
+  observations.peakMemoryMb = {{"proxy", 220}};
+  EXPECT_EQ(violatedRules(observations), "");
+  observations.peakMemoryMb = {{"proxy", 221}};
+  EXPECT_EQ(violatedRules(observations), "Fault ");
+}
