Log: a line that nobody reads is dropped, it does not stop the process

Seen by callers: a process whose standard error is a pipe that nobody reads stands still at the first line that no longer fits and serves nothing until a signal interrupts the write.

Cause: log lines are written by the event loop's only thread, and write(2) to a full pipe blocks.

Change: a line is written only if poll(2) says that standard error takes it. A pipe takes PIPE_BUF bytes then, which is more than a line.

Test: process_start.sh, "log that nobody reads": a proxy with a full pipe answers its readiness check.

--- a/libs/runtime/include/runtime/log_ring.hpp
+++ b/libs/runtime/include/runtime/log_ring.hpp
@@ -4,7 +4,8 @@
 ///
 /// Debug lines are collected in a ring buffer in memory, which is written to standard error when an error is logged, an
 /// invariant is violated or SIGUSR1 arrives.
-/// docs/on-call.md and docs/events explain the events to operators.
+/// docs/on-call.md and docs/events explain the events to operators. A line that standard error cannot take without
+/// blocking, because nobody reads it, is dropped.
 #pragma once
 #include <concepts>
 #include <initializer_list>
--- a/libs/runtime/src/log_ring.cpp
+++ b/libs/runtime/src/log_ring.cpp
@@ -4,6 +4,8 @@
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <ctime>
@@ -35,7 +37,15 @@
   log4cxx::BasicConfigurator::configure(appender);
   return log4cxx::Logger::getLogger("zinccleat");
 }
+// Whether standard error takes a line without blocking. A pipe is full if the process at its other end does not read.
+bool outputIsWritable() {
+  pollfd output{STDERR_FILENO, POLLOUT, 0};
+  return ::poll(&output, 1, 0) != 0;
+}
+// Drops the line if writing it would block: the process must go on, and must still end when it is asked to.
 void write(const std::string& line) {
+  if (!outputIsWritable())
+    return;
   auto& ring = ringBuffer();
   if (!ring.sink)
     ring.sink = makeSink();
--- a/tests/process_start.sh
+++ b/tests/process_start.sh
@@ -173,6 +173,31 @@
   expect_end "$pid" 4 0
 done
 
+# --- A log that nobody reads ---
+# A write to a full pipe would block the only thread of the process. The proxy logs that it cannot reach an agent.
+case_name="log that nobody reads"
+settings "$folder/a.json" $network.12 18880
+mkfifo "$folder/pipe"
+sleep 30 < "$folder/pipe" &
+pids+=($!)
+exec 4> "$folder/pipe"
+timeout 1 cat /dev/zero >&4  # until it is full
+"$program" proxy --settings="$folder/a.json" --verbose 2>&4 &
+pid=$!
+pids+=("$pid")
+exec 4>&-
+await 5 listens $network.12 18882 || fail "the process does not listen"
+sleep 0.5
+answer=$(
+  exec 3<> /dev/tcp/$network.12/18882
+  printf 'GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n' >&3
+  read -r -t 2 line <&3
+  echo "$line"
+)
+[[ "$answer" == *503* ]] || fail "the process does not answer: '$answer'"
+kill "$pid"
+expect_end "$pid" 4 0
+
 # --- A crash leaves its reason ---
 case_name="crash"
 settings "$folder/a.json" $network.10 18880
