--- a/libs/proxy_daemon/src/readiness_server.cpp
+++ b/libs/proxy_daemon/src/readiness_server.cpp
@@ -4,6 +4,10 @@
 #include "transport/listener.hpp"
 
 namespace zinccleat::proxy_daemon {
+namespace {
+constexpr std::size_t kMaxBodyBytes = 1024;  // a readiness check needs no body
+}  // namespace
+
 Result<void> ReadinessServer::start(const tcp::endpoint& endpoint) {
   return transport::listen(endpoint, [this](tcp::socket socket) {
     auto accepted = std::make_shared<tcp::socket>(std::move(socket));
@@ -24,9 +28,11 @@
 void ReadinessServer::serve(tcp::socket socket) const {
   runtime::Connection connection(std::move(socket));
   proxy::Buffer buffer;
+  proxy::ReadLimits limits;
+  limits.body = kMaxBodyBytes;
   for (;;) {
     proxy::RequestParser parser;
-    if (proxy::readRequest(connection, buffer, parser, {}).outcome != proxy::ReadOutcome::complete)
+    if (proxy::readRequest(connection, buffer, parser, limits).outcome != proxy::ReadOutcome::complete)
       return;
     const bool keepAlive = parser.get().keep_alive();
     const auto path = parser.get().target();
--- a/libs/runtime/src/startup.cpp
+++ b/libs/runtime/src/startup.cpp
@@ -13,6 +13,7 @@
 
 Obstacle obstacleOfSystemError(int code) {
   switch (code) {
+    case 0:  // no system call failed
     case ENOENT:
     case ENOTDIR:
     case EISDIR:
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -75,7 +75,7 @@
 TEST(Startup, APermanentObstacleEndsTheStartAtOnce) {
   const Error otherFormat{ErrorCode::incompatibleFormat, "another version"};
   const Error invalid{ErrorCode::invalidArgument, "no port in address"};
-  for (const auto& obstacle : {otherFormat, invalid, systemErrorOf(ENOENT), systemErrorOf(ENOTDIR),
+  for (const auto& obstacle : {otherFormat, invalid, systemErrorOf(0), systemErrorOf(ENOENT), systemErrorOf(ENOTDIR),
                                systemErrorOf(EACCES), systemErrorOf(EPERM)}) {
     SimulatedStart start;
     EXPECT_FALSE(start.startup.retryAfter(obstacle));
