--- a/tests/process_start.sh
+++ b/tests/process_start.sh
@@ -3,9 +3,11 @@
 # data folder that a previous instance still holds, or a settings file that is being written. Each case starts a process
 # into such an obstacle and checks that it waits, goes on once the obstacle has passed, ends in time if it does not pass,
 # and ends at once when SIGTERM arrives meanwhile. Usage: process_start.sh PROGRAM EARLY_SIGNALS_LIBRARY
+# FAILING_FOLDER_LIBRARY
 set -uo pipefail
 program=$1
 early_signals=$2
+failing_folder=$3
 folder=$(mktemp -d)
 failed=0
 pids=()
@@ -161,6 +163,24 @@
 expect_end "$pid" 1 0
 [[ "$(last_line second)" == *event=process_ended*status=0* ]] || fail "the end has no reason: $(last_line second)"
 
+# --- A disk that fails or does not answer ---
+case_name="controller whose disk fails for a moment"
+settings "$folder/a.json" $network.13 18880 "$folder/failing"
+FAILING_FOLDER_CALLS=10 LD_PRELOAD=$failing_folder start only controller "$folder/a.json"
+expect_waiting "$pid"
+await 5 listens $network.13 18880 || fail "the process does not listen after its disk has recovered"
+kill -9 "$pid"
+case_name="SIGTERM while a controller waits for a disk that fails"
+FAILING_FOLDER_CALLS=100000 LD_PRELOAD=$failing_folder start only controller "$folder/a.json"
+expect_waiting "$pid"
+kill "$pid"
+expect_end "$pid" 1 0
+case_name="SIGTERM while a controller waits for a disk that does not answer"
+FAILING_FOLDER_CALLS=-1 LD_PRELOAD=$failing_folder start only controller "$folder/a.json"
+expect_waiting "$pid"
+kill "$pid"
+expect_end "$pid" 1 0
+
 # --- A signal before the program's own code ---
 # Constructors of shared libraries run before main. SIGHUP and SIGUSR1 during that time must not end the process.
 for program_name in agent proxy controller; do
