--- a/tests/preload/failing_folder.cpp
+++ b/tests/preload/failing_folder.cpp
@@ -18,6 +18,8 @@
 }
 }  // namespace
 
+// The C library's header uses a reserved name for the parameter.
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name)
 extern "C" DIR* opendir(const char* path) {
   using OpenFolder = DIR* (*)(const char*);
   static const auto real = reinterpret_cast<OpenFolder>(::dlsym(RTLD_NEXT, "opendir"));
