--- a/tests/process_start.sh
+++ b/tests/process_start.sh
@@ -91,8 +91,8 @@
 done
 
 case_name="controller with a data folder that is held for a moment"
-settings "$folder/a.json" $network.1 18880 "$folder/shared"
-settings "$folder/b.json" $network.2 18880 "$folder/shared"
+settings "$folder/a.json" $network.1 18880 "$folder/common"
+settings "$folder/b.json" $network.2 18880 "$folder/common"
 start first controller "$folder/a.json"
 first=$pid
 await 5 listens $network.1 18880 || fail "the first process does not listen"
