Start: the log says who holds an address, and a connection is waited for longer than TIME_WAIT

Seen by callers: a process whose address is in use ends after graceS + 2 s, status 1, again and again; the log did not tell a previous instance from a connection that has the address as its local one.

Cause: every EADDRINUSE was taken for a previous instance, which is gone within the grace period. A connection keeps its local port for as long as it lasts, and a minute longer (TIME_WAIT).

Change: findAddressUse reads the kernel's table of sockets; the reason of start_waiting and daemon_start_failed names the holder; an address that a connection holds is waited for 75 s.

--- a/libs/runtime/include/runtime/common.hpp
+++ b/libs/runtime/include/runtime/common.hpp
@@ -34,6 +34,7 @@
   incompatibleFormat,  ///< the bytes have the format of another version of this program
   outOfOrder,          ///< the call violates the call order that the interface requires
   locked,              ///< another process uses the resource
+  addressTaken,        ///< a connection of this machine has the address as its local one
   ioError,             ///< a system call failed; `Error::subcode` is the `errno`
 };
 
--- a/libs/runtime/include/runtime/startup.hpp
+++ b/libs/runtime/include/runtime/startup.hpp
@@ -14,10 +14,11 @@
 namespace zinccleat::runtime {
 /// What keeps a step of the start from succeeding.
 enum class Obstacle : std::uint8_t {
-  permanent,  ///< waiting cannot help: a wrong path, missing permissions, another format, an invalid argument
-  settings,   ///< the settings file cannot be read or is invalid; it may be written at this moment
-  inUse,      ///< an address or the data folder is in use, or a resource of the machine is exhausted
-  disk,       ///< the disk fails
+  permanent,   ///< waiting cannot help: a wrong path, missing permissions, another format, an invalid argument
+  settings,    ///< the settings file cannot be read or is invalid; it may be written at this moment
+  inUse,       ///< an address or the data folder is in use, or a resource of the machine is exhausted
+  disk,        ///< the disk fails
+  connection,  ///< a connection of this machine has the address as its local one
 };
 /// Returns the obstacle behind an error of a listener or of the disk.
 Obstacle obstacleOf(const Error& error);
@@ -28,6 +29,8 @@
   /// Longer than the time within which the platform ends a previous instance of the process; see `Startup::setGrace`.
   Duration inUse{10000};
   Duration disk{60000};
+  /// Longer than the time for which the kernel keeps the address of a closed connection (TIME_WAIT, 60 s).
+  Duration connection{75000};
 };
 /// The clock and the pauses of a start; replaced in tests.
 struct StartupEnvironment {
@@ -79,7 +82,7 @@
   bool terminationRequested() const { return terminationRequested_; }
 
  private:
-  static constexpr std::size_t kObstacles = 4;
+  static constexpr std::size_t kObstacles = 5;
   Duration timeoutFor(Obstacle obstacle) const;
   bool mayContinueToWait(TimePoint end);
 
--- a/libs/runtime/src/startup.cpp
+++ b/libs/runtime/src/startup.cpp
@@ -59,6 +59,8 @@
       return "in_use";
     case Obstacle::disk:
       return "disk";
+    case Obstacle::connection:
+      return "connection";
   }
   return "";
 }
@@ -68,6 +70,8 @@
   switch (error.code) {
     case ErrorCode::locked:
       return Obstacle::inUse;
+    case ErrorCode::addressTaken:
+      return Obstacle::connection;
     case ErrorCode::ioError:
       return obstacleOfSystemError(error.subcode);
     default:
@@ -91,6 +95,8 @@
       return timeouts_.inUse;
     case Obstacle::disk:
       return timeouts_.disk;
+    case Obstacle::connection:
+      return timeouts_.connection;
   }
   return Duration(0);
 }
--- a/libs/transport/include/transport/listener.hpp
+++ b/libs/transport/include/transport/listener.hpp
@@ -18,7 +18,8 @@
 };
 /// Accepts connections on an endpoint until the listener is closed.
 /// @param onAccept called with each accepted socket.
-/// @return `ErrorCode::ioError` with the `errno` if the endpoint cannot be bound or listened on.
+/// @return `ErrorCode::ioError` with the `errno` if the endpoint cannot be bound or listened on;
+/// `ErrorCode::addressTaken` if a connection of this machine has the endpoint as its local one.
 Result<Listener> openListener(const tcp::endpoint& endpoint, std::function<void(tcp::socket)> onAccept);
 /// Accepts connections on an endpoint for as long as the event loop runs.
 /// @param onAccept called with each accepted socket.
--- a/libs/transport/src/listener.cpp
+++ b/libs/transport/src/listener.cpp
@@ -1,11 +1,24 @@
 #include "transport/listener.hpp"
 
+#include "runtime/address_holder.hpp"
+
 namespace zinccleat::transport {
 namespace {
 constexpr int kAcceptBacklog = 512;  // maximum number of connections that wait in the operating system to be accepted
 // Without a pause, accept would fail again immediately while no file descriptors are free, and use a full CPU core.
 constexpr auto kPauseAfterError = 20ms;
 
+tl::unexpected<Error> bindError(const tcp::endpoint& endpoint, const runtime::SocketError& ec) {
+  auto message =
+      "cannot bind " + endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + ec.message();
+  if (ec != asio::error::address_in_use)
+    return makeError(ErrorCode::ioError, std::move(message), ec.value());
+  const auto use = runtime::findAddressUse(endpoint);
+  if (!use.description.empty())
+    message += ", " + use.description;
+  const auto code = use.holder == runtime::AddressHolder::connection ? ErrorCode::addressTaken : ErrorCode::ioError;
+  return makeError(code, std::move(message), ec.value());
+}
 }  // namespace
 
 /// The listening socket. Owned by its pending asynchronous operation and by the `Listener` handle.
@@ -21,10 +34,7 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
     acceptor_.bind(endpoint, ec);
     if (ec)
-      return makeError(
-          ErrorCode::ioError,
-          "cannot bind " + endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + ec.message(),
-          ec.value());
+      return bindError(endpoint, ec);
     acceptor_.listen(kAcceptBacklog, ec);
     if (ec)
       return makeError(ErrorCode::ioError, "cannot listen: " + ec.message(), ec.value());
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -63,6 +63,16 @@
   }
   EXPECT_EQ(start.waited(), kTimeouts.settings);
 }
+// A connection of this machine may have the address as its local one, and keep it for a minute after its close. A start
+// that gave up as early as for a previous instance would end again and again.
+TEST(Startup, AnAddressHeldByAConnectionIsWaitedForLongerThanTimeWait) {
+  const Error held{ErrorCode::addressTaken, "held by a closed connection", EADDRINUSE};
+  SimulatedStart start;
+  while (start.startup.retryAfter(held)) {
+  }
+  EXPECT_GT(start.waited(), 60000ms);
+  EXPECT_LT(start.waited(), 90000ms) << "every wait has a limit";
+}
 // The addresses of a process are freed by the end of the same previous instance, so the limit is not granted anew.
 TEST(Startup, AllResourcesInUseShareOneLimit) {
   SimulatedStart start;
