Connections: an outgoing connection does not hold its local port against a listener

Seen by callers: a process that is restarted ends with 'Address already in use', status 1, again and again (FAULT).

Cause: the system chooses the local port of an outgoing connection. It may choose that of a process of the same machine that is not running at the moment. The port is then in use while the connection lasts, and a minute longer, because neither the connection nor its TIME_WAIT had SO_REUSEADDR. The class: a resource that the system hands out by chance, taken from the range in which others have a fixed place.

Change: Connection::connect, the only place that dials, sets SO_REUSEADDR.

Why it works: the kernel lets a listener bind to a port whose other sockets all have the option and do not listen.

--- a/libs/runtime/src/connection.cpp
+++ b/libs/runtime/src/connection.cpp
@@ -72,9 +72,13 @@
   return written;
 }
 void Connection::connect(const tcp::endpoint& endpoint, SocketError& ec) {
-  socket_.open(endpoint.protocol(), ec);
+  if (!socket_.is_open())
+    socket_.open(endpoint.protocol(), ec);
   if (ec)
     return;
+  // Without this option the port that the system chooses here cannot be listened on until a minute after the close
+  // (TIME_WAIT). It may be the port of a process of this machine that is being restarted.
+  socket_.set_option(tcp::socket::reuse_address(true), ec);
   setConnectionOptions(socket_);
   Waiter waiter;
   socket_.async_connect(endpoint, [&](SocketError error) {
--- a/tests/process_start.sh
+++ b/tests/process_start.sh
@@ -3,11 +3,12 @@
 # data folder that a previous instance still holds, or a settings file that is being written. Each case starts a process
 # into such an obstacle and checks that it waits, goes on once the obstacle has passed, ends in time if it does not pass,
 # and ends at once when SIGTERM arrives meanwhile. Usage: process_start.sh PROGRAM EARLY_SIGNALS_LIBRARY
-# FAILING_FOLDER_LIBRARY
+# FAILING_FOLDER_LIBRARY LOCAL_ADDRESS_LIBRARY
 set -uo pipefail
 program=$1
 early_signals=$2
 failing_folder=$3
+local_address=$4
 folder=$(mktemp -d)
 failed=0
 pids=()
@@ -113,6 +114,25 @@
 kill "$pid"
 expect_end "$pid" 3 0
 
+# --- An address that a connection of the machine has ---
+# The operating system chooses the local ports of outgoing connections, and may choose that of a process that is not
+# running at the moment.
+case_name="proxy whose access address is the local one of its agent's connection"
+settings "$folder/c.json" $network.15 18880 "$folder/core"
+settings "$folder/a.json" $network.16 18880
+sed -i "s/\"seedNodes\":\[[^]]*\]/\"seedNodes\":[\"$network.15:18880\"]/" "$folder/a.json"
+start first controller "$folder/c.json"
+controller=$pid
+await 5 listens $network.15 18900 || fail "the controller does not listen"
+LOCAL_ADDRESS=$network.16:18880 LD_PRELOAD=$local_address start second agent "$folder/a.json"
+agent=$pid
+connected() { grep -q "$(printf ':%04X [0-9A-F]*:%04X 01' 18880 18900)" /proc/net/tcp; }
+await 5 connected || fail "the agent is not connected from the address"
+start third proxy "$folder/a.json"
+await 5 listens $network.16 18880 || fail "the proxy does not listen"
+running "$pid" || fail "the proxy has ended: $(last_line third)"
+kill -9 "$controller" "$agent" "$pid"
+
 # --- An obstacle that does not pass ---
 case_name="second instance of an agent"
 settings "$folder/a.json" $network.4 18880
