Connections: a connection to itself counts as refused

Seen by callers: an agent ends with 'Address already in use', status 1, again and again, while its own proxy runs (FAULT).

Cause: a proxy dials its agent before the agent listens, at an address of their machine. If the system chooses the agent's port as the local one, TCP connects the socket to itself. The link then reads what it wrote, is never silent, and holds the agent's address for good.

Change: Connection::connect compares both endpoints; if they are equal it resets the connection and reports it as refused.

--- a/libs/runtime/src/connection.cpp
+++ b/libs/runtime/src/connection.cpp
@@ -13,6 +13,22 @@
 namespace zinccleat::runtime {
 namespace {
 constexpr unsigned kUserTimeoutMs = 4000;  // a connection with data unacknowledged for this time is closed
+
+// If nobody listens at the destination and the system chooses the destination's own port as the local one, TCP connects
+// the socket to itself. It would then hold the address against the process that is about to listen there.
+bool isConnectedToItself(const tcp::socket& socket) {
+  SocketError ec;
+  const auto local = socket.local_endpoint(ec);
+  if (ec)
+    return false;
+  const auto remote = socket.remote_endpoint(ec);
+  return !ec && local == remote;
+}
+// Makes the next close reset the connection, which then leaves no TIME_WAIT.
+void resetOnClose(tcp::socket& socket) {
+  SocketError ignored;
+  socket.set_option(tcp::socket::linger(true, 0), ignored);
+}
 }  // namespace
 
 Connection::Connection() : socket_(EventLoop::get().io()) {}
@@ -86,6 +102,11 @@
     waiter.wake();
   });
   waiter.wait();
+  if (!ec && isConnectedToItself(socket_)) {
+    resetOnClose(socket_);
+    close();
+    ec = asio::error::connection_refused;
+  }
 }
 void Connection::awaitReadable(SocketError& ec) {
   Waiter waiter;
--- a/tests/local_address_test.cpp
+++ b/tests/local_address_test.cpp
@@ -62,4 +62,20 @@
     listener->close();
   });
 }
+// The system may choose the destination's own port as the local one. The port is bound here, so that it always does.
+TEST(LocalAddress, AConnectionToItselfCountsAsRefused) {
+  onEventLoop([] {
+    runtime::Connection connection;
+    connection.socket().open(tcp::v4());
+    connection.socket().bind({kLoopback, 0});
+    const auto local = connection.socket().local_endpoint();
+    runtime::SocketError ec;
+    connection.connect(local, ec);
+    EXPECT_EQ(ec, asio::error::connection_refused);
+    EXPECT_FALSE(connection.socket().is_open()) << "the address is free for its listener";
+    auto listener = transport::openListener(local, [](const tcp::socket&) {});
+    ASSERT_TRUE(listener) << listener.error().message;
+    listener->close();
+  });
+}
 }  // namespace zinccleat
--- a/tests/process_start.sh
+++ b/tests/process_start.sh
@@ -117,6 +117,17 @@
 # --- An address that a connection of the machine has ---
 # The operating system chooses the local ports of outgoing connections, and may choose that of a process that is not
 # running at the moment.
+case_name="agent whose proxy was connected to itself at the agent's address"
+settings "$folder/a.json" $network.14 18880
+LOCAL_ADDRESS=$network.14:18901 LD_PRELOAD=$local_address start first proxy "$folder/a.json"
+proxy=$pid
+await 5 listens $network.14 18882 || fail "the proxy does not listen"
+sleep 0.3
+start second agent "$folder/a.json"
+await 5 listens $network.14 18901 || fail "the agent does not listen"
+running "$pid" || fail "the agent has ended: $(last_line second)"
+kill -9 "$proxy" "$pid"
+
 case_name="proxy whose access address is the local one of its agent's connection"
 settings "$folder/c.json" $network.15 18880 "$folder/core"
 settings "$folder/a.json" $network.16 18880
