Tests: crowds of clients that do not behave, against real processes with low limits

Cause: nothing played such clients. They check life, memory with what is unread, descriptors and one ordinary request at each port; no times.

--- /dev/null
+++ b/tests/crowds/main.cpp
@@ -0,0 +1,274 @@
+// Guards against a process that ends, or goes over the memory or the descriptors of its machine, because of what its
+// peers send: trailers and chunk lines without end, bodies and headers that stop short of their end, answers that are
+// not read, connections without end, at each port. A case starts a small fleet with low limits, sends the crowd, and
+// checks while the crowd stays connected: every process runs, its memory (with what has arrived and was not read) and
+// its descriptors are within its limits, and one ordinary request at each port is answered. Nothing depends on the
+// speed of the machine. Usage: zinccleat_crowds PROGRAM CASE; without a case it prints the names of all.
+#include <cstdio>
+#include <cstring>
+
+#include "crowd_cases.hpp"
+#include "fleet.hpp"
+#include "operations/call.hpp"
+#include "process_usage.hpp"
+#include "proxy/http.hpp"
+
+namespace zinccleat::crowds {
+namespace {
+constexpr simulation::ProcessLimits kLimits{.memoryMb = 64, .fdLimit = 1000};
+constexpr int kReservedDescriptors = 200;  // of `fdLimit`, for files outside the disk folder (the users' pages)
+constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
+constexpr auto kSampleInterval = 50ms;
+constexpr auto kRetryInterval = 100ms;
+constexpr auto kHeartbeatInterval = 400ms;
+constexpr Duration kCallTimeout{3000};
+constexpr Duration kPatience{30000};  // of an ordinary caller that tries again
+constexpr int kOk = 200;
+constexpr std::string_view kRunnerBody = "served";
+
+std::string configurationText() {
+  return R"({"configVersion":1,"routeTable":[{"label":"safe","authority":"crowd.example","pathPrefix":"/safe/",)"
+         R"("routeType":"safe","expiryMs":3000,"targetLatencyMs":300,"targetService":"s","maxAttempts":2}],)"
+         R"("serviceTable":[{"label":"s"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
+         R"("headerTimerMs":3000,"idleTimerMs":15000}})";
+}
+
+/// A runner that answers every request, and its heartbeats.
+class Runner {
+ public:
+  explicit Runner(const simulation::LocalFleet& fleet)
+      : fleet_(fleet), acceptor_(runtime::EventLoop::get().io(), {asio::ip::make_address(fleet.ip(7, 1)), 0}) {
+    acceptNext();
+    runtime::EventLoop::get().spawn([this] { sendHeartbeats(); });
+  }
+
+ private:
+  void acceptNext() {
+    acceptor_.async_accept([this](runtime::SocketError ec, tcp::socket socket) {
+      if (ec)
+        return;
+      auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+      runtime::EventLoop::get().spawn([accepted] { serve(std::move(*accepted)); });
+      acceptNext();
+    });
+  }
+  static void serve(tcp::socket socket) {
+    runtime::Connection connection(std::move(socket));
+    proxy::Buffer buffer;
+    for (;;) {
+      proxy::RequestParser parser;
+      if (proxy::readRequest(connection, buffer, parser, {}).outcome != proxy::ReadOutcome::complete)
+        return;
+      runtime::SocketError ec;
+      const auto answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(parser.get()["X-Attempt-Id"]) +
+                          "\r\nX-Server-Seal: seal\r\nContent-Length: " + std::to_string(kRunnerBody.size()) +
+                          "\r\n\r\n" + std::string(kRunnerBody);
+      connection.write(asio::buffer(answer), ec);
+      if (ec)
+        return;
+    }
+  }
+  void sendHeartbeats() {
+    for (int sequence = 1;; ++sequence) {
+      operations::Call call;
+      call.method = "POST";
+      call.path = "/v1/Instances.Heartbeat/r1";
+      call.body = R"({"targetService":"s","configVersion":"v1","address":")" + fleet_.ip(7, 1) + ":" +
+                  std::to_string(acceptor_.local_endpoint().port()) +
+                  R"(","zone":"z","capacity":64,"state":"in_service","sequence":)" + std::to_string(sequence) + "}";
+      (void)operations::callOne(fleet_.control(0), call, kCallTimeout);
+      runtime::EventLoop::get().sleepFor(kHeartbeatInterval);
+    }
+  }
+
+  const simulation::LocalFleet& fleet_;
+  tcp::acceptor acceptor_;
+};
+
+/// One run of a case.
+class CrowdRun {
+ public:
+  CrowdRun(const std::string& program, const CrowdCase& crowdCase)
+      : case_(crowdCase),
+        fleet_(program, simulation::FleetOptions{.core = 1, .coreLimits = kLimits, .accessLimits = kLimits}) {}
+  /// @return whether all that the case checks held.
+  bool run() {
+    if (!startFleet())
+      return false;
+    runtime::EventLoop::get().spawn([this] { sampleUsage(); });
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (const auto& [port, plan] : case_.crowds)
+      crowds.push_back(std::make_unique<Crowd>(addressOf(port), plan));
+    for (const auto& crowd : crowds)
+      crowd->awaitSent();
+    require(answeredInTheEnd([this] { return accessAnswers(); }), "an ordinary request at the access port is answered");
+    require(answeredInTheEnd([this] { return answers(fleet_.control(0), "/v1/Status"); }),
+            "an ordinary call at the control port is answered");
+    require(answeredInTheEnd([this] { return answers(fleet_.readiness(), "/v1/readiness"); }),
+            "a readiness check is answered");
+    checkProcesses();
+    return passed_;
+  }
+
+ private:
+  bool startFleet() {
+    if (!fleet_.startCore() || !fleet_.startAccessMachine())
+      return fail("the fleet cannot be started");
+    if (!answeredInTheEnd([this] { return installConfiguration(); }))
+      return fail("no configuration was acknowledged");
+    runner_.emplace(fleet_);
+    return answeredInTheEnd([this] { return accessAnswers(); }) || fail("no request is answered before the crowd");
+  }
+  bool installConfiguration() const {
+    operations::Call call;
+    call.method = "POST";
+    call.path = "/v1/Configuration.Replace";
+    call.body = configurationText();
+    call.headers = {{"X-Base-Version", "0"}};
+    const auto answer = operations::callOne(fleet_.control(0), call, kCallTimeout);
+    return answer && answer->status == kOk;
+  }
+  bool accessAnswers() const {
+    operations::Call call;
+    call.method = "POST";
+    call.path = "/safe/x";
+    call.body = "body";
+    call.headers = {{"Host", "crowd.example"}, {"X-Attempt-Id", "ordinary"}};
+    const auto answer = callAccess(call);
+    return answer == std::string(kRunnerBody);
+  }
+  /// A request at the access port; `operations::callOne` sends the address as the authority.
+  std::string callAccess(const operations::Call& call) const {
+    runtime::Connection connection;
+    runtime::SocketError ec;
+    connection.setDeadline(Clock::now() + kCallTimeout);
+    connection.connect(*runtime::parseEndpoint(fleet_.access()), ec);
+    std::string text = call.method + " " + call.path + " HTTP/1.1\r\nConnection: close\r\n";
+    for (const auto& header : call.headers)
+      text += header.name + ": " + header.value + "\r\n";
+    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
+    if (!ec)
+      connection.write(asio::buffer(text), ec);
+    proxy::Buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    if (!ec)
+      proxy::readIntoParser(connection, buffer, parser, false, ec);
+    return !ec && parser.get().result_int() == kOk ? parser.get().body() : std::string();
+  }
+  static bool answers(const std::string& address, const std::string& path) {
+    operations::Call call;
+    call.path = path;
+    const auto answer = operations::callOne(address, call, kCallTimeout);
+    return answer && answer->status == kOk;
+  }
+  static bool answeredInTheEnd(const std::function<bool()>& attempt) {
+    for (const auto end = Clock::now() + kPatience; Clock::now() < end;) {
+      if (attempt())
+        return true;
+      runtime::EventLoop::get().sleepFor(kRetryInterval);
+    }
+    return false;
+  }
+  std::string addressOf(Port port) const {
+    const auto internal = [this](std::size_t process, std::size_t index) {
+      return fleet_.listeningAddresses(process)[index];
+    };
+    switch (port) {
+      case Port::access:
+        return fleet_.access();
+      case Port::control:
+        return fleet_.control(0);
+      case Port::readiness:
+        return fleet_.readiness();
+      case Port::agent:
+        return internal(1, 0);
+      case Port::consensus:
+        return internal(0, 1);
+      case Port::coordination:
+        return internal(0, 2);
+      case Port::counters:
+        return internal(0, 3);
+    }
+    return {};
+  }
+  void sampleUsage() {
+    for (;; runtime::EventLoop::get().sleepFor(kSampleInterval)) {
+      most_.resize(fleet_.processes().size());
+      for (std::size_t process = 0; process < most_.size(); ++process) {
+        const auto usage = readUsage(fleet_.processes()[process].pid, fleet_.listeningAddresses(process));
+        auto& most = most_[process];
+        if (usage.residentBytes + usage.unreadBytes > most.residentBytes + most.unreadBytes) {
+          most.residentBytes = usage.residentBytes;
+          most.unreadBytes = usage.unreadBytes;
+        }
+        most.descriptors = std::max(most.descriptors, usage.descriptors);
+      }
+    }
+  }
+  void checkProcesses() {
+    for (std::size_t process = 0; process < fleet_.processes().size(); ++process) {
+      const auto& running = fleet_.processes()[process];
+      const auto peak = peakResidentBytes(running.pid);
+      require(!fleet_.pollExitStatus(process), running.role + " runs");
+      const auto& most = most_[process];
+      std::printf("%s: at most %zu MB resident and %zu MB unread at once, peak %zu MB resident of %d, %d descriptors\n",
+                  running.role.c_str(), most.residentBytes / kBytesPerMb, most.unreadBytes / kBytesPerMb,
+                  peak / kBytesPerMb, kLimits.memoryMb, most.descriptors);
+      const auto memory = static_cast<std::size_t>(kLimits.memoryMb) * kBytesPerMb;
+      require(peak <= memory && most.residentBytes + most.unreadBytes <= memory,
+              "the memory of the " + running.role + " is within its limit");
+      require(most.descriptors <= kLimits.fdLimit - kReservedDescriptors,
+              "the descriptors of the " + running.role + " are within its limit");
+    }
+  }
+  void require(bool holds, const std::string& what) {
+    if (!holds)
+      (void)fail("must hold: " + what);
+  }
+  bool fail(const std::string& what) {
+    std::printf("FAILED %s: %s\n", case_.name.c_str(), what.c_str());
+    passed_ = false;
+    return false;
+  }
+
+  const CrowdCase& case_;
+  simulation::LocalFleet fleet_;
+  std::optional<Runner> runner_;
+  std::vector<ProcessUsage> most_;
+  bool passed_ = true;
+};
+}  // namespace
+}  // namespace zinccleat::crowds
+
+int main(int argc, char** argv) {
+  using namespace zinccleat;
+  const auto cases = crowds::allCases();
+  if (argc < 3) {
+    for (const auto& each : cases)
+      std::printf("%s\n", each.name.c_str());
+    return argc == 2 ? 0 : 2;
+  }
+  const auto chosen =
+      std::find_if(cases.begin(), cases.end(), [argv](const auto& each) { return each.name == argv[2]; });
+  if (chosen == cases.end()) {
+    std::fprintf(stderr, "no case '%s'\n", argv[2]);
+    return 2;
+  }
+  runtime::EventLoop loop;
+  int status = 1;
+  {
+    auto run = std::make_unique<crowds::CrowdRun>(argv[1], *chosen);
+    loop.spawn([&] {
+      status = run->run() ? 0 : 1;
+      loop.stop();
+    });
+    loop.run();
+    std::fflush(stdout);
+    // The fleet ends with this process: fibers still refer to the run.
+    run.reset();
+  }
+  std::printf("%s: %s\n", chosen->name.c_str(), status == 0 ? "held" : "failed");
+  std::fflush(stdout);
+  std::_Exit(status);
+}
