Log: a process tells that its memory comes near its limit

Seen by callers: a process that goes over memoryMb is killed and leaves no line, so its end cannot be told from that by a signal or by a supervisor that is late.

Cause: nothing watched the process's memory. Change: watchMemory logs memory_near_limit at 80 in 100 of memoryMb, once each time it has been below 70.

--- a/libs/config/src/run_daemon.cpp
+++ b/libs/config/src/run_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/lifecycle.hpp"
 #include "runtime/log_ring.hpp"
+#include "runtime/memory_watch.hpp"
 #include "runtime/process_end.hpp"
 
 namespace zinccleat::config {
@@ -54,6 +55,7 @@
     endFailedStart(startup, program, ExitStatus::startFailed, started.error());
   runtime::watchLifecycle(settings.path,
                           {.onTerminate = daemon.shutDown, .onReloadSettings = [&] { reload(settings.path, daemon); }});
+  runtime::watchMemory(settings.memoryMb);
   loop.run();
   runtime::endProcess(ExitStatus::success, "asked to end");
 }
