Connections: one owner of all that an HTTP connection holds; who makes too little progress makes way

Seen by callers: 10 clients that send trailers, a trailer field, a chunk extension or the digits of a chunk's size without end take a process of memoryMb 64 to 137 to 164 MB, at the access, control and readiness port; 400 clients with 14 KB of short header fields to 83 to 124 MB; readiness had no limit on connections (1,213 descriptors of 800). Ordinary callers were closed unread while crowds held all places.

Cause: the budget counted bodies. What the parser leaves in the buffer until a part is whole had no bound, header fields take up to 25 times their bytes, one listener had no owner, and places were kept until a time limit. The class: a bound on one part of a message, while the others grow.

Change: MessageFeed limits the line before a chunk and the trailer section to the header's limit (431), also in answers of runners, and tells what header, fields and buffer take before they are parsed. ServedConnection is the owner of an accepted connection: fixed charge (64 KB on a proxy, 48 KB on a controller, as many places as before), a reservation for all beyond it, TransferProgress. ConnectionTable: when places or memory are full, the connection that is late for the longest time makes way; late is under 4 KB/s with a credit of 3 s, or 5 s of rest; never a request that a runner works on, a peer whose bytes wait unread, or one that itself waits for memory. Answers of the control API are reserved and no longer copied. Readiness: 64 connections, the slowest makes way.

--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -10,12 +10,15 @@
 constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
 // Small fractions, because a configuration is held several times while it is checked, written and sent.
 constexpr std::size_t kMemoryDivisorForBodies = 8;
-constexpr std::size_t kMemoryDivisorForConnections = 8;
-constexpr std::size_t kBytesPerConnection = std::size_t{32} * 1024;  // stack, buffers and header of a request
-constexpr int kReservedDescriptors = 512;                            // for files, peers and agents
+constexpr std::size_t kMemoryNumeratorForConnections = 3;
+constexpr std::size_t kMemoryDivisorForConnections = 16;
+// Stack, buffers, the usual header, and what the kernel holds unread.
+constexpr std::size_t kBytesPerConnection = std::size_t{48} * 1024;
+constexpr int kReservedDescriptors = 512;  // for files, and links that this controller dials
 constexpr int kMinConnections = 64;
 constexpr int kMaxConnections = 1 << 16;
 constexpr auto kWriteTimeout = 5s;
+constexpr Duration kAnswerMemoryWait{500};
 constexpr std::string_view kJsonContentType = "application/json";
 
 using HttpRequest = proxy::RequestParser::value_type;
@@ -44,8 +47,9 @@
   if (settings.fdLimit > 0)
     connections = std::min(connections, settings.fdLimit - kReservedDescriptors);
   if (settings.memoryMb > 0)
-    connections = std::min(connections, static_cast<int>(static_cast<std::size_t>(settings.memoryMb) * kBytesPerMb /
-                                                         kMemoryDivisorForConnections / kBytesPerConnection));
+    connections = std::min(connections, static_cast<int>(static_cast<std::size_t>(settings.memoryMb) * kBytesPerMb *
+                                                         kMemoryNumeratorForConnections / kMemoryDivisorForConnections /
+                                                         kBytesPerConnection));
   return std::max(kMinConnections, connections);
 }
 /// Writes an error response to a request that could not be read. The caller then closes the connection.
@@ -58,9 +62,10 @@
 bool writeResponse(runtime::Connection& connection, const ApiResponse& response, bool keepAlive) {
   runtime::SocketError ec;
   const auto status = static_cast<int>(response.status);
+  const auto header =
+      proxy::plainResponseHeader(status, response.headers, kJsonContentType, response.body.size(), keepAlive);
   connection.setDeadline(Clock::now() + kWriteTimeout);
-  connection.write(
-      asio::buffer(proxy::plainResponse(status, response.headers, kJsonContentType, response.body, keepAlive)), ec);
+  connection.write(asio::buffer(header), asio::buffer(response.body), ec);
   connection.clearDeadline();
   return !ec;
 }
@@ -77,8 +82,10 @@
   if (!endpoint)
     return makeError(endpoint.error().code, "controlPort: " + endpoint.error().message, endpoint.error().subcode);
   auto listener = transport::openListener(*endpoint, [this](tcp::socket socket) {
-    if (connections_ >= maxConnections_)
-      return;  // closes the connection before any byte is read, so the caller may try another controller
+    // If no late connection makes way, this one is closed before any byte is read: the caller may try another
+    // controller.
+    if (connections_ >= maxConnections_ && !connectionTable_.evictForPlace())
+      return;
     auto shared = std::make_shared<tcp::socket>(std::move(socket));
     ++connections_;
     runtime::EventLoop::get().spawn([this, shared] {
@@ -92,8 +99,8 @@
   return {};
 }
 void ControlServer::serve(tcp::socket socket) {
-  runtime::Connection connection(std::move(socket));
-  runtime::setConnectionOptions(connection.socket());
+  runtime::ServedConnection served(connectionTable_, bodyMemory_, std::move(socket));
+  auto& connection = served.connection();
   proxy::Buffer buffer;
   proxy::ReadLimits limits;
   limits.body = kMaxBodyBytes;
@@ -103,26 +110,35 @@
       if (!proxy::awaitRequest(connection, buffer, limits.idle))
         return;
     }
-    proxy::RequestParser parser;
-    runtime::MemoryReservation memory(bodyMemory_);
-    const auto read = proxy::readRequest(connection, buffer, parser, limits, &memory);
-    if (read.outcome == proxy::ReadOutcome::closed)
-      return;
-    if (read.outcome == proxy::ReadOutcome::rejected)
-      return writeErrorResponse(connection, read.status);
-    ++inFlight_;
-    const bool staysOpen = handleRequest(connection, parser);
-    --inFlight_;
+    const bool staysOpen = serveRequest(served, buffer, limits);
+    served.memory().shrinkTo(0);
     if (!staysOpen)
       return;
+    served.enter(runtime::ConnectionPhase::idle);
   }
 }
-bool ControlServer::handleRequest(runtime::Connection& connection, proxy::RequestParser& parser) {
-  const auto response = accepting_
-                            ? answerApiRequest(services_, apiRequestOf(parser.get(), connection), "http://" + address_)
-                            : errorResponse(HttpStatus::service_unavailable, "shutting down");
+bool ControlServer::serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer,
+                                 const proxy::ReadLimits& limits) {
+  proxy::RequestParser parser;
+  const auto read = proxy::readRequest(served, buffer, parser, limits);
+  if (read.outcome == proxy::ReadOutcome::rejected)
+    writeErrorResponse(served.connection(), read.status);
+  if (read.outcome != proxy::ReadOutcome::complete)
+    return false;
+  ++inFlight_;
+  const bool staysOpen = handleRequest(served, parser);
+  --inFlight_;
+  return staysOpen;
+}
+bool ControlServer::handleRequest(runtime::ServedConnection& served, proxy::RequestParser& parser) {
+  auto& connection = served.connection();
+  auto response = accepting_ ? answerApiRequest(services_, apiRequestOf(parser.get(), connection), "http://" + address_)
+                             : errorResponse(HttpStatus::service_unavailable, "shutting down");
   if (response.closeWithoutResponse)
     return false;
+  // Only answers to reads are large, so a caller that gets 503 in their place may repeat the call.
+  if (!served.reserve(served.memory().bytes() + proxy::uncharged(response.body.size()), kAnswerMemoryWait))
+    response = errorResponse(HttpStatus::service_unavailable, "no memory for the answer");
   const bool keepAlive = parser.get().keep_alive() && accepting_;
   return writeResponse(connection, response, keepAlive) && keepAlive;
 }
--- a/libs/controller/src/control_server.hpp
+++ b/libs/controller/src/control_server.hpp
@@ -31,12 +31,16 @@
  private:
   /// Handles one request and writes the response.
   /// @return whether the connection stays open after the response.
-  bool handleRequest(runtime::Connection& connection, proxy::RequestParser& parser);
+  bool handleRequest(runtime::ServedConnection& served, proxy::RequestParser& parser);
+  /// Reads one request and handles it. What the request holds is freed when the function returns.
+  /// @return whether the connection stays open.
+  bool serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer, const proxy::ReadLimits& limits);
 
   ControllerServices& services_;
   const std::string address_;
-  runtime::MemoryBudget bodyMemory_;  // for the bodies of requests
-  int maxConnections_;                // further connections are closed unread
+  runtime::MemoryBudget bodyMemory_;  // for what connections hold beyond their fixed charge
+  runtime::ConnectionTable connectionTable_;
+  int maxConnections_;  // beyond it a late connection makes way, or the new one is closed unread
   int connections_ = 0;
   std::optional<transport::Listener> listener_;
   proxy::IdleConnections idleConnections_;
--- a/libs/proxy/include/proxy/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -4,17 +4,10 @@
 /// Reading suspends the calling fiber. Errors caused by the peer are returned as values: an HTTP status to answer with,
 /// or a closed connection.
 #pragma once
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <cstddef>
-
+#include "proxy/message_feed.hpp"
+#include "runtime/connection_table.hpp"
 #include "runtime/event_loop.hpp"
-#include "runtime/memory_budget.hpp"
-namespace zinccleat {
-namespace http = boost::beast::http;
-}  // namespace zinccleat
 namespace zinccleat::proxy {
-using Buffer = boost::beast::flat_buffer;
 using RequestParser = http::request_parser<http::string_body>;
 
 /// Limits on the size of a client's request and on the time for reading it.
@@ -24,9 +17,14 @@
   Duration idle{15000};        ///< milliseconds until the first byte
   Duration headerTime{3000};   ///< milliseconds from the first byte to the end of the header
   Duration bodyTime{10000};    ///< milliseconds from the end of the header to the end of the body
-  /// Milliseconds to wait, with the body unread, until the memory for the body is free.
+  /// Milliseconds to wait, without reading on, until there is memory for the next part of the request.
   Duration memoryTime{500};
 };
+/// The part of a message's memory that a connection's fixed charge does not cover.
+inline std::size_t uncharged(std::size_t bytes) {
+  constexpr auto kCharged = runtime::ServedConnection::kChargedMessageBytes;
+  return bytes > kCharged ? bytes - kCharged : 0;
+}
 enum class ReadOutcome {
   complete,  ///< the request was read completely
   closed,    ///< the connection ended, or stayed idle for too long
@@ -40,21 +38,37 @@
 /// @param idle  maximum time to wait
 /// @return false if the connection ended or stayed idle.
 bool awaitRequest(runtime::Connection& connection, Buffer& buffer, Duration idle);
-/// Reads one request. Bytes that follow the request stay in the buffer.
-/// @param memory  reserves the body's bytes before they are read; null: the body is not limited by a budget. If the
-///                budget has no room in time, the request is rejected with 503.
-ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser, const ReadLimits& limits,
-                       runtime::MemoryReservation* memory = nullptr);
-/// Feeds a parser from the buffer and the connection until the message is parsed.
+/// Reads one request from an accepted connection. Bytes that follow the request stay in the buffer.
+///
+/// What the request holds beyond the connection's fixed charge is reserved before more of it is read, whatever part of
+/// the request it is. If there is no room in time, the request is rejected with 503.
+ReadResult readRequest(runtime::ServedConnection& served, Buffer& buffer, RequestParser& parser,
+                       const ReadLimits& limits);
+/// Reads one request from a connection whose memory is not accounted for.
+ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
+                       const ReadLimits& limits);
+/// Feeds a parser from the buffer and the connection until the message is parsed. Lines before chunks and trailers are
+/// limited to `kMaxUnparsedBytes`.
 /// @param headerOnly  stop once the header is parsed
 /// @param ec          error of the parser or the connection; none on success; `no_buffer_space` if `memory` cannot grow
-/// @param memory      grows by the bytes of the body before they are read; may be null
+/// @param memory      grows by what the message holds before more is read; may be null
 template <class Parser>
 void readIntoParser(runtime::Connection& connection, Buffer& buffer, Parser& parser, bool headerOnly,
-                    runtime::SocketError& ec, runtime::MemoryReservation* memory = nullptr);
+                    runtime::SocketError& ec, runtime::MemoryReservation* memory = nullptr) {
+  const auto reserved = memory ? memory->bytes() : 0;
+  MessageFeed<Parser> feed(connection, buffer, parser);
+  const auto hasMemory = [&] {
+    return !memory ||
+           memory->tryGrowTo(reserved + (headerOnly ? uncharged(feed.headerMemory()) : feed.growingBodyMemory()));
+  };
+  feed.run(headerOnly, hasMemory, ec);
+}
 
 /// The standard reason phrase of an HTTP status.
 std::string_view reasonPhrase(int status);
+/// Formats the header of a response whose body is written separately.
+std::string plainResponseHeader(int status, std::string_view extraHeaders, std::string_view contentType,
+                                std::size_t bodyBytes, bool keepAlive);
 /// Formats a complete response.
 /// @param extraHeaders  header lines, each terminated by CRLF
 /// @param keepAlive     if false, adds `Connection: close`
@@ -63,49 +77,4 @@
 /// The JSON body of an error response.
 std::string jsonError(std::string_view text);
 
-/// Maximum number of bytes that one read from a connection returns.
-inline constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
-
-/// A message without a length ends when its connection is closed. Clears `ec` if the message is complete then.
-template <class Parser>
-void endMessageAtEof(Parser& parser, runtime::SocketError& ec) {
-  if (ec != asio::error::eof || !parser.is_header_done() || parser.chunked() || parser.content_length())
-    return;
-  runtime::SocketError eofError;
-  parser.put_eof(eofError);
-  if (!eofError)
-    ec = {};
-}
-template <class Parser>
-void readIntoParser(runtime::Connection& connection, Buffer& buffer, Parser& parser, bool headerOnly,
-                    runtime::SocketError& ec, runtime::MemoryReservation* memory) {
-  const auto reserved = memory ? memory->bytes() : 0;
-  // Twice the size, because a string that grows may double its capacity.
-  const auto hasMemory = [&] {
-    return !memory || memory->tryGrowTo(reserved + 2 * (parser.get().body().size() + kReadBytes));
-  };
-  for (;;) {
-    if (parser.is_done() || (headerOnly && parser.is_header_done())) {
-      ec = {};
-      return;
-    }
-    if (buffer.size() > 0) {
-      const auto parsed = parser.put(buffer.data(), ec);
-      buffer.consume(parsed);
-      if (ec && ec != http::error::need_more)
-        return;
-      if (parsed > 0)
-        continue;
-    }
-    ec = {};
-    if (!hasMemory()) {
-      ec = asio::error::no_buffer_space;
-      return;
-    }
-    const auto received = connection.read(buffer.prepare(kReadBytes), ec);
-    if (ec)
-      return endMessageAtEof(parser, ec);
-    buffer.commit(received);
-  }
-}
 }  // namespace zinccleat::proxy
--- a/libs/proxy/include/proxy/proxy.hpp
+++ b/libs/proxy/include/proxy/proxy.hpp
@@ -4,8 +4,8 @@
 #include "proxy/http.hpp"
 #include "proxy/proxy_context.hpp"
 namespace zinccleat::proxy {
-/// Serves an accepted connection in its own fiber. Closes the connection without reading from it if
-/// `ProxyContext::maxClients` connections are open.
+/// Serves an accepted connection in its own fiber. If `ProxyContext::maxClients` connections are
+/// open, a late one makes way; if none is late, the accepted connection is closed unread.
 /// @param context  must outlive the connection
 void acceptClient(ProxyContext& context, tcp::socket socket);
 /// Serves a client's connection until it ends. Suspends the calling fiber.
--- a/libs/proxy/include/proxy/proxy_context.hpp
+++ b/libs/proxy/include/proxy/proxy_context.hpp
@@ -20,8 +20,8 @@
 #include "proxy/graceful_shutdown.hpp"
 #include "proxy/idle_connections.hpp"
 #include "rollout/revision_gate.hpp"
+#include "runtime/connection_table.hpp"
 #include "runtime/event_loop.hpp"
-#include "runtime/memory_budget.hpp"
 namespace zinccleat::proxy {
 
 /// An attempt whose runner has not begun to respond.
@@ -83,12 +83,14 @@
   Duration retryAfterWithoutLease(TimePoint now);
 
   GracefulShutdown shutdown;
-  IdleConnections idleConnections;      ///< idle client connections
-  bool zoneDraining = false;            ///< whether this zone accepts no new clients
-  int inFlight = 0;                     ///< requests that were read completely and have not ended
-  int clients = 0;                      ///< open client connections
-  int maxClients = 1 << 20;             ///< above this number, new connections are closed unread
-  runtime::MemoryBudget messageMemory;  ///< for the bodies of requests and of complete responses
+  IdleConnections idleConnections;  ///< idle client connections
+  bool zoneDraining = false;        ///< whether this zone accepts no new clients
+  int inFlight = 0;                 ///< requests that were read completely and have not ended
+  int clients = 0;                  ///< open client connections
+  /// Above this number a late connection makes way for a new one; if none is late, the new one is closed unread.
+  int maxClients = 1 << 20;
+  runtime::MemoryBudget messageMemory;       ///< for what all connections hold beyond their fixed charge
+  runtime::ConnectionTable connectionTable;  ///< the connections accepted at all ports
   std::mt19937_64 rng;
 
   // Counters since the process started.
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -33,8 +33,10 @@
 }
 
 // Answers a request that could not be read completely and ends the connection.
-void reject(runtime::Connection& client, int status) {
+void reject(runtime::ServedConnection& served, int status) {
+  auto& client = served.connection();
   runtime::SocketError ec;
+  client.setDeadline(Clock::now() + kDiscardTime);
   client.write(asio::buffer(plainResponse(status, "", "application/json", jsonError(reasonPhrase(status)), false)), ec);
   // Closing a connection with unread bytes resets it, and the client would lose the response. So the remaining bytes
   // are read and discarded for a limited time.
@@ -44,11 +46,36 @@
   while (!ec && client.read(asio::buffer(discarded), ec) > 0) {
   }
 }
+
+/// What happens to a connection after one request.
+struct RequestEnd {
+  bool staysOpen = false;
+  int rejectedWith = 0;  ///< HTTP status for a request that could not be read; 0 if it was read
+};
+// Reads one request and answers it. What the request holds is freed when the function returns.
+RequestEnd serveRequest(ProxyContext& context, runtime::ServedConnection& served, Buffer& buffer,
+                        const ReadLimits& limits) {
+  RequestParser parser;
+  const auto read = readRequest(served, buffer, parser, limits);
+  if (read.outcome == ReadOutcome::closed)
+    return {};
+  if (read.outcome == ReadOutcome::rejected)
+    return {.rejectedWith = read.status};
+  auto& client = served.connection();
+  // The client may have disconnected while its request was not being read, because this process waited for capacity
+  // or stood still. Such a request must not reach a runner.
+  if (client.peerHasClosed())
+    return {};
+  ++context.inFlight;
+  const bool keepAlive = handleRequest(context, client, parser, served.memory());
+  --context.inFlight;
+  return {.staysOpen = keepAlive};
+}
 }  // namespace
 
 void acceptClient(ProxyContext& context, tcp::socket socket) {
   // The connection is closed before any byte is read, so the client may safely retry any request on another node.
-  if (context.clients >= context.maxClients)
+  if (context.clients >= context.maxClients && !context.connectionTable.evictForPlace())
     return;
   ++context.clients;
   auto accepted = std::make_shared<tcp::socket>(std::move(socket));
@@ -59,29 +86,19 @@
 }
 
 void serveClient(ProxyContext& context, tcp::socket socket) {
-  runtime::Connection client(std::move(socket));
-  runtime::setConnectionOptions(client.socket());
+  runtime::ServedConnection served(context.connectionTable, context.messageMemory, std::move(socket));
   Buffer buffer;
   for (;;) {
     const auto limits = limitsOf(context);
-    if (!awaitNextRequest(context, client, buffer, limits.idle))
-      return;
-    RequestParser parser;
-    runtime::MemoryReservation memory(context.messageMemory);
-    const auto read = readRequest(client, buffer, parser, limits, &memory);
-    if (read.outcome == ReadOutcome::closed)
-      return;
-    if (read.outcome == ReadOutcome::rejected)
-      return reject(client, read.status);
-    // The client may have disconnected while its request was not being read, because this process waited for capacity
-    // or stood still. Such a request must not reach a runner.
-    if (client.peerHasClosed())
+    if (!awaitNextRequest(context, served.connection(), buffer, limits.idle))
       return;
-    ++context.inFlight;
-    const bool keepAlive = handleRequest(context, client, parser, memory);
-    --context.inFlight;
-    if (!keepAlive)
+    const auto end = serveRequest(context, served, buffer, limits);
+    served.memory().shrinkTo(0);
+    if (end.rejectedWith != 0)
+      return reject(served, end.rejectedWith);
+    if (!end.staysOpen)
       return;
+    served.enter(runtime::ConnectionPhase::idle);
   }
 }
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -9,7 +9,7 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 constexpr int kServiceUnavailable = 503;
-constexpr auto kMemoryPollInterval = 20ms;
+constexpr std::size_t kMaxBodyWindowBytes = std::size_t{256} * 1024;
 constexpr std::size_t kTypicalHeaderBytes = 160;
 
 int statusOf(const runtime::SocketError& ec) {
@@ -26,42 +26,102 @@
   return fromParser && ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-void readHeader(runtime::Connection& connection, Buffer& buffer, RequestParser& parser, runtime::SocketError& ec) {
-  readIntoParser(connection, buffer, parser, true, ec);
-  // If the final transfer coding is not chunked, the end of the body is unknown. The following bytes must not be read
-  // as another request, so the request is rejected.
-  if (!ec && !parser.chunked() && parser.get().count(http::field::transfer_encoding))
-    ec = http::error::bad_transfer_encoding;
-}
+/// Reads one request; see `readRequest`.
+class RequestReader {
+ public:
+  /// @param served  the accepted connection that owns `connection`; null: memory is not accounted for
+  RequestReader(runtime::Connection& connection, runtime::ServedConnection* served, Buffer& buffer,
+                RequestParser& parser, const ReadLimits& limits)
+      : connection_(connection),
+        served_(served),
+        parser_(parser),
+        limits_(limits),
+        feed_(connection, buffer, parser, limits.header) {}
 
-// Waits until the memory for a body of known length is reserved. The body stays in the socket's buffers meanwhile.
-bool reserveBody(const RequestParser& parser, runtime::MemoryReservation& memory, Duration wait) {
-  const auto length = parser.content_length();
-  if (!length)
-    return true;
-  const auto end = Clock::now() + wait;
-  while (!memory.tryGrowTo(*length)) {
-    if (Clock::now() >= end)
-      return false;
-    runtime::EventLoop::get().sleepFor(kMemoryPollInterval);
+  ReadResult read() {
+    parser_.header_limit(static_cast<std::uint32_t>(limits_.header));
+    parser_.body_limit(limits_.body);
+    parser_.eager(false);  // the body is parsed only after its memory is reserved
+    connection_.setDeadline(Clock::now() + limits_.headerTime);
+    readHeader();
+    if (!ec_ && !parser_.is_done())
+      readBody();
+    if (!ec_ && !reserveTrailerFields())
+      ec_ = asio::error::no_buffer_space;
+    const bool timedOut = connection_.deadlineExceeded();
+    connection_.clearDeadline();
+    return resultOf(timedOut);
   }
-  return true;
-}
 
-void readBody(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
-              runtime::MemoryReservation* memory, runtime::SocketError& ec) {
-  const bool growsWhileRead = memory && !parser.content_length();
+ private:
+  void readHeader() {
+    feed_.run(
+        true, [this] { return reserve(uncharged(feed_.headerMemory())); }, ec_);
+    // If the final transfer coding is not chunked, the end of the body is unknown. The following bytes must not be read
+    // as another request, so the request is rejected.
+    if (!ec_ && !parser_.chunked() && parser_.get().count(http::field::transfer_encoding))
+      ec_ = http::error::bad_transfer_encoding;
+  }
+  void readBody() {
+    connection_.clearDeadline();
+    const auto length = parser_.content_length();
+    if (!reserve(uncharged(feed_.headerMemory()) + length.value_or(0))) {
+      ec_ = asio::error::no_buffer_space;
+      return;
+    }
+    // The reservation covers what the kernel holds of the body.
+    if (served_ && length.value_or(0) > kReadBytes)
+      connection_.limitUnread(std::min<std::size_t>(*length, kMaxBodyWindowBytes));
+    parser_.eager(true);
+    connection_.setDeadline(Clock::now() + limits_.bodyTime);
+    sendContinue();
+    if (!ec_)
+      feed_.run(
+          false, [this] { return reserve(bodyMemory()); }, ec_);
+  }
+  std::size_t bodyMemory() const {
+    const auto length = parser_.content_length();
+    return uncharged(feed_.headerMemory()) + (length ? *length : feed_.growingBodyMemory());
+  }
   // A client that sends `Expect: 100-continue` waits for this interim response before it sends the body.
-  if (parser.get().count(http::field::expect))
-    connection.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec);
-  if (!ec)
-    readIntoParser(connection, buffer, parser, false, ec, growsWhileRead ? memory : nullptr);
-}
+  void sendContinue() {
+    if (parser_.get().count(http::field::expect))
+      connection_.write(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ec_);
+  }
+  bool reserveTrailerFields() {
+    if (!parser_.chunked())
+      return true;
+    feed_.countTrailerFields();
+    // Without a wait, because the fields are held already.
+    return !served_ || served_->reserve(bodyMemory(), Duration(0));
+  }
+  bool reserve(std::size_t bytes) { return !served_ || served_->reserve(bytes, limits_.memoryTime); }
+  ReadResult resultOf(bool timedOut) const {
+    if (ec_ == asio::error::no_buffer_space)
+      return {ReadOutcome::rejected, kServiceUnavailable};
+    if (!ec_)
+      return {ReadOutcome::complete, 0};
+    if (timedOut)
+      return {ReadOutcome::rejected, kRequestTimeout};
+    if (isProtocolError(ec_))
+      return {ReadOutcome::rejected, statusOf(ec_)};
+    return {ReadOutcome::closed, 0};
+  }
+
+  runtime::Connection& connection_;
+  runtime::ServedConnection* served_;
+  RequestParser& parser_;
+  const ReadLimits& limits_;
+  MessageFeed<RequestParser> feed_;
+  runtime::SocketError ec_;
+};
 }  // namespace
 
 bool awaitRequest(runtime::Connection& connection, Buffer& buffer, Duration idle) {
   if (buffer.size() > 0)
     return true;
+  if (buffer.capacity() > kReadBytes)
+    buffer.shrink_to_fit();  // a long header has made it grow
   runtime::SocketError ec;
   connection.setDeadline(Clock::now() + idle);
   auto received = connection.read(buffer.prepare(kReadBytes), ec);
@@ -78,59 +138,48 @@
   return true;
 }
 
-ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser, const ReadLimits& limits,
-                       runtime::MemoryReservation* memory) {
-  parser.header_limit(static_cast<std::uint32_t>(limits.header));
-  parser.body_limit(limits.body);
-  parser.eager(!memory);  // the body is parsed only after its memory is reserved
+ReadResult readRequest(runtime::ServedConnection& served, Buffer& buffer, RequestParser& parser,
+                       const ReadLimits& limits) {
+  if (!awaitRequest(served.connection(), buffer, limits.idle))
+    return {ReadOutcome::closed, 0};
+  served.enter(runtime::ConnectionPhase::receiving);
+  const auto result = RequestReader(served.connection(), &served, buffer, parser, limits).read();
+  served.enter(runtime::ConnectionPhase::serving);
+  return result;
+}
+ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
+                       const ReadLimits& limits) {
   if (!awaitRequest(connection, buffer, limits.idle))
     return {ReadOutcome::closed, 0};
-
-  runtime::SocketError ec;
-  connection.setDeadline(Clock::now() + limits.headerTime);
-  readHeader(connection, buffer, parser, ec);
-  if (!ec && !parser.is_done()) {
-    connection.clearDeadline();
-    if (memory && !reserveBody(parser, *memory, limits.memoryTime))
-      return {ReadOutcome::rejected, kServiceUnavailable};
-    parser.eager(true);
-    connection.setDeadline(Clock::now() + limits.bodyTime);
-    readBody(connection, buffer, parser, memory, ec);
-  }
-  const bool timedOut = connection.deadlineExceeded();
-  connection.clearDeadline();
-  if (ec == asio::error::no_buffer_space)
-    return {ReadOutcome::rejected, kServiceUnavailable};
-  if (!ec)
-    return {ReadOutcome::complete, 0};
-  if (timedOut)
-    return {ReadOutcome::rejected, kRequestTimeout};
-  if (isProtocolError(ec))
-    return {ReadOutcome::rejected, statusOf(ec)};
-  return {ReadOutcome::closed, 0};
+  return RequestReader(connection, nullptr, buffer, parser, limits).read();
 }
 
 std::string_view reasonPhrase(int status) {
   return http::obsolete_reason(static_cast<http::status>(status));
 }
 
-std::string plainResponse(int status, std::string_view extraHeaders, std::string_view contentType,
-                          std::string_view body, bool keepAlive) {
-  std::string response;
-  response.reserve(kTypicalHeaderBytes + extraHeaders.size() + body.size());
-  response += "HTTP/1.1 " + std::to_string(status) + " ";
-  response += reasonPhrase(status);
-  response += "\r\n";
-  response += extraHeaders;
-  if (!body.empty()) {
-    response += "Content-Type: ";
-    response += contentType;
-    response += "\r\n";
+std::string plainResponseHeader(int status, std::string_view extraHeaders, std::string_view contentType,
+                                std::size_t bodyBytes, bool keepAlive) {
+  std::string header;
+  header.reserve(kTypicalHeaderBytes + extraHeaders.size());
+  header += "HTTP/1.1 " + std::to_string(status) + " ";
+  header += reasonPhrase(status);
+  header += "\r\n";
+  header += extraHeaders;
+  if (bodyBytes > 0) {
+    header += "Content-Type: ";
+    header += contentType;
+    header += "\r\n";
   }
-  response += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  header += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
   if (!keepAlive)
-    response += "Connection: close\r\n";
-  response += "\r\n";
+    header += "Connection: close\r\n";
+  header += "\r\n";
+  return header;
+}
+std::string plainResponse(int status, std::string_view extraHeaders, std::string_view contentType,
+                          std::string_view body, bool keepAlive) {
+  auto response = plainResponseHeader(status, extraHeaders, contentType, body.size(), keepAlive);
   response += body;
   return response;
 }
--- a/libs/proxy_daemon/src/daemon.cpp
+++ b/libs/proxy_daemon/src/daemon.cpp
@@ -46,13 +46,15 @@
   connectCallbacks();
 }
 void ProxyDaemon::applyLimits() {
-  constexpr int kReservedDescriptors = 260;  // for files, listeners, the agent's connection, and a margin
+  // For files, listeners, the agent's connection, readiness checks, and a margin.
+  constexpr int kReservedDescriptors = 260 + ReadinessServer::kMaxConnections;
   constexpr int kDescriptorsPerRequest = 2;  // one for the client, one for the runner
   constexpr int kMinClients = 64;
   constexpr std::size_t kBytesPerMb = std::size_t{1024} * 1024;
   constexpr std::size_t kMemoryDivisorForMessages = 4;
-  constexpr std::size_t kMemoryDivisorForConnections = 4;
-  constexpr std::size_t kBytesPerConnection = std::size_t{32} * 1024;  // stack, buffers and header of a request
+  constexpr std::size_t kMemoryDivisorForConnections = 2;
+  // Stack, buffers and the usual header of a request and its response, and what the kernel holds unread of both.
+  constexpr std::size_t kBytesPerConnection = std::size_t{64} * 1024;
   if (settings_.fdLimit > 0)
     context_.maxClients = std::max(kMinClients, (settings_.fdLimit - kReservedDescriptors) / kDescriptorsPerRequest);
   if (settings_.memoryMb <= 0)
--- a/libs/runtime/include/runtime/connection.hpp
+++ b/libs/runtime/include/runtime/connection.hpp
@@ -1,9 +1,12 @@
 /// TCP connections for fibers, and parsing of endpoint addresses.
 #pragma once
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/intrusive/list.hpp>
 
 #include "runtime/asio.hpp"
 #include "runtime/common.hpp"
+#include "runtime/transfer_progress.hpp"
 namespace zinccleat::runtime {
 /// A TCP connection whose operations suspend the calling fiber instead of blocking the thread. At most one fiber may
 /// read and one may write at the same time. Operations report errors through the parameter `ec`.
@@ -48,6 +51,16 @@
   void close();
   /// Cancels pending operations, which complete with an error.
   void cancel();
+  /// Whether the socket is open.
+  bool isOpen() const { return socket_.is_open(); }
+  /// Whether a write waits for the peer to read.
+  bool isWriting() const { return writing_; }
+  /// How far the peer keeps up. Received bytes are recorded; so are written ones, from the moment a write has to wait.
+  TransferProgress& progress() { return progress_; }
+  const TransferProgress& progress() const { return progress_; }
+  /// Limits what the kernel holds for this connection until it is read. A value above that of the listener has effect
+  /// only for bytes that the peer has not been invited to send yet.
+  void limitUnread(std::size_t bytes);
   /// The underlying socket.
   tcp::socket& socket() { return socket_; }
   /// The deadline; `TimePoint::max()` if there is none.
@@ -59,10 +72,15 @@
   }
 
  private:
+  /// Writes what did not fit into the socket's buffer at once, as the peer reads.
+  std::size_t writeRest(const std::array<asio::const_buffer, 2>& buffers, SocketError& ec);
+
   tcp::socket socket_;
   TimePoint deadline_ = TimePoint::max();
   bool deadlineExceeded_ = false;
   bool nonBlocking_ = false;
+  bool writing_ = false;
+  TransferProgress progress_;
 };
 /// Sets the options that every connection has: small writes are sent without delay (TCP_NODELAY), and a connection
 /// whose peer acknowledges no data for four seconds is closed (TCP_USER_TIMEOUT).
--- a/libs/runtime/src/connection.cpp
+++ b/libs/runtime/src/connection.cpp
@@ -12,6 +12,7 @@
 
 namespace zinccleat::runtime {
 namespace {
+constexpr std::size_t kMaxWritePart = std::size_t{64} * 1024;
 constexpr unsigned kUserTimeoutMs = 4000;  // a connection with data unacknowledged for this time is closed
 
 // If nobody listens at the destination and the system chooses the destination's own port as the local one, TCP connects
@@ -53,6 +54,8 @@
     waiter.wake();
   });
   waiter.wait();
+  if (received > 0)
+    progress_.record(received, Clock::now());
   return received;
 }
 std::size_t Connection::write(asio::const_buffer buffer, SocketError& ec) {
@@ -66,7 +69,7 @@
     nonBlocking_ = true;
   }
   const auto total = first.size() + second.size();
-  std::array buffers{first, second};
+  std::array<asio::const_buffer, 2> buffers{first, second};
   auto written = second.size() == 0 ? socket_.send(asio::buffer(first), MSG_NOSIGNAL, ec)
                                     : socket_.send(buffers, MSG_NOSIGNAL, ec);
   if (ec == asio::error::would_block)
@@ -78,15 +81,32 @@
   const auto ofFirst = std::min(written, first.size());
   buffers[0] += ofFirst;
   buffers[1] += written - ofFirst;
+  return written + writeRest(buffers, ec);
+}
+std::size_t Connection::writeRest(const std::array<asio::const_buffer, 2>& buffers, SocketError& ec) {
+  std::size_t written = 0;
+  writing_ = true;
+  progress_.begin(Clock::now());
+  // Called after each part that was written.
+  const auto recordPart = [this, &written](const SocketError& error, std::size_t bytes) -> std::size_t {
+    progress_.record(bytes - written, Clock::now());
+    written = bytes;
+    return error ? 0 : kMaxWritePart;
+  };
   Waiter waiter;
-  asio::async_write(socket_, buffers, [&](SocketError error, std::size_t bytes) {
+  asio::async_write(socket_, buffers, recordPart, [&](SocketError error, std::size_t bytes) {
     ec = error;
-    written += bytes;
+    written = bytes;
     waiter.wake();
   });
   waiter.wait();
+  writing_ = false;
   return written;
 }
+void Connection::limitUnread(std::size_t bytes) {
+  const int value = static_cast<int>(bytes);
+  ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVBUF, &value, sizeof value);
+}
 void Connection::connect(const tcp::endpoint& endpoint, SocketError& ec) {
   if (!socket_.is_open())
     socket_.open(endpoint.protocol(), ec);
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -144,6 +144,80 @@
     EXPECT_FALSE(response.bodyComplete);
   });
 }
+/// The header of a request whose body comes in chunks.
+static std::string chunkedAnnouncement(const std::string& attempt) {
+  auto header = requestText("/safe/x", attempt);
+  const std::string zero = "Content-Length: 0";
+  return header.replace(header.find(zero), zero.size(), "Transfer-Encoding: chunked");
+}
+// The parser asks for more bytes until it has a whole line before a chunk, or the whole trailer section.
+TEST(Proxy, WhatTheParserHoldsBetweenThePartsOfABodyIsLimited) {
+  const std::string inTrailers = "1\r\nx\r\n0\r\n";
+  for (const auto& [opening, repeated] : std::vector<std::pair<std::string, std::string>>{
+           {"1;", "e"}, {"", "0"}, {inTrailers, "X-T: t\r\n"}, {inTrailers + "X-T: ", "t"}})
+    withProxy([&opening = opening, &repeated = repeated](TestProxy& proxy) {
+      auto runner = proxy.runner("i-1", respondOk);
+      auto client = proxy.connectClient();
+      std::string endless;
+      while (endless.size() < kMb)
+        endless += repeated;
+      EventLoop::get().spawn(
+          [&client, text = chunkedAnnouncement("a1") + opening + endless] { sendBytes(*client, text); });
+      Buffer buffer;
+      EXPECT_EQ(readResponse(*client, buffer).status, 431) << opening << repeated;
+      EXPECT_TRUE(runner->receivedRequests.empty());
+      EventLoop::get().sleepFor(600ms);  // the rest is discarded for half a second
+      EXPECT_EQ(proxy.context.messageMemory.used(), 0U);
+    });
+}
+// The same loop reads what runners answer.
+TEST(Proxy, ARunnersTrailersWithoutEndEndTheAttempt) {
+  withProxy([](TestProxy& proxy) {
+    std::size_t sent = 0;
+    proxy.runner("i-1", [&](FakeRunner&, Connection& connection, const std::string& id, const std::string&) {
+      SocketError ec;
+      sendBytes(connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+                                "\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-T: ");
+      for (const std::string part(kMb / 4, 't'); !ec && sent < 64 * kMb; sent += part.size())
+        connection.write(asio::buffer(part), ec);
+    });
+    EXPECT_EQ(sendRequest(proxy, requestText("/once/x", "a1")).status, 502);
+    EventLoop::get().sleepFor(50ms);
+    EXPECT_LT(sent, 64 * kMb) << "the connection to the runner is closed";
+  });
+}
+TEST(Proxy, TrailersWithinTheLimitOfAHeaderAreAccepted) {
+  withProxy([](TestProxy& proxy) {
+    auto runner = proxy.runner("i-1", respondOk);
+    std::string trailers;
+    for (int i = 0; i < 90; ++i)
+      trailers += "X-Trailer: 456789\r\n";
+    const auto response = sendRequest(proxy, chunkedAnnouncement("a1") + chunk("body") + "0\r\n" + trailers + "\r\n");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(runner->receivedRequests.size(), 1U);
+  });
+}
+// A field of four bytes takes a hundred: the limit on a header's bytes does not bound its memory.
+TEST(Proxy, HeaderFieldsAreReservedByTheMemoryThatTheyTake) {
+  withProxy([](TestProxy& proxy) {
+    auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
+    configuration->limits.maxHeaderBytes = 16384;
+    proxy.context.configuration = configuration;
+    constexpr int kFields = 3500;
+    std::string fields;
+    for (int i = 0; i < kFields; ++i)
+      fields += "a:\r\n";
+    auto client = proxy.connectClient();
+    auto text = requestText("/safe/x", "a1", fields, "body");
+    text.pop_back();
+    sendBytes(*client, text);
+    EventLoop::get().sleepFor(50ms);
+    EXPECT_GT(proxy.context.messageMemory.used(), kFields * 64U);
+    client->close();
+    EventLoop::get().sleepFor(50ms);
+    EXPECT_EQ(proxy.context.messageMemory.used(), 0U);
+  });
+}
 // Calls of many runners and operators at once. `memoryMb` of 8 leaves 1 MB for the bodies of calls.
 TEST(ControlServer, BodiesThatAreBeingReadStayWithinTheMemory) {
   static controller_testing::FakeController controller;
