Listeners: what the kernel holds unread of a connection is bounded before it is accepted

Seen by callers: 400 clients with bodies of 1 MB that stop short: 65 MB with what is unread, of memoryMb 64.

Cause: a body that waits for memory stays in the kernel, and an accepted socket has the kernel's default window, which counts as the process's memory.

--- a/libs/agent/include/agent/agent_daemon.hpp
+++ b/libs/agent/include/agent/agent_daemon.hpp
@@ -7,6 +7,7 @@
 #include "agent/proxy_feed.hpp"
 #include "config/settings.hpp"
 #include "runtime/startup.hpp"
+#include "transport/accepted_links.hpp"
 namespace zinccleat::agent {
 /// Must exist until the event loop has ended. Used on the event loop's thread only.
 class AgentDaemon {
@@ -55,7 +56,8 @@
   void forwardToLeader(const transport::PeerLinkPtr& proxy, const transport::Envelope& envelope);
 
   config::Settings settings_;
-  std::string identity_;  // "IP#agent"
+  std::string identity_;                    // "IP#agent"
+  transport::AcceptedLinks acceptedLinks_;  // from proxies of this machine
   LeaderDiscovery discovery_;
   FeedSource feedSource_;
   std::string sourceAddress_;           // member that sends the log to this agent; empty if there is none
--- a/libs/agent/src/agent_daemon.cpp
+++ b/libs/agent/src/agent_daemon.cpp
@@ -19,6 +19,7 @@
 AgentDaemon::AgentDaemon(const config::Settings& settings)
     : settings_(settings),
       identity_(settings.ip + "#agent"),
+      acceptedLinks_(transport::AcceptedLinkLimits::of(settings.memoryMb, settings.fdLimit)),
       discovery_(settings.ip, randomSeed()),
       feedSource_(settings.zone, randomSeed()),
       proxyFeed_(follower_),
@@ -46,13 +47,10 @@
     const auto remote = socket.remote_endpoint(ec);
     if (ec || !isOwnMachine(remote.address(), own))
       return;  // closes the connection: only the proxy of this machine may connect
-    auto proxy = std::make_shared<transport::PeerLink>(
-        std::move(socket),
-        [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
-          onProxyMessage(link, envelope);
-        },
-        [](const transport::PeerLinkPtr&) {});
-    proxy->start();
+    acceptedLinks_.accept(std::move(socket),
+                          [this](const transport::PeerLinkPtr& link, const transport::Envelope& envelope) {
+                            onProxyMessage(link, envelope);
+                          });
   });
 }
 void AgentDaemon::startTimers() {
--- a/libs/controller/src/controller_context.cpp
+++ b/libs/controller/src/controller_context.cpp
@@ -11,5 +11,6 @@
 ControllerContext::ControllerContext(config::Settings initialSettings)
     : settings(std::move(initialSettings)),
       zones(settings.ip, settings.zone),
-      view(viewNameOfController(settings.ip), kViewSize, randomSeed()) {}
+      view(viewNameOfController(settings.ip), kViewSize, randomSeed()),
+      acceptedLinks(transport::AcceptedLinkLimits::of(settings.memoryMb, settings.fdLimit)) {}
 }  // namespace zinccleat::controller
--- a/libs/controller/src/controller_context.hpp
+++ b/libs/controller/src/controller_context.hpp
@@ -6,6 +6,7 @@
 #include "consensus/raft_node.hpp"
 #include "member_zones.hpp"
 #include "state_machine/replicated_state.hpp"
+#include "transport/accepted_links.hpp"
 #include "transport/partial_view.hpp"
 namespace zinccleat::controller {
 /// Size in bytes above which the body of a write is sent ahead of its log entry, by the controller that accepted the
@@ -24,6 +25,8 @@
   MemberZones zones;  ///< zones of the controllers that are up; written by `RunnerLiveness`
   /// Partial view of the other machines; written by each component that receives messages.
   transport::PartialView view;
+  /// The links accepted from controllers and agents, at all ports; written by `PeerLinks`.
+  mutable transport::AcceptedLinks acceptedLinks;
   /// Number of starts whose settings named no other controller to join; written at startup.
   std::int64_t seedsDeclined = 0;
 
--- a/libs/controller/src/peer_links.cpp
+++ b/libs/controller/src/peer_links.cpp
@@ -21,11 +21,9 @@
   const auto endpoint = endpointAt(context_.settings.ip);
   if (!endpoint)
     return tl::unexpected(endpoint.error());
-  return transport::listen(*endpoint, [this](tcp::socket socket) {
-    auto link =
-        std::make_shared<transport::PeerLink>(std::move(socket), onMessage_, [](const transport::PeerLinkPtr&) {});
-    link->start();
-  });
+  return transport::listen(
+      *endpoint, [this](tcp::socket socket) { context_.acceptedLinks.accept(std::move(socket), onMessage_); },
+      transport::kMaxUnreadLinkBytes);
 }
 void PeerLinks::dial(const std::string& address) {
   (void)dialerTo(address);
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr auto kConnectTimeout = 300ms;
 constexpr auto kDeadlineMargin = 50ms;  // time for the runner's own deadline response to arrive
+constexpr std::size_t kMaxUnreadBytes = std::size_t{32} * 1024;  // of a response that the client does not take
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kMisdirectedRequest = 421;
 }  // namespace
@@ -50,6 +51,8 @@
   connection_ = std::make_unique<runtime::Connection>();
   connection_->setDeadline(std::min(exchange_.deadline, Exchange::now() + kConnectTimeout));
   connection_->connect(*endpoint, ec_);
+  if (!ec_)
+    connection_->limitUnread(kMaxUnreadBytes);
   if (ec_) {
     recordFailure();
     pool.closeAll(runnerId_);
--- a/libs/transport/include/transport/peer_link.hpp
+++ b/libs/transport/include/transport/peer_link.hpp
@@ -1,5 +1,6 @@
 /// A bidirectional message connection to another process of the fleet. Used only on the event loop's thread.
 #pragma once
+#include "runtime/connection_table.hpp"
 #include "runtime/event_loop.hpp"
 #include "transport/frame_codec.hpp"
 namespace zinccleat::transport {
@@ -15,6 +16,8 @@
   using OnClosed = std::function<void(const std::shared_ptr<PeerLink>&)>;
   /// @param socket a connected socket.
   PeerLink(tcp::socket socket, OnMessage onMessage, OnClosed onClosed);
+  /// A link that was accepted: what it holds of incomplete frames is reserved.
+  PeerLink(std::shared_ptr<runtime::ServedConnection> served, OnMessage onMessage, OnClosed onClosed);
   ~PeerLink();
   /// Starts receiving. Must be called once, when a shared pointer owns the link.
   void start();
@@ -49,6 +52,12 @@
 
  private:
   void receiveMessages();
+  /// Reserves memory for incomplete frames. @return false if there was none in time.
+  bool reserve(std::size_t receivedBytes, std::size_t fragmentBytes);
+  /// Frees the memory of frames if none is incomplete.
+  void endReceipt(std::string& received, std::string& fragments);
+  /// Closes the link because there is no memory for its frame.
+  void refuseFrame(std::size_t bytes);
   void scheduleWrite();
   void fillWriteBuffer();
   void writeNext();
--- a/libs/transport/src/listener.cpp
+++ b/libs/transport/src/listener.cpp
@@ -24,14 +24,17 @@
 /// The listening socket. Owned by its pending asynchronous operation and by the `Listener` handle.
 class Listener::Acceptor : public std::enable_shared_from_this<Listener::Acceptor> {
  public:
-  explicit Acceptor(std::function<void(tcp::socket)> onAccept)
-      : acceptor_(runtime::EventLoop::get().io()),
+  Acceptor(std::function<void(tcp::socket)> onAccept, std::size_t maxUnreadBytes)
+      : maxUnreadBytes_(maxUnreadBytes),
+        acceptor_(runtime::EventLoop::get().io()),
         pause_(runtime::EventLoop::get().io()),
         onAccept_(std::move(onAccept)) {}
   Result<void> open(const tcp::endpoint& endpoint) {
     runtime::SocketError ec;
     acceptor_.open(endpoint.protocol(), ec);
     acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    // Accepted sockets inherit this. Set before the port listens, so that no peer is invited to send more.
+    acceptor_.set_option(tcp::acceptor::receive_buffer_size(static_cast<int>(maxUnreadBytes_)), ec);
     acceptor_.bind(endpoint, ec);
     if (ec)
       return bindError(endpoint, ec);
@@ -64,6 +67,7 @@
     pause_.async_wait([self = shared_from_this()](runtime::SocketError) { self->acceptNext(); });
   }
 
+  std::size_t maxUnreadBytes_;
   tcp::acceptor acceptor_;
   asio::steady_timer pause_;
   std::function<void(tcp::socket)> onAccept_;
@@ -76,15 +80,17 @@
 tcp::endpoint Listener::endpoint() const {
   return acceptor_->endpoint();
 }
-Result<Listener> openListener(const tcp::endpoint& endpoint, std::function<void(tcp::socket)> onAccept) {
-  auto acceptor = std::make_shared<Listener::Acceptor>(std::move(onAccept));
+Result<Listener> openListener(const tcp::endpoint& endpoint, std::function<void(tcp::socket)> onAccept,
+                              std::size_t maxUnreadBytes) {
+  auto acceptor = std::make_shared<Listener::Acceptor>(std::move(onAccept), maxUnreadBytes);
   if (auto opened = acceptor->open(endpoint); !opened)
     return tl::unexpected(opened.error());
   acceptor->acceptNext();
   return Listener(std::move(acceptor));
 }
-Result<void> listen(const tcp::endpoint& endpoint, std::function<void(tcp::socket)> onAccept) {
-  auto listener = openListener(endpoint, std::move(onAccept));
+Result<void> listen(const tcp::endpoint& endpoint, std::function<void(tcp::socket)> onAccept,
+                    std::size_t maxUnreadBytes) {
+  auto listener = openListener(endpoint, std::move(onAccept), maxUnreadBytes);
   if (!listener)
     return tl::unexpected(listener.error());
   return {};
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -9,11 +9,15 @@
 namespace zinccleat::transport {
 namespace {
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+constexpr std::size_t kChargedFrameBytes = 2 * kReadBytes;  // part of the fixed charge of an accepted link
+constexpr Duration kMemoryWait{500};
 constexpr std::size_t kMaxBacklogBytes = std::size_t{48} << 20;
 }  // namespace
 
 struct PeerLink::Impl {
-  runtime::Connection connection;
+  std::shared_ptr<runtime::ServedConnection> served;  // null for a link that this process dialled
+  std::optional<runtime::Connection> dialled;
+  runtime::Connection& connection;
   OnMessage onMessage;
   OnClosed onClosed;
   std::string queued;                                   // complete frames to send, concatenated
@@ -35,7 +39,20 @@
     counted.bytes += frame.size();
   }
   Impl(tcp::socket socket, OnMessage messageHandler, OnClosed closedHandler)
-      : connection(std::move(socket)), onMessage(std::move(messageHandler)), onClosed(std::move(closedHandler)) {
+      : dialled(std::in_place, std::move(socket)),
+        connection(*dialled),
+        onMessage(std::move(messageHandler)),
+        onClosed(std::move(closedHandler)) {
+    prepareConnection();
+  }
+  Impl(std::shared_ptr<runtime::ServedConnection> accepted, OnMessage messageHandler, OnClosed closedHandler)
+      : served(std::move(accepted)),
+        connection(served->connection()),
+        onMessage(std::move(messageHandler)),
+        onClosed(std::move(closedHandler)) {
+    prepareConnection();
+  }
+  void prepareConnection() {
     runtime::SocketError ec;
     const auto remote = connection.socket().remote_endpoint(ec);
     if (!ec)
@@ -46,6 +63,8 @@
 
 PeerLink::PeerLink(tcp::socket socket, OnMessage onMessage, OnClosed onClosed)
     : impl_(std::make_unique<Impl>(std::move(socket), std::move(onMessage), std::move(onClosed))) {}
+PeerLink::PeerLink(std::shared_ptr<runtime::ServedConnection> served, OnMessage onMessage, OnClosed onClosed)
+    : impl_(std::make_unique<Impl>(std::move(served), std::move(onMessage), std::move(onClosed))) {}
 PeerLink::~PeerLink() = default;
 bool PeerLink::open() const {
   return impl_->open;
@@ -102,6 +121,8 @@
     const auto bytes = link.connection.read(asio::buffer(chunk), ec);
     if (ec || bytes == 0)
       return;
+    if (!reserve(received.size() + bytes, fragments.size()))
+      return refuseFrame(received.size());
     link.lastReceivedAt = Clock::now();
     link.unansweredSince = TimePoint::max();
     received.append(chunk.data(), bytes);
@@ -113,8 +134,32 @@
         return;
       link.onMessage(self, envelope);
     }
+    endReceipt(received, fragments);
   }
 }
+bool PeerLink::reserve(std::size_t receivedBytes, std::size_t fragmentBytes) {
+  auto& served = impl_->served;
+  if (!served)
+    return true;
+  // Twice the size, because a string that grows may double its capacity.
+  const auto held = 2 * (receivedBytes + fragmentBytes);
+  return held <= kChargedFrameBytes || served->reserve(held - kChargedFrameBytes, kMemoryWait);
+}
+void PeerLink::endReceipt(std::string& received, std::string& fragments) {
+  auto& served = impl_->served;
+  if (!served || !received.empty() || !fragments.empty())
+    return;
+  if (received.capacity() > kChargedFrameBytes)
+    received.shrink_to_fit();
+  if (fragments.capacity() > kChargedFrameBytes)
+    fragments.shrink_to_fit();
+  served->memory().shrinkTo(0);
+  served->enter(runtime::ConnectionPhase::idle);
+}
+void PeerLink::refuseFrame(std::size_t bytes) {
+  log::debug("peer_frame_refused", {{"peer", impl_->remoteIp}, {"bytes", bytes}, {"reason", "no memory"}});
+  close();
+}
 
 // --- sending ---
 
