Connections: a client that sends requests ahead does not keep the event loop busy

Cause: a request that is in the buffer already needs no wait, so its fiber went from one to the next without letting others in. Change: EventLoop::yield between two such requests, at each HTTP port.

--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -115,6 +115,9 @@
     if (!staysOpen)
       return;
     served.enter(runtime::ConnectionPhase::idle);
+    // A caller that sends calls ahead must not keep the event loop busy.
+    if (buffer.size() > 0)
+      runtime::EventLoop::get().yield();
   }
 }
 bool ControlServer::serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer,
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -99,6 +99,9 @@
     if (!end.staysOpen)
       return;
     served.enter(runtime::ConnectionPhase::idle);
+    // A client that sends requests ahead must not keep the event loop busy.
+    if (buffer.size() > 0)
+      runtime::EventLoop::get().yield();
   }
 }
 }  // namespace zinccleat::proxy
--- a/libs/proxy_daemon/src/readiness_server.cpp
+++ b/libs/proxy_daemon/src/readiness_server.cpp
@@ -40,6 +40,7 @@
   while (serveRequest(served, buffer, limits)) {
     served.memory().shrinkTo(0);
     served.enter(runtime::ConnectionPhase::idle);
+    runtime::EventLoop::get().yield();
   }
 }
 bool ReadinessServer::serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer,
--- a/libs/runtime/include/runtime/event_loop.hpp
+++ b/libs/runtime/include/runtime/event_loop.hpp
@@ -27,6 +27,9 @@
   void spawn(std::function<void()> body);
   /// Suspends the calling fiber for a time.
   void sleepFor(Duration duration);
+  /// Suspends the calling fiber until the handlers and the input that are pending now have been handled. A fiber that
+  /// finds all that it needs in memory calls this between two units of work, so that others get their turn.
+  void yield();
   /// Suspends the calling fiber until the waiter is woken or the timeout expires.
   /// @return false if the timeout expired first.
   bool waitFor(Waiter& waiter, Duration timeout);
--- a/libs/runtime/src/event_loop.cpp
+++ b/libs/runtime/src/event_loop.cpp
@@ -114,6 +114,11 @@
   timer.async_wait([&](SocketError) { waiter.wake(); });
   waiter.wait();
 }
+void EventLoop::yield() {
+  Waiter waiter;
+  asio::post(impl_->io, [&] { waiter.wake(); });
+  waiter.wait();
+}
 bool EventLoop::waitFor(Waiter& waiter, Duration timeout) {
   bool timedOut = false;
   bool handlerRan = false;
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -218,6 +218,21 @@
     EXPECT_EQ(proxy.context.messageMemory.used(), 0U);
   });
 }
+// All that the requests need is in memory, so nothing but a pause between them lets others in.
+TEST(Proxy, AClientThatSendsAheadDoesNotKeepOthersOut) {
+  withProxy([](TestProxy& proxy) {
+    constexpr int kRequests = 3000;
+    proxy.runner("i-1", respondOk);
+    auto eager = proxy.connectClient();
+    std::string requests;
+    for (int i = 0; i < kRequests; ++i)
+      requests += requestText("/unknown/x", "e" + std::to_string(i));
+    EventLoop::get().spawn([&] { sendBytes(*eager, requests); });
+    EventLoop::get().sleepFor(5ms);
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "a1")).status, 200);
+    EXPECT_LT(proxy.context.rejected, static_cast<std::uint64_t>(kRequests));
+  });
+}
 // Calls of many runners and operators at once. `memoryMb` of 8 leaves 1 MB for the bodies of calls.
 TEST(ControlServer, BodiesThatAreBeingReadStayWithinTheMemory) {
   static controller_testing::FakeController controller;
