Links: incomplete frames and accepted links have one bound over all of a process

Seen by callers: 10 connections that announce a frame of 32 MB and stop short of it take a process of memoryMb 64 to 145 to 159 MB at the agent's and the controllers' ports; 1,200 idle ones take 1,024 to 1,212 descriptors of 800.

Cause: a link held whatever a peer sent, up to 32 MB, before its peer was known, and nothing counted links. Change: AcceptedLinks, one for all ports of a process: links are limited by memoryMb and fdLimit, incomplete frames and fragments are reserved from a quarter of memoryMb; late links make way as at the other ports; a link whose frame finds no memory for 500 ms is closed and dialled again.

--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -3,6 +3,7 @@
 #include "api_responses.hpp"
 #include "control_api.hpp"
 #include "proxy/http.hpp"
+#include "transport/accepted_links.hpp"
 
 namespace zinccleat::controller {
 namespace {
@@ -45,7 +46,8 @@
 int maxConnectionsOf(const config::Settings& settings) {
   int connections = kMaxConnections;
   if (settings.fdLimit > 0)
-    connections = std::min(connections, settings.fdLimit - kReservedDescriptors);
+    connections = std::min(connections, settings.fdLimit - kReservedDescriptors -
+                                            transport::AcceptedLinkLimits::of(0, settings.fdLimit).links);
   if (settings.memoryMb > 0)
     connections = std::min(connections, static_cast<int>(static_cast<std::size_t>(settings.memoryMb) * kBytesPerMb *
                                                          kMemoryNumeratorForConnections / kMemoryDivisorForConnections /
