Proxy: idle connections to runners do not use up the descriptors of requests

Seen by callers: nothing yet; found in the table of what a peer can make a process hold. Cause: the pool of idle connections had a time but no number, so runners that come and go within it add up beyond the descriptor that each client's place includes; then no connection to a runner can be opened, and the runner is blamed.

Change: before a new connection is opened, the oldest idle ones are closed until they and the requests in flight are as many as the places of clients.

Evidence: Proxy.IdleConnectionsToRunnersStayWithinThePlacesOfClients.

--- a/libs/proxy/include/proxy/connection_pool.hpp
+++ b/libs/proxy/include/proxy/connection_pool.hpp
@@ -25,6 +25,11 @@
   void closeAll(const std::string& runnerId);
   /// Closes the connections that have expired. To be called periodically.
   void closeExpired(TimePoint now);
+  /// Closes the connection that has been idle for the longest time, so that its descriptor can be used.
+  /// @return false if the pool is empty.
+  bool closeOldest();
+  /// Number of idle connections, including those that have expired and were not closed yet.
+  std::size_t size() const;
 
  private:
   static constexpr Duration kMinIdleLimitNonIdempotent{200};
--- a/libs/proxy/src/connection_pool.cpp
+++ b/libs/proxy/src/connection_pool.cpp
@@ -43,4 +43,25 @@
     std::erase_if(connections, [&](const IdleConnection& idle) { return idle.expiresAt <= now; });
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
+
+bool ConnectionPool::closeOldest() {
+  auto oldest = idle_.end();
+  for (auto it = idle_.begin(); it != idle_.end(); ++it) {
+    const bool isOlder = !it->second.empty() &&
+                         (oldest == idle_.end() || it->second.front().idleSince < oldest->second.front().idleSince);
+    if (isOlder)
+      oldest = it;
+  }
+  if (oldest == idle_.end())
+    return false;
+  oldest->second.erase(oldest->second.begin());
+  return true;
+}
+
+std::size_t ConnectionPool::size() const {
+  std::size_t connections = 0;
+  for (const auto& [runnerId, idle] : idle_)
+    connections += idle.size();
+  return connections;
+}
 }  // namespace zinccleat::proxy
--- a/libs/proxy/src/runner_attempt.cpp
+++ b/libs/proxy/src/runner_attempt.cpp
@@ -48,6 +48,7 @@
   const auto endpoint = runtime::parseEndpoint(address_);
   if (!endpoint)
     return false;
+  makeRoomForConnection();
   connection_ = std::make_unique<runtime::Connection>();
   connection_->setDeadline(std::min(exchange_.deadline, Exchange::now() + kConnectTimeout));
   connection_->connect(*endpoint, ec_);
@@ -62,6 +63,15 @@
   return true;
 }
 
+// Each client's place includes a descriptor for one connection to a runner. Idle connections must not use up those of
+// the requests in flight.
+void RunnerAttempt::makeRoomForConnection() {
+  auto& context = exchange_.context;
+  const auto allowed = static_cast<std::size_t>(std::max(0, context.maxClients - context.inFlight));
+  while (context.connections.size() > allowed && context.connections.closeOldest()) {
+  }
+}
+
 std::optional<AttemptOutcome> RunnerAttempt::sendRequest() {
   ForwardingOptions options;
   options.expectedInstance = runnerId_;
--- a/libs/proxy/src/runner_attempt.hpp
+++ b/libs/proxy/src/runner_attempt.hpp
@@ -18,6 +18,7 @@
   /// Takes a pooled connection or opens a new one.
   /// @return false if the runner cannot be reached. Nothing was sent in that case.
   bool connect();
+  void makeRoomForConnection();
   /// Writes the request.
   /// @return the outcome if writing the request ended the attempt; none otherwise.
   std::optional<AttemptOutcome> sendRequest();
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -153,18 +153,18 @@
 // The parser asks for more bytes until it has a whole line before a chunk, or the whole trailer section.
 TEST(Proxy, WhatTheParserHoldsBetweenThePartsOfABodyIsLimited) {
   const std::string inTrailers = "1\r\nx\r\n0\r\n";
-  for (const auto& [opening, repeated] : std::vector<std::pair<std::string, std::string>>{
+  for (const auto& [prefix, repeated] : std::vector<std::pair<std::string, std::string>>{
            {"1;", "e"}, {"", "0"}, {inTrailers, "X-T: t\r\n"}, {inTrailers + "X-T: ", "t"}})
-    withProxy([&opening = opening, &repeated = repeated](TestProxy& proxy) {
+    withProxy([&prefix = prefix, &repeated = repeated](TestProxy& proxy) {
       auto runner = proxy.runner("i-1", respondOk);
       auto client = proxy.connectClient();
       std::string endless;
       while (endless.size() < kMb)
         endless += repeated;
       EventLoop::get().spawn(
-          [&client, text = chunkedAnnouncement("a1") + opening + endless] { sendBytes(*client, text); });
+          [&client, text = chunkedAnnouncement("a1") + prefix + endless] { sendBytes(*client, text); });
       Buffer buffer;
-      EXPECT_EQ(readResponse(*client, buffer).status, 431) << opening << repeated;
+      EXPECT_EQ(readResponse(*client, buffer).status, 431) << prefix << repeated;
       EXPECT_TRUE(runner->receivedRequests.empty());
       EventLoop::get().sleepFor(600ms);  // the rest is discarded for half a second
       EXPECT_EQ(proxy.context.messageMemory.used(), 0U);
@@ -233,6 +233,21 @@
     EXPECT_LT(proxy.context.rejected, static_cast<std::uint64_t>(kRequests));
   });
 }
+// Connections to runners that went away stay in the pool for as long as these had announced. They must not take the
+// descriptors of new ones.
+TEST(Proxy, IdleConnectionsToRunnersStayWithinThePlacesOfClients) {
+  withProxy([](TestProxy& proxy) {
+    constexpr int kPlaces = 3;
+    proxy.context.maxClients = kPlaces;
+    for (int i = 0; i < 3 * kPlaces; ++i) {
+      proxy.runners.clear();
+      proxy.runner("i-" + std::to_string(i), respondOk);
+      EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "a" + std::to_string(i))).status, 200);
+      EventLoop::get().sleepFor(5ms);
+      EXPECT_LE(proxy.context.connections.size(), static_cast<std::size_t>(kPlaces));
+    }
+  });
+}
 // Calls of many runners and operators at once. `memoryMb` of 8 leaves 1 MB for the bodies of calls.
 TEST(ControlServer, BodiesThatAreBeingReadStayWithinTheMemory) {
   static controller_testing::FakeController controller;
