Soak, fuzzer: clients that send without end or stop short of it

Cause: the soak's clients behave, and the fuzzer's inputs end, so neither could see that a part of a message has no bound. The fuzzer of requests feeds through MessageFeed, as the product does, repeats the tail of each input, and asks that what the buffer and the fields occupy is bounded.

--- a/tests/fuzz/requests_fuzzer.cpp
+++ b/tests/fuzz/requests_fuzzer.cpp
@@ -11,32 +11,61 @@
 constexpr std::uint32_t kHeaderLimit = 2048;
 constexpr std::size_t kBodyLimit = 4096;
 
-// Feeds a parser as `proxy::readIntoParser` does. Returns true if the complete message was read.
+// A peer that sends the input in reads of a fixed length.
+class InputStream {
+ public:
+  InputStream(std::string_view input, std::size_t readLength) : rest_(input), readLength_(readLength) {}
+  std::size_t read(boost::asio::mutable_buffer buffer, boost::system::error_code& error) {
+    if (rest_.empty()) {
+      error = boost::asio::error::eof;
+      return 0;
+    }
+    const auto part = rest_.substr(0, std::min(readLength_, buffer.size()));
+    rest_.remove_prefix(part.size());
+    std::copy(part.begin(), part.end(), static_cast<char*>(buffer.data()));
+    return part.size();
+  }
+
+ private:
+  std::string_view rest_;
+  std::size_t readLength_;
+};
+// What a message may hold beside its body: the buffer, which doubles as it grows, and the fields of a header and a
+// trailer section.
+constexpr std::size_t kMaxOccupied = 4 * (kHeaderLimit + kReadBytes) + 2 * kHeaderLimit * (1 + kBytesPerHeaderField);
+
+// Parses a message from the stream. Returns true if the complete message was read.
 template <class Parser>
-bool parseInReads(Parser& parser, std::string_view input, std::size_t readLength) {
+bool parse(Parser& parser, InputStream stream) {
   parser.header_limit(kHeaderLimit);
   parser.body_limit(kBodyLimit);
   parser.eager(true);
   Buffer buffer;
-  while (!parser.is_done()) {
-    if (buffer.size() > 0) {
-      boost::system::error_code error;
-      const auto used = parser.put(buffer.data(), error);
-      buffer.consume(used);
-      if (error && error != http::error::need_more)
-        return false;
-      if (used > 0)
-        continue;
-    }
-    if (input.empty())
-      return false;
-    const auto read = input.substr(0, readLength);
-    input.remove_prefix(read.size());
-    const auto room = buffer.prepare(read.size());
-    std::copy(read.begin(), read.end(), static_cast<char*>(room.data()));
-    buffer.commit(read.size());
-  }
-  return true;
+  MessageFeed<Parser, InputStream> feed(stream, buffer, parser, kHeaderLimit);
+  boost::system::error_code error;
+  const auto isBounded = [&] {
+    fuzz::require(feed.headerMemory() <= kMaxOccupied);
+    return true;
+  };
+  feed.run(false, isBounded, error);
+  return !error && parser.is_done();
+}
+template <class Parser>
+bool parseInReads(Parser& parser, std::string_view input, std::size_t readLength) {
+  return parse(parser, InputStream(input, readLength));
+}
+// A peer that sends the last part of the input without end: whatever state the parser is in, what it holds is bounded.
+void readWithoutEnd(std::string_view input, std::size_t readLength) {
+  constexpr std::size_t kRepeats = 400;
+  constexpr std::size_t kMaxTail = 64;
+  const auto tail = input.substr(input.size() - std::min(input.size(), kMaxTail));
+  std::string endless(input);
+  for (std::size_t i = 0; i < kRepeats; ++i)
+    endless += tail;
+  RequestParser request;
+  (void)parse(request, InputStream(endless, readLength));
+  http::response_parser<http::string_body> response;
+  (void)parse(response, InputStream(endless, readLength));
 }
 std::size_t count(std::string_view text, std::string_view part) {
   std::size_t found = 0;
@@ -114,6 +143,7 @@
   const auto readLength = 1 + static_cast<std::size_t>(static_cast<unsigned char>(input.front()));
   input.remove_prefix(1);
   readAnyRequest(input, readLength);
+  readWithoutEnd(input, readLength);
   readAnyResponse(input, readLength);
   scanEvents(input, readLength);
 }
@@ -126,7 +156,12 @@
           singleByteReads +
               "POST /p/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n"
               "4\r\nbody\r\n3;x=y\r\nabc\r\n0\r\nTrailer: t\r\n\r\n",
-          longReads + "GET / HTTP/1.0\r\n\r\n",
+          // Without an end: trailers, a trailer field, a chunk extension, and zeros in the size of a chunk.
+          longReads + "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nT: t\r\nT: t\r\n",
+          longReads + "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nT: " + std::string(64, 't'),
+          longReads + "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(64, 'e'),
+          longReads + "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(64, '0'),
+          singleByteReads + "POST / HTTP/1.1\r\na:\r\na:\r\na:\r\na:\r\n", longReads + "GET / HTTP/1.0\r\n\r\n",
           longReads + "GET http://h/p HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
           longReads + "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok",
           singleByteReads +
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,7 +1,6 @@
 // zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] [--runners=N] [--clients=N]
-//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--starts]
-//     [--plant=slow-clock|lost-disks]
-//     [--keep]
+//     [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--starts] [--crowds]
+//     [--plant=slow-clock|lost-disks] [--keep]
 //
 // Performs one soak run, and prints a summary and the violated rules. With --keep, the folder with the logs of the
 // processes is kept after a violation. Exit status: 0 without violations, 1 with violations, 2 if the run failed to
@@ -155,6 +154,7 @@
   startDisturbances(run);
   startFaults(run);
   startLosses(run);
+  startCrowds(run);
   loop.sleepFor(std::chrono::seconds(run.plan.seconds));
   run.disturbancesActive = false;
   if (run.faults)
@@ -203,6 +203,8 @@
       plan.losses = true;
     else if (std::strcmp(argument, "--starts") == 0)
       plan.starts = true;
+    else if (std::strcmp(argument, "--crowds") == 0)
+      plan.crowds = true;
     else if (std::strncmp(argument, kPlantOption, std::strlen(kPlantOption)) == 0)
       plan.plantedFault = argument + std::strlen(kPlantOption);
     else if (std::strcmp(argument, "--keep") == 0)
@@ -244,11 +246,11 @@
   using namespace zinccleat;
   const auto plan = soak::parsePlan(argc, argv);
   if (!plan) {
-    std::fprintf(
-        stderr,
-        "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
-        "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] [--starts] "
-        "[--plant=slow-clock|lost-disks] [--keep]\n");
+    std::fprintf(stderr,
+                 "usage: zinccleat_soak PROGRAM [--seed=N] [--seconds=N] [--core=N] [--access=N] "
+                 "[--runners=N] [--clients=N] [--applications=N] [--kills] [--disks] [--cuts] [--freezes] [--losses] "
+                 "[--starts] [--crowds] "
+                 "[--plant=slow-clock|lost-disks] [--keep]\n");
     return 2;
   }
   // Uses a folder in memory if the system has one, so that other users of the disk don't influence the timing of the
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -29,6 +29,7 @@
   bool cuts = false;     ///< whether packets are lost or delayed and connections are reset
   bool freezes = false;  ///< whether processes stand still for a time (SIGSTOP, SIGCONT)
   bool starts = false;   ///< whether starts meet obstacles and signals; see `StartObstacles`
+  bool crowds = false;   ///< whether crowds of clients that do not behave come and go; see `startCrowds`
   bool losses = false;   ///< whether the disk of the only controller that answers is lost; see `startLosses`
   std::string plantedFault;          ///< a fault beyond what the fleet tolerates, injected to show that the checks find
                                      ///< violations; see `startFaults`
@@ -132,6 +133,8 @@
 /// - `slow-clock`: a controller is partitioned while its clock runs slowly, so that its leases last too long;
 /// - `lost-disks`: all controllers lose their disks at once, which is more than the fleet tolerates.
 void startFaults(SoakRun& run);
+/// Starts the series of crowds (tests/crowds) at any port of any machine, if the plan enables it.
+void startCrowds(SoakRun& run);
 /// Starts the series that loses the disk of the only controller that answers, if the plan enables it.
 void startLosses(SoakRun& run);
 }  // namespace zinccleat::soak
