--- a/libs/runtime/include/runtime/transfer_progress.hpp
+++ b/libs/runtime/include/runtime/transfer_progress.hpp
@@ -14,8 +14,8 @@
   void begin(TimePoint now, Duration credit = kMaxCredit) { due_ = now + credit; }
   /// Records bytes that the peer has sent or taken.
   void record(std::size_t bytes, TimePoint now) {
-    const std::chrono::microseconds worth(static_cast<std::int64_t>(bytes) * kMicrosecondsPerS / kMinBytesPerS);
-    due_ = std::min(due_ + worth, now + kMaxCredit);
+    const std::chrono::microseconds credit(static_cast<std::int64_t>(bytes) * kMicrosecondsPerS / kMinBytesPerS);
+    due_ = std::min(due_ + credit, now + kMaxCredit);
   }
   /// Puts off the time at which the peer is late, because the peer could not transfer for this time.
   void extend(Duration duration) { due_ += duration; }
--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -142,8 +142,8 @@
   if (!served)
     return true;
   // Twice the size, because a string that grows may double its capacity.
-  const auto held = 2 * (receivedBytes + fragmentBytes);
-  return held <= kChargedFrameBytes || served->reserve(held - kChargedFrameBytes, kMemoryWait);
+  const auto needed = 2 * (receivedBytes + fragmentBytes);
+  return needed <= kChargedFrameBytes || served->reserve(needed - kChargedFrameBytes, kMemoryWait);
 }
 void PeerLink::endReceipt(std::string& received, std::string& fragments) {
   auto& served = impl_->served;
--- a/tests/address_holder_test.cpp
+++ b/tests/address_holder_test.cpp
@@ -21,7 +21,7 @@
 }
 }  // namespace
 
-TEST(AddressHolder, ToldByTheSocketThatHasTheAddress) {
+TEST(AddressHolder, IsTheSocketThatHasTheAddress) {
   const auto listening = row(kLocal, "00000000:0000", "0A");
   const auto connected = row(kLocal, "0900007F:20D7", "01");
   const auto closed = row(kLocal, "0900007F:20D7", "06");
--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/crowd.cpp
@@ -19,8 +19,8 @@
     connection.setDeadline(Clock::now() + kSendTime);
     connection.connect(endpoint, ec);
     if (!ec)
-      connection.write(asio::buffer(transmission.opening), ec);
-    for (auto sent = transmission.opening.size(); !ec && sent < transmission.bytes && !block.empty();) {
+      connection.write(asio::buffer(transmission.prefix), ec);
+    for (auto sent = transmission.prefix.size(); !ec && sent < transmission.bytes && !block.empty();) {
       const auto part = std::min(block.size(), transmission.bytes - sent);
       connection.write(asio::buffer(block.data(), part), ec);
       sent += part;
--- a/tests/crowds/crowd.hpp
+++ b/tests/crowds/crowd.hpp
@@ -8,9 +8,9 @@
 
 #include "runtime/event_loop.hpp"
 namespace zinccleat::crowds {
-/// What each connection of a crowd sends: the opening once, then the repeated part until `bytes` were sent in total.
+/// What each connection of a crowd sends: the prefix once, then the repeated part until `bytes` were sent in total.
 struct Transmission {
-  std::string opening;
+  std::string prefix;
   std::string repeated;
   std::size_t bytes = 0;
 };
--- a/tests/crowds/crowd_cases.cpp
+++ b/tests/crowds/crowd_cases.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kLargeBodyBytes = 1'000'000;
 constexpr std::size_t kSmallBodyBytes = 60'000;
 constexpr std::size_t kChunkBytes = 32 * kKb;
-constexpr std::size_t kHeldTrailerBytes = 200 * kKb;
+constexpr std::size_t kFiniteTrailerBytes = 200 * kKb;
 constexpr std::size_t kHeaderFieldBytes = 14 * kKb;
 
 std::string requestLine(Port port) {
@@ -38,8 +38,8 @@
   std::snprintf(size, sizeof size, "%zx\r\n", bytes);
   return size + std::string(bytes, 'x') + "\r\n";
 }
-CrowdPlan endless(std::string opening, std::string repeated) {
-  return {kEndless, {std::move(opening), std::move(repeated), kEndlessBytes}};
+CrowdPlan endless(std::string prefix, std::string repeated) {
+  return {kEndless, {std::move(prefix), std::move(repeated), kEndlessBytes}};
 }
 /// A body with a length that stops one byte short of its end.
 CrowdPlan shortBody(Port port, int connections, std::size_t length) {
@@ -65,14 +65,14 @@
       {name + "_trailer_field_without_end", {{port, endless(trailers + "X-Trailer: ", std::string(kKb, 't'))}}},
       {name + "_chunk_extension_without_end", {{port, endless(chunked + "1;", std::string(kKb, 'e'))}}},
       {name + "_chunk_size_without_end", {{port, endless(chunked, std::string(kKb, '0'))}}},
-      {name + "_trailers_held", {{port, {kMany, {trailers, field, trailers.size() + kHeldTrailerBytes}}}}},
+      {name + "_trailers_held", {{port, {kMany, {trailers, field, trailers.size() + kFiniteTrailerBytes}}}}},
       {name + "_large_bodies", {{port, shortBody(port, kMany, kLargeBodyBytes)}}},
       {name + "_small_bodies", {{port, shortBody(port, kManyMore, kSmallBodyBytes)}}},
       {name + "_large_chunks", {{port, {kMany, {chunked, chunkOf(kChunkBytes), kLargeBodyBytes}}}}},
       {name + "_small_chunks", {{port, {kMany, {chunked, chunkOf(1), kLargeBodyBytes}}}}},
       {name + "_unfinished_headers", {{port, unfinishedHeaders(port)}}},
       {name + "_many_header_fields", {{port, manyHeaderFields(port)}}},
-      {name + "_unread_answers", {{port, {kMany, {{}, headerWithLength(port, 0), kHeldTrailerBytes}}}}},
+      {name + "_unread_answers", {{port, {kMany, {{}, headerWithLength(port, 0), kFiniteTrailerBytes}}}}},
       {name + "_idle_connections", {{port, {kBeyondDescriptors, {}}}}},
   };
 }
--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -22,7 +22,7 @@
 constexpr auto kRetryInterval = 100ms;
 constexpr auto kHeartbeatInterval = 400ms;
 constexpr Duration kCallTimeout{3000};
-constexpr Duration kPatience{30000};  // of an ordinary caller that tries again
+constexpr Duration kRetryTimeout{30000};  // of an ordinary caller that tries again
 constexpr int kOk = 200;
 constexpr std::string_view kRunnerBody = "served";
 
@@ -163,7 +163,7 @@
     return answer && answer->status == kOk;
   }
   static bool answeredInTheEnd(const std::function<bool()>& attempt) {
-    for (const auto end = Clock::now() + kPatience; Clock::now() < end;) {
+    for (const auto end = Clock::now() + kRetryTimeout; Clock::now() < end;) {
       if (attempt())
         return true;
       runtime::EventLoop::get().sleepFor(kRetryInterval);
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -65,10 +65,10 @@
 }
 // A connection of this machine may have the address as its local one, and keep it for a minute after its close. A start
 // that gave up as early as for a previous instance would end again and again.
-TEST(Startup, AnAddressHeldByAConnectionIsWaitedForLongerThanTimeWait) {
-  const Error held{ErrorCode::addressTaken, "held by a closed connection", EADDRINUSE};
+TEST(Startup, AnAddressThatAConnectionHasIsWaitedForLongerThanTimeWait) {
+  const Error taken{ErrorCode::addressTaken, "held by a closed connection", EADDRINUSE};
   SimulatedStart start;
-  while (start.startup.retryAfter(held)) {
+  while (start.startup.retryAfter(taken)) {
   }
   EXPECT_GT(start.waited(), 60000ms);
   EXPECT_LT(start.waited(), 90000ms) << "every wait has a limit";
