Links: a closed link that others keep frees its memory at once

Cause: the reservation of an accepted link lasted until the last owner of the link let it go; sessions keep a link for longer than its connection. Change: it is freed when the receiving fiber ends, where the buffers are. Evidence: AcceptedLinks.* pass; no test of its own.

--- a/libs/transport/src/peer_link.cpp
+++ b/libs/transport/src/peer_link.cpp
@@ -104,6 +104,8 @@
     self->receiveMessages();
     self->close();
     auto& link = *self->impl_;
+    if (link.served)
+      link.served->memory().shrinkTo(0);  // others may keep the closed link for longer
     link.onClosed(self);
     // The callbacks may own this link. Resetting them breaks the reference cycle.
     link.onMessage = nullptr;
