--- a/libs/runtime/src/address_holder.cpp
+++ b/libs/runtime/src/address_holder.cpp
@@ -22,7 +22,11 @@
   return {asio::ip::address_v4(ntohl(address)), static_cast<std::uint16_t>(port)};
 }
 std::optional<TableRow> parseRow(const std::string& line) {
-  unsigned localAddress = 0, localPort = 0, remoteAddress = 0, remotePort = 0, state = 0;
+  unsigned localAddress = 0;
+  unsigned localPort = 0;
+  unsigned remoteAddress = 0;
+  unsigned remotePort = 0;
+  unsigned state = 0;
   if (std::sscanf(line.c_str(), " %*d: %8x:%4x %8x:%4x %2x", &localAddress, &localPort, &remoteAddress, &remotePort,
                   &state) != 5)
     return std::nullopt;
--- a/tests/soak/crowds.cpp
+++ b/tests/soak/crowds.cpp
@@ -8,6 +8,7 @@
 constexpr Duration kMinStay{500};
 constexpr Duration kMaxStay{4000};
 constexpr Duration kMaxPause{2000};
+constexpr int kLimitsFactor = 3;  // by which a soak's processes have more memory than those of `zinccleat_crowds`
 
 using crowds::Port;
 
@@ -38,8 +39,10 @@
   while (run.disturbancesActive) {
     runtime::EventLoop::get().sleepFor(run.drawDuration(Duration(0), kMaxPause));
     std::vector<std::unique_ptr<crowds::Crowd>> present;
-    for (const auto& [port, plan] : cases[run.draw(cases.size())].crowds)
+    for (auto [port, plan] : cases[run.draw(cases.size())].crowds) {
+      plan.connections *= kLimitsFactor;
       present.push_back(std::make_unique<crowds::Crowd>(addressOf(run, port), plan));
+    }
     runtime::EventLoop::get().sleepFor(run.drawDuration(kMinStay, kMaxStay));
     for (const auto& crowd : present)
       crowd->awaitSent();
