Proxy: a stream's chunk line without end does not fill the memory

Seen by callers: nothing yet; found by asking which readers go round MessageFeed. Cause: answers that are forwarded as they arrive were read by a loop of their own, whose buffer grew for as long as the parser asked for more. Change: StreamRelay reads through MessageFeed::advance, with the same limit.

Evidence: Proxy.AStreamWhoseChunkLineNeverEndsIsCut failed before and passes.

--- a/libs/proxy/include/proxy/message_feed.hpp
+++ b/libs/proxy/include/proxy/message_feed.hpp
@@ -70,11 +70,22 @@
         ec = asio::error::no_buffer_space;
         return;
       }
-      const auto received = connection_.read(buffer_.prepare(kReadBytes), ec);
-      if (ec)
-        return endMessageAtEof(parser_, ec);
-      buffer_.commit(received);
+      readOnce(ec);
+      if (ec || parser_.is_done())
+        return;
+    }
+  }
+  /// Parses what can be parsed of the received bytes; if that is nothing, reads once. For callers that take the body
+  /// away as it arrives.
+  /// @param ec  error of the parser or the connection; none on success
+  void advance(runtime::SocketError& ec) {
+    ec = {};
+    if (buffer_.size() > 0) {
+      const auto parsed = parseOnce(ec);
+      if (ec || parsed > 0)
+        return;
     }
+    readOnce(ec);
   }
   /// Bytes of memory that the header, its fields and the receive buffer hold once the received bytes are parsed.
   std::size_t headerMemory() const {
@@ -90,6 +101,12 @@
   }
 
  private:
+  void readOnce(runtime::SocketError& ec) {
+    const auto received = connection_.read(buffer_.prepare(kReadBytes), ec);
+    if (ec)
+      return endMessageAtEof(parser_, ec);
+    buffer_.commit(received);
+  }
   /// Parses what can be parsed of the buffer. @return the number of bytes parsed.
   std::size_t parseOnce(runtime::SocketError& ec) {
     const bool inHeader = !parser_.is_header_done();
--- a/libs/proxy/src/stream_relay.cpp
+++ b/libs/proxy/src/stream_relay.cpp
@@ -4,7 +4,6 @@
 
 namespace zinccleat::proxy {
 namespace {
-constexpr std::size_t kStreamReadBytes = std::size_t{4} * 1024;
 constexpr auto kDeadlineMargin = 50ms;
 
 // Whether a suitable runner exists to which a live stream can move. Without one the stream stays at its runner.
@@ -27,7 +26,7 @@
 class StreamRelay {
  public:
   StreamRelay(Exchange& exchange, runtime::Connection& upstream, Buffer& buffer, ResponseParser& response)
-      : exchange_(exchange), upstream_(upstream), buffer_(buffer), response_(response) {}
+      : exchange_(exchange), response_(response), feed_(upstream, buffer, response) {}
 
   AttemptOutcome run() {
     if (!beginResponse())
@@ -90,24 +89,7 @@
     // An event that never ends must not fill the memory.
     if (!exchange_.memory.tryGrowTo(requestBytes_ + 2 * exchange_.events.partialEvent().size()))
       return false;
-    if (buffer_.size() > 0) {
-      const auto parsed = response_.put(buffer_.data(), ec);
-      buffer_.consume(parsed);
-      if (ec && ec != http::error::need_more)
-        return false;
-      if (parsed > 0)
-        return true;
-      ec = {};
-    }
-    const auto received = upstream_.read(buffer_.prepare(kStreamReadBytes), ec);
-    if (!ec) {
-      buffer_.commit(received);
-      return true;
-    }
-    // A stream without a length ends when its connection is closed.
-    if (ec != asio::error::eof || response_.chunked() || response_.content_length())
-      return false;
-    response_.put_eof(ec);
+    feed_.advance(ec);
     return !ec;
   }
 
@@ -120,9 +102,8 @@
   }
 
   Exchange& exchange_;
-  runtime::Connection& upstream_;
-  Buffer& buffer_;
   ResponseParser& response_;
+  MessageFeed<ResponseParser> feed_;
   const std::size_t requestBytes_ = exchange_.memory.bytes();
   // If another runner may have to continue the stream, only complete events are forwarded to the client.
   const bool completeEventsOnly_ = exchange_.route->streamResume;
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -186,6 +186,23 @@
     EXPECT_LT(sent, 64 * kMb) << "the connection to the runner is closed";
   });
 }
+// An answer that is forwarded as it arrives is read by a loop of its own.
+TEST(Proxy, AStreamWhoseChunkLineNeverEndsIsCut) {
+  withProxy([](TestProxy& proxy) {
+    std::size_t sent = 0;
+    proxy.runner("i-1", [&](FakeRunner&, Connection& connection, const std::string& id, const std::string&) {
+      SocketError ec;
+      sendBytes(connection, streamHeader(id) + chunk(event(1)) + "1;");
+      for (const std::string part(kMb / 4, 'e'); !ec && sent < 64 * kMb; sent += part.size())
+        connection.write(asio::buffer(part), ec);
+    });
+    const auto response = sendRequest(proxy, requestText("/stream/x", "a1"));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_FALSE(response.bodyComplete);
+    EventLoop::get().sleepFor(50ms);
+    EXPECT_LT(sent, 64 * kMb) << "the connection to the runner is closed";
+  });
+}
 TEST(Proxy, TrailersWithinTheLimitOfAHeaderAreAccepted) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
