Proxy: a partner's chunk line that arrives in two parts does not stop the event loop

It takes a partner site and an answer whose first chunk line is split by the network.

Cause: PartnerAttempt::awaitBody read only when its buffer was empty; with a part of a line in it, it parsed the same bytes again and again, without a wait. The class: a reader of its own beside the one that is tested. Change: it reads through MessageFeed::advance, which reads whenever nothing could be parsed.

Evidence: Retry.ThePartOfAPartnersChunkLineThatIsMissingIsAwaited: before, the test did not end within 25 s; it passes now.

--- a/libs/proxy/src/partner_attempt.cpp
+++ b/libs/proxy/src/partner_attempt.cpp
@@ -5,7 +5,6 @@
 
 namespace zinccleat::proxy {
 namespace {
-constexpr std::size_t kPartnerReadBytes = std::size_t{4} * 1024;
 constexpr int kLatencyTargetDivisor = 5;  // the timeout is the route's latency target divided by this
 constexpr Duration kMinTimeout{20};
 constexpr Duration kMaxTimeout{400};
@@ -65,16 +64,10 @@
 }
 
 bool PartnerAttempt::awaitBody() {
+  MessageFeed<ResponseParser> feed(connection_, buffer_, response_);
   while (response_.get().body().empty() && !response_.is_done()) {
-    if (buffer_.size() == 0) {
-      const auto received = connection_.read(buffer_.prepare(kPartnerReadBytes), ec_);
-      if (ec_ || exchange_.clientWatch->disconnected())
-        return false;
-      buffer_.commit(received);
-    }
-    const auto parsed = response_.put(buffer_.data(), ec_);
-    buffer_.consume(parsed);
-    if (ec_ && ec_ != http::error::need_more)
+    feed.advance(ec_);
+    if (ec_ || exchange_.clientWatch->disconnected())
       return false;
   }
   return true;
--- a/tests/retry_situations_test.cpp
+++ b/tests/retry_situations_test.cpp
@@ -413,6 +413,23 @@
     EXPECT_EQ(response.status, 502) << "503 would state that the request has not run";
   });
 }
+// The line before a chunk may arrive in two parts. Without a read between the two attempts to parse it the event loop
+// would stand still for ever.
+TEST(Retry, ThePartOfAPartnersChunkLineThatIsMissingIsAwaited) {
+  withProxy([](TestProxy& proxy) {
+    proxy.context.configuration = partnerRoutes(2);
+    auto& partner = *new PartialReader([](Connection& connection, int, const std::string&) {
+      const auto body = chunk(event(1));
+      sendBytes(connection, streamHeader("a1") + body.substr(0, 1));
+      EventLoop::get().sleepFor(10ms);
+      sendBytes(connection, body.substr(1) + "0\r\n\r\n");
+    });
+    proxy.context.lookupPartner = [&](std::uint64_t, const std::string&) { return partner.address(); };
+    const auto response = sendRequest(proxy, requestText("/recap/x", "a1", kLongPrompt, "", ""));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, event(1));
+  });
+}
 TEST(Retry, APartnerSiteCountsAmongTheRunnersOfARequest) {
   for (int maxAttempts : {1, 2, 3})
     withProxy([maxAttempts](TestProxy& proxy) {
