Connections: a small request does not depend on what others hold

Cause: a body was reserved from the common budget even where the fixed charge of its connection covers it. Change: a request whose header and body fit into the charge (about 6 KB) reserves nothing.

Tests: Proxy.ASmallRequestIsServedWhileTheMemoryIsFull failed before and passes. Proxy.ReadsNothingWhileBodiesExceedTheLimit and RequestRules.AClientThatDisconnectedBeforeItsRequestWasReadReachesNoRunner had a body of four bytes for 'a body that has to wait'; they now send 32 KB against a budget of 64 KB. What they assert is unchanged.

--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -65,7 +65,7 @@
   void readBody() {
     connection_.clearDeadline();
     const auto length = parser_.content_length();
-    if (!reserve(uncharged(feed_.headerMemory()) + length.value_or(0))) {
+    if (!reserve(messageMemory(length.value_or(0), length.value_or(0)))) {
       ec_ = asio::error::no_buffer_space;
       return;
     }
@@ -79,9 +79,16 @@
       feed_.run(
           false, [this] { return reserve(bodyMemory()); }, ec_);
   }
+  // What has to be reserved for a body that takes `now` bytes and will take up to `later` bytes. A small request fits
+  // into the fixed charge as a whole, so that it does not depend on what others hold.
+  std::size_t messageMemory(std::size_t now, std::size_t later) const {
+    const auto header = feed_.headerMemory();
+    return uncharged(header + now) == 0 ? 0 : uncharged(header) + later;
+  }
   std::size_t bodyMemory() const {
-    const auto length = parser_.content_length();
-    return uncharged(feed_.headerMemory()) + (length ? *length : feed_.growingBodyMemory());
+    if (const auto length = parser_.content_length())
+      return messageMemory(*length, *length);
+    return messageMemory(2 * parser_.get().body().size(), feed_.growingBodyMemory());
   }
   // A client that sends `Expect: 100-continue` waits for this interim response before it sends the body.
   void sendContinue() {
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -250,6 +250,23 @@
     EXPECT_LT(proxy.context.rejected, static_cast<std::uint64_t>(kRequests));
   });
 }
+// A small request fits into what every connection is charged with. It must not depend on what others hold.
+TEST(Proxy, ASmallRequestIsServedWhileTheMemoryIsFull) {
+  withProxy([](TestProxy& proxy) {
+    proxy.runner("i-1", respondOk);
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "a0")).status, 200);
+    proxy.context.messageMemory = MemoryBudget(kMb / 4);
+    MemoryReservation large(proxy.context.messageMemory);
+    MemoryReservation small(proxy.context.messageMemory);
+    ASSERT_TRUE(large.tryGrowTo(kMb / 16 * 3));
+    ASSERT_TRUE(small.tryGrowTo(kMb / 16));
+    const std::string body(2000, 'b');
+    EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "a1", "X-Deadline-Ms: 5000\r\n", body)).status, 200);
+    const auto chunked = chunkedAnnouncement("a2") + chunk(body) + "0\r\n\r\n";
+    EXPECT_EQ(sendRequest(proxy, chunked).status, 200);
+    EXPECT_EQ(proxy.context.messageMemory.used(), kMb / 4);
+  });
+}
 // Connections to runners that went away stay in the pool for as long as these had announced. They must not take the
 // descriptors of new ones.
 TEST(Proxy, IdleConnectionsToRunnersStayWithinThePlacesOfClients) {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -350,12 +350,16 @@
 TEST(Proxy, ReadsNothingWhileBodiesExceedTheLimit) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
-    proxy.context.messageMemory = MemoryBudget(10);
+    constexpr std::size_t kBytes = MemoryBudget::kLargeBytes;
+    auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
+    configuration->limits.maxBodyBytes = kBytes;
+    proxy.context.configuration = configuration;
+    proxy.context.messageMemory = MemoryBudget(kBytes);
     std::optional<MemoryReservation> others(proxy.context.messageMemory);
-    ASSERT_TRUE(others->tryGrowTo(10));
+    ASSERT_TRUE(others->tryGrowTo(kBytes));
     auto connection = proxy.connectClient();
     Buffer buffer;
-    sendBytes(*connection, requestText("/safe/x", "a1", "", "body"));
+    sendBytes(*connection, requestText("/safe/x", "a1", "", std::string(kBytes / 2, 'b')));
     EventLoop::get().sleepFor(60ms);
     EXPECT_TRUE(runner->receivedRequests.empty());
     others.reset();
--- a/tests/request_rules_test.cpp
+++ b/tests/request_rules_test.cpp
@@ -244,11 +244,15 @@
     auto runner = proxy.runner("i-1", respondOk);
     EXPECT_EQ(sendRequest(proxy, requestText("/safe/x", "a1")).status,
               200);  // puts a connection to the runner into the pool
-    proxy.context.messageMemory = MemoryBudget(10);
+    constexpr std::size_t kBytes = MemoryBudget::kLargeBytes;
+    auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
+    configuration->limits.maxBodyBytes = kBytes;
+    proxy.context.configuration = configuration;
+    proxy.context.messageMemory = MemoryBudget(kBytes);
     std::optional<MemoryReservation> others(proxy.context.messageMemory);
-    ASSERT_TRUE(others->tryGrowTo(10));
+    ASSERT_TRUE(others->tryGrowTo(kBytes));
     auto client = proxy.connectClient();
-    sendBytes(*client, requestText("/safe/x", "a2", "", "body"));
+    sendBytes(*client, requestText("/safe/x", "a2", "", std::string(kBytes / 2, 'b')));
     EventLoop::get().sleepFor(60ms);
     client->close();
     EventLoop::get().sleepFor(kCancelMargin + 100ms);
