--- a/tests/accepted_links_test.cpp
+++ b/tests/accepted_links_test.cpp
@@ -91,6 +91,7 @@
   onEventLoop([] {
     Receiver receiver;
     std::vector<std::unique_ptr<runtime::Connection>> peers;
+    peers.reserve(kLimits.links);
     for (int i = 0; i < kLimits.links; ++i)
       peers.push_back(receiver.dial());
     pause();
--- a/tests/fuzz/requests_fuzzer.cpp
+++ b/tests/fuzz/requests_fuzzer.cpp
@@ -32,7 +32,8 @@
 };
 // What a message may hold beside its body: the buffer, which doubles as it grows, and the fields of a header and a
 // trailer section.
-constexpr std::size_t kMaxOccupied = 4 * (kHeaderLimit + kReadBytes) + 2 * kHeaderLimit * (1 + kBytesPerHeaderField);
+constexpr std::size_t kMaxOccupied =
+    4 * (kHeaderLimit + kReadBytes) + std::size_t{2} * kHeaderLimit * (1 + kBytesPerHeaderField);
 
 // Parses a message from the stream. Returns true if the complete message was read.
 template <class Parser>
--- a/tests/preload/local_address.cpp
+++ b/tests/preload/local_address.cpp
@@ -25,6 +25,8 @@
 }
 }  // namespace
 
+// The C library's header uses reserved names for the parameters.
+// NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name)
 extern "C" int connect(int socket, const sockaddr* address, socklen_t length) {
   using Connect = int (*)(int, const sockaddr*, socklen_t);
   static const auto next = reinterpret_cast<Connect>(::dlsym(RTLD_NEXT, "connect"));
