Crowds: bodies sent ahead, refusals without end, large answers unread, places taken

Fifteen more cases, their crowds and bounds fixed before the product changes. They check what the ones before did not see: what a process has written and its peers have not taken counts as held memory, in every case; what is taken of one connection is bounded; an ordinary caller's first attempt while a crowd has all places; a body of 20 KB beside bodies that stop short. The bounds of the cases before stand; the sum that they check is stricter now.

--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/crowd.cpp
@@ -13,18 +13,20 @@
   std::string block;  // the repeated part, often enough for one write
   std::vector<std::unique_ptr<runtime::Connection>> connections;
   int sending = 0;
+  std::size_t mostSent = 0;
 
-  void send(runtime::Connection& connection) const {
+  void send(runtime::Connection& connection) {
     runtime::SocketError ec;
     connection.setDeadline(Clock::now() + kSendTime);
     connection.connect(endpoint, ec);
+    std::size_t sent = 0;
     if (!ec)
-      connection.write(asio::buffer(transmission.prefix), ec);
-    for (auto sent = transmission.prefix.size(); !ec && sent < transmission.bytes && !block.empty();) {
+      sent = connection.write(asio::buffer(transmission.prefix), ec);
+    while (!ec && sent < transmission.bytes && !block.empty()) {
       const auto part = std::min(block.size(), transmission.bytes - sent);
-      connection.write(asio::buffer(block.data(), part), ec);
-      sent += part;
+      sent += connection.write(asio::buffer(block.data(), part), ec);
     }
+    mostSent = std::max(mostSent, sent);
     connection.clearDeadline();
   }
 };
@@ -49,4 +51,7 @@
   while (state_->sending > 0)
     runtime::EventLoop::get().sleepFor(kPollInterval);
 }
+std::size_t Crowd::mostSent() const {
+  return state_->mostSent;
+}
 }  // namespace zinccleat::crowds
--- a/tests/crowds/crowd.hpp
+++ b/tests/crowds/crowd.hpp
@@ -26,6 +26,8 @@
   Crowd(const std::string& address, CrowdPlan plan);
   /// Waits until no connection sends any more, each because it has sent all or has met no room for a while.
   void awaitSent() const;
+  /// The most bytes that the network has taken from one connection.
+  std::size_t mostSent() const;
 
  private:
   struct State;
--- a/tests/crowds/crowd_cases.cpp
+++ b/tests/crowds/crowd_cases.cpp
@@ -16,6 +16,14 @@
 constexpr std::size_t kChunkBytes = 32 * kKb;
 constexpr std::size_t kFiniteTrailerBytes = 200 * kKb;
 constexpr std::size_t kHeaderFieldBytes = 14 * kKb;
+constexpr std::size_t kAheadBodyBytes = 256 * kKb;
+constexpr std::size_t kAheadBodies = 4;
+constexpr std::size_t kDiscardedBytes = 256 * kMb;
+/// Four times the largest body of a request, half of it for what the platform holds.
+constexpr std::size_t kMaxTakenBytes = 16 * kMb;
+constexpr std::size_t kOrdinaryBodyBytes = 20'000;
+/// Less than the time after which a connection without a request is late in calm.
+constexpr Duration kPlacesTakenTime{2500};
 
 std::string requestLine(Port port) {
   switch (port) {
@@ -56,6 +64,40 @@
     header += "a:\r\n";
   return {kMany, {header + "\r\nx", {}, 0}};
 }
+/// Whole requests with large bodies, one behind the other, whose answers are not read.
+CrowdPlan bodiesSentAhead(Port port) {
+  auto request = headerWithLength(port, kAheadBodyBytes) + std::string(kAheadBodyBytes, 'x');
+  const auto bytes = kAheadBodies * request.size();
+  return {kMany, {{}, std::move(request), bytes}};
+}
+/// Far more than any limit, in messages that are refused soon.
+std::vector<CrowdCase> discardCases(Port port, const std::string& name) {
+  const auto trailers = chunkedHeader(port) + chunkOf(1) + "0\r\n";
+  const std::string field = "X-Trailer: " + std::string(100, 't') + "\r\n";
+  const CrowdPlan refused{kEndless, {trailers, field, kDiscardedBytes}};
+  const CrowdPlan emptyLines{kEndless, {{}, "\r\n", kDiscardedBytes}};
+  return {
+      {.name = name + "_refused_without_end", .crowds = {{port, refused}}, .maxTakenBytes = kMaxTakenBytes},
+      {.name = name + "_empty_lines_without_end", .crowds = {{port, emptyLines}}, .maxTakenBytes = kMaxTakenBytes},
+  };
+}
+/// Ordinary callers while a crowd has all places, or all memory for messages.
+std::vector<CrowdCase> callerCases(Port port, const std::string& name) {
+  return {
+      {.name = name + "_places_taken",
+       .crowds = {{port, unfinishedHeaders(port)}},
+       .callers = {.firstAttemptAfter = kPlacesTakenTime}},
+      {.name = name + "_memory_taken",
+       .crowds = {{port, shortBody(port, kManyMore, kSmallBodyBytes)}},
+       .callers = {.bodyBytes = kOrdinaryBodyBytes}},
+  };
+}
+/// Requests whose large answers are not read.
+CrowdPlan largeAnswersUnread() {
+  const auto request = "POST " + std::string(kLargeAnswerPath) +
+                       " HTTP/1.1\r\nHost: crowd.example\r\nX-Attempt-Id: c\r\nContent-Length: 0\r\n\r\n";
+  return {kMany, {request, {}, 0}};
+}
 std::vector<CrowdCase> httpCases(Port port, const std::string& name) {
   const auto chunked = chunkedHeader(port);
   const auto trailers = chunked + chunkOf(1) + "0\r\n";
@@ -101,6 +143,17 @@
   cases.push_back(
       {"both_small_bodies", {unfinished, {Port::access, shortBody(Port::access, kManyMore, kSmallBodyBytes)}}});
   cases.push_back({"both_large_bodies", {unfinished, {Port::access, shortBody(Port::access, kMany, kLargeBodyBytes)}}});
+  for (const auto& [port, name] : {std::pair{Port::access, "access"}, {Port::control, "control"}}) {
+    cases.push_back({.name = std::string(name) + "_bodies_sent_ahead", .crowds = {{port, bodiesSentAhead(port)}}});
+    add(discardCases(port, name));
+    add(callerCases(port, name));
+  }
+  cases.push_back(
+      {.name = "readiness_bodies_sent_ahead", .crowds = {{Port::readiness, bodiesSentAhead(Port::readiness)}}});
+  add(discardCases(Port::readiness, "readiness"));
+  cases.push_back(
+      {.name = "both_bodies_sent_ahead", .crowds = {unfinished, {Port::access, bodiesSentAhead(Port::access)}}});
+  cases.push_back({.name = "access_large_answers_unread", .crowds = {{Port::access, largeAnswersUnread()}}});
   return cases;
 }
 }  // namespace zinccleat::crowds
--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -25,6 +25,7 @@
 constexpr Duration kRetryTimeout{30000};  // of an ordinary caller that tries again
 constexpr int kOk = 200;
 constexpr std::string_view kRunnerBody = "served";
+constexpr std::size_t kLargeAnswerBytes = 1'000'000;
 
 std::string configurationText() {
   return R"({"configVersion":1,"routeTable":[{"label":"safe","authority":"crowd.example","pathPrefix":"/safe/",)"
@@ -60,9 +61,11 @@
       if (proxy::readRequest(connection, buffer, parser, {}).outcome != proxy::ReadOutcome::complete)
         return;
       runtime::SocketError ec;
+      const bool isLarge = parser.get().target() == kLargeAnswerPath;
+      const auto body = isLarge ? std::string(kLargeAnswerBytes, 'a') : std::string(kRunnerBody);
       const auto answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(parser.get()["X-Attempt-Id"]) +
-                          "\r\nX-Server-Seal: seal\r\nContent-Length: " + std::to_string(kRunnerBody.size()) +
-                          "\r\n\r\n" + std::string(kRunnerBody);
+                          "\r\nX-Server-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                          body;
       connection.write(asio::buffer(answer), ec);
       if (ec)
         return;
@@ -101,11 +104,10 @@
       crowds.push_back(std::make_unique<Crowd>(addressOf(port), plan));
     for (const auto& crowd : crowds)
       crowd->awaitSent();
-    require(answeredInTheEnd([this] { return accessAnswers(); }), "an ordinary request at the access port is answered");
-    require(answeredInTheEnd([this] { return answers(fleet_.control(0), "/v1/Status"); }),
-            "an ordinary call at the control port is answered");
-    require(answeredInTheEnd([this] { return answers(fleet_.readiness(), "/v1/readiness"); }),
-            "a readiness check is answered");
+    runtime::EventLoop::get().sleepFor(case_.callers.firstAttemptAfter);
+    callAsOrdinaryCallers();
+    for (const auto& crowd : crowds)
+      require(crowd->mostSent() <= case_.maxTakenBytes, "what is taken of one connection is bounded");
     checkProcesses();
     return passed_;
   }
@@ -119,6 +121,19 @@
     runner_.emplace(fleet_);
     return answeredInTheEnd([this] { return accessAnswers(); }) || fail("no request is answered before the crowd");
   }
+  void callAsOrdinaryCallers() {
+    requireAnswer([this] { return accessAnswers(case_.callers.bodyBytes); },
+                  "an ordinary request at the access port is answered");
+    requireAnswer([this] { return answers(fleet_.control(0), "/v1/Status"); },
+                  "an ordinary call at the control port is answered");
+    requireAnswer([this] { return answers(fleet_.readiness(), "/v1/readiness"); }, "a readiness check is answered");
+  }
+  void requireAnswer(const std::function<bool()>& attempt, const std::string& what) {
+    if (case_.callers.firstAttemptAfter > Duration(0))
+      require(attempt(), what + " at the first attempt");
+    else
+      require(answeredInTheEnd(attempt), what);
+  }
   bool installConfiguration() const {
     operations::Call call;
     call.method = "POST";
@@ -128,11 +143,11 @@
     const auto answer = operations::callOne(fleet_.control(0), call, kCallTimeout);
     return answer && answer->status == kOk;
   }
-  bool accessAnswers() const {
+  bool accessAnswers(std::size_t bodyBytes = OrdinaryCallers().bodyBytes) const {
     operations::Call call;
     call.method = "POST";
     call.path = "/safe/x";
-    call.body = "body";
+    call.body = std::string(bodyBytes, 'b');
     call.headers = {{"Host", "crowd.example"}, {"X-Attempt-Id", "ordinary"}};
     const auto answer = callAccess(call);
     return answer == std::string(kRunnerBody);
@@ -198,11 +213,10 @@
       for (std::size_t process = 0; process < most_.size(); ++process) {
         const auto usage = readUsage(fleet_.processes()[process].pid, fleet_.listeningAddresses(process));
         auto& most = most_[process];
-        if (usage.residentBytes + usage.unreadBytes > most.residentBytes + most.unreadBytes) {
-          most.residentBytes = usage.residentBytes;
-          most.unreadBytes = usage.unreadBytes;
-        }
-        most.descriptors = std::max(most.descriptors, usage.descriptors);
+        const auto descriptors = std::max(most.descriptors, usage.descriptors);
+        if (usage.heldBytes() > most.heldBytes())
+          most = usage;
+        most.descriptors = descriptors;
       }
     }
   }
@@ -212,11 +226,13 @@
       const auto peak = peakResidentBytes(running.pid);
       require(!fleet_.pollExitStatus(process), running.role + " runs");
       const auto& most = most_[process];
-      std::printf("%s: at most %zu MB resident and %zu MB unread at once, peak %zu MB resident of %d, %d descriptors\n",
-                  running.role.c_str(), most.residentBytes / kBytesPerMb, most.unreadBytes / kBytesPerMb,
-                  peak / kBytesPerMb, kLimits.memoryMb, most.descriptors);
+      std::printf(
+          "%s: at most %zu MB resident, %zu MB unread and %zu MB unsent at once, peak %zu MB resident of %d, "
+          "%d descriptors\n",
+          running.role.c_str(), most.residentBytes / kBytesPerMb, most.unreadBytes / kBytesPerMb,
+          most.unsentBytes / kBytesPerMb, peak / kBytesPerMb, kLimits.memoryMb, most.descriptors);
       const auto memory = static_cast<std::size_t>(kLimits.memoryMb) * kBytesPerMb;
-      require(peak <= memory && most.residentBytes + most.unreadBytes <= memory,
+      require(peak <= memory && most.heldBytes() <= memory,
               "the memory of the " + running.role + " is within its limit");
       require(most.descriptors <= kLimits.fdLimit - kReservedDescriptors,
               "the descriptors of the " + running.role + " are within its limit");
--- a/tests/crowds/process_usage.cpp
+++ b/tests/crowds/process_usage.cpp
@@ -59,12 +59,16 @@
     char local[24];
     unsigned int state = 0;
     unsigned int unread = 0;
+    unsigned int unsent = 0;
     unsigned long inode = 0;
-    if (std::sscanf(line.c_str(), " %*d: %23s %*s %x %*x:%x %*s %*s %*u %*u %lu", local, &state, &unread, &inode) != 4)
+    if (std::sscanf(line.c_str(), " %*d: %23s %*s %x %x:%x %*s %*s %*u %*u %lu", local, &state, &unsent, &unread,
+                    &inode) != 5)
       continue;
     const bool notAccepted = inode == 0 && listening.contains(local);
-    if (state != kListening && (inodes.contains(inode) || notAccepted))
-      usage.unreadBytes += unread;
+    if (state == kListening || (!inodes.contains(inode) && !notAccepted))
+      continue;
+    usage.unreadBytes += unread;
+    usage.unsentBytes += unsent;
   }
   return usage;
 }
--- a/tests/crowds/process_usage.hpp
+++ b/tests/crowds/process_usage.hpp
@@ -11,7 +11,10 @@
 struct ProcessUsage {
   std::size_t residentBytes = 0;
   std::size_t unreadBytes = 0;  ///< bytes that have arrived on its sockets, accepted or not, and were not read
+  std::size_t unsentBytes = 0;  ///< bytes that it has written to its sockets and that were not acknowledged
   int descriptors = 0;
+  /// What the process and the platform hold for it.
+  std::size_t heldBytes() const { return residentBytes + unreadBytes + unsentBytes; }
 };
 /// Reads the usage of a running process.
 /// @param listeningAddresses "IP:port"; unread bytes of connections that were not accepted yet are counted by these.
