Connections: a deadline binds a peer whose bytes are always there

Cause: at the deadline the pending operation was cancelled. Where none was pending, because the peer's next bytes were there already, nothing happened, and the next operation did not ask. So it held for every deadline: header, body, answer, discard, runner, platform.

Change: an operation that begins after the deadline fails at once, and a long write asks after each part.

Evidence: Connection.AfterTheDeadlineNothingIsReadThoughThePeersBytesAreThere fails with the check taken out (five expectations) and passes with it; the second new test passes either way, as the peer pauses now and then, and guards the write. The check has no times: the deadline has passed, the bytes are there, read and write fail.

--- a/libs/runtime/include/runtime/connection.hpp
+++ b/libs/runtime/include/runtime/connection.hpp
@@ -12,7 +12,8 @@
 /// A TCP connection whose operations suspend the calling fiber instead of blocking the thread. At most one fiber may
 /// read and one may write at the same time. Operations report errors through the parameter `ec`.
 ///
-/// When the deadline of a connection passes, pending operations are cancelled. Deadlines are checked every 20 ms.
+/// When the deadline of a connection passes, pending operations are cancelled; this is checked every 20 ms. Operations
+/// that begin after the deadline fail at once, whatever has arrived.
 class Connection : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
   /// Creates a closed connection; `connect` opens it.
@@ -79,6 +80,8 @@
   }
 
  private:
+  /// Whether the deadline has passed; if so, sets the error of a cancelled operation.
+  bool failsByDeadline(SocketError& ec);
   void applyReceiveBuffer();
   void applySendBuffer();
   /// Writes what did not fit into the socket's buffer at once, as the peer reads.
--- a/libs/runtime/src/connection.cpp
+++ b/libs/runtime/src/connection.cpp
@@ -45,7 +45,16 @@
   else if (is_linked())
     unlink();
 }
+bool Connection::failsByDeadline(SocketError& ec) {
+  if (deadline_ == TimePoint::max() || Clock::now() < deadline_)
+    return false;
+  deadlineExceeded_ = true;
+  ec = asio::error::operation_aborted;
+  return true;
+}
 std::size_t Connection::read(asio::mutable_buffer buffer, SocketError& ec) {
+  if (failsByDeadline(ec))
+    return 0;
   std::size_t received = 0;
   Waiter waiter;
   socket_.async_read_some(buffer, [&](SocketError error, std::size_t bytes) {
@@ -62,6 +71,8 @@
   return write(buffer, asio::const_buffer(), ec);
 }
 std::size_t Connection::write(asio::const_buffer first, asio::const_buffer second, SocketError& ec) {
+  if (failsByDeadline(ec))
+    return 0;
   // Tries a non-blocking send first: most writes fit into the socket's buffer, and suspending the fiber would cost an
   // iteration of the event loop.
   if (!nonBlocking_) {
@@ -87,11 +98,12 @@
   std::size_t written = 0;
   writing_ = true;
   progress_.begin(Clock::now());
-  // Called after each part that was written.
-  const auto recordPart = [this, &written](const SocketError& error, std::size_t bytes) -> std::size_t {
+  // Called after each part that was written. A peer that always takes the next part meets the deadline here.
+  SocketError late;
+  const auto recordPart = [this, &written, &late](const SocketError& error, std::size_t bytes) -> std::size_t {
     progress_.record(bytes - written, Clock::now());
     written = bytes;
-    return error ? 0 : kMaxWritePart;
+    return error || failsByDeadline(late) ? 0 : kMaxWritePart;
   };
   Waiter waiter;
   asio::async_write(socket_, buffers, recordPart, [&](SocketError error, std::size_t bytes) {
@@ -101,6 +113,8 @@
   });
   waiter.wait();
   writing_ = false;
+  if (!ec && written < asio::buffer_size(buffers))
+    ec = late;
   return written;
 }
 void Connection::allowUnread(SocketBufferBudget& budget, std::size_t wanted) {
@@ -145,6 +159,8 @@
   }
 }
 void Connection::awaitReadable(SocketError& ec) {
+  if (failsByDeadline(ec))
+    return;
   Waiter waiter;
   socket_.async_wait(tcp::socket::wait_read, [&](SocketError error) {
     ec = error;
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -5,10 +5,12 @@
 
 #include "runtime/event_loop.hpp"
 #include "runtime/lifecycle.hpp"
+#include "transport/listener.hpp"
 
 using namespace zinccleat;
 using namespace zinccleat::runtime;
 namespace {
+constexpr std::size_t kTakenAtOnce = std::size_t{64} * 1024;
 /// Runs a function on a fiber of the event loop, and stops the loop afterwards.
 void onFiber(const std::function<void()>& body) {
   bool finished = false;
@@ -74,6 +76,63 @@
   });
 }
 
+// Nothing was cancelled at the deadline if the next bytes of the peer were always there: the peer sent on for many
+// times the time that it had.
+TEST(Connection, AfterTheDeadlineNothingIsReadThoughThePeersBytesAreThere) {
+  onFiber([] {
+    std::optional<Connection> peer;
+    auto listener = *transport::openListener({asio::ip::make_address("127.0.0.1"), 0},
+                                             [&](tcp::socket socket) { peer.emplace(std::move(socket)); });
+    Connection connection;
+    SocketError ec;
+    connection.connect(listener.endpoint(), ec);
+    connection.write(asio::buffer(std::string(1000, 'x')), ec);
+    while (!peer)
+      EventLoop::get().sleepFor(1ms);
+    peer->awaitReadable(ec);
+    ASSERT_FALSE(ec);
+
+    char byte = 0;
+    peer->setDeadline(Clock::now() - 1ms);
+    EXPECT_EQ(peer->read(asio::buffer(&byte, 1), ec), 0U);
+    EXPECT_EQ(ec, asio::error::operation_aborted);
+    EXPECT_TRUE(peer->deadlineExceeded());
+    EXPECT_EQ(peer->write(asio::buffer(&byte, 1), ec), 0U);
+    EXPECT_EQ(ec, asio::error::operation_aborted);
+    peer->setDeadline(Clock::now() + 60s);
+    EXPECT_EQ(peer->read(asio::buffer(&byte, 1), ec), 1U) << "a later deadline allows it again";
+    listener.close();
+  });
+}
+TEST(Connection, AWriteEndsAtTheDeadlineThoughThePeerTakesEachPart) {
+  onFiber([] {
+    std::optional<Connection> peer;
+    auto listener = *transport::openListener({asio::ip::make_address("127.0.0.1"), 0},
+                                             [&](tcp::socket socket) { peer.emplace(std::move(socket)); });
+    Connection connection;
+    SocketError ec;
+    connection.connect(listener.endpoint(), ec);
+    while (!peer)
+      EventLoop::get().sleepFor(1ms);
+    bool ended = false;
+    EventLoop::get().spawn([&] {
+      std::vector<char> part(kTakenAtOnce);
+      SocketError ignored;
+      while (connection.read(asio::buffer(part), ignored) > 0)
+        peer->setDeadline(Clock::now() - 1ms);
+      ended = true;
+    });
+    const std::string message(64 * kTakenAtOnce, 'x');
+    EXPECT_LT(peer->write(asio::buffer(message), ec), message.size());
+    EXPECT_EQ(ec, asio::error::operation_aborted);
+    EXPECT_TRUE(peer->deadlineExceeded());
+    peer->close();
+    while (!ended)
+      EventLoop::get().sleepFor(1ms);
+    listener.close();
+  });
+}
+
 // Regression: SIGHUP killed a process that had not installed its signal handlers yet or had left its event loop.
 TEST(Lifecycle, ASignalThatComesWhileTheProcessStartsIsHandledOnceItRuns) {
   static int reloads = 0;
