HTTP: what is dropped of a refused request is bounded in bytes

Cause: the discard had a limit in time alone, and a time alone bounds no work. The control port had no discard: its answer was lost to a reset, and no time limit.

Change: rejectRequest serves both ports; it reads on for 4 MiB or the size of a legal request, and for 500 ms.

ARefusalIsReadByAClientThatSendsARequestOfLegalSizeFirst: an honest client still reads its refusal.

--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -61,12 +61,6 @@
                                                          kBytesPerConnection));
   return std::max(kMinConnections, connections);
 }
-/// Writes an error response to a request that could not be read. The caller then closes the connection.
-void writeErrorResponse(runtime::Connection& connection, int status) {
-  runtime::SocketError ignored;
-  const auto body = proxy::jsonError(proxy::reasonPhrase(status));
-  connection.write(asio::buffer(proxy::plainResponse(status, "", kJsonContentType, body, false)), ignored);
-}
 /// @return whether the response was written completely.
 bool writeResponse(runtime::Connection& connection, const ApiResponse& response, bool keepAlive) {
   runtime::SocketError ec;
@@ -135,7 +129,7 @@
   proxy::RequestParser parser;
   const auto read = proxy::readRequest(served, buffer, parser, limits);
   if (read.outcome == proxy::ReadOutcome::rejected)
-    writeErrorResponse(served.connection(), read.status);
+    proxy::rejectRequest(served.connection(), read.status, limits);
   if (read.outcome != proxy::ReadOutcome::complete)
     return false;
   ++inFlight_;
--- a/libs/proxy/include/proxy/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -44,6 +44,9 @@
 /// the request it is. If there is no room in time, the request is rejected with 503.
 ReadResult readRequest(runtime::ServedConnection& served, Buffer& buffer, RequestParser& parser,
                        const ReadLimits& limits);
+/// Answers a request that could not be read, and ends the connection. What the client still sends is read and dropped,
+/// up to 4 MiB or the size of a request within the limits, and for a short time, so that the client gets the answer.
+void rejectRequest(runtime::Connection& connection, int status, const ReadLimits& limits);
 /// Reads one request from a connection whose memory is not accounted for.
 ReadResult readRequest(runtime::Connection& connection, Buffer& buffer, RequestParser& parser,
                        const ReadLimits& limits);
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -1,5 +1,3 @@
-#include <array>
-
 #include "client_watch.hpp"
 #include "proxy/proxy.hpp"
 #include "request_handler.hpp"
@@ -7,8 +5,6 @@
 namespace zinccleat::proxy {
 namespace {
 constexpr Duration kMinBodyTime{5000};
-constexpr auto kDiscardTime = 500ms;
-constexpr std::size_t kDiscardBytes = 2048;
 
 ReadLimits limitsOf(const ProxyContext& context) {
   ReadLimits readLimits;
@@ -32,21 +28,6 @@
   return awaitRequest(client, buffer, idle);
 }
 
-// Answers a request that could not be read completely and ends the connection.
-void reject(runtime::ServedConnection& served, int status) {
-  auto& client = served.connection();
-  runtime::SocketError ec;
-  client.setDeadline(Clock::now() + kDiscardTime);
-  client.write(asio::buffer(plainResponse(status, "", "application/json", jsonError(reasonPhrase(status)), false)), ec);
-  // Closing a connection with unread bytes resets it, and the client would lose the response. So the remaining bytes
-  // are read and discarded for a limited time.
-  client.socket().shutdown(tcp::socket::shutdown_send, ec);
-  std::array<char, kDiscardBytes> discarded{};
-  client.setDeadline(Clock::now() + kDiscardTime);
-  while (!ec && client.read(asio::buffer(discarded), ec) > 0) {
-  }
-}
-
 /// What happens to a connection after one request.
 struct RequestEnd {
   bool staysOpen = false;
@@ -96,7 +77,7 @@
     const auto end = serveRequest(context, served, buffer, limits);
     served.memory().shrinkTo(0);
     if (end.rejectedWith != 0)
-      return reject(served, end.rejectedWith);
+      return rejectRequest(served.connection(), end.rejectedWith, limits);
     if (!end.staysOpen)
       return;
     served.enter(runtime::ConnectionPhase::idle);
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -1,5 +1,7 @@
 #include "proxy/http.hpp"
 
+#include <array>
+
 #include "config/control_requests.hpp"
 
 namespace zinccleat::proxy {
@@ -10,6 +12,9 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kTypicalHeaderBytes = 160;
+constexpr auto kRejectTimeout = 500ms;
+constexpr std::size_t kDiscardReadBytes = 2048;
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
 
 int statusOf(const runtime::SocketError& ec) {
   if (ec == http::error::header_limit)
@@ -159,6 +164,19 @@
   return RequestReader(connection, nullptr, buffer, parser, limits).read();
 }
 
+void rejectRequest(runtime::Connection& connection, int status, const ReadLimits& limits) {
+  runtime::SocketError ec;
+  connection.setDeadline(Clock::now() + kRejectTimeout);
+  const auto body = jsonError(reasonPhrase(status));
+  connection.write(asio::buffer(plainResponse(status, "", "application/json", body, false)), ec);
+  // Closing a connection with unread bytes resets it, and the client would lose the response.
+  connection.socket().shutdown(tcp::socket::shutdown_send, ec);
+  std::array<char, kDiscardReadBytes> discarded{};
+  connection.setDeadline(Clock::now() + kRejectTimeout);
+  for (auto rest = std::min(limits.header + limits.body, kMaxDiscardedBytes); !ec && rest > 0;)
+    rest -= std::min(rest, connection.read(asio::buffer(discarded), ec));
+}
+
 std::string_view reasonPhrase(int status) {
   return http::obsolete_reason(static_cast<http::status>(status));
 }
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr std::size_t kMb = std::size_t{1} << 20U;
+constexpr std::size_t kSentAfterARefusal = 128 * kMb;
 
 void allowBodies(TestProxy& proxy, std::size_t bytes) {
   auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
@@ -203,6 +204,28 @@
     EXPECT_LT(sent, 64 * kMb) << "the connection to the runner is closed";
   });
 }
+// Of a refused request all that came within half a second was read: 1.3 GB of one client.
+TEST(Proxy, WhatIsReadAfterARefusalIsBoundedInBytes) {
+  withProxy([](TestProxy& proxy) {
+    auto client = proxy.connectClient();
+    SocketError ec;
+    sendBytes(*client, "no request\r\n\r\n");
+    const std::string rest(kSentAfterARefusal, 'x');
+    client->setDeadline(Clock::now() + 20s);
+    EXPECT_LT(client->write(asio::buffer(rest), ec), kSentAfterARefusal / 4);
+    EXPECT_TRUE(ec);
+    EXPECT_FALSE(client->deadlineExceeded());
+  });
+}
+TEST(Proxy, ARefusalIsReadByAClientThatSendsARequestOfLegalSizeFirst) {
+  withProxy([](TestProxy& proxy) {
+    allowBodies(proxy, kMb);
+    auto client = proxy.connectClient();
+    sendBytes(*client, "no request\r\n\r\n" + std::string(kMb, 'x'));
+    Buffer buffer;
+    EXPECT_EQ(readResponse(*client, buffer).status, 400);
+  });
+}
 TEST(Proxy, TrailersWithinTheLimitOfAHeaderAreAccepted) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
