HTTP: the sum of what stands between the chunks of a body is bounded

Found by reading: each line before a chunk has the limit of a header, but a body of a few bytes may have any number of them. The parser drops them, so no bound on memory shows it; only the time limit of the body ended it. For a body of 4 MB that was 64 GB.

Change: 16 bytes for each byte of the body, and twice the limit of a header; 431.

Evidence: Proxy.BytesBetweenTheChunksOfABodyAreLimitedByItsSize: 200 chunks of one byte with extensions of 1.5 KB get 431, 2,000 chunks of one byte with padded sizes 200.

--- a/libs/proxy/include/proxy/message_feed.hpp
+++ b/libs/proxy/include/proxy/message_feed.hpp
@@ -2,7 +2,8 @@
 /// Feeds an HTTP parser from a connection, and accounts for what the parser and the receive buffer hold.
 ///
 /// The parser leaves bytes in the buffer until it can parse a whole part: a line of a header, the line before a chunk,
-/// or the trailer section. The header has a limit in the parser; the other parts are limited here.
+/// or the trailer section. The header has a limit in the parser; the other parts are limited here. So are bytes that
+/// the parser drops: empty lines before a header, and what stands between the parts of a body.
 #pragma once
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +22,9 @@
 inline constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 /// Maximum length of a line before a chunk, and of a trailer section, if the caller sets no other limit.
 inline constexpr std::size_t kMaxUnparsedBytes = std::size_t{16} * 1024;
+/// Bytes between the parts of a body (sizes of chunks, extensions, line ends) that are allowed for each of its bytes,
+/// so that chunks of one byte with padded sizes are.
+inline constexpr std::size_t kFramingPerBodyByte = 16;
 /// Memory of a header field beyond its bytes.
 inline constexpr std::size_t kBytesPerHeaderField = 96;
 
@@ -110,16 +114,28 @@
   /// Parses what can be parsed of the buffer. @return the number of bytes parsed.
   std::size_t parseOnce(runtime::SocketError& ec) {
     const bool inHeader = !parser_.is_header_done();
+    const auto bodyBefore = parser_.get().body().size();
     const auto parsed = parser_.put(buffer_.data(), ec);
     if (inHeader)
       countHeader(parsed);
+    else
+      countBody(parsed, parser_.get().body().size() - bodyBefore);
     buffer_.consume(parsed);
     if (ec == http::error::need_more)
       ec = {};
-    if (!ec && parsed == 0 && !inHeader && buffer_.size() >= maxUnparsed_)
+    if (!ec && !inHeader && exceedsLimit(parsed))
       ec = http::error::header_limit;
     return parsed;
   }
+  bool exceedsLimit(std::size_t parsed) const {
+    const bool lineIsTooLong = parsed == 0 && buffer_.size() >= maxUnparsed_;
+    // One line before a chunk and the trailers may have the limit of a header each.
+    return lineIsTooLong || framingBytes_ > 2 * maxUnparsed_ + kFramingPerBodyByte * bodyBytes_;
+  }
+  void countBody(std::size_t parsed, std::size_t ofBody) {
+    bodyBytes_ += ofBody;
+    framingBytes_ += parsed - std::min(parsed, ofBody);
+  }
   std::string_view unparsed() const { return {static_cast<const char*>(buffer_.data().data()), buffer_.size()}; }
   static std::size_t linesIn(std::string_view bytes) {
     return static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
@@ -141,6 +157,8 @@
   std::size_t maxUnparsed_;
   std::size_t headerBytes_ = 0;
   std::size_t headerLines_ = 0;
+  std::size_t bodyBytes_ = 0;
+  std::size_t framingBytes_ = 0;   // of the body
   std::size_t unparsedLines_ = 0;  // of the header, in the buffer
 };
 }  // namespace zinccleat::proxy
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -226,6 +226,21 @@
     EXPECT_EQ(readResponse(*client, buffer).status, 400);
   });
 }
+// Each chunk line was limited, but not their sum: the parser drops them, so no memory showed it.
+TEST(Proxy, BytesBetweenTheChunksOfABodyAreLimitedByItsSize) {
+  withProxy([](TestProxy& proxy) {
+    proxy.runner("i-1", respondOk);
+    std::string smallChunks;
+    for (int i = 0; i < 2000; ++i)
+      smallChunks += "0001\r\nx\r\n";
+    EXPECT_EQ(sendRequest(proxy, chunkedAnnouncement("a1") + smallChunks + "0\r\n\r\n").status, 200);
+    const auto padded = "1;" + std::string(1500, 'e') + "\r\nx\r\n";
+    std::string paddedChunks;
+    for (int i = 0; i < 200; ++i)
+      paddedChunks += padded;
+    EXPECT_EQ(sendRequest(proxy, chunkedAnnouncement("a2") + paddedChunks + "0\r\n\r\n").status, 431);
+  });
+}
 TEST(Proxy, TrailersWithinTheLimitOfAHeaderAreAccepted) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
