Connections: ordinary callers get a place sooner while a crowd has all

Cause: one credit for all phases. A peer that has sent no whole header has nothing to lose but a connection, and needs no longer pause than a cut of a second and a second until TCP sends again.

Change: for a place that is needed, a pause within a header counts as late after 2.2 s; who has had no answer on its connection yet makes way before one who has. Bodies, memory and calm are as they were.

ConnectionTable.APauseWithinAHeaderIsShorterWhileAPlaceIsNeeded, WhoHasHadAnAnswerMakesWayAfterThoseWhoHaveNot. For the first 2.2 s callers are still closed unread.

--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -68,6 +68,8 @@
   }
   void readBody() {
     connection_.clearDeadline();
+    if (served_)
+      served_->enter(runtime::ConnectionPhase::receivingBody);
     const auto length = parser_.content_length();
     if (!reserve(messageMemory(length.value_or(0), length.value_or(0)))) {
       ec_ = asio::error::no_buffer_space;
--- a/libs/runtime/include/runtime/connection_table.hpp
+++ b/libs/runtime/include/runtime/connection_table.hpp
@@ -10,8 +10,10 @@
 ///
 /// When places or memory are full, connections that are late make way, the one that is late for the longest time first:
 /// connections whose peer sends a message, or reads an answer, more slowly than `TransferProgress` requires, and
-/// connections that have been idle for long. A connection whose request is being answered makes way only if its client
-/// does not read. Without pressure a late connection stays until its own time limits end it.
+/// connections that have been idle for long. For a place, less patience is had with a peer that has not sent a whole
+/// header, and a peer that has had no answer yet makes way before one that has. A connection whose request is being
+/// answered makes way only if its client does not read. Without pressure a late connection stays until its own time
+/// limits end it.
 #pragma once
 #include <boost/intrusive/list.hpp>
 
@@ -20,9 +22,10 @@
 namespace zinccleat::runtime {
 /// What the owner of a connection waits for.
 enum class ConnectionPhase : std::uint8_t {
-  receiving,  ///< the peer's message, from its first byte or, on a new connection, from the start
-  idle,       ///< the first byte of a further message
-  serving,    ///< nothing of the peer's, except that it reads the answer
+  receiving,  ///< the header of the peer's message, from its first byte or, on a new connection, from the start
+  receivingBody,
+  idle,     ///< the first byte of a further message
+  serving,  ///< nothing of the peer's, except that it reads the answer
 };
 class ConnectionTable;
 
@@ -34,6 +37,9 @@
   static constexpr std::size_t kChargedMessageBytes = std::size_t{16} * 1024;
   /// How long a connection may rest before it counts as late.
   static constexpr Duration kMaxRest{5000};
+  /// The pause within a header after which a connection makes way for a place: a cut of a second, and a second until
+  /// TCP sends again.
+  static constexpr Duration kMaxHeaderPause{2200};
 
   /// @param buffers  for larger socket buffers; null: the connection keeps those of its listener
   ServedConnection(ConnectionTable& table, MemoryBudget& budget, tcp::socket socket,
@@ -55,6 +61,10 @@
   void prepareToWrite(std::size_t bytes);
   /// Whether the connection may make way: it is open, and waits for its peer.
   bool awaitsPeer() const;
+  /// The time from which the connection is late, if a place or, otherwise, memory is needed.
+  TimePoint due(bool forPlace) const;
+  /// Whether the peer has had an answer on this connection.
+  bool answered() const { return answered_; }
   /// Whether bytes of the peer have arrived that its owner waits for and has not read.
   bool hasUnreadBytes();
   /// Closes the connection, so that its owner ends.
@@ -66,6 +76,7 @@
   MemoryReservation memory_;
   SocketBufferBudget* buffers_;
   ConnectionPhase phase_ = ConnectionPhase::receiving;
+  bool answered_ = false;
   bool waitsForMemory_ = false;
 };
 
--- a/libs/runtime/src/connection_table.cpp
+++ b/libs/runtime/src/connection_table.cpp
@@ -19,6 +19,7 @@
 }
 void ServedConnection::enter(ConnectionPhase phase) {
   phase_ = phase;
+  answered_ = answered_ || phase == ConnectionPhase::idle;
   connection_.progress().begin(Clock::now(), phase == ConnectionPhase::idle ? kMaxRest : TransferProgress::kMaxCredit);
 }
 bool ServedConnection::reserve(std::size_t bytes, Duration wait) {
@@ -45,6 +46,12 @@
   if (buffers_)
     connection_.allowUnsent(*buffers_, bytes);
 }
+TimePoint ServedConnection::due(bool forPlace) const {
+  const auto due = connection_.progress().due();
+  if (forPlace && phase_ == ConnectionPhase::receiving)
+    return due - (TransferProgress::kMaxCredit - kMaxHeaderPause);
+  return due;
+}
 bool ServedConnection::awaitsPeer() const {
   return connection_.isOpen() && !waitsForMemory_ && (phase_ != ConnectionPhase::serving || connection_.isWriting());
 }
@@ -82,18 +89,18 @@
 }
 ServedConnection* ConnectionTable::findLatest(TimePoint now, bool holdsMemory) {
   ServedConnection* latest = nullptr;
-  auto earliestDue = now;
+  std::pair<bool, TimePoint> earliest{true, now};  // whether the peer has had an answer, and when it was late
   for (auto& candidate : connections_) {
-    const auto due = candidate.connection().progress().due();
+    const std::pair order{candidate.answered(), candidate.due(!holdsMemory)};
     const bool qualifies = candidate.awaitsPeer() && (!holdsMemory || candidate.memory().bytes() > 0);
-    if (!qualifies || due >= earliestDue)
+    if (!qualifies || order.second >= now || order >= earliest)
       continue;
     if (candidate.hasUnreadBytes()) {
       // This process is late, not the peer: it stood still or was busy.
       candidate.connection().progress().begin(Clock::now());
       continue;
     }
-    earliestDue = due;
+    earliest = order;
     latest = &candidate;
   }
   return latest;
--- a/tests/connection_table_test.cpp
+++ b/tests/connection_table_test.cpp
@@ -99,6 +99,37 @@
     EXPECT_EQ(connections.table.evicted(), 2U);
   });
 }
+// While a crowd that sends no whole header had all places, ordinary callers were turned away for three seconds.
+TEST(ConnectionTable, APauseWithinAHeaderIsShorterWhileAPlaceIsNeeded) {
+  onEventLoop([] {
+    Connections connections;
+    auto& header = connections.add();
+    auto& body = connections.add();
+    body.enter(ConnectionPhase::receivingBody);
+    const auto begun = Clock::now();
+    for (auto* connection : {&header, &body})
+      connection->connection().progress().begin(begun);
+    EXPECT_EQ(header.due(true), begun + ServedConnection::kMaxHeaderPause);
+    EXPECT_GT(header.due(true), begun + 2s) << "a cut of a second, and a second until TCP sends again";
+    EXPECT_EQ(header.due(false), begun + TransferProgress::kMaxCredit);
+    EXPECT_EQ(body.due(true), begun + TransferProgress::kMaxCredit);
+  });
+}
+TEST(ConnectionTable, WhoHasHadAnAnswerMakesWayAfterThoseWhoHaveNot) {
+  onEventLoop([] {
+    Connections connections;
+    auto& answered = connections.add();
+    auto& silent = connections.add();
+    answered.enter(ConnectionPhase::idle);
+    Connections::makeLate(answered, 5000ms);
+    Connections::makeLate(silent, 10ms);
+    EXPECT_TRUE(connections.table.evictForPlace());
+    EXPECT_FALSE(silent.connection().isOpen());
+    EXPECT_TRUE(answered.connection().isOpen());
+    EXPECT_TRUE(connections.table.evictForPlace()) << "late all the same";
+    EXPECT_FALSE(answered.connection().isOpen());
+  });
+}
 TEST(ConnectionTable, ARequestThatIsBeingAnsweredDoesNotMakeWay) {
   onEventLoop([] {
     Connections connections;
