--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -3,7 +3,9 @@
 // not read, connections without end, at each port. A case starts a small fleet with low limits, sends the crowd, and
 // checks while the crowd stays connected: every process runs, its memory (with what has arrived and was not read) and
 // its descriptors are within its limits, and one ordinary request at each port is answered. Nothing depends on the
-// speed of the machine. Usage: zinccleat_crowds PROGRAM CASE; without a case it prints the names of all.
+// speed of the machine. Usage: zinccleat_crowds PROGRAM CASE; without a case it prints the names of all. With
+// --minutes=N in place of a case, all cases meet one fleet with the limits of a deployment, in rounds, and what each
+// process has between two rounds is printed: neither memory nor descriptors may only rise.
 #include <cstdio>
 #include <cstring>
 
@@ -16,6 +18,11 @@
 namespace zinccleat::crowds {
 namespace {
 constexpr simulation::ProcessLimits kLimits{.memoryMb = 64, .fdLimit = 1000};
+constexpr simulation::ProcessLimits kDeploymentLimits{.memoryMb = 220, .fdLimit = 4200};
+constexpr int kDeploymentCrowdFactor = 4;
+constexpr int kMinConnectionsToScale = 100;  // crowds of few connections send without end
+constexpr auto kCalmTime = 5s;
+constexpr std::string_view kMinutesFlag = "--minutes=";
 constexpr int kReservedDescriptors = 200;  // of `fdLimit`, for files outside the disk folder (the users' pages)
 constexpr std::size_t kBytesPerMb = std::size_t{1} << 20;
 constexpr auto kSampleInterval = 50ms;
@@ -91,14 +98,49 @@
 /// One run of a case.
 class CrowdRun {
  public:
-  CrowdRun(const std::string& program, const CrowdCase& crowdCase)
-      : case_(crowdCase),
-        fleet_(program, simulation::FleetOptions{.core = 1, .coreLimits = kLimits, .accessLimits = kLimits}) {}
+  CrowdRun(const std::string& program, const simulation::ProcessLimits& limits)
+      : limits_(limits),
+        fleet_(program, simulation::FleetOptions{.core = 1, .coreLimits = limits, .accessLimits = limits}) {}
   /// @return whether all that the case checks held.
-  bool run() {
+  bool run(const CrowdCase& crowdCase) {
     if (!startFleet())
       return false;
-    runtime::EventLoop::get().spawn([this] { sampleUsage(); });
+    play(crowdCase);
+    return passed_;
+  }
+  /// Plays all cases in rounds. @return whether all that they check held.
+  bool runRounds(std::vector<CrowdCase> cases, Duration time) {
+    if (!startFleet())
+      return false;
+    for (auto& each : cases)
+      enlarge(each);
+    const auto end = Clock::now() + time;
+    for (int round = 1; Clock::now() < end; ++round) {
+      for (const auto& each : cases)
+        play(each);
+      runtime::EventLoop::get().sleepFor(kCalmTime);
+      printCalmUsage(round);
+    }
+    return passed_;
+  }
+
+ private:
+  static void enlarge(CrowdCase& crowdCase) {
+    for (auto& [port, plan] : crowdCase.crowds)
+      if (plan.connections >= kMinConnectionsToScale)
+        plan.connections *= kDeploymentCrowdFactor;
+  }
+  void printCalmUsage(int round) const {
+    for (std::size_t process = 0; process < fleet_.processes().size(); ++process) {
+      const auto& running = fleet_.processes()[process];
+      const auto usage = readUsage(running.pid, fleet_.listeningAddresses(process));
+      std::printf("round %d: %s: %zu MB resident, %d descriptors, %s\n", round, running.role.c_str(),
+                  usage.residentBytes / kBytesPerMb, usage.descriptors, passed_ ? "all held" : "FAILED");
+    }
+    std::fflush(stdout);
+  }
+  void play(const CrowdCase& crowdCase) {
+    case_ = crowdCase;
     std::vector<std::unique_ptr<Crowd>> crowds;
     for (const auto& [port, plan] : case_.crowds)
       crowds.push_back(std::make_unique<Crowd>(addressOf(port), plan));
@@ -109,17 +151,17 @@
     for (const auto& crowd : crowds)
       require(crowd->mostSent() <= case_.maxTakenBytes, "what is taken of one connection is bounded");
     checkProcesses();
-    return passed_;
   }
-
- private:
   bool startFleet() {
     if (!fleet_.startCore() || !fleet_.startAccessMachine())
       return fail("the fleet cannot be started");
     if (!answeredInTheEnd([this] { return installConfiguration(); }))
       return fail("no configuration was acknowledged");
     runner_.emplace(fleet_);
-    return answeredInTheEnd([this] { return accessAnswers(); }) || fail("no request is answered before the crowd");
+    if (!answeredInTheEnd([this] { return accessAnswers(); }))
+      return fail("no request is answered before the crowd");
+    runtime::EventLoop::get().spawn([this] { sampleUsage(); });
+    return true;
   }
   void callAsOrdinaryCallers() {
     requireAnswer([this] { return accessAnswers(case_.callers.bodyBytes); },
@@ -230,11 +272,11 @@
           "%s: at most %zu MB resident, %zu MB unread and %zu MB unsent at once, peak %zu MB resident of %d, "
           "%d descriptors\n",
           running.role.c_str(), most.residentBytes / kBytesPerMb, most.unreadBytes / kBytesPerMb,
-          most.unsentBytes / kBytesPerMb, peak / kBytesPerMb, kLimits.memoryMb, most.descriptors);
-      const auto memory = static_cast<std::size_t>(kLimits.memoryMb) * kBytesPerMb;
+          most.unsentBytes / kBytesPerMb, peak / kBytesPerMb, limits_.memoryMb, most.descriptors);
+      const auto memory = static_cast<std::size_t>(limits_.memoryMb) * kBytesPerMb;
       require(peak <= memory && most.totalBytes() <= memory,
               "the memory of the " + running.role + " is within its limit");
-      require(most.descriptors <= kLimits.fdLimit - kReservedDescriptors,
+      require(most.descriptors <= limits_.fdLimit - kReservedDescriptors,
               "the descriptors of the " + running.role + " are within its limit");
     }
   }
@@ -248,12 +290,33 @@
     return false;
   }
 
-  const CrowdCase& case_;
+  const simulation::ProcessLimits limits_;
+  CrowdCase case_;
   simulation::LocalFleet fleet_;
   std::optional<Runner> runner_;
   std::vector<ProcessUsage> most_;
   bool passed_ = true;
 };
+/// Plays on an event loop of its own, and ends the process.
+[[noreturn]] void playAndExit(const std::string& program, const simulation::ProcessLimits& limits,
+                              const std::string& name, const std::function<bool(CrowdRun&)>& play) {
+  runtime::EventLoop loop;
+  bool passed = false;
+  {
+    auto run = std::make_unique<CrowdRun>(program, limits);
+    loop.spawn([&] {
+      passed = play(*run);
+      loop.stop();
+    });
+    loop.run();
+    std::fflush(stdout);
+    // The fleet ends with this process: fibers still refer to the run.
+    run.reset();
+  }
+  std::printf("%s: %s\n", name.c_str(), passed ? "held" : "failed");
+  std::fflush(stdout);
+  std::_Exit(passed ? 0 : 1);
+}
 }  // namespace
 }  // namespace zinccleat::crowds
 
@@ -265,26 +328,16 @@
       std::printf("%s\n", each.name.c_str());
     return argc == 2 ? 0 : 2;
   }
-  const auto chosen =
-      std::find_if(cases.begin(), cases.end(), [argv](const auto& each) { return each.name == argv[2]; });
+  const std::string what = argv[2];
+  if (what.starts_with(crowds::kMinutesFlag)) {
+    const std::chrono::minutes time(std::atoi(what.c_str() + crowds::kMinutesFlag.size()));
+    crowds::playAndExit(argv[1], crowds::kDeploymentLimits, what,
+                        [&](crowds::CrowdRun& run) { return run.runRounds(cases, time); });
+  }
+  const auto chosen = std::find_if(cases.begin(), cases.end(), [&](const auto& each) { return each.name == what; });
   if (chosen == cases.end()) {
     std::fprintf(stderr, "no case '%s'\n", argv[2]);
     return 2;
   }
-  runtime::EventLoop loop;
-  int status = 1;
-  {
-    auto run = std::make_unique<crowds::CrowdRun>(argv[1], *chosen);
-    loop.spawn([&] {
-      status = run->run() ? 0 : 1;
-      loop.stop();
-    });
-    loop.run();
-    std::fflush(stdout);
-    // The fleet ends with this process: fibers still refer to the run.
-    run.reset();
-  }
-  std::printf("%s: %s\n", chosen->name.c_str(), status == 0 ? "held" : "failed");
-  std::fflush(stdout);
-  std::_Exit(status);
+  crowds::playAndExit(argv[1], crowds::kLimits, what, [&](crowds::CrowdRun& run) { return run.run(*chosen); });
 }
