Soak: a lost request is reported with the run's own stalls and the machine's last disturbance

The runners, clients and crowds of a soak share one thread, so a request that ends late may be late because the run stood still. LOST now says for how long that was, and how long before the request's end its machine was disturbed, so that the two can be told apart. No check changes.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,8 @@
 
 namespace zinccleat::soak {
 namespace {
+constexpr Duration kStallCheckInterval{5};
+constexpr Duration kMinStall{10};
 constexpr const char* kPlantOption = "--plant=";
 constexpr const char* kFolderInMemory = "/dev/shm";
 constexpr Duration kReadyTimeout{30000};
@@ -137,8 +139,18 @@
   std::fflush(stdout);
   std::_Exit(1);
 }
+/// Records when the run itself stands still, because its machine or its own work is busy.
+void recordOwnStalls(SoakRun& run) {
+  for (;;) {
+    const auto due = Clock::now() + kStallCheckInterval;
+    runtime::EventLoop::get().sleepFor(kStallCheckInterval);
+    if (const auto now = Clock::now(); now - due > kMinStall)
+      run.observations.ownStalls.push_back({due, now});
+  }
+}
 int executeRun(SoakRun& run) {
   auto& loop = runtime::EventLoop::get();
+  loop.spawn([&run] { recordOwnStalls(run); });
   if (!start(run))
     return fail("the fleet did not start");
   for (int i = 0; i < run.plan.runners; ++i)
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -59,6 +59,15 @@
     const auto found = observations_.executions.find(request.attemptId);
     return found == observations_.executions.end() ? kNone : found->second;
   }
+  /// What helps to tell a fault of the fleet from a stall of the run.
+  std::string circumstances(const ClientRequest& request) const {
+    const auto stalled = observations_.stalledBetween(request.sentAt, request.endedAt);
+    auto text = "; the run stood still for " + formatMilliseconds(stalled) + " of it";
+    if (const auto disturbed = observations_.lastDisturbanceBefore(request.machine, request.endedAt))
+      text += ", the machine was disturbed " + formatMilliseconds(toDuration(request.endedAt - *disturbed)) +
+              " before its end";
+    return text;
+  }
   static std::string describeRequest(const ClientRequest& request) {
     return "request " + request.attemptId + " at access " + std::to_string(request.machine);
   }
@@ -70,10 +79,11 @@
     const auto openFor = toDuration(request.endedAt - request.sentAt);
     const bool reachedRunner = !executionsOf(request).empty();
     if (request.end == RequestEnd::unanswered)
-      report("LOST", describeRequest(request) + " has no answer after " + formatMilliseconds(openFor));
+      report("LOST",
+             describeRequest(request) + " has no answer after " + formatMilliseconds(openFor) + circumstances(request));
     else if (reachedRunner || openFor > observations_.bounds.lossSlack)
       report("LOST", describeRequest(request) + " ends without an answer after " + formatMilliseconds(openFor) +
-                         (reachedRunner ? ", a runner had it" : ""));
+                         (reachedRunner ? ", a runner had it" : "") + circumstances(request));
   }
   void checkAnswer(const ClientRequest& request) {
     if (request.end == RequestEnd::answered && isSuccess(request.status) && !request.bodyMatches)
@@ -225,6 +235,19 @@
 std::string tenantOf(const std::string& accessKey) {
   return "tenant-of-" + accessKey;
 }
+Duration Observations::stalledBetween(TimePoint from, TimePoint to) const {
+  Duration sum{0};
+  for (const auto& stall : ownStalls)
+    sum += std::max(Duration(0), toDuration(std::min(stall.to, to) - std::max(stall.from, from)));
+  return sum;
+}
+std::optional<TimePoint> Observations::lastDisturbanceBefore(int machine, TimePoint at) const {
+  std::optional<TimePoint> last;
+  for (const auto& disturbance : disturbances)
+    if (disturbance.machine == machine && disturbance.at <= at)
+      last = std::max(last.value_or(disturbance.at), disturbance.at);
+  return last;
+}
 bool Observations::mustBeConnected(int machine, TimePoint at) const {
   return std::none_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& each) {
     const bool concerns = each.machine == Disturbance::kCore || each.machine == machine;
--- a/tests/soak/observations.hpp
+++ b/tests/soak/observations.hpp
@@ -81,6 +81,12 @@
   bool signalledBeforeProgram = false;
 };
 
+/// A time during which the run itself stood still: it read no answer and ran no runner.
+struct OwnStall {
+  TimePoint from{};
+  TimePoint to{};
+};
+
 /// All observations of one run.
 struct Observations {
   Bounds bounds;
@@ -92,6 +98,7 @@
   std::vector<ConfigurationChange> changes;
   std::vector<Disturbance> disturbances;
   std::vector<ProcessExit> exits;
+  std::vector<OwnStall> ownStalls;
   std::map<std::string, int> peakMemoryMb;   ///< key: process
   std::map<std::string, int> memoryLimitMb;  ///< key: process
   std::optional<std::int64_t> finalVersion;  ///< configuration version that was read at the end of the run
@@ -99,6 +106,10 @@
   /// Whether a machine must be connected to the core at a time: neither the machine nor the core was disturbed within
   /// `Bounds::contact` before `at`.
   bool mustBeConnected(int machine, TimePoint at) const;
+  /// For how long the run itself stood still between two times.
+  Duration stalledBetween(TimePoint from, TimePoint to) const;
+  /// When a machine was disturbed most recently before `at`.
+  std::optional<TimePoint> lastDisturbanceBefore(int machine, TimePoint at) const;
   /// Whether neither a machine nor the core had an unplanned disturbance between `from` minus `Bounds::contact` and
   /// `to`.
   bool hasNoUnplannedDisturbance(int machine, TimePoint from, TimePoint to) const;
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -33,6 +33,13 @@
 }
 }  // namespace
 
+TEST(SoakObservations, TellForHowLongTheRunItselfStoodStill) {
+  Observations observations;
+  const TimePoint start{1h};
+  observations.ownStalls = {{start, start + 100ms}, {start + 200ms, start + 500ms}};
+  EXPECT_EQ(observations.stalledBetween(start + 50ms, start + 300ms), 150ms);
+  EXPECT_EQ(observations.stalledBetween(start + 500ms, start + 900ms), 0ms);
+}
 TEST(SoakObservations, AQuietRunBreaksNothing) {
   EXPECT_EQ(violatedRules(observationsWithoutViolation()), "");
 }
