--- a/libs/controller/src/partner_hints.cpp
+++ b/libs/controller/src/partner_hints.cpp
@@ -7,6 +7,7 @@
 
 namespace zinccleat::controller {
 namespace {
+constexpr std::size_t kMaxHintsBytes = std::size_t{16} << 20;  // as of a call of the control API
 constexpr hints::HintBounds kBounds{};
 constexpr auto kSendInterval = 2000ms;
 constexpr auto kResponseTimeout = 1000ms;
@@ -56,7 +57,8 @@
 }
 void PartnerHints::send() {
   const auto body = encodedHints();
-  const operations::Call call{"POST", "/v1/Hints.Exchange", body, {{"X-Hint-Seal", key_->sign(body)}}};
+  operations::Call call{"POST", "/v1/Hints.Exchange", body, {{"X-Hint-Seal", key_->sign(body)}}};
+  call.maxAnswerBytes = kMaxHintsBytes;
   for (const auto& address : context_.settings.partner->control) {
     const auto answer = operations::callOne(address, call, kResponseTimeout);
     if (answer && answer->status == kHttpOk)
--- a/libs/controller/src/platform_client.cpp
+++ b/libs/controller/src/platform_client.cpp
@@ -6,6 +6,7 @@
 
 namespace zinccleat::controller {
 namespace {
+constexpr std::size_t kMaxAnswerBytes = std::size_t{1} << 20;  // of which only the status is read
 constexpr auto kCallTimeout = 2000ms;
 constexpr int kHttpOk = 200;
 constexpr int kFirstRedirection = 300;
@@ -52,6 +53,7 @@
   request.mayStillSend = [this, term] {
     return context_.raft->term() == term && context_.raft->hasLease(Clock::now());
   };
+  request.maxAnswerBytes = kMaxAnswerBytes;
   const auto answer = operations::callOne(context_.settings.platform->address, request, kCallTimeout);
   if (!answer) {
     log::debug("platform_call_unanswered", {{"path", call.path}, {"reason", answer.error().message}});
--- a/libs/operations/include/operations/call.hpp
+++ b/libs/operations/include/operations/call.hpp
@@ -18,6 +18,8 @@
   /// Called after the connection is established and before the request is written. If it returns false, nothing is
   /// sent and the call fails with `ErrorCode::unavailable`. If it is not set, the request is always sent.
   std::function<bool()> mayStillSend;
+  /// A larger body of an answer is an error.
+  std::size_t maxAnswerBytes = std::size_t{64} << 20;
 };
 /// A controller's response.
 struct CallResponse {
--- a/libs/operations/src/call.cpp
+++ b/libs/operations/src/call.cpp
@@ -4,7 +4,6 @@
 
 namespace zinccleat::operations {
 namespace {
-constexpr std::size_t kMaxResponseBodyBytes = std::size_t{64} << 20;
 constexpr int kMaxRedirections = 2;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kFirstServerError = 500;
@@ -54,7 +53,7 @@
   proxy::Buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.eager(true);
-  parser.body_limit(kMaxResponseBodyBytes);
+  parser.body_limit(call.maxAnswerBytes);
   if (!failure)
     proxy::readIntoParser(connection, buffer, parser, false, failure);
   if (failure)
--- a/tests/soak_observations_test.cpp
+++ b/tests/soak_observations_test.cpp
@@ -33,7 +33,7 @@
 }
 }  // namespace
 
-TEST(SoakObservations, TellForHowLongTheRunItselfStoodStill) {
+TEST(SoakObservations, ReportForHowLongTheRunItselfStoodStill) {
   Observations observations;
   const TimePoint start{1h};
   observations.ownStalls = {{start, start + 100ms}, {start + 200ms, start + 500ms}};
