Control API: a refused call frees its memory before the rest of it is dropped

Found on re-reading the change: since the control port reads on after a refusal for up to 500 ms, and the refused call kept its body and its reservation meanwhile, just when memory is short. The proxy frees both first. Both ports have the same RequestEnd now, and the same order.

--- a/libs/controller/src/control_server.cpp
+++ b/libs/controller/src/control_server.cpp
@@ -114,9 +114,11 @@
       if (!proxy::awaitRequest(connection, buffer, limits.idle))
         return;
     }
-    const bool staysOpen = serveRequest(served, buffer, limits);
+    const auto end = serveRequest(served, buffer, limits);
     served.memory().shrinkTo(0);
-    if (!staysOpen)
+    if (end.rejectedWith != 0)
+      return proxy::rejectRequest(connection, end.rejectedWith, limits);
+    if (!end.staysOpen)
       return;
     served.enter(runtime::ConnectionPhase::idle);
     // A caller that sends calls ahead must not keep the event loop busy.
@@ -124,18 +126,18 @@
       runtime::EventLoop::get().yield();
   }
 }
-bool ControlServer::serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer,
-                                 const proxy::ReadLimits& limits) {
+proxy::RequestEnd ControlServer::serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer,
+                                              const proxy::ReadLimits& limits) {
   proxy::RequestParser parser;
   const auto read = proxy::readRequest(served, buffer, parser, limits);
   if (read.outcome == proxy::ReadOutcome::rejected)
-    proxy::rejectRequest(served.connection(), read.status, limits);
+    return {.rejectedWith = read.status};
   if (read.outcome != proxy::ReadOutcome::complete)
-    return false;
+    return {};
   ++inFlight_;
   const bool staysOpen = handleRequest(served, parser);
   --inFlight_;
-  return staysOpen;
+  return {.staysOpen = staysOpen};
 }
 bool ControlServer::handleRequest(runtime::ServedConnection& served, proxy::RequestParser& parser) {
   auto& connection = served.connection();
--- a/libs/controller/src/control_server.hpp
+++ b/libs/controller/src/control_server.hpp
@@ -33,8 +33,8 @@
   /// @return whether the connection stays open after the response.
   bool handleRequest(runtime::ServedConnection& served, proxy::RequestParser& parser);
   /// Reads one request and handles it. What the request holds is freed when the function returns.
-  /// @return whether the connection stays open.
-  bool serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer, const proxy::ReadLimits& limits);
+  proxy::RequestEnd serveRequest(runtime::ServedConnection& served, proxy::Buffer& buffer,
+                                 const proxy::ReadLimits& limits);
 
   ControllerServices& services_;
   const std::string address_;
--- a/libs/proxy/include/proxy/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -34,6 +34,11 @@
   ReadOutcome outcome = ReadOutcome::closed;
   int status = 0;  ///< HTTP status, set for `rejected`
 };
+/// What happens to an accepted connection after one request.
+struct RequestEnd {
+  bool staysOpen = false;
+  int rejectedWith = 0;  ///< HTTP status for a request that could not be read; 0 if it was read
+};
 /// Waits until the first bytes of a request are in the buffer.
 /// @param idle  maximum time to wait
 /// @return false if the connection ended or stayed idle.
--- a/libs/proxy/src/client_connection.cpp
+++ b/libs/proxy/src/client_connection.cpp
@@ -28,11 +28,6 @@
   return awaitRequest(client, buffer, idle);
 }
 
-/// What happens to a connection after one request.
-struct RequestEnd {
-  bool staysOpen = false;
-  int rejectedWith = 0;  ///< HTTP status for a request that could not be read; 0 if it was read
-};
 // Reads one request and answers it. What the request holds is freed when the function returns.
 RequestEnd serveRequest(ProxyContext& context, runtime::ServedConnection& served, Buffer& buffer,
                         const ReadLimits& limits) {
