HTTP: trailer fields do not become header fields

What callers could do: a request whose key came in a trailer field, after its body, was let in, and the runner got trailer fields as its header.

Cause: the parser library adds the fields of a trailer section to those of the header. RFC 9110, section 6.5.1, forbids to merge them unless the field's definition allows it.

Change: the header of a request in chunks is kept as it was before the body; its memory is reserved.

--- a/libs/proxy/include/proxy/http.hpp
+++ b/libs/proxy/include/proxy/http.hpp
@@ -45,6 +45,8 @@
 bool awaitRequest(runtime::Connection& connection, Buffer& buffer, Duration idle);
 /// Reads one request from an accepted connection. Bytes that follow the request stay in the buffer.
 ///
+/// The fields of a trailer section are dropped: they must not set what the header decides (RFC 9110, section 6.5.1).
+///
 /// What the request holds beyond the connection's fixed charge is reserved before more of it is read, whatever part of
 /// the request it is. If there is no room in time, the request is rejected with 503.
 ReadResult readRequest(runtime::ServedConnection& served, Buffer& buffer, RequestParser& parser,
--- a/libs/proxy/include/proxy/message_feed.hpp
+++ b/libs/proxy/include/proxy/message_feed.hpp
@@ -2,8 +2,8 @@
 /// Feeds an HTTP parser from a connection, and accounts for what the parser and the receive buffer hold.
 ///
 /// The parser leaves bytes in the buffer until it can parse a whole part: a line of a header, the line before a chunk,
-/// or the trailer section. The header has a limit in the parser; the other parts are limited here. So are bytes that
-/// the parser drops: empty lines before a header, and what stands between the parts of a body.
+/// or the trailer section. The header has a limit in the parser; the other parts are limited here. So is what
+/// stands between the parts of a body, which the parser drops.
 #pragma once
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -93,8 +93,10 @@
   }
   /// Bytes of memory that the header, its fields and the receive buffer hold once the received bytes are parsed.
   std::size_t headerMemory() const {
-    return buffer_.capacity() + headerBytes_ + (headerLines_ + unparsedLines_) * kBytesPerHeaderField;
+    return buffer_.capacity() + parsedHeaderMemory() + unparsedLines_ * kBytesPerHeaderField;
   }
+  /// The part of it that the parsed header takes.
+  std::size_t parsedHeaderMemory() const { return headerBytes_ + headerLines_ * kBytesPerHeaderField; }
   /// Bytes of memory to reserve for a body of unknown length, with the next read. Twice the size, because a string that
   /// grows may double its capacity.
   std::size_t growingBodyMemory() const { return 2 * (parser_.get().body().size() + kReadBytes); }
--- a/libs/proxy/src/http.cpp
+++ b/libs/proxy/src/http.cpp
@@ -52,6 +52,8 @@
       readBody();
     if (!ec_ && !reserveTrailerFields())
       ec_ = asio::error::no_buffer_space;
+    if (headerOfChunked_)
+      parser_.get().base() = std::move(*headerOfChunked_);
     const bool timedOut = connection_.deadlineExceeded();
     connection_.clearDeadline();
     return resultOf(timedOut);
@@ -77,6 +79,8 @@
     }
     if (served_)
       served_->prepareToRead(length.value_or(0));
+    if (parser_.chunked())
+      headerOfChunked_ = parser_.get().base();
     parser_.eager(true);
     connection_.setDeadline(Clock::now() + limits_.bodyTime);
     sendContinue();
@@ -87,7 +91,7 @@
   // What has to be reserved for a body that takes `now` bytes and will take up to `later` bytes. A small request fits
   // into the fixed charge as a whole, so that it does not depend on what others hold.
   std::size_t messageMemory(std::size_t now, std::size_t later) const {
-    const auto header = feed_.headerMemory();
+    const auto header = feed_.headerMemory() + (parser_.chunked() ? feed_.parsedHeaderMemory() : 0);
     return uncharged(header + now) == 0 ? 0 : uncharged(header) + later;
   }
   std::size_t bodyMemory() const {
@@ -125,6 +129,7 @@
   RequestParser& parser_;
   const ReadLimits& limits_;
   MessageFeed<RequestParser> feed_;
+  std::optional<http::request_header<>> headerOfChunked_;  // without the fields of a trailer section
   runtime::SocketError ec_;
 };
 }  // namespace
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -241,6 +241,23 @@
     EXPECT_EQ(sendRequest(proxy, chunkedAnnouncement("a2") + paddedChunks + "0\r\n\r\n").status, 431);
   });
 }
+// The parser adds the fields of a trailer section to those of the header: a key that came after the body was taken for
+// one that had been shown before it, and the runner got the fields as its header.
+TEST(Proxy, ATrailerFieldSetsNothingThatAHeaderFieldSets) {
+  withProxy([](TestProxy& proxy) {
+    auto runner = proxy.runner("i-1", respondOk);
+    const std::string withoutKey =
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        chunk("body") + "0\r\nAuthorization: Bearer key1\r\n\r\n";
+    EXPECT_EQ(sendRequest(proxy, withoutKey).status, 401);
+    EXPECT_TRUE(runner->receivedRequests.empty());
+    const auto withTrailer = chunkedAnnouncement("a2") + chunk("body") + "0\r\nX-Late: late\r\n\r\n";
+    EXPECT_EQ(sendRequest(proxy, withTrailer).status, 200);
+    ASSERT_EQ(runner->receivedRequests.size(), 1U);
+    EXPECT_EQ(runner->receivedRequests.front().find("X-Late"), std::string::npos);
+    EXPECT_NE(runner->receivedRequests.front().find("body"), std::string::npos);
+  });
+}
 TEST(Proxy, TrailersWithinTheLimitOfAHeaderAreAccepted) {
   withProxy([](TestProxy& proxy) {
     auto runner = proxy.runner("i-1", respondOk);
