--- a/tests/crowds/main.cpp
+++ b/tests/crowds/main.cpp
@@ -172,7 +172,7 @@
   }
   void requireAnswer(const std::function<bool()>& attempt, const std::string& what) {
     if (case_.callers.firstAttemptAfter > Duration(0))
-      require(attempt(), what + " at the first attempt");
+      require(attempt(), what + " at the first attempt (access port: " + lastAnswer_ + ")");
     else
       require(answeredInTheEnd(attempt), what);
   }
@@ -211,6 +211,7 @@
     parser.eager(true);
     if (!ec)
       proxy::readIntoParser(connection, buffer, parser, false, ec);
+    lastAnswer_ = ec ? ec.message() : "status " + std::to_string(parser.get().result_int());
     return !ec && parser.get().result_int() == kOk ? parser.get().body() : std::string();
   }
   static bool answers(const std::string& address, const std::string& path) {
@@ -295,6 +296,7 @@
   simulation::LocalFleet fleet_;
   std::optional<Runner> runner_;
   std::vector<ProcessUsage> most_;
+  mutable std::string lastAnswer_;  // of the access port, for the report
   bool passed_ = true;
 };
 /// Plays on an event loop of its own, and ends the process.
