--- a/tests/call_test.cpp
+++ b/tests/call_test.cpp
@@ -11,6 +11,7 @@
 using namespace zinccleat::runtime;
 namespace {
 constexpr Duration kTimeout{20000};  // far longer than the refusal of an answer takes
+constexpr std::size_t kBlockBytes = std::size_t{64} * 1024;
 constexpr std::size_t kMaxSent = std::size_t{64} << 20;
 const std::string kChunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -52,7 +53,7 @@
 };
 std::string repeat(const std::string& part) {
   std::string text;
-  while (text.size() < 64 * 1024)
+  while (text.size() < kBlockBytes)
     text += part;
   return text;
 }
--- a/tests/controller_node_test.cpp
+++ b/tests/controller_node_test.cpp
@@ -97,7 +97,8 @@
     ASSERT_TRUE(controller.waitUntil(10s, [&] { return fieldOf(node.statusJson(), "leased") == "true"; }));
     for (int version = 1; version <= kVersions; ++version) {
       auto configuration = configurationOf(version);
-      configuration.insert(configuration.size() - 1, ",\"note\":\"" + std::string(2 * kMb, 'a' + version) + "\"");
+      configuration.insert(configuration.size() - 1,
+                           ",\"note\":\"" + std::string(2 * kMb, static_cast<char>('a' + version)) + "\"");
       const auto entry = configurationEntry(version - 1, version, configuration, node.nextOperationId());
       const auto outcome = node.write(entry, 10s);
       ASSERT_TRUE(outcome && *outcome == ReplicatedState::Verdict::acknowledged) << version;
--- a/tests/socket_buffer_budget_test.cpp
+++ b/tests/socket_buffer_budget_test.cpp
@@ -59,7 +59,7 @@
 TEST(Proxy, WhatClientsSendAheadStaysWithinTheBudgetOfSocketBuffers) {
   withProxy([](TestProxy& proxy) {
     constexpr int kClients = 20;
-    constexpr std::size_t kBodyBytes = 256 * 1024;
+    constexpr std::size_t kBodyBytes = std::size_t{256} * 1024;
     proxy.context.socketBuffers = SocketBufferBudget(kMb);
     auto configuration = std::make_shared<Configuration>(*proxy.context.configuration);
     configuration->limits.maxBodyBytes = kBodyBytes;
